--- /dev/null
+++ b/internal/config/swdoc/swdoc.go
@@ -0,0 +1,117 @@
+// Package swdoc defines the environment document: the tiers, organisations,
+// services and targets that operators apply.
+package swdoc
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// Document is one environment. A Document that Parse returned is valid and is not changed.
+type Document struct {
+	// Environment names the environment kind in messages only; the same bytes serve trial and production.
+	Name          string
+	Regions       []Region
+	Tiers         []Tier // highest first, at most swid.MaxTiers
+	Organisations []Organisation
+	Generations   []Generation
+	Services      []Service
+	Targets       []Target
+}
+
+// Region is a region and its availability zones.
+type Region struct {
+	ID    swid.RegionID
+	Zones []swid.ZoneID
+}
+
+// Tier is a class of urgency. Its rank is its place in Document.Tiers.
+type Tier struct {
+	Name string
+	// Deadline applies to requests that name none.
+	Deadline swclock.Millis
+}
+
+// Organisation is a paying organisation and its API keys.
+type Organisation struct {
+	ID    swid.OrgID
+	Class swid.OrgClass
+	// Weight is the organisation's share relative to others; positive.
+	Weight float64
+	// KeyHashes holds the SHA-256 of each API key, in lower-case hexadecimal.
+	KeyHashes []string
+	// HighestTier is the highest tier that the organisation may ask for.
+	HighestTier swid.Tier
+}
+
+// Generation gives the first estimates of speed for a hardware generation.
+type Generation struct {
+	ID          swid.GenerationID
+	PrefillRate float64 // tokens a second
+	DecodeRate  float64 // tokens a second of one stream
+}
+
+// ServiceKind tells models from plain services.
+type ServiceKind uint8
+
+// Kinds of service.
+const (
+	KindModel ServiceKind = iota + 1
+	KindPlain
+)
+
+// Service is what callers address: a model name, or a set of routes.
+type Service struct {
+	ID   swid.ServiceID
+	Kind ServiceKind
+	// OutputTokens is assumed for a request without a limit of its own (models).
+	OutputTokens swid.Tokens
+	// ServiceTime is the first estimate for a call (plain services).
+	ServiceTime swclock.Millis
+	// Routes is empty for models.
+	Routes []Route
+}
+
+// Route is one call of a plain service.
+type Route struct {
+	Method string
+	// Path is an httprouter pattern, below /services/<service>.
+	Path       string
+	Idempotent bool
+}
+
+// FencingMode tells whether a target refuses orders that carry an old fencing number.
+type FencingMode uint8
+
+// Modes of fencing.
+const (
+	FencingHonoured FencingMode = iota + 1
+	FencingIgnored
+)
+
+// Target is one engine or one instance of a plain service.
+type Target struct {
+	ID         swid.TargetID
+	Service    swid.ServiceID
+	Zone       swid.ZoneID
+	Generation swid.GenerationID // empty for plain services
+	URL        string
+	Slots      int
+	KVTokens   swid.Tokens // 0: no bound
+	Draining   bool
+	// ChecksCaller tells that the target itself checks who gives it an order.
+	ChecksCaller bool
+	Fencing      FencingMode
+}
+
+// RegionOf returns the region of an availability zone.
+func (d *Document) RegionOf(zone swid.ZoneID) (swid.RegionID, bool) {
+	for _, r := range d.Regions {
+		for _, z := range r.Zones {
+			if z == zone {
+				return r.ID, true
+			}
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/config/swsettings/swsettings.go
@@ -0,0 +1,76 @@
+// Package swsettings defines a daemon's own settings: its place, its addresses
+// and its limits. What operators change while it runs is in package swdoc.
+package swsettings
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// Settings are those of one daemon.
+type Settings struct {
+	Host   swid.HostID
+	Zone   swid.ZoneID
+	Region swid.RegionID
+
+	Caller   Caller
+	Peer     Peer
+	Operator Operator
+	Platform Platform
+	Log      Log
+	// ShutdownTimeout bounds a graceful shutdown; what still runs then is cut.
+	ShutdownTimeout swclock.Millis
+}
+
+// Caller configures the interface for callers.
+type Caller struct {
+	Address string // IP:port
+	TLS     TLS
+	// MaxBodyBytes and MaxHeaderBytes bound a request.
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	// MaxConnections and MaxHeld bound open connections and held requests.
+	MaxConnections int
+	MaxHeld        int
+	// HeaderTimeout and BodyTimeout bound a slow sender; WriteTimeout bounds one write to a slow reader.
+	HeaderTimeout swclock.Millis
+	BodyTimeout   swclock.Millis
+	WriteTimeout  swclock.Millis
+}
+
+// Peer configures the links between entry hosts.
+type Peer struct {
+	Address string // IP:port, also the address in the platform's host list
+	TLS     TLS
+	// Heartbeat is the interval between two heartbeats on a link.
+	Heartbeat swclock.Millis
+}
+
+// Operator configures the interface for operators, metrics and health.
+type Operator struct {
+	Address string // IP:port
+	TLS     TLS
+}
+
+// Platform configures the platform's object API.
+type Platform struct {
+	URL string
+	// Environment is the name under which the document and the claims are kept.
+	Environment string
+	Timeout     swclock.Millis
+}
+
+// TLS names key files. Files are read again when they change.
+type TLS struct {
+	// Off disables TLS; it must be set explicitly, and excludes the files.
+	Off             bool
+	CertificateFile string
+	KeyFile         string
+	// AuthorityFile holds the certificates that the other side's must be signed by.
+	AuthorityFile string
+}
+
+// Log configures the log.
+type Log struct {
+	Level string // debug, info, warn or error
+}
--- /dev/null
+++ b/internal/peer/swmsg/swmsg.go
@@ -0,0 +1,170 @@
+// Package swmsg defines the typed messages that entry hosts exchange.
+package swmsg
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// Message is one message between two entry hosts. The sender is known from the link.
+type Message interface{ message() }
+
+// Hello is the first message in each direction of a link.
+type Hello struct {
+	Host        swid.HostID
+	Incarnation swid.Incarnation
+}
+
+// MemberState is what one host holds of another.
+type MemberState uint8
+
+// States of a member.
+const (
+	MemberAlive MemberState = iota + 1
+	MemberSuspect
+	MemberLeaving
+	MemberDead
+)
+
+// Rumor spreads one host's state.
+type Rumor struct {
+	Host        swid.HostID
+	Incarnation swid.Incarnation
+	State       MemberState
+	// Round orders the states within an incarnation; only the host itself raises it, to refute a suspicion.
+	Round uint32
+}
+
+// Heartbeat shows that the sender lives, and spreads rumors.
+type Heartbeat struct {
+	Number        uint64
+	ConfigVersion swid.ConfigVersion
+	Rumors        []Rumor
+	// Reply marks the answer to a heartbeat of the same number.
+	Reply bool
+}
+
+// Ask is a holder's request for a grant.
+type Ask struct {
+	Cell          swid.CellID
+	Seq           swid.Seq
+	Attempt       swid.Attempt
+	Tier          swid.Tier
+	Org           swid.OrgID
+	Remaining     swclock.Millis
+	PromptTokens  swid.Tokens
+	OutputTokens  swid.Tokens
+	Prefix        []swid.PrefixHash
+	Fingerprint   swid.Fingerprint
+	Exclude       []swid.TargetID
+	NonIdempotent bool
+	// Insist tells the receiver that the holder cannot reach a host of a better rank, so that it must not redirect.
+	Insist bool
+}
+
+// InFlight reports dispatched work to a new owner.
+type InFlight struct {
+	Ask      Ask
+	Target   swid.TargetID
+	Elapsed  swclock.Millis
+	Produced swid.Tokens
+}
+
+// Progress reports output of running work.
+type Progress struct {
+	Cell     swid.CellID
+	Seq      swid.Seq
+	Attempt  swid.Attempt
+	Produced swid.Tokens
+}
+
+// Withdraw ends an ask or an unused grant.
+type Withdraw struct {
+	Cell    swid.CellID
+	Seq     swid.Seq
+	Attempt swid.Attempt
+}
+
+// Done reports the end of a dispatched attempt.
+type Done struct {
+	Cell         swid.CellID
+	Seq          swid.Seq
+	Attempt      swid.Attempt
+	Target       swid.TargetID
+	Result       swcell.Result
+	PromptTokens swid.Tokens
+	OutputTokens swid.Tokens
+	CachedTokens swid.Tokens
+	FirstToken   swclock.Millis
+	Total        swclock.Millis
+}
+
+// Grant lets the holder dispatch.
+type Grant struct {
+	Cell    swid.CellID
+	Seq     swid.Seq
+	Attempt swid.Attempt
+	Target  swid.TargetID
+	Epoch   swid.Epoch
+}
+
+// GiveUp ends an ask.
+type GiveUp struct {
+	Cell       swid.CellID
+	Seq        swid.Seq
+	Attempt    swid.Attempt
+	Reason     swcell.Reason
+	RetryAfter swclock.Millis
+	Epoch      swid.Epoch
+}
+
+// Preempt asks the holder to cancel running work.
+type Preempt struct {
+	Cell       swid.CellID
+	Seq        swid.Seq
+	Attempt    swid.Attempt
+	Target     swid.TargetID
+	RetryAfter swclock.Millis
+	Epoch      swid.Epoch
+}
+
+// Redirect tells the holder that another host owns the cell.
+type Redirect struct {
+	Cell    swid.CellID
+	Seq     swid.Seq
+	Attempt swid.Attempt
+	Owner   swid.HostID
+}
+
+// Recover asks the holder for its open asks and its work in flight in a cell, because the sender became its owner.
+type Recover struct {
+	Cell  swid.CellID
+	Epoch swid.Epoch
+}
+
+// ConfigRequest asks for the environment document if the receiver has a version above Have.
+type ConfigRequest struct {
+	Have swid.ConfigVersion
+}
+
+// ConfigDocument carries an environment document, byte for byte.
+type ConfigDocument struct {
+	Version  swid.ConfigVersion
+	Document []byte
+}
+
+func (Hello) message()          {}
+func (Heartbeat) message()      {}
+func (Ask) message()            {}
+func (InFlight) message()       {}
+func (Progress) message()       {}
+func (Withdraw) message()       {}
+func (Done) message()           {}
+func (Grant) message()          {}
+func (GiveUp) message()         {}
+func (Preempt) message()        {}
+func (Redirect) message()       {}
+func (Recover) message()        {}
+func (ConfigRequest) message()  {}
+func (ConfigDocument) message() {}
