Add stand-ins for engines, plain services and the platform

Tests and the load tool need something to run against that fails on demand. Each stand-in is an http.Handler built by a constructor, so that it runs in a test, inside the daemon's development mode or as a process of its own.

The engine steps one batch in one goroutine: first in, first out, prefill shared, decoding slower as the batch grows. A goroutine per sequence that sleeps was ruled out, because freezing, slowing down and the time scale would each have needed a hook in every sleep. Answers follow from the prompt alone, so that a client knows the whole answer that it must get.

--- /dev/null
+++ b/internal/stand/swengine/orders.go
@@ -0,0 +1,139 @@
+package swengine
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swreply"
+)
+
+// Kinds of order.
+const (
+	orderLoadModel   = "loadModel"
+	orderLoadAdapter = "loadAdapter"
+	orderSetRole     = "setRole"
+)
+
+// orderBody is an order in JSON.
+type orderBody struct {
+	Order   string `json:"order"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+	Fencing uint64 `json:"fencing"`
+}
+
+// orderBook holds the orders that were carried out.
+type orderBook struct {
+	honoursFencing bool
+	token          string
+	// highest is the highest fencing number seen.
+	highest uint64
+	carried []orderBody
+}
+
+func newOrderBook(c Config) orderBook {
+	return orderBook{honoursFencing: c.HonoursFencing, token: c.CallerToken}
+}
+
+// carry carries an order out, unless its fencing number is old and honoured.
+func (b *orderBook) carry(o orderBody) bool {
+	if b.honoursFencing && o.Fencing < b.highest {
+		return false
+	}
+	b.highest = max(b.highest, o.Fencing)
+	b.carried = append(b.carried, o)
+	return true
+}
+
+// allows reports whether the caller may give orders.
+func (b *orderBook) allows(r *http.Request) bool {
+	if b.token == "" {
+		return true
+	}
+	given := []byte(r.Header.Get("Authorization"))
+	return subtle.ConstantTimeCompare(given, []byte("Bearer "+b.token)) == 1
+}
+
+func (e *Engine) serveOrder(_ context.Context, w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if !e.orders.allows(r) {
+		swreply.Error(w, http.StatusForbidden, "forbidden", "the caller may not give orders")
+		return
+	}
+	var body orderBody
+	if err := swreply.Read(w, r, &body); err != nil {
+		swreply.Error(w, http.StatusBadRequest, "body", err.Error())
+		return
+	}
+	switch body.Order {
+	case orderLoadModel, orderLoadAdapter, orderSetRole:
+	default:
+		swreply.Error(w, http.StatusBadRequest, "order", "unknown order "+strconv.Quote(body.Order))
+		return
+	}
+	e.mu.Lock()
+	carried := e.orders.carry(body)
+	e.mu.Unlock()
+	if !carried {
+		swreply.Error(w, http.StatusConflict, "fencing", "the fencing number is old")
+		return
+	}
+	swreply.JSON(w, http.StatusOK, body)
+}
+
+func (e *Engine) serveOrders(_ context.Context, w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	e.mu.Lock()
+	bodies := append([]orderBody{}, e.orders.carried...)
+	e.mu.Unlock()
+	swreply.JSON(w, http.StatusOK, bodies)
+}
+
+// kvBody is the exported KV cache of a request: the hashes of its prompt's blocks.
+type kvBody struct {
+	Blocks []string `json:"blocks"`
+}
+
+func (e *Engine) serveExport(_ context.Context, w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+	e.mu.Lock()
+	r, ok := e.runs[swid.RequestID(p.ByName("id"))]
+	ready := ok && r.sequence.left == 0 && r.sequence.prefilled > 0
+	e.mu.Unlock()
+	if !ready {
+		swreply.Error(w, http.StatusNotFound, "no_such_request", "the request has no KV cache here")
+		return
+	}
+	body := kvBody{Blocks: []string{}}
+	for _, h := range r.sequence.hashes {
+		body.Blocks = append(body.Blocks, formatHash(h))
+	}
+	swreply.JSON(w, http.StatusOK, body)
+}
+
+func (e *Engine) serveImport(_ context.Context, w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var body kvBody
+	if err := swreply.Read(w, r, &body); err != nil {
+		swreply.Error(w, http.StatusBadRequest, "body", err.Error())
+		return
+	}
+	hashes := make([]swid.PrefixHash, 0, len(body.Blocks))
+	for _, b := range body.Blocks {
+		h, err := strconv.ParseUint(b, 16, 64)
+		if err != nil {
+			swreply.Error(w, http.StatusBadRequest, "blocks", err.Error())
+			return
+		}
+		hashes = append(hashes, swid.PrefixHash(h))
+	}
+	e.mu.Lock()
+	e.cache.insert(e.clock.Now(), hashes)
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func formatHash(h swid.PrefixHash) string { return fmt.Sprintf("%016x", uint64(h)) }
--- /dev/null
+++ b/internal/stand/swengine/run.go
@@ -0,0 +1,94 @@
+package swengine
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swanswer"
+)
+
+// runState says how far a run is.
+type runState uint8
+
+const (
+	runActive runState = iota
+	// runEnded means that every token was generated.
+	runEnded
+	// runCancelled means that the run was cancelled or lost in a crash.
+	runCancelled
+)
+
+// run is one execution of a request. The engine's mutex guards its mutable fields.
+type run struct {
+	call     call
+	id       swid.RequestID
+	attempt  swid.Attempt
+	sequence *sequence
+	record   *record
+
+	state runState
+	// changed is closed and replaced whenever tokens were generated or the state changed.
+	changed chan struct{}
+	// reader numbers the response that the run is sent to; only the latest may cancel it.
+	reader int
+	// detached is when the latest response broke off, valid while isDetached.
+	detached   swclock.Millis
+	isDetached bool
+	delivered  bool
+	// wasted is what the run added to its record's waste.
+	wasted float64
+}
+
+// available returns the number of data events that may be sent now.
+func (r *run) available() int {
+	if r.state == runEnded {
+		return r.call.events()
+	}
+	return r.sequence.tokens()
+}
+
+func (r *run) broadcast() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// waste counts the prefill so far as wasted.
+func (r *run) waste() {
+	if !r.delivered {
+		r.record.wasted += r.sequence.prefilled - r.wasted
+		r.wasted = r.sequence.prefilled
+	}
+}
+
+// deliver records that the whole answer was sent.
+func (r *run) deliver() {
+	if r.delivered {
+		return
+	}
+	r.delivered = true
+	r.record.wasted -= r.wasted
+	r.wasted = 0
+	r.record.completed++
+}
+
+// call is a parsed request. It is not changed.
+type call struct {
+	chat   bool
+	stream bool
+	// usage asks for the usage event at the end of a stream.
+	usage  bool
+	model  string
+	prompt string
+	// output is the length of the answer in tokens.
+	output int
+}
+
+// events returns the number of data events of the answer's stream: the tokens,
+// the finish reason and, where asked for, the usage.
+func (c call) events() int {
+	if c.usage {
+		return c.output + 2
+	}
+	return c.output + 1
+}
+
+func (c call) hash() string { return swanswer.Hash(c.prompt) }
--- /dev/null
+++ b/internal/stand/swengine/stream.go
@@ -0,0 +1,79 @@
+package swengine
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+)
+
+// streamEnd is the terminal marker of a stream.
+const streamEnd = "data: [DONE]\n\n"
+
+// stream sends the answer as server-sent events.
+func (o *response) stream() {
+	o.w.Header().Set("Content-Type", "text/event-stream")
+	o.w.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(o.w)
+	if err := control.Flush(); err != nil {
+		return
+	}
+	limit, cut := o.limit(kindCutAfter)
+	truncated := false
+	if !cut {
+		limit, truncated = o.limit(kindTruncate)
+	}
+	for {
+		p := o.progress()
+		if p.state == runCancelled {
+			panic(http.ErrAbortHandler)
+		}
+		until := p.available
+		if cut || truncated {
+			until = min(until, limit)
+		}
+		if !o.send(p, until, control) {
+			return
+		}
+		if (cut || truncated) && o.sent >= limit {
+			o.cut = true
+			if cut {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+		if o.sent >= p.total {
+			o.finish([]byte(streamEnd))
+			return
+		}
+		o.wait(p)
+	}
+}
+
+// limit returns the number of events after which a fault ends the response.
+func (o *response) limit(kind swfault.Kind) (int, bool) {
+	f, ok := o.engine.faults.Take(kind)
+	if !ok {
+		return 0, false
+	}
+	return min(o.sent+f.After, o.run.call.events()), true
+}
+
+// send writes the events up to a number, and reports whether the client still reads.
+func (o *response) send(p progress, until int, control *http.ResponseController) bool {
+	if o.sent >= until {
+		return true
+	}
+	o.engine.faults.Hold(o.ctx, o.r)
+	for ; o.sent < until; o.sent++ {
+		body, err := json.Marshal(o.run.call.event(o.source, p.usage, o.sent))
+		if err != nil {
+			return false
+		}
+		event := append(append([]byte("data: "), body...), "\n\n"...)
+		if _, err := o.w.Write(event); err != nil {
+			return false
+		}
+	}
+	return control.Flush() == nil
+}
--- /dev/null
+++ b/internal/stand/swplain/swplain.go
@@ -0,0 +1,233 @@
+// Package swplain is a stand-in for a plain service: it answers every call with
+// an echo, counts what ran, and has faults on demand.
+package swplain
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swreply"
+)
+
+// Headers of the service.
+const (
+	headerRequestID      = "X-Request-Id"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// KindDropAnswer runs the call and then cuts the connection without an answer.
+const KindDropAnswer swfault.Kind = "dropAnswer"
+
+// Config describes one service.
+type Config struct {
+	// ServiceTime is how long each call takes.
+	ServiceTime swclock.Millis
+}
+
+// Option changes a Service at its construction.
+type Option func(*Service)
+
+// WithClock sets the clock; the default is the system's.
+func WithClock(c swclock.Clock) Option { return func(s *Service) { s.clock = c } }
+
+// WithLog sets the log; the default discards it.
+func WithLog(log zerolog.Logger) Option { return func(s *Service) { s.log = log } }
+
+// Service is a running stand-in.
+type Service struct {
+	config Config
+	clock  swclock.Clock
+	log    zerolog.Logger
+	faults *swfault.Set
+
+	lifetime context.Context
+	stop     context.CancelFunc
+
+	mu sync.Mutex
+	// process ends at a crash or at Close.
+	process context.Context
+	crashed context.CancelFunc
+	// sequence numbers the calls that ran.
+	sequence int64
+	counts   Counts
+}
+
+// Counts tell how often calls ran. They outlive faults.
+type Counts struct {
+	// ByRequest and ByKey count by request id and by idempotency key.
+	ByRequest map[string]int
+	ByKey     map[string]int
+}
+
+// New starts a service. The caller must close it.
+func New(c Config, options ...Option) *Service {
+	s := &Service{
+		config: c,
+		clock:  swclock.NewSystem(),
+		log:    zerolog.Nop(),
+		counts: Counts{ByRequest: make(map[string]int), ByKey: make(map[string]int)},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.faults = swfault.NewSet(s.clock, s.faultAdded, swfault.KindFreeze, swfault.KindCrash,
+		swfault.KindSlow, swfault.KindSilence, swfault.KindRefuse, KindDropAnswer)
+	s.lifetime, s.stop = context.WithCancel(context.Background())
+	s.process, s.crashed = context.WithCancel(s.lifetime)
+	return s
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler { return http.HandlerFunc(s.serve) }
+
+// Faults returns the service's faults.
+func (s *Service) Faults() *swfault.Set { return s.faults }
+
+// Runs returns a copy of the counts.
+func (s *Service) Runs() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Counts{ByRequest: copyCounts(s.counts.ByRequest), ByKey: copyCounts(s.counts.ByKey)}
+}
+
+// Close stops the service and breaks off its responses.
+func (s *Service) Close() { s.stop() }
+
+func copyCounts(counts map[string]int) map[string]int {
+	copied := make(map[string]int, len(counts))
+	for key, n := range counts {
+		copied[key] = n
+	}
+	return copied
+}
+
+func (s *Service) faultAdded(f swfault.Fault) {
+	s.log.Info().Str("kind", string(f.Kind)).Msg("fault")
+	if f.Kind != swfault.KindCrash {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed()
+	s.process, s.crashed = context.WithCancel(s.lifetime)
+}
+
+func (s *Service) currentProcess() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.process
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == swfault.Path:
+		s.faults.ServeHTTP(w, r)
+	case r.URL.Path == "/admin/runs":
+		s.serveRuns(w)
+	default:
+		s.serveCall(w, r)
+	}
+}
+
+// echoBody is the answer to every call.
+type echoBody struct {
+	RequestID string `json:"requestId"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Body      string `json:"body"`
+	Sequence  int64  `json:"sequence"`
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	ctx, release := swfault.RequestContext(s.currentProcess(), r)
+	defer release()
+	if !s.faults.Gate(ctx, w, r) {
+		return
+	}
+	var body strings.Builder
+	if _, err := io.Copy(&body, http.MaxBytesReader(w, r.Body, swreply.MaxRequestBytes)); err != nil {
+		swreply.Error(w, http.StatusBadRequest, "body", err.Error())
+		return
+	}
+	id := r.Header.Get(headerRequestID)
+	sequence := s.count(id, r.Header.Get(headerIdempotencyKey))
+	s.work(ctx)
+	if _, ok := s.faults.Take(KindDropAnswer); ok {
+		panic(http.ErrAbortHandler)
+	}
+	s.faults.Hold(ctx, r)
+	w.Header().Set(headerRequestID, id)
+	swreply.JSON(w, http.StatusOK, echoBody{
+		RequestID: id,
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Body:      body.String(),
+		Sequence:  sequence,
+	})
+}
+
+// count records that a call runs, and returns its number.
+func (s *Service) count(id, key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	s.counts.ByRequest[id]++
+	if key != "" {
+		s.counts.ByKey[key]++
+	}
+	return s.sequence
+}
+
+// work takes the call's time. A call that started goes on when its caller leaves.
+func (s *Service) work(ctx context.Context) {
+	span := s.config.ServiceTime.Duration()
+	if f, ok := s.faults.Get(swfault.KindSlow); ok && f.Factor > 0 {
+		span = time.Duration(float64(span)*f.Factor) + f.Delay.Duration()
+	}
+	if span == 0 {
+		return
+	}
+	t := time.NewTimer(span)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+type countsBody struct {
+	RequestIDs      []countBody `json:"requestIds"`
+	IdempotencyKeys []countBody `json:"idempotencyKeys"`
+}
+
+type countBody struct {
+	Key  string `json:"key"`
+	Runs int    `json:"runs"`
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter) {
+	counts := s.Runs()
+	swreply.JSON(w, http.StatusOK, countsBody{
+		RequestIDs:      countBodies(counts.ByRequest),
+		IdempotencyKeys: countBodies(counts.ByKey),
+	})
+}
+
+func countBodies(counts map[string]int) []countBody {
+	bodies := make([]countBody, 0, len(counts))
+	for key, n := range counts {
+		bodies = append(bodies, countBody{Key: key, Runs: n})
+	}
+	slices.SortFunc(bodies, func(a, b countBody) int { return strings.Compare(a.Key, b.Key) })
+	return bodies
+}
--- /dev/null
+++ b/internal/stand/swplatform/routes.go
@@ -0,0 +1,147 @@
+package swplatform
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"golang.org/x/time/rate"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swreply"
+)
+
+// routes returns the platform's HTTP interface.
+func (p *Platform) routes() http.Handler {
+	router := httprouter.New()
+	router.GET("/objects/*key", p.serveRead)
+	router.PUT("/objects/*key", func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		p.call(w, r, params, &p.calls.Writes, p.writes, p.servePut)
+	})
+	router.GET("/hosts", func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		p.call(w, r, params, &p.calls.Hosts, p.reads, p.serveHosts)
+	})
+	router.GET("/weights/*key", func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		p.call(w, r, params, &p.calls.Weights, p.reads, p.serveWeights)
+	})
+	router.GET("/admin/calls", p.serveCalls)
+	router.HandlerFunc(http.MethodPost, "/admin/hosts", p.serveSetHosts)
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		router.Handler(method, swfault.Path, p.faults)
+	}
+	return router
+}
+
+func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	if r.URL.Query().Get("watch") == "true" {
+		p.call(w, r, params, &p.calls.Watches, p.reads, p.serveWatch)
+	} else {
+		p.call(w, r, params, &p.calls.Reads, p.reads, p.serveGet)
+	}
+}
+
+// keyedHandler serves a call on one key.
+type keyedHandler func(ctx context.Context, w http.ResponseWriter, r *http.Request, key string)
+
+// call counts a call and carries it out, unless a fault or its rate refuses it.
+func (p *Platform) call(w http.ResponseWriter, r *http.Request, params httprouter.Params,
+	count *int64, limit *rate.Limiter, h keyedHandler) {
+	ctx, release := swfault.RequestContext(p.currentProcess(), r)
+	defer release()
+	p.count(count)
+	p.delay(ctx)
+	if f, ok := p.faults.Take(KindOutage); ok {
+		p.count(&p.calls.Refused)
+		if f.Status == statusCut {
+			panic(http.ErrAbortHandler)
+		}
+		swreply.Error(w, http.StatusServiceUnavailable, "unavailable", "the platform is down")
+		return
+	}
+	if _, ok := p.faults.Take(KindRateLimit); ok || !limit.Allow() {
+		p.count(&p.calls.Refused)
+		w.Header().Set("Retry-After", "1")
+		swreply.Error(w, http.StatusTooManyRequests, "rate_limit", "too many calls")
+		return
+	}
+	h(ctx, w, r, strings.TrimPrefix(params.ByName("key"), "/"))
+}
+
+// statusCut in place of an HTTP status cuts the connection.
+const statusCut = 1
+
+func (p *Platform) count(counter *int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*counter++
+}
+
+// delay waits for the platform's own delay and that of the slow fault.
+func (p *Platform) delay(ctx context.Context) {
+	span := p.config.Delay
+	if f, ok := p.faults.Get(swfault.KindSlow); ok {
+		span += f.Delay
+	}
+	sleep(ctx, span)
+}
+
+func sleep(ctx context.Context, span swclock.Millis) {
+	if span == 0 {
+		return
+	}
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+const (
+	// defaultWeightBytes is the size of weights whose reader names none.
+	defaultWeightBytes = 1 << 20
+	// weightChunk is the size of one write of weights.
+	weightChunk = 1 << 15
+)
+
+// serveWeights sends zero bytes at the store's rate; the query parameter bytes gives their number.
+func (p *Platform) serveWeights(ctx context.Context, w http.ResponseWriter, r *http.Request, _ string) {
+	size, err := parseCount(r.URL.Query().Get("bytes"))
+	if err != nil {
+		swreply.Error(w, http.StatusBadRequest, "query", "bytes must be a number")
+		return
+	}
+	if size == 0 {
+		size = defaultWeightBytes
+	}
+	w.Header().Set("Content-Length", strconv.FormatUint(size, 10))
+	chunk := make([]byte, min(weightChunk, p.weights.Burst()))
+	for left := size; left > 0; {
+		n := min(left, uint64(len(chunk)))
+		if err := p.weights.WaitN(ctx, int(n)); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
+type callsBody struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+	Hosts   int64 `json:"hosts"`
+	Weights int64 `json:"weights"`
+	Refused int64 `json:"refused"`
+}
+
+func (p *Platform) serveCalls(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	swreply.JSON(w, http.StatusOK, callsBody(p.Calls()))
+}
--- /dev/null
+++ b/internal/stand/swplatform/swplatform.go
@@ -0,0 +1,176 @@
+// Package swplatform is a stand-in for the platform: an object API with
+// versions, conditional updates and watches, a list of hosts that lags, and a
+// weight store. It keeps everything in memory.
+package swplatform
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+)
+
+// Faults of a platform, besides swfault.KindSlow, whose delay is added to each call.
+const (
+	// KindOutage cuts the calls in progress, watches among them, and answers
+	// every later one with 503, or cuts its connection if Fault.Status is 1.
+	KindOutage swfault.Kind = "outage"
+	// KindLoseAnswer carries a write out and cuts the connection without an answer.
+	KindLoseAnswer swfault.Kind = "loseAnswer"
+	// KindRateLimit refuses every call with 429.
+	KindRateLimit swfault.Kind = "rateLimit"
+	// KindLagHosts serves the list of hosts as it was when the fault began.
+	KindLagHosts swfault.Kind = "lagHosts"
+)
+
+// Config describes a platform. Zero fields take the defaults below.
+type Config struct {
+	// ReadRate and WriteRate bound the calls a second; a watch counts as a read.
+	ReadRate  float64
+	WriteRate float64
+	// WeightRate bounds the weight store, in bytes a second.
+	WeightRate float64
+	// Delay is added to each call.
+	Delay swclock.Millis
+	// HostLag is the age of the list of hosts that is served.
+	HostLag swclock.Millis
+	// Hosts is the first list of hosts.
+	Hosts []swobject.Host
+}
+
+// Defaults of Config.
+const (
+	defaultReadRate   = 2000
+	defaultWriteRate  = 400
+	defaultWeightRate = 64 << 20
+)
+
+// Option changes a Platform at its construction.
+type Option func(*Platform)
+
+// WithClock sets the clock; the default is the system's.
+func WithClock(c swclock.Clock) Option { return func(p *Platform) { p.clock = c } }
+
+// WithLog sets the log; the default discards it.
+func WithLog(log zerolog.Logger) Option { return func(p *Platform) { p.log = log } }
+
+// Platform is a running stand-in.
+type Platform struct {
+	config  Config
+	clock   swclock.Clock
+	log     zerolog.Logger
+	faults  *swfault.Set
+	handler http.Handler
+
+	lifetime context.Context
+	stop     context.CancelFunc
+
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	weights *rate.Limiter
+
+	mu sync.Mutex
+	// process ends when an outage begins, or at Close; every call belongs to one.
+	process context.Context
+	failed  context.CancelFunc
+	// objects holds the latest version of each object.
+	objects map[string]swobject.Object
+	// changed is closed and replaced at each write.
+	changed chan struct{}
+	hosts   hostHistory
+	calls   Calls
+}
+
+// Calls counts calls by kind. Calls that were refused count as Refused as well.
+type Calls struct {
+	Reads   int64
+	Writes  int64
+	Watches int64
+	Hosts   int64
+	Weights int64
+	Refused int64
+}
+
+// New starts a platform. The caller must close it.
+func New(c Config, options ...Option) *Platform {
+	setDefault(&c.ReadRate, defaultReadRate)
+	setDefault(&c.WriteRate, defaultWriteRate)
+	setDefault(&c.WeightRate, defaultWeightRate)
+	p := &Platform{
+		config:  c,
+		clock:   swclock.NewSystem(),
+		log:     zerolog.Nop(),
+		reads:   newLimiter(c.ReadRate),
+		writes:  newLimiter(c.WriteRate),
+		weights: newLimiter(c.WeightRate),
+		objects: make(map[string]swobject.Object),
+		changed: make(chan struct{}),
+	}
+	for _, o := range options {
+		o(p)
+	}
+	p.hosts = hostHistory{{hosts: c.Hosts}}
+	p.faults = swfault.NewSet(p.clock, p.faultAdded, swfault.KindSlow,
+		KindOutage, KindLoseAnswer, KindRateLimit, KindLagHosts)
+	p.lifetime, p.stop = context.WithCancel(context.Background())
+	p.process, p.failed = context.WithCancel(p.lifetime)
+	p.handler = p.routes()
+	return p
+}
+
+// Handler returns the platform's HTTP interface.
+func (p *Platform) Handler() http.Handler { return p.handler }
+
+// Faults returns the platform's faults.
+func (p *Platform) Faults() *swfault.Set { return p.faults }
+
+// Calls returns the counts since the start.
+func (p *Platform) Calls() Calls {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// SetHosts replaces the list of hosts.
+func (p *Platform) SetHosts(hosts []swobject.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = append(p.hosts, hostList{at: p.clock.Now(), hosts: hosts})
+}
+
+// Close stops the platform and ends its watches.
+func (p *Platform) Close() { p.stop() }
+
+func (p *Platform) faultAdded(f swfault.Fault) {
+	p.log.Info().Str("kind", string(f.Kind)).Msg("fault")
+	if f.Kind != KindOutage {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed()
+	p.process, p.failed = context.WithCancel(p.lifetime)
+}
+
+func (p *Platform) currentProcess() context.Context {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.process
+}
+
+// newLimiter returns a limiter whose burst is a second's worth.
+func newLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+func setDefault(field *float64, value float64) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/stand/swplatform/swplatform_test.go
@@ -0,0 +1,177 @@
+package swplatform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+)
+
+// patience bounds the waits of these tests.
+const patience = 20 * time.Second
+
+func startPlatform(t *testing.T, c Config, options ...Option) (*Platform, string) {
+	t.Helper()
+	p := New(c, options...)
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(func() {
+		p.Close()
+		server.Close()
+	})
+	return p, server.URL
+}
+
+// call returns the status, 0 if the connection was cut, and the body.
+func call(t *testing.T, method, url, ifMatch, body string) (int, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ifMatch != "" {
+		request.Header.Set("If-Match", ifMatch)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(read)
+}
+
+func TestConditionalUpdates(t *testing.T) {
+	_, url := startPlatform(t, Config{})
+	steps := []struct {
+		method, ifMatch, body string
+		status                int
+		answer                string
+	}{
+		{"GET", "", "", 404, ""},
+		{"PUT", `"1"`, "a", 412, ""},
+		{"PUT", `"0"`, "a", 200, `{"version":1}`},
+		{"PUT", `"0"`, "b", 412, ""},
+		{"PUT", `"1"`, "b", 200, `{"version":2}`},
+		{"PUT", "", "c", 400, ""},
+		{"PUT", `"2"`, strings.Repeat("x", swobject.MaxValueBytes+1), 413, ""},
+		{"GET", "", "", 200, `{"key":"a/b","version":2,"value":"Yg=="}`},
+	}
+	for i, s := range steps {
+		status, answer := call(t, s.method, url+"/objects/a/b", s.ifMatch, s.body)
+		if status != s.status || s.answer != "" && answer != s.answer {
+			t.Errorf("step %d: got %d %s, want %d %s", i, status, answer, s.status, s.answer)
+		}
+	}
+}
+
+func TestWatch(t *testing.T) {
+	_, url := startPlatform(t, Config{})
+	if status, _ := call(t, "GET", url+"/objects/k?watch=true&after=0&waitMillis=1", "", ""); status != 204 {
+		t.Errorf("a watch without a change ended with %d", status)
+	}
+	got := make(chan string, 1)
+	go func() {
+		_, body := call(t, "GET", url+"/objects/k?watch=true&after=0&waitMillis=60000", "", "")
+		got <- body
+	}()
+	call(t, "PUT", url+"/objects/k", `"0"`, "v")
+	if body := <-got; body != `{"key":"k","version":1,"value":"dg=="}` {
+		t.Errorf("watch got %s", body)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		fault  swfault.Fault
+		status int
+		// written tells whether the write took effect all the same.
+		written bool
+	}{
+		{"outage", swfault.Fault{Kind: KindOutage}, 503, false},
+		{"cut", swfault.Fault{Kind: KindOutage, Status: statusCut}, 0, false},
+		{"rate limit", swfault.Fault{Kind: KindRateLimit}, 429, false},
+		{"lost answer", swfault.Fault{Kind: KindLoseAnswer}, 0, true},
+		{"slow", swfault.Fault{Kind: swfault.KindSlow, Delay: 1}, 200, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p, url := startPlatform(t, Config{})
+			if err := p.Faults().Add(test.fault); err != nil {
+				t.Fatal(err)
+			}
+			if status, _ := call(t, "PUT", url+"/objects/k", `"0"`, "v"); status != test.status {
+				t.Errorf("status %d, want %d", status, test.status)
+			}
+			p.Faults().ClearAll()
+			if status, _ := call(t, "GET", url+"/objects/k", "", ""); (status == 200) != test.written {
+				t.Errorf("after the fault, the object reads as %d", status)
+			}
+		})
+	}
+}
+
+func TestOutageCutsWatches(t *testing.T) {
+	p, url := startPlatform(t, Config{})
+	ended := make(chan int, 1)
+	go func() {
+		status, _ := call(t, "GET", url+"/objects/k?watch=true&waitMillis=60000", "", "")
+		ended <- status
+	}()
+	for end := time.Now().Add(patience); p.Calls().Watches == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if err := p.Faults().Add(swfault.Fault{Kind: KindOutage}); err != nil {
+		t.Fatal(err)
+	}
+	if status := <-ended; status != 0 && status != 503 {
+		t.Errorf("the watch ended with %d", status)
+	}
+}
+
+func TestHostsLag(t *testing.T) {
+	clock := &swclock.Manual{}
+	old := swobject.Host{ID: "a", Zone: "z", Region: "r", Address: "127.0.0.1:1", State: swobject.HostLive}
+	_, url := startPlatform(t, Config{HostLag: 100, Hosts: []swobject.Host{old}}, WithClock(clock))
+	const before = `[{"id":"a","zone":"z","region":"r","address":"127.0.0.1:1","state":"live"}]`
+	const after = `[{"id":"a","zone":"z","region":"r","address":"127.0.0.1:1","state":"leaving"}]`
+	clock.Advance(1000)
+	if status, _ := call(t, "POST", url+"/admin/hosts", "", after); status != 204 {
+		t.Fatalf("set hosts: %d", status)
+	}
+	if _, got := call(t, "GET", url+"/hosts", "", ""); got != before {
+		t.Errorf("before the lag is over: %s", got)
+	}
+	clock.Advance(100)
+	if _, got := call(t, "GET", url+"/hosts", "", ""); got != after {
+		t.Errorf("after the lag: %s", got)
+	}
+}
+
+func TestRateLimitAndCounters(t *testing.T) {
+	p, url := startPlatform(t, Config{WriteRate: 1, ReadRate: 1e9})
+	call(t, "PUT", url+"/objects/a", `"0"`, "v")
+	if status, _ := call(t, "PUT", url+"/objects/b", `"0"`, "v"); status != 429 {
+		t.Errorf("second write: %d", status)
+	}
+	call(t, "GET", url+"/objects/a", "", "")
+	if status, body := call(t, "GET", url+"/weights/m?bytes=10", "", ""); status != 200 || len(body) != 10 {
+		t.Errorf("weights: %d, %d bytes", status, len(body))
+	}
+	want := Calls{Reads: 1, Writes: 2, Weights: 1, Refused: 1}
+	if got := p.Calls(); got != want {
+		t.Errorf("calls = %+v, want %+v", got, want)
+	}
+}
