Hold callers' requests and run cells at their owner

The path from caller to target: swcaller checks and authenticates a request, swholder drives it by the pure state machine swlife, swowner feeds the cell's core and sends grants back.

--- /dev/null
+++ b/internal/caller/swcaller/errors.go
@@ -0,0 +1,132 @@
+package swcaller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+)
+
+// Headers of the callers' interface beside the standard ones.
+const (
+	headerTier           = "X-Tier"
+	headerDeadline       = "X-Deadline-Millis"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerRequestID      = "X-Request-Id"
+	// headerShouldRetry tells client libraries that repeat failed requests by themselves not to.
+	headerShouldRetry = "X-Should-Retry"
+)
+
+// Error is an error as callers see it.
+type Error struct {
+	Status int
+	// Code is a fixed word for programs; Message is for people.
+	Code    string
+	Message string
+	Outcome swlife.Outcome
+	Request swid.RequestID
+	// RetryAfter is when to come back; 0 if it would not help.
+	RetryAfter swclock.Millis
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Message }
+
+func invalid(status int, code, message string) *Error {
+	return &Error{Status: status, Code: code, Message: message, Outcome: swlife.OutcomeNotRun}
+}
+
+// causes gives the status, code and message of each cause of an end without an answer.
+var causes = map[swlife.Cause]Error{
+	swlife.CauseOverload:         {Status: http.StatusTooManyRequests, Code: "overloaded", Message: "there is too little capacity for this tier and organisation now"},
+	swlife.CauseDeadline:         {Status: http.StatusGatewayTimeout, Code: "deadlineExceeded", Message: "the answer cannot be completed before the deadline"},
+	swlife.CauseNoTarget:         {Status: http.StatusServiceUnavailable, Code: "noTarget", Message: "no target can take the request now"},
+	swlife.CauseSuspect:          {Status: http.StatusUnprocessableEntity, Code: "contentCrashesTargets", Message: "targets failed while running requests of this content; it is refused for a while"},
+	swlife.CauseRetryBudget:      {Status: http.StatusServiceUnavailable, Code: "retryBudgetExhausted", Message: "the target failed, and the service has no retries left now"},
+	swlife.CauseTargetFailed:     {Status: http.StatusBadGateway, Code: "targetFailed", Message: "the target failed before the answer was complete"},
+	swlife.CausePreempted:        {Status: http.StatusServiceUnavailable, Code: "preempted", Message: "the request was cancelled to make room for a higher tier"},
+	swlife.CauseCallerGone:       {Status: http.StatusRequestTimeout, Code: "callerGone", Message: "the caller closed the connection or read too slowly"},
+	swlife.CauseClaimUnavailable: {Status: http.StatusServiceUnavailable, Code: "claimUnavailable", Message: "the idempotency key cannot be recorded now"},
+	swlife.CauseClaimHeld:        {Status: http.StatusConflict, Code: "idempotencyKeyInUse", Message: "an earlier request with this idempotency key may have run, and its answer is not known"},
+	swlife.CauseKeyReused:        {Status: http.StatusUnprocessableEntity, Code: "idempotencyKeyReused", Message: "the idempotency key was used for a request of other content"},
+	swlife.CauseShutdown:         {Status: http.StatusServiceUnavailable, Code: "shuttingDown", Message: "this host takes no new requests"},
+}
+
+// errorOf returns the error for an end without an answer.
+func errorOf(end swlife.End, request swid.RequestID) *Error {
+	e := causes[end.Cause]
+	e.Outcome = end.Outcome
+	e.Request = request
+	e.RetryAfter = end.RetryAfter
+	return &e
+}
+
+type wireError struct {
+	Message    string `json:"message"`
+	Type       string `json:"type"`
+	Code       string `json:"code"`
+	Outcome    string `json:"outcome"`
+	RequestID  string `json:"requestId"`
+	RetryAfter int64  `json:"retryAfterMillis,omitempty"`
+}
+
+type wireErrorBody struct {
+	Error wireError `json:"error"`
+}
+
+// body encodes the error in the shape that all errors share.
+func (e *Error) body() []byte {
+	w := wireErrorBody{Error: wireError{
+		Message:    e.Message,
+		Type:       errorType(e.Status),
+		Code:       e.Code,
+		Outcome:    outcomeName(e.Outcome),
+		RequestID:  string(e.Request),
+		RetryAfter: int64(e.RetryAfter),
+	}}
+	data, err := json.Marshal(w)
+	if err != nil {
+		return []byte(`{"error":{"message":"internal error"}}`) // strings and numbers always encode
+	}
+	return data
+}
+
+func errorType(status int) string {
+	if status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+func outcomeName(o swlife.Outcome) string {
+	switch o {
+	case swlife.OutcomeAnswered:
+		return "answered"
+	case swlife.OutcomeUnknown:
+		return "unknown"
+	default:
+		return "notRun"
+	}
+}
+
+// write sends the error as a whole answer.
+func (e *Error) write(w http.ResponseWriter, retriable bool) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if e.Request != "" {
+		h.Set(headerRequestID, string(e.Request))
+	}
+	if e.RetryAfter > 0 {
+		seconds := (e.RetryAfter + swclock.Second - 1) / swclock.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		h.Set("Retry-After-Ms", strconv.FormatInt(int64(e.RetryAfter), 10))
+	}
+	if !retriable {
+		h.Set(headerShouldRetry, "false")
+	}
+	w.WriteHeader(e.Status)
+	_, _ = w.Write(e.body()) // a caller that is gone needs no answer
+}
--- /dev/null
+++ b/internal/caller/swcaller/sink.go
@@ -0,0 +1,36 @@
+package swcaller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// sink writes an answer to the caller's connection. A caller that reads too
+// slowly is treated as gone, so that it does not keep a target's slot.
+type sink struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	timeout    swclock.Millis
+}
+
+// Begin implements swholder.Sink.
+func (s *sink) Begin(status int, contentType string) error {
+	if contentType != "" {
+		s.writer.Header().Set("Content-Type", contentType)
+	}
+	s.writer.WriteHeader(status)
+	return nil
+}
+
+// Write implements swholder.Sink.
+func (s *sink) Write(data []byte) error {
+	if err := s.controller.SetWriteDeadline(time.Now().Add(s.timeout.Duration())); err != nil {
+		return err
+	}
+	if _, err := s.writer.Write(data); err != nil {
+		return err
+	}
+	return s.controller.Flush()
+}
--- /dev/null
+++ b/internal/caller/swcaller/swcaller.go
@@ -0,0 +1,312 @@
+// Package swcaller is the interface for callers: HTTP in the form of the OpenAI
+// API for models, and routes for plain services.
+package swcaller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
+	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+)
+
+// Holder holds requests until their outcome.
+type Holder interface {
+	NextID() (swid.Seq, swid.RequestID)
+	Serve(ctx context.Context, r *swholder.Request, sink swholder.Sink) swholder.Report
+}
+
+// Server serves callers. Its methods are safe for concurrent use.
+type Server struct {
+	settings swsettings.Caller
+	region   swid.RegionID
+	holder   Holder
+	clock    swclock.Clock
+	log      zerolog.Logger
+	router   *httprouter.Router
+	// index is nil until the first document is in force.
+	index atomic.Pointer[index]
+}
+
+// New returns a Server for a host of a region.
+func New(settings swsettings.Caller, region swid.RegionID, holder Holder, clock swclock.Clock, log zerolog.Logger) *Server {
+	s := &Server{settings: settings, region: region, holder: holder, clock: clock, log: log, router: httprouter.New()}
+	s.router.POST("/v1/chat/completions", s.complete)
+	s.router.POST("/v1/completions", s.complete)
+	s.router.GET("/v1/models", s.models)
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+		s.router.Handle(method, "/services/:service/*path", s.call)
+	}
+	s.router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		invalid(http.StatusNotFound, "noSuchPath", "there is no "+r.Method+" "+r.URL.Path).write(w, false)
+	})
+	return s
+}
+
+// Configure brings a document into force.
+func (s *Server) Configure(d *swdoc.Document) { s.index.Store(newIndex(d, s.region)) }
+
+// HTTP returns a server with the bounds of the settings.
+func (s *Server) HTTP() *http.Server {
+	return &http.Server{
+		Handler:           s.router,
+		ReadHeaderTimeout: s.settings.HeaderTimeout.Duration(),
+		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
+		IdleTimeout:       idleTimeout.Duration(),
+	}
+}
+
+// idleTimeout closes a caller's connection that carries no request.
+const idleTimeout = 2 * swclock.Minute
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// complete serves a request to a model.
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	x, org, body, problem := s.accept(w, r)
+	if problem != nil {
+		problem.write(w, false)
+		return
+	}
+	c, problem := parseCompletion(body)
+	if problem != nil {
+		problem.write(w, false)
+		return
+	}
+	e, known := x.services[c.model]
+	if !known || e.service.Kind != swdoc.KindModel {
+		invalid(http.StatusNotFound, "noSuchModel", "there is no model "+string(c.model)).write(w, false)
+		return
+	}
+	request, problem := s.request(r, x, org, e)
+	if problem != nil {
+		problem.write(w, false)
+		return
+	}
+	c.fill(request, e.service, r.URL.Path, body)
+	request.NonIdempotent = request.IdempotencyKey != ""
+	s.serve(w, r, request)
+}
+
+// call serves a call of a plain service.
+func (s *Server) call(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	x, org, body, problem := s.accept(w, r)
+	if problem != nil {
+		problem.write(w, false)
+		return
+	}
+	name, path := swid.ServiceID(params.ByName("service")), params.ByName("path")
+	e, known := x.services[name]
+	if !known || e.service.Kind != swdoc.KindPlain {
+		invalid(http.StatusNotFound, "noSuchService", "there is no service "+string(name)).write(w, false)
+		return
+	}
+	idempotent, found := e.route(r.Method, path)
+	if !found {
+		invalid(http.StatusNotFound, "noSuchRoute", "service "+string(name)+" has no route "+r.Method+" "+path).write(w, false)
+		return
+	}
+	request, problem := s.request(r, x, org, e)
+	if problem != nil {
+		problem.write(w, false)
+		return
+	}
+	request.NonIdempotent = !idempotent || request.IdempotencyKey != ""
+	request.Call.Method = r.Method
+	request.Call.Path = path
+	if r.URL.RawQuery != "" {
+		request.Call.Path += "?" + r.URL.RawQuery
+	}
+	request.Call.ContentType = r.Header.Get("Content-Type")
+	request.Call.Body = body
+	content := append([]byte(r.Method+" "+request.Call.Path+"\n"), body...)
+	request.Fingerprint = swprompt.Fingerprint(name, content)
+	s.serve(w, r, request)
+}
+
+// accept authenticates a caller and reads the body.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*index, *swdoc.Organisation, []byte, *Error) {
+	x := s.index.Load()
+	if x == nil {
+		e := invalid(http.StatusServiceUnavailable, "noConfiguration", "this host has no configuration yet")
+		e.RetryAfter = swclock.Second
+		return nil, nil, nil, e
+	}
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	org, known := x.organisation(key)
+	if !found || !known {
+		return nil, nil, nil, invalid(http.StatusUnauthorized, "unknownApiKey", "the API key is missing or unknown")
+	}
+	body, problem := s.readBody(w, r)
+	return x, org, body, problem
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Error) {
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout.Duration())); err != nil {
+		return nil, invalid(http.StatusInternalServerError, "internal", "the connection takes no deadline")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.settings.MaxBodyBytes)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, invalid(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body is above "+strconv.Itoa(s.settings.MaxBodyBytes)+" bytes")
+	}
+	if err != nil {
+		return nil, invalid(http.StatusRequestTimeout, "bodyIncomplete", "the body did not arrive whole in time")
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		return nil, invalid(http.StatusInternalServerError, "internal", "the connection takes no deadline")
+	}
+	return body, nil
+}
+
+// request builds what all kinds of request share.
+func (s *Server) request(r *http.Request, x *index, org *swdoc.Organisation, e *serviceEntry) (*swholder.Request, *Error) {
+	tier, problem := tierOf(r, x, org)
+	if problem != nil {
+		return nil, problem
+	}
+	remaining, problem := deadlineOf(r, x.document.Tiers[tier])
+	if problem != nil {
+		return nil, problem
+	}
+	if e.cell == "" {
+		problem := invalid(http.StatusServiceUnavailable, "noTarget", "service "+string(e.service.ID)+" has no target")
+		problem.RetryAfter = swclock.Second
+		return nil, problem
+	}
+	key := r.Header.Get(headerIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return nil, invalid(http.StatusBadRequest, "invalidIdempotencyKey", "the idempotency key is above "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	seq, id := s.holder.NextID()
+	return &swholder.Request{
+		ID:             id,
+		Seq:            seq,
+		Service:        e.service.ID,
+		Cell:           e.cell,
+		Tier:           tier,
+		Org:            org.ID,
+		OrgClass:       org.Class,
+		Deadline:       s.clock.Now() + remaining,
+		IdempotencyKey: key,
+	}, nil
+}
+
+const (
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 256
+	// maxDeadline bounds the deadline that a caller may ask for.
+	maxDeadline = swclock.Hour
+)
+
+func tierOf(r *http.Request, x *index, org *swdoc.Organisation) (swid.Tier, *Error) {
+	name := r.Header.Get(headerTier)
+	if name == "" {
+		return swid.Tier(len(x.document.Tiers) - 1), nil
+	}
+	tier, known := x.tiers[name]
+	if !known {
+		return 0, invalid(http.StatusBadRequest, "noSuchTier", "there is no tier "+name)
+	}
+	if tier < org.HighestTier {
+		return 0, invalid(http.StatusForbidden, "tierNotAllowed", "organisation "+string(org.ID)+" may not use tier "+name)
+	}
+	return tier, nil
+}
+
+func deadlineOf(r *http.Request, tier swdoc.Tier) (swclock.Millis, *Error) {
+	value := r.Header.Get(headerDeadline)
+	if value == "" {
+		return tier.Deadline, nil
+	}
+	millis, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || millis <= 0 || swclock.Millis(millis) > maxDeadline {
+		return 0, invalid(http.StatusBadRequest, "invalidDeadline",
+			headerDeadline+" must be a whole number of milliseconds from 1 to "+strconv.Itoa(int(maxDeadline)))
+	}
+	return swclock.Millis(millis), nil
+}
+
+// serve has a request held to its end, and tells the caller of an end without an answer.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, request *swholder.Request) {
+	w.Header().Set(headerRequestID, string(request.ID))
+	out := &sink{writer: w, controller: http.NewResponseController(w), timeout: s.settings.WriteTimeout}
+	report := s.holder.Serve(r.Context(), request, out)
+	s.logEnd(request, &report)
+	if report.End.Outcome == swlife.OutcomeAnswered {
+		return
+	}
+	problem := errorOf(report.End, request.ID)
+	if !report.Begun {
+		mayRepeat := report.End.Outcome == swlife.OutcomeNotRun || !request.NonIdempotent
+		problem.write(w, mayRepeat)
+		return
+	}
+	// The answer has begun: an error event and a connection that ends without
+	// the terminal marker tell the caller that it is not whole.
+	if request.Call.Stream {
+		_ = out.Write(append(append([]byte("data: "), problem.body()...), '\n', '\n')) // the abort below tells as well
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) logEnd(r *swholder.Request, report *swholder.Report) {
+	s.log.Info().
+		Str("requestId", string(r.ID)).
+		Str("service", string(r.Service)).
+		Str("organisation", string(r.Org)).
+		Uint8("tier", uint8(r.Tier)).
+		Str("outcome", outcomeName(report.End.Outcome)).
+		Str("cause", causes[report.End.Cause].Code).
+		Str("target", string(report.Target)).
+		Uint32("attempts", uint32(report.Attempts)).
+		Int64("queueMillis", int64(report.Timing.Queue)).
+		Int64("totalMillis", int64(report.Timing.Total)).
+		Msg("request ended")
+}
+
+type wireModel struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type wireModels struct {
+	Object string      `json:"object"`
+	Data   []wireModel `json:"data"`
+}
+
+// models lists the models.
+func (s *Server) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	x, _, _, problem := s.accept(w, r)
+	if problem != nil {
+		problem.write(w, false)
+		return
+	}
+	list := wireModels{Object: "list", Data: make([]wireModel, 0, len(x.models))}
+	for _, m := range x.models {
+		list.Data = append(list.Data, wireModel{ID: string(m), Object: "model", OwnedBy: x.document.Name})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		s.log.Debug().Err(err).Msg("model list not sent")
+	}
+}
--- /dev/null
+++ b/internal/core/swlife/swlife_test.go
@@ -0,0 +1,121 @@
+package swlife
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// events lists inputs of every kind; Granted is drawn apart.
+var events = []Event{
+	Claimed{},
+	ClaimFailed{Cause: CauseClaimUnavailable},
+	ClaimFailed{Cause: CauseClaimHeld, MayHaveRun: true},
+	Replayed{},
+	GivenUp{Reason: swcell.ReasonOverload},
+	Left{Cause: CauseCallerGone},
+	AttemptEnded{Result: swcell.ResultAnswered},
+	AttemptEnded{Result: swcell.ResultNotStarted},
+	AttemptEnded{Result: swcell.ResultBroken},
+	AttemptEnded{Result: swcell.ResultBroken, Resumable: true, Delivered: true},
+	AttemptEnded{Result: swcell.ResultBroken, Delivered: true},
+	AttemptEnded{Result: swcell.ResultCancelled, Cause: CausePreempted},
+	AttemptEnded{Result: swcell.ResultCancelled, Cause: CauseCallerGone},
+	AttemptEnded{Result: swcell.ResultRejected},
+}
+
+// TestLifeKeepsItsPromises draws events in any order, fitting or not.
+func TestLifeKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nonIdempotent := rapid.Bool().Draw(t, "nonIdempotent")
+		life, command := New(nonIdempotent)
+		var dispatched []swid.TargetID
+		mayHaveRun, ended := false, 0
+		for range 40 {
+			switch c := command.(type) {
+			case Dispatch:
+				if slices.Contains(dispatched, c.Target) {
+					t.Fatalf("target %s dispatched to twice", c.Target)
+				}
+				if nonIdempotent && mayHaveRun {
+					t.Fatalf("non-idempotent request dispatched again after it may have run")
+				}
+				dispatched = append(dispatched, c.Target)
+			case End:
+				ended++
+				if c.Outcome == OutcomeNotRun && mayHaveRun {
+					t.Fatalf("told not run after it may have run")
+				}
+			}
+			if ended > 0 {
+				break
+			}
+			_, asking := command.(Ask)
+			e := drawEvent(t, asking)
+			mayHaveRun = mayHaveRun || runs(command, e)
+			command = life.Step(e)
+		}
+		if ended != 1 {
+			t.Fatalf("request ended %d times", ended)
+		}
+	})
+}
+
+func drawEvent(t *rapid.T, asking bool) Event {
+	if asking && rapid.IntRange(0, 3).Draw(t, "grant") > 0 {
+		target := rapid.SampledFrom([]swid.TargetID{"a", "b", "c"}).Draw(t, "target")
+		return Granted{Target: target}
+	}
+	return rapid.SampledFrom(events).Draw(t, "event")
+}
+
+// runs tells whether an event means that a target may have run the request.
+func runs(c Command, e Event) bool {
+	if failed, ok := e.(ClaimFailed); ok {
+		_, claiming := c.(Claim)
+		return claiming && failed.MayHaveRun
+	}
+	ended, ok := e.(AttemptEnded)
+	if !ok || ended.Result == swcell.ResultNotStarted {
+		return false
+	}
+	switch c.(type) {
+	case Dispatch, Resume:
+		return true
+	}
+	return false
+}
+
+func TestLifeEnds(t *testing.T) {
+	broken := AttemptEnded{Result: swcell.ResultBroken}
+	tests := []struct {
+		name          string
+		nonIdempotent bool
+		events        []Event
+		want          End
+	}{
+		{"answered", false, []Event{Granted{"a"}, AttemptEnded{Result: swcell.ResultAnswered}}, End{Outcome: OutcomeAnswered}},
+		{"given up", false, []Event{GivenUp{swcell.ReasonOverload, 500}}, End{OutcomeNotRun, CauseOverload, 500}},
+		{"repeated elsewhere", false, []Event{Granted{"a"}, broken, Granted{"b"}, AttemptEnded{Result: swcell.ResultAnswered}}, End{Outcome: OutcomeAnswered}},
+		{"not repeated", true, []Event{Claimed{}, Granted{"a"}, broken}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+		{"refused, then run", true, []Event{Claimed{}, Granted{"a"}, AttemptEnded{Result: swcell.ResultNotStarted}, Granted{"b"}, broken}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+		{"claim unavailable", true, []Event{ClaimFailed{Cause: CauseClaimUnavailable}}, End{Outcome: OutcomeNotRun, Cause: CauseClaimUnavailable}},
+		{"repeated key", true, []Event{ClaimFailed{Cause: CauseClaimHeld, MayHaveRun: true}}, End{Outcome: OutcomeUnknown, Cause: CauseClaimHeld}},
+		{"broken after delivery", false, []Event{Granted{"a"}, AttemptEnded{Result: swcell.ResultBroken, Delivered: true}}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			life, command := New(tt.nonIdempotent)
+			for _, e := range tt.events {
+				command = life.Step(e)
+			}
+			if command != Command(tt.want) {
+				t.Errorf("got %+v, want %+v", command, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/owner/swowner/convert.go
@@ -0,0 +1,95 @@
+package swowner
+
+import (
+	"slices"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+)
+
+func keyOf(from swlink.Peer, seq swid.Seq) swcell.Key {
+	return swcell.Key{Holder: from.Host, Incarnation: from.Incarnation, Seq: seq}
+}
+
+func askEvent(key swcell.Key, m swmsg.Ask, now swclock.Millis) swcell.Ask {
+	return swcell.Ask{
+		Key:           key,
+		Attempt:       m.Attempt,
+		Tier:          m.Tier,
+		Org:           m.Org,
+		Deadline:      now + m.Remaining,
+		PromptTokens:  m.PromptTokens,
+		OutputTokens:  m.OutputTokens,
+		Prefix:        m.Prefix,
+		Fingerprint:   m.Fingerprint,
+		Exclude:       m.Exclude,
+		NonIdempotent: m.NonIdempotent,
+	}
+}
+
+func doneEvent(key swcell.Key, m swmsg.Done) swcell.Done {
+	return swcell.Done{
+		Key:          key,
+		Attempt:      m.Attempt,
+		Target:       m.Target,
+		Result:       m.Result,
+		PromptTokens: m.PromptTokens,
+		OutputTokens: m.OutputTokens,
+		CachedTokens: m.CachedTokens,
+		FirstToken:   m.FirstToken,
+		Total:        m.Total,
+	}
+}
+
+// targetsOf returns the targets of a cell.
+func targetsOf(d *swdoc.Document, cell swid.CellID) []swdoc.Target {
+	var targets []swdoc.Target
+	for _, t := range d.Targets {
+		region, known := d.RegionOf(t.Zone)
+		if known && swid.NewCellID(t.Service, region) == cell {
+			targets = append(targets, t)
+		}
+	}
+	return targets
+}
+
+func configureEvent(d *swdoc.Document, targets []swdoc.Target) swcell.Configure {
+	c := swcell.Configure{
+		Targets:       make([]swcell.Target, 0, len(targets)),
+		Organisations: make([]swcell.Organisation, 0, len(d.Organisations)),
+	}
+	for _, t := range targets {
+		c.Targets = append(c.Targets, cellTarget(d, t))
+	}
+	for _, o := range d.Organisations {
+		c.Organisations = append(c.Organisations, swcell.Organisation{ID: o.ID, Weight: o.Weight})
+	}
+	return c
+}
+
+func cellTarget(d *swdoc.Document, t swdoc.Target) swcell.Target {
+	target := swcell.Target{
+		ID:         t.ID,
+		Generation: t.Generation,
+		State:      swcell.TargetActive,
+		Slots:      t.Slots,
+		KVTokens:   t.KVTokens,
+	}
+	if t.Draining {
+		target.State = swcell.TargetDraining
+	}
+	generation := slices.IndexFunc(d.Generations, func(g swdoc.Generation) bool { return g.ID == t.Generation })
+	if generation >= 0 {
+		target.PrefillRate = d.Generations[generation].PrefillRate
+		target.DecodeRate = d.Generations[generation].DecodeRate
+	}
+	service := slices.IndexFunc(d.Services, func(s swdoc.Service) bool { return s.ID == t.Service })
+	if service >= 0 {
+		target.ServiceTime = d.Services[service].ServiceTime
+	}
+	return target
+}
--- /dev/null
+++ b/internal/owner/swowner/runner.go
@@ -0,0 +1,290 @@
+package swowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swring"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+)
+
+const (
+	// inputCapacity bounds the inputs that wait for one cell. A holder repeats an ask that found no room.
+	inputCapacity = 8192
+	// settleTime is how long a new owner collects the holders' reports before it
+	// grants, so that it does not overfill targets that already run work.
+	settleTime swclock.Millis = 100
+)
+
+// input is one input of a runner; exactly one of message, event and status is set.
+type input struct {
+	from    swlink.Peer
+	message swmsg.Message
+	event   swcell.Event
+	status  chan<- CellStatus
+}
+
+// granted is a grant that its holder has not ended.
+type granted struct {
+	holder  swid.HostID
+	message swmsg.Grant
+}
+
+// runner drives one cell. All fields but inputs, changes and config belong to the goroutine of run.
+type runner struct {
+	config  *Config
+	id      swid.CellID
+	inputs  *swring.Ring[input]
+	changes *swring.Ring[*swdoc.Document]
+
+	cell    *swcell.Cell
+	epoch   swid.Epoch
+	actions []swcell.Action
+	// grants has each grant from its action to its Done or Withdraw, so that a
+	// repeated ask is answered with the same grant.
+	grants map[swcell.Key]granted
+	// settled is the instant from which the cell is fed; held keeps the asks until then.
+	settled swclock.Millis
+	held    []swcell.Event
+	// stopWatch ends the watch of the present targets.
+	stopWatch context.CancelFunc
+}
+
+func newRunner(config *Config, id swid.CellID) *runner {
+	r := &runner{
+		config:    config,
+		id:        id,
+		inputs:    swring.New[input](inputCapacity),
+		changes:   swring.New[*swdoc.Document](1),
+		grants:    make(map[swcell.Key]granted),
+		stopWatch: func() {},
+	}
+	r.cell = swcell.New(config.Cell, swcell.WithViolationHook(func(v swcell.Violation) {
+		config.Observer.Violated(id, v.Invariant)
+		config.Log.Error().Str("cell", string(id)).Str("invariant", v.Invariant).Uint64("seq", uint64(v.Key.Seq)).Msg("invariant violated")
+	}))
+	return r
+}
+
+// put hands over an input without blocking.
+func (r *runner) put(in input) {
+	if !r.inputs.TryPut(in) {
+		r.config.Observer.InputDropped(r.id)
+	}
+}
+
+// configure hands over a document; a newer one replaces one that was not taken yet.
+func (r *runner) configure(d *swdoc.Document) {
+	for !r.changes.TryPut(d) {
+		select {
+		case <-r.changes.Items():
+		default:
+		}
+	}
+}
+
+func (r *runner) run(ctx context.Context) {
+	r.takeOver()
+	defer func() { r.stopWatch() }()
+	ticker := time.NewTicker(swcell.TickInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-r.changes.Items():
+			r.apply(ctx, d)
+		case in := <-r.inputs.Items():
+			r.take(in)
+		case <-ticker.C:
+			r.tick()
+		}
+	}
+}
+
+// takeOver starts the owner's term and asks every holder in reach for its open work.
+func (r *runner) takeOver() {
+	r.epoch = r.config.Router.Takeover(r.id)
+	r.settled = r.config.Clock.Now()
+	others := 0
+	for _, m := range r.config.Members.Members() {
+		if m.State == swmsg.MemberDead {
+			continue
+		}
+		if m.Host != r.config.Host {
+			others++
+		}
+		r.config.Sender.Send(m.Host, swmsg.Recover{Cell: r.id, Epoch: r.epoch})
+	}
+	if others > 0 {
+		r.settled += settleTime
+	}
+	r.config.Log.Info().Str("cell", string(r.id)).Uint64("epoch", uint64(r.epoch)).Int("holders", others+1).Msg("cell taken over")
+}
+
+// apply configures the cell and watches its present targets.
+func (r *runner) apply(ctx context.Context, d *swdoc.Document) {
+	targets := targetsOf(d, r.id)
+	r.stopWatch()
+	var watched context.Context
+	watched, r.stopWatch = context.WithCancel(ctx)
+	r.config.Watcher.Watch(watched, r.id, targets, func(e swcell.Event) { r.put(input{event: e}) })
+	r.step(configureEvent(d, targets))
+}
+
+func (r *runner) take(in input) {
+	switch {
+	case in.status != nil:
+		in.status <- CellStatus{Cell: r.id, Epoch: r.epoch, Snapshot: r.cell.Snapshot()}
+	case in.event != nil:
+		if gone, ok := in.event.(swcell.HolderGone); ok {
+			r.forget(gone)
+		}
+		r.step(in.event)
+	default:
+		r.message(in.from, in.message)
+	}
+}
+
+// forget drops the grants of a process that is gone.
+func (r *runner) forget(gone swcell.HolderGone) {
+	for key := range r.grants {
+		if key.Holder == gone.Holder && key.Incarnation <= gone.Incarnation {
+			delete(r.grants, key)
+		}
+	}
+}
+
+func (r *runner) message(from swlink.Peer, m swmsg.Message) {
+	switch m := m.(type) {
+	case swmsg.Ask:
+		r.ask(from, m)
+	case swmsg.InFlight:
+		r.inFlight(from, m)
+	case swmsg.Progress:
+		r.step(swcell.Progress{Key: keyOf(from, m.Seq), Attempt: m.Attempt, Produced: m.Produced})
+	case swmsg.Withdraw:
+		r.withdraw(keyOf(from, m.Seq), m.Attempt)
+	case swmsg.Done:
+		key := keyOf(from, m.Seq)
+		if g, known := r.grants[key]; known && g.message.Attempt == m.Attempt {
+			delete(r.grants, key)
+		}
+		r.step(doneEvent(key, m))
+	}
+}
+
+// ask answers a repeated ask with the grant it already has, and queues a new one.
+func (r *runner) ask(from swlink.Peer, m swmsg.Ask) {
+	key := keyOf(from, m.Seq)
+	if g, known := r.grants[key]; known && g.message.Attempt == m.Attempt {
+		r.sendGrant(key, g)
+		return
+	}
+	e := askEvent(key, m, r.config.Clock.Now())
+	if r.settled > r.config.Clock.Now() {
+		r.held = append(r.held, e)
+		return
+	}
+	r.step(e)
+}
+
+// inFlight takes over work that was dispatched under another owner.
+func (r *runner) inFlight(from swlink.Peer, m swmsg.InFlight) {
+	key := keyOf(from, m.Ask.Seq)
+	r.grants[key] = granted{holder: from.Host, message: swmsg.Grant{
+		Cell: r.id, Seq: m.Ask.Seq, Attempt: m.Ask.Attempt, Target: m.Target, Epoch: r.epoch,
+	}}
+	r.step(swcell.InFlight{
+		Ask:      askEvent(key, m.Ask, r.config.Clock.Now()),
+		Target:   m.Target,
+		Elapsed:  m.Elapsed,
+		Produced: m.Produced,
+	})
+}
+
+func (r *runner) withdraw(key swcell.Key, attempt swid.Attempt) {
+	if g, known := r.grants[key]; known && g.message.Attempt == attempt {
+		delete(r.grants, key)
+	}
+	r.held = withoutAsk(r.held, key, attempt)
+	r.step(swcell.Withdraw{Key: key, Attempt: attempt})
+}
+
+func withoutAsk(events []swcell.Event, key swcell.Key, attempt swid.Attempt) []swcell.Event {
+	kept := events[:0]
+	for _, e := range events {
+		if a, ok := e.(swcell.Ask); ok && a.Key == key && a.Attempt == attempt {
+			continue
+		}
+		kept = append(kept, e)
+	}
+	return kept
+}
+
+func (r *runner) tick() {
+	if len(r.held) > 0 && r.settled <= r.config.Clock.Now() {
+		held := r.held
+		r.held = nil
+		for _, e := range held {
+			r.step(e)
+		}
+	}
+	r.step(swcell.Tick{})
+}
+
+// step feeds the core and sends its decisions.
+func (r *runner) step(e swcell.Event) {
+	r.actions = r.cell.Step(r.config.Clock.Now(), e, r.actions[:0])
+	for _, a := range r.actions {
+		r.config.Observer.Decided(r.id, a)
+		r.send(a)
+	}
+}
+
+func (r *runner) send(a swcell.Action) {
+	switch a := a.(type) {
+	case swcell.Grant:
+		g := granted{holder: a.Key.Holder, message: swmsg.Grant{
+			Cell: r.id, Seq: a.Key.Seq, Attempt: a.Attempt, Target: a.Target, Epoch: r.epoch,
+		}}
+		r.grants[a.Key] = g
+		r.sendGrant(a.Key, g)
+	case swcell.GiveUp:
+		r.config.Sender.Send(a.Key.Holder, swmsg.GiveUp{
+			Cell: r.id, Seq: a.Key.Seq, Attempt: a.Attempt, Reason: a.Reason, RetryAfter: a.RetryAfter, Epoch: r.epoch,
+		})
+	case swcell.Preempt:
+		r.config.Sender.Send(a.Key.Holder, swmsg.Preempt{
+			Cell: r.id, Seq: a.Key.Seq, Attempt: a.Attempt, Target: a.Target, RetryAfter: a.RetryAfter, Epoch: r.epoch,
+		})
+	}
+}
+
+// sendGrant sends a grant. One that cannot be queued frees its slot at once;
+// the holder repeats its ask.
+func (r *runner) sendGrant(key swcell.Key, g granted) {
+	if r.config.Sender.Send(g.holder, g.message) {
+		return
+	}
+	delete(r.grants, key)
+	r.inputs.TryPut(input{event: swcell.Withdraw{Key: key, Attempt: g.message.Attempt}})
+}
+
+func (r *runner) status(ctx context.Context) (CellStatus, bool) {
+	reply := make(chan CellStatus, 1)
+	if err := r.inputs.Put(ctx, input{status: reply}); err != nil {
+		return CellStatus{}, false
+	}
+	select {
+	case s := <-reply:
+		return s, true
+	case <-ctx.Done():
+		return CellStatus{}, false
+	}
+}
