--- a/internal/caller/swcaller/errors.go
+++ b/internal/caller/swcaller/errors.go
@@ -83,7 +83,7 @@
 		Message:    e.Message,
 		Type:       errorType(e.Status),
 		Code:       e.Code,
-		Outcome:    outcomeName(e.Outcome),
+		Outcome:    e.Outcome.String(),
 		RequestID:  string(e.Request),
 		RetryAfter: int64(e.RetryAfter),
 	}}
@@ -101,17 +101,6 @@
 	return "server_error"
 }
 
-func outcomeName(o swlife.Outcome) string {
-	switch o {
-	case swlife.OutcomeAnswered:
-		return "answered"
-	case swlife.OutcomeUnknown:
-		return "unknown"
-	default:
-		return "notRun"
-	}
-}
-
 // write sends the error as a whole answer.
 func (e *Error) write(w http.ResponseWriter, retriable bool) {
 	h := w.Header()
--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -273,8 +273,8 @@
 		Str("service", string(r.Service)).
 		Str("organisation", string(r.Org)).
 		Uint8("tier", uint8(r.Tier)).
-		Str("outcome", outcomeName(report.End.Outcome)).
-		Str("cause", causes[report.End.Cause].Code).
+		Str("outcome", report.End.Outcome.String()).
+		Str("cause", report.End.Cause.String()).
 		Str("target", string(report.Target)).
 		Uint32("attempts", uint32(report.Attempts)).
 		Int64("queueMillis", int64(report.Timing.Queue)).
--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -66,6 +66,34 @@
 	CauseShutdown
 )
 
+var causeNames = [...]string{
+	CauseNone:             "none",
+	CauseOverload:         "overload",
+	CauseDeadline:         "deadline",
+	CauseNoTarget:         "noTarget",
+	CauseSuspect:          "suspect",
+	CauseRetryBudget:      "retryBudget",
+	CauseTargetFailed:     "targetFailed",
+	CausePreempted:        "preempted",
+	CauseCallerGone:       "callerGone",
+	CauseClaimUnavailable: "claimUnavailable",
+	CauseClaimHeld:        "claimHeld",
+	CauseKeyReused:        "keyReused",
+	CauseShutdown:         "shutdown",
+}
+
+// String returns the cause's name in logs and metrics.
+func (c Cause) String() string { return causeNames[c] }
+
+var outcomeNames = [...]string{
+	OutcomeAnswered: "answered",
+	OutcomeNotRun:   "notRun",
+	OutcomeUnknown:  "unknown",
+}
+
+// String returns the outcome's name in errors, logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Event is an input of Life.Step.
 type Event interface{ event() }
 
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -113,8 +113,8 @@
 }
 
 func (a *attempt) exchange(ctx context.Context) swlife.AttemptEnded {
-	adapter, known := a.held.holder.config.Targets.Adapter(a.target)
-	if !known {
+	adapter, takesWork, known := a.held.holder.config.Targets.Adapter(a.target)
+	if !known || (!takesWork && a.events == 0) {
 		return swlife.AttemptEnded{Result: swcell.ResultNotStarted}
 	}
 	call := a.held.request.Call
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -29,7 +29,8 @@
 
 // Targets gives the adapter of each target.
 type Targets interface {
-	Adapter(target swid.TargetID) (swtarget.Adapter, bool)
+	// Adapter returns a target's adapter; takesWork is false if the target is draining.
+	Adapter(target swid.TargetID) (adapter swtarget.Adapter, takesWork, known bool)
 }
 
 // Observer is told of events for metrics. Its methods do not block.
--- /dev/null
+++ b/internal/target/swpool/swpool.go
@@ -0,0 +1,61 @@
+// Package swpool keeps the adapter of each target of the document in force.
+package swpool
+
+import (
+	"sync/atomic"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// Factory makes the adapter of a target.
+type Factory func(t swdoc.Target, kind swdoc.ServiceKind) swtarget.Adapter
+
+// Pool keeps adapters. Its methods are safe for concurrent use; Configure is
+// called from one goroutine.
+type Pool struct {
+	factory Factory
+	// entries is replaced whole by Configure and not changed.
+	entries atomic.Pointer[map[swid.TargetID]entry]
+}
+
+type entry struct {
+	target  swdoc.Target
+	kind    swdoc.ServiceKind
+	adapter swtarget.Adapter
+}
+
+// New returns an empty pool.
+func New(factory Factory) *Pool {
+	p := &Pool{factory: factory}
+	p.entries.Store(&map[swid.TargetID]entry{})
+	return p
+}
+
+// Configure brings a document into force. The adapter of a target that keeps
+// its address is kept.
+func (p *Pool) Configure(d *swdoc.Document) {
+	kinds := make(map[swid.ServiceID]swdoc.ServiceKind, len(d.Services))
+	for _, s := range d.Services {
+		kinds[s.ID] = s.Kind
+	}
+	old := *p.entries.Load()
+	entries := make(map[swid.TargetID]entry, len(d.Targets))
+	for _, t := range d.Targets {
+		e := entry{target: t, kind: kinds[t.Service]}
+		if o, known := old[t.ID]; known && o.target.URL == t.URL && o.kind == e.kind {
+			e.adapter = o.adapter
+		} else {
+			e.adapter = p.factory(t, e.kind)
+		}
+		entries[t.ID] = e
+	}
+	p.entries.Store(&entries)
+}
+
+// Adapter returns a target's adapter. takesWork is false if the target is draining.
+func (p *Pool) Adapter(target swid.TargetID) (adapter swtarget.Adapter, takesWork, known bool) {
+	e, known := (*p.entries.Load())[target]
+	return e.adapter, known && !e.target.Draining, known
+}
