Parse settings and environment documents strictly

Hosts and operators need every fault of a file at once, with file, line, key and what is allowed. Both files are mapped by hand from goccy/go-yaml's AST through a small strict reader. Decoding into tagged structs was ruled out: domain types carry no tags, and the decoder stops at the first fault.

Settings gain Platform.TLS, so that TLS towards the platform is off only where the file says so.

With the report of unknown keys switched off, TestParseRefuses/unknown_key fails.

--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -55,6 +55,8 @@
 // Platform configures the platform's object API.
 type Platform struct {
 	URL string
+	// TLS is off if and only if the URL's scheme is http.
+	TLS TLS
 	// Environment is the name under which the document and the claims are kept.
 	Environment string
 	Timeout     swclock.Millis
--- /dev/null
+++ b/internal/config/swyaml/object.go
@@ -0,0 +1,96 @@
+package swyaml
+
+import (
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// Object is a mapping. Each known key is asked for once; Close reports the rest.
+type Object struct {
+	reader *Reader
+	path   string
+	line   int
+	// fields are in the file's order, without duplicates.
+	fields []field
+	// known holds the keys asked for, in order.
+	known []string
+	// invalid marks a value that was no mapping; its keys are not reported as missing.
+	invalid bool
+}
+
+type field struct {
+	key   string
+	line  int
+	value ast.Node
+	used  bool
+}
+
+// Optional returns a key's value, which may be absent.
+func (o *Object) Optional(key string) Value {
+	o.known = append(o.known, key)
+	v := Value{reader: o.reader, path: join(o.path, key), line: o.line}
+	for i := range o.fields {
+		if f := &o.fields[i]; f.key == key {
+			f.used = true
+			v.node = f.value
+			v.line = f.line
+			break
+		}
+	}
+	return v
+}
+
+// Required returns a key's value and reports its absence.
+func (o *Object) Required(key string) Value {
+	v := o.Optional(key)
+	if v.node == nil && !o.invalid {
+		v.Fail("the key is missing", "")
+	}
+	return v
+}
+
+// Close reports the keys that were not asked for.
+func (o *Object) Close() {
+	for _, f := range o.fields {
+		if !f.used {
+			o.reader.add(f.line, join(o.path, f.key), "unknown key", strings.Join(o.known, ", "))
+		}
+	}
+}
+
+// Keys returns the keys that were asked for, in order.
+func (o *Object) Keys() []string { return o.known }
+
+// addField records a key of the file, unless it stands twice.
+func (o *Object) addField(n *ast.MappingValueNode) {
+	key, ok := keyText(n.Key)
+	line := lineOf(n.Key, o.line)
+	if !ok {
+		o.reader.add(line, o.path, "a key that is not plain text", "a name")
+		return
+	}
+	for _, f := range o.fields {
+		if f.key == key {
+			o.reader.add(line, join(o.path, key), "the key stands twice", "once")
+			return
+		}
+	}
+	o.fields = append(o.fields, field{key: key, line: line, value: n.Value})
+}
+
+// keyText returns the text of a plain key.
+func keyText(n ast.MapKeyNode) (string, bool) {
+	s, ok := n.(*ast.StringNode)
+	if !ok {
+		return "", false
+	}
+	return s.Value, true
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
--- /dev/null
+++ b/internal/config/swyaml/reader.go
@@ -0,0 +1,121 @@
+// Package swyaml reads YAML files strictly: every key must be known and
+// occur once, every value must have its type, range and unit, and all problems
+// of a file are reported together with their lines.
+//
+// Anchors, aliases, tags, merge keys and further documents are refused, so that
+// a file says in each place what holds there.
+package swyaml
+
+import (
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxBytes bounds a file.
+	MaxBytes = 32 << 20
+	// maxNesting bounds the depth of brackets, which the parser follows by recursion.
+	maxNesting = 64
+)
+
+// Reader collects the problems of one file while it is mapped.
+type Reader struct {
+	file     string
+	problems []Problem
+}
+
+// Read parses a file and gives its top-level mapping to mapRoot. It returns a
+// *Error if the file, or mapRoot through the values it reads, found problems.
+func Read(file string, data []byte, mapRoot func(*Object)) error {
+	r := &Reader{file: file}
+	if root, ok := r.parse(data); ok {
+		o := Value{reader: r, node: root, line: 1}.Object()
+		mapRoot(o)
+		o.Close()
+	}
+	if len(r.problems) > 0 {
+		return newError(r.problems)
+	}
+	return nil
+}
+
+// parse returns the body of the file's only document.
+func (r *Reader) parse(data []byte) (ast.Node, bool) {
+	if len(data) > MaxBytes {
+		r.add(1, "", "the file is too large", "at most 32MiB")
+		return nil, false
+	}
+	if tooDeep(data) {
+		r.add(1, "", "brackets are nested too deeply", "at most 64 levels")
+		return nil, false
+	}
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		r.addSyntax(err)
+		return nil, false
+	}
+	var body ast.Node
+	for _, d := range file.Docs {
+		if d.Body == nil {
+			continue
+		}
+		if body != nil {
+			r.add(lineOf(d.Body, 1), "", "a second document in the file", "one document")
+			return nil, false
+		}
+		body = d.Body
+	}
+	if body == nil {
+		r.add(1, "", "the file is empty", "a mapping")
+		return nil, false
+	}
+	return body, true
+}
+
+// addSyntax reports an error of the YAML parser.
+func (r *Reader) addSyntax(err error) {
+	var syntax *yaml.SyntaxError
+	if errors.As(err, &syntax) && syntax.Token != nil && syntax.Token.Position != nil {
+		r.add(max(syntax.Token.Position.Line, 1), "", syntax.Message, "")
+		return
+	}
+	r.add(1, "", strings.TrimSpace(err.Error()), "")
+}
+
+func (r *Reader) add(line int, key, text, allowed string) {
+	r.problems = append(r.problems, Problem{File: r.file, Line: line, Key: key, Text: text, Allowed: allowed})
+}
+
+// tooDeep counts brackets without regard to quoting, so that it may refuse
+// only files that no mapping of ours accepts.
+func tooDeep(data []byte) bool {
+	depth := 0
+	for _, b := range data {
+		switch b {
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth = max(depth-1, 0)
+		}
+		if depth > maxNesting {
+			return true
+		}
+	}
+	return false
+}
+
+// lineOf returns a node's line, or fallback where the parser gives none.
+func lineOf(n ast.Node, fallback int) int {
+	if n == nil {
+		return fallback
+	}
+	t := n.GetToken()
+	if t == nil || t.Position == nil || t.Position.Line < 1 {
+		return fallback
+	}
+	return t.Position.Line
+}
--- /dev/null
+++ b/internal/config/swyaml/value.go
@@ -0,0 +1,204 @@
+package swyaml
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// Value is a key's value, or its absence. Its methods report a value that does
+// not fit and return the fallback.
+type Value struct {
+	reader *Reader
+	// node is nil where the key is absent.
+	node ast.Node
+	path string
+	line int
+}
+
+// Present reports whether the key stands in the file.
+func (v Value) Present() bool { return v.node != nil }
+
+// Fail reports a problem of the value.
+func (v Value) Fail(text, allowed string) { v.reader.add(v.line, v.path, text, allowed) }
+
+// Object returns the value as a mapping. An absent value is an empty mapping
+// whose required keys are not reported.
+func (v Value) Object() *Object {
+	o := &Object{reader: v.reader, path: v.path, line: v.line}
+	switch n := v.node.(type) {
+	case nil:
+		o.invalid = true
+	case *ast.MappingNode:
+		for _, f := range n.Values {
+			o.addField(f)
+		}
+	case *ast.MappingValueNode:
+		o.addField(n)
+	default:
+		o.invalid = true
+		v.Fail("not a mapping", "a mapping of keys to values")
+	}
+	return o
+}
+
+// List returns the elements of a list; an absent value has none.
+func (v Value) List() []Value {
+	if v.node == nil {
+		return nil
+	}
+	n, ok := v.node.(*ast.SequenceNode)
+	if !ok {
+		v.Fail("not a list", "a list")
+		return nil
+	}
+	values := make([]Value, 0, len(n.Values))
+	for i, e := range n.Values {
+		values = append(values, Value{
+			reader: v.reader,
+			node:   e,
+			path:   v.path + "[" + strconv.Itoa(i) + "]",
+			line:   lineOf(e, v.line),
+		})
+	}
+	return values
+}
+
+// Text returns a text that check accepts; a number counts as the text that stands in the file.
+func (v Value) Text(fallback, allowed string, check func(string) bool) string {
+	if v.node == nil {
+		return fallback
+	}
+	text, ok := v.scalar()
+	if !ok {
+		v.Fail("not a text", allowed)
+		return fallback
+	}
+	if !check(text) {
+		v.Fail(fmt.Sprintf("%q does not fit", text), allowed)
+		return fallback
+	}
+	return text
+}
+
+// Bool returns true or false.
+func (v Value) Bool(fallback bool) bool {
+	if v.node == nil {
+		return fallback
+	}
+	n, ok := v.node.(*ast.BoolNode)
+	if !ok {
+		v.Fail("not a truth value", "true or false")
+		return fallback
+	}
+	return n.Value
+}
+
+// Int returns a whole number within bounds.
+func (v Value) Int(fallback, least, most int64) int64 {
+	if v.node == nil {
+		return fallback
+	}
+	allowed := fmt.Sprintf("a whole number from %d to %d", least, most)
+	text, ok := v.scalar()
+	if !ok {
+		v.Fail("not a whole number", allowed)
+		return fallback
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		v.Fail(fmt.Sprintf("%q is not a whole number", text), allowed)
+		return fallback
+	}
+	return inRange(v, number, fallback, least, most, allowed, text)
+}
+
+// Float returns a number within bounds.
+func (v Value) Float(fallback, least, most float64) float64 {
+	if v.node == nil {
+		return fallback
+	}
+	allowed := fmt.Sprintf("a number from %g to %g", least, most)
+	text, ok := v.scalar()
+	if !ok {
+		v.Fail("not a number", allowed)
+		return fallback
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(number) {
+		v.Fail(fmt.Sprintf("%q is not a number", text), allowed)
+		return fallback
+	}
+	return inRange(v, number, fallback, least, most, allowed, text)
+}
+
+// Span returns a span of time with its unit.
+func (v Value) Span(fallback, least, most swclock.Millis) swclock.Millis {
+	if v.node == nil {
+		return fallback
+	}
+	allowed := fmt.Sprintf("a span with a unit of ms, s, m or h, from %s to %s", FormatSpan(least), FormatSpan(most))
+	text, ok := v.scalar()
+	if !ok {
+		v.Fail("not a span of time", allowed)
+		return fallback
+	}
+	span, ok := parseUnit(text, spanUnits)
+	if !ok {
+		v.Fail(fmt.Sprintf("%q is not a span of time", text), allowed)
+		return fallback
+	}
+	return inRange(v, swclock.Millis(span), fallback, least, most, allowed, text)
+}
+
+// Size returns a number of bytes with its unit.
+func (v Value) Size(fallback, least, most int) int {
+	if v.node == nil {
+		return fallback
+	}
+	allowed := fmt.Sprintf("a size with a unit of B, KiB, MiB or GiB, from %s to %s", FormatSize(least), FormatSize(most))
+	text, ok := v.scalar()
+	if !ok {
+		v.Fail("not a size", allowed)
+		return fallback
+	}
+	size, ok := parseUnit(text, sizeUnits)
+	if !ok {
+		v.Fail(fmt.Sprintf("%q is not a size", text), allowed)
+		return fallback
+	}
+	return inRange(v, int(size), fallback, least, most, allowed, text)
+}
+
+// number is what inRange compares.
+type number interface {
+	~int | ~int64 | ~float64
+}
+
+func inRange[N number](v Value, n, fallback, least, most N, allowed, text string) N {
+	if n < least || n > most {
+		v.Fail(text+" is out of range", allowed)
+		return fallback
+	}
+	return n
+}
+
+// scalar returns the text of a scalar as it stands in the file, but for
+// truth values and null.
+func (v Value) scalar() (string, bool) {
+	switch n := v.node.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, n.Value != nil
+	case *ast.IntegerNode:
+		return n.Token.Value, true
+	case *ast.FloatNode:
+		return n.Token.Value, true
+	}
+	return "", false
+}
