Let peers exchange parts of the environment document

At 26,000 organisations the document has 2.7 MB. A request can now name parts by their hash, and an answer can carry parts, so that hosts fetch only what changed. Byte ranges were ruled out: they have no identity that a host could compare with what it holds.

--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -143,15 +143,22 @@
 	Epoch swid.Epoch
 }
 
-// ConfigRequest asks for the environment document if the receiver has a version above Have.
+// ConfigRequest asks for the head of the environment document if the receiver
+// has a version above Have, or for some parts of it.
 type ConfigRequest struct {
 	Have swid.ConfigVersion
+	// Parts holds the SHA-256 of each part asked for; if it is empty, the head is asked for.
+	Parts [][]byte
 }
 
-// ConfigDocument carries an environment document, byte for byte.
+// ConfigDocument tells of the version in force at the sender. It carries the
+// head or some parts of the environment document, byte for byte, or neither.
 type ConfigDocument struct {
-	Version  swid.ConfigVersion
+	Version swid.ConfigVersion
+	// Document is the head, which names the parts; empty if it was not asked for.
 	Document []byte
+	// Parts holds parts that were asked for, as many as fit into one message.
+	Parts [][]byte
 }
 
 func (Hello) message()          {}
