Test the holder against scripted owners and targets

Cause: a runner could take an ask before its first document and gave it up for want of targets; found by the whole-path test, which got 503 on its first request. The runner now applies the document before it takes any input.

The holder's tests were seen to fail with each mechanism off: answers of a host other than the one asked last (panics on a dispatch to a target that nobody granted), the check of tried targets, the rule for non-idempotent repeats, the record that a request may have run, and the refusal while draining (hangs). go test -race ./internal/holder/... ./internal/core/swlife passes.

--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -47,11 +47,12 @@
 	// dispatched and ended are instants; ended is set by each run.
 	dispatched swclock.Millis
 	ended      swclock.Millis
-	// events counts the chunks received, over all runs.
+	// events counts the stream's data events received, over all runs.
 	events int
 	// begun tells that the caller was given part of the answer.
 	begun bool
-	// firstToken is the span from dispatch to the first chunk; firstDelivery that from accepting the request.
+	// firstToken is the span from dispatch to the first chunk; firstDelivery
+	// that from accepting the request. Each is 0 until then.
 	firstToken    swclock.Millis
 	firstDelivery swclock.Millis
 	status        int
@@ -169,9 +170,9 @@
 }
 
 func (a *attempt) count(chunk swtarget.Chunk) {
-	a.events++
-	if a.events == 1 {
-		a.firstToken = a.held.holder.config.Clock.Now() - a.dispatched
+	a.events += chunk.Events
+	if a.firstToken == 0 {
+		a.firstToken = max(1, a.held.holder.config.Clock.Now()-a.dispatched)
 	}
 	a.produced += chunk.Tokens
 	e := a.held
--- /dev/null
+++ b/internal/holder/swholder/swholder_test.go
@@ -0,0 +1,301 @@
+package swholder
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// sent is a message that the holder sent.
+type sent struct {
+	to      swid.HostID
+	message swmsg.Message
+}
+
+// bench joins a holder with scripted surroundings.
+type bench struct {
+	holder *Holder
+	sent   chan sent
+
+	mu sync.Mutex
+	// owner is the host that the router names.
+	owner swid.HostID
+	// starts counts the starts on each target.
+	starts map[swid.TargetID]int
+	// scripts gives each target's next answers.
+	scripts map[swid.TargetID][]script
+}
+
+// script is the course of one start on a target.
+type script struct {
+	startErr error
+	chunks   []string
+	// end is io.EOF for a whole answer.
+	end error
+	// hang waits for the attempt's context after the chunks.
+	hang bool
+}
+
+func (b *bench) Send(to swid.HostID, m swmsg.Message) bool {
+	b.sent <- sent{to, m}
+	return true
+}
+func (b *bench) Connected(swid.HostID) bool             { return true }
+func (b *bench) Heard(swid.CellID, swid.Epoch)          {}
+func (b *bench) RequestEnded(*Request, *Report)         {}
+func (b *bench) UnusedGrant()                           {}
+func (b *bench) Finish(swclaim.Entry, swclaim.Decision) {}
+func (b *bench) Claim(context.Context, swclaim.Entry) (swclaim.Decision, error) {
+	return swclaim.Decision{Granted: true}, nil
+}
+
+func (b *bench) Owner(swid.CellID) (swid.HostID, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.owner, false
+}
+
+func (b *bench) setOwner(host swid.HostID) {
+	b.mu.Lock()
+	b.owner = host
+	b.mu.Unlock()
+}
+
+func (b *bench) Adapter(target swid.TargetID) (swtarget.Adapter, bool, bool) {
+	return scripted{b, target}, true, true
+}
+
+type scripted struct {
+	bench  *bench
+	target swid.TargetID
+}
+
+func (s scripted) Start(ctx context.Context, _ swtarget.Request) (swtarget.Answer, error) {
+	s.bench.mu.Lock()
+	defer s.bench.mu.Unlock()
+	s.bench.starts[s.target]++
+	next := s.bench.scripts[s.target][0]
+	s.bench.scripts[s.target] = s.bench.scripts[s.target][1:]
+	if next.startErr != nil {
+		return nil, next.startErr
+	}
+	return &scriptedAnswer{ctx: ctx, script: next}, nil
+}
+
+type scriptedAnswer struct {
+	ctx    context.Context
+	script script
+	next   int
+}
+
+func (a *scriptedAnswer) Status() int           { return 200 }
+func (a *scriptedAnswer) ContentType() string   { return "text/plain" }
+func (a *scriptedAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
+func (a *scriptedAnswer) Close() error          { return nil }
+func (a *scriptedAnswer) Next() (swtarget.Chunk, error) {
+	if a.next < len(a.script.chunks) {
+		a.next++
+		return swtarget.Chunk{Data: []byte(a.script.chunks[a.next-1]), Tokens: 1, Events: 1}, nil
+	}
+	if a.script.hang {
+		<-a.ctx.Done()
+		return swtarget.Chunk{}, &swtarget.Error{Failure: swtarget.FailureBroken, Err: a.ctx.Err()}
+	}
+	return swtarget.Chunk{}, a.script.end
+}
+
+// buffer is a sink.
+type buffer struct{ data []byte }
+
+func (b *buffer) Begin(int, string) error { return nil }
+func (b *buffer) Write(data []byte) error {
+	b.data = append(b.data, data...)
+	return nil
+}
+
+func newBench(scripts map[swid.TargetID][]script) *bench {
+	b := &bench{owner: "owner", sent: make(chan sent, 64), starts: make(map[swid.TargetID]int), scripts: scripts}
+	b.holder = New(Config{
+		Host: "holder", Incarnation: 1, Clock: swclock.NewSystem(), Sender: b, Router: b, Targets: b,
+		Claims: b, Observer: b, Log: zerolog.Nop(), MaxHeld: 10,
+	})
+	return b
+}
+
+func (b *bench) request(stream, nonIdempotent bool) *Request {
+	seq, id := b.holder.NextID()
+	return &Request{
+		ID: id, Seq: seq, Cell: "c", Deadline: swclock.Hour, NonIdempotent: nonIdempotent,
+		Call: swtarget.Request{Stream: stream},
+	}
+}
+
+// serve starts a request and returns where its report and its answer arrive.
+func (b *bench) serve(r *Request) (<-chan Report, *buffer) {
+	out := &buffer{}
+	reports := make(chan Report, 1)
+	go func() { reports <- b.holder.Serve(context.Background(), r, out) }()
+	return reports, out
+}
+
+// expect returns the next message of a kind, and skips others.
+func expect[T swmsg.Message](t *testing.T, b *bench) (T, swid.HostID) {
+	t.Helper()
+	for {
+		s := <-b.sent
+		if m, ok := s.message.(T); ok {
+			return m, s.to
+		}
+	}
+}
+
+func (b *bench) grant(from swid.HostID, ask swmsg.Ask, target swid.TargetID) {
+	b.holder.Receive(swlink.Peer{Host: from}, swmsg.Grant{Cell: ask.Cell, Seq: ask.Seq, Attempt: ask.Attempt, Target: target})
+}
+
+var errBroken = &swtarget.Error{Failure: swtarget.FailureBroken, Err: errors.New("connection reset")}
+
+// TestGrantOfAnotherHost sends grants of hosts that are not the one asked last.
+func TestGrantOfAnotherHost(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
+	reports, _ := b.serve(b.request(false, false))
+	ask, _ := expect[swmsg.Ask](t, b)
+	b.setOwner("second")
+	b.holder.Reroute()
+	if _, to := expect[swmsg.Withdraw](t, b); to != "owner" {
+		t.Errorf("withdrawn from %s", to)
+	}
+	if _, to := expect[swmsg.Ask](t, b); to != "second" {
+		t.Errorf("asked %s", to)
+	}
+	b.grant("owner", ask, "z")
+	if _, to := expect[swmsg.Withdraw](t, b); to != "owner" {
+		t.Errorf("grant returned to %s", to)
+	}
+	b.grant("second", ask, "a")
+	b.grant("second", ask, "a")
+	if r := <-reports; r.End.Outcome != swlife.OutcomeAnswered || r.Target != "a" {
+		t.Errorf("report is %+v", r)
+	}
+	if b.starts["a"] != 1 || b.starts["z"] != 0 {
+		t.Errorf("starts are %v", b.starts)
+	}
+}
+
+// TestOwnerChangeWhileRunning lets a second host take the cell over.
+func TestOwnerChangeWhileRunning(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, hang: true}}})
+	reports, _ := b.serve(b.request(true, false))
+	ask, _ := expect[swmsg.Ask](t, b)
+	b.grant("owner", ask, "a")
+	for b.holder.lookup(ask.Seq).isRunning() != "a" {
+	}
+	b.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Recover{Cell: "c", Epoch: 2})
+	if m, to := expect[swmsg.InFlight](t, b); to != "second" || m.Target != "a" {
+		t.Errorf("told %s of %+v", to, m)
+	}
+	b.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Preempt{Cell: "c", Seq: ask.Seq, Attempt: 1, Target: "a"})
+	var told []swid.HostID
+	for range 2 {
+		_, to := expect[swmsg.Done](t, b)
+		told = append(told, to)
+	}
+	if !slices.Equal(told, []swid.HostID{"owner", "second"}) {
+		t.Errorf("end told to %v", told)
+	}
+	if r := <-reports; r.End.Outcome != swlife.OutcomeUnknown || r.End.Cause != swlife.CausePreempted {
+		t.Errorf("report is %+v", r)
+	}
+}
+
+func (e *held) isRunning() swid.TargetID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running == nil {
+		return ""
+	}
+	return e.running.target
+}
+
+func TestOutcomes(t *testing.T) {
+	whole := script{chunks: []string{"x", "y"}, end: io.EOF}
+	notStarted := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Err: errors.New("refused")}}
+	tests := []struct {
+		name          string
+		stream        bool
+		nonIdempotent bool
+		scripts       map[swid.TargetID][]script
+		grants        []swid.TargetID
+		want          swlife.Outcome
+		data          string
+	}{
+		{"whole", false, false, map[swid.TargetID][]script{"a": {whole}}, []swid.TargetID{"a"}, swlife.OutcomeAnswered, "xy"},
+		{"broken then elsewhere", false, false, map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: errBroken}}, "b": {whole}}, []swid.TargetID{"a", "b"}, swlife.OutcomeAnswered, "xy"},
+		{"stream resumed", true, false, map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: errBroken}, {chunks: []string{"y"}, end: io.EOF}}}, []swid.TargetID{"a"}, swlife.OutcomeAnswered, "xy"},
+		{"stream not resumable", true, false, map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: errBroken}, notStarted}}, []swid.TargetID{"a"}, swlife.OutcomeUnknown, "x"},
+		{"non-idempotent refused then elsewhere", false, true, map[swid.TargetID][]script{"a": {notStarted}, "b": {whole}}, []swid.TargetID{"a", "b"}, swlife.OutcomeAnswered, "xy"},
+		{"non-idempotent broken", false, true, map[swid.TargetID][]script{"a": {{end: errBroken}}}, []swid.TargetID{"a"}, swlife.OutcomeUnknown, ""},
+		{"granted twice to one target", false, false, map[swid.TargetID][]script{"a": {notStarted}}, []swid.TargetID{"a", "a"}, swlife.OutcomeNotRun, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(tt.scripts)
+			reports, out := b.serve(b.request(tt.stream, tt.nonIdempotent))
+			for _, target := range tt.grants {
+				ask, _ := expect[swmsg.Ask](t, b)
+				b.grant("owner", ask, target)
+			}
+			if r := <-reports; r.End.Outcome != tt.want {
+				t.Errorf("outcome %s, want %s", r.End.Outcome, tt.want)
+			}
+			if string(out.data) != tt.data {
+				t.Errorf("delivered %q, want %q", out.data, tt.data)
+			}
+		})
+	}
+}
+
+// TestDrain finishes what is held and refuses what is new.
+func TestDrain(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
+	reports, out := b.serve(b.request(false, false))
+	ask, _ := expect[swmsg.Ask](t, b)
+	drained := make(chan error, 1)
+	go func() { drained <- b.holder.Drain(context.Background()) }()
+	for !b.holder.isDraining() {
+	}
+	refused := b.holder.Serve(context.Background(), b.request(false, false), &buffer{})
+	if refused.End.Outcome != swlife.OutcomeNotRun || refused.End.Cause != swlife.CauseShutdown {
+		t.Errorf("new request ended as %+v", refused.End)
+	}
+	b.grant("owner", ask, "a")
+	if r := <-reports; r.End.Outcome != swlife.OutcomeAnswered || string(out.data) != "x" {
+		t.Errorf("held request ended as %+v with %q", r.End, out.data)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+	if m, _ := expect[swmsg.Done](t, b); m.Result != swcell.ResultAnswered {
+		t.Errorf("owner told %+v", m)
+	}
+}
+
+func (h *Holder) isDraining() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.draining
+}
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -89,6 +89,7 @@
 }
 
 func (r *runner) run(ctx context.Context) {
+	r.apply(ctx, <-r.changes.Items()) // start put it there, before any ask
 	r.takeOver()
 	defer func() { r.stopWatch() }()
 	ticker := time.NewTicker(swcell.TickInterval.Duration())
