Bring the environment document into force on every host

Three hosts of each availability zone, by rendezvous hash over the live members, watch the head in the platform. They tell the others of the zone and one relay of each other zone; a host that hears of a newer version asks for its head and the parts that it lacks, one source after another, the platform last. A watch on each host was ruled out: the platform counts each waiting watch. Pushing whole documents was ruled out for the bytes.

The host that applies a change takes it into force from the call itself, so it spreads if the platform fails straight afterwards. A host that starts waits up to a second for the platform before it believes a peer that may lag.

--- /dev/null
+++ b/internal/config/swrelay/notify.go
@@ -0,0 +1,60 @@
+package swrelay
+
+import (
+	"context"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swring"
+)
+
+// noticeCapacity bounds the subscriptions before Run, and the documents that slow subscribers may fall behind.
+const noticeCapacity = 64
+
+// notifier calls the subscribers from one goroutine and in order.
+type notifier struct {
+	notices *swring.Ring[notice]
+}
+
+// notice is a new subscription or a new document in force.
+type notice struct {
+	subscriber func(InForce) // nil for a document
+	inForce    InForce
+}
+
+func newNotifier() *notifier { return &notifier{notices: swring.New[notice](noticeCapacity)} }
+
+func (n *notifier) subscribe(f func(InForce)) {
+	_ = n.notices.Put(context.Background(), notice{subscriber: f}) // never fails
+}
+
+func (n *notifier) put(ctx context.Context, current InForce) {
+	_ = n.notices.Put(ctx, notice{inForce: current}) // fails only when ctx ends
+}
+
+// run handles notices until ctx ends.
+func (n *notifier) run(ctx context.Context) {
+	var subscribers []func(InForce)
+	var current InForce
+	for {
+		select {
+		case item := <-n.notices.Items():
+			if item.subscriber != nil {
+				subscribers = append(subscribers, item.subscriber)
+				present(item.subscriber, current)
+				continue
+			}
+			current = item.inForce
+			for _, f := range subscribers {
+				f(current)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// present gives a new subscriber the present document, if there is one.
+func present(f func(InForce), current InForce) {
+	if current.Version != 0 {
+		f(current)
+	}
+}
--- /dev/null
+++ b/internal/config/swrelay/state_test.go
@@ -0,0 +1,187 @@
+package swrelay
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/config/swstore"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+)
+
+func TestChooseRelays(t *testing.T) {
+	member := func(host, zone string, state swmsg.MemberState) swmember.Member {
+		return swmember.Member{Host: swid.HostID(host), Zone: swid.ZoneID(zone), State: state}
+	}
+	var all, alone []swmember.Member
+	for i := range 8 {
+		host := fmt.Sprint("h", i)
+		all = append(all, member(host, "a", swmsg.MemberAlive))
+		state := swmsg.MemberSuspect
+		if i == 5 {
+			state = swmsg.MemberAlive
+		}
+		alone = append(alone, member(host, "a", state))
+	}
+	first := chooseRelays(all, "a", relaysPerZone)
+	if len(first) != relaysPerZone {
+		t.Fatalf("relays %v", first)
+	}
+	if got := chooseRelays(alone, "a", relaysPerZone); !slices.Equal(got, []swid.HostID{"h5"}) {
+		t.Errorf("a host that suspects all others is no relay: %v", got)
+	}
+	if got := chooseRelays(all, "b", relaysPerZone); len(got) != 0 {
+		t.Errorf("relays of a zone without hosts: %v", got)
+	}
+	// Without one of the relays, the others stay.
+	left := slices.DeleteFunc(slices.Clone(all), func(m swmember.Member) bool { return m.Host == first[0] })
+	if got := chooseRelays(left, "a", relaysPerZone); !slices.Equal(got[:2], first[1:]) {
+		t.Errorf("relays %v became %v", first, got)
+	}
+}
+
+// newVersion returns a version of many lines.
+func newVersion(v swid.ConfigVersion, changed int) version {
+	var b bytes.Buffer
+	for i := range 26_000 {
+		weight := 1
+		if i == changed {
+			weight = 2
+		}
+		fmt.Fprintf(&b, "  - {id: o%d, weight: %d, keyHashes: [%064x]}\n", i, weight, i)
+	}
+	made := version{head: swstore.Head{Version: v, Value: []byte("head")}, parts: make(map[swstore.PartHash][]byte)}
+	for _, p := range swstore.Cut(b.Bytes()) {
+		hash := swstore.HashPart(p)
+		made.head.Parts = append(made.head.Parts, swstore.Part{Hash: hash, Size: len(p)})
+		made.parts[hash] = p
+	}
+	return made
+}
+
+// transfer brings a version from one state to another and returns the largest answer and the sum of all.
+func transfer(t *testing.T, from, to *state, v version) (largest, total int) {
+	t.Helper()
+	to.takeHead(0, source{host: from.self}, v.head)
+	for range 1000 {
+		for _, a := range to.take() {
+			switch a := a.(type) {
+			case parseDocument:
+				to.parsed(0, a.version, &swdoc.Document{})
+				to.take()
+				return largest, total
+			case sendMessage:
+				from.answer(0, to.self, a.message.(swmsg.ConfigRequest))
+			}
+		}
+		for _, a := range from.take() {
+			parts := a.(sendMessage).message.(swmsg.ConfigDocument).Parts
+			size := len(bytes.Join(parts, nil))
+			largest, total = max(largest, size), total+size
+			to.takeParts(0, parts)
+		}
+	}
+	t.Fatal("the version was not brought over")
+	return largest, total
+}
+
+// TestBoundedMessages brings a large document from one host to another, and then a change of one line.
+func TestBoundedMessages(t *testing.T) {
+	from, to := newState("a", "z"), newState("b", "z")
+	to.platformFailed(0)
+	first, second := newVersion(1, -1), newVersion(2, 13_000)
+	from.inForce = first
+	largest, total := transfer(t, from, to, first)
+	if largest > maxAnswerBytes || to.inForce.head.Version != 1 {
+		t.Errorf("an answer of %d bytes, version %d", largest, to.inForce.head.Version)
+	}
+	from.inForce = second
+	_, changed := transfer(t, from, to, second)
+	if changed > swstore.MaxPartBytes || to.inForce.head.Version != 2 {
+		t.Errorf("a change of one line took %d bytes of %d, version %d", changed, total, to.inForce.head.Version)
+	}
+	t.Logf("whole document: %d bytes, change of one line: %d bytes", total, changed)
+}
+
+// TestNextSource asks another source when one does not answer, and the platform at last.
+func TestNextSource(t *testing.T) {
+	s := newState("a", "z")
+	s.platformFailed(0)
+	s.heardVersion(0, "b", 4)
+	s.heardVersion(0, "c", 4)
+	asked := make(map[string]bool)
+	for now := swclock.Millis(0); now < 5*swclock.Second; now += tickInterval {
+		s.tick(now)
+		for _, a := range s.take() {
+			switch a := a.(type) {
+			case sendMessage:
+				asked[string(a.to)] = true
+			case readHead:
+				asked["platform"] = true
+			}
+		}
+	}
+	if len(asked) != 3 {
+		t.Errorf("asked %v", asked)
+	}
+}
+
+// TestStartWithLaggingPeer starts a host whose peer has an older version than the platform.
+func TestStartWithLaggingPeer(t *testing.T) {
+	s := newState("a", "z")
+	s.tick(1)
+	s.take() // the question to the platform
+	s.heardVersion(2, "b", 4)
+	s.takeHead(2, source{host: "b"}, swstore.Head{Version: 4})
+	s.tick(askTimeout - 1)
+	if actions := s.take(); len(actions) != 0 {
+		t.Errorf("took a peer's version before the platform answered: %v", actions)
+	}
+	s.takeHead(0, platform, swstore.Head{Version: 5})
+	if actions := s.take(); len(actions) != 1 {
+		t.Errorf("actions %v", actions)
+	} else if p, ok := actions[0].(parseDocument); !ok || p.version.head.Version != 5 {
+		t.Errorf("action %v", actions[0])
+	}
+}
+
+// TestTellPeers checks whom a relay tells of a new version.
+func TestTellPeers(t *testing.T) {
+	var list []swmember.Member
+	for _, host := range []swid.HostID{"a0", "a1", "a2", "a3", "a4", "b0", "b1", "c0"} {
+		list = append(list, swmember.Member{Host: host, Zone: swid.ZoneID(host[:1]), State: swmsg.MemberAlive})
+	}
+	relays := chooseRelays(list, "a", relaysPerZone)
+	s := newState(relays[0], "a")
+	s.setMembers(list)
+	s.take()
+	s.parsed(0, version{head: swstore.Head{Version: 5}}, &swdoc.Document{})
+	told := make(map[swid.ZoneID]int)
+	for _, a := range s.take() {
+		if m, ok := a.(sendMessage); ok && m.message.(swmsg.ConfigDocument).Version == 5 {
+			told[swid.ZoneID(m.to[:1])]++
+		}
+	}
+	if told["a"] != 4 || told["b"] != 1 || told["c"] != 1 {
+		t.Errorf("told %v", told)
+	}
+}
+
+// TestNeverBack gives a state old versions in every way.
+func TestNeverBack(t *testing.T) {
+	s := newState("a", "z")
+	s.takeWhole(0, version{head: swstore.Head{Version: 5}})
+	s.parsed(0, version{head: swstore.Head{Version: 5}}, &swdoc.Document{})
+	s.take()
+	s.takeHead(0, platform, swstore.Head{Version: 4})
+	s.takeWhole(0, version{head: swstore.Head{Version: 5}})
+	s.parsed(0, version{head: swstore.Head{Version: 3}}, &swdoc.Document{})
+	if actions := s.take(); s.inForce.head.Version != 5 || len(actions) != 0 {
+		t.Errorf("version %d, actions %v", s.inForce.head.Version, actions)
+	}
+}
--- a/internal/config/swstore/apply.go
+++ b/internal/config/swstore/apply.go
@@ -149,6 +149,7 @@
 		version, err := s.objects.Put(ctx, s.headKey(), value, swobject.Version(c.Base))
 		if err == nil {
 			head.Version = swid.ConfigVersion(version)
+			head.Value = value
 			return head, nil
 		}
 		if errors.Is(err, swobject.ErrConflict) {
--- a/internal/config/swstore/head.go
+++ b/internal/config/swstore/head.go
@@ -36,6 +36,8 @@
 	Parts []Part
 	// Size is the sum of the parts' sizes.
 	Size int
+	// Value is the head's encoding, byte for byte as it is stored.
+	Value []byte
 }
 
 // AppliedChange is a change that took effect.
@@ -129,7 +131,7 @@
 	if w.Format != headFormat {
 		return Head{}, errors.Errorf("head format %d is not known, only %d", w.Format, headFormat)
 	}
-	h := Head{Version: version}
+	h := Head{Version: version, Value: data}
 	if err := h.fromWire(w); err != nil {
 		return Head{}, err
 	}
--- a/internal/stand/swmemstore/swmemstore.go
+++ b/internal/stand/swmemstore/swmemstore.go
@@ -14,6 +14,8 @@
 type Faults struct {
 	// Outage makes every call fail; a watch fails once it would return.
 	Outage bool
+	// WatchOutage makes watches fail while all other calls work.
+	WatchOutage bool
 	// LoseAnswer is the share of writes whose answer is lost, from 0 to 1. Half of those take effect.
 	LoseAnswer float64
 }
@@ -116,6 +118,9 @@
 	for {
 		s.mutex.Lock()
 		o, err := s.get(key)
+		if s.faults.WatchOutage {
+			err = swobject.ErrUnavailable
+		}
 		changed := s.changed
 		s.mutex.Unlock()
 		if ended(o, err, after) {
