Reconcile an owner's accounts after a lost link, and spare idle cells

A Done that was queued on a link that went down was never repeated, so its slot stayed counted for ever. A cell without work ticks once a second in place of a hundred times, and one that belongs to another host is released after 30 s.

--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -19,16 +19,14 @@
 	// settleTime is how long a new owner collects the holders' reports before it
 	// grants, so that it does not overfill targets that already run work.
 	settleTime swclock.Millis = 100
+	// idleTickInterval is the time between two ticks of a cell without work.
+	idleTickInterval = swclock.Second
+	// surplusTime is how long a cell is kept that has no work and another owner.
+	surplusTime = 30 * swclock.Second
+	// busy is the idleSince of a cell that has work.
+	busy swclock.Millis = -1
 )
 
-// input is one input of a runner; exactly one of message, event and status is set.
-type input struct {
-	from    swlink.Peer
-	message swmsg.Message
-	event   swcell.Event
-	status  chan<- CellStatus
-}
-
 // granted is a grant that its holder has not ended.
 type granted struct {
 	holder  swid.HostID
@@ -51,6 +49,10 @@
 	// settled is the instant from which the cell is fed; held keeps the asks until then.
 	settled swclock.Millis
 	held    []swcell.Event
+	// doubts has the holders whose grants may have ended unnoticed.
+	doubts map[swid.HostID]*doubt
+	// idleSince is the instant since which the cell has had no work.
+	idleSince swclock.Millis
 	// stopWatch ends the watch of the present targets.
 	stopWatch context.CancelFunc
 }
@@ -62,6 +64,7 @@
 		inputs:    swring.New[input](inputCapacity),
 		changes:   swring.New[*swdoc.Document](1),
 		grants:    make(map[swcell.Key]granted),
+		doubts:    make(map[swid.HostID]*doubt),
 		stopWatch: func() {},
 	}
 	r.cell = swcell.New(config.Cell, swcell.WithViolationHook(func(v swcell.Violation) {
@@ -88,12 +91,13 @@
 	}
 }
 
-func (r *runner) run(ctx context.Context) {
+// run drives the cell until ctx ends or retire agrees that it is not needed any more.
+func (r *runner) run(ctx context.Context, retire func() bool) {
 	r.apply(ctx, <-r.changes.Items()) // start put it there, before any ask
 	r.takeOver()
 	defer func() { r.stopWatch() }()
-	ticker := time.NewTicker(swcell.TickInterval.Duration())
-	defer ticker.Stop()
+	timer := time.NewTimer(swcell.TickInterval.Duration())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -101,9 +105,18 @@
 		case d := <-r.changes.Items():
 			r.apply(ctx, d)
 		case in := <-r.inputs.Items():
-			r.take(in)
-		case <-ticker.C:
+			in.apply(r)
+			if r.idleSince != busy {
+				continue
+			}
+			timer.Reset(swcell.TickInterval.Duration())
+		case <-timer.C:
 			r.tick()
+			if r.surplus() && retire() {
+				r.config.Log.Info().Str("cell", string(r.id)).Msg("cell released")
+				return
+			}
+			timer.Reset(r.tickInterval().Duration())
 		}
 	}
 }
@@ -134,24 +147,10 @@
 	r.stopWatch()
 	var watched context.Context
 	watched, r.stopWatch = context.WithCancel(ctx)
-	r.config.Watcher.Watch(watched, r.id, targets, func(e swcell.Event) { r.put(input{event: e}) })
+	r.config.Watcher.Watch(watched, r.id, targets, func(e swcell.Event) { r.put(eventInput{e}) })
 	r.step(configureEvent(d, targets))
 }
 
-func (r *runner) take(in input) {
-	switch {
-	case in.status != nil:
-		in.status <- CellStatus{Cell: r.id, Epoch: r.epoch, Snapshot: r.cell.Snapshot()}
-	case in.event != nil:
-		if gone, ok := in.event.(swcell.HolderGone); ok {
-			r.forget(gone)
-		}
-		r.step(in.event)
-	default:
-		r.message(in.from, in.message)
-	}
-}
-
 // forget drops the grants of a process that is gone.
 func (r *runner) forget(gone swcell.HolderGone) {
 	for key := range r.grants {
@@ -161,32 +160,15 @@
 	}
 }
 
-func (r *runner) message(from swlink.Peer, m swmsg.Message) {
-	switch m := m.(type) {
-	case swmsg.Ask:
-		r.ask(from, m)
-	case swmsg.InFlight:
-		r.inFlight(from, m)
-	case swmsg.Progress:
-		r.step(swcell.Progress{Key: keyOf(from, m.Seq), Attempt: m.Attempt, Produced: m.Produced})
-	case swmsg.Withdraw:
-		r.withdraw(keyOf(from, m.Seq), m.Attempt)
-	case swmsg.Done:
-		key := keyOf(from, m.Seq)
-		if g, known := r.grants[key]; known && g.message.Attempt == m.Attempt {
-			delete(r.grants, key)
-		}
-		r.step(doneEvent(key, m))
-	}
-}
-
 // ask answers a repeated ask with the grant it already has, and queues a new one.
 func (r *runner) ask(from swlink.Peer, m swmsg.Ask) {
 	key := keyOf(from, m.Seq)
 	if g, known := r.grants[key]; known && g.message.Attempt == m.Attempt {
+		r.confirm(key)
 		r.sendGrant(key, g)
 		return
 	}
+	r.idleSince = busy
 	e := askEvent(key, m, r.config.Clock.Now())
 	if r.settled > r.config.Clock.Now() {
 		r.held = append(r.held, e)
@@ -198,6 +180,8 @@
 // inFlight takes over work that was dispatched under another owner.
 func (r *runner) inFlight(from swlink.Peer, m swmsg.InFlight) {
 	key := keyOf(from, m.Ask.Seq)
+	r.confirm(key)
+	r.idleSince = busy
 	r.grants[key] = granted{holder: from.Host, message: swmsg.Grant{
 		Cell: r.id, Seq: m.Ask.Seq, Attempt: m.Ask.Attempt, Target: m.Target, Epoch: r.epoch,
 	}}
@@ -209,10 +193,15 @@
 	})
 }
 
-func (r *runner) withdraw(key swcell.Key, attempt swid.Attempt) {
+// ended drops a grant.
+func (r *runner) ended(key swcell.Key, attempt swid.Attempt) {
 	if g, known := r.grants[key]; known && g.message.Attempt == attempt {
 		delete(r.grants, key)
 	}
+}
+
+func (r *runner) withdraw(key swcell.Key, attempt swid.Attempt) {
+	r.ended(key, attempt)
 	r.held = withoutAsk(r.held, key, attempt)
 	r.step(swcell.Withdraw{Key: key, Attempt: attempt})
 }
@@ -229,14 +218,39 @@
 }
 
 func (r *runner) tick() {
-	if len(r.held) > 0 && r.settled <= r.config.Clock.Now() {
+	now := r.config.Clock.Now()
+	if len(r.held) > 0 && r.settled <= now {
 		held := r.held
 		r.held = nil
 		for _, e := range held {
 			r.step(e)
 		}
 	}
+	r.settleDoubts(now)
 	r.step(swcell.Tick{})
+	switch idle := len(r.held) == 0 && r.cell.Idle(); {
+	case !idle:
+		r.idleSince = busy
+	case r.idleSince == busy:
+		r.idleSince = now
+	}
+}
+
+// tickInterval spares an idle cell most of its ticks.
+func (r *runner) tickInterval() swclock.Millis {
+	if r.idleSince == busy {
+		return swcell.TickInterval
+	}
+	return idleTickInterval
+}
+
+// surplus reports whether the cell has had no work for a while and belongs to another host.
+func (r *runner) surplus() bool {
+	if r.idleSince == busy || r.config.Clock.Now()-r.idleSince < surplusTime {
+		return false
+	}
+	owner, _ := r.config.Router.Owner(r.id)
+	return owner != r.config.Host
 }
 
 // step feeds the core and sends its decisions.
@@ -274,12 +288,12 @@
 		return
 	}
 	delete(r.grants, key)
-	r.inputs.TryPut(input{event: swcell.Withdraw{Key: key, Attempt: g.message.Attempt}})
+	r.put(eventInput{swcell.Withdraw{Key: key, Attempt: g.message.Attempt}})
 }
 
 func (r *runner) status(ctx context.Context) (CellStatus, bool) {
 	reply := make(chan CellStatus, 1)
-	if err := r.inputs.Put(ctx, input{status: reply}); err != nil {
+	if err := r.inputs.Put(ctx, statusInput{reply}); err != nil {
 		return CellStatus{}, false
 	}
 	select {
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -102,15 +102,15 @@
 		if o.redirected(from, m) {
 			return
 		}
-		o.put(m.Cell, input{from: from, message: m}, true)
+		o.put(m.Cell, messageInput{from, m}, true)
 	case swmsg.InFlight:
-		o.put(m.Ask.Cell, input{from: from, message: m}, true)
+		o.put(m.Ask.Cell, messageInput{from, m}, true)
 	case swmsg.Progress:
-		o.put(m.Cell, input{from: from, message: m}, false)
+		o.put(m.Cell, messageInput{from, m}, false)
 	case swmsg.Withdraw:
-		o.put(m.Cell, input{from: from, message: m}, false)
+		o.put(m.Cell, messageInput{from, m}, false)
 	case swmsg.Done:
-		o.put(m.Cell, input{from: from, message: m}, false)
+		o.put(m.Cell, messageInput{from, m}, false)
 	}
 }
 
@@ -129,14 +129,17 @@
 
 // HolderGone tells every cell that a holder's process died.
 func (o *Owner) HolderGone(peer swlink.Peer) {
-	o.broadcast(swcell.HolderGone{Holder: peer.Host, Incarnation: peer.Incarnation})
+	o.broadcast(goneInput{swcell.HolderGone{Holder: peer.Host, Incarnation: peer.Incarnation}})
 }
 
-func (o *Owner) broadcast(e swcell.Event) {
+// LinkDown tells every cell that messages of a holder may have been lost.
+func (o *Owner) LinkDown(peer swlink.Peer) { o.broadcast(linkDownInput{peer}) }
+
+func (o *Owner) broadcast(in input) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range o.cells {
-		r.put(input{event: e})
+		r.put(in)
 	}
 }
 
@@ -160,10 +163,21 @@
 	o.cells[cell] = r
 	r.configure(o.document)
 	ctx := o.ctx
-	o.jobs.Go(func() { r.run(ctx) })
+	o.jobs.Go(func() { r.run(ctx, func() bool { return o.retire(r) }) })
 	return r
 }
 
+// retire removes a cell that has no input left, and reports whether it did.
+func (o *Owner) retire(r *runner) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r.inputs.Len() > 0 {
+		return false
+	}
+	delete(o.cells, r.id)
+	return true
+}
+
 // CellStatus is the state of one owned cell.
 type CellStatus struct {
 	Cell     swid.CellID
