Decide by cost, deadline and trust, and add a trial in virtual time

The first cell ordered requests but knew nothing of what they cost. It now learns the speed of each target, plans starts and ends, gives up at once what cannot end in time, preempts lower tiers only where a higher request would miss its deadline otherwise, sheds from the lowest tier up, probes stragglers and failing targets, runs suspects alone, and keeps retries within a budget.

swtrial runs one cell or a baseline against modelled batching targets.

--- a/internal/core/swcell/attempt.go
+++ b/internal/core/swcell/attempt.go
@@ -1,10 +1,14 @@
 package swcell
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+)
 
 func (c *Cell) ask(e Ask) {
 	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
-		// The holder asks again because a grant was lost with a link.
+		// The holder asks again because the grant was lost with a link.
 		c.emit(Grant{Key: e.Key, Attempt: e.Attempt, Target: r.target.conf.ID})
 		return
 	}
@@ -23,47 +27,52 @@
 			e.Exclude = append(slices.Clip(e.Exclude), id)
 		}
 	}
-	c.enqueue(e)
+	c.admit(e, p.preempted)
 }
 
-func (c *Cell) enqueue(e Ask) {
-	r := &request{ask: e}
-	r.item.Value = r
-	r.item.Org = e.Org
-	r.item.Deadline = e.Deadline
-	r.item.LatestStart = e.Deadline
-	r.item.Work = 1
-	r.item.Cost = c.cost(&e)
-	c.waiting[e.Key] = r
-	c.tiers[c.tierOf(&e)].Push(&r.item)
-	if !c.anyTarget(r) {
+// admit queues an ask, or refuses it at once.
+func (c *Cell) admit(e Ask, preempted bool) {
+	r := c.enqueue(e)
+	verdict, wait := c.strikes.Verdict(e.Fingerprint, c.now)
+	t := c.tierOf(&e)
+	switch {
+	case verdict == swsuspect.Refused:
+		c.giveUpAfter(r, ReasonSuspect, wait)
+	case !c.anyTarget(r):
 		c.giveUp(r, ReasonNoTarget)
-	} else if e.Deadline <= c.now {
+	case c.impossible(r):
 		c.giveUp(r, ReasonDeadline)
+	case t.closedUntil > c.now:
+		c.giveUpAfter(r, ReasonOverload, t.closedUntil-c.now)
+	case e.Attempt > 1 && !preempted && !c.retries.Take():
+		c.giveUp(r, ReasonRetryBudget)
+	default:
+		c.reviewAround(r)
 	}
 }
 
-func (c *Cell) cost(e *Ask) float64 {
-	return float64(e.PromptTokens) + c.cfg.OutputTokenCost*float64(e.OutputTokens) + 1
+func (c *Cell) enqueue(e Ask) *request {
+	r := &request{ask: e, asked: c.now}
+	c.plan(r)
+	r.item.Value = r
+	r.item.Org = e.Org
+	r.item.Deadline = e.Deadline
+	c.waiting[e.Key] = r
+	c.tierOf(&e).queue.Push(&r.item)
+	return r
 }
 
 func (c *Cell) unqueue(r *request) {
-	c.tiers[c.tierOf(&r.ask)].Remove(&r.item)
+	c.tierOf(&r.ask).queue.Remove(&r.item)
 	delete(c.waiting, r.ask.Key)
 }
 
-func (c *Cell) giveUp(r *request, reason Reason) {
-	c.unqueue(r)
-	c.emit(GiveUp{Key: r.ask.Key, Attempt: r.ask.Attempt, Reason: reason, RetryAfter: 1000})
-}
-
 func (c *Cell) withdraw(e Withdraw) {
 	if r := c.waiting[e.Key]; r != nil && r.ask.Attempt == e.Attempt {
 		c.unqueue(r)
 	}
-	k := runKey{e.Key, e.Attempt}
-	if r := c.running[k]; r != nil {
-		c.endRun(k, r)
+	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
+		c.endRun(r)
 	}
 }
 
@@ -78,36 +87,27 @@
 	}
 	t := c.byID[e.Target]
 	if t == nil {
-		// The target is not configured yet; it takes no new work until it is.
-		t = newTarget(Target{ID: e.Target, State: TargetDraining})
-		c.byID[e.Target] = t
-		c.targets = append(c.targets, t)
+		// The target takes no new work until a configuration lists it.
+		t = c.addTarget(Target{ID: e.Target})
 	}
-	c.startRun(e.Ask, t)
-	c.running[k].granted -= e.Elapsed
+	r := &request{ask: e.Ask, asked: c.now}
+	c.plan(r)
+	started := c.startRun(r, t)
+	started.granted -= e.Elapsed
+	started.produced, started.producedAt = e.Produced, c.now
+	c.predictEnd(started)
 }
 
-func (c *Cell) done(e Done) {
-	k := runKey{e.Key, e.Attempt}
-	if r := c.running[k]; r != nil {
-		c.endRun(k, r)
+func (c *Cell) holderGone(e HolderGone) {
+	gone := func(k Key) bool { return k.Holder == e.Holder && k.Incarnation <= e.Incarnation }
+	for k, r := range c.waiting {
+		if gone(k) {
+			c.unqueue(r)
+		}
+	}
+	for k, r := range c.running {
+		if gone(k.key) && r.orphanedAt == 0 {
+			r.orphanedAt = max(c.now, 1)
+		}
 	}
-}
-
-// startRun counts an attempt on a target and remembers it.
-func (c *Cell) startRun(a Ask, t *target) {
-	k := runKey{a.Key, a.Attempt}
-	r := &run{ask: a, target: t, granted: c.now, expectedEnd: a.Deadline}
-	c.running[k] = r
-	t.add(k, r)
-	p, _ := c.history.Get(a.Key)
-	p.attempt = a.Attempt
-	p.targets = append(slices.Clip(p.targets), t.conf.ID)
-	p.preempted = false
-	c.history.Add(a.Key, p)
-}
-
-func (c *Cell) endRun(k runKey, r *run) {
-	delete(c.running, k)
-	r.target.remove(k, r)
 }
--- a/internal/core/swcell/cell.go
+++ b/internal/core/swcell/cell.go
@@ -1,14 +1,14 @@
 package swcell
 
 import (
-	"slices"
-	"strings"
-
-	lru "github.com/hashicorp/golang-lru/v2"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbudget"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swqueue"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 // Cell is the queue and the accounts of one cell. It is not safe for concurrent use.
@@ -20,33 +20,58 @@
 	byID    map[swid.TargetID]*target
 	// weights holds the organisations of the latest configuration.
 	weights map[swid.OrgID]float64
-	tiers   []*swqueue.Tier[*request]
+	// served sums the cost of each organisation's granted requests.
+	served map[swid.OrgID]float64
+	tiers  []*tier
 	// waiting holds at most one attempt of each request.
 	waiting map[Key]*request
 	running map[runKey]*run
-	history *lru.Cache[Key, past]
+	history *lru.LRU[Key, past]
+	output  swcost.Output
+	strikes *swsuspect.Register
+	retries *swbudget.Budget
+	// typical is the mean of the active targets' rates.
+	typical typicalRates
+	// pass numbers the dispatch passes.
+	pass    uint64
+	paceAt  swclock.Millis
 	actions []Action
 
 	onViolation func(Violation)
 	violations  int
 }
 
+// tier is the state of one tier.
+type tier struct {
+	rank  int
+	queue *swqueue.Tier[*request]
+	// cursor is the item that the check for overload looked at last.
+	cursor *swqueue.Item[*request]
+	// closedUntil is when the tier takes requests again, after a higher tier shed some.
+	closedUntil swclock.Millis
+	supply      supply
+}
+
 // New returns a cell without targets; Configure adds them.
 func New(cfg Config, options ...Option) *Cell {
+	cfg = cfg.withDefaults()
 	c := &Cell{
-		cfg:     cfg.withDefaults(),
+		cfg:     cfg,
 		byID:    make(map[swid.TargetID]*target),
 		weights: make(map[swid.OrgID]float64),
+		served:  make(map[swid.OrgID]float64),
 		waiting: make(map[Key]*request),
 		running: make(map[runKey]*run),
+		strikes: swsuspect.New(cfg.HistorySize, cfg.StrikeLimit, cfg.StrikeSpan),
+		retries: swbudget.New(cfg.RetryRatio, cfg.RetryReserve),
 	}
-	history, err := lru.New[Key, past](c.cfg.HistorySize)
+	history, err := lru.NewLRU[Key, past](cfg.HistorySize, nil)
 	if err != nil {
-		panic(err) // the size is positive by withDefaults, unless the caller set a negative one
+		panic(err) // only a negative size fails
 	}
 	c.history = history
-	for range c.cfg.Tiers {
-		c.tiers = append(c.tiers, swqueue.New[*request](c.weight))
+	for rank := range cfg.Tiers {
+		c.tiers = append(c.tiers, &tier{rank: rank, queue: swqueue.New[*request](c.weight)})
 	}
 	for _, o := range options {
 		o(c)
@@ -54,8 +79,8 @@
 	return c
 }
 
-// Step takes one event and appends the actions that follow from it. now never
-// decreases from one call to the next.
+// Step takes one event and appends the actions that follow from it. An instant
+// before that of the previous call counts as the same instant.
 func (c *Cell) Step(now swclock.Millis, e Event, actions []Action) []Action {
 	c.now = max(c.now, now)
 	c.actions = actions
@@ -74,22 +99,35 @@
 		c.withdraw(e)
 	case InFlight:
 		c.inFlight(e)
+	case Progress:
+		c.progress(e)
 	case Done:
 		c.done(e)
+	case LoadReport:
+		c.loadReport(e)
+	case CacheReport:
+		c.cacheReport(e)
 	case Configure:
 		c.configure(e)
 	case TargetSeen:
 		c.targetSeen(e)
 	case HolderGone:
 		c.holderGone(e)
-	case LoadReport:
-	case CacheReport:
-	case Progress:
 	case Tick:
 		c.tick()
 	}
 }
 
+func (c *Cell) tick() {
+	c.freeLost()
+	c.expireLoad()
+	c.judgePace()
+	c.updateTypical()
+	c.expire()
+	c.reviewWaiting()
+	c.preemptForUrgent()
+}
+
 func (c *Cell) emit(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Cell) weight(org swid.OrgID) float64 {
@@ -99,71 +137,4 @@
 	return 1
 }
 
-func (c *Cell) tierOf(a *Ask) int { return min(int(a.Tier), len(c.tiers)-1) }
-
-func (c *Cell) configure(e Configure) {
-	clear(c.weights)
-	for _, o := range e.Organisations {
-		c.weights[o.ID] = o.Weight
-	}
-	for _, t := range c.targets {
-		t.listed = false
-	}
-	for _, conf := range e.Targets {
-		t := c.byID[conf.ID]
-		if t == nil {
-			t = newTarget(conf)
-			c.byID[conf.ID] = t
-			c.targets = append(c.targets, t)
-		}
-		t.conf = conf
-		t.listed = true
-	}
-	c.targets = slices.DeleteFunc(c.targets, c.forget)
-	slices.SortFunc(c.targets, func(a, b *target) int {
-		return strings.Compare(string(a.conf.ID), string(b.conf.ID))
-	})
-}
-
-// forget drops a target that is not configured and runs nothing.
-func (c *Cell) forget(t *target) bool {
-	if t.listed || len(t.runs) > 0 {
-		return false
-	}
-	delete(c.byID, t.conf.ID)
-	return true
-}
-
-func (c *Cell) targetSeen(e TargetSeen) {
-	if t := c.byID[e.Target]; t != nil {
-		t.reachable = e.Reachable
-	}
-}
-
-func (c *Cell) holderGone(e HolderGone) {
-	gone := func(k Key) bool { return k.Holder == e.Holder && k.Incarnation <= e.Incarnation }
-	for k, r := range c.waiting {
-		if gone(k) {
-			c.unqueue(r)
-		}
-	}
-	for k, r := range c.running {
-		if gone(k.key) && r.orphanedAt == 0 {
-			r.orphanedAt = max(c.now, 1)
-		}
-	}
-}
-
-func (c *Cell) tick() {
-	c.expire()
-	c.freeOrphans()
-}
-
-// freeOrphans ends the runs of dead holders that are past their bound.
-func (c *Cell) freeOrphans() {
-	for k, r := range c.running {
-		if r.orphanedAt > 0 && c.now > max(r.orphanedAt, r.expectedEnd)+c.cfg.OrphanBound {
-			c.endRun(k, r)
-		}
-	}
-}
+func (c *Cell) tierOf(a *Ask) *tier { return c.tiers[min(int(a.Tier), len(c.tiers)-1)] }
--- a/internal/core/swcell/config.go
+++ b/internal/core/swcell/config.go
@@ -13,11 +13,15 @@
 	OutputTokenCost float64
 	// ScanLimit bounds the requests that one pass looks at without placing any. Default 16.
 	ScanLimit int
-	// UrgentLimit bounds the requests of a tier that one tick examines for overload. Default 256.
+	// UrgentLimit bounds the requests of a tier that one tick considers preemption for. Default 256.
 	UrgentLimit int
+	// ReviewLimit bounds the requests of a tier whose prospects one tick reviews. Default 64.
+	ReviewLimit int
+	// ShedConfidence scales the estimated wait before it is held against a deadline. Default 0.9.
+	ShedConfidence float64
 	// OrphanBound frees the slot of work that nobody reports on any more, beyond its expected end. Default 1 minute.
 	OrphanBound swclock.Millis
-	// HistorySize bounds the requests that are remembered after their end. Default 65,536.
+	// HistorySize bounds the requests and fingerprints that are remembered after their end. Default 16,384.
 	HistorySize int
 	// PrefixHashes bounds the index of each target's prefix cache. Default 4,096.
 	PrefixHashes int
@@ -38,8 +42,10 @@
 	setDefault(&c.OutputTokenCost, 4)
 	setDefault(&c.ScanLimit, 16)
 	setDefault(&c.UrgentLimit, 256)
+	setDefault(&c.ReviewLimit, 64)
+	setDefault(&c.ShedConfidence, 0.9)
 	setDefault(&c.OrphanBound, swclock.Minute)
-	setDefault(&c.HistorySize, 1<<16)
+	setDefault(&c.HistorySize, 1<<14)
 	setDefault(&c.PrefixHashes, 1<<12)
 	setDefault(&c.StrikeLimit, 3)
 	setDefault(&c.StrikeSpan, 10*swclock.Minute)
--- a/internal/core/swcell/dispatch.go
+++ b/internal/core/swcell/dispatch.go
@@ -1,65 +1,89 @@
 package swcell
 
-import "slices"
+import (
+	"math"
+	"slices"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swqueue"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+)
+
+type item = swqueue.Item[*request]
 
 // dispatch grants waiting requests in their order as long as targets have room.
 func (c *Cell) dispatch() {
-	for _, tier := range c.tiers {
-		for scanned := 0; scanned < c.cfg.ScanLimit; {
-			i, ok := tier.Head()
-			if !ok || !c.anyRoom() {
+	c.pass++
+	for _, t := range c.tiers {
+		for scanned := 0; scanned < c.cfg.ScanLimit && c.anyRoom(); {
+			i, ok := t.queue.Head()
+			if !ok {
 				break
 			}
-			r := i.Value
-			if t := c.choose(r); t != nil {
-				tier.Take(i)
-				delete(c.waiting, r.ask.Key)
-				c.startRun(r.ask, t)
-				c.emit(Grant{Key: r.ask.Key, Attempt: r.ask.Attempt, Target: t.conf.ID})
-				continue
+			if !c.place(t, i) {
+				scanned++
 			}
-			tier.Hold(i)
-			scanned++
 		}
-		tier.Release()
+		t.queue.Release()
 	}
 }
 
-func (c *Cell) anyRoom() bool {
-	return slices.ContainsFunc(c.targets, func(t *target) bool { return t.active() && t.free() > 0 })
+// place grants the head of a tier, gives it up or passes it over, and reports
+// whether it left the queue.
+func (c *Cell) place(t *tier, i *item) bool {
+	r := i.Value
+	if verdict, wait := c.strikes.Verdict(r.ask.Fingerprint, c.now); verdict == swsuspect.Refused {
+		c.giveUpAfter(r, ReasonSuspect, wait)
+		return true
+	}
+	result := c.choose(r)
+	switch {
+	case result.target != nil:
+		c.grant(t, r, result.target)
+		return true
+	case result.late:
+		c.tooLate(r)
+		return true
+	}
+	if result.reserve != nil {
+		result.reserve.reservedIn = c.pass
+	}
+	t.queue.Hold(i)
+	return false
 }
 
-// usable reports whether the target may be granted to the request at all.
-func (c *Cell) usable(r *request, t *target) bool {
-	return t.active() && !slices.Contains(r.ask.Exclude, t.conf.ID)
+func (c *Cell) grant(t *tier, r *request, on *target) {
+	c.checkGrant(t, r, on)
+	t.queue.Take(&r.item)
+	delete(c.waiting, r.ask.Key)
+	c.startRun(r, on)
+	c.emit(Grant{Key: r.ask.Key, Attempt: r.ask.Attempt, Target: on.conf.ID})
 }
 
-func (c *Cell) anyTarget(r *request) bool {
-	return slices.ContainsFunc(c.targets, func(t *target) bool { return c.usable(r, t) })
+func (c *Cell) anyRoom() bool {
+	return slices.ContainsFunc(c.targets, func(t *target) bool { return t.room(c.now) > 0 && t.reservedIn != c.pass })
 }
 
-func (c *Cell) choose(r *request) *target {
-	var best *target
-	for _, t := range c.targets {
-		if !c.usable(r, t) || !t.fits(r.ask.PromptTokens+r.ask.OutputTokens) {
-			continue
-		}
-		if best == nil || len(t.runs)*best.conf.Slots < len(best.runs)*t.conf.Slots {
-			best = t
-		}
-	}
-	return best
+// prefillWait returns the time that a new prompt waits for others.
+func (t *target) prefillWait(now swclock.Millis) float64 {
+	return max(t.prefillFree-float64(now), 0)
 }
 
-// expire gives up the requests that can no longer start in time.
-func (c *Cell) expire() {
-	for _, tier := range c.tiers {
-		for {
-			i, ok := tier.MostUrgent()
-			if !ok || i.LatestStart >= c.now {
-				break
-			}
-			c.giveUp(i.Value, ReasonOverload)
-		}
+// soonestEnd returns the time to the first expected end, without bound if no slot gets free for new work.
+func (t *target) soonestEnd(now swclock.Millis) float64 {
+	if len(t.runs) == 0 || t.trust == TrustProbing || t.exclusive != nil {
+		return math.Inf(1)
 	}
+	soonest := math.Inf(1)
+	for _, r := range t.runs {
+		soonest = min(soonest, r.remaining(now))
+	}
+	return soonest
+}
+
+// accepts reports whether the target's trust suffices for the request.
+func (t *target) accepts(r *request) bool {
+	return t.trust != TrustProbing || !r.ask.NonIdempotent
 }
+
+func millis(span float64) swclock.Millis { return swclock.Millis(math.Ceil(span)) }
--- /dev/null
+++ b/internal/core/swcell/run.go
@@ -0,0 +1,139 @@
+package swcell
+
+import (
+	"slices"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// startRun counts an attempt on a target and remembers it.
+func (c *Cell) startRun(r *request, t *target) *run {
+	o := c.estimate(r, t)
+	started := &run{
+		ask: r.ask, target: t, granted: c.now, producedAt: c.now,
+		output: r.output, cost: r.item.Cost,
+		expectedEnd: float64(c.now) + o.total,
+		queued:      o.queued,
+		cached:      float64(r.ask.PromptTokens) - o.uncached,
+		suspect:     c.isSuspect(r),
+	}
+	c.running[started.id()] = started
+	t.add(started)
+	t.prefillFree = max(t.prefillFree, float64(c.now)) + t.rates.Prefill.Value()*o.uncached
+	t.prefixes.Add(r.ask.Prefix)
+	c.served[r.ask.Org] += r.item.Cost
+	p, _ := c.history.Get(r.ask.Key)
+	p.attempt = r.ask.Attempt
+	p.targets = append(slices.Clip(p.targets), t.conf.ID)
+	p.preempted = false
+	c.history.Add(r.ask.Key, p)
+	return started
+}
+
+func (c *Cell) endRun(r *run) {
+	delete(c.running, r.id())
+	r.target.remove(r, c.now)
+}
+
+func (c *Cell) done(e Done) {
+	r := c.running[runKey{e.Key, e.Attempt}]
+	if r == nil || r.target.conf.ID != e.Target {
+		return
+	}
+	t, probe := r.target, r.target.probe == r
+	c.learn(r, e)
+	c.settle(r, e)
+	c.endRun(r)
+	switch e.Result {
+	case ResultAnswered:
+		c.retries.Success()
+		c.strikes.Absolve(r.ask.Fingerprint)
+		c.succeeded(t, probe)
+	case ResultRejected:
+		c.succeeded(t, probe)
+	case ResultBroken:
+		c.strikes.Strike(r.ask.Fingerprint, r.alone, c.now)
+		c.failed(t)
+	case ResultNotStarted:
+		c.failed(t)
+	}
+}
+
+// learn takes in the times of an attempt.
+func (c *Cell) learn(r *run, e Done) {
+	t := r.target
+	if e.Result == ResultAnswered {
+		c.output.Observe(r.ask.Tier, r.ask.OutputTokens, e.OutputTokens)
+		if t.rates.Plain() {
+			t.rates.Service.Add(float64(e.Total))
+		}
+	}
+	if e.FirstToken <= 0 {
+		return
+	}
+	t.prefixes.Observe(r.cached, float64(e.CachedTokens))
+	t.rates.ObserveFirst(r.queued+float64(e.PromptTokens-e.CachedTokens), e.FirstToken)
+	if between := t.rates.ObserveRest(e.OutputTokens, e.Total-e.FirstToken); between > 0 {
+		t.pace.Add(between)
+	}
+}
+
+// settle corrects what the organisation was charged by what the attempt took.
+func (c *Cell) settle(r *run, e Done) {
+	if e.Result == ResultNotStarted {
+		c.charge(r, -r.cost)
+		return
+	}
+	if e.Result == ResultAnswered {
+		c.charge(r, c.cost(float64(e.PromptTokens), float64(e.OutputTokens))-r.cost)
+	}
+}
+
+func (c *Cell) charge(r *run, cost float64) {
+	c.served[r.ask.Org] += cost
+	c.tierOf(&r.ask).queue.Charge(r.ask.Org, cost)
+}
+
+func (c *Cell) progress(e Progress) {
+	r := c.running[runKey{e.Key, e.Attempt}]
+	if r == nil || e.Produced < r.produced {
+		return
+	}
+	// A stretch without a token counts as half a token.
+	const noToken = 0.5
+	span := c.now - r.producedAt
+	if r.produced > 0 && span >= minPaceSpan {
+		r.target.pace.Add(float64(span) / max(float64(e.Produced-r.produced), noToken))
+	}
+	if r.produced == 0 || span >= minPaceSpan {
+		r.produced, r.producedAt = e.Produced, c.now
+	}
+	c.predictEnd(r)
+}
+
+// minPaceSpan is the shortest time over which progress is judged.
+const minPaceSpan = 100 * swclock.Millis(1)
+
+// predictEnd estimates the end of a run from its progress.
+func (c *Cell) predictEnd(r *run) {
+	if r.produced > 0 {
+		left := max(r.output-float64(r.produced), 0)
+		r.expectedEnd = float64(c.now) + r.target.rates.Rest(left)
+	}
+}
+
+// freeLost ends the runs of which no end arrived by a bound.
+func (c *Cell) freeLost() {
+	for _, t := range c.targets {
+		for i := len(t.runs) - 1; i >= 0; i-- {
+			r := t.runs[i]
+			end := r.ask.Deadline
+			if r.orphanedAt > 0 {
+				end = max(r.orphanedAt, swclock.Millis(r.expectedEnd))
+			}
+			if c.now > end+c.cfg.OrphanBound {
+				c.endRun(r)
+			}
+		}
+	}
+}
--- a/internal/core/swcell/snapshot.go
+++ b/internal/core/swcell/snapshot.go
@@ -1,47 +1,81 @@
 package swcell
 
-import "github.com/sassafraswing/sassafraswing/internal/core/swid"
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
 
-// TierCount counts the requests of one tier.
-type TierCount struct {
+// TierStatus describes one tier.
+type TierStatus struct {
 	Waiting int
 	Running int
+	// Organisations is the number of organisations that wait.
+	Organisations int
+	// ClosedFor is the time for which the tier is refused because a higher one was shed.
+	ClosedFor swclock.Millis
 }
 
-// TargetStatus describes one target for operators.
+// TargetStatus describes one target. Times are as learned, in milliseconds.
 type TargetStatus struct {
 	ID      swid.TargetID
 	State   TargetState
+	Trust   Trust
 	Running int
-	Slots   int
+	// Slots is the number that the cell uses at present.
+	Slots int
+	// External is the work on the target that the cell did not grant.
+	External    int
+	PrefillTime float64
+	DecodeTime  float64
+	ServiceTime float64
 }
 
 // Snapshot describes a cell for operators.
 type Snapshot struct {
-	Tiers   []TierCount
+	Tiers   []TierStatus
 	Targets []TargetStatus
+	// RetriesLeft is what remains of the retry budget.
+	RetriesLeft float64
 	// Violations counts the broken invariants since the start.
 	Violations int
 }
 
 // Snapshot returns the cell's present state.
 func (c *Cell) Snapshot() Snapshot {
-	s := Snapshot{Tiers: make([]TierCount, len(c.tiers)), Violations: c.violations}
+	s := Snapshot{Tiers: make([]TierStatus, len(c.tiers)), RetriesLeft: c.retries.Left(), Violations: c.violations}
 	for i, t := range c.tiers {
-		s.Tiers[i].Waiting = t.Len()
+		s.Tiers[i] = TierStatus{
+			Waiting:       t.queue.Len(),
+			Organisations: t.queue.Organisations(),
+			ClosedFor:     max(t.closedUntil-c.now, 0),
+		}
 	}
 	for _, r := range c.running {
-		s.Tiers[c.tierOf(&r.ask)].Running++
+		s.Tiers[c.tierOf(&r.ask).rank].Running++
 	}
 	for _, t := range c.targets {
-		state := t.conf.State
-		switch {
-		case !t.reachable:
-			state = TargetDown
-		case !t.listed:
-			state = TargetDraining
-		}
-		s.Targets = append(s.Targets, TargetStatus{ID: t.conf.ID, State: state, Running: len(t.runs), Slots: t.conf.Slots})
+		s.Targets = append(s.Targets, t.status())
+	}
+	return s
+}
+
+func (t *target) status() TargetStatus {
+	s := TargetStatus{
+		ID: t.conf.ID, State: t.conf.State, Trust: t.trust,
+		Running: len(t.runs), Slots: t.slots(), External: t.load.external,
+		PrefillTime: t.rates.Prefill.Value(),
+		DecodeTime:  t.rates.Decode.Value(),
+		ServiceTime: t.rates.Service.Value(),
+	}
+	switch {
+	case !t.reachable:
+		s.State = TargetDown
+	case !t.listed:
+		s.State = TargetDraining
 	}
 	return s
 }
+
+// Served returns the cost of an organisation's granted requests since the
+// start, in prompt tokens; Config.OutputTokenCost weighs output.
+func (c *Cell) Served(org swid.OrgID) float64 { return c.served[org] }
--- a/internal/core/swcell/target.go
+++ b/internal/core/swcell/target.go
@@ -1,7 +1,23 @@
 package swcell
 
 import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swprefix"
+)
+
+// Trust says how much new work a target is given.
+type Trust uint8
+
+// Degrees of trust.
+const (
+	// TrustFull targets use all their slots.
+	TrustFull Trust = iota
+	// TrustProbing targets are granted one request at a time, to learn from it.
+	TrustProbing
+	// TrustLimited targets use their slots in proportion to their speed.
+	TrustLimited
 )
 
 // target is the cell's account of one target.
@@ -11,13 +27,42 @@
 	listed bool
 	// reachable is by the owner's own observation.
 	reachable bool
-	runs      map[runKey]*run
+	runs      []*run
 	// tokens sums the tokens of runs.
 	tokens swid.Tokens
+	rates  swcost.Rates
+	// pace is the time between tokens, from progress and from ends.
+	pace     swcost.Average
+	prefixes *swprefix.Index
+	// prefillFree is the instant at which the prompts granted so far are expected to be processed.
+	prefillFree float64
+	// exclusive is the suspect that runs alone, if any.
+	exclusive *run
+	// reservedIn is the number of the dispatch pass in which the target is kept free.
+	reservedIn uint64
+
+	trust Trust
+	// slowness is the pace relative to the generation's, if trust is TrustLimited.
+	slowness float64
+	// probe is the request that a TrustProbing target runs to be learned from.
+	probe *run
+	// failures counts the attempts that failed since the last success.
+	failures int
+	// retryAt is when a TrustProbing target is granted its next probe.
+	retryAt swclock.Millis
+
+	load loadAccount
 }
 
-func newTarget(conf Target) *target {
-	return &target{conf: conf, reachable: true, runs: make(map[runKey]*run)}
+func newTarget(conf Target, prefixHashes int) *target {
+	t := &target{conf: conf, reachable: true, prefixes: swprefix.New(prefixHashes)}
+	t.resetRates()
+	return t
+}
+
+func (t *target) resetRates() {
+	t.rates = swcost.NewRates(t.conf.PrefillRate, t.conf.DecodeRate, t.conf.ServiceTime)
+	t.pace = t.rates.Decode
 }
 
 // active reports whether the target takes new work.
@@ -25,23 +70,68 @@
 	return t.listed && t.reachable && t.conf.State == TargetActive
 }
 
-// free returns the number of slots that are not in use.
-func (t *target) free() int { return t.conf.Slots - len(t.runs) }
+// slots returns the number of slots that the cell may use at present.
+func (t *target) slots() int {
+	n := t.conf.Slots
+	if t.trust == TrustLimited {
+		n = max(1, int(float64(n)/t.slowness))
+	}
+	return n - t.load.external
+}
 
-// fits reports whether the target has a slot and the memory for an attempt.
-func (t *target) fits(tokens swid.Tokens) bool {
-	if t.free() <= 0 {
-		return false
+// room returns the number of requests that may be granted now.
+func (t *target) room(now swclock.Millis) int {
+	if !t.active() || t.exclusive != nil {
+		return 0
 	}
+	n := t.slots() - len(t.runs)
+	if t.trust == TrustProbing {
+		if t.probe != nil || now < t.retryAt {
+			return 0
+		}
+		n = min(n, 1)
+	}
+	return n
+}
+
+// fits reports whether the target has the memory for an attempt. An idle target takes any.
+func (t *target) fits(tokens swid.Tokens) bool {
 	return t.conf.KVTokens == 0 || len(t.runs) == 0 || t.tokens+tokens <= t.conf.KVTokens
 }
 
-func (t *target) add(k runKey, r *run) {
-	t.runs[k] = r
+func (t *target) add(r *run) {
+	r.index = len(t.runs)
+	t.runs = append(t.runs, r)
 	t.tokens += r.tokens()
+	r.alone = len(t.runs) == 1
+	if !r.alone {
+		for _, other := range t.runs {
+			other.alone = false
+		}
+	}
+	if t.trust == TrustProbing {
+		t.probe = r
+	}
+	if r.suspect {
+		t.exclusive = r
+	}
 }
 
-func (t *target) remove(k runKey, r *run) {
-	delete(t.runs, k)
+func (t *target) remove(r *run, now swclock.Millis) {
+	last := len(t.runs) - 1
+	t.runs[r.index] = t.runs[last]
+	t.runs[r.index].index = r.index
+	t.runs[last] = nil
+	t.runs = t.runs[:last]
 	t.tokens -= r.tokens()
+	if t.probe == r {
+		t.probe = nil
+	}
+	if t.exclusive == r {
+		t.exclusive = nil
+	}
+	if last == 0 {
+		t.prefillFree = float64(now)
+	}
+	t.load.ended(r.granted, now)
 }
--- a/internal/core/swqueue/swqueue.go
+++ b/internal/core/swqueue/swqueue.go
@@ -190,8 +190,14 @@
 // Urgent calls visit by latest start until it returns false. The queue must not change meanwhile.
 func (t *Tier[T]) Urgent(visit func(*Item[T]) bool) { t.urgent.Ascend(visit) }
 
-// Last returns the last item of the same organisation.
-func (t *Tier[T]) Last(i *Item[T]) (*Item[T], bool) { return i.flow.items.Max() }
+// NextUrgent returns the item behind the given one by latest start, even if
+// that one has left the queue, or the first if it is nil.
+func (t *Tier[T]) NextUrgent(i *Item[T]) (*Item[T], bool) {
+	if i == nil {
+		return t.urgent.Min()
+	}
+	return t.urgent.Next(i)
+}
 
 // MostUrgent returns the item with the earliest latest start.
 func (t *Tier[T]) MostUrgent() (*Item[T], bool) { return t.urgent.Min() }
--- a/internal/core/swtree/swtree.go
+++ b/internal/core/swtree/swtree.go
@@ -60,18 +60,6 @@
 	return n.value, true
 }
 
-// Max returns the greatest value.
-func (t *Tree[T]) Max() (value T, ok bool) {
-	n := t.root
-	if n == nil {
-		return value, false
-	}
-	for n.right != nil {
-		n = n.right
-	}
-	return n.value, true
-}
-
 // Before returns the weight of the values less than the given one.
 func (t *Tree[T]) Before(value T) float64 {
 	var sum float64
--- /dev/null
+++ b/internal/experiment/swtrial/scenario.go
@@ -0,0 +1,141 @@
+// Package swtrial runs one scheduler against modelled targets in virtual time.
+//
+// The model is one discrete-event loop: requests arrive, a holder asks, the
+// scheduler's actions reach targets that batch continuously, and their ends
+// come back as events. Nothing depends on the machine or on real time.
+package swtrial
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// Class is a kind of request of a deployment.
+type Class struct {
+	Name string
+	Tier swid.Tier
+	// Share is the part of the offered work that the class makes up.
+	Share float64
+	// Prompt and Output are the usual sizes; Output is the request's limit.
+	Prompt swid.Tokens
+	Output swid.Tokens
+	// Shared is the part of the prompt that all requests of an organisation begin with.
+	Shared   swid.Tokens
+	Deadline swclock.Millis
+	// Burst multiplies the class's rate during the scenario's burst.
+	Burst float64
+	// NonIdempotent marks work that is never repeated.
+	NonIdempotent bool
+}
+
+// Engine describes one modelled target.
+type Engine struct {
+	ID         swid.TargetID
+	Generation swid.GenerationID
+	Slots      int
+	KVTokens   swid.Tokens
+	// PrefillRate and DecodeRate are in tokens a second; DecodeRate is that of one stream.
+	PrefillRate float64
+	DecodeRate  float64
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
+}
+
+// FaultKind says what happens to a target.
+type FaultKind uint8
+
+// Kinds of faults.
+const (
+	// FaultSlow divides the speed of a target by Fault.Factor.
+	FaultSlow FaultKind = iota + 1
+	// FaultCrash ends everything that runs on a target, which refuses work until it is back.
+	FaultCrash
+	// FaultSilent makes a target accept work and never answer.
+	FaultSilent
+)
+
+// Fault happens to one target.
+type Fault struct {
+	Kind   FaultKind
+	Target swid.TargetID
+	At     swclock.Millis
+	// Span is how long it lasts; 0 means to the end.
+	Span   swclock.Millis
+	Factor float64
+}
+
+// Scenario describes one run.
+type Scenario struct {
+	Name    string
+	Seed    uint64
+	Engines []Engine
+	Classes []Class
+	// Organisations holds the relative rates of the organisations, which all have equal shares.
+	Organisations []float64
+	// Load is the offered work relative to the capacity of all engines.
+	Load float64
+	// Span is the time during which requests arrive.
+	Span swclock.Millis
+	// BurstAt and BurstSpan bound the time of higher rates.
+	BurstAt   swclock.Millis
+	BurstSpan swclock.Millis
+	Faults    []Fault
+	// PoisonAt holds the arrivals of requests that crash their target. Their
+	// caller sends each again poisonResends times.
+	PoisonAt []swclock.Millis
+	// LeaveShare is the share of the callers that leave before their answer.
+	LeaveShare float64
+}
+
+const (
+	letterEngines = 9
+	fastEngines   = 5
+	engineSlots   = 8
+)
+
+// fleet returns nine engines of two generations, the second at half the speed of the first.
+func fleet() []Engine {
+	var engines []Engine
+	for i := range letterEngines {
+		e := Engine{
+			ID: swid.TargetID("e" + string(rune('1'+i))), Generation: "new", Slots: engineSlots, KVTokens: 160_000,
+			PrefillRate: 16_000, DecodeRate: 60, CacheBlocks: 4096,
+		}
+		if i >= fastEngines {
+			e.Generation, e.PrefillRate, e.DecodeRate = "old", e.PrefillRate/2, e.DecodeRate/2
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
+
+// Lembrete is the debt-collection deployment: letters, nudges, replies and lookups.
+func Lembrete(load float64) Scenario {
+	return Scenario{
+		Name: "lembrete", Seed: 1, Engines: fleet(), Load: load,
+		Organisations: []float64{10, 1, 1, 1, 1},
+		Classes: []Class{
+			{Name: "lookup", Tier: 0, Share: 0.12, Prompt: 90, Output: 50, Deadline: 4 * swclock.Second, Burst: 2},
+			{Name: "sort", Tier: 1, Share: 0.08, Prompt: 120, Output: 12, Deadline: 6 * swclock.Second, Burst: 2},
+			{Name: "letter", Tier: 1, Share: 0.5, Prompt: 9000, Output: 700, Shared: 512, Deadline: 90 * swclock.Second, Burst: 2},
+			{Name: "nudge", Tier: 2, Share: 0.3, Prompt: 90, Output: 90, Deadline: 60 * swclock.Second, Burst: 1},
+		},
+		Span: 2 * swclock.Minute, BurstAt: 30 * swclock.Second, BurstSpan: 15 * swclock.Second,
+		Faults: []Fault{{Kind: FaultSlow, Target: "e2", At: 20 * swclock.Second, Factor: 4}},
+	}
+}
+
+// MajiBora is the home-visit deployment: audit reports, visit chats and tips.
+func MajiBora(load float64) Scenario {
+	return Scenario{
+		Name: "majibora", Seed: 2, Engines: fleet(), Load: load,
+		Organisations: []float64{10, 1, 1, 1, 1},
+		Classes: []Class{
+			{Name: "chat", Tier: 0, Share: 0.2, Prompt: 400, Output: 80, Shared: 256, Deadline: 6 * swclock.Second, Burst: 2},
+			{Name: "report", Tier: 1, Share: 0.5, Prompt: 12_000, Output: 600, Shared: 2048, Deadline: 120 * swclock.Second, Burst: 2},
+			{Name: "tip", Tier: 2, Share: 0.3, Prompt: 120, Output: 120, Shared: 64, Deadline: 60 * swclock.Second, Burst: 1},
+		},
+		Span: 2 * swclock.Minute, BurstAt: 30 * swclock.Second, BurstSpan: 15 * swclock.Second,
+		Faults: []Fault{{Kind: FaultSlow, Target: "e2", At: 20 * swclock.Second, Factor: 4}},
+	}
+}
