Run the stand-ins as processes

With a second listener for the admin paths a crash also refuses connections, which a handler alone cannot do.

--- a/internal/stand/swfault/swfault.go
+++ b/internal/stand/swfault/swfault.go
@@ -167,15 +167,24 @@
 }
 
 // Wait returns once no fault of the kind is active, or ctx's error if ctx ends first.
-func (s *Set) Wait(ctx context.Context, kind Kind) error {
+func (s *Set) Wait(ctx context.Context, kind Kind) error { return s.await(ctx, kind, false) }
+
+// WaitFor returns once a fault of the kind is active, or ctx's error if ctx ends first.
+func (s *Set) WaitFor(ctx context.Context, kind Kind) error { return s.await(ctx, kind, true) }
+
+func (s *Set) await(ctx context.Context, kind Kind, present bool) error {
 	for {
 		s.mu.Lock()
 		i := s.find(kind)
-		if i < 0 {
+		if (i >= 0) == present {
 			s.mu.Unlock()
 			return nil
 		}
-		changed, left := s.changed, s.left(s.active[i])
+		var left swclock.Millis
+		if i >= 0 {
+			left = s.left(s.active[i])
+		}
+		changed := s.changed
 		s.mu.Unlock()
 		if err := waitChange(ctx, changed, left); err != nil {
 			return err
--- /dev/null
+++ b/internal/stand/swmain/serve.go
@@ -0,0 +1,123 @@
+package swmain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swreply"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	// relistenInterval is the time between two tries to take an address again after a crash.
+	relistenInterval = 10 * time.Millisecond
+	adminPrefix      = "/admin/"
+)
+
+// serve runs the listeners until ctx ends or one of them fails.
+func serve(ctx context.Context, log zerolog.Logger, o options, s standIn) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	listener, err := net.Listen("tcp", o.address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	log.Info().Str("kind", o.kind).Str("address", listener.Addr().String()).Msg("listening")
+	var workers conc.WaitGroup
+	if o.admin != "" {
+		admin, err := net.Listen("tcp", o.admin)
+		if err != nil {
+			listener.Close()
+			return errors.Wrap(err, "listen for admin")
+		}
+		log.Info().Str("address", admin.Addr().String()).Msg("listening for admin")
+		workers.Go(func() { cancel(serveUntil(ctx, admin, adminOnly(s.handler))) })
+		workers.Go(func() { cancel(serveCrashing(ctx, listener, s)) })
+	} else {
+		workers.Go(func() { cancel(serveUntil(ctx, listener, s.handler)) })
+	}
+	workers.Wait()
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return nil
+}
+
+// adminOnly serves the admin paths of a handler.
+func adminOnly(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, adminPrefix) {
+			h.ServeHTTP(w, r)
+			return
+		}
+		swreply.Error(w, http.StatusNotFound, "not_found", "only admin paths are served here")
+	})
+}
+
+// serveUntil serves until ctx ends, then closes every connection.
+func serveUntil(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// serveCrashing serves and, while the crash fault is active, refuses connections.
+func serveCrashing(ctx context.Context, l net.Listener, s standIn) error {
+	address := l.Addr().String()
+	for {
+		if err := serveLife(ctx, l, s); err != nil {
+			return err
+		}
+		if err := s.faults.Wait(ctx, swfault.KindCrash); err != nil || ctx.Err() != nil {
+			return nil
+		}
+		next, err := relisten(ctx, address)
+		if err != nil {
+			return err
+		}
+		l = next
+	}
+}
+
+// serveLife serves until the next crash.
+func serveLife(ctx context.Context, l net.Listener, s standIn) error {
+	life, end := context.WithCancel(ctx)
+	var workers conc.WaitGroup
+	workers.Go(func() {
+		defer end()
+		_ = s.faults.WaitFor(life, swfault.KindCrash) // ends with life too
+	})
+	err := serveUntil(life, l, s.handler)
+	end()
+	workers.Wait()
+	return err
+}
+
+// relisten takes an address again.
+func relisten(ctx context.Context, address string) (net.Listener, error) {
+	for {
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return l, nil
+		}
+		t := time.NewTimer(relistenInterval)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return nil, errors.Wrap(err, "listen again")
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/swplain/settings.go
@@ -0,0 +1,19 @@
+package swplain
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/config/swyaml"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// ParseConfig maps a settings file. Its error is a *swyaml.Error; file is the name that it gives.
+func ParseConfig(file string, data []byte) (Config, error) {
+	var c Config
+	if err := swyaml.Read(file, data, func(o *swyaml.Object) { mapConfig(o, &c) }); err != nil {
+		return Config{}, err
+	}
+	return c, nil
+}
+
+func mapConfig(o *swyaml.Object, c *Config) {
+	c.ServiceTime = o.Optional("serviceTime").Span(0, 0, swclock.Hour)
+}
