Carry messages between entry hosts over watched links

One yamux session with one stream per used pair, dialled on demand, a bounded ring per host, one writer that batches what is ready, one reader. Causes and choices: - A link that went silent is found by a round-trip probe inside the stream. It travels in the batch's own fields (2 to 3 bytes); idle links send none. A peer answers only after it handled what came before, so a stuck handler counts as silent too. The side that notices dials anew at once, since the other side may not notice. Ruled out: yamux's keep-alive (a fixed interval on idle links costs bytes on every link) and TCP keep-alive (a middle box that ends TCP answers it). - Two dials that cross are settled before any message is sent: the dial of the smaller host id is kept, the other side's queue waits for it. - A yamux header and its body leave in one write, so in one packet. - An idle link ends in order and is no loss; any other end drops the queue and tells the handler once.

--- /dev/null
+++ b/internal/peer/swlink/network.go
@@ -0,0 +1,187 @@
+package swlink
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swring"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+)
+
+// Network holds one link to each entry host that this host exchanges messages
+// with. Links are dialled on demand, watched, and closed when idle. It
+// implements Sender and prometheus.Collector.
+type Network struct {
+	config   Config
+	clock    swclock.Clock
+	resolver Resolver
+	handler  Handler
+	security security
+	logger   zerolog.Logger
+	wrap     func(net.Conn) net.Conn
+	listener net.Listener
+	// dials holds the hosts that wait for a dial.
+	dials *swring.Ring[*remote]
+	stats counters
+	// tasks are the goroutines that Run waits for.
+	tasks conc.WaitGroup
+
+	mu sync.Mutex
+	// remotes only grows, up to MaxPeers.
+	remotes map[swid.HostID]*remote
+}
+
+// New returns a network that neither listens nor dials before Run.
+func New(cfg Config, clock swclock.Clock, resolver Resolver, handler Handler, options ...Option) *Network {
+	cfg = cfg.withDefaults()
+	n := &Network{
+		config: cfg, clock: clock, resolver: resolver, handler: handler, logger: zerolog.Nop(),
+		wrap:    func(c net.Conn) net.Conn { return c },
+		dials:   swring.New[*remote](cfg.MaxPeers),
+		remotes: make(map[swid.HostID]*remote),
+	}
+	for _, o := range options {
+		o(n)
+	}
+	return n
+}
+
+// Listen binds the network's address.
+func (n *Network) Listen() error {
+	if !n.security.chosen {
+		return ErrNoTLS
+	}
+	listen := net.ListenConfig{KeepAlive: -1}
+	listener, err := listen.Listen(context.Background(), "tcp", n.config.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	n.listener = listener
+	return nil
+}
+
+// Address returns the address that Listen bound.
+func (n *Network) Address() string { return n.listener.Addr().String() }
+
+// Run serves links until ctx ends and every goroutine has stopped. Listen must
+// have succeeded before.
+func (n *Network) Run(ctx context.Context) error {
+	if n.listener == nil {
+		return errors.New("peer network does not listen")
+	}
+	stop := context.AfterFunc(ctx, func() { n.listener.Close() })
+	defer stop()
+	n.tasks.Go(func() { n.accept(ctx) })
+	n.tasks.Go(func() { n.dispatch(ctx) })
+	n.tasks.Go(func() { n.watch(ctx) })
+	n.tasks.Wait()
+	return nil
+}
+
+// Send implements Sender. A message is refused when the queue for its host is
+// full, when the last dial failed a moment ago, or when it is for this host.
+func (n *Network) Send(to swid.HostID, m swmsg.Message) bool {
+	r := n.remote(to)
+	if r == nil || !r.send(m) {
+		n.stats.refused.Add(1)
+		return false
+	}
+	return true
+}
+
+// Connected implements Sender.
+func (n *Network) Connected(to swid.HostID) bool {
+	n.mu.Lock()
+	r := n.remotes[to]
+	n.mu.Unlock()
+	return r != nil && r.connected()
+}
+
+// remote returns the state of a host, or nil for this host or above the limit.
+func (n *Network) remote(host swid.HostID) *remote {
+	if host == n.config.Self.Host {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r, ok := n.remotes[host]; ok {
+		return r
+	}
+	if len(n.remotes) >= n.config.MaxPeers {
+		return nil
+	}
+	r := newRemote(n, host)
+	n.remotes[host] = r
+	return r
+}
+
+// accept takes connections until the listener closes.
+func (n *Network) accept(ctx context.Context) {
+	for {
+		c, err := n.listener.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			n.logger.Warn().Err(err).Msg("accept peer")
+			time.Sleep(watchInterval.Duration())
+			continue
+		}
+		n.tasks.Go(func() { n.serve(ctx, c) })
+	}
+}
+
+// dispatch starts the dials that are asked for.
+func (n *Network) dispatch(ctx context.Context) {
+	for {
+		select {
+		case r := <-n.dials.Items():
+			n.tasks.Go(func() { n.connect(ctx, r) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// watch checks all links for silence, idleness and frames that are due.
+func (n *Network) watch(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval.Duration())
+	defer ticker.Stop()
+	last := n.clock.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := n.clock.Now()
+		stalled := now-last > n.config.HeartbeatTimeout/2
+		last = now
+		for _, l := range n.links() {
+			l.watch(now, stalled)
+		}
+	}
+}
+
+// links returns the present links.
+func (n *Network) links() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	links := make([]*link, 0, len(n.remotes))
+	for _, r := range n.remotes {
+		r.mu.Lock()
+		if r.link != nil {
+			links = append(links, r.link)
+		}
+		r.mu.Unlock()
+	}
+	return links
+}
