--- /dev/null
+++ b/internal/core/swcell/attempt.go
@@ -0,0 +1,113 @@
+package swcell
+
+import (
+	"slices"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+)
+
+func (c *Cell) ask(e Ask) {
+	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
+		// The holder asks again because the grant was lost with a link.
+		c.emit(Grant{Key: e.Key, Attempt: e.Attempt, Target: r.target.conf.ID})
+		return
+	}
+	p, known := c.history.Get(e.Key)
+	if known && e.Attempt <= p.attempt {
+		return
+	}
+	if r := c.waiting[e.Key]; r != nil {
+		if e.Attempt <= r.ask.Attempt {
+			return
+		}
+		c.unqueue(r)
+	}
+	for _, id := range p.targets {
+		if !slices.Contains(e.Exclude, id) {
+			e.Exclude = append(slices.Clip(e.Exclude), id)
+		}
+	}
+	c.admit(e, p.preempted)
+}
+
+// admit queues an ask, or refuses it at once.
+func (c *Cell) admit(e Ask, preempted bool) {
+	r := c.enqueue(e)
+	verdict, wait := c.strikes.Verdict(e.Fingerprint, c.now)
+	t := c.tierOf(&e)
+	switch {
+	case verdict == swsuspect.Refused:
+		c.giveUpAfter(r, ReasonSuspect, wait)
+	case !c.anyTarget(r):
+		c.giveUp(r, ReasonNoTarget)
+	case c.impossible(r):
+		c.giveUp(r, ReasonDeadline)
+	case t.closedUntil > c.now:
+		c.giveUpAfter(r, ReasonOverload, t.closedUntil-c.now)
+	case e.Attempt > 1 && !preempted && !c.retries.Take():
+		c.giveUp(r, ReasonRetryBudget)
+	default:
+		c.reviewAround(r)
+	}
+}
+
+func (c *Cell) enqueue(e Ask) *request {
+	r := &request{ask: e, asked: c.now}
+	c.plan(r)
+	r.item.Value = r
+	r.item.Org = e.Org
+	r.item.Deadline = e.Deadline
+	c.waiting[e.Key] = r
+	c.tierOf(&e).queue.Push(&r.item)
+	return r
+}
+
+func (c *Cell) unqueue(r *request) {
+	c.tierOf(&r.ask).queue.Remove(&r.item)
+	delete(c.waiting, r.ask.Key)
+}
+
+func (c *Cell) withdraw(e Withdraw) {
+	if r := c.waiting[e.Key]; r != nil && r.ask.Attempt == e.Attempt {
+		c.unqueue(r)
+	}
+	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
+		c.endRun(r)
+	}
+}
+
+func (c *Cell) inFlight(e InFlight) {
+	k := runKey{e.Ask.Key, e.Ask.Attempt}
+	p, known := c.history.Get(e.Ask.Key)
+	if c.running[k] != nil || (known && p.attempt >= e.Ask.Attempt) {
+		return
+	}
+	if r := c.waiting[e.Ask.Key]; r != nil && r.ask.Attempt <= e.Ask.Attempt {
+		c.unqueue(r)
+	}
+	t := c.byID[e.Target]
+	if t == nil {
+		// The target takes no new work until a configuration lists it.
+		t = c.addTarget(Target{ID: e.Target})
+	}
+	r := &request{ask: e.Ask, asked: c.now}
+	c.plan(r)
+	started := c.startRun(r, t)
+	started.granted -= e.Elapsed
+	started.produced, started.producedAt = e.Produced, c.now
+	c.predictEnd(started)
+}
+
+func (c *Cell) holderGone(e HolderGone) {
+	gone := func(k Key) bool { return k.Holder == e.Holder && k.Incarnation <= e.Incarnation }
+	for k, r := range c.waiting {
+		if gone(k) {
+			c.unqueue(r)
+		}
+	}
+	for k, r := range c.running {
+		if gone(k.key) && r.orphanedAt == 0 {
+			r.orphanedAt = max(c.now, 1)
+		}
+	}
+}
