Map the parts of the environment document

The round-trip test fills fields by reflection and would have failed for the fields added to ConfigRequest and ConfigDocument; both are mapped and bounded. go test -race ./internal/peer/swcodec -args -rapid.seed=1: ok.

--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -35,10 +35,9 @@
 	case *swpb.Message_Heartbeat:
 		return checked("heartbeat", k.Heartbeat, decodeHeartbeat)
 	case *swpb.Message_ConfigRequest:
-		return swmsg.ConfigRequest{Have: swid.ConfigVersion(k.ConfigRequest.GetHave())}, nil
+		return checked("configRequest", k.ConfigRequest, decodeConfigRequest)
 	case *swpb.Message_ConfigDocument:
-		d := k.ConfigDocument
-		return swmsg.ConfigDocument{Version: swid.ConfigVersion(d.GetVersion()), Document: d.GetDocument()}, nil
+		return checked("configDocument", k.ConfigDocument, decodeConfigDocument)
 	default:
 		return nil, ErrUnknownMessage
 	}
@@ -161,6 +160,18 @@
 	}
 }
 
+func decodeConfigRequest(c *checker, w *swpb.ConfigRequest) swmsg.ConfigRequest {
+	c.count("parts", len(w.GetParts()), MaxParts)
+	return swmsg.ConfigRequest{Have: swid.ConfigVersion(w.GetHave()), Parts: w.GetParts()}
+}
+
+func decodeConfigDocument(c *checker, w *swpb.ConfigDocument) swmsg.ConfigDocument {
+	c.count("parts", len(w.GetParts()), MaxParts)
+	return swmsg.ConfigDocument{
+		Version: swid.ConfigVersion(w.GetVersion()), Document: w.GetDocument(), Parts: w.GetParts(),
+	}
+}
+
 func decodeRumor(c *checker, w *swpb.Rumor) swmsg.Rumor {
 	return swmsg.Rumor{
 		Host: swid.HostID(c.required("host", w.GetHost())), Incarnation: swid.Incarnation(w.GetIncarnation()),
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -46,10 +46,10 @@
 	case swmsg.Heartbeat:
 		return &swpb.Message{Kind: &swpb.Message_Heartbeat{Heartbeat: encodeHeartbeat(m)}}, nil
 	case swmsg.ConfigRequest:
-		r := &swpb.ConfigRequest{Have: uint64(m.Have)}
+		r := &swpb.ConfigRequest{Have: uint64(m.Have), Parts: m.Parts}
 		return &swpb.Message{Kind: &swpb.Message_ConfigRequest{ConfigRequest: r}}, nil
 	case swmsg.ConfigDocument:
-		d := &swpb.ConfigDocument{Version: uint64(m.Version), Document: m.Document}
+		d := &swpb.ConfigDocument{Version: uint64(m.Version), Document: m.Document, Parts: m.Parts}
 		return &swpb.Message{Kind: &swpb.Message_ConfigDocument{ConfigDocument: d}}, nil
 	default:
 		return nil, errors.Wrapf(ErrUnknownMessage, "%T", m)
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -24,6 +24,8 @@
 	MaxExclude = 256
 	// MaxRumors bounds the rumors of one heartbeat.
 	MaxRumors = 512
+	// MaxParts bounds the parts of an environment document in one message.
+	MaxParts = 4096
 )
 
 // Batch is one frame: messages in order, and the link's own round-trip probes.
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -114,6 +114,7 @@
 		{"bad inner ask", swmsg.InFlight{Target: "e"}, "cell"},
 		{"no host", swmsg.Hello{}, "host"},
 		{"no state", swmsg.Heartbeat{Rumors: []swmsg.Rumor{{Host: "h"}}}, "state"},
+		{"many parts", swmsg.ConfigRequest{Parts: make([][]byte, MaxParts+1)}, "parts"},
 		{"many rumors", swmsg.Heartbeat{Rumors: make([]swmsg.Rumor, MaxRumors+1)}, "rumors"},
 	}
 	for _, tt := range tests {
