--- /dev/null
+++ b/internal/target/swopenai/stream.go
@@ -0,0 +1,170 @@
+package swopenai
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/target/swhttp"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// streamBufferBytes is the size of a stream's read buffer.
+const streamBufferBytes = 4 << 10
+
+var (
+	dataField  = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+// stream is a streamed answer; each of its chunks is one server-sent event.
+type stream struct {
+	response *swhttp.Response
+	limits   Limits
+	reader   *bufio.Reader
+	usage    swtarget.Usage
+	// buffer holds the event that was returned last.
+	buffer []byte
+	// err is set once the stream ended.
+	err error
+}
+
+func newStream(response *swhttp.Response, limits Limits) *stream {
+	return &stream{response: response, limits: limits, reader: bufio.NewReaderSize(response, streamBufferBytes)}
+}
+
+// Status implements swtarget.Answer.
+func (s *stream) Status() int { return s.response.Status }
+
+// ContentType implements swtarget.Answer.
+func (s *stream) ContentType() string { return s.response.Header.Get("Content-Type") }
+
+// Usage implements swtarget.Answer.
+func (s *stream) Usage() swtarget.Usage { return s.usage }
+
+// Close implements swtarget.Answer.
+func (s *stream) Close() error { return s.response.Close() }
+
+// Next implements swtarget.Answer. The terminal marker is the last chunk.
+func (s *stream) Next() (swtarget.Chunk, error) {
+	if s.err != nil {
+		return swtarget.Chunk{}, s.err
+	}
+	data, err := s.readEvent()
+	if err != nil {
+		s.err = s.response.Fail(err)
+		return swtarget.Chunk{}, s.err
+	}
+	if bytes.Equal(data, doneMarker) {
+		s.err = io.EOF
+		return swtarget.Chunk{Data: s.buffer}, nil
+	}
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		s.err = s.response.Fail(errors.Wrap(err, "event is not JSON"))
+		return swtarget.Chunk{}, s.err
+	}
+	if e.Error != nil {
+		s.err = s.response.Fail(errors.Errorf("engine ended the stream: %s", e.Error.Message))
+		return swtarget.Chunk{}, s.err
+	}
+	if e.Usage != nil {
+		s.usage = e.Usage.usage()
+	}
+	s.response.Progressed(s.limits.Event)
+	return swtarget.Chunk{Data: s.buffer, Tokens: e.tokens(), Events: 1}, nil
+}
+
+// readEvent reads up to the empty line that ends an event, into s.buffer, and
+// returns its data. Events without data, such as the comments that keep a
+// connection open, are skipped and are no progress.
+func (s *stream) readEvent() ([]byte, error) {
+	s.buffer = s.buffer[:0]
+	var data []byte
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case len(line) > 0:
+			if field, ok := bytes.CutPrefix(line, dataField); ok {
+				if data != nil {
+					data = append(data, '\n')
+				}
+				data = append(data, bytes.TrimSpace(field)...)
+			}
+		case data != nil:
+			return data, nil
+		default:
+			s.buffer = s.buffer[:0]
+		}
+	}
+}
+
+// readLine appends a line to s.buffer and returns it without its end.
+func (s *stream) readLine() ([]byte, error) {
+	start := len(s.buffer)
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		if len(s.buffer)+len(part) > s.limits.EventBytes {
+			return nil, swhttp.ErrTooLarge
+		}
+		s.buffer = append(s.buffer, part...)
+		if err == nil {
+			return bytes.TrimRight(s.buffer[start:], "\r\n"), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+	}
+}
+
+// event is the part of an engine's JSON that the adapter reads.
+type event struct {
+	Choices []choice   `json:"choices"`
+	Usage   *wireUsage `json:"usage"`
+	Error   *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// choice is one of the continuations of an event.
+type choice struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+}
+
+// tokens counts one token for each continuation that has text.
+func (e *event) tokens() swid.Tokens {
+	var n swid.Tokens
+	for _, c := range e.Choices {
+		if c.Text != "" || c.Delta.Content != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// wireUsage is the engine's own account of a request.
+type wireUsage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int64 `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func (u *wireUsage) usage() swtarget.Usage {
+	return swtarget.Usage{
+		PromptTokens: swid.Tokens(u.PromptTokens),
+		OutputTokens: swid.Tokens(u.CompletionTokens),
+		CachedTokens: swid.Tokens(u.Details.CachedTokens),
+	}
+}
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -20,6 +20,8 @@
 	Body        []byte
 	// Stream tells that the answer is a stream of events.
 	Stream bool
+	// IdempotencyKey is passed on to the target if it is not empty.
+	IdempotencyKey string
 	// ResumeFrom is the number of events that the holder already has; above 0 the
 	// target continues a stream that broke.
 	ResumeFrom int
@@ -31,6 +33,9 @@
 	Data []byte
 	// Tokens is the number of output tokens in Data.
 	Tokens swid.Tokens
+	// Events is the number of a stream's data events in Data, without the
+	// terminal marker; their sum is a later Request.ResumeFrom.
+	Events int
 }
 
 // Usage is a target's own account of a request; zero fields were not reported.
