--- /dev/null
+++ b/internal/core/swcell/dispatch.go
@@ -0,0 +1,108 @@
+package swcell
+
+import (
+	"math"
+	"slices"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swqueue"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+)
+
+type item = swqueue.Item[*request]
+
+// dispatch grants waiting requests in their order as long as targets have room.
+func (c *Cell) dispatch() {
+	c.pass++
+	for _, t := range c.tiers {
+		if t.closedUntil > c.now {
+			// The tiers below are closed as well.
+			break
+		}
+		for scanned := 0; scanned < c.cfg.ScanLimit && c.anyRoom(); {
+			i, ok := t.queue.Head()
+			if !ok {
+				break
+			}
+			if !c.place(t, i) {
+				scanned++
+			}
+		}
+		t.queue.Release()
+	}
+}
+
+// place grants the head of a tier, gives it up or passes it over, and reports
+// whether it left the queue.
+func (c *Cell) place(t *tier, i *item) bool {
+	r := i.Value
+	if verdict, wait := c.strikes.Verdict(r.ask.Fingerprint, c.now); verdict == swsuspect.Refused {
+		c.giveUpAfter(r, ReasonSuspect, wait)
+		return true
+	}
+	result := c.choose(r)
+	switch {
+	case result.target != nil:
+		c.grant(t, r, result.target)
+		return true
+	case result.late:
+		c.tooLate(r)
+		return true
+	}
+	if result.reserve != nil {
+		result.reserve.reserve(c.pass, result.slots, result.wait)
+	}
+	t.queue.Hold(i)
+	return false
+}
+
+func (c *Cell) grant(t *tier, r *request, on *target) {
+	c.checkGrant(t, r, on)
+	t.queue.Take(&r.item)
+	delete(c.waiting, r.ask.Key)
+	c.startRun(r, on)
+	c.emit(Grant{Key: r.ask.Key, Attempt: r.ask.Attempt, Target: on.conf.ID})
+}
+
+func (c *Cell) anyRoom() bool {
+	return slices.ContainsFunc(c.targets, func(t *target) bool { return t.room(c.now) > 0 })
+}
+
+// reserve keeps slots free, in one pass, for a request that starts after a wait.
+func (t *target) reserve(pass uint64, slots int, wait float64) {
+	if t.reserved.pass != pass {
+		t.reserved = reservation{pass: pass, wait: wait}
+	}
+	t.reserved.slots += slots
+	t.reserved.wait = min(t.reserved.wait, wait)
+}
+
+// held reports whether the free slots are kept for requests that come first.
+// One that ends before the first of them starts may use a slot meanwhile.
+func (t *target) held(pass uint64, now swclock.Millis, total float64) bool {
+	return t.reserved.pass == pass && t.room(now) <= t.reserved.slots && total > t.reserved.wait
+}
+
+// prefillWait returns the time that a new prompt waits for others.
+func (t *target) prefillWait(now swclock.Millis) float64 {
+	return max(t.prefillFree-float64(now), 0)
+}
+
+// soonestEnd returns the time to the first expected end, without bound if no slot gets free for new work.
+func (t *target) soonestEnd(now swclock.Millis) float64 {
+	if len(t.runs) == 0 || t.trust == TrustProbing || t.exclusive != nil {
+		return math.Inf(1)
+	}
+	soonest := math.Inf(1)
+	for _, r := range t.runs {
+		soonest = min(soonest, r.remaining(now))
+	}
+	return soonest
+}
+
+// accepts reports whether the target's trust suffices for the request.
+func (t *target) accepts(r *request) bool {
+	return t.trust != TrustProbing || !r.ask.NonIdempotent
+}
+
+func millis(span float64) swclock.Millis { return swclock.Millis(math.Ceil(span)) }
