Let small requests start ahead of their organisation's turn

A reply to sort has 6 s and takes 0.2 s; it was given up while letters with 90 s to spare went first because their organisations were next. It may now start just before its time runs out, charged to its organisation, whose other work starts later. The debt is bounded by 2 s of the cell's time.

--- a/internal/core/swcell/cell.go
+++ b/internal/core/swcell/cell.go
@@ -32,6 +32,8 @@
 	retries *swbudget.Budget
 	// typical is the mean of the active targets' rates.
 	typical typicalRates
+	// slots is the number of slots of the active targets.
+	slots float64
 	// pass numbers the dispatch passes.
 	pass    uint64
 	paceAt  swclock.Millis
--- a/internal/core/swcell/config.go
+++ b/internal/core/swcell/config.go
@@ -19,6 +19,9 @@
 	ReviewLimit int
 	// ShedConfidence scales the estimated wait before it is held against a deadline. Default 0.9.
 	ShedConfidence float64
+	// BorrowSpan bounds how far an organisation may run ahead of its share with
+	// small requests that cannot wait for its turn, as time of the whole cell. Default 2 s.
+	BorrowSpan swclock.Millis
 	// PrefillBacklog is the time of other prompts on a target from which it is
 	// granted no further prompt that takes as long, so that the long prompts of
 	// lower tiers do not queue up ahead of higher ones. Default 200 ms.
@@ -48,6 +51,7 @@
 	setDefault(&c.UrgentLimit, 256)
 	setDefault(&c.ReviewLimit, 64)
 	setDefault(&c.ShedConfidence, 0.9)
+	setDefault(&c.BorrowSpan, 2*swclock.Second)
 	setDefault(&c.PrefillBacklog, 200)
 	setDefault(&c.OrphanBound, swclock.Minute)
 	setDefault(&c.HistorySize, 1<<14)
--- a/internal/core/swcell/dispatch.go
+++ b/internal/core/swcell/dispatch.go
@@ -20,7 +20,7 @@
 			break
 		}
 		for scanned := 0; scanned < c.cfg.ScanLimit && c.anyRoom(); {
-			i, ok := t.queue.Head()
+			i, ok := c.next(t)
 			if !ok {
 				break
 			}
@@ -32,6 +32,29 @@
 	}
 }
 
+// next returns the item to be placed next: the head, or one that cannot wait
+// for its organisation's turn and takes so little that the others lose nothing by it.
+func (c *Cell) next(t *tier) (*item, bool) {
+	const soon = swclock.Second
+	i, ok := t.queue.MostUrgent()
+	if ok && !i.Held() && i.LatestStart < c.now+soon && c.mayBorrow(t, i) {
+		return i, true
+	}
+	return t.queue.Head()
+}
+
+// mayBorrow reports whether an item may start ahead of its organisation's
+// turn. The organisation is charged, so that its other work starts later.
+func (c *Cell) mayBorrow(t *tier, i *item) bool {
+	const smallWork = float64(swclock.Second)
+	if i.Work > smallWork {
+		return false
+	}
+	perMilli := i.Cost / i.Work
+	limit := float64(c.cfg.BorrowSpan) * float64(c.slots) * perMilli
+	return t.queue.Debt(i)*c.weight(i.Org) <= limit
+}
+
 // place grants the head of a tier, gives it up or passes it over, and reports
 // whether it left the queue.
 func (c *Cell) place(t *tier, i *item) bool {
--- a/internal/core/swcell/overload.go
+++ b/internal/core/swcell/overload.go
@@ -120,7 +120,11 @@
 // hopeless reports whether the work ahead of a request in its order shows that
 // it cannot start in time.
 func (c *Cell) hopeless(t *tier, i *item) bool {
-	start := c.supplyOf(t).startAfter(c.workAbove(t) + t.queue.Ahead(i))
+	ahead := c.workAbove(t)
+	if !c.mayBorrow(t, i) {
+		ahead += t.queue.Ahead(i)
+	}
+	start := c.supplyOf(t).startAfter(ahead)
 	start = max(start*c.cfg.ShedConfidence, float64(t.closedUntil-c.now))
 	return start > float64(i.LatestStart-c.now)
 }
--- a/internal/core/swcell/place.go
+++ b/internal/core/swcell/place.go
@@ -28,6 +28,7 @@
 		sum.decode += n * t.rates.Decode.Value()
 		sum.service += n * t.rates.Service.Value()
 	}
+	c.slots = slots
 	if slots > 0 {
 		c.typical = typicalRates{sum.prefill / slots, sum.decode / slots, sum.service / slots}
 	}
--- a/internal/core/swcell/straggler.go
+++ b/internal/core/swcell/straggler.go
@@ -36,8 +36,6 @@
 			c.distrust(t, minBackoff)
 		case t.trust == TrustLimited && ratio < c.cfg.StragglerFactor*recoveredShare:
 			t.trust = TrustFull
-		case t.trust == TrustLimited:
-			t.slowness = max(ratio, 1)
 		}
 	}
 }
@@ -74,9 +72,8 @@
 		return
 	}
 	t.trust = TrustFull
-	if ratio := c.paceRatio(t); ratio > c.cfg.StragglerFactor {
+	if c.paceRatio(t) > c.cfg.StragglerFactor {
 		t.trust = TrustLimited
-		t.slowness = ratio
 	}
 	c.suppliesChanged()
 }
--- a/internal/core/swcell/target.go
+++ b/internal/core/swcell/target.go
@@ -16,7 +16,7 @@
 	TrustFull Trust = iota
 	// TrustProbing targets are granted one request at a time, to learn from it.
 	TrustProbing
-	// TrustLimited targets use their slots in proportion to their speed.
+	// TrustLimited targets use half of their slots, because they stay slow.
 	TrustLimited
 )
 
@@ -41,8 +41,6 @@
 	reserved  reservation
 
 	trust Trust
-	// slowness is the pace relative to the generation's, if trust is TrustLimited.
-	slowness float64
 	// probe is the request that a TrustProbing target runs to be learned from.
 	probe *run
 	// failures counts the attempts that failed since the last success.
@@ -82,7 +80,7 @@
 func (t *target) slots() int {
 	n := t.conf.Slots
 	if t.trust == TrustLimited {
-		n = max(1, int(float64(n)/t.slowness))
+		n = max(1, n/2)
 	}
 	return n - t.load.external
 }
--- a/internal/core/swqueue/swqueue.go
+++ b/internal/core/swqueue/swqueue.go
@@ -190,6 +190,12 @@
 // Urgent calls visit by latest start until it returns false. The queue must not change meanwhile.
 func (t *Tier[T]) Urgent(visit func(*Item[T]) bool) { t.urgent.Ascend(visit) }
 
+// Debt returns how far an item's organisation is ahead of its share, in cost by weight.
+func (t *Tier[T]) Debt(i *Item[T]) float64 { return i.flow.start - t.virtual }
+
+// Held reports whether the item is passed over until Release.
+func (i *Item[T]) Held() bool { return i.held }
+
 // NextUrgent returns the item behind the given one by latest start, even if
 // that one has left the queue, or the first if it is nil.
 func (t *Tier[T]) NextUrgent(i *Item[T]) (*Item[T], bool) {
--- a/internal/experiment/swtrial/workload.go
+++ b/internal/experiment/swtrial/workload.go
@@ -62,6 +62,14 @@
 	return sum
 }
 
+func (s *Scenario) longestDeadline() swclock.Millis {
+	var longest swclock.Millis
+	for i := range s.Classes {
+		longest = max(longest, s.Classes[i].Deadline)
+	}
+	return longest
+}
+
 // workload draws the requests of a scenario in order of arrival.
 func (s *Scenario) workload() []*request {
 	var all []*request
