--- a/internal/core/swcell/config.go
+++ b/internal/core/swcell/config.go
@@ -17,7 +17,7 @@
 	UrgentLimit int
 	// ReviewLimit bounds the requests of a tier whose prospects one tick reviews. Default 64.
 	ReviewLimit int
-	// ShedConfidence scales the estimated wait before it is held against a deadline. Default 0.9.
+	// ShedConfidence scales the estimated wait before it is held against a deadline. Default 0.75.
 	ShedConfidence float64
 	// BorrowSpan bounds how far an organisation may run ahead of its share with
 	// small requests that cannot wait for its turn, as time of the whole cell. Default 2 s.
@@ -50,7 +50,7 @@
 	setDefault(&c.ScanLimit, 16)
 	setDefault(&c.UrgentLimit, 256)
 	setDefault(&c.ReviewLimit, 64)
-	setDefault(&c.ShedConfidence, 0.9)
+	setDefault(&c.ShedConfidence, 0.75)
 	setDefault(&c.BorrowSpan, 2*swclock.Second)
 	setDefault(&c.PrefillBacklog, 200)
 	setDefault(&c.OrphanBound, swclock.Minute)
--- a/internal/core/swcell/place.go
+++ b/internal/core/swcell/place.go
@@ -49,12 +49,13 @@
 
 // plan sets the estimates by which a request is queued.
 func (c *Cell) plan(r *request) {
+	const deviations = 2
 	mean, deviation := c.output.Expect(r.ask.Tier, r.ask.OutputTokens)
 	prompt := float64(r.ask.PromptTokens)
 	r.item.Cost = c.cost(prompt, mean)
 	r.item.Work = c.typical.work(prompt, mean)
 	// Room for deviation is planned where the deadline leaves it.
-	r.output = min(mean+deviation, float64(r.ask.OutputTokens))
+	r.output = min(mean+deviations*deviation, float64(r.ask.OutputTokens))
 	best := c.idleTotal(r)
 	if float64(c.now)+best > float64(r.ask.Deadline) {
 		r.output = mean
@@ -67,13 +68,14 @@
 	r.safeStart = min(r.item.LatestStart, r.ask.Deadline-millis(c.worstTotal(r)))
 }
 
-// worstTotal returns the longest time that the request takes on a fully trusted target now.
+// worstTotal returns the longest time that the request takes on a fully
+// trusted target with its usual backlog of prompts.
 func (c *Cell) worstTotal(r *request) float64 {
 	var worst float64
 	for _, t := range c.targets {
 		if t.trust == TrustFull && c.usable(r, t) {
-			o := c.estimate(r, t)
-			worst = max(worst, o.total)
+			o := c.estimateIdle(r, t)
+			worst = max(worst, o.total+float64(c.cfg.PrefillBacklog))
 		}
 	}
 	return worst
--- a/internal/core/swcell/request.go
+++ b/internal/core/swcell/request.go
@@ -41,6 +41,9 @@
 	cost float64
 	// queued is the number of prompt tokens that the target processes first.
 	queued float64
+	// prefillEnd is when the prompt is expected to be processed, and prefillSpan how long that takes.
+	prefillEnd  float64
+	prefillSpan float64
 	// cached is the number of prompt tokens expected in the target's cache.
 	cached float64
 	// produced and producedAt are of the latest progress.
--- a/internal/core/swcell/run.go
+++ b/internal/core/swcell/run.go
@@ -19,7 +19,9 @@
 	}
 	c.running[started.id()] = started
 	t.add(started)
-	t.prefillFree = max(t.prefillFree, float64(c.now)) + t.rates.Prefill.Value()*o.uncached
+	started.prefillSpan = t.rates.Prefill.Value() * o.uncached
+	t.prefillFree = max(t.prefillFree, float64(c.now)) + started.prefillSpan
+	started.prefillEnd = t.prefillFree
 	t.prefixes.Add(r.ask.Prefix)
 	c.served[r.ask.Org] += r.item.Cost
 	p, _ := c.history.Get(r.ask.Key)
--- a/internal/core/swcell/target.go
+++ b/internal/core/swcell/target.go
@@ -136,8 +136,24 @@
 	if t.exclusive == r {
 		t.exclusive = nil
 	}
+	t.skipPrefill(r, float64(now))
 	if last == 0 {
 		t.prefillFree = float64(now)
 	}
 	t.load.ended(r.granted, now)
 }
+
+// skipPrefill moves the prompts behind one that is no longer processed forward.
+func (t *target) skipPrefill(r *run, now float64) {
+	saved := min(r.prefillEnd-now, r.prefillSpan)
+	if saved <= 0 {
+		return
+	}
+	t.prefillFree -= saved
+	for _, o := range t.runs {
+		if o.prefillEnd > r.prefillEnd {
+			o.prefillEnd -= saved
+			o.expectedEnd -= saved
+		}
+	}
+}
--- a/internal/experiment/swtrial/engine.go
+++ b/internal/experiment/swtrial/engine.go
@@ -1,6 +1,8 @@
 package swtrial
 
 import (
+	"slices"
+
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
@@ -14,7 +16,7 @@
 	conf  Engine
 	cache *lru.LRU[swid.PrefixHash, struct{}]
 	// prefillFree is when the prompts started so far are processed.
-	prefillFree float64
+	prefillFree swclock.Millis
 	slow        float64
 	down        bool
 	silent      bool
@@ -48,8 +50,10 @@
 	startedAt  swclock.Millis
 	firstToken swclock.Millis
 	end        swclock.Millis
-	cached     swid.Tokens
-	over       bool
+	// prefill is how long the prompt takes.
+	prefill swclock.Millis
+	cached  swid.Tokens
+	over    bool
 }
 
 func (a *attempt) tokens() swid.Tokens { return a.request.prompt + a.request.limit }
@@ -72,9 +76,8 @@
 	if now >= a.firstToken {
 		return uncached
 	}
-	span := float64(uncached) / a.engine.conf.PrefillRate * 1000 * a.engine.slow
-	left := float64(a.firstToken - now)
-	return swid.Tokens(float64(uncached) * min(max(1-left/max(span, 1), 0), 1))
+	left := min(a.firstToken-now, a.prefill)
+	return uncached * swid.Tokens(a.prefill-left) / swid.Tokens(a.prefill)
 }
 
 // admit starts queued attempts as long as there is room, and returns those that started.
@@ -96,8 +99,9 @@
 	a.started, a.startedAt = true, now
 	a.cached = e.match(a.request.prefix)
 	uncached := float64(a.request.prompt - a.cached)
-	e.prefillFree = max(e.prefillFree, float64(now)) + 1000*uncached/e.conf.PrefillRate*e.slow
-	a.firstToken = ceilMillis(e.prefillFree)
+	a.prefill = ceilMillis(1000 * uncached / e.conf.PrefillRate * e.slow)
+	e.prefillFree = max(e.prefillFree, now) + a.prefill
+	a.firstToken = e.prefillFree
 	a.end = a.firstToken + ceilMillis(1000*float64(a.request.output)/e.conf.DecodeRate*e.slow)
 	e.running = append(e.running, a)
 	e.tokens += a.tokens()
@@ -119,20 +123,28 @@
 	return swid.Tokens(len(prefix)) * swcell.PrefixBlock
 }
 
-// remove ends an attempt.
-func (e *engine) remove(a *attempt) {
+// remove ends an attempt at an instant, and returns those that end earlier for it.
+func (e *engine) remove(a *attempt, now swclock.Millis) []*attempt {
 	a.over = true
-	for i, o := range e.running {
-		if o == a {
-			e.running = append(e.running[:i], e.running[i+1:]...)
-			e.tokens -= a.tokens()
-			return
-		}
+	e.queue = slices.DeleteFunc(e.queue, func(o *attempt) bool { return o == a })
+	i := slices.Index(e.running, a)
+	if i < 0 {
+		return nil
+	}
+	e.running = slices.Delete(e.running, i, i+1)
+	e.tokens -= a.tokens()
+	saved := min(a.firstToken-now, a.prefill)
+	if saved <= 0 {
+		return nil
 	}
-	for i, o := range e.queue {
-		if o == a {
-			e.queue = append(e.queue[:i], e.queue[i+1:]...)
-			return
+	e.prefillFree -= saved
+	var moved []*attempt
+	for _, o := range e.running {
+		if o.firstToken > a.firstToken {
+			o.firstToken -= saved
+			o.end -= saved
+			moved = append(moved, o)
 		}
 	}
+	return moved
 }
--- a/internal/experiment/swtrial/scenario.go
+++ b/internal/experiment/swtrial/scenario.go
@@ -139,3 +139,18 @@
 		Faults: []Fault{{Kind: FaultSlow, Target: "e2", At: 20 * swclock.Second, Factor: 4}},
 	}
 }
+
+// Faulty is the debt-collection deployment below capacity under every fault:
+// a slow, a crashing and a silent target, requests that crash targets, and
+// callers that leave.
+func Faulty() Scenario {
+	s := Lembrete(0.4)
+	s.Name = "faulty"
+	s.LeaveShare = 0.05
+	s.Faults = append(s.Faults,
+		Fault{Kind: FaultCrash, Target: "e4", At: 25 * swclock.Second, Span: 10 * swclock.Second},
+		Fault{Kind: FaultSilent, Target: "e7", At: 50 * swclock.Second, Span: 20 * swclock.Second},
+	)
+	s.PoisonAt = []swclock.Millis{70 * swclock.Second}
+	return s
+}
--- a/internal/experiment/swtrial/world.go
+++ b/internal/experiment/swtrial/world.go
@@ -182,8 +182,14 @@
 	if e.silent {
 		return
 	}
-	for _, t := range e.admit(w.now) {
-		a := w.asks[t.request.seq]
+	w.schedule(e.admit(w.now))
+	w.reportCache(e)
+}
+
+// schedule plans the ends of attempts. A plan that was made too late is void, since the attempt is over by then.
+func (w *world[S]) schedule(attempts []*attempt) {
+	for _, t := range attempts {
+		a, e := w.asks[t.request.seq], t.engine
 		if t.request.poison {
 			w.at(t.firstToken, func() {
 				if !t.over {
@@ -198,7 +204,6 @@
 			}
 		})
 	}
-	w.reportCache(e)
 }
 
 // watch reports progress and ends attempts that went silent.
@@ -230,9 +235,9 @@
 	if t.started && w.now >= t.firstToken {
 		done.FirstToken = t.firstToken - t.dispatched
 	}
-	t.engine.remove(t)
 	a.running = nil
 	w.result.attempted(a, t, w.now, result == swcell.ResultAnswered && w.now <= a.request.deadline)
+	w.schedule(t.engine.remove(t, w.now))
 	if result == swcell.ResultAnswered && !a.ended {
 		w.end(a, outcomeAnswered)
 	}
