--- a/internal/core/swcell/attempt.go
+++ b/internal/core/swcell/attempt.go
@@ -39,7 +39,7 @@
 		c.giveUpAfter(r, ReasonSuspect, wait)
 	case !c.anyTarget(r):
 		c.giveUp(r, ReasonNoTarget)
-	case c.impossible(r):
+	case r.item.LatestStart < c.now:
 		c.giveUp(r, ReasonDeadline)
 	case e.Attempt > 1 && !preempted && !c.retries.Take():
 		c.giveUp(r, ReasonRetryBudget)
--- /dev/null
+++ b/internal/core/swcell/bench_test.go
@@ -0,0 +1,110 @@
+package swcell
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// benchCell returns a cell of 64 full targets before which requests wait.
+func benchCell(b *testing.B, waiting, organisations int) (c *Cell, running []Ask, grants []Grant, next func() Ask) {
+	const targets, slots = 64, 16
+	c = New(Config{Tiers: 3})
+	var conf Configure
+	for i := range targets {
+		t := engine(swid.TargetID(fmt.Sprintf("t%02d", i)), slots)
+		conf.Targets = append(conf.Targets, t)
+	}
+	c.Step(0, conf, nil)
+	seq := 0
+	next = func() Ask {
+		seq++
+		a := long(seq, swid.Tier(seq%3), swclock.Hour)
+		a.Org = swid.OrgID(fmt.Sprint("org", seq%organisations))
+		a.Prefix = []swid.PrefixHash{1, 2, swid.PrefixHash(seq)}
+		return a
+	}
+	asks := make(map[Key]Ask)
+	for range waiting + targets*slots {
+		a := next()
+		asks[a.Key] = a
+		for _, action := range c.Step(1, a, nil) {
+			g, ok := action.(Grant)
+			if !ok {
+				b.Fatalf("got %+v", action)
+			}
+			running = append(running, asks[g.Key])
+			grants = append(grants, g)
+		}
+	}
+	return c, running, grants, next
+}
+
+var benchSizes = []struct{ waiting, organisations int }{{1_000, 260}, {10_000, 2_600}, {100_000, 26_000}}
+
+// BenchmarkStep ends one request, grants the next and queues another.
+func BenchmarkStep(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprint(size.waiting), func(b *testing.B) {
+			c, running, grants, next := benchCell(b, size.waiting, size.organisations)
+			open := make(map[Key]Ask)
+			var actions []Action
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				a := next()
+				open[a.Key] = a
+				actions = c.Step(2, a, actions[:0])
+				at := i % len(running)
+				actions = c.Step(2, done(running[at], grants[at].Target, ResultAnswered), actions[:0])
+				for _, action := range actions {
+					if g, ok := action.(Grant); ok {
+						grants[at] = g
+						running[at] = Ask{Key: g.Key, Attempt: g.Attempt, PromptTokens: 400, OutputTokens: 1000}
+						delete(open, g.Key)
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick lets time pass with everything full.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprint(size.waiting), func(b *testing.B) {
+			c, _, _, _ := benchCell(b, size.waiting, size.organisations)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				c.Step(2+swclock.Millis(i)/100, Tick{}, nil)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the live bytes for each waiting request, those of
+// the targets and the running requests included.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprint(size.waiting), func(b *testing.B) {
+			for range b.N {
+				before := liveBytes()
+				c, running, _, _ := benchCell(b, size.waiting, size.organisations)
+				b.ReportMetric(float64(liveBytes()-before)/float64(size.waiting), "liveB/request")
+				runtime.KeepAlive(c)
+				runtime.KeepAlive(running)
+			}
+		})
+	}
+}
+
+func liveBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/core/swcell/cell.go
+++ b/internal/core/swcell/cell.go
@@ -34,6 +34,8 @@
 	typical typicalRates
 	// slots is the number of slots of the active targets.
 	slots float64
+	// natural forecasts the ends of runs without any cancellation.
+	natural supply
 	// pass numbers the dispatch passes.
 	pass    uint64
 	paceAt  swclock.Millis
--- a/internal/core/swcell/config.go
+++ b/internal/core/swcell/config.go
@@ -13,9 +13,9 @@
 	OutputTokenCost float64
 	// ScanLimit bounds the requests that one pass looks at without placing any. Default 16.
 	ScanLimit int
-	// UrgentLimit bounds the requests of a tier that one tick considers preemption for. Default 256.
+	// UrgentLimit bounds the requests of a tier that one tick considers preemption for. Default 128.
 	UrgentLimit int
-	// ReviewLimit bounds the requests of a tier whose prospects one tick reviews. Default 64.
+	// ReviewLimit bounds the requests of a tier whose prospects one tick reviews. Default 24.
 	ReviewLimit int
 	// ShedConfidence scales the estimated wait before it is held against a deadline. Default 0.75.
 	ShedConfidence float64
@@ -48,8 +48,8 @@
 	setDefault(&c.Tiers, swid.MaxTiers)
 	setDefault(&c.OutputTokenCost, 4)
 	setDefault(&c.ScanLimit, 16)
-	setDefault(&c.UrgentLimit, 256)
-	setDefault(&c.ReviewLimit, 64)
+	setDefault(&c.UrgentLimit, 128)
+	setDefault(&c.ReviewLimit, 24)
 	setDefault(&c.ShedConfidence, 0.75)
 	setDefault(&c.BorrowSpan, 2*swclock.Second)
 	setDefault(&c.PrefillBacklog, 200)
--- a/internal/core/swcell/configure.go
+++ b/internal/core/swcell/configure.go
@@ -72,9 +72,9 @@
 // targetsChanged ends the waiting requests that no target may take any more.
 func (c *Cell) targetsChanged() {
 	c.updateTypical()
+	c.suppliesChanged()
 	var stranded []*request
 	for _, t := range c.tiers {
-		t.supply.stale = true
 		t.queue.Urgent(func(i *item) bool {
 			if !c.anyTarget(i.Value) {
 				stranded = append(stranded, i.Value)
--- a/internal/core/swcell/overload.go
+++ b/internal/core/swcell/overload.go
@@ -186,24 +186,31 @@
 	if c.victim(t, nil) == nil {
 		return
 	}
-	var natural supply
-	c.forecast(&natural, len(c.tiers))
+	natural := c.naturalSupply()
 	visited := 0
 	t.queue.Urgent(func(i *item) bool {
 		visited++
 		start := natural.startAfter(ahead)
 		ahead += i.Work
 		if start+preemptMargin > float64(i.Value.safeStart-c.now) {
-			v := c.victim(t, i.Value)
-			if v != nil {
+			if v := c.victim(t, i.Value); v != nil {
 				c.preempt(v)
-				c.forecast(&natural, len(c.tiers))
+				c.natural.stale = true
+				natural = c.naturalSupply()
 			}
 		}
 		return visited < c.cfg.UrgentLimit
 	})
 }
 
+// naturalSupply forecasts the ends without any further cancellation.
+func (c *Cell) naturalSupply() *supply {
+	if c.outdated(&c.natural) {
+		c.forecast(&c.natural, len(c.tiers))
+	}
+	return &c.natural
+}
+
 // preemptMargin is the time that a cancellation takes to free its slot, in milliseconds.
 const preemptMargin = 50.0
 
--- a/internal/core/swcell/place.go
+++ b/internal/core/swcell/place.go
@@ -56,47 +56,40 @@
 	r.item.Work = c.typical.work(prompt, mean)
 	// Room for deviation is planned where the deadline leaves it.
 	r.output = min(mean+deviations*deviation, float64(r.ask.OutputTokens))
-	best := c.idleTotal(r)
+	best, worst := c.idleTotals(r)
 	if float64(c.now)+best > float64(r.ask.Deadline) {
 		r.output = mean
-		best = c.idleTotal(r)
+		best, worst = c.idleTotals(r)
 	}
 	if math.IsInf(best, 1) {
 		best = 0
 	}
 	r.item.LatestStart = r.ask.Deadline - millis(best)
-	r.safeStart = min(r.item.LatestStart, r.ask.Deadline-millis(c.worstTotal(r)))
-}
-
-// worstTotal returns the longest time that the request takes on a fully
-// trusted target with its usual backlog of prompts.
-func (c *Cell) worstTotal(r *request) float64 {
-	var worst float64
-	for _, t := range c.targets {
-		if t.trust == TrustFull && c.usable(r, t) {
-			o := c.estimateIdle(r, t)
-			worst = max(worst, o.total+float64(c.cfg.PrefillBacklog))
-		}
-	}
-	return worst
+	r.safeStart = min(r.item.LatestStart, r.ask.Deadline-millis(worst)-c.cfg.PrefillBacklog)
 }
 
 // impossible reports whether even an idle target could not have met the
 // deadline from the time of the ask on, by present knowledge.
 func (c *Cell) impossible(r *request) bool {
-	return float64(r.asked)+c.idleTotal(r) > float64(r.ask.Deadline)
+	best, _ := c.idleTotals(r)
+	return float64(r.asked)+best > float64(r.ask.Deadline)
 }
 
-// idleTotal returns the time that a request takes on the best target if it starts at once.
-func (c *Cell) idleTotal(r *request) float64 {
-	best := math.Inf(1)
+// idleTotals returns the times that a request takes on the best idle target,
+// without bound if there is none, and on the worst that is fully trusted.
+func (c *Cell) idleTotals(r *request) (best, worst float64) {
+	best = math.Inf(1)
 	for _, t := range c.targets {
-		if c.usable(r, t) {
-			o := c.estimateIdle(r, t)
-			best = min(best, o.total)
+		if !c.usable(r, t) {
+			continue
+		}
+		o := c.estimateIdle(r, t)
+		best = min(best, o.total)
+		if t.trust == TrustFull {
+			worst = max(worst, o.total)
 		}
 	}
-	return best
+	return best, worst
 }
 
 // offer is the estimate for a request on a target.
--- a/internal/core/swcell/straggler.go
+++ b/internal/core/swcell/straggler.go
@@ -87,6 +87,7 @@
 }
 
 func (c *Cell) suppliesChanged() {
+	c.natural.stale = true
 	for _, t := range c.tiers {
 		t.supply.stale = true
 	}
--- a/internal/core/swcell/supply.go
+++ b/internal/core/swcell/supply.go
@@ -13,7 +13,7 @@
 	// supplyInterval is the least time between two forecasts of a tier.
 	supplyInterval = 10 * swclock.Millis(1)
 	// runsPerMilli stretches the interval as the number of runs grows.
-	runsPerMilli = 40
+	runsPerMilli = 20
 )
 
 // supply forecasts the slot time that gets free: when each slot in use is
@@ -73,12 +73,15 @@
 
 // supplyOf returns the forecast for a tier, for which all lower runs may be cancelled.
 func (c *Cell) supplyOf(t *tier) *supply {
-	s := &t.supply
-	interval := supplyInterval + swclock.Millis(len(c.running)/runsPerMilli)
-	if !s.built || s.stale || c.now >= s.builtAt+interval {
-		c.forecast(s, t.rank)
+	if c.outdated(&t.supply) {
+		c.forecast(&t.supply, t.rank)
 	}
-	return s
+	return &t.supply
+}
+
+func (c *Cell) outdated(s *supply) bool {
+	interval := supplyInterval + swclock.Millis(len(c.running)/runsPerMilli)
+	return !s.built || s.stale || c.now >= s.builtAt+interval
 }
 
 // forecast fills a supply, in which cancellable runs of tiers below rank end now.
