Add the load tool

cmd/swload sends a scenario's requests when they are due, whatever became of earlier ones, compares each answer with the one that its prompt must get, and reads the stand-ins' own counts of runs. So it finds wrong and truncated answers, requests that ran though their callers were told otherwise, attempts repeated on one engine, and idempotency keys that ran twice; any of these makes it end with status 3. With -paired it measures what a host adds to the time to the first token, pair by pair in alternating order.

--- /dev/null
+++ b/cmd/swload/main.go
@@ -0,0 +1,17 @@
+// Command swload drives running processes with the requests of a scenario.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sassafraswing/sassafraswing/internal/load/swload"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(swload.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/load/swclient/swclient.go
+++ b/internal/load/swclient/swclient.go
@@ -13,7 +13,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
 	"github.com/sassafraswing/sassafraswing/internal/load/swscenario"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swanswer"
 )
 
 // Outcome says how a request ended.
@@ -71,16 +73,18 @@
 	Outcome Outcome
 	// Code is the error code that the caller got, or a short word for an error of its own.
 	Code string
-	// Prompt identifies the content of a request to a model, Key a keyed call.
-	Prompt string
-	Key    string
+	// ContentHash identifies the content of a request to a model, Key a keyed call.
+	ContentHash string
+	Key         string
 	// FirstToken and Total count from the moment the request was due; FirstToken is 0 if no token came.
 	FirstToken Micros
 	Total      Micros
 	// Gaps are the spans between the tokens of a stream.
 	Gaps []Micros
-	// Tokens is the number of prompt and output tokens of a whole answer.
+	// Tokens is the number of prompt and output tokens of the answer, as the
+	// engine reported it; Demand is what a whole answer has.
 	Tokens int64
+	Demand int64
 	// Lateness is how long after it was due the request was sent.
 	Lateness Micros
 }
@@ -151,7 +155,8 @@
 		}
 		body, path = encoded, completionPath(f.Model)
 		e.prompt = c.scenario.Prompt(r)
-		e.result.Prompt = e.prompt
+		e.result.ContentHash = swanswer.Hash(e.prompt)
+		e.result.Demand = int64(swprompt.Tokens(e.prompt)) + int64(swanswer.Length(e.prompt, f.Model.MaxTokens))
 	}
 	request, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
 	if err != nil {
