--- /dev/null
+++ b/internal/node/swdaemon/assemble.go
@@ -0,0 +1,93 @@
+package swdaemon
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/config/swrelay"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/target/swcall"
+	"github.com/sassafraswing/sassafraswing/internal/target/swopenai"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// joinPeers builds what reaches and knows other hosts.
+func (d *Daemon) joinPeers() {
+	d.exchange = swexchange.New(d.self)
+	security := swlink.WithoutTLS()
+	if !d.keys.peer.Off() {
+		security = swlink.WithTLS(d.keys.peer.Client())
+	}
+	d.network = swlink.New(swlink.Config{
+		Self:      d.self,
+		Address:   d.settings.Peer.Address,
+		Heartbeat: d.settings.Peer.Heartbeat,
+	}, d.clock, d.addressOf, d.exchange, security, swlink.WithLogger(d.log))
+	d.members = &polledMembers{store: d.store}
+	d.relay = swrelay.New(swrelay.Config{
+		Host:        d.settings.Host,
+		Zone:        d.settings.Zone,
+		Environment: d.settings.Platform.Environment,
+		Timeout:     d.settings.Platform.Timeout,
+		Log:         d.log,
+	}, d.store, d.members, d.exchange, d.clock)
+}
+
+// addressOf resolves a host's peer address.
+func (d *Daemon) addressOf(host swid.HostID) (string, bool) {
+	for _, m := range d.members.Members() {
+		if m.Host == host {
+			return m.Address, m.Address != ""
+		}
+	}
+	return "", false
+}
+
+// buildNode builds what serves requests, and connects all parts.
+func (d *Daemon) buildNode() {
+	d.router = swnode.NewRouter(d.settings.Host, d.members, d.exchange, d.clock, rank)
+	d.node = swnode.New(d.settings, swnode.Parts{
+		Self:      d.self,
+		Clock:     d.clock,
+		Log:       d.log,
+		Sender:    d.exchange,
+		Router:    d.router,
+		Members:   d.members,
+		Config:    d.relay,
+		Claims:    noClaims{},
+		Watcher:   noWatch{},
+		Adapters:  d.adapter,
+		Registry:  d.registry,
+		CallerTLS: d.keys.caller.Server(),
+	})
+	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay, heard{d.relay})
+	d.members.Subscribe(d.membersChanged)
+}
+
+// adapter makes the adapter of a target.
+func (d *Daemon) adapter(t swdoc.Target, kind swdoc.ServiceKind) swtarget.Adapter {
+	if kind == swdoc.KindPlain {
+		return swcall.New(t.URL, d.clock)
+	}
+	return swopenai.New(t.URL, d.clock)
+}
+
+// linkDown has the parts repeat what may have been lost with a link.
+func (d *Daemon) linkDown(peer swlink.Peer) {
+	d.router.LinkDown(peer.Host)
+	d.node.Owner().LinkDown(peer)
+	d.node.Holder().LinkDown(peer.Host)
+}
+
+// membersChanged ends the accounts of dead processes and moves asks to new owners.
+func (d *Daemon) membersChanged(members []swmember.Member) {
+	for _, m := range members {
+		if m.State == swmsg.MemberDead && m.Incarnation != 0 {
+			d.node.Owner().HolderGone(swlink.Peer{Host: m.Host, Incarnation: m.Incarnation})
+		}
+	}
+	d.node.Holder().Reroute()
+}
--- /dev/null
+++ b/internal/node/swnode/swnode.go
@@ -0,0 +1,167 @@
+// Package swnode joins the parts of one entry host that serve requests: the
+// callers' interface, the holder and the owner.
+package swnode
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcaller"
+	"github.com/sassafraswing/sassafraswing/internal/config/swrelay"
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
+	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
+)
+
+// Router tells which host owns a cell.
+type Router interface {
+	swholder.Router
+	swowner.Router
+}
+
+// Parts are what a Node is built on.
+type Parts struct {
+	Self     swlink.Peer
+	Clock    swclock.Clock
+	Log      zerolog.Logger
+	Sender   swlink.Sender
+	Router   Router
+	Members  swmember.Source
+	Config   swrelay.Source
+	Claims   swclaim.Registry
+	Watcher  swowner.Watcher
+	Adapters swpool.Factory
+	Registry prometheus.Registerer
+	// CallerTLS is nil if the callers' interface has TLS off.
+	CallerTLS *tls.Config
+}
+
+// Node serves requests on one entry host.
+type Node struct {
+	settings *swsettings.Settings
+	parts    Parts
+	metrics  *swmetrics.Metrics
+	pool     *swpool.Pool
+	holder   *swholder.Holder
+	owner    *swowner.Owner
+	caller   *swcaller.Server
+	listener net.Listener
+}
+
+// New builds a Node. Its Receivers are connected to the exchange before Run.
+func New(settings *swsettings.Settings, parts Parts) *Node {
+	n := &Node{settings: settings, parts: parts}
+	n.metrics = swmetrics.New(parts.Registry)
+	n.pool = swpool.New(parts.Adapters)
+	n.holder = swholder.New(swholder.Config{
+		Host:        parts.Self.Host,
+		Incarnation: parts.Self.Incarnation,
+		Clock:       parts.Clock,
+		Sender:      parts.Sender,
+		Router:      parts.Router,
+		Targets:     n.pool,
+		Claims:      parts.Claims,
+		Observer:    n.metrics,
+		Log:         parts.Log,
+		MaxHeld:     settings.Caller.MaxHeld,
+	})
+	n.owner = swowner.New(swowner.Config{
+		Host:     parts.Self.Host,
+		Clock:    parts.Clock,
+		Sender:   parts.Sender,
+		Router:   parts.Router,
+		Members:  parts.Members,
+		Watcher:  parts.Watcher,
+		Observer: n.metrics,
+		Log:      parts.Log,
+		Cell:     swcell.Config{},
+	})
+	n.caller = swcaller.New(settings.Caller, settings.Region, n.holder, parts.Clock, parts.Log)
+	return n
+}
+
+// Holder returns the part that holds requests.
+func (n *Node) Holder() *swholder.Holder { return n.holder }
+
+// Owner returns the part that owns cells.
+func (n *Node) Owner() *swowner.Owner { return n.owner }
+
+// Listen binds the callers' address.
+func (n *Node) Listen() error {
+	listener, err := net.Listen("tcp", n.settings.Caller.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if n.parts.CallerTLS != nil {
+		listener = tls.NewListener(listener, n.parts.CallerTLS)
+	}
+	n.listener = listener
+	return nil
+}
+
+// Address returns the callers' address that Listen bound.
+func (n *Node) Address() string { return n.listener.Addr().String() }
+
+// Run serves until ctx ends, then finishes what is held within the shutdown
+// timeout. Listen must have succeeded before.
+func (n *Node) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	tasks := pool.New().WithErrors()
+	tasks.Go(func() error {
+		n.owner.Run(running)
+		return nil
+	})
+	n.subscribe()
+	server := n.caller.HTTP()
+	tasks.Go(func() error {
+		if err := server.Serve(n.listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+	<-ctx.Done()
+	if err := n.shutdown(server); err != nil {
+		n.parts.Log.Warn().Err(err).Msg("shutdown cut requests that were still held")
+	}
+	stop()
+	return tasks.Wait()
+}
+
+func (n *Node) subscribe() {
+	n.parts.Config.Subscribe(func(f swrelay.InForce) {
+		if f.Document == nil {
+			return
+		}
+		n.metrics.Configure(f.Document)
+		n.pool.Configure(f.Document)
+		n.owner.Configure(f.Document)
+		n.caller.Configure(f.Document)
+		n.parts.Log.Info().Uint64("version", uint64(f.Version)).Msg("configuration in force")
+	})
+}
+
+// shutdown refuses new requests, finishes the held ones and closes the callers' connections.
+func (n *Node) shutdown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTimeout.Duration())
+	defer cancel()
+	if err := n.holder.Drain(ctx); err != nil {
+		_ = server.Close() // the timeout is over: what is left is cut
+		return errors.Wrap(err, "finish held requests")
+	}
+	return server.Shutdown(ctx)
+}
