Let peer links use replaced keys

A link's client configuration was taken once, so replaced keys needed a restart. WithTLSFrom asks for it at each dial. One configuration for both directions, with a check of its own, was ruled out: the standard library gives such a check no name for an IP address, so that any holder of a certificate could pass as any peer. WithTLS keeps its meaning.

With the taking of reloaded keys switched off, TestLinksFollowKeys and TestReload fail. go test -race ./internal/peer/swlink ./internal/config/swtls passes.

--- a/internal/peer/swlink/config.go
+++ b/internal/peer/swlink/config.go
@@ -90,14 +90,20 @@
 // WithTLS makes every link mutual TLS: both sides present a certificate and
 // verify the other's. The configuration is not changed.
 func WithTLS(config *tls.Config) Option {
-	return func(n *Network) {
-		server := config.Clone()
-		server.ClientAuth = tls.RequireAndVerifyClientCert
-		if server.ClientCAs == nil {
-			server.ClientCAs = server.RootCAs
-		}
-		n.security = security{chosen: true, server: server, client: config.Clone()}
+	server := config.Clone()
+	server.ClientAuth = tls.RequireAndVerifyClientCert
+	if server.ClientCAs == nil {
+		server.ClientCAs = server.RootCAs
 	}
+	client := config.Clone()
+	return WithTLSFrom(server, func() *tls.Config { return client })
+}
+
+// WithTLSFrom makes every link mutual TLS with keys that may be replaced. The
+// server's configuration must require a client's certificate; client is called
+// for each connection that this host dials, and its result is not changed.
+func WithTLSFrom(server *tls.Config, client func() *tls.Config) Option {
+	return func(n *Network) { n.security = security{chosen: true, server: server, client: client} }
 }
 
 // WithoutTLS turns TLS off.
@@ -119,7 +125,8 @@
 type security struct {
 	chosen bool
 	server *tls.Config
-	client *tls.Config
+	// client returns the configuration for one connection.
+	client func() *tls.Config
 }
 
 // dialled wraps a connection that this host dialled.
@@ -127,7 +134,7 @@
 	if s.client == nil {
 		return c
 	}
-	config := s.client
+	config := s.client()
 	if config.ServerName == "" {
 		config = config.Clone()
 		config.ServerName, _, _ = net.SplitHostPort(c.RemoteAddr().String())
