Count only the expected host's messages in the test of replaced keys

TestLinksFollowKeys failed once in a run of all packages: messages of the first host that were still queued counted as those of the host with other keys. The test now looks at the sender, so that it is stricter.

--- a/internal/config/swtls/link_test.go
+++ b/internal/config/swtls/link_test.go
@@ -45,14 +45,21 @@
 	return n, handler
 }
 
-// sendUntil sends messages until one arrives, or reports that none did within the tries.
-func sendUntil(n *swlink.Network, to swid.HostID, handler received, tries int) bool {
+// sendUntil sends messages until one of this sender arrives, or reports that
+// none did within the tries. Messages of others, which were queued before, do not count.
+func sendUntil(n *swlink.Network, from swid.HostID, handler received, tries int) bool {
 	for range tries {
-		n.Send(to, swmsg.ConfigRequest{})
-		select {
-		case <-handler:
-			return true
-		case <-time.After(20 * time.Millisecond):
+		n.Send("server", swmsg.ConfigRequest{})
+		pause := time.After(20 * time.Millisecond)
+		for waiting := true; waiting; {
+			select {
+			case host := <-handler:
+				if host == from {
+					return true
+				}
+			case <-pause:
+				waiting = false
+			}
 		}
 	}
 	return false
@@ -66,16 +73,16 @@
 	server, handler := startLinks(t, "server", newKeys(t, before.write(t, dir), clock), nil)
 	addresses := map[swid.HostID]string{"server": server.Address()}
 	old, _ := startLinks(t, "old", newKeys(t, before.write(t, t.TempDir()), clock), addresses)
-	if !sendUntil(old, "server", handler, 500) {
+	if !sendUntil(old, "old", handler, 500) {
 		t.Fatal("no link with the first keys")
 	}
 	fresh, _ := startLinks(t, "fresh", newKeys(t, after.write(t, t.TempDir()), clock), addresses)
-	if sendUntil(fresh, "server", handler, 20) {
+	if sendUntil(fresh, "fresh", handler, 20) {
 		t.Fatal("a link with keys of another authority")
 	}
 	after.write(t, dir)
 	clock.Advance(checkInterval)
-	if !sendUntil(fresh, "server", handler, 500) {
+	if !sendUntil(fresh, "fresh", handler, 500) {
 		t.Error("no link after the keys were replaced")
 	}
 }
