--- a/internal/config/swstore/swstore_test.go
+++ b/internal/config/swstore/swstore_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 
+	"github.com/google/uuid"
 	"pgregory.net/rapid"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -43,6 +45,12 @@
 		t.Fatal(err)
 	}
 	t.Logf("%d bytes, %d parts, head of %d bytes", len(document), len(head.Parts), len(value))
+	remembered := AppliedChange{ID: ChangeID(uuid.NewString()), Base: 730_000, Version: 730_001}
+	head.Recent = slices.Repeat([]AppliedChange{remembered}, maxRecent)
+	if value, err = EncodeHead(head); err != nil || len(value) > swobject.MaxValueBytes/8 {
+		t.Errorf("a head with all remembered changes has %d bytes, %v", len(value), err)
+	}
+	t.Logf("with %d remembered changes: %d bytes", maxRecent, len(value))
 
 	before, _ := objects.Calls()
 	changed := bytes.Replace(document, []byte("id: o13000,"), []byte("id: o13000, weight: 2,"), 1)
