Refuse files whose nesting would hold the parser up

Lines with more than 256 columns of indentation are now refused before parsing. A time limit was ruled out: the parser cannot be interrupted.

--- a/internal/config/swyaml/reader.go
+++ b/internal/config/swyaml/reader.go
@@ -7,6 +7,7 @@
 package swyaml
 
 import (
+	"bytes"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -20,6 +21,8 @@
 	MaxBytes = 32 << 20
 	// maxNesting bounds the depth of brackets, which the parser follows by recursion.
 	maxNesting = 64
+	// maxIndent bounds the indentation of a line, dashes included.
+	maxIndent = 256
 )
 
 // Reader collects the problems of one file while it is mapped.
@@ -50,7 +53,7 @@
 		return nil, false
 	}
 	if tooDeep(data) {
-		r.add(1, "", "brackets are nested too deeply", "at most 64 levels")
+		r.add(1, "", "nested too deeply", "at most 64 brackets, and 256 columns of indentation")
 		return nil, false
 	}
 	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
@@ -90,20 +93,25 @@
 	r.problems = append(r.problems, Problem{File: r.file, Line: line, Key: key, Text: text, Allowed: allowed})
 }
 
-// tooDeep counts brackets without regard to quoting, so that it may refuse
-// only files that no mapping of ours accepts.
+// tooDeep looks for nesting that would cost the parser much time, without
+// regard to quoting: it may refuse only files that no mapping of ours accepts.
 func tooDeep(data []byte) bool {
 	depth := 0
-	for _, b := range data {
-		switch b {
-		case '[', '{':
-			depth++
-		case ']', '}':
-			depth = max(depth-1, 0)
-		}
-		if depth > maxNesting {
+	for line := range bytes.Lines(data) {
+		if len(line)-len(bytes.TrimLeft(line, " -?")) > maxIndent {
 			return true
 		}
+		for _, b := range line {
+			switch b {
+			case '[', '{':
+				depth++
+			case ']', '}':
+				depth = max(depth-1, 0)
+			}
+			if depth > maxNesting {
+				return true
+			}
+		}
 	}
 	return false
 }
