--- a/internal/config/swrelay/relay_test.go
+++ b/internal/config/swrelay/relay_test.go
@@ -313,21 +313,43 @@
 	return 0
 }
 
+// organisations returns n further organisations of a document.
+func organisations(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "  - {id: o%d, class: small, keyHashes: [%064x]}\n", i, i)
+	}
+	return b.String()
+}
+
 // BenchmarkInForce measures the time from the start of an apply until its
-// version is in force on each of 19 hosts in 4 availability zones.
+// version is in force on each of some hosts.
 func BenchmarkInForce(b *testing.B) {
-	f := newFleet(b, 4, 5)
-	f.members = f.members[:19]
-	f.startAll()
-	var v swid.ConfigVersion
-	for i := 0; b.Loop(); i++ {
-		head, err := f.relay(i%19).Apply(context.Background(), change(fmt.Sprint("change-", i), v))
-		if err != nil {
-			b.Fatal(err)
-		}
-		v = head
-		for f.lowest() < v {
-			time.Sleep(100 * time.Microsecond)
-		}
+	benchmarks := []struct {
+		name           string
+		zones, perZone int
+		organisations  int
+	}{
+		{"hosts=20", 4, 5, 0},
+		{"hosts=6,organisations=26000", 2, 3, 26_000},
+	}
+	for _, bb := range benchmarks {
+		b.Run(bb.name, func(b *testing.B) {
+			f := newFleet(b, bb.zones, bb.perZone)
+			f.startAll()
+			more := "organisations:\n" + organisations(bb.organisations)
+			var v swid.ConfigVersion
+			for i := 0; b.Loop(); i++ {
+				c := change(fmt.Sprint("change-", i), v)
+				c.Document = []byte(strings.Replace(string(c.Document), "organisations:\n", more, 1))
+				var err error
+				if v, err = f.relay(i%len(f.members)).Apply(context.Background(), c); err != nil {
+					b.Fatal(err)
+				}
+				for f.lowest() < v {
+					time.Sleep(100 * time.Microsecond)
+				}
+			}
+		})
 	}
 }
