Add the store that reaches the platform over HTTP

Purpose: claims, leases and configuration need to know, after a failed write, whether it may have taken effect. A write has a connection of its own, so that net/http never sends it again and a failure to connect proves that nothing was written; reads share connections.

A circuit answers at once during an outage and lets one short call through after a pause; watches become plain reads then, as a waiting watch would hold the one trial. swobject gains ErrTooLarge, after which nothing was written.

--- /dev/null
+++ b/internal/platform/swhttpstore/swhttpstore.go
@@ -0,0 +1,246 @@
+// Package swhttpstore reaches the platform's object API over HTTP.
+package swhttpstore
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+)
+
+// Config configures a Store.
+type Config struct {
+	URL string
+	// Timeout bounds one call, but for the time that a watch waits.
+	Timeout swclock.Millis
+	// ReadsPerSecond and WritesPerSecond are this host's share of the platform's rates.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// DialTLS opens TLS connections; nil uses the system's certificates.
+	DialTLS func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+const (
+	// maxAnswerBytes bounds an answer: the largest value in base64 and its frame.
+	maxAnswerBytes = 2 * swobject.MaxValueBytes
+	// maxWatch is the longest wait asked of the platform in one call.
+	maxWatch = 30 * swclock.Second
+	// burstSeconds is how many seconds of the rate may be used at once.
+	burstSeconds = 2
+)
+
+// Store implements swobject.Store. It is safe for concurrent use.
+type Store struct {
+	url     string
+	timeout swclock.Millis
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	circuit circuit
+	// reader reuses connections; net/http may send a read again.
+	reader *http.Transport
+	// writer opens a connection for each write, which net/http never sends
+	// again, and which tells a write that was not sent from one that may have been.
+	writer *http.Transport
+}
+
+// New returns a store.
+func New(c Config, clock swclock.Clock) *Store {
+	return &Store{
+		url:     strings.TrimRight(c.URL, "/"),
+		timeout: c.Timeout,
+		reads:   newLimiter(c.ReadsPerSecond),
+		writes:  newLimiter(c.WritesPerSecond),
+		circuit: circuit{clock: clock},
+		reader:  newTransport(c, false),
+		writer:  newTransport(c, true),
+	}
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(burstSeconds*perSecond)))
+}
+
+func newTransport(c Config, once bool) *http.Transport {
+	var http1 http.Protocols
+	http1.SetHTTP1(true)
+	dialer := &net.Dialer{Timeout: c.Timeout.Duration()}
+	return &http.Transport{
+		DialContext:       dialer.DialContext,
+		DialTLSContext:    c.DialTLS,
+		DisableKeepAlives: once,
+		Protocols:         &http1,
+	}
+}
+
+// call is one call of the platform.
+type call struct {
+	method  string
+	path    string
+	body    []byte
+	ifMatch string
+	// wait is added to the timeout.
+	wait swclock.Millis
+}
+
+// reply is the platform's whole answer.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// send makes one call. Its error is swobject.ErrUnavailable, ErrRateLimited or
+// ErrUnknown; the last only for a call that reached a connection.
+func (s *Store) send(ctx context.Context, c call) (reply, error) {
+	caller := ctx
+	ctx, cancel := context.WithTimeout(ctx, (s.timeout + c.wait).Duration())
+	defer cancel()
+	transport, limiter := s.reader, s.reads
+	if c.method == http.MethodPut {
+		transport, limiter = s.writer, s.writes
+	}
+	if !s.circuit.allow() {
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, "circuit open")
+	}
+	if err := limiter.Wait(ctx); err != nil {
+		s.circuit.forget()
+		return reply{}, errors.WithMessage(swobject.ErrRateLimited, "own limit")
+	}
+	r, err := s.exchange(ctx, transport, c)
+	if caller.Err() != nil {
+		s.circuit.forget()
+	} else {
+		s.circuit.done(err == nil && r.status < http.StatusInternalServerError)
+	}
+	if err != nil {
+		return reply{}, err
+	}
+	switch r.status {
+	case http.StatusTooManyRequests:
+		return reply{}, swobject.ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, "platform refused")
+	default:
+		return r, nil
+	}
+}
+
+func (s *Store) exchange(ctx context.Context, transport *http.Transport, c call) (reply, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var body io.Reader
+	if c.method == http.MethodPut {
+		body = onceReader{bytes.NewReader(c.body)}
+	}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, s.url+c.path, body)
+	if err != nil {
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, err.Error())
+	}
+	request.ContentLength = int64(len(c.body))
+	if c.ifMatch != "" {
+		request.Header.Set("If-Match", c.ifMatch)
+	}
+	answer, err := transport.RoundTrip(request)
+	if err != nil {
+		if connected.Load() {
+			return reply{}, errors.WithMessage(swobject.ErrUnknown, err.Error())
+		}
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, err.Error())
+	}
+	defer func() { _ = answer.Body.Close() }() // only read from
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if err != nil || len(data) > maxAnswerBytes {
+		return reply{}, errors.WithMessage(swobject.ErrUnknown, "answer not whole")
+	}
+	return reply{status: answer.StatusCode, body: data}, nil
+}
+
+// onceReader hides the type of a body from net/http, so that it cannot send it again.
+type onceReader struct{ io.Reader }
+
+// Put implements swobject.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
+	if len(value) > swobject.MaxValueBytes {
+		return 0, swobject.ErrTooLarge
+	}
+	r, err := s.send(ctx, call{
+		method:  http.MethodPut,
+		path:    objectPath(key),
+		body:    value,
+		ifMatch: strconv.Quote(strconv.FormatUint(uint64(expected), 10)),
+	})
+	if err != nil {
+		return 0, err
+	}
+	switch r.status {
+	case http.StatusOK:
+		return decodeVersion(r.body, expected)
+	case http.StatusPreconditionFailed:
+		return 0, swobject.ErrConflict
+	case http.StatusRequestEntityTooLarge:
+		return 0, swobject.ErrTooLarge
+	default:
+		return 0, errors.WithMessagef(swobject.ErrUnknown, "status %d", r.status)
+	}
+}
+
+// Get implements swobject.Store.
+func (s *Store) Get(ctx context.Context, key string) (swobject.Object, error) {
+	return s.get(ctx, key, call{method: http.MethodGet, path: objectPath(key)})
+}
+
+// Watch implements swobject.Store. During an outage it does not wait, so that
+// the call that finds out whether the outage is over is a short one.
+func (s *Store) Watch(ctx context.Context, key string, after swobject.Version) (swobject.Object, error) {
+	if s.circuit.open() {
+		o, err := s.Get(ctx, key)
+		if err == nil && o.Version <= after {
+			return swobject.Object{}, swobject.ErrNotFound
+		}
+		return o, err
+	}
+	wait := strconv.FormatInt(int64(maxWatch), 10)
+	path := objectPath(key) + "?watch=true&after=" + strconv.FormatUint(uint64(after), 10) + "&waitMillis=" + wait
+	o, err := s.get(ctx, key, call{method: http.MethodGet, path: path, wait: maxWatch})
+	if err != nil && ctx.Err() != nil {
+		return swobject.Object{}, swobject.ErrNotFound
+	}
+	return o, err
+}
+
+func (s *Store) get(ctx context.Context, key string, c call) (swobject.Object, error) {
+	r, err := s.send(ctx, c)
+	if err != nil {
+		return swobject.Object{}, err
+	}
+	switch r.status {
+	case http.StatusOK:
+		return decodeObject(r.body, key)
+	case http.StatusNotFound, http.StatusNoContent:
+		return swobject.Object{}, swobject.ErrNotFound
+	default:
+		return swobject.Object{}, errors.WithMessagef(swobject.ErrUnavailable, "status %d", r.status)
+	}
+}
+
+// Hosts implements swobject.Store.
+func (s *Store) Hosts(ctx context.Context) ([]swobject.Host, error) {
+	r, err := s.send(ctx, call{method: http.MethodGet, path: "/hosts"})
+	if err != nil {
+		return nil, err
+	}
+	if r.status != http.StatusOK {
+		return nil, errors.WithMessagef(swobject.ErrUnavailable, "status %d", r.status)
+	}
+	return decodeHosts(r.body)
+}
--- a/internal/platform/swobject/swobject.go
+++ b/internal/platform/swobject/swobject.go
@@ -34,6 +34,8 @@
 	ErrRateLimited = errors.New("platform rate limit")
 	// ErrUnavailable means that the call did not reach the platform; nothing was written.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrTooLarge means that the value has more than MaxValueBytes; nothing was written.
+	ErrTooLarge = errors.New("object value too large")
 	// ErrUnknown means that the answer was lost; a write may have taken effect.
 	ErrUnknown = errors.New("platform answer lost")
 )
