Record claims of non-idempotent requests in the object store

Purpose: a non-idempotent request runs at most once across all entry hosts, through lost answers, outages, late writes and claimants that were paused.

One object a key-hash shard; what waits for a shard shares the next write, which is conditional on the version that was read. A claim whose answer was lost is recognised by its request id. Only a claimant records that its claim did not run, and a claim that was given up while its write may be on its way is fenced by a later write of the shard.

Failing first (go test ./internal/platform/swclaim -args -rapid.seed=1): without the conditional update, TestGrantsOnce finds a key granted to 2 requests; without the claimant check in finish, the same; without the fence, TestLateWriteIsFenced; without the check of the own request id, TestLostAnswerIsSettled; with a period that ends at will, TestRetention.

--- /dev/null
+++ b/internal/platform/swclaim/bench_test.go
@@ -0,0 +1,83 @@
+package swclaim
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+// slowStore answers each call after two milliseconds, as the platform does.
+type slowStore struct{ *swmemstore.Store }
+
+func (s slowStore) Put(ctx context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
+	time.Sleep(2 * time.Millisecond)
+	return s.Store.Put(ctx, key, value, expected)
+}
+
+func (s slowStore) Get(ctx context.Context, key string) (swobject.Object, error) {
+	time.Sleep(2 * time.Millisecond)
+	return s.Store.Get(ctx, key)
+}
+
+// BenchmarkClaim measures claims with their outcomes, by the number of claims that are under way over all hosts.
+func BenchmarkClaim(b *testing.B) {
+	tests := []struct{ shards, hosts, concurrency int }{
+		{1, 1, 1}, {1, 1, 8}, {1, 1, 64}, {1, 1, 256},
+		{1, 4, 64}, {1, 16, 64},
+		{4096, 1, 1}, {4096, 1, 64}, {4096, 16, 64}, {4096, 16, 256},
+	}
+	for _, test := range tests {
+		b.Run(fmt.Sprintf("shards=%d/hosts=%d/concurrency=%d", test.shards, test.hosts, test.concurrency), func(b *testing.B) {
+			store := slowStore{swmemstore.New(1)}
+			var registries []*ObjectRegistry
+			for range test.hosts {
+				registries = append(registries, startRegistry(b, Config{Environment: "e", Shards: test.shards}, store, swclock.NewSystem()))
+			}
+			var n, refused atomic.Int64
+			var callers conc.WaitGroup
+			b.ResetTimer()
+			for c := range test.concurrency {
+				callers.Go(func() { benchmarkCaller(b, registries[c%test.hosts], &n, &refused) })
+			}
+			callers.Wait()
+			b.StopTimer()
+			writes, reads := store.Calls()
+			b.ReportMetric(float64(writes)/float64(b.N), "writes/claim")
+			b.ReportMetric(float64(reads)/float64(b.N), "reads/claim")
+			b.ReportMetric(float64(refused.Load())/float64(b.N), "refused/claim")
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+		})
+	}
+}
+
+// benchmarkCaller claims and finishes, one after another, until n reaches b.N.
+func benchmarkCaller(b *testing.B, r *ObjectRegistry, n, refused *atomic.Int64) {
+	for {
+		i := n.Add(1)
+		if i > int64(b.N) {
+			return
+		}
+		id := fmt.Sprint(i)
+		e := Entry{Key: Key{Org: "o", Key: id}, Request: swid.RequestID(id)}
+		d, err := r.Claim(context.Background(), e)
+		if errors.Is(err, ErrUnavailable) {
+			refused.Add(1)
+			continue
+		}
+		if err != nil || !d.Granted {
+			b.Errorf("claim %s: %+v, %v", id, d, err)
+			return
+		}
+		r.Finish(e, Decision{Outcome: OutcomeAnswered, Status: 200})
+	}
+}
--- /dev/null
+++ b/internal/platform/swclaim/chaos_test.go
@@ -0,0 +1,64 @@
+package swclaim
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+// chaosStore adds to a store what a network does: calls that pause, and writes
+// that take effect after their caller was told that the answer is lost.
+type chaosStore struct {
+	*swmemstore.Store
+	mu     sync.Mutex
+	random *rand.Rand
+	// late is the share of writes that take effect late or never.
+	late    float64
+	pending []func()
+}
+
+func newChaosStore(seed uint64, late, lose float64) *chaosStore {
+	s := &chaosStore{Store: swmemstore.New(seed), random: rand.New(rand.NewPCG(seed, 1)), late: late}
+	s.SetFaults(swmemstore.Faults{LoseAnswer: lose})
+	return s
+}
+
+// draw returns whether a write is late, and a short pause.
+func (s *chaosStore) draw() (bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < s.late, time.Duration(s.random.IntN(300)) * time.Microsecond
+}
+
+func (s *chaosStore) Put(ctx context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
+	late, pause := s.draw()
+	time.Sleep(pause)
+	if !late {
+		return s.Store.Put(ctx, key, value, expected)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, func() { _, _ = s.Store.Put(ctx, key, value, expected) })
+	return 0, swobject.ErrUnknown
+}
+
+func (s *chaosStore) Get(ctx context.Context, key string) (swobject.Object, error) {
+	_, pause := s.draw()
+	time.Sleep(pause)
+	return s.Store.Get(ctx, key)
+}
+
+// deliver lets some of the late writes reach the store.
+func (s *chaosStore) deliver() {
+	s.mu.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	for _, write := range pending {
+		write()
+	}
+}
--- /dev/null
+++ b/internal/platform/swclaim/registry_test.go
@@ -0,0 +1,276 @@
+package swclaim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+// holders checks that no key is granted to two requests, unless the first was recorded as not run.
+type holders struct {
+	mu     sync.Mutex
+	active map[string]swid.RequestID
+	ran    map[string]bool
+	faults []string
+}
+
+func (h *holders) granted(key string, id swid.RequestID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if other, ok := h.active[key]; ok || h.ran[key] {
+		h.faults = append(h.faults, fmt.Sprintf("key %s granted to %s while held by %q, ran %v", key, id, other, h.ran[key]))
+	}
+	h.active[key] = id
+}
+
+func (h *holders) finished(key string, ran bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.active, key)
+	h.ran[key] = h.ran[key] || ran
+}
+
+// caller claims keys in turn through one registry, and finishes what it is granted.
+func (h *holders) caller(r *ObjectRegistry, name string, keys, calls int, patience time.Duration) {
+	for i := range calls {
+		key := fmt.Sprint(i % keys)
+		e := Entry{Key: Key{Org: "o", Key: key}, Request: swid.RequestID(fmt.Sprintf("%s-%d", name, i))}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		d, err := r.Claim(ctx, e)
+		cancel()
+		if err != nil || !d.Granted {
+			continue
+		}
+		h.granted(key, e.Request)
+		ran := i%3 != 0
+		h.finished(key, ran)
+		outcome := OutcomeNotRun
+		if ran {
+			outcome = OutcomeAnswered
+		}
+		r.Finish(e, Decision{Outcome: outcome})
+	}
+}
+
+func startRegistry(t testing.TB, c Config, store swobject.Store, clock swclock.Clock) *ObjectRegistry {
+	r := New(c, store, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return r
+}
+
+// TestGrantsOnce races hosts for few keys over a store that loses, delays and refuses.
+func TestGrantsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		late := rapid.Float64Range(0, 0.4).Draw(rt, "late")
+		lose := rapid.Float64Range(0, 0.4).Draw(rt, "lose")
+		hosts := rapid.IntRange(1, 4).Draw(rt, "hosts")
+		keys := rapid.IntRange(1, 6).Draw(rt, "keys")
+		patience := time.Duration(rapid.IntRange(1, 20).Draw(rt, "patience")) * time.Millisecond
+		store := newChaosStore(seed, late, lose)
+		h := &holders{active: make(map[string]swid.RequestID), ran: make(map[string]bool)}
+		ctx, cancel := context.WithCancel(context.Background())
+		var run, callers conc.WaitGroup
+		for host := range hosts {
+			r := New(Config{Environment: "e", Shards: 2}, store, swclock.NewSystem())
+			run.Go(func() { r.Run(ctx) })
+			for c := range 3 {
+				callers.Go(func() { h.caller(r, fmt.Sprintf("%d-%d", host, c), keys, 12, patience) })
+			}
+		}
+		run.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				time.Sleep(time.Millisecond)
+				store.deliver()
+				store.SetFaults(swmemstore.Faults{LoseAnswer: lose, Outage: n%7 == 6})
+			}
+		})
+		callers.Wait()
+		cancel()
+		run.Wait()
+		if len(h.faults) > 0 {
+			rt.Fatal(h.faults)
+		}
+	})
+}
+
+func entry(key string, id swid.RequestID) Entry {
+	return Entry{Key: Key{Org: "o", Key: key}, Request: id, Fingerprint: 1}
+}
+
+func claim(t *testing.T, r *ObjectRegistry, e Entry) Decision {
+	t.Helper()
+	d, err := r.Claim(context.Background(), e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func waitRecorded(t *testing.T, r *ObjectRegistry) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); r.Pending() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d not recorded", r.Pending())
+		}
+	}
+}
+
+func TestRepeatedKey(t *testing.T) {
+	store := swmemstore.New(1)
+	a := startRegistry(t, Config{Environment: "e"}, store, swclock.NewSystem())
+	b := startRegistry(t, Config{Environment: "e"}, store, swclock.NewSystem())
+	if d := claim(t, a, entry("k", "a1")); !d.Granted {
+		t.Fatalf("first claim: %+v", d)
+	}
+	if d := claim(t, b, entry("k", "b1")); d.Granted || d.Outcome != OutcomeUnknown {
+		t.Errorf("claim of a running key: %+v", d)
+	}
+	// Only the claimant's own outcome counts.
+	b.Finish(entry("k", "b1"), Decision{Outcome: OutcomeNotRun})
+	waitRecorded(t, b)
+	a.Finish(entry("k", "a1"), Decision{Outcome: OutcomeAnswered, Status: 201, ContentType: "c", Body: []byte("x")})
+	waitRecorded(t, a)
+	c := startRegistry(t, Config{Environment: "e"}, store, swclock.NewSystem())
+	if d := claim(t, c, entry("k", "c1")); d.Granted || d.Outcome != OutcomeAnswered || d.Status != 201 || string(d.Body) != "x" {
+		t.Errorf("claim of an answered key: %+v", d)
+	}
+	other := entry("k", "c2")
+	other.Fingerprint = 2
+	if d := claim(t, c, other); d.Granted || !d.Mismatch || d.Body != nil {
+		t.Errorf("claim with other content: %+v", d)
+	}
+}
+
+func TestNotRunIsClaimedAgain(t *testing.T) {
+	store := swmemstore.New(1)
+	a := startRegistry(t, Config{Environment: "e"}, store, swclock.NewSystem())
+	b := startRegistry(t, Config{Environment: "e"}, store, swclock.NewSystem())
+	claim(t, a, entry("k", "a1"))
+	a.Finish(entry("k", "a1"), Decision{Outcome: OutcomeNotRun})
+	waitRecorded(t, a)
+	if d := claim(t, b, entry("k", "b1")); !d.Granted {
+		t.Errorf("claim after not run: %+v", d)
+	}
+	// The first claimant's late outcome does not touch the second claim.
+	a.Finish(entry("k", "a1"), Decision{Outcome: OutcomeNotRun})
+	waitRecorded(t, a)
+	if d := claim(t, a, entry("k", "a2")); d.Granted {
+		t.Errorf("claim of a running key: %+v", d)
+	}
+}
+
+func TestOutageAnswersAtOnce(t *testing.T) {
+	store := swmemstore.New(1)
+	store.SetFaults(swmemstore.Faults{Outage: true})
+	r := startRegistry(t, Config{Environment: "e"}, store, swclock.NewSystem())
+	if _, err := r.Claim(context.Background(), entry("k", "a1")); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("claim in an outage: %v", err)
+	}
+	store.SetFaults(swmemstore.Faults{})
+	if d := claim(t, r, entry("k", "a2")); !d.Granted {
+		t.Errorf("claim after the outage: %+v", d)
+	}
+}
+
+// TestLateWriteIsFenced gives up a claim whose write is still on its way, and
+// expects that the key can be claimed afterwards and the late write has no effect.
+func TestLateWriteIsFenced(t *testing.T) {
+	store := newChaosStore(1, 1, 0)
+	r := startRegistry(t, Config{Environment: "e", Shards: 1}, store, swclock.NewSystem())
+	if _, err := r.Claim(context.Background(), entry("k", "a1")); !errors.Is(err, ErrUnavailable) {
+		t.Fatalf("claim whose write is late: %v", err)
+	}
+	store.mu.Lock()
+	store.late = 0
+	store.mu.Unlock()
+	waitRecorded(t, r)
+	store.deliver()
+	b := startRegistry(t, Config{Environment: "e", Shards: 1}, store, swclock.NewSystem())
+	if d := claim(t, b, entry("k", "b1")); !d.Granted {
+		t.Errorf("claim after a late write: %+v", d)
+	}
+}
+
+// lossyStore loses the answer to its first write, which takes effect.
+type lossyStore struct {
+	*swmemstore.Store
+	lost bool
+}
+
+func (s *lossyStore) Put(ctx context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
+	version, err := s.Store.Put(ctx, key, value, expected)
+	if !s.lost {
+		s.lost = true
+		return 0, swobject.ErrUnknown
+	}
+	return version, err
+}
+
+func TestLostAnswerIsSettled(t *testing.T) {
+	r := startRegistry(t, Config{Environment: "e"}, &lossyStore{Store: swmemstore.New(1)}, swclock.NewSystem())
+	if d := claim(t, r, entry("k", "a1")); !d.Granted {
+		t.Errorf("claim whose answer was lost: %+v", d)
+	}
+	if d := claim(t, r, entry("k", "a2")); d.Granted {
+		t.Errorf("second claim: %+v", d)
+	}
+}
+
+func TestRetention(t *testing.T) {
+	store, clock := swmemstore.New(1), &swclock.Manual{}
+	r := startRegistry(t, Config{Environment: "e", Shards: 1}, store, clock)
+	claim(t, r, entry("old", "a"))
+	for i := range retentionPeriods {
+		clock.Advance(swclock.Hour)
+		claim(t, r, entry(fmt.Sprint(i), swid.RequestID(fmt.Sprint(i))))
+	}
+	if d := claim(t, r, entry("old", "b")); d.Granted {
+		t.Error("claim was dropped before its retention ended")
+	}
+	clock.Advance(swclock.Hour)
+	if d := claim(t, r, entry("old", "c")); !d.Granted {
+		t.Errorf("claim after the retention: %+v", d)
+	}
+	// A host that did not see the whole period does not end it.
+	late := startRegistry(t, Config{Environment: "e", Shards: 1}, store, clock)
+	claim(t, late, entry("new", "d"))
+	if r.queues[0].ageSeen != late.queues[0].ageSeen {
+		t.Error("a host ended a period that it had not seen")
+	}
+}
+
+func TestFullShard(t *testing.T) {
+	s := newShard()
+	n := 0
+	for ; ; n++ {
+		e := entry(fmt.Sprint(n), swid.RequestID(fmt.Sprintf("%060d", n)))
+		h := hashKey(e.Key)
+		if s.claim(h, e).full {
+			break
+		}
+		s.finish(finish{hash: h, request: e.Request, decision: Decision{Outcome: OutcomeAnswered, Status: 200, Body: make([]byte, maxAnswerBytes)}})
+	}
+	data, err := encodeShard(s)
+	if err != nil || len(data) > swobject.MaxValueBytes {
+		t.Errorf("%d claims have %d bytes, error %v", n, len(data), err)
+	}
+	var err2 error = &FullError{RetryAfter: swclock.Hour}
+	if !errors.Is(err2, ErrUnavailable) {
+		t.Error("a full shard does not count as unavailable")
+	}
+}
--- a/internal/platform/swclaim/swclaim.go
+++ b/internal/platform/swclaim/swclaim.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
@@ -55,10 +56,23 @@
 // ErrUnavailable means that no claim could be recorded; the request must end as not run.
 var ErrUnavailable = errors.New("claim not recorded")
 
+// FullError means that the key's shard has no room: no claim was recorded. It is an ErrUnavailable.
+type FullError struct {
+	// RetryAfter is when the shard drops its next claims at the latest.
+	RetryAfter swclock.Millis
+}
+
+// Error implements error.
+func (e *FullError) Error() string { return "no room to record the claim" }
+
+// Unwrap returns ErrUnavailable.
+func (e *FullError) Unwrap() error { return ErrUnavailable }
+
 // Registry grants claims. Implementations are safe for concurrent use.
 type Registry interface {
 	// Claim records a claim, or returns what an earlier one recorded. After an
-	// error the request must not be dispatched, and the key may be claimed again.
+	// error the request must not be dispatched, and the key may be claimed
+	// again. Each request id is claimed once.
 	Claim(ctx context.Context, e Entry) (Decision, error)
 	// Finish records the outcome of a granted claim. It is retried in the
 	// background; until it is recorded, the outcome reads as unknown.
