--- a/internal/platform/swhttpstore/swhttpstore.go
+++ b/internal/platform/swhttpstore/swhttpstore.go
@@ -1,15 +1,13 @@
-// Package swhttpstore talks to the platform's object API over HTTP.
+// Package swhttpstore reaches the platform's object API over HTTP.
 package swhttpstore
 
 import (
 	"bytes"
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,225 +16,231 @@
 	"golang.org/x/time/rate"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 )
 
+// Config configures a Store.
+type Config struct {
+	URL string
+	// Timeout bounds one call, but for the time that a watch waits.
+	Timeout swclock.Millis
+	// ReadsPerSecond and WritesPerSecond are this host's share of the platform's rates.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// DialTLS opens TLS connections; nil uses the system's certificates.
+	DialTLS func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 const (
-	// watchTime is the longest wait of one watch call.
-	watchTime = 20 * swclock.Second
-	// maxAnswerBytes bounds an answer: a value of the largest size in base64, and its frame.
-	maxAnswerBytes = swobject.MaxValueBytes*4/3 + 4096
-	// idleConnections bounds the connections kept open to the platform.
-	idleConnections = 8
-	// writeRate and readRate bound this host's calls, in calls a second.
-	writeRate = 20
-	readRate  = 50
-	// burst is how many calls may go out at once.
-	burst = 20
+	// maxAnswerBytes bounds an answer: the largest value in base64 and its frame.
+	maxAnswerBytes = 2 * swobject.MaxValueBytes
+	// maxWatch is the longest wait asked of the platform in one call.
+	maxWatch = 30 * swclock.Second
+	// burstSeconds is how many seconds of the rate may be used at once.
+	burstSeconds = 2
 )
 
-// Dial opens a connection to the platform.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Store implements swobject.Store.
+// Store implements swobject.Store. It is safe for concurrent use.
 type Store struct {
-	base    string
+	url     string
 	timeout swclock.Millis
-	client  *http.Client
-	writes  *rate.Limiter
 	reads   *rate.Limiter
+	writes  *rate.Limiter
+	circuit circuit
+	// reader reuses connections; net/http may send a read again.
+	reader *http.Transport
+	// writer opens a connection for each write, which net/http never sends
+	// again, and which tells a write that was not sent from one that may have been.
+	writer *http.Transport
 }
 
-// New returns a store for the platform at an address. dial speaks TLS if the address needs it.
-func New(base string, timeout swclock.Millis, dial Dial) *Store {
-	transport := &http.Transport{DialContext: dial, DialTLSContext: dial, MaxIdleConnsPerHost: idleConnections}
+// New returns a store.
+func New(c Config, clock swclock.Clock) *Store {
 	return &Store{
-		base:    strings.TrimSuffix(base, "/"),
-		timeout: timeout,
-		client:  &http.Client{Transport: transport},
-		writes:  rate.NewLimiter(writeRate, burst),
-		reads:   rate.NewLimiter(readRate, burst),
+		url:     strings.TrimRight(c.URL, "/"),
+		timeout: c.Timeout,
+		reads:   newLimiter(c.ReadsPerSecond),
+		writes:  newLimiter(c.WritesPerSecond),
+		circuit: circuit{clock: clock},
+		reader:  newTransport(c, false),
+		writer:  newTransport(c, true),
 	}
 }
 
-type wireObject struct {
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
-	Value   string `json:"value"` // base64
+func newLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(burstSeconds*perSecond)))
 }
 
-type wireVersion struct {
-	Version uint64 `json:"version"`
+func newTransport(c Config, once bool) *http.Transport {
+	var http1 http.Protocols
+	http1.SetHTTP1(true)
+	dialer := &net.Dialer{Timeout: c.Timeout.Duration()}
+	return &http.Transport{
+		DialContext:       dialer.DialContext,
+		DialTLSContext:    c.DialTLS,
+		DisableKeepAlives: once,
+		Protocols:         &http1,
+	}
 }
 
-type wireHost struct {
-	ID      string `json:"id"`
-	Zone    string `json:"zone"`
-	Region  string `json:"region"`
-	Address string `json:"address"`
-	State   string `json:"state"`
+// call is one call of the platform.
+type call struct {
+	method  string
+	path    string
+	body    []byte
+	ifMatch string
+	// wait is added to the timeout.
+	wait swclock.Millis
 }
 
-// Get implements swobject.Store.
-func (s *Store) Get(ctx context.Context, key string) (swobject.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout.Duration())
-	defer cancel()
-	return s.object(ctx, "/objects/"+key)
+// reply is the platform's whole answer.
+type reply struct {
+	status int
+	body   []byte
 }
 
-// Watch implements swobject.Store.
-func (s *Store) Watch(ctx context.Context, key string, after swobject.Version) (swobject.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, (watchTime + s.timeout).Duration())
+// send makes one call. Its error is swobject.ErrUnavailable, ErrRateLimited or
+// ErrUnknown; the last only for a call that reached a connection.
+func (s *Store) send(ctx context.Context, c call) (reply, error) {
+	caller := ctx
+	ctx, cancel := context.WithTimeout(ctx, (s.timeout + c.wait).Duration())
 	defer cancel()
-	query := url.Values{
-		"watch":      {"true"},
-		"after":      {strconv.FormatUint(uint64(after), 10)},
-		"waitMillis": {strconv.FormatInt(int64(watchTime), 10)},
+	transport, limiter := s.reader, s.reads
+	if c.method == http.MethodPut {
+		transport, limiter = s.writer, s.writes
 	}
-	return s.object(ctx, "/objects/"+key+"?"+query.Encode())
-}
-
-func (s *Store) object(ctx context.Context, path string) (swobject.Object, error) {
-	data, err := s.read(ctx, path)
-	if err != nil {
-		return swobject.Object{}, err
+	if !s.circuit.allow() {
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, "circuit open")
 	}
-	var w wireObject
-	if err := json.Unmarshal(data, &w); err != nil {
-		return swobject.Object{}, errors.Wrap(err, "decode an object")
+	if err := limiter.Wait(ctx); err != nil {
+		s.circuit.forget()
+		return reply{}, errors.WithMessage(swobject.ErrRateLimited, "own limit")
 	}
-	value, err := base64.StdEncoding.DecodeString(w.Value)
-	if err != nil {
-		return swobject.Object{}, errors.Wrap(err, "decode a value")
+	r, err := s.exchange(ctx, transport, c)
+	if caller.Err() != nil {
+		s.circuit.forget()
+	} else {
+		s.circuit.done(err == nil && r.status < http.StatusInternalServerError)
 	}
-	return swobject.Object{Key: w.Key, Version: swobject.Version(w.Version), Value: value}, nil
-}
-
-// Hosts implements swobject.Store.
-func (s *Store) Hosts(ctx context.Context) ([]swobject.Host, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout.Duration())
-	defer cancel()
-	data, err := s.read(ctx, "/hosts")
 	if err != nil {
-		return nil, err
+		return reply{}, err
 	}
-	var wire []wireHost
-	if err := json.Unmarshal(data, &wire); err != nil {
-		return nil, errors.Wrap(err, "decode the host list")
-	}
-	hosts := make([]swobject.Host, 0, len(wire))
-	for _, w := range wire {
-		state := swobject.HostLive
-		if w.State == "leaving" {
-			state = swobject.HostLeaving
-		}
-		hosts = append(hosts, swobject.Host{
-			ID: swid.HostID(w.ID), Zone: swid.ZoneID(w.Zone), Region: swid.RegionID(w.Region), Address: w.Address, State: state,
-		})
+	switch r.status {
+	case http.StatusTooManyRequests:
+		return reply{}, swobject.ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, "platform refused")
+	default:
+		return r, nil
 	}
-	return hosts, nil
 }
 
-// read makes a call that changes nothing.
-func (s *Store) read(ctx context.Context, path string) ([]byte, error) {
-	if !s.reads.Allow() {
-		return nil, swobject.ErrRateLimited
+func (s *Store) exchange(ctx context.Context, transport *http.Transport, c call) (reply, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var body io.Reader
+	if c.method == http.MethodPut {
+		body = onceReader{bytes.NewReader(c.body)}
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+path, nil)
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, s.url+c.path, body)
 	if err != nil {
-		return nil, errors.Wrap(err, "platform request")
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, err.Error())
+	}
+	request.ContentLength = int64(len(c.body))
+	if c.ifMatch != "" {
+		request.Header.Set("If-Match", c.ifMatch)
 	}
-	status, data, err := s.do(r)
+	answer, err := transport.RoundTrip(request)
 	if err != nil {
-		return nil, errors.Wrap(swobject.ErrUnavailable, err.Error())
+		if connected.Load() {
+			return reply{}, errors.WithMessage(swobject.ErrUnknown, err.Error())
+		}
+		return reply{}, errors.WithMessage(swobject.ErrUnavailable, err.Error())
 	}
-	switch status {
-	case http.StatusOK:
-		return data, nil
-	case http.StatusNotFound, http.StatusNoContent:
-		return nil, swobject.ErrNotFound
-	case http.StatusTooManyRequests:
-		return nil, swobject.ErrRateLimited
-	default:
-		return nil, errors.Wrapf(swobject.ErrUnavailable, "status %d", status)
+	defer func() { _ = answer.Body.Close() }() // only read from
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if err != nil || len(data) > maxAnswerBytes {
+		return reply{}, errors.WithMessage(swobject.ErrUnknown, "answer not whole")
 	}
+	return reply{status: answer.StatusCode, body: data}, nil
 }
 
-// Put implements swobject.Store. A failure counts as not written only if no
-// connection was had or the platform said so.
+// onceReader hides the type of a body from net/http, so that it cannot send it again.
+type onceReader struct{ io.Reader }
+
+// Put implements swobject.Store.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
-	if !s.writes.Allow() {
-		return 0, swobject.ErrRateLimited
-	}
-	ctx, cancel := context.WithTimeout(ctx, s.timeout.Duration())
-	defer cancel()
-	body := &onceBody{Reader: bytes.NewReader(value)}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, s.base+"/objects/"+key, body)
-	if err != nil {
-		return 0, errors.Wrap(err, "platform request")
-	}
-	r.ContentLength = int64(len(value))
-	r.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(uint64(expected), 10)))
-	status, data, err := s.do(r)
+	if len(value) > swobject.MaxValueBytes {
+		return 0, swobject.ErrTooLarge
+	}
+	r, err := s.send(ctx, call{
+		method:  http.MethodPut,
+		path:    objectPath(key),
+		body:    value,
+		ifMatch: strconv.Quote(strconv.FormatUint(uint64(expected), 10)),
+	})
 	if err != nil {
-		if !body.read.Load() {
-			return 0, errors.Wrap(swobject.ErrUnavailable, err.Error())
-		}
-		return 0, errors.Wrap(swobject.ErrUnknown, err.Error())
+		return 0, err
 	}
-	return putResult(status, data)
-}
-
-func putResult(status int, data []byte) (swobject.Version, error) {
-	switch status {
+	switch r.status {
 	case http.StatusOK:
-		var w wireVersion
-		if err := json.Unmarshal(data, &w); err != nil {
-			return 0, errors.Wrap(swobject.ErrUnknown, err.Error())
-		}
-		return swobject.Version(w.Version), nil
+		return decodeVersion(r.body, expected)
 	case http.StatusPreconditionFailed:
 		return 0, swobject.ErrConflict
-	case http.StatusTooManyRequests:
-		return 0, swobject.ErrRateLimited
-	case http.StatusServiceUnavailable:
-		return 0, swobject.ErrUnavailable
 	case http.StatusRequestEntityTooLarge:
-		return 0, errors.New("value above the platform's limit")
+		return 0, swobject.ErrTooLarge
 	default:
-		return 0, errors.Wrapf(swobject.ErrUnknown, "status %d", status)
+		return 0, errors.WithMessagef(swobject.ErrUnknown, "status %d", r.status)
 	}
 }
 
-// onceBody cannot be rewound, so that the transport never sends a write twice;
-// read tells whether any of it may have left this host.
-type onceBody struct {
-	*bytes.Reader
-	read atomic.Bool
+// Get implements swobject.Store.
+func (s *Store) Get(ctx context.Context, key string) (swobject.Object, error) {
+	return s.get(ctx, key, call{method: http.MethodGet, path: objectPath(key)})
 }
 
-// Read implements io.Reader.
-func (b *onceBody) Read(p []byte) (int, error) {
-	b.read.Store(true)
-	return b.Reader.Read(p)
+// Watch implements swobject.Store. During an outage it does not wait, so that
+// the call that finds out whether the outage is over is a short one.
+func (s *Store) Watch(ctx context.Context, key string, after swobject.Version) (swobject.Object, error) {
+	if s.circuit.open() {
+		o, err := s.Get(ctx, key)
+		if err == nil && o.Version <= after {
+			return swobject.Object{}, swobject.ErrNotFound
+		}
+		return o, err
+	}
+	wait := strconv.FormatInt(int64(maxWatch), 10)
+	path := objectPath(key) + "?watch=true&after=" + strconv.FormatUint(uint64(after), 10) + "&waitMillis=" + wait
+	o, err := s.get(ctx, key, call{method: http.MethodGet, path: path, wait: maxWatch})
+	if err != nil && ctx.Err() != nil {
+		return swobject.Object{}, swobject.ErrNotFound
+	}
+	return o, err
 }
 
-// WriteTo hides bytes.Reader's own, which would bypass Read.
-func (b *onceBody) WriteTo(w io.Writer) (int64, error) {
-	b.read.Store(true)
-	return b.Reader.WriteTo(w)
+func (s *Store) get(ctx context.Context, key string, c call) (swobject.Object, error) {
+	r, err := s.send(ctx, c)
+	if err != nil {
+		return swobject.Object{}, err
+	}
+	switch r.status {
+	case http.StatusOK:
+		return decodeObject(r.body, key)
+	case http.StatusNotFound, http.StatusNoContent:
+		return swobject.Object{}, swobject.ErrNotFound
+	default:
+		return swobject.Object{}, errors.WithMessagef(swobject.ErrUnavailable, "status %d", r.status)
+	}
 }
 
-func (s *Store) do(r *http.Request) (int, []byte, error) {
-	response, err := s.client.Do(r)
+// Hosts implements swobject.Store.
+func (s *Store) Hosts(ctx context.Context) ([]swobject.Host, error) {
+	r, err := s.send(ctx, call{method: http.MethodGet, path: "/hosts"})
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "read the platform's answer")
+	if r.status != http.StatusOK {
+		return nil, errors.WithMessagef(swobject.ErrUnavailable, "status %d", r.status)
 	}
-	return response.StatusCode, data, nil
+	return decodeHosts(r.body)
 }
