--- /dev/null
+++ b/internal/core/swelect/shard.go
@@ -0,0 +1,45 @@
+package swelect
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// TargetsPerShard is the number of targets from which a cell is split.
+const TargetsPerShard = 64
+
+// Shards returns the cells of a service in a region for a number of targets: the
+// unsharded cell, or as many shards as keep each at TargetsPerShard or fewer on average.
+func Shards(service swid.ServiceID, region swid.RegionID, targets int) []swid.CellID {
+	whole := swid.NewCellID(service, region)
+	count := (targets + TargetsPerShard - 1) / TargetsPerShard
+	if count <= 1 {
+		return []swid.CellID{whole}
+	}
+	cells := make([]swid.CellID, count)
+	for i := range cells {
+		cells[i] = swid.CellID(string(whole) + "#" + strconv.Itoa(i))
+	}
+	return cells
+}
+
+// ShardOf returns the cell of one target among the shards of its service. A
+// target keeps its shard when others come and go, unless the number of shards changes.
+func ShardOf(target swid.TargetID, shards []swid.CellID) swid.CellID {
+	best, top := swid.CellID(""), uint64(0)
+	for _, c := range shards {
+		if s := Score(c, swid.HostID(target)); best == "" || s > top {
+			best, top = c, s
+		}
+	}
+	return best
+}
+
+// Region returns the region of a cell.
+func Region(cell swid.CellID) swid.RegionID {
+	_, rest, _ := strings.Cut(string(cell), "@")
+	region, _, _ := strings.Cut(rest, "#")
+	return swid.RegionID(region)
+}
