Number Hellos, so that an abandoned dial cannot replace a link

A Hello older than the one of the present link is refused now. Also, no dial starts while an admitted connection is being answered, which had opened a second connection.

TestSilentLinkOfAnOwner now waits until the holder's own probe is answered, and a muted connection no longer shows the other side's close.

--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -145,7 +145,7 @@
 func decodeHello(c *checker, w *swpb.Hello) swmsg.Hello {
 	return swmsg.Hello{
 		Host:        swid.HostID(c.required("host", w.GetHost())),
-		Incarnation: swid.Incarnation(w.GetIncarnation()), Crossed: w.GetCrossed(),
+		Incarnation: swid.Incarnation(w.GetIncarnation()), Crossed: w.GetCrossed(), Number: w.GetNumber(),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -41,7 +41,7 @@
 func encodeSystem(m swmsg.Message) (*swpb.Message, error) {
 	switch m := m.(type) {
 	case swmsg.Hello:
-		h := &swpb.Hello{Host: string(m.Host), Incarnation: uint64(m.Incarnation), Crossed: m.Crossed}
+		h := &swpb.Hello{Host: string(m.Host), Incarnation: uint64(m.Incarnation), Crossed: m.Crossed, Number: m.Number}
 		return &swpb.Message{Kind: &swpb.Message_Hello{Hello: h}}, nil
 	case swmsg.Heartbeat:
 		return &swpb.Message{Kind: &swpb.Message_Heartbeat{Heartbeat: encodeHeartbeat(m)}}, nil
--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -81,10 +81,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open stream")
 	}
-	if !r.greet() {
+	number, ok := r.greet()
+	if !ok {
 		return nil, errRefused
 	}
-	if err := n.hello(stream, false); err != nil {
+	if err := n.hello(stream, number, false); err != nil {
 		return nil, err
 	}
 	l := n.newLink(session, stream)
@@ -99,7 +100,7 @@
 		return nil, errCrossed
 	}
 	l.remote, l.dialled = r, true
-	l.id = Peer{Host: hello.Host, Incarnation: hello.Incarnation}
+	l.id, l.number = Peer{Host: hello.Host, Incarnation: hello.Incarnation}, hello.Number
 	return l, nil
 }
 
@@ -115,6 +116,9 @@
 	l, err := n.welcome(greeting, session)
 	stopped := stop()
 	cancel()
+	if l != nil && (err != nil || !stopped) {
+		l.remote.unanswered()
+	}
 	if err != nil || !stopped {
 		n.logger.Debug().Err(err).Msg("peer connection refused")
 		session.Close()
@@ -123,7 +127,8 @@
 	n.run(ctx, l)
 }
 
-// welcome waits for the peer's Hello and answers it.
+// welcome waits for the peer's Hello and answers it. It returns the link, even
+// with an error, if the connection was admitted.
 func (n *Network) welcome(ctx context.Context, session *yamux.Session) (*link, error) {
 	stream, err := session.AcceptStreamWithContext(ctx)
 	if err != nil {
@@ -134,20 +139,20 @@
 	if err != nil {
 		return nil, err
 	}
-	l.id = Peer{Host: hello.Host, Incarnation: hello.Incarnation}
+	l.id, l.number = Peer{Host: hello.Host, Incarnation: hello.Incarnation}, hello.Number
 	l.remote = n.remote(hello.Host)
 	if l.remote == nil {
 		return nil, errRefused
 	}
-	if !l.remote.admits(l.id) {
-		if err := n.hello(stream, true); err != nil {
+	if !l.remote.admits(l.id, l.number) {
+		if err := n.hello(stream, n.hellos.Add(1), true); err != nil {
 			return nil, err
 		}
 		// The peer closes, so that it has read the answer.
 		_, err := io.Copy(io.Discard, stream)
 		return nil, errors.Wrap(errRefused, errorText(err))
 	}
-	return l, n.hello(stream, false)
+	return l, n.hello(stream, n.hellos.Add(1), false)
 }
 
 // errorText returns the text of an error that may be nil.
@@ -202,8 +207,8 @@
 }
 
 // hello writes this host's Hello.
-func (n *Network) hello(stream net.Conn, crossed bool) error {
-	hello := swmsg.Hello{Host: n.config.Self.Host, Incarnation: n.config.Self.Incarnation, Crossed: crossed}
+func (n *Network) hello(stream net.Conn, number uint64, crossed bool) error {
+	hello := swmsg.Hello{Host: n.config.Self.Host, Incarnation: n.config.Self.Incarnation, Crossed: crossed, Number: number}
 	payload, err := swcodec.Append(nil, swcodec.Batch{Messages: []swmsg.Message{hello}})
 	if err != nil {
 		return err
--- a/internal/peer/swlink/harness_test.go
+++ b/internal/peer/swlink/harness_test.go
@@ -16,10 +16,18 @@
 // patience bounds every wait for a condition.
 const patience = 20 * time.Second
 
-// lossyConn can go silent in either direction without an error.
+// lossyConn can go silent in either direction without an error, not even that
+// of the other side's close.
 type lossyConn struct {
 	net.Conn
 	muteIn, muteOut atomic.Bool
+	closed          chan struct{}
+	once            sync.Once
+}
+
+func (c *lossyConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 func (c *lossyConn) Write(b []byte) (int, error) {
@@ -32,6 +40,9 @@
 func (c *lossyConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if err != nil && c.muteIn.Load() {
+			<-c.closed
+		}
 		if err != nil || !c.muteIn.Load() {
 			return n, err
 		}
@@ -121,7 +132,7 @@
 		cfg.Address = "127.0.0.1:0"
 	}
 	wrap := WithConn(func(c net.Conn) net.Conn {
-		l := &lossyConn{Conn: c}
+		l := &lossyConn{Conn: c, closed: make(chan struct{})}
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.conns = append(n.conns, l)
--- a/internal/peer/swlink/link.go
+++ b/internal/peer/swlink/link.go
@@ -27,6 +27,8 @@
 	network *Network
 	remote  *remote
 	id      Peer
+	// number is that of the peer's Hello.
+	number  uint64
 	dialled bool
 	session *yamux.Session
 	stream  net.Conn
--- a/internal/peer/swlink/network.go
+++ b/internal/peer/swlink/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,8 @@
 	// dials holds the hosts that wait for a dial.
 	dials *swring.Ring[*remote]
 	stats counters
+	// hellos counts the Hellos sent.
+	hellos atomic.Uint64
 	// tasks are the goroutines that Run waits for.
 	tasks conc.WaitGroup
 
--- a/internal/peer/swlink/remote.go
+++ b/internal/peer/swlink/remote.go
@@ -33,6 +33,8 @@
 	// link is the newest link, or nil.
 	link *link
 	dial dialState
+	// answering counts connections of the host that were admitted and are no links yet; while there is one, no dial starts.
+	answering int
 	// abandon ends the dial under way.
 	abandon context.CancelFunc
 	// arrived is closed when a link was adopted while a dial was under way.
@@ -50,7 +52,7 @@
 func (r *remote) send(m swmsg.Message) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.link == nil && r.dial == dialNone && !r.startDial() {
+	if r.link == nil && r.dial == dialNone && r.answering == 0 && !r.startDial() {
 		return false
 	}
 	return r.queue.TryPut(m)
@@ -82,32 +84,51 @@
 	return r.dial == dialConnecting
 }
 
-// greet moves the dial on, unless a link was adopted meanwhile.
-func (r *remote) greet() bool {
+// greet moves the dial on, unless a link was adopted meanwhile, and numbers its Hello.
+func (r *remote) greet() (number uint64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.dial != dialConnecting {
-		return false
+		return 0, false
 	}
 	r.dial = dialGreeted
-	return true
+	return r.network.hellos.Add(1), true
 }
 
 // admits decides on a connection that the host dialled, before it is answered.
 // Of two dials that cross, that of the host with the smaller id is kept.
-func (r *remote) admits(id Peer) bool {
+// A Hello that is older than the one of the present link belongs to a dial that
+// the host has abandoned since.
+func (r *remote) admits(id Peer, number uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.link != nil && id.Incarnation < r.link.id.Incarnation {
+	if r.link != nil && (id.Incarnation < r.link.id.Incarnation ||
+		id.Incarnation == r.link.id.Incarnation && number < r.link.number) {
 		return false
 	}
 	if r.dial == dialGreeted && r.network.config.Self.Host < r.host {
 		return false
 	}
 	r.settle()
+	r.answering++
 	return true
 }
 
+// unanswered ends an admitted connection that became no link.
+func (r *remote) unanswered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answering--
+	r.redial(false)
+}
+
+// redial starts a dial if the queue or the lost link needs one and none is on its way; r.mu is held.
+func (r *remote) redial(needed bool) {
+	if r.link == nil && r.dial == dialNone && r.answering == 0 && (needed || r.queue.Len() > 0) {
+		r.startDial()
+	}
+}
+
 // settle ends the dial under way because a link takes its place; r.mu is held.
 func (r *remote) settle() {
 	if r.dial == dialNone {
@@ -129,6 +150,9 @@
 	if l.dialled && r.dial != dialGreeted {
 		return nil, false
 	}
+	if !l.dialled {
+		r.answering--
+	}
 	old = r.link
 	r.link = l
 	r.failures = 0
@@ -158,9 +182,7 @@
 	}
 	r.link = nil
 	// A silent link is replaced at once, because the other side may not have noticed.
-	if r.dial == dialNone && (r.queue.Len() > 0 || cause == errSilent && unsure) {
-		r.startDial()
-	}
+	r.redial(cause == errSilent && unsure)
 }
 
 // dialFailed ends a dial without a link.
--- a/internal/peer/swlink/swlink_test.go
+++ b/internal/peer/swlink/swlink_test.go
@@ -62,6 +62,12 @@
 	holder, owner := start(t, &d, "a", Config{}), start(t, &d, "b", Config{})
 	holder.send(owner, 1)
 	eventually(t, "ask", func() bool { return owner.received() == 1 })
+	eventually(t, "ask confirmed", func() bool {
+		l := holder.links()[0]
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return !l.prober.outstanding && !l.prober.unconfirmed
+	})
 	holder.mute(true, true)
 	owner.send(holder, 2)
 	eventually(t, "owner told", func() bool { return len(owner.lost()) > 0 })
@@ -234,7 +240,11 @@
 func TestRefusesOlderIncarnation(t *testing.T) {
 	r := newRemote(New(Config{}, nil, nil, nil), swid.HostID("b"))
 	r.link = &link{id: Peer{Host: "b", Incarnation: 5}}
-	if r.admits(Peer{Host: "b", Incarnation: 4}) || !r.admits(Peer{Host: "b", Incarnation: 5}) {
+	if r.admits(Peer{Host: "b", Incarnation: 4}, 9) || !r.admits(Peer{Host: "b", Incarnation: 5}, 9) {
 		t.Error("wrong incarnation admitted")
 	}
+	r.link.number = 10
+	if r.admits(Peer{Host: "b", Incarnation: 5}, 9) || !r.admits(Peer{Host: "b", Incarnation: 6}, 1) {
+		t.Error("an abandoned dial was admitted, or a new process refused")
+	}
 }
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -16,6 +16,8 @@
 	Incarnation swid.Incarnation
 	// Crossed refuses a connection because the sender's own dial to the receiver takes precedence.
 	Crossed bool
+	// Number grows with each Hello of a process, so that one which was overtaken is recognised.
+	Number uint64
 }
 
 // MemberState is what one host holds of another.
