--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -111,6 +111,16 @@
 	return e.asked
 }
 
+// runningOn returns the target of a dispatched attempt, or "".
+func (e *held) runningOn() swid.TargetID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running == nil {
+		return ""
+	}
+	return e.running.target
+}
+
 // reportTo tells a host that took the cell over of this request: of work that
 // runs in any case, of work that waits if it is the host to ask.
 func (e *held) reportTo(owner swid.HostID) {
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -125,13 +125,26 @@
 	h.closeIfIdle()
 }
 
+// Refuse ends new requests as not run.
+func (h *Holder) Refuse() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
+	h.closeIfIdle()
+}
+
+// Accept takes new requests again.
+func (h *Holder) Accept() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = false
+	h.idle = make(chan struct{})
+}
+
 // Drain refuses new requests and waits until all held ones ended, or ctx ends.
 func (h *Holder) Drain(ctx context.Context) error {
+	h.Refuse()
 	h.mu.Lock()
-	if !h.draining {
-		h.draining = true
-		h.closeIfIdle()
-	}
 	idle := h.idle
 	h.mu.Unlock()
 	select {
@@ -142,16 +155,6 @@
 	}
 }
 
-// Resume takes new requests again after Drain.
-func (h *Holder) Resume() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.draining {
-		h.draining = false
-		h.idle = make(chan struct{})
-	}
-}
-
 // closeIfIdle needs h.mu.
 func (h *Holder) closeIfIdle() {
 	if !h.draining || len(h.held) > 0 {
@@ -171,6 +174,19 @@
 	return len(h.held)
 }
 
+// Running counts the requests that this host runs on each target.
+func (h *Holder) Running() map[swid.TargetID]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	running := make(map[swid.TargetID]int)
+	for _, e := range h.held {
+		if target := e.runningOn(); target != "" {
+			running[target]++
+		}
+	}
+	return running
+}
+
 // Receive takes an owner's message. Other kinds of message are ignored.
 func (h *Holder) Receive(from swlink.Peer, m swmsg.Message) {
 	switch m := m.(type) {
--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -1,10 +1,13 @@
 package swdaemon
 
 import (
+	"strconv"
+
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/config/swrelay"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
@@ -19,7 +22,7 @@
 	d.exchange = swexchange.New(d.self)
 	security := swlink.WithoutTLS()
 	if !d.keys.peer.Off() {
-		security = swlink.WithTLS(d.keys.peer.Client())
+		security = swlink.WithTLSFrom(d.keys.peer.Server(), d.keys.peer.Client)
 	}
 	d.network = swlink.New(swlink.Config{
 		Self:      d.self,
@@ -48,7 +51,7 @@
 
 // buildNode builds what serves requests, and connects all parts.
 func (d *Daemon) buildNode() {
-	d.router = swnode.NewRouter(d.settings.Host, d.members, d.exchange, d.clock, rank)
+	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.members, d.exchange, d.clock)
 	d.node = swnode.New(d.settings, swnode.Parts{
 		Self:      d.self,
 		Clock:     d.clock,
@@ -57,14 +60,17 @@
 		Router:    d.router,
 		Members:   d.members,
 		Config:    d.relay,
-		Claims:    noClaims{},
+		Claims:    d.claims,
 		Watcher:   noWatch{},
 		Adapters:  d.adapter,
 		Registry:  d.registry,
 		CallerTLS: d.keys.caller.Server(),
 	})
 	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay, heard{d.relay})
+	d.registry.MustRegister(d.network)
 	d.members.Subscribe(d.membersChanged)
+	d.relay.Subscribe(d.versionInForce)
+	d.admin = swadmin.NewHandler(d, d.relay, d.journal, d.registry, d.log)
 }
 
 // adapter makes the adapter of a target.
@@ -91,3 +97,8 @@
 	}
 	d.node.Holder().Reroute()
 }
+
+// versionInForce tells followers of a new version.
+func (d *Daemon) versionInForce(f swrelay.InForce) {
+	d.publish(swadmin.EventVersion, strconv.FormatUint(uint64(f.Version), 10), "in force")
+}
--- a/internal/node/swdaemon/interim.go
+++ b/internal/node/swdaemon/interim.go
@@ -7,15 +7,12 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 )
 
@@ -76,24 +73,6 @@
 	}
 }
 
-func rank(cell swid.CellID, hosts []swid.HostID) []swid.HostID {
-	score := func(h swid.HostID) uint64 { return xxhash.Sum64String(string(cell) + "\x00" + string(h)) }
-	slices.SortFunc(hosts, func(a, b swid.HostID) int {
-		if score(a) > score(b) {
-			return -1
-		}
-		return 1
-	})
-	return hosts
-}
-
-type noClaims struct{}
-
-func (noClaims) Claim(context.Context, swclaim.Entry) (swclaim.Decision, error) {
-	return swclaim.Decision{}, swclaim.ErrUnavailable
-}
-func (noClaims) Finish(swclaim.Entry, swclaim.Decision) {}
-
 type noWatch struct{}
 
 func (noWatch) Watch(context.Context, swid.CellID, []swdoc.Target, func(swcell.Event)) {}
--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -3,6 +3,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -18,9 +21,11 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swhttpstore"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 )
@@ -40,8 +45,15 @@
 	members  *polledMembers
 	relay    *swrelay.Relay
 	router   *swnode.HostRouter
+	claims   *swclaim.ObjectRegistry
 	node     *swnode.Node
 	registry *prometheus.Registry
+	journal  *swadmin.Journal
+	admin    http.Handler
+	// operator is the operators' listener, set by Listen.
+	operator net.Listener
+	// draining is set by an operator or by the shutdown.
+	draining atomic.Bool
 }
 
 // keys are the keys of each interface.
@@ -69,10 +81,23 @@
 func (d *Daemon) openPlatform() {
 	d.store = d.options.store
 	if d.store == nil {
-		d.store = swhttpstore.New(d.settings.Platform.URL, d.settings.Platform.Timeout, d.keys.platform.Dial)
+		d.store = swhttpstore.New(swhttpstore.Config{
+			URL:             d.settings.Platform.URL,
+			Timeout:         d.settings.Platform.Timeout,
+			ReadsPerSecond:  readsPerSecond,
+			WritesPerSecond: writesPerSecond,
+			DialTLS:         d.keys.platform.Dial,
+		}, d.clock)
 	}
+	d.claims = swclaim.New(swclaim.Config{Environment: d.settings.Platform.Environment}, d.store, d.clock)
 }
 
+const (
+	// readsPerSecond and writesPerSecond bound one host's calls of the platform.
+	readsPerSecond  = 50
+	writesPerSecond = 25
+)
+
 // Run builds a daemon and serves until ctx ends.
 func Run(ctx context.Context, settings *swsettings.Settings, log zerolog.Logger, opts ...Option) error {
 	d, err := New(settings, log, opts...)
@@ -92,6 +117,7 @@
 		log:      log,
 		clock:    swclock.NewSystem(),
 		registry: prometheus.NewRegistry(),
+		journal:  swadmin.NewJournal(),
 		// A later process of the same host starts at a later time.
 		self: swlink.Peer{Host: settings.Host, Incarnation: swid.Incarnation(time.Now().UnixMilli())},
 	}
@@ -133,6 +159,11 @@
 	if err := d.network.Listen(); err != nil {
 		return err
 	}
+	listener, err := net.Listen("tcp", d.settings.Operator.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	d.operator = d.keys.operator.Listener(listener)
 	return d.node.Listen()
 }
 
@@ -150,12 +181,18 @@
 		d.relay.Run(ctx)
 		return nil
 	})
+	tasks.Go(func(ctx context.Context) error {
+		d.claims.Run(ctx)
+		return nil
+	})
+	tasks.Go(d.serveOperators)
 	tasks.Go(d.applyFirst)
 	tasks.Go(func(failed context.Context) error {
 		defer stop()
 		serving, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(failed, cancel)()
+		defer context.AfterFunc(serving, func() { d.SetDraining(true) })()
 		return d.node.Run(serving)
 	})
 	return tasks.Wait()
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -4,22 +4,20 @@
 	"sync"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
-// Rank orders the hosts that may own a cell, the best first.
-type Rank func(cell swid.CellID, hosts []swid.HostID) []swid.HostID
-
-// HostRouter implements Router by ranking the members. Its methods are safe for concurrent use.
+// HostRouter implements Router by ranking the members for each cell. Its methods are safe for concurrent use.
 type HostRouter struct {
 	self    swid.HostID
+	region  swid.RegionID
 	members swmember.Source
 	sender  swlink.Sender
 	clock   swclock.Clock
-	rank    Rank
 
 	mu sync.Mutex
 	// epochs has the highest epoch heard of each cell; none falls.
@@ -32,9 +30,9 @@
 const lostTime = 2 * swclock.Second
 
 // NewRouter returns the router of a host.
-func NewRouter(self swid.HostID, members swmember.Source, sender swlink.Sender, clock swclock.Clock, rank Rank) *HostRouter {
+func NewRouter(self swid.HostID, region swid.RegionID, members swmember.Source, sender swlink.Sender, clock swclock.Clock) *HostRouter {
 	return &HostRouter{
-		self: self, members: members, sender: sender, clock: clock, rank: rank,
+		self: self, region: region, members: members, sender: sender, clock: clock,
 		epochs: make(map[swid.CellID]swid.Epoch), lost: make(map[swid.HostID]swclock.Millis),
 	}
 }
@@ -42,7 +40,7 @@
 // Owner implements swholder.Router: the best-ranked living host in reach, and
 // this host if there is no better one.
 func (r *HostRouter) Owner(cell swid.CellID) (host swid.HostID, insist bool) {
-	for _, h := range r.rank(cell, r.candidates()) {
+	for _, h := range swelect.RankCandidates(cell, r.candidates(cell)) {
 		if h == r.self || r.inReach(h) {
 			return h, insist
 		}
@@ -52,20 +50,21 @@
 }
 
 // candidates returns the members that may own a cell.
-func (r *HostRouter) candidates() []swid.HostID {
+func (r *HostRouter) candidates(cell swid.CellID) []swelect.Candidate {
+	region := swelect.Region(cell)
 	members := r.members.Members()
-	hosts := make([]swid.HostID, 0, len(members)+1)
-	self := false
+	candidates := make([]swelect.Candidate, 0, len(members)+1)
+	listed := false
 	for _, m := range members {
-		self = self || m.Host == r.self
+		listed = listed || m.Host == r.self
 		if m.State == swmsg.MemberAlive || m.State == swmsg.MemberSuspect {
-			hosts = append(hosts, m.Host)
+			candidates = append(candidates, swelect.Candidate{Host: m.Host, Local: m.Region == region})
 		}
 	}
-	if !self {
-		hosts = append(hosts, r.self)
+	if !listed {
+		candidates = append(candidates, swelect.Candidate{Host: r.self, Local: r.region == region})
 	}
-	return hosts
+	return candidates
 }
 
 // inReach trusts a host unless its link was lost a moment ago and is not back.
