Notice a silent connection before the first event

Cause: a stream whose connection went silent before its first event waited for the adapter's 30 s, beyond the caller's deadline; the load tool saw 61 of 60/s streams end as unknown at their 15 s deadline with silence on two engines. One that went silent later resumed after 5 s (seen in a test), which ruled out the resumption itself.

The holder now allows half of the remaining time, and at least 1 s, until the first event, and 2 s between events.

--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -20,6 +20,10 @@
 	// nonIdempotentGrace is how long a non-idempotent call may overrun its
 	// deadline: cutting it would not undo it, but would hide its outcome.
 	nonIdempotentGrace = 30 * swclock.Second
+	// minPatience is the least silence that a target is allowed before its first
+	// event. Half of the remaining time is allowed in general, so that another
+	// target has as long.
+	minPatience = swclock.Second
 	// progressTokens is the number of output tokens between two progress reports.
 	progressTokens swid.Tokens = 256
 )
@@ -122,6 +126,7 @@
 	call.ID = a.held.request.ID
 	call.Attempt = a.number
 	call.IdempotencyKey = a.held.request.IdempotencyKey
+	call.Patience = max(minPatience, a.held.remaining()/2)
 	call.ResumeFrom = a.events
 	response, err := adapter.Start(ctx, call)
 	if err != nil {
--- a/internal/node/swnode/swnode_test.go
+++ b/internal/node/swnode/swnode_test.go
@@ -97,7 +97,7 @@
 	stopped chan error
 }
 
-func startSystem(t *testing.T) *system {
+func startSystem(t *testing.T, engine swengine.Config) *system {
 	t.Helper()
 	document, err := swdoc.Parse(swexample.DocumentFile, swexample.Document())
 	if err != nil {
@@ -110,7 +110,7 @@
 	settings.Caller.Address = "127.0.0.1:0"
 	s := &system{stopped: make(chan error, 1)}
 	for i := range document.Targets {
-		document.Targets[i].URL = s.startTarget(t, document.Targets[i])
+		document.Targets[i].URL = s.startTarget(t, document.Targets[i], engine)
 	}
 	clock := swclock.NewSystem()
 	self := swlink.Peer{Host: settings.Host, Incarnation: 1}
@@ -138,7 +138,7 @@
 	return s
 }
 
-func (s *system) startTarget(t *testing.T, target swdoc.Target) string {
+func (s *system) startTarget(t *testing.T, target swdoc.Target, config swengine.Config) string {
 	t.Helper()
 	var handler http.Handler
 	if target.Generation == "" {
@@ -146,7 +146,7 @@
 		t.Cleanup(s.plain.Close)
 		handler = s.plain.Handler()
 	} else {
-		engine := swengine.New(swengine.Config{TimeScale: 20})
+		engine := swengine.New(config)
 		t.Cleanup(engine.Close)
 		s.engines = append(s.engines, engine)
 		handler = engine.Handler()
@@ -158,7 +158,7 @@
 
 // TestOpenAIClient sends requests with the stock client library.
 func TestOpenAIClient(t *testing.T) {
-	s := startSystem(t)
+	s := startSystem(t, swengine.Config{TimeScale: 20})
 	client := openai.NewClient(option.WithBaseURL(s.url+"/v1"), option.WithAPIKey(swexample.APIKey), option.WithMaxRetries(0))
 	params := openai.ChatCompletionNewParams{
 		Model:     "chat",
@@ -216,7 +216,7 @@
 
 // TestNonIdempotentCall repeats a call with the same key.
 func TestNonIdempotentCall(t *testing.T) {
-	s := startSystem(t)
+	s := startSystem(t, swengine.Config{TimeScale: 20})
 	status, first := s.post(t, "/services/records/records", "k1", `{"amount":3}`)
 	if status != http.StatusOK {
 		t.Fatalf("status %d: %s", status, first)
@@ -230,7 +230,7 @@
 }
 
 func TestErrors(t *testing.T) {
-	s := startSystem(t)
+	s := startSystem(t, swengine.Config{TimeScale: 20})
 	tests := []struct {
 		name, path, body string
 		status           int
--- a/internal/target/swopenai/swopenai.go
+++ b/internal/target/swopenai/swopenai.go
@@ -21,7 +21,7 @@
 const (
 	defaultDialTimeout       = 1 * swclock.Second
 	defaultFirstEventTimeout = 30 * swclock.Second
-	defaultEventTimeout      = 5 * swclock.Second
+	defaultEventTimeout      = 2 * swclock.Second
 	defaultAnswerTimeout     = 120 * swclock.Second
 	defaultAnswerBytes       = 8 << 20
 	defaultEventBytes        = 1 << 20
@@ -79,7 +79,7 @@
 // Start implements swtarget.Adapter. ctx holds until the answer is closed. An
 // answer below 500 that is not a refusal is the engine's own, and is returned.
 func (a *Adapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
-	response, err := a.sender.Send(ctx, r, a.sendLimits(r.Stream))
+	response, err := a.sender.Send(ctx, r, a.sendLimits(r))
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	if r.Stream && response.Status == http.StatusOK {
-		response.Progressed(a.limits.FirstEvent)
+		response.Progressed(a.firstEvent(r))
 		return newStream(response, a.limits), nil
 	}
 	return &whole{response: response}, nil
@@ -98,21 +98,29 @@
 // silent, so that its closing does not reach the engine.
 func (a *Adapter) Cancel(ctx context.Context, id swid.RequestID) error {
 	r := swtarget.Request{ID: id, Method: http.MethodDelete, Path: "/requests/" + url.PathEscape(string(id))}
-	response, err := a.sender.Send(ctx, r, a.sendLimits(false))
+	response, err := a.sender.Send(ctx, r, a.sendLimits(r))
 	if err != nil {
 		return err
 	}
 	return response.Close()
 }
 
-func (a *Adapter) sendLimits(stream bool) swhttp.Limits {
+func (a *Adapter) sendLimits(r swtarget.Request) swhttp.Limits {
 	l := swhttp.Limits{Dial: a.limits.Dial, Header: a.limits.Answer, Progress: a.limits.Event, AnswerBytes: a.limits.AnswerBytes}
-	if stream {
-		l.Header = a.limits.FirstEvent
+	if r.Stream {
+		l.Header = a.firstEvent(r)
 	}
 	return l
 }
 
+// firstEvent is the time allowed until a stream's first event.
+func (a *Adapter) firstEvent(r swtarget.Request) swclock.Millis {
+	if r.Patience > 0 {
+		return min(r.Patience, a.limits.FirstEvent)
+	}
+	return a.limits.FirstEvent
+}
+
 // checkStatus returns an error for an answer that is not the request's own.
 func checkStatus(response *swhttp.Response, r swtarget.Request) error {
 	switch {
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
@@ -22,6 +23,9 @@
 	Stream bool
 	// IdempotencyKey is passed on to the target if it is not empty.
 	IdempotencyKey string
+	// Patience bounds the silence before the first part of the answer; 0 leaves
+	// it to the adapter, whose own bound holds in any case.
+	Patience swclock.Millis
 	// ResumeFrom is the number of events that the holder already has; above 0 the
 	// target continues a stream that broke.
 	ResumeFrom int
