--- /dev/null
+++ b/internal/owner/sworder/sworder.go
@@ -0,0 +1,169 @@
+// Package sworder gives orders to engines: to load a model, an adapter or a
+// version, or to change role. Orders are given only under a lease.
+package sworder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
+)
+
+// Kind is a kind of order.
+type Kind uint8
+
+// Kinds of order.
+const (
+	KindLoadModel Kind = iota + 1
+	KindLoadAdapter
+	KindSetRole
+)
+
+// kindNames holds the kinds as the engines know them.
+var kindNames = map[Kind]string{KindLoadModel: "loadModel", KindLoadAdapter: "loadAdapter", KindSetRole: "setRole"}
+
+// Order is one order. Giving it twice has the effect of giving it once.
+type Order struct {
+	Kind    Kind
+	Model   string
+	Version string
+	Role    string
+}
+
+// Target is an engine that takes orders.
+type Target struct {
+	ID  swid.TargetID
+	URL string
+	// ChecksCaller tells that the engine checks Token. An engine that does not is never sent it.
+	ChecksCaller bool
+	Token        string
+}
+
+// Errors of Send. After any other error the order may have been carried out.
+var (
+	// ErrNoLease means that the lease is not held; nothing was sent.
+	ErrNoLease = errors.New("lease for orders not held")
+	// ErrNoToken means that the engine checks its caller and no token is set; nothing was sent.
+	ErrNoToken = errors.New("no token for a target that checks its caller")
+	// ErrNotSent means that the engine was not reached, or that no weight load is allowed in time.
+	ErrNotSent = errors.New("order not sent")
+	// ErrFenced means that the engine knows a later holder of the lease; the order was not carried out.
+	ErrFenced = errors.New("order carries an old fencing number")
+	// ErrForbidden means that the engine refused the caller; the order was not carried out.
+	ErrForbidden = errors.New("target refused the caller")
+)
+
+const maxAnswerBytes = 64 << 10
+
+// Lease tells whether orders may be given.
+type Lease interface {
+	Held() (swlease.Grant, bool)
+}
+
+// Config configures a Sender.
+type Config struct {
+	// Delivery is that of the lease: see swlease.Config.
+	Delivery swclock.Millis
+	// Answer bounds the time until an engine has carried out an order.
+	Answer swclock.Millis
+	// LoadsPerSecond bounds the orders that make engines read from the weight store.
+	LoadsPerSecond float64
+}
+
+// Sender gives orders. It is safe for concurrent use.
+type Sender struct {
+	config Config
+	lease  Lease
+	loads  *rate.Limiter
+}
+
+// New returns a sender that gives orders under a lease.
+func New(c Config, lease Lease) *Sender {
+	return &Sender{config: c, lease: lease, loads: rate.NewLimiter(rate.Limit(c.LoadsPerSecond), 1)}
+}
+
+// wireOrder is an order in the engines' JSON.
+type wireOrder struct {
+	Order   string `json:"order"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+	Fencing uint64 `json:"fencing"`
+}
+
+// Send gives an order once and waits until it was carried out. It is not sent again by itself.
+func (s *Sender) Send(ctx context.Context, t Target, o Order) error {
+	if t.ChecksCaller && t.Token == "" {
+		return ErrNoToken
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.config.Answer.Duration())
+	defer cancel()
+	if o.Kind != KindSetRole {
+		if err := s.loads.Wait(ctx); err != nil {
+			return errors.WithMessage(ErrNotSent, err.Error())
+		}
+	}
+	// The lease is read after the wait, and again before each write to the connection.
+	grant, held := s.lease.Held()
+	if !held {
+		return ErrNoLease
+	}
+	request, err := newRequest(ctx, t, o, grant.Fencing)
+	if err != nil {
+		return errors.WithMessage(ErrNotSent, err.Error())
+	}
+	return s.exchange(request)
+}
+
+func newRequest(ctx context.Context, t Target, o Order, fencing swlease.Fencing) (*http.Request, error) {
+	body, err := json.Marshal(wireOrder{Order: kindNames[o.Kind], Model: o.Model, Version: o.Version, Role: o.Role, Fencing: uint64(fencing)})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimRight(t.URL, "/")+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil // the transport cannot send the order again
+	request.Header.Set("Content-Type", "application/json")
+	if t.ChecksCaller {
+		request.Header.Set("Authorization", "Bearer "+t.Token)
+	}
+	return request, nil
+}
+
+func (s *Sender) exchange(request *http.Request) error {
+	g := &guard{lease: s.lease, delivery: s.config.Delivery}
+	transport := &http.Transport{DialContext: g.dial, DisableKeepAlives: true}
+	answer, err := transport.RoundTrip(request)
+	switch {
+	case err == nil:
+	case g.lapsed.Load() && !g.written.Load():
+		return ErrNoLease
+	case !g.written.Load():
+		return errors.WithMessage(ErrNotSent, err.Error())
+	default:
+		return errors.Wrap(err, "send order")
+	}
+	defer func() { _ = answer.Body.Close() }() // only read from
+	switch answer.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrFenced
+	case http.StatusForbidden, http.StatusUnauthorized:
+		return ErrForbidden
+	default:
+		text, _ := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes)) // only for the message
+		return errors.Errorf("engine answered an order with status %d: %s", answer.StatusCode, text)
+	}
+}
--- /dev/null
+++ b/internal/owner/sworder/sworder_test.go
@@ -0,0 +1,113 @@
+package sworder
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+var testConfig = Config{Delivery: 2 * swclock.Second, Answer: 20 * swclock.Second, LoadsPerSecond: 1000}
+
+// pausedLease is held for a number of checks, as if the process were paused after them for longer than the term.
+type pausedLease struct {
+	checks  atomic.Int64
+	fencing swlease.Fencing
+}
+
+func (l *pausedLease) Held() (swlease.Grant, bool) {
+	return swlease.Grant{Fencing: l.fencing}, l.checks.Add(-1) >= 0
+}
+
+func held(checks int64, f swlease.Fencing) *pausedLease {
+	l := &pausedLease{fencing: f}
+	l.checks.Store(checks)
+	return l
+}
+
+func TestPausedHolderSendsNothing(t *testing.T) {
+	for checks := range int64(2) {
+		var bytes atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { bytes.Add(1) }))
+		err := New(testConfig, held(checks, 1)).Send(context.Background(), Target{URL: server.URL}, Order{Kind: KindSetRole, Role: "decode"})
+		server.Close()
+		if !errors.Is(err, ErrNoLease) || bytes.Load() != 0 {
+			t.Errorf("paused after %d checks: %v, %d orders arrived", checks, err, bytes.Load())
+		}
+	}
+}
+
+// TestWokenHolder lets a holder's term lapse while it is paused, and a successor give an order meanwhile.
+func TestWokenHolder(t *testing.T) {
+	engine := swengine.New(swengine.Config{})
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	store, clock, ctx := swmemstore.New(1), &swclock.Manual{}, context.Background()
+	leaseConfig := swlease.Config{Key: "l", Term: 10 * swclock.Second, Delivery: testConfig.Delivery}
+	first, second := swlease.New(leaseConfig, store, clock), swlease.New(leaseConfig, store, clock)
+	send := func(l *swlease.Lease, role string) error {
+		return New(testConfig, l).Send(ctx, Target{URL: server.URL}, Order{Kind: KindSetRole, Role: role})
+	}
+	for _, l := range []*swlease.Lease{first, second} {
+		if err := l.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := send(first, "a"); err != nil {
+		t.Errorf("holder: %v", err)
+	}
+	if err := send(second, "b"); !errors.Is(err, ErrNoLease) {
+		t.Errorf("successor before the term ended: %v", err)
+	}
+	clock.Advance(20 * swclock.Second)
+	if err := second.Step(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := send(second, "c"); err != nil {
+		t.Errorf("successor: %v", err)
+	}
+	if err := send(first, "d"); !errors.Is(err, ErrNoLease) {
+		t.Errorf("woken holder: %v", err)
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		target Target
+		status int
+		want   error
+		token  string
+	}{
+		{"carried out", Target{}, 200, nil, ""},
+		{"token", Target{ChecksCaller: true, Token: "t"}, 200, nil, "Bearer t"},
+		{"token not for this target", Target{Token: "t"}, 200, nil, ""},
+		{"no token", Target{ChecksCaller: true}, 200, ErrNoToken, ""},
+		{"fenced", Target{}, 409, ErrFenced, ""},
+		{"forbidden", Target{ChecksCaller: true, Token: "t"}, 403, ErrForbidden, "Bearer t"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if got := r.Header.Get("Authorization"); got != test.token {
+					t.Errorf("authorization %q", got)
+				}
+				w.WriteHeader(test.status)
+			}))
+			defer server.Close()
+			test.target.URL = server.URL
+			err := New(testConfig, held(100, 7)).Send(context.Background(), test.target, Order{Kind: KindLoadModel, Model: "m"})
+			if !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
