--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -121,6 +121,7 @@
 	call := a.held.request.Call
 	call.ID = a.held.request.ID
 	call.Attempt = a.number
+	call.IdempotencyKey = a.held.request.IdempotencyKey
 	call.ResumeFrom = a.events
 	response, err := adapter.Start(ctx, call)
 	if err != nil {
