--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -61,7 +61,7 @@
 		Members:   d.members,
 		Config:    d.relay,
 		Claims:    d.claims,
-		Watcher:   noWatch{},
+		Watcher:   &d.watcher,
 		Adapters:  d.adapter,
 		Registry:  d.registry,
 		CallerTLS: d.keys.caller.Server(),
--- /dev/null
+++ b/internal/node/swdaemon/failure_test.go
@@ -0,0 +1,69 @@
+package swdaemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+// TestFailures runs mixed requests through three hosts while things fail.
+func TestFailures(t *testing.T) {
+	engine := func(kind swfault.Kind) func(*cluster) {
+		return func(c *cluster) {
+			if err := c.engines[0].Faults().Add(swfault.Fault{Kind: kind, Duration: 1000, After: 3}); err != nil {
+				c.t.Error(err)
+			}
+		}
+	}
+	tests := []struct {
+		name string
+		// fail is called three times while requests run.
+		fail func(c *cluster)
+	}{
+		{"nothing", func(*cluster) {}},
+		{"host killed and replaced", func(c *cluster) {
+			c.end(c.hosts[0], c.hosts[0].kill)
+			time.Sleep(200 * time.Millisecond)
+			c.start(c.hosts[0])
+		}},
+		{"host shut down and replaced", func(c *cluster) {
+			c.end(c.hosts[1], c.hosts[1].shutDown)
+			c.start(c.hosts[1])
+		}},
+		{"platform down", func(c *cluster) {
+			c.store.SetFaults(swmemstore.Faults{Outage: true})
+			time.Sleep(200 * time.Millisecond)
+			c.store.SetFaults(swmemstore.Faults{})
+		}},
+		{"platform answers lost", func(c *cluster) { c.store.SetFaults(swmemstore.Faults{LoseAnswer: 0.3}) }},
+		{"engine frozen", engine(swfault.KindFreeze)},
+		{"engine crashed", engine(swfault.KindCrash)},
+		{"streams cut", engine("cutAfter")},
+		{"streams truncated", engine("truncate")},
+		{"answers crossed", engine("crossAnswers")},
+		{"connections silent", engine(swfault.KindSilence)},
+		{"host killed while the platform is down", func(c *cluster) {
+			c.store.SetFaults(swmemstore.Faults{Outage: true})
+			c.end(c.hosts[0], c.hosts[0].kill)
+			time.Sleep(100 * time.Millisecond)
+			c.store.SetFaults(swmemstore.Faults{})
+			c.start(c.hosts[0])
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, swengine.Config{TimeScale: 10})
+			done := make(chan *tally, 1)
+			go func() { done <- c.load(8, 30) }()
+			for range 3 {
+				time.Sleep(100 * time.Millisecond)
+				tt.fail(c)
+			}
+			c.check(<-done)
+		})
+	}
+}
--- a/internal/node/swdaemon/interim.go
+++ b/internal/node/swdaemon/interim.go
@@ -7,9 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
-	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
-	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -72,7 +69,3 @@
 		f(list)
 	}
 }
-
-type noWatch struct{}
-
-func (noWatch) Watch(context.Context, swid.CellID, []swdoc.Target, func(swcell.Event)) {}
--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -46,6 +46,7 @@
 	relay    *swrelay.Relay
 	router   *swnode.HostRouter
 	claims   *swclaim.ObjectRegistry
+	watcher  targetWatcher
 	node     *swnode.Node
 	registry *prometheus.Registry
 	journal  *swadmin.Journal
@@ -64,6 +65,8 @@
 type options struct {
 	store         swobject.Store
 	firstDocument []byte
+	// abort ends the daemon without a graceful shutdown.
+	abort context.Context
 }
 
 // Option changes how a daemon is assembled.
@@ -72,6 +75,9 @@
 // WithStore replaces the platform that the settings name.
 func WithStore(s swobject.Store) Option { return func(o *options) { o.store = s } }
 
+// WithAbort sets a context whose end stops the daemon without a graceful shutdown.
+func WithAbort(ctx context.Context) Option { return func(o *options) { o.abort = ctx } }
+
 // WithFirstDocument applies a document if the platform has none.
 func WithFirstDocument(document []byte) Option {
 	return func(o *options) { o.firstDocument = document }
@@ -121,9 +127,11 @@
 		// A later process of the same host starts at a later time.
 		self: swlink.Peer{Host: settings.Host, Incarnation: swid.Incarnation(time.Now().UnixMilli())},
 	}
+	d.options.abort = context.Background()
 	for _, o := range opts {
 		o(&d.options)
 	}
+	d.watcher.clock = d.clock
 	if err := d.loadKeys(); err != nil {
 		return nil, err
 	}
@@ -167,10 +175,12 @@
 	return d.node.Listen()
 }
 
-// Run serves until ctx ends, and then finishes what the host holds.
+// Run serves until ctx ends, and then finishes what the host holds. It stops at
+// once, as a crash would, when the context of WithAbort ends.
 func (d *Daemon) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	running, stop := context.WithCancel(d.options.abort)
 	defer stop()
+	defer d.watcher.pollers.Wait()
 	tasks := pool.New().WithErrors().WithContext(running).WithCancelOnError()
 	tasks.Go(d.network.Run)
 	tasks.Go(func(ctx context.Context) error {
@@ -193,7 +203,7 @@
 		defer cancel()
 		defer context.AfterFunc(failed, cancel)()
 		defer context.AfterFunc(serving, func() { d.SetDraining(true) })()
-		return d.node.Run(serving)
+		return d.node.Run(serving, failed)
 	})
 	return tasks.Wait()
 }
@@ -220,3 +230,9 @@
 		h.relay.HeardVersion(from.Host, b.ConfigVersion)
 	}
 }
+
+// CallerAddress returns the callers' address that Listen bound.
+func (d *Daemon) CallerAddress() string { return d.node.Address() }
+
+// PeerAddress returns the peers' address that Listen bound.
+func (d *Daemon) PeerAddress() string { return d.network.Address() }
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -117,9 +117,9 @@
 func (n *Node) Address() string { return n.listener.Addr().String() }
 
 // Run serves until ctx ends, then finishes what is held within the shutdown
-// timeout. Listen must have succeeded before.
-func (n *Node) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+// timeout, or until abort ends. Listen must have succeeded before.
+func (n *Node) Run(ctx, abort context.Context) error {
+	running, stop := context.WithCancel(abort)
 	defer stop()
 	tasks := pool.New().WithErrors()
 	tasks.Go(func() error {
@@ -135,7 +135,7 @@
 		return nil
 	})
 	<-ctx.Done()
-	if err := n.shutdown(server); err != nil {
+	if err := n.shutdown(abort, server); err != nil {
 		n.parts.Log.Warn().Err(err).Msg("shutdown cut requests that were still held")
 	}
 	stop()
@@ -156,8 +156,8 @@
 }
 
 // shutdown refuses new requests, finishes the held ones and closes the callers' connections.
-func (n *Node) shutdown(server *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTimeout.Duration())
+func (n *Node) shutdown(abort context.Context, server *http.Server) error {
+	ctx, cancel := context.WithTimeout(abort, n.settings.ShutdownTimeout.Duration())
 	defer cancel()
 	if err := n.holder.Drain(ctx); err != nil {
 		_ = server.Close() // the timeout is over: what is left is cut
--- a/internal/node/swnode/swnode_test.go
+++ b/internal/node/swnode/swnode_test.go
@@ -128,7 +128,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop, s.url = cancel, "http://"+node.Address()
-	go func() { s.stopped <- node.Run(ctx) }()
+	go func() { s.stopped <- node.Run(ctx, context.Background()) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-s.stopped; err != nil {
