Hold the members from the platform's list and from heartbeats

The platform's list lags and has outages, so hosts also watch each other.

Added to the contract: Heartbeat.View.

--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -155,7 +155,7 @@
 		return swmsg.Heartbeat{}
 	}
 	return swmsg.Heartbeat{
-		Number: w.GetNumber(), ConfigVersion: swid.ConfigVersion(w.GetConfigVersion()), Reply: w.GetReply(),
+		Number: w.GetNumber(), ConfigVersion: swid.ConfigVersion(w.GetConfigVersion()), Reply: w.GetReply(), View: w.GetView(),
 		Rumors: convert(w.GetRumors(), func(r *swpb.Rumor) swmsg.Rumor { return decodeRumor(c, r) }),
 	}
 }
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -114,7 +114,7 @@
 
 func encodeHeartbeat(m swmsg.Heartbeat) *swpb.Heartbeat {
 	return &swpb.Heartbeat{
-		Number: m.Number, ConfigVersion: uint64(m.ConfigVersion), Rumors: convert(m.Rumors, encodeRumor), Reply: m.Reply,
+		Number: m.Number, ConfigVersion: uint64(m.ConfigVersion), Rumors: convert(m.Rumors, encodeRumor), Reply: m.Reply, View: m.View,
 	}
 }
 
--- /dev/null
+++ b/internal/peer/swmember/members_test.go
@@ -0,0 +1,108 @@
+package swmember
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+// process is one host's members over real links.
+type process struct {
+	*Members
+	network *swlink.Network
+	stop    func()
+}
+
+// startProcess runs a host until the test or stop ends it.
+func startProcess(t *testing.T, store swobject.Store, self Member) *process {
+	t.Helper()
+	p := &process{}
+	clock := swclock.NewSystem()
+	p.network = swlink.New(swlink.Config{Self: swlink.Peer{Host: self.Host, Incarnation: self.Incarnation}, Address: self.Address},
+		clock, func(h swid.HostID) (string, bool) { return p.Resolve(h) }, handler{p}, swlink.WithoutTLS())
+	if err := p.network.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	self.Address = p.network.Address()
+	p.Members = New(Config{Self: self, PollInterval: 200}, store, p.network, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- p.network.Run(ctx) }()
+	go func() { done <- p.Run(ctx) }()
+	p.stop = cancel
+	t.Cleanup(func() {
+		cancel()
+		for range 2 {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return p
+}
+
+type handler struct{ p *process }
+
+func (h handler) Receive(from swlink.Peer, m swmsg.Message) { h.p.Members.Receive(from, m) }
+func (h handler) LinkDown(peer swlink.Peer)                 { h.p.Members.LinkDown(peer) }
+
+// holds reports whether a process holds a host in a state and incarnation.
+func (p *process) holds(h swid.HostID, s swmsg.MemberState, incarnation swid.Incarnation) bool {
+	for _, m := range p.Members.Members() {
+		if m.Host == h {
+			return m.State == s && m.Incarnation == incarnation
+		}
+	}
+	return false
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func TestMembersOverLinks(t *testing.T) {
+	store := swmemstore.New(1)
+	a := startProcess(t, store, Member{Host: "a", Incarnation: 1, Region: "lis", Address: "127.0.0.1:0"})
+	b := startProcess(t, store, Member{Host: "b", Incarnation: 1, Region: "lis", Address: "127.0.0.1:0"})
+	store.SetHosts([]swobject.Host{
+		{ID: "a", Region: "lis", Address: a.network.Address(), State: swobject.HostLive},
+		{ID: "b", Region: "lis", Address: b.network.Address(), State: swobject.HostLive},
+	})
+	updates := make(chan []Member, 1024)
+	a.Subscribe(func(m []Member) { updates <- m })
+	eventually(t, "a and b know each other", func() bool {
+		return a.holds("b", swmsg.MemberAlive, 1) && b.holds("a", swmsg.MemberAlive, 1)
+	})
+	// The list does not have c; it finds the others, and they find it.
+	c := startProcess(t, store, Member{Host: "c", Incarnation: 1, Region: "lis", Address: "127.0.0.1:0"})
+	eventually(t, "c is known", func() bool {
+		return a.holds("c", swmsg.MemberAlive, 1) && b.holds("c", swmsg.MemberAlive, 1) && c.holds("a", swmsg.MemberAlive, 1)
+	})
+	address := b.network.Address()
+	b.stop()
+	eventually(t, "b is dead", func() bool {
+		return a.holds("b", swmsg.MemberDead, 1) && c.holds("b", swmsg.MemberDead, 1)
+	})
+	startProcess(t, store, Member{Host: "b", Incarnation: 2, Region: "lis", Address: address})
+	eventually(t, "b is back", func() bool {
+		return a.holds("b", swmsg.MemberAlive, 2) && c.holds("b", swmsg.MemberAlive, 2)
+	})
+	c.Leave()
+	eventually(t, "c leaves", func() bool { return a.holds("c", swmsg.MemberLeaving, 1) })
+	if len(updates) == 0 {
+		t.Error("the subscriber was not called")
+	}
+}
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -51,6 +51,8 @@
 	Rumors        []Rumor
 	// Reply marks the answer to a heartbeat of the same number.
 	Reply bool
+	// View is a hash of the members that the sender holds, so that two hosts notice when they differ.
+	View uint64
 }
 
 // Ask is a holder's request for a grant.
