--- a/internal/core/swcell/config.go
+++ b/internal/core/swcell/config.go
@@ -13,12 +13,15 @@
 	OutputTokenCost float64
 	// ScanLimit bounds the requests that one pass looks at without placing any. Default 16.
 	ScanLimit int
-	// UrgentLimit bounds the requests of a tier that one tick considers preemption for. Default 256.
+	// UrgentLimit bounds the requests of a tier that one tick considers preemption for. Default 128.
 	UrgentLimit int
-	// ReviewLimit bounds the requests of a tier whose prospects one tick reviews. Default 64.
+	// ReviewLimit bounds the requests of a tier whose prospects one tick reviews. Default 24.
 	ReviewLimit int
-	// ShedConfidence scales the estimated wait before it is held against a deadline. Default 0.9.
+	// ShedConfidence scales the estimated wait before it is held against a deadline. Default 0.75.
 	ShedConfidence float64
+	// BorrowSpan bounds how far an organisation may run ahead of its share with
+	// small requests that cannot wait for its turn, as time of the whole cell. Default 2 s.
+	BorrowSpan swclock.Millis
 	// PrefillBacklog is the time of other prompts on a target from which it is
 	// granted no further prompt that takes as long, so that the long prompts of
 	// lower tiers do not queue up ahead of higher ones. Default 200 ms.
@@ -45,9 +48,10 @@
 	setDefault(&c.Tiers, swid.MaxTiers)
 	setDefault(&c.OutputTokenCost, 4)
 	setDefault(&c.ScanLimit, 16)
-	setDefault(&c.UrgentLimit, 256)
-	setDefault(&c.ReviewLimit, 64)
-	setDefault(&c.ShedConfidence, 0.9)
+	setDefault(&c.UrgentLimit, 128)
+	setDefault(&c.ReviewLimit, 24)
+	setDefault(&c.ShedConfidence, 0.75)
+	setDefault(&c.BorrowSpan, 2*swclock.Second)
 	setDefault(&c.PrefillBacklog, 200)
 	setDefault(&c.OrphanBound, swclock.Minute)
 	setDefault(&c.HistorySize, 1<<14)
--- a/internal/core/swcell/overload.go
+++ b/internal/core/swcell/overload.go
@@ -120,7 +120,11 @@
 // hopeless reports whether the work ahead of a request in its order shows that
 // it cannot start in time.
 func (c *Cell) hopeless(t *tier, i *item) bool {
-	start := c.supplyOf(t).startAfter(c.workAbove(t) + t.queue.Ahead(i))
+	ahead := c.workAbove(t)
+	if !c.mayBorrow(t, i) {
+		ahead += t.queue.Ahead(i)
+	}
+	start := c.supplyOf(t).startAfter(ahead)
 	start = max(start*c.cfg.ShedConfidence, float64(t.closedUntil-c.now))
 	return start > float64(i.LatestStart-c.now)
 }
@@ -182,24 +186,31 @@
 	if c.victim(t, nil) == nil {
 		return
 	}
-	var natural supply
-	c.forecast(&natural, len(c.tiers))
+	natural := c.naturalSupply()
 	visited := 0
 	t.queue.Urgent(func(i *item) bool {
 		visited++
 		start := natural.startAfter(ahead)
 		ahead += i.Work
 		if start+preemptMargin > float64(i.Value.safeStart-c.now) {
-			v := c.victim(t, i.Value)
-			if v != nil {
+			if v := c.victim(t, i.Value); v != nil {
 				c.preempt(v)
-				c.forecast(&natural, len(c.tiers))
+				c.natural.stale = true
+				natural = c.naturalSupply()
 			}
 		}
 		return visited < c.cfg.UrgentLimit
 	})
 }
 
+// naturalSupply forecasts the ends without any further cancellation.
+func (c *Cell) naturalSupply() *supply {
+	if c.outdated(&c.natural) {
+		c.forecast(&c.natural, len(c.tiers))
+	}
+	return &c.natural
+}
+
 // preemptMargin is the time that a cancellation takes to free its slot, in milliseconds.
 const preemptMargin = 50.0
 
--- /dev/null
+++ b/internal/node/swcommand/swcommand.go
@@ -0,0 +1,120 @@
+// Package swcommand is the daemon's command line.
+package swcommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/node/swdaemon"
+	"github.com/sassafraswing/sassafraswing/internal/node/swdev"
+)
+
+// Exit codes.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage is for a wrong command line and for invalid settings; nothing was started.
+	ExitUsage = 2
+)
+
+const usage = `Usage:
+  sassafraswing -settings FILE [-check]   run the daemon, or only check its settings
+  sassafraswing dev                       run one host with stand-ins for all else
+  sassafraswing -version                  print the version
+`
+
+// Main runs the command and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Run(ctx, args, stdout, stderr)
+}
+
+// Run is Main with a context whose end shuts the daemon down.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "dev" {
+		return runDev(ctx, args[1:], stdout, stderr)
+	}
+	flags := newFlags(stderr)
+	settingsFile := flags.String("settings", "", "the daemon's settings `FILE`")
+	check := flags.Bool("check", false, "check the settings and exit")
+	version := flags.Bool("version", false, "print the version and exit")
+	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
+		fmt.Fprint(stderr, usage)
+		return ExitUsage
+	}
+	if *version {
+		fmt.Fprintln(stdout, "sassafraswing", versionOf())
+		return ExitOK
+	}
+	if *settingsFile == "" {
+		fmt.Fprint(stderr, usage)
+		return ExitUsage
+	}
+	settings, err := swsettings.Load(*settingsFile)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	if *check {
+		fmt.Fprintln(stdout, *settingsFile+": valid")
+		return ExitOK
+	}
+	return report(stderr, swdaemon.Run(ctx, settings, newLog(stderr, settings)))
+}
+
+func runDev(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := newFlags(stderr)
+	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
+		fmt.Fprint(stderr, usage)
+		return ExitUsage
+	}
+	return report(stderr, swdev.Run(ctx, stdout, zerolog.New(stderr).With().Timestamp().Logger()))
+}
+
+func newFlags(stderr io.Writer) *flag.FlagSet {
+	flags := flag.NewFlagSet("sassafraswing", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() {}
+	return flags
+}
+
+// newLog returns the JSON-line log of a daemon. The settings were checked, so that the level is known.
+func newLog(w io.Writer, s *swsettings.Settings) zerolog.Logger {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Str("host", string(s.Host)).Logger()
+}
+
+func report(stderr io.Writer, err error) int {
+	if err != nil {
+		fmt.Fprintln(stderr, "sassafraswing:", err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+// versionOf returns the module's version, or the revision that it was built from.
+func versionOf() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return info.Main.Version + " " + s.Value
+		}
+	}
+	return info.Main.Version
+}
