Read plain stream events without decoding, and open the circuit later

TestClaimsOverHTTP failed with the circuit opening at the first lost answer: the read that settles the write was refused, and all claims failed while the platform was up.

--- a/internal/platform/swhttpstore/circuit.go
+++ b/internal/platform/swhttpstore/circuit.go
@@ -6,19 +6,24 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 )
 
-// circuit refuses calls for a while after a failure, so that an outage of the
-// platform costs its callers no time. After the pause one call at a time is
+// circuit refuses calls for a while after a few failures in a row, so that an
+// outage of the platform costs its callers no time. One lost answer does not
+// open it, as the caller settles that by reading at once. After the pause one call at a time is
 // let through, until one succeeds.
 type circuit struct {
 	clock swclock.Clock
 
 	mu       sync.Mutex
-	pause    swclock.Millis // 0 while the last call succeeded
+	failures int            // in a row
+	pause    swclock.Millis // 0 while the circuit is closed
 	until    swclock.Millis
 	trialing bool // a trial call is under way
 }
 
 const (
+	// failuresUntilOpen is how many calls in a row fail before the circuit opens.
+	failuresUntilOpen = 3
+
 	firstPause swclock.Millis = 100
 	maxPause                  = 2 * swclock.Second
 )
@@ -43,7 +48,11 @@
 	defer c.mu.Unlock()
 	c.trialing = false
 	if answered {
-		c.pause = 0
+		c.failures, c.pause = 0, 0
+		return
+	}
+	c.failures++
+	if c.failures < failuresUntilOpen {
 		return
 	}
 	c.pause = min(max(firstPause, 2*c.pause), maxPause)
@@ -57,7 +66,7 @@
 	c.trialing = false
 }
 
-// open reports whether the last call that told something failed.
+// open reports whether calls are refused, but for trials.
 func (c *circuit) open() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/target/swopenai/stream.go
+++ b/internal/target/swopenai/stream.go
@@ -3,12 +3,10 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"io"
 
 	"github.com/pkg/errors"
 
-	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/target/swhttp"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -63,8 +61,8 @@
 		s.err = io.EOF
 		return swtarget.Chunk{Data: s.buffer}, nil
 	}
-	var e event
-	if err := json.Unmarshal(data, &e); err != nil {
+	e, tokens, err := parseEvent(data)
+	if err != nil {
 		s.err = s.response.Fail(errors.Wrap(err, "event is not JSON"))
 		return swtarget.Chunk{}, s.err
 	}
@@ -76,7 +74,7 @@
 		s.usage = e.Usage.usage()
 	}
 	s.response.Progressed(s.limits.Event)
-	return swtarget.Chunk{Data: s.buffer, Tokens: e.tokens(), Events: 1}, nil
+	return swtarget.Chunk{Data: s.buffer, Tokens: tokens, Events: 1}, nil
 }
 
 // readEvent reads up to the empty line that ends an event, into s.buffer, and
@@ -123,48 +121,3 @@
 		}
 	}
 }
-
-// event is the part of an engine's JSON that the adapter reads.
-type event struct {
-	Choices []choice   `json:"choices"`
-	Usage   *wireUsage `json:"usage"`
-	Error   *struct {
-		Message string `json:"message"`
-	} `json:"error"`
-}
-
-// choice is one of the continuations of an event.
-type choice struct {
-	Text  string `json:"text"`
-	Delta struct {
-		Content string `json:"content"`
-	} `json:"delta"`
-}
-
-// tokens counts one token for each continuation that has text.
-func (e *event) tokens() swid.Tokens {
-	var n swid.Tokens
-	for _, c := range e.Choices {
-		if c.Text != "" || c.Delta.Content != "" {
-			n++
-		}
-	}
-	return n
-}
-
-// wireUsage is the engine's own account of a request.
-type wireUsage struct {
-	PromptTokens     int64 `json:"prompt_tokens"`
-	CompletionTokens int64 `json:"completion_tokens"`
-	Details          struct {
-		CachedTokens int64 `json:"cached_tokens"`
-	} `json:"prompt_tokens_details"`
-}
-
-func (u *wireUsage) usage() swtarget.Usage {
-	return swtarget.Usage{
-		PromptTokens: swid.Tokens(u.PromptTokens),
-		OutputTokens: swid.Tokens(u.CompletionTokens),
-		CachedTokens: swid.Tokens(u.Details.CachedTokens),
-	}
-}
--- a/internal/target/swopenai/swopenai_test.go
+++ b/internal/target/swopenai/swopenai_test.go
@@ -59,6 +59,8 @@
 		failure swtarget.Failure // 0: whole
 	}{
 		{"stream", 200, true, 0, event1 + comment + event2 + usage + done, event1 + event2 + usage + done, 2, 3, 0},
+		{"event with spaces", 200, true, 0, `data: {"choices": [{"text": "b"}]}` + "\n\n" + done, `data: {"choices": [{"text": "b"}]}` + "\n\n" + done, 1, 1, 0},
+		{"event that is not JSON", 200, true, 0, `data: {"text":"b"` + "\n\n" + done, "", 0, 0, swtarget.FailureBroken},
 		{"resumed stream", 200, true, 1, event2 + done, event2 + done, 1, 1, 0},
 		{"stream without marker", 200, true, 0, event1 + event2, event1 + event2, 2, 2, swtarget.FailureBroken},
 		{"stream cut within the marker", 200, true, 0, event1 + "data: [DONE]", event1, 1, 1, swtarget.FailureBroken},
