--- a/internal/platform/swclaim/queue.go
+++ b/internal/platform/swclaim/queue.go
@@ -51,7 +51,8 @@
 
 	// The fields below belong to the worker that has the queue.
 
-	// cached is the shard as last read or written; nil if it must be read.
+	// cached is the shard as last read or written; nil if it must be read. Only
+	// a queue with a worker has one.
 	cached   *shard
 	version  swobject.Version
 	cachedAt swclock.Millis
@@ -187,11 +188,15 @@
 	return true
 }
 
-// release gives the queue back; claims that came meanwhile queue it again.
+// release gives the queue back; claims that came meanwhile queue it again. An
+// idle queue keeps no shard, so that memory does not grow with the shards.
 func (q *queue) release() (again bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.queued = len(q.waiters) > 0
+	if !q.queued {
+		q.cached = nil
+	}
 	return q.queued
 }
 
