Replace a watch whose connection went silent

A watch could wait 30 s on a connection that had gone silent; where all relays of a zone were hit, a change came too late for the 5 s promised. A watch now ends after 3 s and starts anew, on another connection. TCP keep-alives were ruled out: their time-outs are longer. With 66 relays (3 for each of 22 availability zones) this makes 22 calls a second at most, computed.

With the limit at an hour, TestSilentWatch fails.

--- a/internal/config/swrelay/relay_test.go
+++ b/internal/config/swrelay/relay_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,13 +19,16 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
 )
 
 // fleet is some hosts in one process, joined by a fake network.
 type fleet struct {
-	t       testing.TB
-	store   *swmemstore.Store
+	t     testing.TB
+	store *swmemstore.Store
+	// objects is what the hosts use of store.
+	objects swobject.Store
 	members members
 	mutex   sync.RWMutex
 	relays  map[swid.HostID]*Relay
@@ -65,6 +69,7 @@
 		stops:  make(map[swid.HostID]func()),
 		cut:    make(map[swid.HostID]bool),
 	}
+	f.objects = f.store
 	for z := range zones {
 		for h := range perZone {
 			f.members = append(f.members, swmember.Member{
@@ -80,7 +85,7 @@
 // start starts a host; it stops with the test or by stop.
 func (f *fleet) start(m swmember.Member) *Relay {
 	config := Config{Host: m.Host, Zone: m.Zone, Environment: "trial", Timeout: swclock.Second, Log: zerolog.Nop()}
-	r := New(config, f.store, f.members, f.sender(m.Host), swclock.NewSystem())
+	r := New(config, f.objects, f.members, f.sender(m.Host), swclock.NewSystem())
 	last := swid.ConfigVersion(0)
 	r.Subscribe(func(c InForce) {
 		if c.Version <= last || c.Document == nil {
@@ -192,6 +197,37 @@
 	f.waitVersion(second)
 }
 
+// silentStore is a store whose first watches never answer.
+type silentStore struct {
+	*swmemstore.Store
+	silent atomic.Int64
+}
+
+// Watch implements swobject.Store.
+func (s *silentStore) Watch(ctx context.Context, key string, after swobject.Version) (swobject.Object, error) {
+	if s.silent.Add(-1) < 0 {
+		return s.Store.Watch(ctx, key, after)
+	}
+	<-ctx.Done()
+	return swobject.Object{}, swobject.ErrNotFound
+}
+
+// TestSilentWatch lets the connections of all relays' watches go silent.
+func TestSilentWatch(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	objects := &silentStore{Store: f.store}
+	objects.silent.Store(3)
+	f.objects = objects
+	f.startAll()
+	v := apply(t, f.relay(0), "one", 0)
+	f.waitVersion(v)
+	head, err := swstore.New(f.store, "trial").Apply(t.Context(), change("two", v))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.waitVersion(head.Version)
+}
+
 // TestStartInOutage starts a host while the platform is away.
 func TestStartInOutage(t *testing.T) {
 	f := newFleet(t, 2, 4)
--- a/internal/config/swrelay/watch.go
+++ b/internal/config/swrelay/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/sassafraswing/sassafraswing/internal/config/swstore"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
@@ -17,6 +18,8 @@
 const (
 	firstPause   swclock.Millis = 100
 	longestPause                = swclock.Second
+	// watchLimit bounds one watch, so that one whose connection went silent is replaced.
+	watchLimit = 3 * swclock.Second
 )
 
 // watch runs the goroutine that watches the platform while the host is a relay.
@@ -50,7 +53,7 @@
 	pause := firstPause
 	for ctx.Err() == nil {
 		seen = max(seen, r.Current().Version)
-		head, err := r.store.Watch(ctx, seen)
+		head, err := r.watchOnce(ctx, seen)
 		if err == nil {
 			seen = head.Version
 			pause = firstPause
@@ -67,6 +70,13 @@
 	}
 }
 
+// watchOnce waits for a head above a version, for a limited time.
+func (r *Relay) watchOnce(ctx context.Context, after swid.ConfigVersion) (swstore.Head, error) {
+	limited, cancel := context.WithTimeout(ctx, watchLimit.Duration())
+	defer cancel()
+	return r.store.Watch(limited, after)
+}
+
 // sleep pauses for between half of a span and the whole of it.
 func sleep(ctx context.Context, span swclock.Millis) {
 	half := span.Duration() / 2
