Remember changes beyond the head, in pages

TestRacingApplies failed once in a run of all packages: an operator whose writes lost their answers paused while 136 others' changes took effect. The head remembered 128, so that the outcome stayed unknown, for good. Changes now move to immutable pages that name one another, and are read when a base is older.

A longer list in the head was ruled out, since each host fetches the head with each change; shorter pauses only make the fault rarer. TestLongAgo now asks for the exact outcome of old changes, and for unknown only beyond the pages read; with the reading of pages off it fails.

--- a/internal/config/swstore/apply.go
+++ b/internal/config/swstore/apply.go
@@ -64,7 +64,7 @@
 	if len(c.Document) > MaxDocumentBytes {
 		return Head{}, errors.Wrapf(ErrTooLarge, "%d bytes, at most %d", len(c.Document), MaxDocumentBytes)
 	}
-	head, err := s.Head(ctx)
+	head, err := s.headSince(ctx, c.Base)
 	if err != nil {
 		return Head{}, s.beforeWrite(err)
 	}
@@ -74,7 +74,26 @@
 	if err := s.writeParts(ctx, head, c.Document); err != nil {
 		return Head{}, s.beforeWrite(err)
 	}
-	return s.writeHead(ctx, head.next(c.ID, c.Document), c)
+	next := head.next(c.ID, c.Document)
+	page, err := next.spill()
+	if err != nil {
+		return Head{}, s.beforeWrite(err)
+	}
+	if page != nil {
+		if err := s.writePart(ctx, next.Earlier, page); err != nil {
+			return Head{}, s.beforeWrite(err)
+		}
+	}
+	return s.writeHead(ctx, next, c)
+}
+
+// headSince returns the newest head with the changes since a base, as far as they are kept.
+func (s *Store) headSince(ctx context.Context, base swid.ConfigVersion) (Head, error) {
+	head, err := s.Head(ctx)
+	if err != nil {
+		return Head{}, err
+	}
+	return s.remember(ctx, head, base)
 }
 
 // beforeWrite marks an error that occurred before this call first wrote the head.
@@ -99,7 +118,7 @@
 		return Head{}, conflict, true
 	}
 	if _, ok := head.find(func(a AppliedChange) bool { return a.Base == c.Base }); !ok {
-		// The head no longer remembers who changed the base: it may have been this change.
+		// The pages read do not reach back to who changed the base: it may have been this change.
 		return Head{}, errors.Wrapf(ErrOutcomeUnknown, "version %d is too long ago: %v", c.Base, conflict), true
 	}
 	return Head{}, conflict, true
@@ -177,7 +196,7 @@
 // readOutcome reads the head after a conflict, to learn whether an earlier try of the same change won.
 func (s *Store) readOutcome(ctx context.Context, c Change, ambiguous bool) (Head, error) {
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
-		head, err := s.Head(ctx)
+		head, err := s.headSince(ctx, c.Base)
 		if err == nil {
 			if done, err, ok := settle(head, c); ok {
 				return done, err
--- a/internal/config/swstore/head.go
+++ b/internal/config/swstore/head.go
@@ -13,8 +13,6 @@
 const (
 	// headFormat is the version of the head's encoding.
 	headFormat = 1
-	// maxRecent bounds the changes that a head remembers.
-	maxRecent = 128
 	// MaxDocumentBytes bounds a document, so that its head stays far below
 	// swobject.MaxValueBytes.
 	MaxDocumentBytes = 16 << 20
@@ -32,6 +30,8 @@
 	Last AppliedChange
 	// Recent holds the changes before Last, oldest first. Each one's Base is the Version of the one before.
 	Recent []AppliedChange
+	// Earlier names the page of the changes before Recent; zero if there is none.
+	Earlier PartHash
 	// Parts are in the document's order.
 	Parts []Part
 	// Size is the sum of the parts' sizes.
@@ -67,17 +67,18 @@
 	return AppliedChange{}, false
 }
 
-// next returns the head that a change of this head writes.
+// next returns the head that a change of this head writes. Its Recent may be
+// one longer than maxRecent, until spill.
 func (h Head) next(id ChangeID, document []byte) Head {
 	n := Head{
-		Last: AppliedChange{ID: id, Base: h.Version, Document: HashPart(document)},
-		Size: len(document),
+		Last:    AppliedChange{ID: id, Base: h.Version, Document: HashPart(document)},
+		Earlier: h.Earlier,
+		Size:    len(document),
 	}
 	if h.Version != 0 {
 		last := h.Last
 		last.Version = h.Version
 		n.Recent = append(append(n.Recent, h.Recent...), last)
-		n.Recent = n.Recent[max(0, len(n.Recent)-maxRecent):]
 	}
 	for _, p := range Cut(document) {
 		n.Parts = append(n.Parts, Part{Hash: HashPart(p), Size: len(p)})
@@ -87,10 +88,11 @@
 
 // wireHead is the head's encoding.
 type wireHead struct {
-	Format int          `json:"format"`
-	Last   wireChange   `json:"last"`
-	Recent []wireChange `json:"recent,omitempty"`
-	Parts  []wirePart   `json:"parts"`
+	Format  int          `json:"format"`
+	Last    wireChange   `json:"last"`
+	Recent  []wireChange `json:"recent,omitempty"`
+	Earlier string       `json:"earlier,omitempty"`
+	Parts   []wirePart   `json:"parts"`
 }
 
 type wireChange struct {
@@ -107,7 +109,7 @@
 
 // EncodeHead returns a head's value.
 func EncodeHead(h Head) ([]byte, error) {
-	w := wireHead{Format: headFormat, Last: toWire(h.Last)}
+	w := wireHead{Format: headFormat, Last: toWire(h.Last), Earlier: optionalHash(h.Earlier)}
 	for _, c := range h.Recent {
 		w.Recent = append(w.Recent, toWire(c))
 	}
@@ -143,6 +145,9 @@
 	if h.Last, err = fromWire(w.Last); err != nil {
 		return err
 	}
+	if h.Earlier, err = parseOptionalHash(w.Earlier); err != nil {
+		return err
+	}
 	for _, c := range w.Recent {
 		change, err := fromWire(c)
 		if err != nil {
--- a/internal/config/swstore/swstore.go
+++ b/internal/config/swstore/swstore.go
@@ -22,11 +22,13 @@
 	environment string
 	// wait pauses before a retry; tests replace it.
 	wait waitFunc
+	// maxPages is maxPages but in tests.
+	maxPages int
 }
 
 // New returns the store of an environment.
 func New(objects swobject.Store, environment string) *Store {
-	return &Store{objects: objects, environment: environment, wait: wait}
+	return &Store{objects: objects, environment: environment, wait: wait, maxPages: maxPages}
 }
 
 // headKey is the key of the head's object.
--- a/internal/config/swstore/swstore_test.go
+++ b/internal/config/swstore/swstore_test.go
@@ -116,17 +116,30 @@
 	}
 }
 
-// TestLongAgo checks that a change whose base the head forgot is not called lost.
+// TestLongAgo checks that the outcome of a change is known after many others,
+// and that one whose base is beyond all pages read is not called lost.
 func TestLongAgo(t *testing.T) {
 	s := New(swmemstore.New(1), "trial")
-	for i := range maxRecent + 2 {
+	for i := range 3*maxRecent + 5 {
 		c := Change{ID: ChangeID(fmt.Sprint(i)), Base: swid.ConfigVersion(i), Document: fmt.Append(nil, i)}
 		if _, err := s.Apply(t.Context(), c); err != nil {
 			t.Fatal(err)
 		}
 	}
+	for _, i := range []int{0, 1, pageChanges, maxRecent, 2*maxRecent - 1} {
+		base := swid.ConfigVersion(i)
+		head, err := s.Apply(t.Context(), Change{ID: ChangeID(fmt.Sprint(i)), Base: base, Document: fmt.Append(nil, i)})
+		if err != nil || head.Version != base+1 {
+			t.Errorf("change %d: version %d, %v", i, head.Version, err)
+		}
+		var conflict *ConflictError
+		if _, err := s.Apply(t.Context(), Change{ID: "late", Base: base}); !errors.As(err, &conflict) {
+			t.Errorf("a late change of base %d: %v", i, err)
+		}
+	}
+	s.maxPages = 1
 	if _, err := s.Apply(t.Context(), Change{ID: "0", Document: []byte("0")}); !errors.Is(err, ErrOutcomeUnknown) {
-		t.Errorf("got %v", err)
+		t.Errorf("beyond the pages read: %v", err)
 	}
 }
 
