--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -18,7 +18,7 @@
 )
 
 // joinPeers builds what reaches and knows other hosts.
-func (d *Daemon) joinPeers() {
+func (d *Daemon) joinPeers() error {
 	d.exchange = swexchange.New(d.self)
 	security := swlink.WithoutTLS()
 	if !d.keys.peer.Off() {
@@ -28,8 +28,23 @@
 		Self:      d.self,
 		Address:   d.settings.Peer.Address,
 		Heartbeat: d.settings.Peer.Heartbeat,
-	}, d.clock, d.addressOf, d.exchange, security, swlink.WithLogger(d.log))
-	d.members = &polledMembers{store: d.store}
+	}, d.clock, d.resolve, d.exchange, security, swlink.WithLogger(d.log))
+	if err := d.network.Listen(); err != nil {
+		return err
+	}
+	d.members = swmember.New(swmember.Config{
+		Self: swmember.Member{
+			Host:        d.settings.Host,
+			Incarnation: d.self.Incarnation,
+			Zone:        d.settings.Zone,
+			Region:      d.settings.Region,
+			Address:     d.network.Address(),
+			State:       swmsg.MemberAlive,
+		},
+		ConfigVersion: func() swid.ConfigVersion { return d.relay.Current().Version },
+		HeardVersion:  func(from swid.HostID, v swid.ConfigVersion) { d.relay.HeardVersion(from, v) },
+		Log:           d.log,
+	}, d.store, d.exchange, d.clock)
 	d.relay = swrelay.New(swrelay.Config{
 		Host:        d.settings.Host,
 		Zone:        d.settings.Zone,
@@ -37,17 +52,11 @@
 		Timeout:     d.settings.Platform.Timeout,
 		Log:         d.log,
 	}, d.store, d.members, d.exchange, d.clock)
+	return nil
 }
 
-// addressOf resolves a host's peer address.
-func (d *Daemon) addressOf(host swid.HostID) (string, bool) {
-	for _, m := range d.members.Members() {
-		if m.Host == host {
-			return m.Address, m.Address != ""
-		}
-	}
-	return "", false
-}
+// resolve returns a host's peer address.
+func (d *Daemon) resolve(host swid.HostID) (string, bool) { return d.members.Resolve(host) }
 
 // buildNode builds what serves requests, and connects all parts.
 func (d *Daemon) buildNode() {
@@ -66,7 +75,7 @@
 		Registry:  d.registry,
 		CallerTLS: d.keys.caller.Server(),
 	})
-	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay, heard{d.relay})
+	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay)
 	d.registry.MustRegister(d.network)
 	d.members.Subscribe(d.membersChanged)
 	d.relay.Subscribe(d.versionInForce)
@@ -84,6 +93,7 @@
 // linkDown has the parts repeat what may have been lost with a link.
 func (d *Daemon) linkDown(peer swlink.Peer) {
 	d.router.LinkDown(peer.Host)
+	d.members.LinkDown(peer)
 	d.node.Owner().LinkDown(peer)
 	d.node.Holder().LinkDown(peer.Host)
 }
--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -24,7 +24,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
-	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swhttpstore"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
@@ -42,7 +42,7 @@
 	store    swobject.Store
 	exchange *swexchange.Exchange
 	network  *swlink.Network
-	members  *polledMembers
+	members  *swmember.Members
 	relay    *swrelay.Relay
 	router   *swnode.HostRouter
 	claims   *swclaim.ObjectRegistry
@@ -116,7 +116,7 @@
 	return d.Run(ctx)
 }
 
-// New assembles a daemon.
+// New assembles a daemon. It binds the peers' address, which the daemon tells other hosts.
 func New(settings *swsettings.Settings, log zerolog.Logger, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		settings: settings,
@@ -136,7 +136,9 @@
 		return nil, err
 	}
 	d.openPlatform()
-	d.joinPeers()
+	if err := d.joinPeers(); err != nil {
+		return nil, err
+	}
 	d.buildNode()
 	return d, nil
 }
@@ -162,11 +164,8 @@
 	return nil
 }
 
-// Listen binds the addresses of the settings.
+// Listen binds the callers' and the operators' addresses.
 func (d *Daemon) Listen() error {
-	if err := d.network.Listen(); err != nil {
-		return err
-	}
 	listener, err := net.Listen("tcp", d.settings.Operator.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
@@ -183,10 +182,7 @@
 	defer d.watcher.pollers.Wait()
 	tasks := pool.New().WithErrors().WithContext(running).WithCancelOnError()
 	tasks.Go(d.network.Run)
-	tasks.Go(func(ctx context.Context) error {
-		d.members.Run(ctx)
-		return nil
-	})
+	tasks.Go(d.members.Run)
 	tasks.Go(func(ctx context.Context) error {
 		d.relay.Run(ctx)
 		return nil
@@ -202,7 +198,7 @@
 		serving, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(failed, cancel)()
-		defer context.AfterFunc(serving, func() { d.SetDraining(true) })()
+		defer context.AfterFunc(serving, d.leave)()
 		return d.node.Run(serving, failed)
 	})
 	return tasks.Wait()
@@ -221,14 +217,10 @@
 	return nil
 }
 
-// heard passes on what heartbeats tell beside life.
-type heard struct{ relay *swrelay.Relay }
-
-// Receive implements swexchange.Receiver.
-func (h heard) Receive(from swlink.Peer, m swmsg.Message) {
-	if b, ok := m.(swmsg.Heartbeat); ok {
-		h.relay.HeardVersion(from.Host, b.ConfigVersion)
-	}
+// leave starts a graceful shutdown: callers are refused and other hosts take the owned cells.
+func (d *Daemon) leave() {
+	d.SetDraining(true)
+	d.members.Leave()
 }
 
 // CallerAddress returns the callers' address that Listen bound.
