--- a/internal/peer/swmember/members_test.go
+++ b/internal/peer/swmember/members_test.go
@@ -21,7 +21,7 @@
 }
 
 // startProcess runs a host until the test or stop ends it.
-func startProcess(t *testing.T, store swobject.Store, self Member) *process {
+func startProcess(t testing.TB, store swobject.Store, self Member) *process {
 	t.Helper()
 	p := &process{}
 	clock := swclock.NewSystem()
