--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -192,12 +192,48 @@
 	}
 }
 
-func BenchmarkAppendAsk(b *testing.B) {
+// BenchmarkAppend gives the size of each message of a request, with names and
+// with ids of two bytes as a dictionary per link would give.
+func BenchmarkAppend(b *testing.B) {
+	tests := []struct {
+		name    string
+		message swmsg.Message
+	}{
+		{"ask", typicalAsk(1000)},
+		{"grant", swmsg.Grant{Cell: "letters-large@eu-lisbon", Seq: 1000, Attempt: 1, Target: "engine-0123", Epoch: 7}},
+		{"done", swmsg.Done{
+			Cell: "letters-large@eu-lisbon", Seq: 1000, Attempt: 1, Target: "engine-0123", Result: swcell.ResultAnswered,
+			PromptTokens: 2400, OutputTokens: 480, CachedTokens: 1024, FirstToken: 310, Total: 19000,
+		}},
+	}
+	for _, tt := range tests {
+		b.Run(tt.name+",names", func(b *testing.B) { benchmarkAppend(b, tt.message) })
+		b.Run(tt.name+",ids", func(b *testing.B) { benchmarkAppend(b, withIDs(tt.message)) })
+	}
+}
+
+// withIDs shortens the names of a message to two bytes.
+func withIDs(m swmsg.Message) swmsg.Message {
+	switch m := m.(type) {
+	case swmsg.Ask:
+		m.Cell, m.Org = "c1", "o1"
+		return m
+	case swmsg.Grant:
+		m.Cell, m.Target = "c1", "t1"
+		return m
+	case swmsg.Done:
+		m.Cell, m.Target = "c1", "t1"
+		return m
+	}
+	return m
+}
+
+func benchmarkAppend(b *testing.B, m swmsg.Message) {
 	b.ReportAllocs()
 	var buffer []byte
-	for i := range b.N {
+	for range b.N {
 		var err error
-		if buffer, err = Append(buffer[:0], Batch{Messages: []swmsg.Message{typicalAsk(swid.Seq(i + 1000))}}); err != nil {
+		if buffer, err = Append(buffer[:0], Batch{Messages: []swmsg.Message{m}}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/peer/swlink/bench_test.go
+++ b/internal/peer/swlink/bench_test.go
@@ -21,7 +21,6 @@
 // party plays a holder or an owner; the owner grants each ask at once.
 type party struct {
 	*Network
-	owner   bool
 	granted func(swmsg.Grant)
 	mu      sync.Mutex
 	conns   []*net.TCPConn
