Record the outcomes that are left when a host stops

Purpose: a graceful shutdown left the last outcomes unrecorded, so that their keys read as unknown until they expired. Run tries once more after its context ended. TestOutcomeIsRecordedAtTheEnd fails without that step. An outcome that is unknown is no longer written, as the claim says so already.

--- a/internal/platform/swclaim/registry.go
+++ b/internal/platform/swclaim/registry.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swring"
@@ -26,6 +26,8 @@
 	workers = 32
 	// retryInterval is the time between two tries to record outcomes.
 	retryInterval = 200 * time.Millisecond
+	// drainTimeout bounds the time for outcomes that are left at the end.
+	drainTimeout = 2 * time.Second
 )
 
 // Config configures an ObjectRegistry.
@@ -74,7 +76,8 @@
 	return r
 }
 
-// Run records claims and outcomes until ctx ends.
+// Run records claims and outcomes until ctx ends, and then, for a short while,
+// the outcomes that are left.
 func (r *ObjectRegistry) Run(ctx context.Context) {
 	var wg conc.WaitGroup
 	for range workers {
@@ -82,6 +85,20 @@
 	}
 	wg.Go(func() { r.retry(ctx) })
 	wg.Wait()
+	r.drain()
+}
+
+// drain tries once more to record what waits. No worker runs any more.
+func (r *ObjectRegistry) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	p := pool.New().WithMaxGoroutines(workers)
+	for i := range r.queues {
+		if q := &r.queues[i]; q.pending() > 0 {
+			p.Go(func() { r.commit(ctx, q) })
+		}
+	}
+	p.Wait()
 }
 
 // Pending returns how many claims and outcomes are not yet recorded, so that a
@@ -117,6 +134,9 @@
 
 // Finish implements Registry.
 func (r *ObjectRegistry) Finish(e Entry, d Decision) {
+	if d.Outcome == OutcomeUnknown {
+		return // as recorded by the claim
+	}
 	h := hashKey(e.Key)
 	if len(d.Body)+len(d.ContentType) > maxAnswerBytes {
 		d = Decision{Outcome: d.Outcome}
@@ -136,7 +156,7 @@
 }
 
 func (r *ObjectRegistry) work(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/platform/swclaim/registry_test.go
+++ b/internal/platform/swclaim/registry_test.go
@@ -174,6 +174,23 @@
 	}
 }
 
+func TestOutcomeIsRecordedAtTheEnd(t *testing.T) {
+	store := swmemstore.New(1)
+	r := New(Config{Environment: "e"}, store, swclock.NewSystem())
+	ctx, cancel := context.WithCancel(context.Background())
+	var run conc.WaitGroup
+	run.Go(func() { r.Run(ctx) })
+	claim(t, r, entry("k", "a1"))
+	cancel()
+	run.Wait()
+	r.Finish(entry("k", "a1"), Decision{Outcome: OutcomeAnswered})
+	r.Run(ctx) // has ended already
+	b := startRegistry(t, Config{Environment: "e"}, store, swclock.NewSystem())
+	if d := claim(t, b, entry("k", "b1")); d.Outcome != OutcomeAnswered {
+		t.Errorf("claim after the end: %+v", d)
+	}
+}
+
 func TestOutageAnswersAtOnce(t *testing.T) {
 	store := swmemstore.New(1)
 	store.SetFaults(swmemstore.Faults{Outage: true})
