--- a/internal/platform/swclaim/chaos_test.go
+++ b/internal/platform/swclaim/chaos_test.go
@@ -10,8 +10,12 @@
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
 )
 
-// chaosStore adds to a store what a network does: calls that pause, and writes
-// that take effect after their caller was told that the answer is lost.
+// freeze is longer than callers wait in TestGrantsOnce.
+const freeze = 25 * time.Millisecond
+
+// chaosStore adds to a store what networks and hosts do: calls that pause,
+// hosts that are frozen before or after a call, and writes that take effect
+// after their caller was told that the answer is lost.
 type chaosStore struct {
 	*swmemstore.Store
 	mu     sync.Mutex
@@ -38,6 +42,7 @@
 	late, pause := s.draw()
 	time.Sleep(pause)
 	if !late {
+		defer s.freezeSometimes()
 		return s.Store.Put(ctx, key, value, expected)
 	}
 	s.mu.Lock()
@@ -49,9 +54,20 @@
 func (s *chaosStore) Get(ctx context.Context, key string) (swobject.Object, error) {
 	_, pause := s.draw()
 	time.Sleep(pause)
+	defer s.freezeSometimes() // what was read is then old
 	return s.Store.Get(ctx, key)
 }
 
+// freezeSometimes pauses one call in thirty for as long as a frozen host would.
+func (s *chaosStore) freezeSometimes() {
+	s.mu.Lock()
+	frozen := s.random.IntN(30) == 0
+	s.mu.Unlock()
+	if frozen {
+		time.Sleep(freeze)
+	}
+}
+
 // deliver lets some of the late writes reach the store.
 func (s *chaosStore) deliver() {
 	s.mu.Lock()
