--- a/internal/core/swcell/overload.go
+++ b/internal/core/swcell/overload.go
@@ -224,12 +224,18 @@
 		if !on.active() || (r != nil && !c.helps(on, r)) {
 			continue
 		}
+		// A slot that is held for a shorter time serves more requests.
+		span := 1.0
+		if r != nil {
+			o := c.estimateIdle(r, on)
+			span = o.total
+		}
 		for _, v := range on.runs {
 			rank := c.tierOf(&v.ask).rank
 			if rank <= t.rank || !v.cancellable() {
 				continue
 			}
-			waste := c.waste(v)
+			waste := c.waste(v) * span
 			if best == nil || rank > c.tierOf(&best.ask).rank || (rank == c.tierOf(&best.ask).rank && waste < bestWaste) {
 				best, bestWaste = v, waste
 			}
--- a/internal/core/swcell/target.go
+++ b/internal/core/swcell/target.go
@@ -16,7 +16,7 @@
 	TrustFull Trust = iota
 	// TrustProbing targets are granted one request at a time, to learn from it.
 	TrustProbing
-	// TrustLimited targets use half of their slots, because they stay slow.
+	// TrustLimited targets use three quarters of their slots, because they stay slow.
 	TrustLimited
 )
 
@@ -80,7 +80,7 @@
 func (t *target) slots() int {
 	n := t.conf.Slots
 	if t.trust == TrustLimited {
-		n = max(1, n/2)
+		n = max(1, n*3/4)
 	}
 	return n - t.load.external
 }
--- a/internal/experiment/swtrial/result.go
+++ b/internal/experiment/swtrial/result.go
@@ -45,6 +45,8 @@
 	Prefill swid.Tokens
 	Wasted  swid.Tokens
 	Cached  swid.Tokens
+	// WastedPreempted is the part of Wasted that cancellations for higher tiers make up.
+	WastedPreempted swid.Tokens
 	// Busy is the time that requests held slots while new ones arrived, and Available that of all slots.
 	Busy      swclock.Millis
 	Available swclock.Millis
@@ -110,6 +112,9 @@
 	}
 	if !good {
 		r.Wasted += processed
+		if a.preempted {
+			r.WastedPreempted += processed
+		}
 		return
 	}
 	tier := a.request.class.Tier
--- a/internal/experiment/swtrial/table.go
+++ b/internal/experiment/swtrial/table.go
@@ -32,7 +32,7 @@
 func WriteTable(out io.Writer, s Scenario, results []Named, b Bound) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%s, %.1f times capacity\n", s.Name, s.Load)
-	fmt.Fprintln(w, "scheduler\tgoodput0\tgoodput1\tgoodput2\ttotal/bound\tbusy\twasted\tquiet0\tquiet1\tquiet2\tinversions\tpreempted\trefused\tlate\tfirst0 p50/p95/p99\tfirst1 p95")
+	fmt.Fprintln(w, "scheduler\tgoodput0\tgoodput1\tgoodput2\ttotal/bound\tbusy\twasted\tby preemption\tquiet0\tquiet1\tquiet2\tinversions\tpreempted\trefused\tlate\tfirst0 p50/p95/p99\tfirst1 p95")
 	for i := range results {
 		r := &results[i].Result
 		refused, late := 0, 0
@@ -40,9 +40,9 @@
 			refused += t.Refused
 			late += t.Late
 		}
-		fmt.Fprintf(w, "%s\t%.2f%%\t%.2f%%\t%.2f%%\t%.1f%%\t%.1f%%\t%.2f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%d\t%d\t%d\t%d\t%d/%d/%d ms\t%d ms\n", results[i].Name,
+		fmt.Fprintf(w, "%s\t%.2f%%\t%.2f%%\t%.2f%%\t%.1f%%\t%.1f%%\t%.2f%%\t%.2f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%d\t%d\t%d\t%d\t%d/%d/%d ms\t%d ms\n", results[i].Name,
 			percent(r.Tiers[0].Goodput()), percent(r.Tiers[1].Goodput()), percent(r.Tiers[2].Goodput()),
-			percent(float64(r.Answered())/float64(max(b.Answered(), 1))), percent(float64(r.Busy)/float64(r.Available)), percent(r.WastedShare()),
+			percent(float64(r.Answered())/float64(max(b.Answered(), 1))), percent(float64(r.Busy)/float64(r.Available)), percent(r.WastedShare()), percent(float64(r.WastedPreempted)/float64(max(r.Prefill, 1))),
 			percent(r.QuietShare(0)), percent(r.QuietShare(1)), percent(r.QuietShare(2)), r.Inversions, r.Preempted, refused, late,
 			r.FirstToken(0, 0.5), r.FirstToken(0, 0.95), r.FirstToken(0, 0.99), r.FirstToken(1, 0.95))
 	}
