--- /dev/null
+++ b/internal/node/swdaemon/swdaemon.go
@@ -0,0 +1,222 @@
+// Package swdaemon assembles an entry host from its settings and runs it.
+package swdaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swrelay"
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/config/swstore"
+	"github.com/sassafraswing/sassafraswing/internal/config/swtls"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swhttpstore"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+)
+
+// Daemon is one entry host. It is built by New, bound by Listen and served by Run.
+type Daemon struct {
+	settings *swsettings.Settings
+	options  options
+	log      zerolog.Logger
+	clock    swclock.Clock
+	self     swlink.Peer
+
+	keys     keys
+	store    swobject.Store
+	exchange *swexchange.Exchange
+	network  *swlink.Network
+	members  *polledMembers
+	relay    *swrelay.Relay
+	router   *swnode.HostRouter
+	claims   *swclaim.ObjectRegistry
+	node     *swnode.Node
+	registry *prometheus.Registry
+	journal  *swadmin.Journal
+	admin    http.Handler
+	// operator is the operators' listener, set by Listen.
+	operator net.Listener
+	// draining is set by an operator or by the shutdown.
+	draining atomic.Bool
+}
+
+// keys are the keys of each interface.
+type keys struct {
+	caller, peer, operator, platform *swtls.Keys
+}
+
+type options struct {
+	store         swobject.Store
+	firstDocument []byte
+}
+
+// Option changes how a daemon is assembled.
+type Option func(*options)
+
+// WithStore replaces the platform that the settings name.
+func WithStore(s swobject.Store) Option { return func(o *options) { o.store = s } }
+
+// WithFirstDocument applies a document if the platform has none.
+func WithFirstDocument(document []byte) Option {
+	return func(o *options) { o.firstDocument = document }
+}
+
+// openPlatform builds the client of the object API.
+func (d *Daemon) openPlatform() {
+	d.store = d.options.store
+	if d.store == nil {
+		d.store = swhttpstore.New(swhttpstore.Config{
+			URL:             d.settings.Platform.URL,
+			Timeout:         d.settings.Platform.Timeout,
+			ReadsPerSecond:  readsPerSecond,
+			WritesPerSecond: writesPerSecond,
+			DialTLS:         d.keys.platform.Dial,
+		}, d.clock)
+	}
+	d.claims = swclaim.New(swclaim.Config{Environment: d.settings.Platform.Environment}, d.store, d.clock)
+}
+
+const (
+	// readsPerSecond and writesPerSecond bound one host's calls of the platform.
+	readsPerSecond  = 50
+	writesPerSecond = 25
+)
+
+// Run builds a daemon and serves until ctx ends.
+func Run(ctx context.Context, settings *swsettings.Settings, log zerolog.Logger, opts ...Option) error {
+	d, err := New(settings, log, opts...)
+	if err != nil {
+		return err
+	}
+	if err := d.Listen(); err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+// New assembles a daemon.
+func New(settings *swsettings.Settings, log zerolog.Logger, opts ...Option) (*Daemon, error) {
+	d := &Daemon{
+		settings: settings,
+		log:      log,
+		clock:    swclock.NewSystem(),
+		registry: prometheus.NewRegistry(),
+		journal:  swadmin.NewJournal(),
+		// A later process of the same host starts at a later time.
+		self: swlink.Peer{Host: settings.Host, Incarnation: swid.Incarnation(time.Now().UnixMilli())},
+	}
+	for _, o := range opts {
+		o(&d.options)
+	}
+	if err := d.loadKeys(); err != nil {
+		return nil, err
+	}
+	d.openPlatform()
+	d.joinPeers()
+	d.buildNode()
+	return d, nil
+}
+
+func (d *Daemon) loadKeys() error {
+	onError := func(err error) { d.log.Error().Err(err).Msg("key files not reloaded") }
+	for _, k := range []struct {
+		keys  **swtls.Keys
+		files swsettings.TLS
+		name  string
+	}{
+		{&d.keys.caller, d.settings.Caller.TLS, "caller"},
+		{&d.keys.peer, d.settings.Peer.TLS, "peer"},
+		{&d.keys.operator, d.settings.Operator.TLS, "operator"},
+		{&d.keys.platform, d.settings.Platform.TLS, "platform"},
+	} {
+		loaded, err := swtls.New(k.files, d.clock, onError)
+		if err != nil {
+			return errors.Wrapf(err, "%s keys", k.name)
+		}
+		*k.keys = loaded
+	}
+	return nil
+}
+
+// Listen binds the addresses of the settings.
+func (d *Daemon) Listen() error {
+	if err := d.network.Listen(); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", d.settings.Operator.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	d.operator = d.keys.operator.Listener(listener)
+	return d.node.Listen()
+}
+
+// Run serves until ctx ends, and then finishes what the host holds.
+func (d *Daemon) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	tasks := pool.New().WithErrors().WithContext(running).WithCancelOnError()
+	tasks.Go(d.network.Run)
+	tasks.Go(func(ctx context.Context) error {
+		d.members.Run(ctx)
+		return nil
+	})
+	tasks.Go(func(ctx context.Context) error {
+		d.relay.Run(ctx)
+		return nil
+	})
+	tasks.Go(func(ctx context.Context) error {
+		d.claims.Run(ctx)
+		return nil
+	})
+	tasks.Go(d.serveOperators)
+	tasks.Go(d.applyFirst)
+	tasks.Go(func(failed context.Context) error {
+		defer stop()
+		serving, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(failed, cancel)()
+		defer context.AfterFunc(serving, func() { d.SetDraining(true) })()
+		return d.node.Run(serving)
+	})
+	return tasks.Wait()
+}
+
+// applyFirst applies the first document unless there is one.
+func (d *Daemon) applyFirst(ctx context.Context) error {
+	if d.options.firstDocument == nil {
+		return nil
+	}
+	change := swstore.Change{ID: swstore.ChangeID(uuid.NewString()), Document: d.options.firstDocument}
+	var conflict *swstore.ConflictError
+	if _, err := d.relay.Apply(ctx, change); err != nil && !errors.As(err, &conflict) && ctx.Err() == nil {
+		return errors.Wrap(err, "apply the first document")
+	}
+	return nil
+}
+
+// heard passes on what heartbeats tell beside life.
+type heard struct{ relay *swrelay.Relay }
+
+// Receive implements swexchange.Receiver.
+func (h heard) Receive(from swlink.Peer, m swmsg.Message) {
+	if b, ok := m.(swmsg.Heartbeat); ok {
+		h.relay.HeardVersion(from.Host, b.ConfigVersion)
+	}
+}
--- /dev/null
+++ b/internal/node/swnode/bench_test.go
@@ -0,0 +1,91 @@
+package swnode
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// instant is a target that answers at once with a number of chunks.
+type instant struct{ chunks int }
+
+func (a instant) Start(context.Context, swtarget.Request) (swtarget.Answer, error) {
+	return &instantAnswer{left: a.chunks}, nil
+}
+
+type instantAnswer struct{ left int }
+
+var chunk = swtarget.Chunk{Data: []byte("data: {}\n\n"), Tokens: 1, Events: 1}
+
+func (a *instantAnswer) Status() int           { return 200 }
+func (a *instantAnswer) ContentType() string   { return "text/event-stream" }
+func (a *instantAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
+func (a *instantAnswer) Close() error          { return nil }
+func (a *instantAnswer) Next() (swtarget.Chunk, error) {
+	if a.left == 0 {
+		return swtarget.Chunk{}, io.EOF
+	}
+	a.left--
+	return chunk, nil
+}
+
+type discard struct{}
+
+func (discard) Begin(int, string) error { return nil }
+func (discard) Write([]byte) error      { return nil }
+
+// benchmarkServe measures a request from the holder through the owner to a
+// target and back, in one process and without sockets.
+func benchmarkServe(b *testing.B, chunks int) {
+	document := &swdoc.Document{
+		Regions:       []swdoc.Region{{ID: "r", Zones: []swid.ZoneID{"z"}}},
+		Tiers:         []swdoc.Tier{{Name: "t", Deadline: swclock.Hour}},
+		Organisations: []swdoc.Organisation{{ID: "o", Weight: 1}},
+		Services:      []swdoc.Service{{ID: "s", Kind: swdoc.KindModel}},
+		Generations:   []swdoc.Generation{{ID: "g", PrefillRate: 1e6, DecodeRate: 1e4}},
+		Targets:       []swdoc.Target{{ID: "a", Service: "s", Zone: "z", Generation: "g", Slots: 64}},
+	}
+	f := fixed{host: "h", document: document}
+	self := swlink.Peer{Host: "h", Incarnation: 1}
+	exchange := swexchange.New(self)
+	clock := swclock.NewSystem()
+	node := New(&swsettings.Settings{Caller: swsettings.Caller{MaxHeld: 1000}}, Parts{
+		Self: self, Clock: clock, Log: zerolog.Nop(), Sender: exchange, Router: f,
+		Members: fixedMembers{f}, Config: fixedConfig{f}, Watcher: f, Registry: prometheus.NewRegistry(),
+		Adapters: func(swdoc.Target, swdoc.ServiceKind) swtarget.Adapter { return instant{chunks} },
+	})
+	exchange.Connect(nil, func(swlink.Peer) {}, node.Holder(), node.Owner())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go node.owner.Run(ctx)
+	node.subscribe()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		seq, id := node.holder.NextID()
+		r := &swholder.Request{
+			ID: id, Seq: seq, Service: "s", Cell: "s@r", Org: "o", Deadline: clock.Now() + swclock.Minute,
+			PromptTokens: 100, OutputTokens: 100, Call: swtarget.Request{Stream: true},
+		}
+		if report := node.holder.Serve(ctx, r, discard{}); !report.InTime {
+			b.Fatalf("request ended as %+v", report.End)
+		}
+	}
+}
+
+func BenchmarkServe(b *testing.B) { benchmarkServe(b, 1) }
+
+// BenchmarkServeChunks differs from BenchmarkServe by 1,000 chunks a request.
+func BenchmarkServeChunks(b *testing.B) { benchmarkServe(b, 1001) }
