Use slow targets by their learned speed, and shed nobody for a suspect

Where a target is slow but steady its learned rates suffice; holding slots back lost capacity.

A suspect waits for a target of its own. It is given up as a suspect now, and nothing is cancelled for it. TestSuspectThatWaitsTooLongIsNotShed fails without.

--- a/internal/core/swcell/overload.go
+++ b/internal/core/swcell/overload.go
@@ -18,7 +18,13 @@
 }
 
 // shed gives a request up for lack of capacity, after all lower tiers made way.
+// A suspect waits for a target of its own, whatever the capacity, so no tier
+// makes way for it.
 func (c *Cell) shed(r *request) {
+	if c.isSuspect(r) {
+		c.giveUp(r, ReasonSuspect)
+		return
+	}
 	t := c.tierOf(&r.ask)
 	after := c.retryAfter(t)
 	c.closeBelow(t, min(r.ask.Deadline, c.now+after))
@@ -192,7 +198,7 @@
 		visited++
 		start := natural.startAfter(ahead)
 		ahead += i.Work
-		if start+preemptMargin > float64(i.Value.safeStart-c.now) {
+		if start+preemptMargin > float64(i.Value.safeStart-c.now) && !c.isSuspect(i.Value) {
 			if v := c.victim(t, i.Value); v != nil {
 				c.preempt(v)
 				c.natural.stale = true
--- a/internal/core/swcell/place.go
+++ b/internal/core/swcell/place.go
@@ -125,10 +125,10 @@
 	return o
 }
 
-// score ranks offers by the time to the first token. The rest counts little:
-// it decides between targets that are otherwise alike.
+// score ranks offers by the time to the first token. The rest counts
+// less: it keeps long outputs off slow targets.
 func (o *offer) score() float64 {
-	const restShare = 1.0 / 16
+	const restShare = 1.0 / 4
 	return o.first + (o.total-o.first)*restShare
 }
 
--- a/internal/core/swcell/policy_test.go
+++ b/internal/core/swcell/policy_test.go
@@ -242,3 +242,21 @@
 		t.Errorf("reason %d, want no target", g.Reason)
 	}
 }
+
+func TestSuspectThatWaitsTooLongIsNotShed(t *testing.T) {
+	c := newCell(t, engine("t1", 2))
+	broken := ask(1, 0, 90000)
+	only[Grant](t, c.Step(0, broken, nil))
+	c.Step(1, done(broken, "t1", ResultBroken), nil)
+	only[Grant](t, c.Step(2, long(2, 1, 90000), nil))
+	again := ask(3, 0, 4000)
+	again.Fingerprint, again.NonIdempotent = broken.Fingerprint, true
+	var got []Action
+	got = c.Step(3, again, got)
+	for now := swclock.Millis(10); now < 5000; now += 10 {
+		got = c.Step(now, Tick{}, got)
+	}
+	if g := only[GiveUp](t, got); g.Key != again.Key || g.Reason != ReasonSuspect {
+		t.Errorf("got %+v, want the suspect given up as such", g)
+	}
+}
--- a/internal/core/swcell/straggler.go
+++ b/internal/core/swcell/straggler.go
@@ -34,7 +34,7 @@
 		switch {
 		case t.trust == TrustFull && ratio > c.cfg.StragglerFactor:
 			c.distrust(t, minBackoff)
-		case t.trust == TrustLimited && ratio < c.cfg.StragglerFactor*recoveredShare:
+		case t.trust == TrustSlow && ratio < c.cfg.StragglerFactor*recoveredShare:
 			t.trust = TrustFull
 		}
 	}
@@ -73,7 +73,7 @@
 	}
 	t.trust = TrustFull
 	if c.paceRatio(t) > c.cfg.StragglerFactor {
-		t.trust = TrustLimited
+		t.trust = TrustSlow
 	}
 	c.suppliesChanged()
 }
--- a/internal/core/swcell/target.go
+++ b/internal/core/swcell/target.go
@@ -16,8 +16,8 @@
 	TrustFull Trust = iota
 	// TrustProbing targets are granted one request at a time, to learn from it.
 	TrustProbing
-	// TrustLimited targets use three quarters of their slots, because they stay slow.
-	TrustLimited
+	// TrustSlow targets were probed and stay slow. They are used as their learned speed allows.
+	TrustSlow
 )
 
 // target is the cell's account of one target.
@@ -78,11 +78,7 @@
 
 // slots returns the number of slots that the cell may use at present.
 func (t *target) slots() int {
-	n := t.conf.Slots
-	if t.trust == TrustLimited {
-		n = max(1, n*3/4)
-	}
-	return n - t.load.external
+	return t.conf.Slots - t.load.external
 }
 
 // room returns the number of requests that may be granted now.
