--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -24,7 +24,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
-	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swhttpstore"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
@@ -42,10 +42,11 @@
 	store    swobject.Store
 	exchange *swexchange.Exchange
 	network  *swlink.Network
-	members  *polledMembers
+	members  *swmember.Members
 	relay    *swrelay.Relay
 	router   *swnode.HostRouter
 	claims   *swclaim.ObjectRegistry
+	watcher  targetWatcher
 	node     *swnode.Node
 	registry *prometheus.Registry
 	journal  *swadmin.Journal
@@ -64,6 +65,8 @@
 type options struct {
 	store         swobject.Store
 	firstDocument []byte
+	// abort ends the daemon without a graceful shutdown.
+	abort context.Context
 }
 
 // Option changes how a daemon is assembled.
@@ -72,6 +75,9 @@
 // WithStore replaces the platform that the settings name.
 func WithStore(s swobject.Store) Option { return func(o *options) { o.store = s } }
 
+// WithAbort sets a context whose end stops the daemon without a graceful shutdown.
+func WithAbort(ctx context.Context) Option { return func(o *options) { o.abort = ctx } }
+
 // WithFirstDocument applies a document if the platform has none.
 func WithFirstDocument(document []byte) Option {
 	return func(o *options) { o.firstDocument = document }
@@ -110,7 +116,7 @@
 	return d.Run(ctx)
 }
 
-// New assembles a daemon.
+// New assembles a daemon. It binds the peers' address, which the daemon tells other hosts.
 func New(settings *swsettings.Settings, log zerolog.Logger, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		settings: settings,
@@ -121,14 +127,18 @@
 		// A later process of the same host starts at a later time.
 		self: swlink.Peer{Host: settings.Host, Incarnation: swid.Incarnation(time.Now().UnixMilli())},
 	}
+	d.options.abort = context.Background()
 	for _, o := range opts {
 		o(&d.options)
 	}
+	d.watcher.clock = d.clock
 	if err := d.loadKeys(); err != nil {
 		return nil, err
 	}
 	d.openPlatform()
-	d.joinPeers()
+	if err := d.joinPeers(); err != nil {
+		return nil, err
+	}
 	d.buildNode()
 	return d, nil
 }
@@ -154,11 +164,8 @@
 	return nil
 }
 
-// Listen binds the addresses of the settings.
+// Listen binds the callers' and the operators' addresses.
 func (d *Daemon) Listen() error {
-	if err := d.network.Listen(); err != nil {
-		return err
-	}
 	listener, err := net.Listen("tcp", d.settings.Operator.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
@@ -167,16 +174,15 @@
 	return d.node.Listen()
 }
 
-// Run serves until ctx ends, and then finishes what the host holds.
+// Run serves until ctx ends, and then finishes what the host holds. It stops at
+// once, as a crash would, when the context of WithAbort ends.
 func (d *Daemon) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	running, stop := context.WithCancel(d.options.abort)
 	defer stop()
+	defer d.watcher.pollers.Wait()
 	tasks := pool.New().WithErrors().WithContext(running).WithCancelOnError()
 	tasks.Go(d.network.Run)
-	tasks.Go(func(ctx context.Context) error {
-		d.members.Run(ctx)
-		return nil
-	})
+	tasks.Go(d.members.Run)
 	tasks.Go(func(ctx context.Context) error {
 		d.relay.Run(ctx)
 		return nil
@@ -192,8 +198,8 @@
 		serving, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(failed, cancel)()
-		defer context.AfterFunc(serving, func() { d.SetDraining(true) })()
-		return d.node.Run(serving)
+		defer context.AfterFunc(serving, d.leave)()
+		return d.node.Run(serving, failed)
 	})
 	return tasks.Wait()
 }
@@ -211,12 +217,14 @@
 	return nil
 }
 
-// heard passes on what heartbeats tell beside life.
-type heard struct{ relay *swrelay.Relay }
-
-// Receive implements swexchange.Receiver.
-func (h heard) Receive(from swlink.Peer, m swmsg.Message) {
-	if b, ok := m.(swmsg.Heartbeat); ok {
-		h.relay.HeardVersion(from.Host, b.ConfigVersion)
-	}
+// leave starts a graceful shutdown: callers are refused and other hosts take the owned cells.
+func (d *Daemon) leave() {
+	d.SetDraining(true)
+	d.members.Leave()
 }
+
+// CallerAddress returns the callers' address that Listen bound.
+func (d *Daemon) CallerAddress() string { return d.node.Address() }
+
+// PeerAddress returns the peers' address that Listen bound.
+func (d *Daemon) PeerAddress() string { return d.network.Address() }
