Bound a target's silence by what the owner expects

Cause: an answer that is not streamed gives no sign of progress, so a silent engine held such requests for the adapter's 120 s; the failure test with a silent engine took 60.9 s, its callers' own bound, against 1 to 2 s for all other cases. A grant now carries the expected times to the first token and to the end, and the holder allows 5 times that and 2 s, at most half of the remaining time. What is not idempotent is waited for as before. The case now takes 1.2 s (go test -run Failures -v ./internal/node/swdaemon).

A grant that could not be queued was withdrawn and its attempt remembered as granted, so that the holder's repeated ask was ignored; it is now kept and sent again. A grant that the holder returns may be asked for again under the same attempt.

--- a/internal/core/swcell/attempt.go
+++ b/internal/core/swcell/attempt.go
@@ -3,13 +3,14 @@
 import (
 	"slices"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 func (c *Cell) ask(e Ask) {
 	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
 		// The holder asks again because the grant was lost with a link.
-		c.emit(Grant{Key: e.Key, Attempt: e.Attempt, Target: r.target.conf.ID})
+		c.emit(r.grant())
 		return
 	}
 	p, known := c.history.Get(e.Key)
@@ -70,9 +71,22 @@
 	}
 	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
 		c.endRun(r)
+		c.returnGrant(r)
 	}
 }
 
+// returnGrant forgets a grant that was not used, so that the holder may ask for
+// the same attempt again.
+func (c *Cell) returnGrant(r *run) {
+	p, known := c.history.Get(r.ask.Key)
+	if !known || p.attempt != r.ask.Attempt {
+		return
+	}
+	p.attempt--
+	p.targets = slices.DeleteFunc(slices.Clone(p.targets), func(id swid.TargetID) bool { return id == r.target.conf.ID })
+	c.history.Add(r.ask.Key, p)
+}
+
 func (c *Cell) inFlight(e InFlight) {
 	k := runKey{e.Ask.Key, e.Ask.Attempt}
 	p, known := c.history.Get(e.Ask.Key)
--- a/internal/core/swcell/dispatch.go
+++ b/internal/core/swcell/dispatch.go
@@ -83,8 +83,7 @@
 	c.checkGrant(t, r, on)
 	t.queue.Take(&r.item)
 	delete(c.waiting, r.ask.Key)
-	c.startRun(r, on)
-	c.emit(Grant{Key: r.ask.Key, Attempt: r.ask.Attempt, Target: on.conf.ID})
+	c.emit(c.startRun(r, on).grant())
 }
 
 func (c *Cell) anyRoom() bool {
--- a/internal/core/swcell/request.go
+++ b/internal/core/swcell/request.go
@@ -11,6 +11,9 @@
 	ask   Ask
 	item  swqueue.Item[*request]
 	asked swclock.Millis
+	// firstToken and expectedTotal are the spans that were expected at the grant.
+	firstToken    float64
+	expectedTotal float64
 	// output is what the request is planned to generate; it is at most ask.OutputTokens.
 	output float64
 	// safeStart is the last start by which any fully trusted target is expected to meet the deadline.
@@ -35,6 +38,9 @@
 	index int
 	// expectedEnd is the present estimate.
 	expectedEnd float64
+	// firstToken and expectedTotal are the spans that were expected at the grant.
+	firstToken    float64
+	expectedTotal float64
 	// output is what the request is planned to generate.
 	output float64
 	// cost is what the organisation was charged.
--- a/internal/core/swcell/run.go
+++ b/internal/core/swcell/run.go
@@ -13,9 +13,10 @@
 		ask: r.ask, target: t, granted: c.now, producedAt: c.now,
 		output: r.output, cost: r.item.Cost,
 		expectedEnd: float64(c.now) + o.total,
-		queued:      o.queued,
-		cached:      float64(r.ask.PromptTokens) - o.uncached,
-		suspect:     c.isSuspect(r),
+		firstToken:  o.first, expectedTotal: o.total,
+		queued:  o.queued,
+		cached:  float64(r.ask.PromptTokens) - o.uncached,
+		suspect: c.isSuspect(r),
 	}
 	c.running[started.id()] = started
 	t.add(started)
@@ -32,6 +33,17 @@
 	return started
 }
 
+// grant returns the run's grant, as it was or will be sent to the holder.
+func (r *run) grant() Grant {
+	return Grant{
+		Key:        r.ask.Key,
+		Attempt:    r.ask.Attempt,
+		Target:     r.target.conf.ID,
+		FirstToken: swclock.Millis(r.firstToken),
+		Total:      swclock.Millis(r.expectedTotal),
+	}
+}
+
 func (c *Cell) endRun(r *run) {
 	delete(c.running, r.id())
 	r.target.remove(r, c.now)
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -205,6 +205,9 @@
 	Key     Key
 	Attempt swid.Attempt
 	Target  swid.TargetID
+	// FirstToken and Total are the expected spans from dispatch to the first token and to the end.
+	FirstToken swclock.Millis
+	Total      swclock.Millis
 }
 
 // Reason says why a request was given up.
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -20,9 +20,11 @@
 	// nonIdempotentGrace is how long a non-idempotent call may overrun its
 	// deadline: cutting it would not undo it, but would hide its outcome.
 	nonIdempotentGrace = 30 * swclock.Second
-	// minPatience is the least silence that a target is allowed before its first
-	// event. Half of the remaining time is allowed in general, so that another
-	// target has as long.
+	// patienceFactor and patienceMargin bound a target's silence before the
+	// first part of its answer, from what the owner expects.
+	patienceFactor = 5
+	patienceMargin = 2 * swclock.Second
+	// minPatience is the least such bound.
 	minPatience = swclock.Second
 	// progressTokens is the number of output tokens between two progress reports.
 	progressTokens swid.Tokens = 256
@@ -126,7 +128,7 @@
 	call.ID = a.held.request.ID
 	call.Attempt = a.number
 	call.IdempotencyKey = a.held.request.IdempotencyKey
-	call.Patience = max(minPatience, a.held.remaining()/2)
+	call.Patience = a.patience()
 	call.ResumeFrom = a.events
 	response, err := adapter.Start(ctx, call)
 	if err != nil {
@@ -136,6 +138,21 @@
 	return a.receive(ctx, response)
 }
 
+// patience returns how long the target may stay silent. It leaves half of the
+// remaining time to another target. What is not idempotent could not be sent to
+// another one, so that its outcome is waited for.
+func (a *attempt) patience() swclock.Millis {
+	r := a.held.request
+	if r.NonIdempotent {
+		return 0
+	}
+	expected := a.held.expected.total
+	if r.Call.Stream {
+		expected = a.held.expected.firstToken
+	}
+	return max(minPatience, min(expected*patienceFactor+patienceMargin, a.held.remaining()/2))
+}
+
 // receive reads the answer to its end.
 func (a *attempt) receive(ctx context.Context, response swtarget.Answer) swlife.AttemptEnded {
 	a.status, a.contentType = response.Status(), response.ContentType()
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -26,6 +26,8 @@
 	request  *Request
 	sink     Sink
 	accepted swclock.Millis
+	// expected is what the owner expects of the present attempt.
+	expected expectation
 
 	mu sync.Mutex
 	// waiting tells that an answer of the present attempt is wanted.
@@ -42,6 +44,12 @@
 	running *running
 }
 
+// expectation has the spans from dispatch that an owner expects.
+type expectation struct {
+	firstToken swclock.Millis
+	total      swclock.Millis
+}
+
 // running is an attempt that was dispatched.
 type running struct {
 	attempt  swid.Attempt
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -139,7 +139,7 @@
 				e.redirected(a.redirect)
 				continue
 			}
-			return eventOf(a)
+			return e.take(a)
 		case <-resend.C:
 			resend.Reset(e.resendAsk().Duration())
 		case <-deadline.C:
@@ -150,8 +150,10 @@
 	}
 }
 
-func eventOf(a answer) swlife.Event {
+// take notes what a grant expects and returns the answer's event.
+func (e *held) take(a answer) swlife.Event {
 	if a.grant != nil {
+		e.expected = expectation{firstToken: a.grant.FirstToken, total: a.grant.Total}
 		return swlife.Granted{Target: a.grant.Target}
 	}
 	return swlife.GivenUp{Reason: a.giveUp.Reason, RetryAfter: a.giveUp.RetryAfter}
--- a/internal/node/swdaemon/failure_test.go
+++ b/internal/node/swdaemon/failure_test.go
@@ -44,7 +44,7 @@
 		{"streams cut", engine("cutAfter")},
 		{"streams truncated", engine("truncate")},
 		{"answers crossed", engine("crossAnswers")},
-		{"connections silent", engine(swfault.KindSilence)},
+		{"engine silent", engine(swfault.KindSilence)},
 		{"host killed while the platform is down", func(c *cluster) {
 			c.store.SetFaults(swmemstore.Faults{Outage: true})
 			c.end(c.hosts[0], c.hosts[0].kill)
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -165,7 +165,7 @@
 	key := keyOf(from, m.Seq)
 	if g, known := r.grants[key]; known && g.message.Attempt == m.Attempt {
 		r.confirm(key)
-		r.sendGrant(key, g)
+		r.sendGrant(g)
 		return
 	}
 	r.idleSince = busy
@@ -267,9 +267,10 @@
 	case swcell.Grant:
 		g := granted{holder: a.Key.Holder, message: swmsg.Grant{
 			Cell: r.id, Seq: a.Key.Seq, Attempt: a.Attempt, Target: a.Target, Epoch: r.epoch,
+			FirstToken: a.FirstToken, Total: a.Total,
 		}}
 		r.grants[a.Key] = g
-		r.sendGrant(a.Key, g)
+		r.sendGrant(g)
 	case swcell.GiveUp:
 		r.config.Sender.Send(a.Key.Holder, swmsg.GiveUp{
 			Cell: r.id, Seq: a.Key.Seq, Attempt: a.Attempt, Reason: a.Reason, RetryAfter: a.RetryAfter, Epoch: r.epoch,
@@ -281,14 +282,12 @@
 	}
 }
 
-// sendGrant sends a grant. One that cannot be queued frees its slot at once;
-// the holder repeats its ask.
-func (r *runner) sendGrant(key swcell.Key, g granted) {
-	if r.config.Sender.Send(g.holder, g.message) {
-		return
+// sendGrant sends a grant. One that cannot be queued is sent when the holder
+// repeats its ask, or ends if the holder does not.
+func (r *runner) sendGrant(g granted) {
+	if !r.config.Sender.Send(g.holder, g.message) {
+		r.doubtHolder(g.holder)
 	}
-	delete(r.grants, key)
-	r.put(eventInput{swcell.Withdraw{Key: key, Attempt: g.message.Attempt}})
 }
 
 func (r *runner) status(ctx context.Context) (CellStatus, bool) {
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -78,6 +78,8 @@
 	return swmsg.Grant{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
 		Target: target(c, w.GetTarget()), Epoch: swid.Epoch(w.GetEpoch()),
+		FirstToken: span(c, "firstTokenMillis", w.GetFirstTokenMillis()),
+		Total:      span(c, "totalMillis", w.GetTotalMillis()),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -69,6 +69,7 @@
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
 	return &swpb.Grant{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target), Epoch: uint64(m.Epoch),
+		FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total),
 	}
 }
 
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -121,6 +121,9 @@
 	Attempt swid.Attempt
 	Target  swid.TargetID
 	Epoch   swid.Epoch
+	// FirstToken and Total are the expected spans from dispatch to the first token and to the end.
+	FirstToken swclock.Millis
+	Total      swclock.Millis
 }
 
 // GiveUp ends an ask.
--- a/internal/target/swcall/swcall.go
+++ b/internal/target/swcall/swcall.go
@@ -48,7 +48,11 @@
 // Start implements swtarget.Adapter. Every status is the service's own answer:
 // a plain service gives no answer that proves that it did not run a call.
 func (a *Adapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
-	response, err := a.sender.Send(ctx, r, a.limits)
+	limits := a.limits
+	if r.Patience > 0 {
+		limits.Header = min(limits.Header, r.Patience)
+	}
+	response, err := a.sender.Send(ctx, r, limits)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/target/swopenai/swopenai.go
+++ b/internal/target/swopenai/swopenai.go
@@ -108,7 +108,10 @@
 func (a *Adapter) sendLimits(r swtarget.Request) swhttp.Limits {
 	l := swhttp.Limits{Dial: a.limits.Dial, Header: a.limits.Answer, Progress: a.limits.Event, AnswerBytes: a.limits.AnswerBytes}
 	if r.Stream {
-		l.Header = a.firstEvent(r)
+		l.Header = a.limits.FirstEvent
+	}
+	if r.Patience > 0 {
+		l.Header = min(l.Header, r.Patience)
 	}
 	return l
 }
