Let refused content run alone again after a short while

Cause: identical content that broke three times was refused for 10 minutes. Ruled out: the target's trust, which a test with differing content showed to return at once (100 of the last 100 calls granted); with the same content it was 0 of 100.

A refusal now lasts 10 s and doubles with each further strike, up to the 10 minutes; in between the content runs alone once, and an answer clears it. The test with the same content failed before and passes now.

--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -36,7 +36,8 @@
 	PromptTokens swid.Tokens
 	// OutputTokens is the most that the request may generate, from its limit or the service's default.
 	OutputTokens swid.Tokens
-	// Prefix holds hashes of the prompt's prefixes at multiples of PrefixBlock tokens, shortest first.
+	// Prefix holds hashes of the prompt's prefixes, shortest first. The i-th
+	// covers swprefix.Depth(i) blocks of PrefixBlock tokens.
 	Prefix []swid.PrefixHash
 	// Fingerprint identifies the content.
 	Fingerprint swid.Fingerprint
--- a/internal/core/swprefix/swprefix.go
+++ b/internal/core/swprefix/swprefix.go
@@ -70,7 +70,10 @@
 			high = middle
 		}
 	}
-	return float64(low) / float64(len(prefix)) * x.trust
+	if low == 0 {
+		return 0
+	}
+	return float64(Depth(low-1)) / float64(Depth(len(prefix)-1)) * x.trust
 }
 
 // Observe compares the tokens that were expected to be cached with those that were.
--- a/internal/core/swprompt/swprompt.go
+++ b/internal/core/swprompt/swprompt.go
@@ -8,14 +8,11 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swprefix"
 )
 
-const (
-	// BytesPerToken is the size by which a prompt's tokens are estimated.
-	BytesPerToken = 4
-	// MaxHashes bounds the prefix hashes of one request.
-	MaxHashes = 32
-)
+// BytesPerToken is the size by which a prompt's tokens are estimated.
+const BytesPerToken = 4
 
 // Message is one message of a chat.
 type Message struct {
@@ -56,29 +53,20 @@
 	return hashes
 }
 
-// Sample keeps at most MaxHashes of a prompt's hashes, at block counts that
-// grow geometrically: all of the short prefixes, fewer of the long ones, and the
-// longest. SampleIndex gives the block count of each.
+// Sample keeps the hashes of a prompt's prefixes at the depths of package
+// swprefix, so that prompts of any length that share a prefix share its hashes.
 func Sample(hashes []swid.PrefixHash) []swid.PrefixHash {
-	if len(hashes) <= MaxHashes {
-		return hashes
-	}
-	sampled := make([]swid.PrefixHash, 0, MaxHashes)
-	for i := range MaxHashes {
-		sampled = append(sampled, hashes[SampleIndex(i, len(hashes))-1])
+	sampled := make([]swid.PrefixHash, 0, swprefix.MaxHashes)
+	for i := range swprefix.MaxHashes {
+		depth := swprefix.Depth(i)
+		if depth > len(hashes) {
+			break
+		}
+		sampled = append(sampled, hashes[depth-1])
 	}
 	return sampled
 }
 
-// SampleIndex returns how many blocks the i-th of the sampled hashes covers, of total blocks.
-func SampleIndex(i, total int) int {
-	if total <= MaxHashes {
-		return i + 1
-	}
-	// Linear over the prompt: the error of an estimated overlap is at most one step.
-	return (i + 1) * total / MaxHashes
-}
-
 // Fingerprint identifies a request's content within its service.
 func Fingerprint(service swid.ServiceID, body []byte) swid.Fingerprint {
 	var d xxhash.Digest
--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -21,8 +21,16 @@
 	Refused
 )
 
-// aloneStrikes counts a break during which nothing else ran on the target.
-const aloneStrikes = 2
+const (
+	// aloneStrikes counts a break during which nothing else ran on the target.
+	aloneStrikes = 2
+	// firstRefusal is how long content is refused when it reaches the limit. It
+	// doubles with each further strike. Between two refusals the content runs
+	// alone once, which clears content that was struck by a failure of the target.
+	firstRefusal = 10 * swclock.Second
+	// maxDoublings bounds the doubling; the register's span bounds it as well.
+	maxDoublings = 10
+)
 
 // Register holds strikes by fingerprint. It is bounded: the oldest entry is forgotten first.
 type Register struct {
@@ -33,12 +41,13 @@
 
 type entry struct {
 	strikes int
-	// until is when the entry is forgotten.
-	until swclock.Millis
+	// refused is until when the content does not run; until is when the entry is forgotten.
+	refused swclock.Millis
+	until   swclock.Millis
 }
 
-// New returns an empty register. Content is refused at limit strikes; a strike is
-// forgotten when none follows it within span.
+// New returns an empty register. Content is refused for a while at limit strikes
+// and at each later one; strikes are forgotten when none follows within span.
 func New(size, limit int, span swclock.Millis) *Register {
 	entries, err := simplelru.NewLRU[swid.Fingerprint, entry](size, nil)
 	if err != nil {
@@ -51,13 +60,16 @@
 func (r *Register) Strike(f swid.Fingerprint, alone bool, now swclock.Millis) {
 	e, ok := r.entries.Get(f)
 	if ok && e.until <= now {
-		e.strikes = 0
+		e = entry{}
 	}
 	e.strikes++
 	if alone {
 		e.strikes += aloneStrikes - 1
 	}
 	e.until = now + r.span
+	if e.strikes >= r.limit {
+		e.refused = now + min(firstRefusal<<min(e.strikes-r.limit, maxDoublings), r.span)
+	}
 	r.entries.Add(f, e)
 }
 
@@ -77,8 +89,8 @@
 	switch {
 	case !ok || e.until <= now:
 		return Clear, 0
-	case e.strikes >= r.limit:
-		return Refused, e.until - now
+	case now < e.refused:
+		return Refused, e.refused - now
 	default:
 		return Suspect, e.until - now
 	}
