--- a/internal/core/swcell/run.go
+++ b/internal/core/swcell/run.go
@@ -61,7 +61,7 @@
 	switch e.Result {
 	case ResultAnswered:
 		c.retries.Success()
-		c.strikes.Absolve(r.ask.Fingerprint)
+		c.strikes.Absolve(r.ask.Fingerprint, c.now)
 		c.succeeded(t, probe)
 	case ResultRejected:
 		c.succeeded(t, probe)
--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -21,16 +21,8 @@
 	Refused
 )
 
-const (
-	// aloneStrikes counts a break during which nothing else ran on the target.
-	aloneStrikes = 2
-	// firstRefusal is how long content is refused when it reaches the limit. It
-	// doubles with each further strike. Between two refusals the content runs
-	// alone once, which clears content that was struck by a failure of the target.
-	firstRefusal = 10 * swclock.Second
-	// maxDoublings bounds the doubling; the register's span bounds it as well.
-	maxDoublings = 10
-)
+// aloneStrikes counts a break during which nothing else ran on the target.
+const aloneStrikes = 2
 
 // Register holds strikes by fingerprint. It is bounded: the oldest entry is forgotten first.
 type Register struct {
@@ -41,13 +33,14 @@
 
 type entry struct {
 	strikes int
-	// refused is until when the content does not run; until is when the entry is forgotten.
-	refused swclock.Millis
-	until   swclock.Millis
+	// until is when the strikes are forgotten.
+	until swclock.Millis
+	// answered is until when an earlier answer shows that the content is not what breaks targets.
+	answered swclock.Millis
 }
 
-// New returns an empty register. Content is refused for a while at limit strikes
-// and at each later one; strikes are forgotten when none follows within span.
+// New returns an empty register. Content is refused at limit strikes, unless it
+// was answered within span; a strike is forgotten when none follows it within span.
 func New(size, limit int, span swclock.Millis) *Register {
 	entries, err := simplelru.NewLRU[swid.Fingerprint, entry](size, nil)
 	if err != nil {
@@ -60,37 +53,29 @@
 func (r *Register) Strike(f swid.Fingerprint, alone bool, now swclock.Millis) {
 	e, ok := r.entries.Get(f)
 	if ok && e.until <= now {
-		e = entry{}
+		e.strikes = 0
 	}
 	e.strikes++
 	if alone {
 		e.strikes += aloneStrikes - 1
 	}
 	e.until = now + r.span
-	if e.strikes >= r.limit {
-		e.refused = now + min(firstRefusal<<min(e.strikes-r.limit, maxDoublings), r.span)
-	}
 	r.entries.Add(f, e)
 }
 
-// Absolve forgets the strikes of content that ran to its end.
-func (r *Register) Absolve(f swid.Fingerprint) {
-	if r.entries.Len() > 0 {
-		r.entries.Remove(f)
-	}
+// Absolve forgets the strikes of content that ran to its end, and remembers that it did.
+func (r *Register) Absolve(f swid.Fingerprint, now swclock.Millis) {
+	r.entries.Add(f, entry{answered: now + r.span})
 }
 
 // Verdict returns how the content is treated, and for how long if nothing happens meanwhile.
 func (r *Register) Verdict(f swid.Fingerprint, now swclock.Millis) (Verdict, swclock.Millis) {
-	if r.entries.Len() == 0 {
-		return Clear, 0
-	}
 	e, ok := r.entries.Peek(f)
 	switch {
 	case !ok || e.until <= now:
 		return Clear, 0
-	case now < e.refused:
-		return Refused, e.refused - now
+	case e.strikes >= r.limit && now >= e.answered:
+		return Refused, e.until - now
 	default:
 		return Suspect, e.until - now
 	}
