--- a/internal/peer/swlink/bench_test.go
+++ b/internal/peer/swlink/bench_test.go
@@ -139,3 +139,29 @@
 		PromptTokens: 2400, OutputTokens: 600, Prefix: []swid.PrefixHash{1 << 60, 1 << 61, 1 << 62, 1 << 63}, Fingerprint: 1 << 59, Epoch: 7,
 	}
 }
+
+// BenchmarkSilence gives the time from a link's silence to word of it, for a
+// link that carries a message every 20 ms. It begins at a random moment of a probe's period.
+func BenchmarkSilence(b *testing.B) {
+	var total, longest time.Duration
+	for i := range b.N {
+		var d directory
+		holder, owner := start(b, &d, "a", Config{}), start(b, &d, "b", Config{})
+		for j := range 20 + i%20 {
+			holder.send(owner, j)
+			time.Sleep(20 * time.Millisecond)
+		}
+		holder.mute(true, true)
+		begin := time.Now()
+		for len(holder.lost()) == 0 {
+			holder.send(owner, 0)
+			time.Sleep(time.Millisecond)
+		}
+		took := time.Since(begin)
+		total, longest = total+took, max(longest, took)
+		holder.stop()
+		owner.stop()
+	}
+	b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/found")
+	b.ReportMetric(float64(longest.Milliseconds()), "ms/longest")
+}
