Tell callers when a full claim shard has room again

Purpose: a request whose claim finds no room was told to come back after the claim's time-out, though the registry knows when it drops its next claims.

TestClaimNotRecorded fails with the earlier constant: a retry after 2,000 ms where 3,600,000 ms is wanted (go test -run ClaimNotRec ./internal/holder/swholder).

--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -100,7 +102,7 @@
 	defer cancel()
 	d, err := e.holder.config.Claims.Claim(ctx, e.claimEntry())
 	if err != nil {
-		return swlife.ClaimFailed{Cause: swlife.CauseClaimUnavailable, RetryAfter: claimTimeout}
+		return swlife.ClaimFailed{Cause: swlife.CauseClaimUnavailable, RetryAfter: claimRetry(err)}
 	}
 	switch {
 	case d.Granted:
@@ -114,6 +116,15 @@
 	}
 }
 
+// claimRetry returns when a claim that was not recorded may be tried again.
+func claimRetry(err error) swclock.Millis {
+	var full *swclaim.FullError
+	if errors.As(err, &full) {
+		return full.RetryAfter
+	}
+	return claimTimeout
+}
+
 // replay gives the caller the answer that was recorded for its key.
 func (e *held) replay(d swclaim.Decision) swlife.Event {
 	err := e.sink.Begin(d.Status, d.ContentType)
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -38,6 +38,8 @@
 	starts map[swid.TargetID]int
 	// scripts gives each target's next answers.
 	scripts map[swid.TargetID][]script
+	// claimErr is the answer to claims; nil grants them.
+	claimErr error
 }
 
 // script is the course of one start on a target.
@@ -60,7 +62,7 @@
 func (b *bench) UnusedGrant()                           {}
 func (b *bench) Finish(swclaim.Entry, swclaim.Decision) {}
 func (b *bench) Claim(context.Context, swclaim.Entry) (swclaim.Decision, error) {
-	return swclaim.Decision{Granted: true}, nil
+	return swclaim.Decision{Granted: b.claimErr == nil}, b.claimErr
 }
 
 func (b *bench) Owner(swid.CellID) (swid.HostID, bool) {
@@ -290,3 +292,27 @@
 	defer h.mu.Unlock()
 	return h.draining
 }
+
+func TestClaimNotRecorded(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want swclock.Millis
+	}{
+		{"no room", errors.WithMessage(&swclaim.FullError{RetryAfter: swclock.Hour}, "claim"), swclock.Hour},
+		{"platform away", swclaim.ErrUnavailable, claimTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.claimErr = tt.err
+			r := b.request(false, true)
+			r.IdempotencyKey = "k"
+			reports, _ := b.serve(r)
+			end := (<-reports).End
+			if end.Outcome != swlife.OutcomeNotRun || end.Cause != swlife.CauseClaimUnavailable || end.RetryAfter != tt.want {
+				t.Errorf("got %+v, want a retry after %d", end, tt.want)
+			}
+		})
+	}
+}
