Take the lease for orders, give one and hand the lease back

Purpose: sworder sends orders under a lease that nobody took. A Giver takes the region's lease, waits for the end of a term of a holder that died, renews while the order is on its way, and gives the lease back. After a load it keeps the lease for the interval of loads, so that another host does not load sooner. An order whose outcome is unknown leaves the lease to end with its term, as it may still be on its way.

Ruled out: keeping the lease between orders, which would make operators ask one host only. swlease exports TakeOver; sworder.Kind gets String and ParseKind.

go test -race -count 3 ./internal/owner/sworder passes. TestPausedGiver fails without the check at the write (an order with fencing number 1 arrives after one with 2 at an engine that ignores them), TestTurns times out without the release, and TestGiveWithoutLease without the bound on failed steps.

--- /dev/null
+++ b/internal/owner/sworder/giver_test.go
@@ -0,0 +1,166 @@
+package sworder
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+var giverConfig = GiverConfig{
+	Lease:        swlease.Config{Key: "l", Term: 10 * swclock.Second, Delivery: 2 * swclock.Second},
+	Answer:       20 * swclock.Second,
+	LoadInterval: 1,
+	Poll:         1,
+}
+
+// pausingClock runs a function before one of its readings, as a process that is paused there.
+type pausingClock struct {
+	swclock.Clock
+	left  atomic.Int64
+	pause func()
+}
+
+func (c *pausingClock) Now() swclock.Millis {
+	if c.left.Add(-1) == 0 {
+		c.pause()
+	}
+	return c.Clock.Now()
+}
+
+// startGiver runs a giver until the test's end.
+func startGiver(t *testing.T, store *swmemstore.Store, clock swclock.Clock) *Giver {
+	g := NewGiver(giverConfig, store, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { g.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return g
+}
+
+// carried is an order that an engine carried out.
+type carried struct {
+	Role    string
+	Fencing uint64
+}
+
+func ordersOf(t *testing.T, url string) []carried {
+	answer, err := http.Get(url + "/orders")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var orders []carried
+	if err := json.NewDecoder(answer.Body).Decode(&orders); err != nil {
+		t.Fatal(err)
+	}
+	return orders
+}
+
+// TestPausedGiver pauses a giver at each reading of its clock, lets another
+// give an order meanwhile, and expects that no order of an earlier term arrives after it.
+func TestPausedGiver(t *testing.T) {
+	const readings = 14 // more than an order takes
+	for _, honours := range []bool{true, false} {
+		for pauseAt := int64(1); pauseAt <= readings; pauseAt++ {
+			engine := swengine.New(swengine.Config{HonoursFencing: honours})
+			server := httptest.NewServer(engine.Handler())
+			store, clock := swmemstore.New(1), &swclock.Manual{}
+			target := Target{URL: server.URL}
+			second := startGiver(t, store, clock)
+			paused := &pausingClock{Clock: clock}
+			paused.left.Store(pauseAt)
+			paused.pause = func() {
+				given := make(chan error, 1)
+				go func() { given <- second.Give(context.Background(), target, Order{Kind: KindSetRole, Role: "second"}) }()
+				for {
+					select {
+					case err := <-given:
+						if err != nil {
+							t.Errorf("second giver: %v", err)
+						}
+						return
+					default:
+						clock.Advance(swclock.Second)
+						time.Sleep(swclock.Millis(1).Duration())
+					}
+				}
+			}
+			first := startGiver(t, store, paused)
+			_ = first.Give(context.Background(), target, Order{Kind: KindSetRole, Role: "first"}) // may fail or not
+			first.turn <- struct{}{}                                                              // the order's remainder is done
+			got := ordersOf(t, server.URL)
+			if len(got) == 0 || len(got) == 2 && got[1].Fencing < got[0].Fencing {
+				t.Errorf("paused at reading %d, fencing honoured %v: the engine took %v", pauseAt, honours, got)
+			}
+			engine.Close()
+			server.Close()
+		}
+	}
+}
+
+func TestGiveWithoutLease(t *testing.T) {
+	store, clock := swmemstore.New(1), swclock.NewSystem()
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("an order arrived") }))
+	defer server.Close()
+	store.SetFaults(swmemstore.Faults{Outage: true})
+	err := startGiver(t, store, clock).Give(context.Background(), Target{URL: server.URL}, Order{Kind: KindSetRole, Role: "r"})
+	var lease *LeaseError
+	if !errors.As(err, &lease) || !errors.Is(err, ErrPlatform) || lease.RetryAfter != platformRetry {
+		t.Errorf("in an outage: %v", err)
+	}
+}
+
+// TestLeaseElsewhere has another process renew the lease all the time.
+func TestLeaseElsewhere(t *testing.T) {
+	store, clock, ctx := swmemstore.New(1), &swclock.Manual{}, context.Background()
+	other := swlease.New(giverConfig.Lease, store, clock)
+	if err := other.Step(ctx); err != nil {
+		t.Fatal(err)
+	}
+	giver, given := startGiver(t, store, clock), make(chan error, 1)
+	go func() { given <- giver.Give(ctx, Target{}, Order{Kind: KindSetRole, Role: "r"}) }()
+	for {
+		select {
+		case err := <-given:
+			if !errors.Is(err, ErrLeaseElsewhere) {
+				t.Errorf("got %v", err)
+			}
+			return
+		default:
+			clock.Advance(swclock.Second)
+			if err := other.Step(ctx); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(swclock.Millis(1).Duration())
+		}
+	}
+}
+
+// TestTurns gives orders from two hosts, whose leases pass at once.
+func TestTurns(t *testing.T) {
+	engine := swengine.New(swengine.Config{HonoursFencing: true})
+	defer engine.Close()
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	store, clock := swmemstore.New(1), swclock.NewSystem()
+	givers := []*Giver{startGiver(t, store, clock), startGiver(t, store, clock)}
+	for i := range 6 {
+		if err := givers[i%2].Give(context.Background(), Target{URL: server.URL}, Order{Kind: KindLoadModel, Model: "m"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := ordersOf(t, server.URL); len(got) != 6 {
+		t.Errorf("%d orders arrived", len(got))
+	}
+}
--- a/internal/owner/sworder/sworder.go
+++ b/internal/owner/sworder/sworder.go
@@ -31,6 +31,19 @@
 // kindNames holds the kinds as the engines know them.
 var kindNames = map[Kind]string{KindLoadModel: "loadModel", KindLoadAdapter: "loadAdapter", KindSetRole: "setRole"}
 
+// String returns the kind as the engines know it.
+func (k Kind) String() string { return kindNames[k] }
+
+// ParseKind returns the kind that the engines know by a name.
+func ParseKind(name string) (Kind, bool) {
+	for k, n := range kindNames {
+		if n == name {
+			return k, true
+		}
+	}
+	return 0, false
+}
+
 // Order is one order. Giving it twice has the effect of giving it once.
 type Order struct {
 	Kind    Kind
@@ -125,7 +138,7 @@
 }
 
 func newRequest(ctx context.Context, t Target, o Order, fencing swlease.Fencing) (*http.Request, error) {
-	body, err := json.Marshal(wireOrder{Order: kindNames[o.Kind], Model: o.Model, Version: o.Version, Role: o.Role, Fencing: uint64(fencing)})
+	body, err := json.Marshal(wireOrder{Order: o.Kind.String(), Model: o.Model, Version: o.Version, Role: o.Role, Fencing: uint64(fencing)})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/swlease/swlease.go
+++ b/internal/platform/swlease/swlease.go
@@ -110,14 +110,14 @@
 	if err := l.look(ctx); err != nil {
 		return err
 	}
-	if _, held := l.Held(); held || !l.free && l.clock.Now()-l.seenAt < l.wait() {
+	if _, held := l.Held(); held || !l.free && l.clock.Now()-l.seenAt < l.TakeOver() {
 		return nil
 	}
 	return l.write(ctx)
 }
 
-// wait is how long a version must stay unchanged until its holder's term has ended.
-func (l *Lease) wait() swclock.Millis {
+// TakeOver is how long a version must stay unchanged until its holder's term has ended.
+func (l *Lease) TakeOver() swclock.Millis {
 	span := l.config.Term + l.config.Delivery
 	return span + span/rateBound + 1
 }
