Give orders to engines through the operators' interface

Purpose: sworder and swlease were not reachable. POST /orders/{target} and swctl order have the host that is asked take its region's lease, give the order and report the outcome, with exit codes and Retry-After. The settings name the file of the token for targets that check their callers, the interval of loads and the limit of an answer. Dispatching does not use any of this.

Ruled out: a host that holds the lease all the time, which operators would have to find.

--- a/internal/config/swdoc/page_test.go
+++ b/internal/config/swdoc/page_test.go
@@ -20,6 +20,7 @@
 peer: {z: 1, tls: {z: 1}}
 operator: {z: 1, tls: {z: 1}}
 platform: {z: 1, tls: {z: 1}}
+orders: {z: 1}
 log: {z: 1}
 `
 	probeDocument = `z: 1
--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -24,6 +24,9 @@
 	defaultHeartbeat       = 500 * swclock.Millis(1)
 	defaultPlatformTimeout = 2 * swclock.Second
 	defaultShutdownTimeout = 2 * swclock.Minute
+	defaultLoadInterval    = 2 * swclock.Second
+	maxLoadInterval        = 5 * swclock.Second
+	defaultAnswerTimeout   = 5 * swclock.Minute
 	defaultLogLevel        = "info"
 )
 
@@ -54,6 +57,7 @@
 	mapPeer(o.Required("peer").Object(), &s.Peer)
 	mapOperator(o.Required("operator").Object(), &s.Operator)
 	mapPlatform(o.Required("platform").Object(), &s.Platform)
+	mapOrders(o.Optional("orders").Object(), &s.Orders)
 	mapLog(o.Optional("log").Object(), &s.Log)
 	s.ShutdownTimeout = o.Optional("shutdownTimeout").Span(defaultShutdownTimeout, swclock.Second, swclock.Hour)
 }
@@ -96,6 +100,13 @@
 	p.Timeout = o.Optional("timeout").Span(defaultPlatformTimeout, 50, swclock.Minute)
 }
 
+func mapOrders(o *swyaml.Object, r *Orders) {
+	defer o.Close()
+	r.TokenFile = filePath(o.Optional("tokenFile"))
+	r.LoadInterval = o.Optional("loadInterval").Span(defaultLoadInterval, 10, maxLoadInterval)
+	r.AnswerTimeout = o.Optional("answerTimeout").Span(defaultAnswerTimeout, swclock.Second, swclock.Hour)
+}
+
 func mapLog(o *swyaml.Object, l *Log) {
 	defer o.Close()
 	l.Level = o.Optional("level").OneOf(defaultLogLevel, "debug", "info", "warn", "error")
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -17,6 +17,7 @@
 	Peer     Peer
 	Operator Operator
 	Platform Platform
+	Orders   Orders
 	Log      Log
 	// ShutdownTimeout bounds a graceful shutdown; what still runs then is cut.
 	ShutdownTimeout swclock.Millis
@@ -62,6 +63,16 @@
 	Timeout     swclock.Millis
 }
 
+// Orders configures orders to engines.
+type Orders struct {
+	// TokenFile holds the bearer token for targets that check their caller; it may be empty.
+	TokenFile string
+	// LoadInterval is the least time between two orders to load in a region.
+	LoadInterval swclock.Millis
+	// AnswerTimeout bounds the time until an engine has carried out an order.
+	AnswerTimeout swclock.Millis
+}
+
 // TLS names key files. Files are read again when they change.
 type TLS struct {
 	// Off disables TLS; it must be set explicitly, and excludes the files.
--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -79,7 +79,9 @@
 	d.registry.MustRegister(d.network)
 	d.members.Subscribe(d.membersChanged)
 	d.relay.Subscribe(d.versionInForce)
-	d.admin = swadmin.NewHandler(d, d.relay, d.journal, d.registry, d.log)
+	admin := swadmin.NewHandler(d, d.relay, d.journal, d.registry, d.log)
+	admin.ServeOrders(d)
+	d.admin = admin
 }
 
 // adapter makes the adapter of a target.
--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -22,6 +22,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
+	"github.com/sassafraswing/sassafraswing/internal/owner/sworder"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
@@ -46,6 +47,7 @@
 	relay    *swrelay.Relay
 	router   *swnode.HostRouter
 	claims   *swclaim.ObjectRegistry
+	giver    *sworder.Giver
 	watcher  targetWatcher
 	node     *swnode.Node
 	registry *prometheus.Registry
@@ -96,6 +98,7 @@
 		}, d.clock)
 	}
 	d.claims = swclaim.New(swclaim.Config{Environment: d.settings.Platform.Environment}, d.store, d.clock)
+	d.giver = d.newGiver()
 }
 
 const (
@@ -191,6 +194,10 @@
 		d.claims.Run(ctx)
 		return nil
 	})
+	tasks.Go(func(ctx context.Context) error {
+		d.giver.Run(ctx)
+		return nil
+	})
 	tasks.Go(d.serveOperators)
 	tasks.Go(d.applyFirst)
 	tasks.Go(func(failed context.Context) error {
--- a/internal/operator/swadmin/codec.go
+++ b/internal/operator/swadmin/codec.go
@@ -106,6 +106,7 @@
 	CodeNotApplied  Code = "notApplied"
 	CodeUnknown     Code = "unknown"
 	CodeUnavailable Code = "unavailable"
+	CodeForbidden   Code = "forbidden"
 )
 
 // Failure is the body of an answer that reports a failure.
--- /dev/null
+++ b/internal/operator/swadmin/order.go
@@ -0,0 +1,123 @@
+package swadmin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/owner/sworder"
+)
+
+const (
+	maxOrderBytes = 4 << 10
+	maxOrderText  = 256
+)
+
+// Orderer gives orders to engines.
+type Orderer interface {
+	// Order gives an order to a target and waits until it was carried out. Its
+	// errors are a *Failure and those of sworder.Giver.
+	Order(ctx context.Context, target swid.TargetID, o sworder.Order) error
+}
+
+// ServeOrders adds POST /orders/{target} to the interface; it is called before the first request.
+func (h *Handler) ServeOrders(o Orderer) {
+	h.router.POST("/orders/:target", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOrderBytes))
+		if err != nil {
+			h.fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: err.Error()})
+			return
+		}
+		order, err := DecodeOrder(data)
+		if err != nil {
+			h.fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: err.Error()})
+			return
+		}
+		target := swid.TargetID(p.ByName("target"))
+		err = o.Order(r.Context(), target, order)
+		h.log.Info().Err(err).Str("target", string(target)).Stringer("order", order.Kind).Msg("order given by an operator")
+		if err != nil {
+			h.failOrder(w, err)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// orderFailure is how an error of an order is reported.
+type orderFailure struct {
+	err    error
+	code   Code
+	status int
+}
+
+var orderFailures = []orderFailure{
+	{sworder.ErrLeaseElsewhere, CodeConflict, http.StatusConflict},
+	{sworder.ErrFenced, CodeConflict, http.StatusConflict},
+	{sworder.ErrPlatform, CodeUnavailable, http.StatusServiceUnavailable},
+	{sworder.ErrNoLease, CodeNotApplied, http.StatusServiceUnavailable},
+	{sworder.ErrNotSent, CodeNotApplied, http.StatusServiceUnavailable},
+	{sworder.ErrNoToken, CodeForbidden, http.StatusForbidden},
+	{sworder.ErrForbidden, CodeForbidden, http.StatusForbidden},
+}
+
+// failOrder answers an order that failed; an unknown error means an unknown outcome.
+func (h *Handler) failOrder(w http.ResponseWriter, err error) {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		h.fail(w, http.StatusNotFound, *failure)
+		return
+	}
+	var lease *sworder.LeaseError
+	if errors.As(err, &lease) {
+		w.Header().Set("Retry-After", strconv.FormatInt(int64((lease.RetryAfter+swclock.Second-1)/swclock.Second), 10))
+	}
+	for _, f := range orderFailures {
+		if errors.Is(err, f.err) {
+			h.fail(w, f.status, Failure{Code: f.code, Message: "the order was not carried out: " + err.Error()})
+			return
+		}
+	}
+	message := "the order may have been carried out: " + err.Error() + "; giving it again is safe"
+	h.fail(w, http.StatusGatewayTimeout, Failure{Code: CodeUnknown, Message: message})
+}
+
+type wireOrder struct {
+	Order   string `json:"order"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// EncodeOrder returns an order as JSON.
+func EncodeOrder(o sworder.Order) ([]byte, error) {
+	data, err := json.Marshal(wireOrder{Order: o.Kind.String(), Model: o.Model, Version: o.Version, Role: o.Role})
+	return data, errors.Wrap(err, "encode order")
+}
+
+// DecodeOrder reads and checks an order.
+func DecodeOrder(data []byte) (sworder.Order, error) {
+	var w wireOrder
+	if err := json.Unmarshal(data, &w); err != nil {
+		return sworder.Order{}, errors.Wrap(err, "decode order")
+	}
+	kind, ok := sworder.ParseKind(w.Order)
+	if !ok {
+		return sworder.Order{}, errors.Errorf("unknown order %q; it is loadModel, loadAdapter or setRole", w.Order)
+	}
+	if max(len(w.Model), len(w.Version), len(w.Role)) > maxOrderText {
+		return sworder.Order{}, errors.Errorf("a text of the order has more than %d bytes", maxOrderText)
+	}
+	o := sworder.Order{Kind: kind, Model: w.Model, Version: w.Version, Role: w.Role}
+	if loads := kind != sworder.KindSetRole; loads != (o.Model != "") || loads == (o.Role != "") || !loads && o.Version != "" {
+		return sworder.Order{}, errors.New("a load has a model and no role; a change of role has only a role")
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/operator/swclient/order_test.go
@@ -0,0 +1,60 @@
+package swclient
+
+import (
+	"context"
+	"net/http/httptest"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
+	"github.com/sassafraswing/sassafraswing/internal/owner/sworder"
+	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+)
+
+// engines gives orders to stand-ins under the lease of a test's platform.
+type engines struct {
+	giver *sworder.Giver
+	// url is that of engines that check their callers.
+	url string
+}
+
+// startEngines starts a stand-in for a session, until its end.
+func startEngines(e *testscript.Env, store *swmemstore.Store) engines {
+	engine := swengine.New(swengine.Config{HonoursFencing: true, CallerToken: "secret"})
+	server := httptest.NewServer(engine.Handler())
+	giver := sworder.NewGiver(sworder.GiverConfig{
+		Lease:        swlease.Config{Key: "lease", Term: 10 * swclock.Second, Delivery: 2 * swclock.Second},
+		Answer:       10 * swclock.Second,
+		LoadInterval: 10,
+		Poll:         10,
+	}, store, swclock.NewSystem())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { giver.Run(ctx); close(done) }()
+	e.Defer(func() { cancel(); <-done; server.Close(); engine.Close() })
+	return engines{giver: giver, url: server.URL}
+}
+
+// Order implements swadmin.Orderer.
+func (g engines) Order(ctx context.Context, id swid.TargetID, o sworder.Order) error {
+	switch id {
+	case "engine-1":
+		return g.giver.Give(ctx, sworder.Target{URL: g.url, ChecksCaller: true, Token: "secret"}, o)
+	case "wrong-token":
+		return g.giver.Give(ctx, sworder.Target{URL: g.url, ChecksCaller: true, Token: "old"}, o)
+	case "no-token":
+		return g.giver.Give(ctx, sworder.Target{URL: g.url, ChecksCaller: true}, o)
+	case "gone":
+		return g.giver.Give(ctx, sworder.Target{URL: "http://127.0.0.1:1"}, o)
+	case "busy":
+		return &sworder.LeaseError{Cause: sworder.ErrLeaseElsewhere, RetryAfter: 12 * swclock.Second}
+	case "silent":
+		return errors.New("no answer")
+	}
+	return &swadmin.Failure{Code: swadmin.CodeNotFound, Message: "no such target in the document"}
+}
--- a/internal/operator/swclient/swclient.go
+++ b/internal/operator/swclient/swclient.go
@@ -57,6 +57,7 @@
 		{"status", "", (*session).status},
 		{"drain", "target|host ID", (*session).drain},
 		{"undrain", "target|host ID", (*session).undrain},
+		{"order", "TARGET load-model|load-adapter|set-role ARGUMENT [VERSION]", (*session).order},
 		{"follow", "[-count N]", (*session).follow},
 	}
 }
--- a/internal/operator/swclient/swclient_test.go
+++ b/internal/operator/swclient/swclient_test.go
@@ -37,6 +37,7 @@
 				journal := swadmin.NewJournal()
 				relay := swrelay.New(swrelay.Config{Environment: name}, store, nil, nil, &swclock.Manual{})
 				h := swadmin.NewHandler(node{}, relay, journal, prometheus.NewRegistry(), zerolog.Nop())
+				h.ServeOrders(startEngines(e, store))
 				server := httptest.NewServer(h)
 				e.Defer(server.Close)
 				e.Setenv(name, server.URL)
