Keep the ranking of a cell's hosts, and pass over only hosts that cannot be dialled

Each ask ranked all members anew, a hash and a sort over the region's hosts; a tracker now keeps the ranking until the members change.

--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -60,7 +60,7 @@
 
 // buildNode builds what serves requests, and connects all parts.
 func (d *Daemon) buildNode() {
-	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.members, d.exchange, d.clock)
+	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.clock)
 	d.node = swnode.New(d.settings, swnode.Parts{
 		Self:      d.self,
 		Clock:     d.clock,
@@ -90,16 +90,22 @@
 	return swopenai.New(t.URL, d.clock)
 }
 
-// linkDown has the parts repeat what may have been lost with a link.
+// linkDown has the parts repeat what may have been lost with a link. A host is
+// passed over only when dialling it failed, which the lack of an incarnation
+// tells: a link that went silent says little of the host.
 func (d *Daemon) linkDown(peer swlink.Peer) {
-	d.router.LinkDown(peer.Host)
+	if peer.Incarnation == 0 {
+		d.router.Unreachable(peer.Host)
+	} else {
+		d.node.Owner().LinkDown(peer)
+	}
 	d.members.LinkDown(peer)
-	d.node.Owner().LinkDown(peer)
 	d.node.Holder().LinkDown(peer.Host)
 }
 
 // membersChanged ends the accounts of dead processes and moves asks to new owners.
 func (d *Daemon) membersChanged(members []swmember.Member) {
+	d.router.SetMembers(members)
 	for _, m := range members {
 		if m.State == swmsg.MemberDead && m.Incarnation != 0 {
 			d.node.Owner().HolderGone(swlink.Peer{Host: m.Host, Incarnation: m.Incarnation})
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -6,56 +6,69 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
-// HostRouter implements Router by ranking the members for each cell. Its methods are safe for concurrent use.
+// HostRouter implements Router with a tracker for each cell. Its methods are
+// safe for concurrent use.
 type HostRouter struct {
-	self    swid.HostID
-	region  swid.RegionID
-	members swmember.Source
-	sender  swlink.Sender
-	clock   swclock.Clock
+	self   swid.HostID
+	region swid.RegionID
+	clock  swclock.Clock
 
 	mu sync.Mutex
+	// members is the list that the trackers were last given.
+	members  []swmember.Member
+	trackers map[swid.CellID]*swelect.Tracker
 	// epochs has the highest epoch heard of each cell; none falls.
 	epochs map[swid.CellID]swid.Epoch
-	// lost has the hosts whose link was lost, and until when they are passed over.
-	lost map[swid.HostID]swclock.Millis
 }
 
-// lostTime is how long a host is passed over after its link was lost, unless the link comes back.
-const lostTime = 2 * swclock.Second
-
-// NewRouter returns the router of a host.
-func NewRouter(self swid.HostID, region swid.RegionID, members swmember.Source, sender swlink.Sender, clock swclock.Clock) *HostRouter {
+// NewRouter returns the router of a host that knows no other.
+func NewRouter(self swid.HostID, region swid.RegionID, clock swclock.Clock) *HostRouter {
 	return &HostRouter{
-		self: self, region: region, members: members, sender: sender, clock: clock,
-		epochs: make(map[swid.CellID]swid.Epoch), lost: make(map[swid.HostID]swclock.Millis),
+		self: self, region: region, clock: clock,
+		trackers: make(map[swid.CellID]*swelect.Tracker), epochs: make(map[swid.CellID]swid.Epoch),
+	}
+}
+
+// SetMembers brings a list of members into force.
+func (r *HostRouter) SetMembers(members []swmember.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.members = members
+	for cell, t := range r.trackers {
+		t.SetCandidates(r.candidates(cell))
 	}
 }
 
 // Owner implements swholder.Router: the best-ranked living host in reach, and
 // this host if there is no better one.
 func (r *HostRouter) Owner(cell swid.CellID) (host swid.HostID, insist bool) {
-	for _, h := range swelect.RankCandidates(cell, r.candidates(cell)) {
-		if h == r.self || r.inReach(h) {
-			return h, insist
-		}
-		insist = true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	choice := r.tracker(cell).Choose(r.clock.Now())
+	return choice.Host, choice.Insist
+}
+
+// tracker needs r.mu.
+func (r *HostRouter) tracker(cell swid.CellID) *swelect.Tracker {
+	t, known := r.trackers[cell]
+	if !known {
+		t = swelect.NewTracker(r.self, cell)
+		t.SetCandidates(r.candidates(cell))
+		r.trackers[cell] = t
 	}
-	return r.self, insist
+	return t
 }
 
-// candidates returns the members that may own a cell.
+// candidates returns the members that may own a cell. It needs r.mu.
 func (r *HostRouter) candidates(cell swid.CellID) []swelect.Candidate {
 	region := swelect.Region(cell)
-	members := r.members.Members()
-	candidates := make([]swelect.Candidate, 0, len(members)+1)
+	candidates := make([]swelect.Candidate, 0, len(r.members)+1)
 	listed := false
-	for _, m := range members {
+	for _, m := range r.members {
 		listed = listed || m.Host == r.self
 		if m.State == swmsg.MemberAlive || m.State == swmsg.MemberSuspect {
 			candidates = append(candidates, swelect.Candidate{Host: m.Host, Local: m.Region == region})
@@ -67,19 +80,13 @@
 	return candidates
 }
 
-// inReach trusts a host unless its link was lost a moment ago and is not back.
-func (r *HostRouter) inReach(host swid.HostID) bool {
-	r.mu.Lock()
-	until, lost := r.lost[host]
-	r.mu.Unlock()
-	return !lost || r.clock.Now() >= until || r.sender.Connected(host)
-}
-
-// LinkDown notes that a host may be out of reach.
-func (r *HostRouter) LinkDown(host swid.HostID) {
+// Unreachable notes that a host could not be reached just now.
+func (r *HostRouter) Unreachable(host swid.HostID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lost[host] = r.clock.Now() + lostTime
+	for _, t := range r.trackers {
+		t.Failed(r.clock.Now(), host)
+	}
 }
 
 // Heard implements swholder.Router.
