--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -36,7 +36,8 @@
 	PromptTokens swid.Tokens
 	// OutputTokens is the most that the request may generate, from its limit or the service's default.
 	OutputTokens swid.Tokens
-	// Prefix holds hashes of the prompt's prefixes at multiples of PrefixBlock tokens, shortest first.
+	// Prefix holds hashes of the prompt's prefixes, shortest first. The i-th
+	// covers swprefix.Depth(i) blocks of PrefixBlock tokens.
 	Prefix []swid.PrefixHash
 	// Fingerprint identifies the content.
 	Fingerprint swid.Fingerprint
@@ -205,6 +206,9 @@
 	Key     Key
 	Attempt swid.Attempt
 	Target  swid.TargetID
+	// FirstToken and Total are the expected spans from dispatch to the first token and to the end.
+	FirstToken swclock.Millis
+	Total      swclock.Millis
 }
 
 // Reason says why a request was given up.
