--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -24,11 +24,12 @@
 	if !d.keys.peer.Off() {
 		security = swlink.WithTLSFrom(d.keys.peer.Server(), d.keys.peer.Client)
 	}
+	links := append([]swlink.Option{security, swlink.WithLogger(d.log)}, d.options.links...)
 	d.network = swlink.New(swlink.Config{
 		Self:      d.self,
 		Address:   d.settings.Peer.Address,
 		Heartbeat: d.settings.Peer.Heartbeat,
-	}, d.clock, d.resolve, d.exchange, security, swlink.WithLogger(d.log))
+	}, d.clock, d.resolve, d.exchange, links...)
 	if err := d.network.Listen(); err != nil {
 		return err
 	}
--- a/internal/node/swdaemon/cluster_test.go
+++ b/internal/node/swdaemon/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swexample"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
@@ -26,11 +27,15 @@
 	t        *testing.T
 	store    *swmemstore.Store
 	document []byte
-	engines  []*swengine.Engine
-	plain    *swplain.Service
+	// cut disturbs the links between the hosts.
+	cut     *cutter
+	engines []*swengine.Engine
+	plain   *swplain.Service
 
 	mu    sync.Mutex
 	hosts []*host
+	// entries are the hosts that callers use; nil stands for all.
+	entries []*host
 }
 
 // host is one daemon of a cluster.
@@ -47,7 +52,7 @@
 // waits until the document is in force on all of them.
 func newCluster(t *testing.T, hosts int, engine swengine.Config) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: swmemstore.New(1)}
+	c := &cluster{t: t, store: swmemstore.New(1), cut: &cutter{}}
 	c.startTargets(engine)
 	for i := range hosts {
 		c.hosts = append(c.hosts, &host{id: swid.HostID(fmt.Sprintf("host-%d", i))})
@@ -109,7 +114,7 @@
 	settings.Operator.Address = "127.0.0.1:0"
 	abort, kill := context.WithCancel(context.Background())
 	ctx, shutDown := context.WithCancel(context.Background())
-	d, err := New(settings, zerolog.Nop(), WithStore(c.store), WithFirstDocument(c.document), WithAbort(abort))
+	d, err := New(settings, zerolog.Nop(), WithStore(c.store), WithFirstDocument(c.document), WithAbort(abort), WithLinkOption(swlink.WithConn(c.cut.wrap)))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -162,12 +167,16 @@
 	}
 }
 
-// urls returns the callers' addresses of all hosts, the dead ones included.
+// urls returns the addresses that callers use, those of dead hosts included.
 func (c *cluster) urls() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	urls := make([]string, 0, len(c.hosts))
-	for _, h := range c.hosts {
+	entries := c.entries
+	if entries == nil {
+		entries = c.hosts
+	}
+	urls := make([]string, 0, len(entries))
+	for _, h := range entries {
 		urls = append(urls, "http://"+h.daemon.CallerAddress())
 	}
 	return urls
--- /dev/null
+++ b/internal/node/swdaemon/drain_test.go
@@ -0,0 +1,81 @@
+package swdaemon
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swstore"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
+)
+
+// TestDrainTarget drains a target while requests run: once the change is in
+// force on every host, the target gets nothing new.
+func TestDrainTarget(t *testing.T) {
+	c := newCluster(t, 3, swengine.Config{TimeScale: 10})
+	c.check(c.load(4, 10))
+	relay := c.hosts[0].daemon.relay
+	base := relay.Current().Version
+	drained := bytes.Replace(c.document, []byte("id: engine-1\n"), []byte("id: engine-1\n  draining: true\n"), 1)
+	if bytes.Equal(drained, c.document) {
+		t.Fatalf("no engine-1 in %s", c.document)
+	}
+	version, err := relay.Apply(t.Context(), swstore.Change{ID: "drain", Base: base, Document: drained})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range c.hosts {
+		eventually(t, "the change is in force on "+string(h.id), func() bool { return h.daemon.relay.Current().Version >= version })
+		eventually(t, "nothing runs on the target from "+string(h.id), func() bool {
+			return h.daemon.node.Holder().Running()["engine-1"] == 0
+		})
+	}
+	before := started(c.engines[0])
+	c.check(c.load(4, 20))
+	if after := started(c.engines[0]); after != before {
+		t.Errorf("%d requests started on the draining target", after-before)
+	}
+	if started(c.engines[1]) == 0 {
+		t.Error("the other engine got no request")
+	}
+}
+
+// started counts the attempts that an engine accepted.
+func started(e *swengine.Engine) int {
+	runs := 0
+	for _, r := range e.Runs() {
+		runs += r.Runs
+	}
+	return runs
+}
+
+// TestOwnerKilled kills the owner of a cell while requests wait and run; those
+// that other hosts hold are all answered.
+func TestOwnerKilled(t *testing.T) {
+	c := newCluster(t, 3, swengine.Config{TimeScale: 2})
+	owner, _ := c.hosts[0].daemon.router.Owner(swid.NewCellID("chat", "local"))
+	var killed *host
+	var others []*host
+	for _, h := range c.hosts {
+		if h.id == owner {
+			killed = h
+		} else {
+			others = append(others, h)
+		}
+	}
+	c.mu.Lock()
+	c.entries = others
+	c.mu.Unlock()
+	done := make(chan *tally, 1)
+	go func() { done <- c.load(16, 8) }()
+	eventually(t, "requests run", func() bool { return started(c.engines[0])+started(c.engines[1]) > 8 })
+	c.end(killed, killed.kill)
+	seen := <-done
+	c.check(seen)
+	if len(seen.notRun)+seen.unknown+seen.lost > 0 {
+		t.Error("requests that waited at living hosts were not answered")
+	}
+	if next, _ := others[0].daemon.router.Owner(swid.NewCellID("chat", "local")); next == owner {
+		t.Errorf("%s still counts as the owner", owner)
+	}
+}
--- a/internal/node/swdaemon/failure_test.go
+++ b/internal/node/swdaemon/failure_test.go
@@ -33,6 +33,8 @@
 			c.end(c.hosts[1], c.hosts[1].shutDown)
 			c.start(c.hosts[1])
 		}},
+		{"links silent", func(c *cluster) { c.cut.silence() }},
+		{"links cut", func(c *cluster) { c.cut.close() }},
 		{"platform down", func(c *cluster) {
 			c.store.SetFaults(swmemstore.Faults{Outage: true})
 			time.Sleep(200 * time.Millisecond)
--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -65,6 +65,7 @@
 type options struct {
 	store         swobject.Store
 	firstDocument []byte
+	links         []swlink.Option
 	// abort ends the daemon without a graceful shutdown.
 	abort context.Context
 }
@@ -78,6 +79,11 @@
 // WithAbort sets a context whose end stops the daemon without a graceful shutdown.
 func WithAbort(ctx context.Context) Option { return func(o *options) { o.abort = ctx } }
 
+// WithLinkOption changes how the links to other hosts are set up.
+func WithLinkOption(o swlink.Option) Option {
+	return func(options *options) { options.links = append(options.links, o) }
+}
+
 // WithFirstDocument applies a document if the platform has none.
 func WithFirstDocument(document []byte) Option {
 	return func(o *options) { o.firstDocument = document }
