--- a/internal/owner/sworder/giver_test.go
+++ b/internal/owner/sworder/giver_test.go
@@ -164,3 +164,26 @@
 		t.Errorf("%d orders arrived", len(got))
 	}
 }
+
+// TestLostAnswers loses answers of the platform, and expects that exactly the orders reported as carried out arrived.
+func TestLostAnswers(t *testing.T) {
+	engine := swengine.New(swengine.Config{HonoursFencing: true})
+	defer engine.Close()
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	store := swmemstore.New(1)
+	store.SetFaults(swmemstore.Faults{LoseAnswer: 0.4})
+	giver, done := startGiver(t, store, swclock.NewSystem()), 0
+	for range 40 {
+		var lease *LeaseError
+		switch err := giver.Give(context.Background(), Target{URL: server.URL}, Order{Kind: KindSetRole, Role: "r"}); {
+		case err == nil:
+			done++
+		case !errors.As(err, &lease):
+			t.Fatal(err)
+		}
+	}
+	if got := len(ordersOf(t, server.URL)); got != done || done == 0 {
+		t.Errorf("%d orders arrived, %d were reported", got, done)
+	}
+}
