--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -33,12 +33,14 @@
 
 type entry struct {
 	strikes int
-	// until is when the entry is forgotten.
+	// until is when the strikes are forgotten.
 	until swclock.Millis
+	// answered is until when an earlier answer shows that the content is not what breaks targets.
+	answered swclock.Millis
 }
 
-// New returns an empty register. Content is refused at limit strikes; a strike is
-// forgotten when none follows it within span.
+// New returns an empty register. Content is refused at limit strikes, unless it
+// was answered within span; a strike is forgotten when none follows it within span.
 func New(size, limit int, span swclock.Millis) *Register {
 	entries, err := simplelru.NewLRU[swid.Fingerprint, entry](size, nil)
 	if err != nil {
@@ -61,23 +63,18 @@
 	r.entries.Add(f, e)
 }
 
-// Absolve forgets the strikes of content that ran to its end.
-func (r *Register) Absolve(f swid.Fingerprint) {
-	if r.entries.Len() > 0 {
-		r.entries.Remove(f)
-	}
+// Absolve forgets the strikes of content that ran to its end, and remembers that it did.
+func (r *Register) Absolve(f swid.Fingerprint, now swclock.Millis) {
+	r.entries.Add(f, entry{answered: now + r.span})
 }
 
 // Verdict returns how the content is treated, and for how long if nothing happens meanwhile.
 func (r *Register) Verdict(f swid.Fingerprint, now swclock.Millis) (Verdict, swclock.Millis) {
-	if r.entries.Len() == 0 {
-		return Clear, 0
-	}
 	e, ok := r.entries.Peek(f)
 	switch {
 	case !ok || e.until <= now:
 		return Clear, 0
-	case e.strikes >= r.limit:
+	case e.strikes >= r.limit && now >= e.answered:
 		return Refused, e.until - now
 	default:
 		return Suspect, e.until - now
--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -18,18 +18,34 @@
 )
 
 // joinPeers builds what reaches and knows other hosts.
-func (d *Daemon) joinPeers() {
+func (d *Daemon) joinPeers() error {
 	d.exchange = swexchange.New(d.self)
 	security := swlink.WithoutTLS()
 	if !d.keys.peer.Off() {
 		security = swlink.WithTLSFrom(d.keys.peer.Server(), d.keys.peer.Client)
 	}
+	links := append([]swlink.Option{security, swlink.WithLogger(d.log)}, d.options.links...)
 	d.network = swlink.New(swlink.Config{
 		Self:      d.self,
 		Address:   d.settings.Peer.Address,
 		Heartbeat: d.settings.Peer.Heartbeat,
-	}, d.clock, d.addressOf, d.exchange, security, swlink.WithLogger(d.log))
-	d.members = &polledMembers{store: d.store}
+	}, d.clock, d.resolve, d.exchange, links...)
+	if err := d.network.Listen(); err != nil {
+		return err
+	}
+	d.members = swmember.New(swmember.Config{
+		Self: swmember.Member{
+			Host:        d.settings.Host,
+			Incarnation: d.self.Incarnation,
+			Zone:        d.settings.Zone,
+			Region:      d.settings.Region,
+			Address:     d.network.Address(),
+			State:       swmsg.MemberAlive,
+		},
+		ConfigVersion: func() swid.ConfigVersion { return d.relay.Current().Version },
+		HeardVersion:  func(from swid.HostID, v swid.ConfigVersion) { d.relay.HeardVersion(from, v) },
+		Log:           d.log,
+	}, d.store, d.exchange, d.clock)
 	d.relay = swrelay.New(swrelay.Config{
 		Host:        d.settings.Host,
 		Zone:        d.settings.Zone,
@@ -37,21 +53,15 @@
 		Timeout:     d.settings.Platform.Timeout,
 		Log:         d.log,
 	}, d.store, d.members, d.exchange, d.clock)
+	return nil
 }
 
-// addressOf resolves a host's peer address.
-func (d *Daemon) addressOf(host swid.HostID) (string, bool) {
-	for _, m := range d.members.Members() {
-		if m.Host == host {
-			return m.Address, m.Address != ""
-		}
-	}
-	return "", false
-}
+// resolve returns a host's peer address.
+func (d *Daemon) resolve(host swid.HostID) (string, bool) { return d.members.Resolve(host) }
 
 // buildNode builds what serves requests, and connects all parts.
 func (d *Daemon) buildNode() {
-	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.members, d.exchange, d.clock)
+	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.clock)
 	d.node = swnode.New(d.settings, swnode.Parts{
 		Self:      d.self,
 		Clock:     d.clock,
@@ -61,12 +71,12 @@
 		Members:   d.members,
 		Config:    d.relay,
 		Claims:    d.claims,
-		Watcher:   noWatch{},
+		Watcher:   &d.watcher,
 		Adapters:  d.adapter,
 		Registry:  d.registry,
 		CallerTLS: d.keys.caller.Server(),
 	})
-	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay, heard{d.relay})
+	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay)
 	d.registry.MustRegister(d.network)
 	d.members.Subscribe(d.membersChanged)
 	d.relay.Subscribe(d.versionInForce)
@@ -81,15 +91,22 @@
 	return swopenai.New(t.URL, d.clock)
 }
 
-// linkDown has the parts repeat what may have been lost with a link.
+// linkDown has the parts repeat what may have been lost with a link. A host is
+// passed over only when dialling it failed, which the lack of an incarnation
+// tells: a link that went silent says little of the host.
 func (d *Daemon) linkDown(peer swlink.Peer) {
-	d.router.LinkDown(peer.Host)
-	d.node.Owner().LinkDown(peer)
+	if peer.Incarnation == 0 {
+		d.router.Unreachable(peer.Host)
+	} else {
+		d.node.Owner().LinkDown(peer)
+	}
+	d.members.LinkDown(peer)
 	d.node.Holder().LinkDown(peer.Host)
 }
 
 // membersChanged ends the accounts of dead processes and moves asks to new owners.
 func (d *Daemon) membersChanged(members []swmember.Member) {
+	d.router.SetMembers(members)
 	for _, m := range members {
 		if m.State == swmsg.MemberDead && m.Incarnation != 0 {
 			d.node.Owner().HolderGone(swlink.Peer{Host: m.Host, Incarnation: m.Incarnation})
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -78,6 +78,8 @@
 	return swmsg.Grant{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
 		Target: target(c, w.GetTarget()), Epoch: swid.Epoch(w.GetEpoch()),
+		FirstToken: span(c, "firstTokenMillis", w.GetFirstTokenMillis()),
+		Total:      span(c, "totalMillis", w.GetTotalMillis()),
 	}
 }
 
@@ -155,7 +157,7 @@
 		return swmsg.Heartbeat{}
 	}
 	return swmsg.Heartbeat{
-		Number: w.GetNumber(), ConfigVersion: swid.ConfigVersion(w.GetConfigVersion()), Reply: w.GetReply(),
+		Number: w.GetNumber(), ConfigVersion: swid.ConfigVersion(w.GetConfigVersion()), Reply: w.GetReply(), View: w.GetView(),
 		Rumors: convert(w.GetRumors(), func(r *swpb.Rumor) swmsg.Rumor { return decodeRumor(c, r) }),
 	}
 }
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -69,6 +69,7 @@
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
 	return &swpb.Grant{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target), Epoch: uint64(m.Epoch),
+		FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total),
 	}
 }
 
@@ -114,7 +115,7 @@
 
 func encodeHeartbeat(m swmsg.Heartbeat) *swpb.Heartbeat {
 	return &swpb.Heartbeat{
-		Number: m.Number, ConfigVersion: uint64(m.ConfigVersion), Rumors: convert(m.Rumors, encodeRumor), Reply: m.Reply,
+		Number: m.Number, ConfigVersion: uint64(m.ConfigVersion), Rumors: convert(m.Rumors, encodeRumor), Reply: m.Reply, View: m.View,
 	}
 }
 
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -51,6 +51,8 @@
 	Rumors        []Rumor
 	// Reply marks the answer to a heartbeat of the same number.
 	Reply bool
+	// View is a hash of the members that the sender holds, so that two hosts notice when they differ.
+	View uint64
 }
 
 // Ask is a holder's request for a grant.
@@ -119,6 +121,9 @@
 	Attempt swid.Attempt
 	Target  swid.TargetID
 	Epoch   swid.Epoch
+	// FirstToken and Total are the expected spans from dispatch to the first token and to the end.
+	FirstToken swclock.Millis
+	Total      swclock.Millis
 }
 
 // GiveUp ends an ask.
