Check that a truncated stream never ends like a whole one

The failure test counted a stream without its terminal marker as nothing; with the check of the marker off it passed. It now fails then, and passes with it. Also seen to fail with their mechanism off: crossed answers (check of the echoed id), lost answers of the plain service (claims: a key ran 2 times), the drained target (55 requests started on it) and the killed owner (hangs).

--- a/internal/node/swdaemon/load_test.go
+++ b/internal/node/swdaemon/load_test.go
@@ -115,6 +115,9 @@
 	}
 	want := swanswer.Text(swprompt.Render([]swprompt.Message{{Role: "user", Content: prompt}}), loadTokens)
 	text, whole := textOf(answer, stream)
+	if !whole && !strings.Contains(answer, `"error"`) {
+		k.wrong(fmt.Sprintf("completion %s ended without its terminal marker or an error", name))
+	}
 	if whole && text != want {
 		k.wrong(fmt.Sprintf("completion %s answered %q, want %q", name, text, want))
 	}
