--- a/internal/core/swcell/request.go
+++ b/internal/core/swcell/request.go
@@ -11,9 +11,6 @@
 	ask   Ask
 	item  swqueue.Item[*request]
 	asked swclock.Millis
-	// firstToken and expectedTotal are the spans that were expected at the grant.
-	firstToken    float64
-	expectedTotal float64
 	// output is what the request is planned to generate; it is at most ask.OutputTokens.
 	output float64
 	// safeStart is the last start by which any fully trusted target is expected to meet the deadline.
