Tell callers to come back when a failed target has been tried again

Cause: with no supply at all the forecast is an hour, capped to 5 minutes, so that callers of a service whose only target broke were told to come back after 300,000 ms although it is probed every 10 s at the least (seen with four dropped answers through examples/load/run). They are now told 10 s; the test fails with 300,000 without the change.

--- a/internal/core/swcell/overload.go
+++ b/internal/core/swcell/overload.go
@@ -95,10 +95,16 @@
 	c.emit(GiveUp{Key: r.ask.Key, Attempt: r.ask.Attempt, Reason: reason, RetryAfter: after})
 }
 
-// retryAfter returns when the present backlog of a tier and those above has started.
+// retryAfter returns when the present backlog of a tier and those above has
+// started. Without any supply it returns when every target that failed has been
+// tried again.
 func (c *Cell) retryAfter(t *tier) swclock.Millis {
 	const shortest, longest = swclock.Second, 5 * swclock.Minute
-	return min(max(millis(c.supplyOf(t).startAfter(c.workAbove(t)+t.queue.Work())), shortest), longest)
+	s := c.supplyOf(t)
+	if len(s.slots) == 0 {
+		return maxBackoff
+	}
+	return min(max(millis(s.startAfter(c.workAbove(t)+t.queue.Work())), shortest), longest)
 }
 
 // workAbove returns the work that waits in the tiers above.
--- a/internal/core/swcell/recovery_test.go
+++ b/internal/core/swcell/recovery_test.go
@@ -66,3 +66,16 @@
 		t.Errorf("%d of the last %d calls were given up", lateGiveUps, calls/2)
 	}
 }
+
+// TestRetryAfterFailure breaks the only target: callers are told to come back
+// when it has been tried again, and not when a backlog would be done.
+func TestRetryAfterFailure(t *testing.T) {
+	c := New(Config{Tiers: 1})
+	c.Step(0, Configure{Targets: []Target{{ID: "a", State: TargetActive, Slots: 4, ServiceTime: 20}}}, nil)
+	c.Step(1, TargetSeen{Target: "a"}, nil)
+	for _, a := range c.Step(2, Ask{Key: Key{Holder: "h", Seq: 1}, Attempt: 1, Org: "o", Deadline: swclock.Minute}, nil) {
+		if g, ok := a.(GiveUp); ok && g.RetryAfter != maxBackoff {
+			t.Errorf("told to come back after %d ms, want %d", g.RetryAfter, maxBackoff)
+		}
+	}
+}
