--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -43,7 +43,7 @@
 			State:       swmsg.MemberAlive,
 		},
 		ConfigVersion: func() swid.ConfigVersion { return d.relay.Current().Version },
-		HeardVersion:  func(from swid.HostID, v swid.ConfigVersion) { d.relay.HeardVersion(from, v) },
+		HeardVersion:  d.heardVersion,
 		Log:           d.log,
 	}, d.store, d.exchange, d.clock)
 	d.relay = swrelay.New(swrelay.Config{
@@ -117,6 +117,12 @@
 	d.node.Holder().Reroute()
 }
 
+// heardVersion takes the version that a host's heartbeat carried.
+func (d *Daemon) heardVersion(from swid.HostID, v swid.ConfigVersion) {
+	d.versions.Store(from, v)
+	d.relay.HeardVersion(from, v)
+}
+
 // versionInForce tells followers of a new version.
 func (d *Daemon) versionInForce(f swrelay.InForce) {
 	d.publish(swadmin.EventVersion, strconv.FormatUint(uint64(f.Version), 10), "in force")
--- a/internal/node/swdaemon/operator.go
+++ b/internal/node/swdaemon/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -118,11 +119,24 @@
 	swmsg.MemberDead:    "dead",
 }
 
+// versionOf returns the version in force on a host; 0 if it sent no heartbeat to this one.
+func (d *Daemon) versionOf(host swid.HostID) swid.ConfigVersion {
+	if host == d.settings.Host {
+		return d.relay.Current().Version
+	}
+	if v, heard := d.versions.Load(host); heard {
+		return v.(swid.ConfigVersion) // heardVersion stores no other type
+	}
+	return 0
+}
+
 func (d *Daemon) memberStatus() []swadmin.MemberStatus {
 	members := d.members.Members()
 	statuses := make([]swadmin.MemberStatus, 0, len(members))
 	for _, m := range members {
-		statuses = append(statuses, swadmin.MemberStatus{Host: m.Host, Zone: m.Zone, State: memberStates[m.State]})
+		statuses = append(statuses, swadmin.MemberStatus{
+			Host: m.Host, Zone: m.Zone, State: memberStates[m.State], Version: d.versionOf(m.Host),
+		})
 	}
 	return statuses
 }
--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,8 @@
 	admin    http.Handler
 	// operator is the operators' listener, set by Listen.
 	operator net.Listener
+	// versions has the document's version in force on other hosts, by host, as last heard.
+	versions sync.Map
 	// draining is set by an operator or by the shutdown.
 	draining atomic.Bool
 }
