--- a/internal/core/swcell/request.go
+++ b/internal/core/swcell/request.go
@@ -35,6 +35,9 @@
 	index int
 	// expectedEnd is the present estimate.
 	expectedEnd float64
+	// firstToken and expectedTotal are the spans that were expected at the grant.
+	firstToken    float64
+	expectedTotal float64
 	// output is what the request is planned to generate.
 	output float64
 	// cost is what the organisation was charged.
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -100,7 +102,7 @@
 	defer cancel()
 	d, err := e.holder.config.Claims.Claim(ctx, e.claimEntry())
 	if err != nil {
-		return swlife.ClaimFailed{Cause: swlife.CauseClaimUnavailable, RetryAfter: claimTimeout}
+		return swlife.ClaimFailed{Cause: swlife.CauseClaimUnavailable, RetryAfter: claimRetry(err)}
 	}
 	switch {
 	case d.Granted:
@@ -114,6 +116,15 @@
 	}
 }
 
+// claimRetry returns when a claim that was not recorded may be tried again.
+func claimRetry(err error) swclock.Millis {
+	var full *swclaim.FullError
+	if errors.As(err, &full) {
+		return full.RetryAfter
+	}
+	return claimTimeout
+}
+
 // replay gives the caller the answer that was recorded for its key.
 func (e *held) replay(d swclaim.Decision) swlife.Event {
 	err := e.sink.Begin(d.Status, d.ContentType)
@@ -139,7 +150,7 @@
 				e.redirected(a.redirect)
 				continue
 			}
-			return eventOf(a)
+			return e.take(a)
 		case <-resend.C:
 			resend.Reset(e.resendAsk().Duration())
 		case <-deadline.C:
@@ -150,8 +161,10 @@
 	}
 }
 
-func eventOf(a answer) swlife.Event {
+// take notes what a grant expects and returns the answer's event.
+func (e *held) take(a answer) swlife.Event {
 	if a.grant != nil {
+		e.expected = expectation{firstToken: a.grant.FirstToken, total: a.grant.Total}
 		return swlife.Granted{Target: a.grant.Target}
 	}
 	return swlife.GivenUp{Reason: a.giveUp.Reason, RetryAfter: a.giveUp.RetryAfter}
--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -24,11 +24,12 @@
 	if !d.keys.peer.Off() {
 		security = swlink.WithTLSFrom(d.keys.peer.Server(), d.keys.peer.Client)
 	}
+	links := append([]swlink.Option{security, swlink.WithLogger(d.log)}, d.options.links...)
 	d.network = swlink.New(swlink.Config{
 		Self:      d.self,
 		Address:   d.settings.Peer.Address,
 		Heartbeat: d.settings.Peer.Heartbeat,
-	}, d.clock, d.resolve, d.exchange, security, swlink.WithLogger(d.log))
+	}, d.clock, d.resolve, d.exchange, links...)
 	if err := d.network.Listen(); err != nil {
 		return err
 	}
@@ -42,7 +43,7 @@
 			State:       swmsg.MemberAlive,
 		},
 		ConfigVersion: func() swid.ConfigVersion { return d.relay.Current().Version },
-		HeardVersion:  func(from swid.HostID, v swid.ConfigVersion) { d.relay.HeardVersion(from, v) },
+		HeardVersion:  d.heardVersion,
 		Log:           d.log,
 	}, d.store, d.exchange, d.clock)
 	d.relay = swrelay.New(swrelay.Config{
@@ -60,7 +61,7 @@
 
 // buildNode builds what serves requests, and connects all parts.
 func (d *Daemon) buildNode() {
-	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.members, d.exchange, d.clock)
+	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.clock)
 	d.node = swnode.New(d.settings, swnode.Parts{
 		Self:      d.self,
 		Clock:     d.clock,
@@ -79,7 +80,9 @@
 	d.registry.MustRegister(d.network)
 	d.members.Subscribe(d.membersChanged)
 	d.relay.Subscribe(d.versionInForce)
-	d.admin = swadmin.NewHandler(d, d.relay, d.journal, d.registry, d.log)
+	admin := swadmin.NewHandler(d, d.relay, d.journal, d.registry, d.log)
+	admin.ServeOrders(d)
+	d.admin = admin
 }
 
 // adapter makes the adapter of a target.
@@ -90,16 +93,22 @@
 	return swopenai.New(t.URL, d.clock)
 }
 
-// linkDown has the parts repeat what may have been lost with a link.
+// linkDown has the parts repeat what may have been lost with a link. A host is
+// passed over only when dialling it failed, which the lack of an incarnation
+// tells: a link that went silent says little of the host.
 func (d *Daemon) linkDown(peer swlink.Peer) {
-	d.router.LinkDown(peer.Host)
+	if peer.Incarnation == 0 {
+		d.router.Unreachable(peer.Host)
+	} else {
+		d.node.Owner().LinkDown(peer)
+	}
 	d.members.LinkDown(peer)
-	d.node.Owner().LinkDown(peer)
 	d.node.Holder().LinkDown(peer.Host)
 }
 
 // membersChanged ends the accounts of dead processes and moves asks to new owners.
 func (d *Daemon) membersChanged(members []swmember.Member) {
+	d.router.SetMembers(members)
 	for _, m := range members {
 		if m.State == swmsg.MemberDead && m.Incarnation != 0 {
 			d.node.Owner().HolderGone(swlink.Peer{Host: m.Host, Incarnation: m.Incarnation})
@@ -108,6 +117,12 @@
 	d.node.Holder().Reroute()
 }
 
+// heardVersion takes the version that a host's heartbeat carried.
+func (d *Daemon) heardVersion(from swid.HostID, v swid.ConfigVersion) {
+	d.versions.Store(from, v)
+	d.relay.HeardVersion(from, v)
+}
+
 // versionInForce tells followers of a new version.
 func (d *Daemon) versionInForce(f swrelay.InForce) {
 	d.publish(swadmin.EventVersion, strconv.FormatUint(uint64(f.Version), 10), "in force")
