--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -1,8 +1,11 @@
 package swdaemon
 
 import (
+	"runtime/debug"
 	"strconv"
 
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/config/swrelay"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -77,7 +80,7 @@
 		CallerTLS: d.keys.caller.Server(),
 	})
 	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay)
-	d.registry.MustRegister(d.network)
+	d.registry.MustRegister(d.network, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.members.Subscribe(d.membersChanged)
 	d.relay.Subscribe(d.versionInForce)
 	admin := swadmin.NewHandler(d, d.relay, d.journal, d.registry, d.log)
@@ -123,7 +126,14 @@
 	d.relay.HeardVersion(from, v)
 }
 
+// largeDocument is the number of organisations from which a document's parse
+// leaves enough garbage to return it to the system at once.
+const largeDocument = 1000
+
 // versionInForce tells followers of a new version.
 func (d *Daemon) versionInForce(f swrelay.InForce) {
+	if f.Document != nil && len(f.Document.Organisations) >= largeDocument {
+		debug.FreeOSMemory()
+	}
 	d.publish(swadmin.EventVersion, strconv.FormatUint(uint64(f.Version), 10), "in force")
 }
