Report strikes with asks and work in flight

Strikes of content that breaks targets were held only by the owner of a cell, so that its successor let the content run beside others again. The holder now counts the broken attempts of each request and reports them in Ask and InFlight; the cell takes the larger of its own count and the reported one, so that a repeated ask adds nothing and does not extend the refusal. Content that was answered lately is not accused anew, since the answer cleared it; without this a repeated ask would undo the answer.

Ruled out: adding the reported count to the cell's own, which counts a break twice where the owner did not change.

--- a/internal/core/swcell/attempt.go
+++ b/internal/core/swcell/attempt.go
@@ -33,6 +33,7 @@
 
 // admit queues an ask, or refuses it at once.
 func (c *Cell) admit(e Ask, preempted bool) {
+	c.strikes.Report(e.Fingerprint, int(e.Strikes), c.now)
 	r := c.enqueue(e)
 	verdict, wait := c.strikes.Verdict(e.Fingerprint, c.now)
 	switch {
@@ -96,6 +97,7 @@
 	if r := c.waiting[e.Ask.Key]; r != nil && r.ask.Attempt <= e.Ask.Attempt {
 		c.unqueue(r)
 	}
+	c.strikes.Report(e.Ask.Fingerprint, int(e.Ask.Strikes), c.now)
 	t := c.byID[e.Target]
 	if t == nil {
 		// The target takes no new work until a configuration lists it.
--- a/internal/core/swcell/recovery_test.go
+++ b/internal/core/swcell/recovery_test.go
@@ -57,3 +57,59 @@
 		t.Errorf("%d of the last %d calls were granted at once", late, calls/2)
 	}
 }
+
+// TestStrikesOutliveOwner reports strikes to a new owner's cell, which knows
+// nothing of the breaks that it did not see.
+func TestStrikesOutliveOwner(t *testing.T) {
+	reported := func(n swid.Seq, strikes uint8) Ask {
+		a := long(int(n), 0, 90000)
+		a.Fingerprint, a.Strikes = 77, strikes
+		return a
+	}
+	inFlight := func(n swid.Seq, strikes uint8) InFlight {
+		a := reported(n, strikes)
+		a.Attempt = 4
+		return InFlight{Ask: a, Target: "t2"}
+	}
+	beside := long(1, 0, 90000)
+	tests := []struct {
+		name   string
+		events []Event
+		// refused, else granted only if alone is not wanted.
+		refused bool
+		alone   bool
+	}{
+		{"none", nil, false, false},
+		{"one asked", []Event{reported(2, 1)}, false, true},
+		{"limit asked", []Event{reported(2, 3)}, true, false},
+		{"limit in flight", []Event{inFlight(2, 3)}, true, false},
+		{"maximum, not sum", []Event{reported(2, 2), reported(3, 2)}, false, true},
+		{"break after report", []Event{inFlight(2, 2), Done{Key: key(2), Attempt: 4, Target: "t2", Result: ResultBroken}}, true, false},
+		{"answered meanwhile", []Event{
+			inFlight(2, 1), Done{Key: key(2), Attempt: 4, Target: "t2", Result: ResultAnswered}, reported(3, 2),
+		}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCell(t, engine("t1", 4), engine("t2", 4))
+			c.Step(0, beside, nil)
+			c.Step(0, long(8, 0, 90000), nil)
+			for i, e := range tt.events {
+				c.Step(swclock.Millis(i+1), e, nil)
+			}
+			got := c.Step(10, reported(9, 0), nil)
+			granted, refused := false, false
+			for _, a := range got {
+				if g, ok := a.(Grant); ok {
+					granted = granted || g.Key == key(9)
+				}
+				if g, ok := a.(GiveUp); ok {
+					refused = refused || (g.Key == key(9) && g.Reason == ReasonSuspect)
+				}
+			}
+			if refused != tt.refused || granted != (!tt.refused && !tt.alone) {
+				t.Errorf("got %+v", got)
+			}
+		})
+	}
+}
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -45,6 +45,8 @@
 	Exclude []swid.TargetID
 	// NonIdempotent marks work that is never cancelled, hedged or dispatched twice.
 	NonIdempotent bool
+	// Strikes counts the request's earlier attempts that broke, under whatever owner.
+	Strikes uint8
 }
 
 // Withdraw ends a waiting request or a grant that was not used, for example because its caller left.
--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -63,6 +63,20 @@
 	r.entries.Add(f, e)
 }
 
+// Report takes in strikes that were counted elsewhere: the more of them and of
+// the register's own count. Content that was answered lately is not accused anew.
+func (r *Register) Report(f swid.Fingerprint, strikes int, now swclock.Millis) {
+	e, ok := r.entries.Peek(f)
+	if ok && e.until <= now {
+		e.strikes = 0
+	}
+	if strikes <= e.strikes || now < e.answered {
+		return
+	}
+	e.strikes, e.until = strikes, now+r.span
+	r.entries.Add(f, e)
+}
+
 // Absolve forgets the strikes of content that ran to its end, and remembers that it did.
 func (r *Register) Absolve(f swid.Fingerprint, now swclock.Millis) {
 	r.entries.Add(f, entry{answered: now + r.span})
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -277,6 +277,9 @@
 	}
 	a.done = true
 	e := a.held
+	if a.result == swcell.ResultBroken {
+		e.strike()
+	}
 	output := a.usage.OutputTokens
 	if output == 0 {
 		output = a.produced
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 
@@ -42,6 +43,8 @@
 	answers chan answer
 	// running is nil unless an attempt is dispatched.
 	running *running
+	// strikes counts the attempts that broke, up to its largest value.
+	strikes uint8
 }
 
 // expectation has the spans from dispatch that an owner expects.
@@ -188,6 +191,16 @@
 		Fingerprint:   r.Fingerprint,
 		Exclude:       e.ask.Exclude,
 		NonIdempotent: r.NonIdempotent,
+		Strikes:       e.strikes,
+	}
+}
+
+// strike counts a broken attempt.
+func (e *held) strike() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.strikes < math.MaxUint8 {
+		e.strikes++
 	}
 }
 
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -222,6 +222,33 @@
 	}
 }
 
+// TestStrikesAreReported breaks two attempts and changes the owner during the third.
+func TestStrikesAreReported(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{"a": {{end: errBroken}}, "b": {{end: errBroken}}, "c": {{hang: true}}})
+	reports, _ := b.serve(b.request(false, false))
+	var last swmsg.Ask
+	for n, target := range []swid.TargetID{"a", "b", "c"} {
+		last, _ = expect[swmsg.Ask](t, b)
+		if int(last.Strikes) != n {
+			t.Errorf("ask %d reports %d strikes, want %d", n+1, last.Strikes, n)
+		}
+		b.grant("owner", last, target)
+	}
+	for b.holder.lookup(last.Seq).runningOn() != "c" {
+	}
+	b.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Recover{Cell: "c", Epoch: 2})
+	if m, _ := expect[swmsg.InFlight](t, b); m.Ask.Strikes != 2 {
+		t.Errorf("work in flight reports %d strikes, want 2", m.Ask.Strikes)
+	}
+	b.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Preempt{Cell: "c", Seq: last.Seq, Attempt: last.Attempt, Target: "c"})
+	fourth, to := expect[swmsg.Ask](t, b)
+	if fourth.Strikes != 2 {
+		t.Errorf("ask after a cancellation reports %d strikes, want 2", fourth.Strikes)
+	}
+	b.holder.Receive(swlink.Peer{Host: to}, swmsg.GiveUp{Cell: "c", Seq: fourth.Seq, Attempt: fourth.Attempt, Reason: swcell.ReasonSuspect})
+	<-reports
+}
+
 func TestOutcomes(t *testing.T) {
 	whole := script{chunks: []string{"x", "y"}, end: io.EOF}
 	notStarted := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Err: errors.New("refused")}}
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -28,6 +28,7 @@
 		Fingerprint:   m.Fingerprint,
 		Exclude:       m.Exclude,
 		NonIdempotent: m.NonIdempotent,
+		Strikes:       m.Strikes,
 	}
 }
 
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -1,6 +1,8 @@
 package swcodec
 
 import (
+	"math"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -71,6 +73,7 @@
 			return swid.TargetID(c.required("exclude", t))
 		}),
 		NonIdempotent: w.GetNonIdempotent(), Insist: w.GetInsist(), Epoch: swid.Epoch(w.GetEpoch()),
+		Strikes: uint8(c.between("strikes", w.GetStrikes(), 0, math.MaxUint8)),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -62,7 +62,7 @@
 		RemainingMillis: int64(m.Remaining), PromptTokens: int64(m.PromptTokens), OutputTokens: int64(m.OutputTokens),
 		Prefix: convert(m.Prefix, func(h swid.PrefixHash) uint64 { return uint64(h) }), Fingerprint: uint64(m.Fingerprint),
 		Exclude:       convert(m.Exclude, func(t swid.TargetID) string { return string(t) }),
-		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Epoch: uint64(m.Epoch),
+		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Epoch: uint64(m.Epoch), Strikes: uint32(m.Strikes),
 	}
 }
 
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -73,6 +73,8 @@
 	Insist bool
 	// Epoch is the highest epoch that the holder has seen for the cell.
 	Epoch swid.Epoch
+	// Strikes counts the request's earlier attempts that broke.
+	Strikes uint8
 }
 
 // InFlight reports dispatched work to a new owner.
