--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
+	"github.com/sassafraswing/sassafraswing/internal/owner/sworder"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
@@ -46,6 +48,7 @@
 	relay    *swrelay.Relay
 	router   *swnode.HostRouter
 	claims   *swclaim.ObjectRegistry
+	giver    *sworder.Giver
 	watcher  targetWatcher
 	node     *swnode.Node
 	registry *prometheus.Registry
@@ -53,6 +56,8 @@
 	admin    http.Handler
 	// operator is the operators' listener, set by Listen.
 	operator net.Listener
+	// versions has the document's version in force on other hosts, by host, as last heard.
+	versions sync.Map
 	// draining is set by an operator or by the shutdown.
 	draining atomic.Bool
 }
@@ -65,6 +70,7 @@
 type options struct {
 	store         swobject.Store
 	firstDocument []byte
+	links         []swlink.Option
 	// abort ends the daemon without a graceful shutdown.
 	abort context.Context
 }
@@ -78,6 +84,11 @@
 // WithAbort sets a context whose end stops the daemon without a graceful shutdown.
 func WithAbort(ctx context.Context) Option { return func(o *options) { o.abort = ctx } }
 
+// WithLinkOption changes how the links to other hosts are set up.
+func WithLinkOption(o swlink.Option) Option {
+	return func(options *options) { options.links = append(options.links, o) }
+}
+
 // WithFirstDocument applies a document if the platform has none.
 func WithFirstDocument(document []byte) Option {
 	return func(o *options) { o.firstDocument = document }
@@ -96,6 +107,7 @@
 		}, d.clock)
 	}
 	d.claims = swclaim.New(swclaim.Config{Environment: d.settings.Platform.Environment}, d.store, d.clock)
+	d.giver = d.newGiver()
 }
 
 const (
@@ -191,6 +203,10 @@
 		d.claims.Run(ctx)
 		return nil
 	})
+	tasks.Go(func(ctx context.Context) error {
+		d.giver.Run(ctx)
+		return nil
+	})
 	tasks.Go(d.serveOperators)
 	tasks.Go(d.applyFirst)
 	tasks.Go(func(failed context.Context) error {
