Draw strikes in the codec's round trip

The generator of the round-trip test had no case for an 8-bit count, so that the test failed once Ask carried strikes. It now draws the whole range; nothing that it checked before is left out.

--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -59,6 +59,8 @@
 		v.SetBool(rapid.Bool().Draw(t, "flag"))
 	case reflect.Int64:
 		v.SetInt(rapid.Int64Min(0).Draw(t, "number"))
+	case reflect.Uint8:
+		v.SetUint(uint64(rapid.Uint8().Draw(t, "number")))
 	case reflect.Uint32:
 		v.SetUint(uint64(rapid.Uint32().Draw(t, "number")))
 	case reflect.Uint64:
