--- a/internal/node/swdaemon/drain_test.go
+++ b/internal/node/swdaemon/drain_test.go
@@ -82,3 +82,28 @@
 		t.Errorf("%s still counts as the owner", owner)
 	}
 }
+
+// TestShutdownUnderLoad shuts a host down while it holds running and waiting
+// requests; all are answered whole.
+func TestShutdownUnderLoad(t *testing.T) {
+	const callers = 40
+	c := newCluster(t, 3, swengine.Config{TimeScale: 2, Slots: 8})
+	leaving := c.hosts[0]
+	c.mu.Lock()
+	c.entries = []*host{leaving}
+	c.mu.Unlock()
+	done := make(chan *tally, 1)
+	go func() { done <- c.load(callers, 1) }()
+	asked := 0
+	eventually(t, "every request has reached the host", func() bool {
+		asked++
+		next, _ := leaving.daemon.node.Holder().NextID() // numbers the requests and these calls
+		return int(next)-asked >= callers
+	})
+	c.end(leaving, leaving.shutDown)
+	seen := <-done
+	c.check(seen)
+	if cut := seen.unknown + seen.lost; cut > 0 {
+		t.Errorf("%d of %d requests were cut", cut, callers)
+	}
+}
