--- a/internal/core/swcell/place.go
+++ b/internal/core/swcell/place.go
@@ -209,10 +209,6 @@
 		if o.total-t.prefillWait(c.now) <= left {
 			found.late = false
 		}
-		// The last free slot of a target is kept for bursts of the top tier.
-		if c.tierOf(&r.ask).rank > 0 && t.room(c.now) == 1 {
-			continue
-		}
 		if o.total > left || !t.accepts(r, c.now) || t.held(c.pass, c.now, o.total) {
 			continue
 		}
