Count no strike for a target that stays silent or crosses answers

The test refuses content after three breaks and not after three silences; before, there was one result for both.

The epochs in asks and withdrawals were read by nobody any more and are gone.

--- a/internal/core/swcell/recovery_test.go
+++ b/internal/core/swcell/recovery_test.go
@@ -135,3 +135,42 @@
 		})
 	}
 }
+
+// TestStallsAreNoStrikes stalls the same content on one target after another;
+// it is not refused for that, as content that breaks targets is.
+func TestStallsAreNoStrikes(t *testing.T) {
+	tests := []struct {
+		name    string
+		result  Result
+		refused bool
+	}{
+		{"no answer", ResultNoAnswer, false},
+		{"broken", ResultBroken, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := New(Config{Tiers: 1})
+			var targets []Target
+			for _, id := range []swid.TargetID{"a", "b", "c", "d", "e"} {
+				targets = append(targets, Target{ID: id, State: TargetActive, Slots: 4, ServiceTime: 20})
+			}
+			c.Step(0, Configure{Targets: targets}, nil)
+			refused := false
+			for n := range 4 {
+				now := swclock.Millis(n * 100)
+				ask := Ask{Key: Key{Holder: "h", Seq: swid.Seq(n)}, Attempt: 1, Org: "o", Deadline: now + swclock.Minute, Fingerprint: 7}
+				for _, a := range c.Step(now, ask, nil) {
+					switch a := a.(type) {
+					case Grant:
+						c.Step(now+20, Done{Key: a.Key, Attempt: 1, Target: a.Target, Result: tt.result, Total: 20}, nil)
+					case GiveUp:
+						refused = refused || a.Reason == ReasonSuspect
+					}
+				}
+			}
+			if refused != tt.refused {
+				t.Errorf("refused: %t, want %t", refused, tt.refused)
+			}
+		})
+	}
+}
--- a/internal/core/swcell/run.go
+++ b/internal/core/swcell/run.go
@@ -68,7 +68,7 @@
 	case ResultBroken:
 		c.strikes.Strike(r.ask.Fingerprint, r.alone, c.now)
 		c.failed(t)
-	case ResultNotStarted:
+	case ResultNotStarted, ResultNoAnswer:
 		c.failed(t)
 	}
 }
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -90,6 +90,9 @@
 	ResultCancelled
 	// ResultRejected means that the target answered with an error of the request's own.
 	ResultRejected
+	// ResultNoAnswer means that the target stayed silent or sent another request's
+	// answer, without a sign that it crashed; the request may have run.
+	ResultNoAnswer
 )
 
 // Done reports the end of an attempt that was dispatched.
--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -286,7 +286,7 @@
 		return End{Outcome: OutcomeAnswered}
 	case swcell.ResultNotStarted:
 		return l.retry(e)
-	case swcell.ResultBroken:
+	case swcell.ResultBroken, swcell.ResultNoAnswer:
 		l.mayHaveRun = true
 		if e.Resumable && l.resumes < MaxResumes {
 			l.resumes++
--- a/internal/core/swlife/swlife_test.go
+++ b/internal/core/swlife/swlife_test.go
@@ -26,6 +26,7 @@
 	AttemptEnded{Result: swcell.ResultCancelled, Cause: CausePreempted},
 	AttemptEnded{Result: swcell.ResultCancelled, Cause: CauseCallerGone},
 	AttemptEnded{Result: swcell.ResultRejected},
+	AttemptEnded{Result: swcell.ResultNoAnswer},
 }
 
 // TestLifeKeepsItsPromises draws events in any order, fitting or not.
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -254,13 +254,17 @@
 		}
 		return swlife.AttemptEnded{Result: swcell.ResultNotStarted}
 	case swtarget.FailureMismatch:
-		return swlife.AttemptEnded{Result: swcell.ResultBroken}
+		return swlife.AttemptEnded{Result: swcell.ResultNoAnswer}
+	case swtarget.FailureStalled:
+		return swlife.AttemptEnded{Result: swcell.ResultNoAnswer, Resumable: a.resumable()}
 	default:
-		resumable := a.held.request.Call.Stream && a.events > 0
-		return swlife.AttemptEnded{Result: swcell.ResultBroken, Resumable: resumable}
+		return swlife.AttemptEnded{Result: swcell.ResultBroken, Resumable: a.resumable()}
 	}
 }
 
+// resumable reports whether the target may have the rest of a stream.
+func (a *attempt) resumable() bool { return a.held.request.Call.Stream && a.events > 0 }
+
 // cancelled names who ended the attempt's context.
 func cancelled(ctx context.Context) swlife.AttemptEnded {
 	var by *endedByHolder
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -72,7 +72,7 @@
 		Exclude: convert(w.GetExclude(), func(t string) swid.TargetID {
 			return swid.TargetID(c.required("exclude", t))
 		}),
-		NonIdempotent: w.GetNonIdempotent(), Insist: w.GetInsist(), Epoch: swid.Epoch(w.GetEpoch()),
+		NonIdempotent: w.GetNonIdempotent(), Insist: w.GetInsist(),
 		Strikes: uint8(c.between("strikes", w.GetStrikes(), 0, math.MaxUint8)),
 	}
 }
@@ -90,7 +90,7 @@
 	return swmsg.Done{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
 		Target:       target(c, w.GetTarget()),
-		Result:       swcell.Result(c.between("result", w.GetResult(), uint32(swcell.ResultAnswered), uint32(swcell.ResultRejected))),
+		Result:       swcell.Result(c.between("result", w.GetResult(), uint32(swcell.ResultAnswered), uint32(swcell.ResultNoAnswer))),
 		PromptTokens: tokens(c, "promptTokens", w.GetPromptTokens()),
 		OutputTokens: tokens(c, "outputTokens", w.GetOutputTokens()),
 		CachedTokens: tokens(c, "cachedTokens", w.GetCachedTokens()),
@@ -110,7 +110,6 @@
 func decodeWithdraw(c *checker, w *swpb.Withdraw) swmsg.Withdraw {
 	return swmsg.Withdraw{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
-		Epoch: swid.Epoch(w.GetEpoch()),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -62,7 +62,7 @@
 		RemainingMillis: int64(m.Remaining), PromptTokens: int64(m.PromptTokens), OutputTokens: int64(m.OutputTokens),
 		Prefix: convert(m.Prefix, func(h swid.PrefixHash) uint64 { return uint64(h) }), Fingerprint: uint64(m.Fingerprint),
 		Exclude:       convert(m.Exclude, func(t swid.TargetID) string { return string(t) }),
-		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Epoch: uint64(m.Epoch), Strikes: uint32(m.Strikes),
+		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Strikes: uint32(m.Strikes),
 	}
 }
 
@@ -89,7 +89,7 @@
 }
 
 func encodeWithdraw(m swmsg.Withdraw) *swpb.Withdraw {
-	return &swpb.Withdraw{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Epoch: uint64(m.Epoch)}
+	return &swpb.Withdraw{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
 }
 
 func encodePreempt(m swmsg.Preempt) *swpb.Preempt {
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -190,7 +190,7 @@
 func typicalAsk(seq swid.Seq) swmsg.Ask {
 	return swmsg.Ask{
 		Cell: "letters-large@eu-lisbon", Seq: seq, Attempt: 1, Tier: 1, Org: "org-01234", Remaining: 20 * swclock.Second,
-		PromptTokens: 2400, OutputTokens: 600, Prefix: []swid.PrefixHash{1 << 60, 1 << 61, 1 << 62, 1 << 63}, Fingerprint: 1 << 59, Epoch: 7,
+		PromptTokens: 2400, OutputTokens: 600, Prefix: []swid.PrefixHash{1 << 60, 1 << 61, 1 << 62, 1 << 63}, Fingerprint: 1 << 59,
 	}
 }
 
--- a/internal/peer/swlink/bench_test.go
+++ b/internal/peer/swlink/bench_test.go
@@ -29,7 +29,7 @@
 func (p *party) Receive(from Peer, m swmsg.Message) {
 	switch m := m.(type) {
 	case swmsg.Ask:
-		p.Send(from.Host, swmsg.Grant{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Target: "engine-0123", Epoch: m.Epoch})
+		p.Send(from.Host, swmsg.Grant{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Target: "engine-0123"})
 	case swmsg.Grant:
 		p.granted(m)
 	}
@@ -136,7 +136,7 @@
 func typicalAsk(seq swid.Seq) swmsg.Ask {
 	return swmsg.Ask{
 		Cell: "letters-large@eu-lisbon", Seq: seq, Attempt: 1, Tier: 1, Org: "org-01234", Remaining: 20 * swclock.Second,
-		PromptTokens: 2400, OutputTokens: 600, Prefix: []swid.PrefixHash{1 << 60, 1 << 61, 1 << 62, 1 << 63}, Fingerprint: 1 << 59, Epoch: 7,
+		PromptTokens: 2400, OutputTokens: 600, Prefix: []swid.PrefixHash{1 << 60, 1 << 61, 1 << 62, 1 << 63}, Fingerprint: 1 << 59,
 	}
 }
 
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -71,8 +71,6 @@
 	NonIdempotent bool
 	// Insist tells the receiver that the holder cannot reach a host of a better rank, so that it must not redirect.
 	Insist bool
-	// Epoch is the highest epoch that the holder has seen for the cell.
-	Epoch swid.Epoch
 	// Strikes counts the request's earlier attempts that broke.
 	Strikes uint8
 }
@@ -98,8 +96,6 @@
 	Cell    swid.CellID
 	Seq     swid.Seq
 	Attempt swid.Attempt
-	// Epoch is the highest epoch that the holder has seen for the cell; it tells an owner that was replaced.
-	Epoch swid.Epoch
 }
 
 // Done reports the end of a dispatched attempt.
