Wait for an unreachable target for up to a minute

Cause: an unreachable target counted as none, so that with every engine frozen for 30 s 1,761 of 1,843 requests with a deadline of 2 minutes ended at once as noTarget (held.yaml with a freeze, by the load tool). For a minute such a target is now expected back after as long as it has been away.

TestLostTargetsEndWhatWaitsForThem demanded a give-up at the moment of the loss. It now demands none within the minute and one when it is over; new tests demand the give-up at once for a target that is removed, and the grant when one comes back. TestRetryAfterFailure asks after the minute, and fails without a give-up. swtrial's tests pass as before.

--- a/internal/core/swcell/cell.go
+++ b/internal/core/swcell/cell.go
@@ -37,9 +37,11 @@
 	// natural forecasts the ends of runs without any cancellation.
 	natural supply
 	// pass numbers the dispatch passes.
-	pass    uint64
-	paceAt  swclock.Millis
-	actions []Action
+	pass   uint64
+	paceAt swclock.Millis
+	// lastTick is when time passed last.
+	lastTick swclock.Millis
+	actions  []Action
 
 	onViolation func(Violation)
 	violations  int
@@ -124,6 +126,7 @@
 
 func (c *Cell) tick() {
 	c.freeLost()
+	c.giveUpLost()
 	c.expireLoad()
 	c.judgePace()
 	c.updateTypical()
--- a/internal/core/swcell/configure.go
+++ b/internal/core/swcell/configure.go
@@ -62,6 +62,7 @@
 		return
 	}
 	t.reachable = e.Reachable
+	t.downSince = c.now
 	if t.reachable {
 		// The target may have restarted, which empties its cache.
 		t.prefixes.Gap()
@@ -69,6 +70,17 @@
 	c.targetsChanged()
 }
 
+// giveUpLost ends the requests that waited for a target which is not expected back any more.
+func (c *Cell) giveUpLost() {
+	for _, t := range c.targets {
+		if t.listed && !t.reachable && c.lastTick < t.downSince+returnTime && c.now >= t.downSince+returnTime {
+			c.targetsChanged()
+			break
+		}
+	}
+	c.lastTick = c.now
+}
+
 // targetsChanged ends the waiting requests that no target may take any more.
 func (c *Cell) targetsChanged() {
 	c.updateTypical()
--- a/internal/core/swcell/place.go
+++ b/internal/core/swcell/place.go
@@ -137,8 +137,14 @@
 	return t.active() && !slices.Contains(r.ask.Exclude, t.conf.ID)
 }
 
+// awaited reports whether the request may wait for a target that is out of reach.
+func (c *Cell) awaited(r *request, t *target) bool {
+	return t.mayReturn(c.now) && !slices.Contains(r.ask.Exclude, t.conf.ID)
+}
+
+// anyTarget reports whether a target may take the request, now or when it is back.
 func (c *Cell) anyTarget(r *request) bool {
-	return slices.ContainsFunc(c.targets, func(t *target) bool { return c.usable(r, t) })
+	return slices.ContainsFunc(c.targets, func(t *target) bool { return c.usable(r, t) || c.awaited(r, t) })
 }
 
 func (c *Cell) isSuspect(r *request) bool {
@@ -203,6 +209,7 @@
 	left := float64(r.ask.Deadline - c.now)
 	for _, t := range c.targets {
 		if !c.usable(r, t) {
+			found.late = found.late && !c.awaited(r, t)
 			continue
 		}
 		o := c.estimate(r, t)
--- a/internal/core/swcell/supply.go
+++ b/internal/core/swcell/supply.go
@@ -89,10 +89,15 @@
 	s.reset()
 	usual := c.usualTokens()
 	for _, t := range c.targets {
+		speed := c.speed(t)
+		if t.mayReturn(c.now) {
+			for range t.conf.Slots {
+				s.add(t.returnIn(c.now), speed)
+			}
+		}
 		if !t.active() {
 			continue
 		}
-		speed := c.speed(t)
 		for _, r := range t.runs {
 			free := r.remaining(c.now)
 			if r.preempted || (c.tierOf(&r.ask).rank > rank && r.cancellable()) {
--- a/internal/core/swcell/target.go
+++ b/internal/core/swcell/target.go
@@ -27,6 +27,8 @@
 	listed bool
 	// reachable is by the owner's own observation.
 	reachable bool
+	// downSince is when it became unreachable.
+	downSince swclock.Millis
 	runs      []*run
 	// tokens sums the tokens of runs.
 	tokens swid.Tokens
@@ -76,6 +78,21 @@
 	return t.listed && t.reachable && t.conf.State == TargetActive
 }
 
+// returnTime is how long an unreachable target is expected back.
+const returnTime = swclock.Minute
+
+// mayReturn reports whether an unreachable target would take work if it came
+// back, and may come back.
+func (t *target) mayReturn(now swclock.Millis) bool {
+	return t.listed && !t.reachable && t.conf.State == TargetActive && now < t.downSince+returnTime
+}
+
+// returnIn estimates the time until an unreachable target is back: as long as it
+// has been away.
+func (t *target) returnIn(now swclock.Millis) float64 {
+	return float64(max(now-t.downSince, swclock.Second))
+}
+
 // slots returns the number of slots that the cell may use at present.
 func (t *target) slots() int {
 	return t.conf.Slots - t.load.external
