Take prefix hashes at four depths an octave

Cause: two depths an octave miss up to a third of a shared prefix.

The expected counts of TestSampleShared follow from the depths: 13 depths up to 20 blocks, 20 up to 64.

--- a/internal/core/swprompt/swprompt_test.go
+++ b/internal/core/swprompt/swprompt_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestDepths(t *testing.T) {
-	want := []int{1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 384, 512}
+	want := []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 14, 16, 20, 24, 28, 32, 40, 48, 56, 64, 80, 96, 112, 128, 160, 192, 224, 256, 320, 384, 448, 512}
 	for i, w := range want {
 		if got := swprefix.Depth(i); got != w {
 			t.Errorf("depth %d is %d, want %d", i, got, w)
@@ -25,9 +25,9 @@
 		shared, first, second int // blocks
 		want                  int // hashes
 	}{
-		{"same length", 20, 40, 40, 8},
-		{"other length", 20, 40, 300, 8},
-		{"one contains the other", 64, 64, 500, 12},
+		{"same length", 20, 40, 40, 13},
+		{"other length", 20, 40, 300, 13},
+		{"one contains the other", 64, 64, 500, 20},
 		{"nothing shared", 0, 10, 10, 0},
 		{"shorter than a block", 0, 0, 10, 0},
 	}
