Plan with unreachable targets that are awaited

A request whose only target stayed away ended as if its deadline could not have been met by an idle target; it now ends for want of capacity (the new test gave reason deadline before).

--- a/internal/core/swcell/place.go
+++ b/internal/core/swcell/place.go
@@ -75,12 +75,13 @@
 	return float64(r.asked)+best > float64(r.ask.Deadline)
 }
 
-// idleTotals returns the times that a request takes on the best idle target,
-// without bound if there is none, and on the worst that is fully trusted.
+// idleTotals returns the times that a request takes on the best idle target that
+// is in reach or awaited, without bound if there is none, and on the worst that
+// is fully trusted.
 func (c *Cell) idleTotals(r *request) (best, worst float64) {
 	best = math.Inf(1)
 	for _, t := range c.targets {
-		if !c.usable(r, t) {
+		if !c.usable(r, t) && !c.awaited(r, t) {
 			continue
 		}
 		o := c.estimateIdle(r, t)
--- a/internal/core/swcell/policy_test.go
+++ b/internal/core/swcell/policy_test.go
@@ -269,6 +269,21 @@
 	}
 }
 
+// TestUnreachableIsNoDeadline ends a request whose only target stays away: the
+// deadline could have been met, so that it is not the reason.
+func TestUnreachableIsNoDeadline(t *testing.T) {
+	c := newCell(t, engine("t1", 1))
+	c.Step(0, TargetSeen{Target: "t1"}, nil)
+	var ends []Action
+	ends = c.Step(1, long(1, 0, 30000), ends)
+	for now := swclock.Millis(1000); now <= 30000; now += 1000 {
+		ends = c.Step(now, Tick{}, ends)
+	}
+	if g := only[GiveUp](t, ends); g.Reason != ReasonOverload {
+		t.Errorf("reason %d, want overload", g.Reason)
+	}
+}
+
 func TestSuspectThatWaitsTooLongIsNotShed(t *testing.T) {
 	c := newCell(t, engine("t1", 2))
 	broken := ask(1, 0, 90000)
