--- /dev/null
+++ b/internal/core/swlife/outcome.go
@@ -0,0 +1,74 @@
+package swlife
+
+// Outcome is what the caller is told. Every request has exactly one.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// OutcomeAnswered means that the caller was given the whole answer.
+	OutcomeAnswered Outcome = iota + 1
+	// OutcomeNotRun means that no target ran the request.
+	OutcomeNotRun
+	// OutcomeUnknown means that a target may have run the request, wholly or in part.
+	OutcomeUnknown
+)
+
+// Cause says why a request ended without an answer.
+type Cause uint8
+
+// Causes.
+const (
+	CauseNone Cause = iota
+	// CauseOverload: too little capacity for the request's tier and organisation.
+	CauseOverload
+	// CauseDeadline: the answer cannot arrive, or did not arrive, in time.
+	CauseDeadline
+	// CauseNoTarget: no target may take the request.
+	CauseNoTarget
+	// CauseSuspect: the request's content crashed targets before.
+	CauseSuspect
+	// CauseRetryBudget: the cell's budget for retries is used up.
+	CauseRetryBudget
+	// CauseTargetFailed: the target failed and the request cannot be repeated.
+	CauseTargetFailed
+	// CausePreempted: the request made room for one of a higher tier.
+	CausePreempted
+	// CauseCallerGone: the caller closed its connection.
+	CauseCallerGone
+	// CauseClaimUnavailable: the platform did not record the claim.
+	CauseClaimUnavailable
+	// CauseClaimHeld: another request with the same idempotency key holds the claim.
+	CauseClaimHeld
+	// CauseKeyReused: the idempotency key was used for a request of other content.
+	CauseKeyReused
+	// CauseShutdown: the host is shutting down.
+	CauseShutdown
+)
+
+var causeNames = [...]string{
+	CauseNone:             "none",
+	CauseOverload:         "overload",
+	CauseDeadline:         "deadline",
+	CauseNoTarget:         "noTarget",
+	CauseSuspect:          "suspect",
+	CauseRetryBudget:      "retryBudget",
+	CauseTargetFailed:     "targetFailed",
+	CausePreempted:        "preempted",
+	CauseCallerGone:       "callerGone",
+	CauseClaimUnavailable: "claimUnavailable",
+	CauseClaimHeld:        "claimHeld",
+	CauseKeyReused:        "keyReused",
+	CauseShutdown:         "shutdown",
+}
+
+// String returns the cause's name in logs and metrics.
+func (c Cause) String() string { return causeNames[c] }
+
+var outcomeNames = [...]string{
+	OutcomeAnswered: "answered",
+	OutcomeNotRun:   "notRun",
+	OutcomeUnknown:  "unknown",
+}
+
+// String returns the outcome's name in errors, logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
