--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -46,11 +46,11 @@
 // New returns a Server for a host of a region.
 func New(settings swsettings.Caller, region swid.RegionID, holder Holder, clock swclock.Clock, log zerolog.Logger) *Server {
 	s := &Server{settings: settings, region: region, holder: holder, clock: clock, log: log, router: httprouter.New()}
-	s.router.POST("/v1/chat/completions", s.complete)
-	s.router.POST("/v1/completions", s.complete)
-	s.router.GET("/v1/models", s.models)
+	s.router.POST("/v1/chat/completions", orError(s.complete))
+	s.router.POST("/v1/completions", orError(s.complete))
+	s.router.GET("/v1/models", orError(s.models))
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
-		s.router.Handle(method, "/services/:service/*path", s.call)
+		s.router.Handle(method, "/services/:service/*path", orError(s.call))
 	}
 	s.router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		invalid(http.StatusNotFound, "noSuchPath", "there is no "+r.Method+" "+r.URL.Path).write(w, false)
@@ -77,57 +77,66 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
+// orError sends the error of a handler that has not answered.
+func orError(handle func(http.ResponseWriter, *http.Request, httprouter.Params) *Error) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		if problem := handle(w, r, params); problem != nil {
+			problem.write(w, false)
+		}
+	}
+}
+
 // complete serves a request to a model.
-func (s *Server) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	x, org, body, problem := s.accept(w, r)
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) *Error {
+	a, problem := s.accept(w, r)
 	if problem != nil {
-		problem.write(w, false)
-		return
+		return problem
 	}
-	c, problem := parseCompletion(body)
+	c, problem := parseCompletion(a.body)
 	if problem != nil {
-		problem.write(w, false)
-		return
+		return problem
 	}
-	e, known := x.services[c.model]
+	e, known := a.index.services[c.model]
 	if !known || e.service.Kind != swdoc.KindModel {
-		invalid(http.StatusNotFound, "noSuchModel", "there is no model "+string(c.model)).write(w, false)
-		return
+		return invalid(http.StatusNotFound, "noSuchModel", "there is no model "+string(c.model))
 	}
-	request, problem := s.request(r, x, org, e)
+	request, problem := s.request(r, a, e)
 	if problem != nil {
-		problem.write(w, false)
-		return
+		return problem
 	}
-	c.fill(request, e.service, r.URL.Path, body)
+	c.fill(request, e.service, r.URL.Path, a.body)
 	request.NonIdempotent = request.IdempotencyKey != ""
 	s.serve(w, r, request)
+	return nil
 }
 
 // call serves a call of a plain service.
-func (s *Server) call(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	x, org, body, problem := s.accept(w, r)
+func (s *Server) call(w http.ResponseWriter, r *http.Request, params httprouter.Params) *Error {
+	a, problem := s.accept(w, r)
 	if problem != nil {
-		problem.write(w, false)
-		return
+		return problem
 	}
 	name, path := swid.ServiceID(params.ByName("service")), params.ByName("path")
-	e, known := x.services[name]
+	e, known := a.index.services[name]
 	if !known || e.service.Kind != swdoc.KindPlain {
-		invalid(http.StatusNotFound, "noSuchService", "there is no service "+string(name)).write(w, false)
-		return
+		return invalid(http.StatusNotFound, "noSuchService", "there is no service "+string(name))
 	}
 	idempotent, found := e.route(r.Method, path)
 	if !found {
-		invalid(http.StatusNotFound, "noSuchRoute", "service "+string(name)+" has no route "+r.Method+" "+path).write(w, false)
-		return
+		return invalid(http.StatusNotFound, "noSuchRoute", "service "+string(name)+" has no route "+r.Method+" "+path)
 	}
-	request, problem := s.request(r, x, org, e)
+	request, problem := s.request(r, a, e)
 	if problem != nil {
-		problem.write(w, false)
-		return
+		return problem
 	}
+	fillCall(request, r, path, a.body)
 	request.NonIdempotent = !idempotent || request.IdempotencyKey != ""
+	s.serve(w, r, request)
+	return nil
+}
+
+// fillCall completes a call of a plain service.
+func fillCall(request *swholder.Request, r *http.Request, path string, body []byte) {
 	request.Call.Method = r.Method
 	request.Call.Path = path
 	if r.URL.RawQuery != "" {
@@ -136,25 +145,34 @@
 	request.Call.ContentType = r.Header.Get("Content-Type")
 	request.Call.Body = body
 	content := append([]byte(r.Method+" "+request.Call.Path+"\n"), body...)
-	request.Fingerprint = swprompt.Fingerprint(name, content)
-	s.serve(w, r, request)
+	request.Fingerprint = swprompt.Fingerprint(request.Service, content)
+}
+
+// accepted is an authenticated request with its body.
+type accepted struct {
+	// index is that of the document in force when the request arrived.
+	index *index
+	org   *swdoc.Organisation
+	body  []byte
 }
 
 // accept authenticates a caller and reads the body.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*index, *swdoc.Organisation, []byte, *Error) {
-	x := s.index.Load()
-	if x == nil {
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (accepted, *Error) {
+	a := accepted{index: s.index.Load()}
+	if a.index == nil {
 		e := invalid(http.StatusServiceUnavailable, "noConfiguration", "this host has no configuration yet")
 		e.RetryAfter = swclock.Second
-		return nil, nil, nil, e
+		return a, e
 	}
 	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	org, known := x.organisation(key)
+	org, known := a.index.organisation(key)
 	if !found || !known {
-		return nil, nil, nil, invalid(http.StatusUnauthorized, "unknownApiKey", "the API key is missing or unknown")
+		return a, invalid(http.StatusUnauthorized, "unknownApiKey", "the API key is missing or unknown")
 	}
-	body, problem := s.readBody(w, r)
-	return x, org, body, problem
+	a.org = org
+	var problem *Error
+	a.body, problem = s.readBody(w, r)
+	return a, problem
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Error) {
@@ -177,12 +195,12 @@
 }
 
 // request builds what all kinds of request share.
-func (s *Server) request(r *http.Request, x *index, org *swdoc.Organisation, e *serviceEntry) (*swholder.Request, *Error) {
-	tier, problem := tierOf(r, x, org)
+func (s *Server) request(r *http.Request, a accepted, e *serviceEntry) (*swholder.Request, *Error) {
+	tier, problem := tierOf(r, a.index, a.org)
 	if problem != nil {
 		return nil, problem
 	}
-	remaining, problem := deadlineOf(r, x.document.Tiers[tier])
+	remaining, problem := deadlineOf(r, a.index.document.Tiers[tier])
 	if problem != nil {
 		return nil, problem
 	}
@@ -202,8 +220,8 @@
 		Service:        e.service.ID,
 		Cell:           e.cell,
 		Tier:           tier,
-		Org:            org.ID,
-		OrgClass:       org.Class,
+		Org:            a.org.ID,
+		OrgClass:       a.org.Class,
 		Deadline:       s.clock.Now() + remaining,
 		IdempotencyKey: key,
 	}, nil
@@ -295,18 +313,18 @@
 }
 
 // models lists the models.
-func (s *Server) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	x, _, _, problem := s.accept(w, r)
+func (s *Server) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) *Error {
+	a, problem := s.accept(w, r)
 	if problem != nil {
-		problem.write(w, false)
-		return
+		return problem
 	}
-	list := wireModels{Object: "list", Data: make([]wireModel, 0, len(x.models))}
-	for _, m := range x.models {
-		list.Data = append(list.Data, wireModel{ID: string(m), Object: "model", OwnedBy: x.document.Name})
+	list := wireModels{Object: "list", Data: make([]wireModel, 0, len(a.index.models))}
+	for _, m := range a.index.models {
+		list.Data = append(list.Data, wireModel{ID: string(m), Object: "model", OwnedBy: a.index.document.Name})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(list); err != nil {
 		s.log.Debug().Err(err).Msg("model list not sent")
 	}
+	return nil
 }
