Advance the test's clock by the paused giver's own readings

The clock moved a second each millisecond, so that a whole term could pass while the giver waited for the processor; it then rightly sends nothing.

--- a/internal/owner/sworder/giver_test.go
+++ b/internal/owner/sworder/giver_test.go
@@ -67,6 +67,17 @@
 	return orders
 }
 
+// countingClock counts its readings.
+type countingClock struct {
+	swclock.Clock
+	readings atomic.Int64
+}
+
+func (c *countingClock) Now() swclock.Millis {
+	c.readings.Add(1)
+	return c.Clock.Now()
+}
+
 // TestPausedGiver pauses a giver at each reading of its clock, lets another
 // give an order meanwhile, and expects that no order of an earlier term arrives after it.
 func TestPausedGiver(t *testing.T) {
@@ -77,12 +88,17 @@
 			server := httptest.NewServer(engine.Handler())
 			store, clock := swmemstore.New(1), &swclock.Manual{}
 			target := Target{URL: server.URL}
-			second := startGiver(t, store, clock)
+			counting := &countingClock{Clock: clock}
+			second := startGiver(t, store, counting)
 			paused := &pausingClock{Clock: clock}
 			paused.left.Store(pauseAt)
 			paused.pause = func() {
 				given := make(chan error, 1)
 				go func() { given <- second.Give(context.Background(), target, Order{Kind: KindSetRole, Role: "second"}) }()
+				// A second passes only when the giver has read its clock several times
+				// since, so that no term ends while it waits for the processor.
+				const readingsPerSecond = 4
+				advanceAt := counting.readings.Load()
 				for {
 					select {
 					case err := <-given:
@@ -91,7 +107,10 @@
 						}
 						return
 					default:
-						clock.Advance(swclock.Second)
+						if counting.readings.Load() >= advanceAt {
+							advanceAt = counting.readings.Load() + readingsPerSecond
+							clock.Advance(swclock.Second)
+						}
 						time.Sleep(swclock.Millis(1).Duration())
 					}
 				}
