Enforce the bound on callers' connections

The setting caller.maxConnections was checked and used by nothing. The listener now accepts no more connections than that; further callers wait in the system's queue. No test: that a connection is not accepted shows only over time.

--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
+	"golang.org/x/net/netutil"
 
 	"github.com/sassafraswing/sassafraswing/internal/caller/swcaller"
 	"github.com/sassafraswing/sassafraswing/internal/config/swrelay"
@@ -106,6 +107,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	listener = netutil.LimitListener(listener, n.settings.Caller.MaxConnections)
 	if n.parts.CallerTLS != nil {
 		listener = tls.NewListener(listener, n.parts.CallerTLS)
 	}
