Count an answer as in time only by its deadline

Cause: the check used the remaining time, which is never negative, so that every answer counted; a non-idempotent call may overrun its deadline by 30 s. The metric of answers in time was too high by these. TestInTime fails for the late answer without the change.

--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -66,7 +66,7 @@
 	report.PromptTokens = last.usage.PromptTokens
 	report.OutputTokens = last.usage.OutputTokens
 	report.CachedTokens = last.usage.CachedTokens
-	report.InTime = report.End.Outcome == swlife.OutcomeAnswered && e.remaining() >= 0
+	report.InTime = report.End.Outcome == swlife.OutcomeAnswered && e.holder.config.Clock.Now() <= e.request.Deadline
 	if claimed {
 		e.holder.config.Claims.Finish(e.claimEntry(), claimDecision(report.End.Outcome, last))
 	}
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -289,6 +289,34 @@
 	}
 }
 
+// TestInTime answers a non-idempotent request, which may overrun its deadline.
+func TestInTime(t *testing.T) {
+	tests := []struct {
+		name   string
+		delay  swclock.Millis
+		inTime bool
+	}{
+		{"before the deadline", 0, true},
+		{"after the deadline", 2 * swclock.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &swclock.Manual{}
+			b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
+			b.holder.config.Clock = clock
+			r := b.request(false, true)
+			r.Deadline = swclock.Second
+			reports, _ := b.serve(r)
+			ask, _ := expect[swmsg.Ask](t, b)
+			clock.Advance(tt.delay)
+			b.grant("owner", ask, "a")
+			if report := <-reports; report.End.Outcome != swlife.OutcomeAnswered || report.InTime != tt.inTime {
+				t.Errorf("report is %+v", report)
+			}
+		})
+	}
+}
+
 // TestDrain finishes what is held and refuses what is new.
 func TestDrain(t *testing.T) {
 	b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
