--- a/internal/config/swyaml/value.go
+++ b/internal/config/swyaml/value.go
@@ -141,40 +141,32 @@
 
 // Span returns a span of time with its unit.
 func (v Value) Span(fallback, least, most swclock.Millis) swclock.Millis {
-	if v.node == nil {
-		return fallback
-	}
 	allowed := fmt.Sprintf("a span with a unit of ms, s, m or h, from %s to %s", FormatSpan(least), FormatSpan(most))
-	text, ok := v.scalar()
-	if !ok {
-		v.Fail("not a span of time", allowed)
-		return fallback
-	}
-	span, ok := parseUnit(text, spanUnits)
-	if !ok {
-		v.Fail(fmt.Sprintf("%q is not a span of time", text), allowed)
-		return fallback
-	}
-	return inRange(v, swclock.Millis(span), fallback, least, most, allowed, text)
+	return withUnit(v, spanUnits, "a span of time", allowed, fallback, least, most)
 }
 
 // Size returns a number of bytes with its unit.
 func (v Value) Size(fallback, least, most int) int {
+	allowed := fmt.Sprintf("a size with a unit of B, KiB, MiB or GiB, from %s to %s", FormatSize(least), FormatSize(most))
+	return withUnit(v, sizeUnits, "a size", allowed, fallback, least, most)
+}
+
+// withUnit returns a whole number that is written with one of the units; kind names it in messages.
+func withUnit[N ~int | ~int64](v Value, units []unit, kind, allowed string, fallback, least, most N) N {
 	if v.node == nil {
 		return fallback
 	}
-	allowed := fmt.Sprintf("a size with a unit of B, KiB, MiB or GiB, from %s to %s", FormatSize(least), FormatSize(most))
 	text, ok := v.scalar()
 	if !ok {
-		v.Fail("not a size", allowed)
+		v.Fail("not "+kind, allowed)
 		return fallback
 	}
-	size, ok := parseUnit(text, sizeUnits)
+	n, ok := parseUnit(text, units)
 	if !ok {
-		v.Fail(fmt.Sprintf("%q is not a size", text), allowed)
+		v.Fail(fmt.Sprintf("%q is not %s", text, kind), allowed)
 		return fallback
 	}
-	return inRange(v, int(size), fallback, least, most, allowed, text)
+	return inRange(v, N(n), fallback, least, most, allowed, text)
 }
 
 // number is what inRange compares.
