Move the object store's packages to internal/store

A root folder platform/ is about to hold what speaks the operator platform's protocols. Two folders of that name would be taken for each other, so the product's own store interface and its users move to the area store. Nothing else changes; generated code is remade for the new import path.

--- a/internal/config/swrelay/relay.go
+++ b/internal/config/swrelay/relay.go
@@ -17,7 +17,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
--- a/internal/config/swrelay/relay_test.go
+++ b/internal/config/swrelay/relay_test.go
@@ -19,8 +19,8 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // fleet is some hosts in one process, joined by a fake network.
--- a/internal/config/swrelay/watch.go
+++ b/internal/config/swrelay/watch.go
@@ -11,7 +11,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swstore"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Pauses after a watch that failed or ended.
--- a/internal/config/swstore/apply.go
+++ b/internal/config/swstore/apply.go
@@ -10,7 +10,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Pauses between two tries of a call to the platform.
--- a/internal/config/swstore/pause_test.go
+++ b/internal/config/swstore/pause_test.go
@@ -8,8 +8,8 @@
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // loseHead loses the answer to the first write of the head.
--- a/internal/config/swstore/platform_test.go
+++ b/internal/config/swstore/platform_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swhttpstore"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swplatform"
+	"github.com/sassafraswing/sassafraswing/internal/store/swhttpstore"
 )
 
 // TestPlatformLosesAnswers applies changes over HTTP while the platform cuts the
--- a/internal/config/swstore/swstore.go
+++ b/internal/config/swstore/swstore.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Store reads and changes the document of one environment. It is safe for concurrent use.
--- a/internal/config/swstore/swstore_test.go
+++ b/internal/config/swstore/swstore_test.go
@@ -13,8 +13,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // largeDocument has lines as a document of n organisations has them.
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -9,7 +9,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
 )
 
 const (
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -15,7 +15,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
--- a/internal/node/swdaemon/cluster_test.go
+++ b/internal/node/swdaemon/cluster_test.go
@@ -15,11 +15,11 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swplain"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // cluster is a number of daemons in one process, in front of stand-ins.
--- a/internal/node/swdaemon/orders.go
+++ b/internal/node/swdaemon/orders.go
@@ -12,7 +12,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/owner/sworder"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
+	"github.com/sassafraswing/sassafraswing/internal/store/swlease"
 )
 
 const (
--- a/internal/node/swdaemon/swdaemon.go
+++ b/internal/node/swdaemon/swdaemon.go
@@ -27,9 +27,9 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swhttpstore"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/store/swhttpstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Daemon is one entry host. It is built by New, bound by Listen and served by Run.
--- a/internal/node/swdev/swdev.go
+++ b/internal/node/swdev/swdev.go
@@ -19,10 +19,10 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/node/swdaemon"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swplain"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swplatform"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // readHeaderTimeout bounds a request to a stand-in.
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -24,7 +24,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
 )
 
--- a/internal/operator/swclient/order_test.go
+++ b/internal/operator/swclient/order_test.go
@@ -11,9 +11,9 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/owner/sworder"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swlease"
 )
 
 // engines gives orders to stand-ins under the lease of a test's platform.
--- a/internal/owner/sworder/giver.go
+++ b/internal/owner/sworder/giver.go
@@ -8,8 +8,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swlease"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
--- a/internal/owner/sworder/giver_test.go
+++ b/internal/owner/sworder/giver_test.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swlease"
 )
 
 var giverConfig = GiverConfig{
--- a/internal/owner/sworder/sworder.go
+++ b/internal/owner/sworder/sworder.go
@@ -15,7 +15,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
+	"github.com/sassafraswing/sassafraswing/internal/store/swlease"
 )
 
 // Kind is a kind of order.
--- a/internal/owner/sworder/sworder_test.go
+++ b/internal/owner/sworder/sworder_test.go
@@ -10,9 +10,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swlease"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swengine"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swlease"
 )
 
 var testConfig = Config{Delivery: 2 * swclock.Second, Answer: 20 * swclock.Second, LoadsPerSecond: 1000}
--- a/internal/peer/swmember/bench_test.go
+++ b/internal/peer/swmember/bench_test.go
@@ -11,8 +11,8 @@
 	dto "github.com/prometheus/client_model/go"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // measured is how long a fleet at rest is watched.
--- a/internal/peer/swmember/core.go
+++ b/internal/peer/swmember/core.go
@@ -7,7 +7,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Times and limits of the membership protocol.
--- a/internal/peer/swmember/core_test.go
+++ b/internal/peer/swmember/core_test.go
@@ -11,7 +11,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // fleet runs many cores in virtual time. Heartbeats arrive within a tick;
--- a/internal/peer/swmember/event.go
+++ b/internal/peer/swmember/event.go
@@ -4,7 +4,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Event is an input of Core.Step.
--- a/internal/peer/swmember/members.go
+++ b/internal/peer/swmember/members.go
@@ -15,7 +15,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swring"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Times and limits of the shell.
--- a/internal/peer/swmember/members_test.go
+++ b/internal/peer/swmember/members_test.go
@@ -9,8 +9,8 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // process is one host's members over real links.
--- a/internal/stand/swmemstore/swmemstore.go
+++ b/internal/stand/swmemstore/swmemstore.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Faults are the faults in effect.
--- a/internal/stand/swplatform/hosts.go
+++ b/internal/stand/swplatform/hosts.go
@@ -6,8 +6,8 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swreply"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // hostList is the list of hosts since an instant.
--- a/internal/stand/swplatform/objects.go
+++ b/internal/stand/swplatform/objects.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swreply"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // maxWatch bounds a watch whatever its client asks for.
--- a/internal/stand/swplatform/settings.go
+++ b/internal/stand/swplatform/settings.go
@@ -6,7 +6,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swyaml"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
--- a/internal/stand/swplatform/swplatform.go
+++ b/internal/stand/swplatform/swplatform.go
@@ -12,8 +12,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Faults of a platform, besides swfault.KindSlow, whose delay is added to each call.
--- a/internal/stand/swplatform/swplatform_test.go
+++ b/internal/stand/swplatform/swplatform_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // patience bounds the waits of these tests.
--- a/internal/platform/swclaim/bench_test.go
+++ b/internal/store/swclaim/bench_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // slowStore answers each call after two milliseconds, as the platform does.
--- a/internal/platform/swclaim/chaos_test.go
+++ b/internal/store/swclaim/chaos_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // freeze is longer than callers wait in TestGrantsOnce.
--- a/internal/platform/swclaim/codec.go
+++ b/internal/store/swclaim/codec.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swclaimpb"
+	"github.com/sassafraswing/sassafraswing/internal/store/swclaimpb"
 )
 
 func encodeShard(s *shard) ([]byte, error) {
--- a/internal/platform/swclaim/commit.go
+++ b/internal/store/swclaim/commit.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
--- a/internal/platform/swclaim/queue.go
+++ b/internal/store/swclaim/queue.go
@@ -6,7 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
--- a/internal/platform/swclaim/registry.go
+++ b/internal/store/swclaim/registry.go
@@ -12,7 +12,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swring"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
--- a/internal/platform/swclaim/registry_test.go
+++ b/internal/store/swclaim/registry_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // holders checks that no key is granted to two requests, unless the first was recorded as not run.
--- a/internal/platform/swhttpstore/claim_test.go
+++ b/internal/store/swhttpstore/claim_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swplatform"
+	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
 )
 
 // TestClaimsOverHTTP races two hosts for the same keys while answers of the platform are lost.
--- a/internal/platform/swhttpstore/codec.go
+++ b/internal/store/swhttpstore/codec.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // wireObject is an object in the platform's JSON; the value is in base64.
--- a/internal/platform/swhttpstore/swhttpstore.go
+++ b/internal/store/swhttpstore/swhttpstore.go
@@ -16,7 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Config configures a Store.
--- a/internal/platform/swhttpstore/swhttpstore_test.go
+++ b/internal/store/swhttpstore/swhttpstore_test.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swplatform"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 func newStore(url string, clock swclock.Clock) *Store {
--- a/internal/platform/swlease/swlease_test.go
+++ b/internal/store/swlease/swlease_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/platform/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swmemstore"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
