--- a/cmd/sassafraswing/main.go
+++ b/cmd/sassafraswing/main.go
@@ -5,6 +5,9 @@
 	"os"
 
 	"github.com/sassafraswing/sassafraswing/internal/node/swcommand"
+	"github.com/sassafraswing/sassafraswing/platform"
 )
 
-func main() { os.Exit(swcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(swcommand.Main(os.Args[1:], os.Stdout, os.Stderr, swcommand.Adapters{platform.Name: platform.New}))
+}
--- a/internal/caller/swcaller/errors.go
+++ b/internal/caller/swcaller/errors.go
@@ -52,6 +52,7 @@
 	swlife.CauseClaimUnavailable: {Status: http.StatusServiceUnavailable, Code: "claimUnavailable", Message: "the idempotency key cannot be recorded now"},
 	swlife.CauseClaimHeld:        {Status: http.StatusConflict, Code: "idempotencyKeyInUse", Message: "an earlier request with this idempotency key may have run, and its answer is not known"},
 	swlife.CauseKeyReused:        {Status: http.StatusUnprocessableEntity, Code: "idempotencyKeyReused", Message: "the idempotency key was used for a request of other content"},
+	swlife.CauseQuota:            {Status: http.StatusTooManyRequests, Code: "quotaExhausted", Message: "the organisation's quota is used up for now"},
 	swlife.CauseShutdown:         {Status: http.StatusServiceUnavailable, Code: "shuttingDown", Message: "this host takes no new requests"},
 }
 
--- a/internal/caller/swcaller/sink.go
+++ b/internal/caller/swcaller/sink.go
@@ -1,6 +1,7 @@
 package swcaller
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
@@ -16,10 +17,8 @@
 }
 
 // Begin implements swholder.Sink.
-func (s *sink) Begin(status int, contentType string) error {
-	if contentType != "" {
-		s.writer.Header().Set("Content-Type", contentType)
-	}
+func (s *sink) Begin(status int, header http.Header) error {
+	maps.Copy(s.writer.Header(), header)
 	s.writer.WriteHeader(status)
 	return nil
 }
--- /dev/null
+++ b/internal/config/swcatalog/swcatalog.go
@@ -0,0 +1,142 @@
+// Package swcatalog defines what operators configure through the platform's
+// store: routes, services, organisations and limits, and the targets that
+// register themselves there.
+package swcatalog
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// Catalog is one version of the configuration. It is not changed once made.
+type Catalog struct {
+	// Version rises with each change; a host never goes back to a lower one.
+	Version       swid.ConfigVersion
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+}
+
+// RouteKind says what may be repeated.
+type RouteKind uint8
+
+// Kinds of route.
+const (
+	// KindIdempotent requests may run more than once.
+	KindIdempotent RouteKind = iota + 1
+	// KindNonIdempotent requests run at most once.
+	KindNonIdempotent
+	// KindStream answers are streams of events; they run at most once unless they may be resumed.
+	KindStream
+)
+
+// Route leads requests of one host name and path prefix to services.
+type Route struct {
+	Name string
+	// Host is in lower case and has no port.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   RouteKind
+	// Resumable streams may be continued at another target.
+	Resumable bool
+	// Public requests carry no API key.
+	Public bool
+	// Timeout is the longest time that a request may take; 0 sets no bound.
+	Timeout swclock.Millis
+	// Objective is the time to the answer, or to a stream's first event, that the operator aims at.
+	Objective swclock.Millis
+	// Gap is the longest pause between two events of a stream that is still on time.
+	Gap  swclock.Millis
+	Tier swid.Tier
+	// Attempts bounds the targets that one request may be sent to; at least 1.
+	Attempts int
+	// Shares has at least one service.
+	Shares []Share
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service swid.ServiceID
+	// Weight is not negative; a service of weight 0 gets requests only if all others have 0, too.
+	Weight float64
+}
+
+// Service is a set of targets that run the same requests.
+type Service struct {
+	ID         swid.ServiceID
+	HealthPath string
+	// MaxConnections bounds the connections to one target, all hosts together; 0 sets no bound.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that an engine processes at once.
+	Slots    int
+	KVTokens swid.Tokens
+	// EventTokens is the number of output tokens in one event of a stream.
+	EventTokens swid.Tokens
+	// CacheReaders bounds the callers that may wait for an engine's cache events at once.
+	CacheReaders int
+}
+
+// Organisation is whom requests are accounted to.
+type Organisation struct {
+	ID   swid.OrgID
+	Keys []string
+	// Tier takes precedence over the route's if HasTier is set.
+	Tier    swid.Tier
+	HasTier bool
+	Quota   Quota
+}
+
+// Quota bounds an organisation's use over all hosts and services.
+type Quota struct {
+	// Rate is in units a second; 0 sets no bound.
+	Rate  float64
+	Burst float64
+	// Tokens tells that the unit is tokens, and otherwise requests.
+	Tokens bool
+	// PlainTokens is what a request without token counts takes, if the unit is tokens.
+	PlainTokens swid.Tokens
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout swclock.Millis
+	IdleTimeout   swclock.Millis
+}
+
+// Target is one engine, or one instance of a plain service, as it registered itself.
+type Target struct {
+	ID      swid.TargetID
+	Service swid.ServiceID
+	Zone    swid.ZoneID
+	// Address is IP:port. It may belong to another target once this one is gone.
+	Address string
+	Slots   int
+	// Draining targets take no new requests.
+	Draining bool
+	// Born tells the starts of a target under one id apart.
+	Born int64
+	// Warming is how long the target remains slow after its start.
+	Warming swclock.Millis
+}
+
+// Host is one entry host as it registered itself.
+type Host struct {
+	ID      swid.HostID
+	Zone    swid.ZoneID
+	Region  swid.RegionID
+	Address string // of peer links, IP:port
+	// Incarnation counts the starts of the host's process.
+	Incarnation swid.Incarnation
+	// Leaving hosts own no cells.
+	Leaving bool
+}
--- a/internal/config/swdoc/swdoc.go
+++ b/internal/config/swdoc/swdoc.go
@@ -99,6 +99,8 @@
 	Slots      int
 	KVTokens   swid.Tokens // 0: no bound
 	Draining   bool
+	// Born tells the starts of a target under one id apart; 0 if they are not known.
+	Born int64
 	// ChecksCaller tells that the target itself checks who gives it an order.
 	ChecksCaller bool
 	Fencing      FencingMode
--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -28,6 +28,12 @@
 	maxLoadInterval        = 5 * swclock.Second
 	defaultAnswerTimeout   = 5 * swclock.Minute
 	defaultLogLevel        = "info"
+	defaultApplyWithin     = 2 * swclock.Second
+	defaultLapseTime       = 3 * swclock.Second
+	defaultReturnWithin    = 2 * swclock.Second
+	defaultRetryWindow     = 10 * swclock.Second
+	defaultRetryRatio      = 0.1
+	defaultRetryReserve    = 32
 )
 
 // Load reads and parses a settings file.
@@ -59,6 +65,10 @@
 	mapPlatform(o.Required("platform").Object(), &s.Platform)
 	mapOrders(o.Optional("orders").Object(), &s.Orders)
 	mapLog(o.Optional("log").Object(), &s.Log)
+	if fleet := o.Optional("fleet"); fleet.Present() {
+		s.Fleet = &Fleet{}
+		mapFleet(fleet.Object(), s.Fleet)
+	}
 	s.ShutdownTimeout = o.Optional("shutdownTimeout").Span(defaultShutdownTimeout, swclock.Second, swclock.Hour)
 }
 
@@ -107,6 +117,19 @@
 	r.AnswerTimeout = o.Optional("answerTimeout").Span(defaultAnswerTimeout, swclock.Second, swclock.Hour)
 }
 
+func mapFleet(o *swyaml.Object, f *Fleet) {
+	defer o.Close()
+	f.Adapter = o.Required("adapter").Name()
+	f.ReadinessAddress = address(o.Required("readiness"))
+	f.ApplyWithin = o.Optional("applyWithin").Span(defaultApplyWithin, 100, swclock.Minute)
+	f.RevokeWithin = o.Optional("revokeWithin").Span(0, 0, swclock.Hour)
+	f.LapseTime = o.Optional("lapseTime").Span(defaultLapseTime, 100, swclock.Hour)
+	f.ReturnWithin = o.Optional("returnWithin").Span(defaultReturnWithin, 0, swclock.Minute)
+	f.RetryWindow = o.Optional("retryWindow").Span(defaultRetryWindow, swclock.Second, swclock.Hour)
+	f.RetryRatio = o.Optional("retryRatio").Float(defaultRetryRatio, 0, 10)
+	f.RetryReserve = o.Optional("retryReserve").Float(defaultRetryReserve, 0, 1e6)
+}
+
 func mapLog(o *swyaml.Object, l *Log) {
 	defer o.Close()
 	l.Level = o.Optional("level").OneOf(defaultLogLevel, "debug", "info", "warn", "error")
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -19,6 +19,9 @@
 	Platform Platform
 	Orders   Orders
 	Log      Log
+	// Fleet is set for a host whose configuration and targets are kept in the
+	// platform's store, and nil otherwise.
+	Fleet *Fleet
 	// ShutdownTimeout bounds a graceful shutdown; what still runs then is cut.
 	ShutdownTimeout swclock.Millis
 }
@@ -63,6 +66,29 @@
 	Timeout     swclock.Millis
 }
 
+// Fleet configures a host that follows the platform's store. The figures are
+// the platform operators' promises to their users.
+type Fleet struct {
+	// Adapter names what translates between the platform's protocols and the product.
+	Adapter string
+	// ReadinessAddress is the IP:port at which the platform asks whether the host takes callers.
+	ReadinessAddress string
+	// ApplyWithin bounds the time for which a host acts on an older configuration.
+	ApplyWithin swclock.Millis
+	// RevokeWithin bounds the time for which a removed API key is accepted, also
+	// by a host that does not reach the store; 0 sets no bound.
+	RevokeWithin swclock.Millis
+	// LapseTime is the silence after which the platform drops a target's entry.
+	LapseTime swclock.Millis
+	// ReturnWithin is how soon after the store's return a lapsed entry is back.
+	ReturnWithin swclock.Millis
+	// Retries of a service within RetryWindow are bounded by RetryRatio of its
+	// requests and RetryReserve, over all hosts.
+	RetryWindow  swclock.Millis
+	RetryRatio   float64
+	RetryReserve float64
+}
+
 // Orders configures orders to engines.
 type Orders struct {
 	// TokenFile holds the bearer token for targets that check their caller; it may be empty.
--- a/internal/config/swtls/link_test.go
+++ b/internal/config/swtls/link_test.go
@@ -15,6 +15,7 @@
 type received chan swid.HostID
 
 func (r received) Receive(from swlink.Peer, _ swmsg.Message) { r <- from.Host }
+func (r received) LinkUp(swlink.Peer)                        {}
 func (r received) LinkDown(swlink.Peer)                      {}
 
 // startLinks runs a host's links with keys until the test ends.
--- a/internal/core/swcell/idle.go
+++ b/internal/core/swcell/idle.go
@@ -1,5 +1,18 @@
 package swcell
 
+import "github.com/sassafraswing/sassafraswing/internal/core/swclock"
+
+// idleTickInterval is the time between two ticks of a cell without work.
+const idleTickInterval = swclock.Second
+
+// TickInterval returns the time after which the cell needs a Tick.
+func (c *Cell) TickInterval() swclock.Millis {
+	if c.Idle() {
+		return idleTickInterval
+	}
+	return TickInterval
+}
+
 // Idle reports whether nothing waits or runs, so that time passing changes nothing.
 func (c *Cell) Idle() bool { return len(c.running) == 0 && c.waitingCount() == 0 }
 
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -47,6 +47,18 @@
 	NonIdempotent bool
 	// Strikes counts the request's earlier attempts that broke, under whatever owner.
 	Strikes uint8
+	// Objective is the instant by which the first part of the answer should
+	// arrive, on the owner's clock; 0 if there is none.
+	Objective swclock.Millis
+	// Parts are the parts of the prompt in order, where the caller names them.
+	Parts []Part
+}
+
+// Part is a part of a prompt that other prompts may share. A target that has
+// processed it, after the same parts before it, need not process it again.
+type Part struct {
+	ID     swid.PrefixHash
+	Tokens swid.Tokens
 }
 
 // Withdraw ends a waiting request or a grant that was not used, for example because its caller left.
@@ -93,6 +105,9 @@
 	// ResultNoAnswer means that the target stayed silent or sent another request's
 	// answer, without a sign that it crashed; the request may have run.
 	ResultNoAnswer
+	// ResultFailed means that the target answered with a failure of its own, after
+	// which the request may be tried elsewhere.
+	ResultFailed
 )
 
 // Done reports the end of an attempt that was dispatched.
@@ -159,6 +174,10 @@
 	DecodeRate  float64
 	// ServiceTime is the first estimate for a call of a plain service.
 	ServiceTime swclock.Millis
+	// Plain tells that the target counts no tokens.
+	Plain bool
+	// Born tells the starts of a target under one id apart, where they are known.
+	Born int64
 }
 
 // Organisation gives an organisation's share.
@@ -231,6 +250,8 @@
 	ReasonSuspect
 	// ReasonRetryBudget means that the cell's budget for retries is used up.
 	ReasonRetryBudget
+	// ReasonQuota means that the organisation's quota is used up.
+	ReasonQuota
 )
 
 // GiveUp ends a waiting request. It is sent as soon as it is known.
--- a/internal/core/swclock/swclock.go
+++ b/internal/core/swclock/swclock.go
@@ -53,3 +53,11 @@
 
 // Advance moves the clock forward by a span.
 func (m *Manual) Advance(span Millis) Millis { return Millis(m.now.Add(int64(span))) }
+
+// Boot reads the time since the host started, which also counts while the host
+// is suspended. It decides whether something that was learned is still to be
+// believed; spans of waiting use a Clock.
+type Boot interface {
+	// SinceBoot returns the time since the host started.
+	SinceBoot() Millis
+}
--- a/internal/core/swlife/event.go
+++ b/internal/core/swlife/event.go
@@ -46,6 +46,8 @@
 	// Cause is set if the holder itself ended the attempt.
 	Cause      Cause
 	RetryAfter swclock.Millis
+	// Unsent tells that nothing of the request reached the target.
+	Unsent bool
 	// Delivered tells that the caller was given part of the answer.
 	Delivered bool
 	// Resumable tells that the target may continue the stream.
--- a/internal/core/swlife/outcome.go
+++ b/internal/core/swlife/outcome.go
@@ -43,6 +43,8 @@
 	CauseKeyReused
 	// CauseShutdown: the host is shutting down.
 	CauseShutdown
+	// CauseQuota: the organisation's quota is used up.
+	CauseQuota
 )
 
 var causeNames = [...]string{
@@ -59,6 +61,7 @@
 	CauseClaimHeld:        "claimHeld",
 	CauseKeyReused:        "keyReused",
 	CauseShutdown:         "shutdown",
+	CauseQuota:            "quota",
 }
 
 // String returns the cause's name in logs and metrics.
--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -19,6 +19,8 @@
 	MaxAttempts swid.Attempt = 4
 	// MaxResumes bounds how often one broken stream is continued.
 	MaxResumes = 2
+	// maxAsks bounds the asks of a request whose dispatches reach no target.
+	maxAsks swid.Attempt = 6
 )
 
 type phase uint8
@@ -30,12 +32,29 @@
 	phaseEnded
 )
 
+// Rules say what may be repeated of a request. The zero Rules are those of an
+// idempotent request.
+type Rules struct {
+	// NonIdempotent requests are never dispatched again once they may have run.
+	NonIdempotent bool
+	// Unclaimed non-idempotent requests are asked for without a claim, because
+	// their callers name no key under which one could be recorded.
+	Unclaimed bool
+	// Attempts bounds the targets that the request is sent to; 0 stands for MaxAttempts.
+	Attempts swid.Attempt
+	// ResumeElsewhere tells that a broken stream is continued at another target.
+	// Such a stream may be dispatched again although part of it was delivered.
+	ResumeElsewhere bool
+}
+
 // Life is the state of one request. It is not safe for concurrent use.
 type Life struct {
-	nonIdempotent bool
-	phase         phase
+	rules Rules
+	phase phase
 	// attempt is that of the present ask or dispatch; it only rises.
 	attempt swid.Attempt
+	// sent counts the dispatches that reached a target, as far as is known.
+	sent swid.Attempt
 	// tried holds every target that the request was dispatched to, each once.
 	tried []swid.TargetID
 	// mayHaveRun is set once an attempt was dispatched that did not provably fail to start; it is never cleared.
@@ -45,9 +64,12 @@
 }
 
 // New returns the life of a request and its first command.
-func New(nonIdempotent bool) (*Life, Command) {
-	l := &Life{nonIdempotent: nonIdempotent}
-	if nonIdempotent {
+func New(rules Rules) (*Life, Command) {
+	if rules.Attempts == 0 {
+		rules.Attempts = MaxAttempts
+	}
+	l := &Life{rules: rules}
+	if rules.NonIdempotent && !rules.Unclaimed {
 		l.phase = phaseClaiming
 		return l, Claim{}
 	}
@@ -104,7 +126,7 @@
 
 // dispatch refuses a target that was tried before, whatever the owner granted.
 func (l *Life) dispatch(target swid.TargetID) Command {
-	if slices.Contains(l.tried, target) || (l.nonIdempotent && l.mayHaveRun) {
+	if slices.Contains(l.tried, target) || (l.rules.NonIdempotent && l.mayHaveRun) {
 		return l.end(CauseTargetFailed, 0)
 	}
 	l.phase = phaseRunning
@@ -114,15 +136,21 @@
 }
 
 func (l *Life) attemptEnded(e AttemptEnded) Command {
+	if !e.Unsent {
+		l.sent++
+	}
 	switch e.Result {
 	case swcell.ResultAnswered, swcell.ResultRejected:
 		l.phase = phaseEnded
 		return End{Outcome: OutcomeAnswered}
+	case swcell.ResultFailed:
+		l.mayHaveRun = true
+		return l.retry(e)
 	case swcell.ResultNotStarted:
 		return l.retry(e)
 	case swcell.ResultBroken, swcell.ResultNoAnswer:
 		l.mayHaveRun = true
-		if e.Resumable && l.resumes < MaxResumes {
+		if e.Resumable && !l.rules.ResumeElsewhere && l.resumes < MaxResumes {
 			l.resumes++
 			return Resume{Attempt: l.attempt, Target: l.tried[len(l.tried)-1]}
 		}
@@ -138,8 +166,8 @@
 
 // retry asks for another target if repeating is safe and cannot show the caller two answers.
 func (l *Life) retry(e AttemptEnded) Command {
-	repeatable := !e.Delivered && (!l.nonIdempotent || !l.mayHaveRun)
-	if repeatable && l.attempt < MaxAttempts {
+	repeatable := (!e.Delivered || l.rules.ResumeElsewhere) && (!l.rules.NonIdempotent || !l.mayHaveRun)
+	if repeatable && l.sent < l.rules.Attempts && l.attempt < maxAsks {
 		return l.ask()
 	}
 	cause := e.Cause
@@ -168,6 +196,8 @@
 		return CauseSuspect
 	case swcell.ReasonRetryBudget:
 		return CauseRetryBudget
+	case swcell.ReasonQuota:
+		return CauseQuota
 	default:
 		return CauseOverload
 	}
--- a/internal/core/swlife/swlife_test.go
+++ b/internal/core/swlife/swlife_test.go
@@ -20,6 +20,8 @@
 	Left{Cause: CauseCallerGone},
 	AttemptEnded{Result: swcell.ResultAnswered},
 	AttemptEnded{Result: swcell.ResultNotStarted},
+	AttemptEnded{Result: swcell.ResultNotStarted, Unsent: true},
+	AttemptEnded{Result: swcell.ResultFailed},
 	AttemptEnded{Result: swcell.ResultBroken},
 	AttemptEnded{Result: swcell.ResultBroken, Resumable: true, Delivered: true},
 	AttemptEnded{Result: swcell.ResultBroken, Delivered: true},
@@ -33,9 +35,14 @@
 func TestLifeKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nonIdempotent := rapid.Bool().Draw(t, "nonIdempotent")
-		life, command := New(nonIdempotent)
+		rules := Rules{
+			NonIdempotent: nonIdempotent, Unclaimed: rapid.Bool().Draw(t, "unclaimed"),
+			Attempts:        swid.Attempt(rapid.IntRange(0, 3).Draw(t, "attempts")),
+			ResumeElsewhere: !nonIdempotent && rapid.Bool().Draw(t, "resumeElsewhere"),
+		}
+		life, command := New(rules)
 		var dispatched []swid.TargetID
-		mayHaveRun, ended := false, 0
+		mayHaveRun, ended, sent := false, 0, swid.Attempt(0)
 		for range 40 {
 			switch c := command.(type) {
 			case Dispatch:
@@ -58,6 +65,14 @@
 			_, asking := command.(Ask)
 			e := drawEvent(t, asking)
 			mayHaveRun = mayHaveRun || runs(command, e)
+			if _, dispatch := command.(Dispatch); dispatch {
+				if a, over := e.(AttemptEnded); over && !a.Unsent {
+					sent++
+				}
+				if rules.Attempts > 0 && sent > rules.Attempts {
+					t.Fatalf("sent to %d targets, at most %d are allowed", sent, rules.Attempts)
+				}
+			}
 			command = life.Step(e)
 		}
 		if ended != 1 {
@@ -110,7 +125,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			life, command := New(tt.nonIdempotent)
+			life, command := New(Rules{NonIdempotent: tt.nonIdempotent})
 			for _, e := range tt.events {
 				command = life.Step(e)
 			}
--- /dev/null
+++ b/internal/core/swvalue/history.go
@@ -0,0 +1,37 @@
+package swvalue
+
+import (
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+// history remembers the latest attempt of each request that was granted or
+// given up, so that a repeated message does not start it again.
+type history struct {
+	attempts *lru.LRU[swcell.Key, swid.Attempt]
+}
+
+func newHistory(size int) history {
+	attempts, err := lru.NewLRU[swcell.Key, swid.Attempt](size, nil)
+	if err != nil {
+		panic(err) // only a size that is not positive fails
+	}
+	return history{attempts}
+}
+
+func (h history) add(k swcell.Key, a swid.Attempt) {
+	if old, known := h.attempts.Get(k); !known || old < a {
+		h.attempts.Add(k, a)
+	}
+}
+
+// covers reports whether the attempt or a later one was seen.
+func (h history) covers(k swcell.Key, a swid.Attempt) bool {
+	last, known := h.attempts.Peek(k)
+	return known && a <= last
+}
+
+// forget lets an attempt whose grant was not used be asked for again.
+func (h history) forget(k swcell.Key) { h.attempts.Remove(k) }
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -62,7 +63,9 @@
 	firstToken    swclock.Millis
 	firstDelivery swclock.Millis
 	status        int
-	contentType   string
+	header        http.Header
+	// lastEvent is the id of the last event that the caller was given, over all attempts.
+	lastEvent string
 	// body collects an answer that is not streamed; complete tells that it is whole.
 	body     []byte
 	complete bool
@@ -100,6 +103,7 @@
 	a.ended = e.holder.config.Clock.Now()
 	a.result = ended.Result
 	ended.Delivered = a.begun
+	a.held.arrived = a.held.arrived || !ended.Unsent
 	return ended
 }
 
@@ -107,7 +111,7 @@
 // learned, by the caller's connection.
 func (a *attempt) context(ctx context.Context) (context.Context, context.CancelCauseFunc) {
 	remaining := a.held.remaining()
-	if a.held.request.NonIdempotent {
+	if a.held.request.NonIdempotent && !a.held.request.EndsAtDeadline {
 		ctx = context.WithoutCancel(ctx)
 		remaining += nonIdempotentGrace
 	}
@@ -122,9 +126,12 @@
 func (a *attempt) exchange(ctx context.Context) swlife.AttemptEnded {
 	adapter, takesWork, known := a.held.holder.config.Targets.Adapter(a.target)
 	if !known || (!takesWork && a.events == 0) {
-		return swlife.AttemptEnded{Result: swcell.ResultNotStarted}
+		return swlife.AttemptEnded{Result: swcell.ResultNotStarted, Unsent: true}
 	}
 	call := a.held.request.Call
+	call.Org = a.held.request.Org
+	call.Remaining = a.held.remaining()
+	call.ResumeAfter = a.lastEvent
 	call.ID = a.held.request.ID
 	call.Attempt = a.number
 	call.IdempotencyKey = a.held.request.IdempotencyKey
@@ -146,6 +153,9 @@
 	if r.NonIdempotent {
 		return 0
 	}
+	if r.Patience > 0 {
+		return r.Patience
+	}
 	expected := a.held.expected.total
 	if r.Call.Stream {
 		expected = a.held.expected.firstToken
@@ -155,7 +165,7 @@
 
 // receive reads the answer to its end.
 func (a *attempt) receive(ctx context.Context, response swtarget.Answer) swlife.AttemptEnded {
-	a.status, a.contentType = response.Status(), response.ContentType()
+	a.status, a.header = response.Status(), response.Header()
 	streamed := a.held.request.Call.Stream && a.status < 300
 	for {
 		chunk, err := response.Next()
@@ -181,7 +191,11 @@
 func (a *attempt) whole(response swtarget.Answer, streamed bool) swlife.AttemptEnded {
 	a.complete = true
 	a.usage = response.Usage()
-	if !streamed {
+	if a.status >= http.StatusInternalServerError && a.held.request.RetryFailures {
+		a.held.failure = &failure{status: a.status, header: a.header, body: a.body}
+		return swlife.AttemptEnded{Result: swcell.ResultFailed}
+	}
+	if !streamed || !a.begun {
 		if err := a.deliver(a.body); err != nil {
 			return a.undeliverable(err)
 		}
@@ -194,6 +208,9 @@
 
 func (a *attempt) count(chunk swtarget.Chunk) {
 	a.events += chunk.Events
+	if chunk.LastEvent != "" {
+		a.lastEvent = chunk.LastEvent
+	}
 	if a.firstToken == 0 {
 		a.firstToken = max(1, a.held.holder.config.Clock.Now()-a.dispatched)
 	}
@@ -215,7 +232,7 @@
 	if !a.begun {
 		a.begun = true
 		a.firstDelivery = max(1, a.held.sinceAccepted())
-		if err := a.held.sink.Begin(a.status, a.contentType); err != nil {
+		if err := a.held.sink.Begin(a.status, a.header); err != nil {
 			return err
 		}
 	}
@@ -252,7 +269,7 @@
 		if a.events > 0 {
 			return swlife.AttemptEnded{Result: swcell.ResultBroken}
 		}
-		return swlife.AttemptEnded{Result: swcell.ResultNotStarted}
+		return swlife.AttemptEnded{Result: swcell.ResultNotStarted, Unsent: failure.Unsent}
 	case swtarget.FailureMismatch:
 		return swlife.AttemptEnded{Result: swcell.ResultNoAnswer}
 	case swtarget.FailureStalled:
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"slices"
 	"sync"
 
@@ -15,6 +16,7 @@
 // answer is an owner's answer to an ask; exactly one of its messages is set.
 type answer struct {
 	from     swid.HostID
+	queued   bool
 	grant    *swmsg.Grant
 	giveUp   *swmsg.GiveUp
 	redirect *swmsg.Redirect
@@ -43,8 +45,23 @@
 	answers chan answer
 	// running is nil unless an attempt is dispatched.
 	running *running
+	// acknowledged tells that asked has answered the ask, be it only that it waits.
+	acknowledged bool
+	// queuedToSend tells that the last ask could be queued for its host.
+	queuedToSend bool
 	// strikes counts the attempts that broke, up to its largest value.
 	strikes uint8
+	// arrived tells that an attempt reached a target. It and failure belong to the goroutine of Serve.
+	arrived bool
+	// failure is the latest failure that a target answered with, or nil.
+	failure *failure
+}
+
+// failure is a target's own failed answer.
+type failure struct {
+	status int
+	header http.Header
+	body   []byte
 }
 
 // expectation has the spans from dispatch that an owner expects.
@@ -81,12 +98,21 @@
 	if !e.waiting || attempt != e.ask.Attempt || a.from != e.asked {
 		return false
 	}
+	e.acknowledged = true
 	select {
 	case e.answers <- a:
 	default:
-		return false
+		if a.queued {
+			return true
+		}
+		// An acknowledgement that was not taken yet makes room for the decision.
+		select {
+		case <-e.answers:
+		default:
+		}
+		e.answers <- a
 	}
-	if a.redirect == nil {
+	if a.redirect == nil && !a.queued {
 		e.waiting = false
 		e.granted = a.grant != nil
 	}
@@ -164,10 +190,11 @@
 	if e.asked != "" && e.asked != owner {
 		e.holder.config.Sender.Send(e.asked, e.withdrawMessage())
 	}
-	e.asked = owner
+	e.asked, e.acknowledged = owner, false
 	m := e.askMessage()
 	m.Insist = insist
-	return e.holder.config.Sender.Send(owner, m)
+	e.queuedToSend = e.holder.config.Sender.Send(owner, m)
+	return e.queuedToSend
 }
 
 // withdrawMessage needs e.mu.
@@ -184,7 +211,7 @@
 		Attempt:       e.ask.Attempt,
 		Tier:          r.Tier,
 		Org:           r.Org,
-		Remaining:     r.Deadline - e.holder.config.Clock.Now(),
+		Remaining:     e.remaining(),
 		PromptTokens:  r.PromptTokens,
 		OutputTokens:  r.OutputTokens,
 		Prefix:        r.Prefix,
@@ -192,7 +219,17 @@
 		Exclude:       e.ask.Exclude,
 		NonIdempotent: r.NonIdempotent,
 		Strikes:       e.strikes,
+		Objective:     e.objective(),
+		Parts:         r.Parts,
+	}
+}
+
+// objective returns the time that remains until the first part of the answer is late, at least 1, or 0 if it has no objective.
+func (e *held) objective() swclock.Millis {
+	if e.request.Objective == 0 {
+		return 0
 	}
+	return max(1, e.request.Objective-e.holder.config.Clock.Now())
 }
 
 // strike counts a broken attempt.
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -1,6 +1,9 @@
 package swholder
 
 import (
+	"net/http"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
@@ -22,9 +25,27 @@
 	OutputTokens swid.Tokens
 	Prefix       []swid.PrefixHash
 	Fingerprint  swid.Fingerprint
-	// NonIdempotent marks a request that is claimed under IdempotencyKey before it is dispatched.
+	// Parts are the parts of the prompt, where the caller names them.
+	Parts []swcell.Part
+	// Objective is the instant by which the first part of the answer should arrive; 0 if there is none.
+	Objective swclock.Millis
+	// NonIdempotent marks a request that is claimed under IdempotencyKey before
+	// it is dispatched, or runs without a claim if it has no key.
 	NonIdempotent  bool
 	IdempotencyKey string
+	// Attempts bounds the targets that the request is sent to; 0 stands for swlife.MaxAttempts.
+	Attempts swid.Attempt
+	// ResumeElsewhere tells that a broken stream is continued at another target.
+	ResumeElsewhere bool
+	// RetryFailures tells that another target is tried after one that answered
+	// with a failure of its own. It excludes NonIdempotent.
+	RetryFailures bool
+	// Patience bounds a target's silence before the first part of its answer,
+	// while another target may still be tried; 0 leaves it to the owner's estimate.
+	Patience swclock.Millis
+	// EndsAtDeadline has the caller told at the deadline, also if a
+	// non-idempotent request still runs.
+	EndsAtDeadline bool
 	// Call is what the target is given; the holder fills in the attempt.
 	Call swtarget.Request
 }
@@ -32,11 +53,22 @@
 // Sink takes the answer towards the caller. Its calls come from one goroutine.
 type Sink interface {
 	// Begin is called once, before the first Write.
-	Begin(status int, contentType string) error
+	// The header is not changed.
+	Begin(status int, header http.Header) error
 	// Write passes a piece of the answer on; an error means that the caller is gone or too slow.
 	Write(data []byte) error
 }
 
+// rules returns what the request's life may do.
+func (r *Request) rules() swlife.Rules {
+	return swlife.Rules{
+		NonIdempotent:   r.NonIdempotent,
+		Unclaimed:       r.IdempotencyKey == "",
+		Attempts:        r.Attempts,
+		ResumeElsewhere: r.ResumeElsewhere,
+	}
+}
+
 // Timing tells when things happened to a request, as spans since it was accepted.
 type Timing struct {
 	// Queue is the wait for the last grant.
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -6,29 +6,28 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
 const (
 	// claimTimeout bounds the wait for a claim.
 	claimTimeout = 2 * swclock.Second
-	// askRefresh is the interval at which an unanswered ask is repeated, in case a message was lost.
-	askRefresh = 2 * swclock.Second
+	// defaultAskRefresh is the interval at which an unanswered ask is repeated, in case a message was lost.
+	defaultAskRefresh = 2 * swclock.Second
 	// askBackoff is the wait before an ask is repeated that could not be queued.
 	askBackoff swclock.Millis = 50
 )
 
 // serve carries out the commands of the request's life until its end.
 func (e *held) serve(ctx context.Context) Report {
-	claims := e.request.NonIdempotent && e.request.IdempotencyKey != ""
-	life, command := swlife.New(e.request.NonIdempotent)
-	if !claims && e.request.NonIdempotent {
-		command = life.Step(swlife.Claimed{})
-	}
-	var last attempt
+	life, command := swlife.New(e.request.rules())
+	last := attempt{lastEvent: e.request.Call.ResumeAfter}
 	var report Report
 	claimed := false
 	for {
@@ -42,12 +41,15 @@
 			report.Timing.Queue = e.sinceAccepted()
 		case swlife.Dispatch:
 			report.Attempts, report.Target = c.Attempt, c.Target
-			last = attempt{held: e, number: c.Attempt, target: c.Target, begun: last.begun}
+			last = attempt{
+				held: e, number: c.Attempt, target: c.Target,
+				begun: last.begun, firstDelivery: last.firstDelivery, lastEvent: last.lastEvent,
+			}
 			event = last.run(ctx)
 		case swlife.Resume:
 			event = last.run(ctx)
 		case swlife.End:
-			report.End = c
+			report.End = e.orFailure(c, &last)
 			e.finish(&report, &last, claimed)
 			return report
 		}
@@ -58,6 +60,22 @@
 	}
 }
 
+// orFailure gives the caller the failure that a target answered with, if no
+// other target gave it an answer. It returns the request's end.
+func (e *held) orFailure(end swlife.End, last *attempt) swlife.End {
+	if e.failure == nil || last.begun || end.Outcome == swlife.OutcomeAnswered || end.Cause == swlife.CauseCallerGone {
+		return end
+	}
+	last.begun = true
+	if err := e.sink.Begin(e.failure.status, e.failure.header); err != nil {
+		return swlife.End{Outcome: swlife.OutcomeUnknown, Cause: swlife.CauseCallerGone}
+	}
+	if err := e.sink.Write(e.failure.body); err != nil {
+		return swlife.End{Outcome: swlife.OutcomeUnknown, Cause: swlife.CauseCallerGone}
+	}
+	return swlife.End{Outcome: swlife.OutcomeAnswered}
+}
+
 // finish completes the report and records the outcome of a claim.
 func (e *held) finish(report *Report, last *attempt, claimed bool) {
 	report.Begun = last.begun
@@ -78,7 +96,7 @@
 		return swclaim.Decision{
 			Outcome:     swclaim.OutcomeAnswered,
 			Status:      last.status,
-			ContentType: last.contentType,
+			ContentType: last.header.Get("Content-Type"),
 			Body:        last.body,
 		}
 	case outcome == swlife.OutcomeNotRun:
@@ -127,7 +145,7 @@
 
 // replay gives the caller the answer that was recorded for its key.
 func (e *held) replay(d swclaim.Decision) swlife.Event {
-	err := e.sink.Begin(d.Status, d.ContentType)
+	err := e.sink.Begin(d.Status, swtarget.MediaType(d.ContentType))
 	if err == nil {
 		err = e.sink.Write(d.Body)
 	}
@@ -139,6 +157,9 @@
 
 // waitForGrant asks the cell's owner and waits for its answer.
 func (e *held) waitForGrant(ctx context.Context, c swlife.Ask) swlife.Event {
+	if !e.mayRetry() {
+		return swlife.GivenUp{Reason: swcell.ReasonRetryBudget}
+	}
 	resend := time.NewTimer(e.startAsk(c).Duration())
 	defer resend.Stop()
 	deadline := time.NewTimer(e.remaining().Duration())
@@ -146,11 +167,14 @@
 	for {
 		select {
 		case a := <-e.answers:
-			if a.redirect != nil {
+			switch {
+			case a.redirect != nil:
 				e.redirected(a.redirect)
-				continue
+			case a.queued:
+				resend.Reset(e.holder.config.AskRefresh.Duration())
+			default:
+				return e.take(a)
 			}
-			return e.take(a)
 		case <-resend.C:
 			resend.Reset(e.resendAsk().Duration())
 		case <-deadline.C:
@@ -177,24 +201,50 @@
 	defer e.mu.Unlock()
 	e.ask = c
 	e.waiting, e.granted = true, false
-	return askInterval(e.sendAsk(owner, insist))
+	return e.askInterval(e.sendAsk(owner, insist))
 }
 
+// resendAsk repeats the ask. An owner that did not acknowledge the one before
+// in time is passed over.
 func (e *held) resendAsk() swclock.Millis {
+	if silent := e.silentOwner(); silent != "" {
+		e.holder.config.Router.Silent(silent)
+	}
 	owner, insist := e.holder.config.Router.Owner(e.request.Cell)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.waiting {
-		return askRefresh
+		return e.holder.config.AskRefresh
 	}
-	return askInterval(e.sendAsk(owner, insist))
+	return e.askInterval(e.sendAsk(owner, insist))
 }
 
-func askInterval(queued bool) swclock.Millis {
-	if queued {
-		return askRefresh
+// silentOwner returns the host that was asked and did not acknowledge, if any.
+func (e *held) silentOwner() swid.HostID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holder.config.AskTimeout == 0 || !e.waiting || e.acknowledged || !e.queuedToSend || e.asked == e.holder.config.Host {
+		return ""
 	}
-	return askBackoff
+	return e.asked
+}
+
+// askInterval returns when to repeat an ask.
+func (e *held) askInterval(queued bool) swclock.Millis {
+	switch {
+	case !queued:
+		return askBackoff
+	case e.holder.config.AskTimeout > 0:
+		return e.holder.config.AskTimeout
+	default:
+		return e.holder.config.AskRefresh
+	}
+}
+
+// mayRetry reports whether the budget allows the ask, if an earlier attempt reached a target.
+func (e *held) mayRetry() bool {
+	retries := e.holder.config.Retries
+	return retries == nil || !e.arrived || retries.Take(e.request.Service)
 }
 
 // redirected follows a redirect if the named owner is reachable, and insists otherwise.
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -23,6 +23,8 @@
 type Router interface {
 	// Owner returns the host to ask; insist tells that a better-ranked host is out of reach.
 	Owner(cell swid.CellID) (host swid.HostID, insist bool)
+	// Silent notes that a host did not acknowledge an ask in time.
+	Silent(host swid.HostID)
 	// Heard notes an epoch of a cell's owner.
 	Heard(cell swid.CellID, epoch swid.Epoch)
 }
@@ -33,6 +35,12 @@
 	Adapter(target swid.TargetID) (adapter swtarget.Adapter, takesWork, known bool)
 }
 
+// Retries is the budget for sending requests again.
+type Retries interface {
+	// Take uses one retry of a service up and reports whether one was left.
+	Take(service swid.ServiceID) bool
+}
+
 // Observer is told of events for metrics. Its methods do not block.
 type Observer interface {
 	RequestEnded(r *Request, report *Report)
@@ -53,6 +61,13 @@
 	Log         zerolog.Logger
 	// MaxHeld bounds the requests held at once.
 	MaxHeld int
+	// Retries is the budget for attempts after one that reached a target; nil sets no bound.
+	Retries Retries
+	// AskTimeout is how long an owner may take to acknowledge an ask before it is
+	// passed over; 0 leaves that to its link.
+	AskTimeout swclock.Millis
+	// AskRefresh is the interval at which an ask that waits is repeated; 0 stands for the default.
+	AskRefresh swclock.Millis
 }
 
 // Holder holds the requests of one host. Its methods are safe for concurrent use.
@@ -70,6 +85,9 @@
 
 // New returns a Holder that holds nothing yet.
 func New(config Config) *Holder {
+	if config.AskRefresh == 0 {
+		config.AskRefresh = defaultAskRefresh
+	}
 	return &Holder{
 		config: config,
 		held:   make(map[swid.Seq]*held),
@@ -198,6 +216,10 @@
 		if e := h.lookup(m.Seq); e != nil {
 			e.notify(m.Attempt, answer{from: from.Host, giveUp: &m})
 		}
+	case swmsg.Queued:
+		if e := h.lookup(m.Seq); e != nil {
+			e.notify(m.Attempt, answer{from: from.Host, queued: true})
+		}
 	case swmsg.Redirect:
 		if e := h.lookup(m.Seq); e != nil {
 			e.notify(m.Attempt, answer{from: from.Host, redirect: &m})
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -58,6 +59,7 @@
 }
 func (b *bench) Connected(swid.HostID) bool             { return true }
 func (b *bench) Heard(swid.CellID, swid.Epoch)          {}
+func (b *bench) Silent(swid.HostID)                     {}
 func (b *bench) RequestEnded(*Request, *Report)         {}
 func (b *bench) UnusedGrant()                           {}
 func (b *bench) Finish(swclaim.Entry, swclaim.Decision) {}
@@ -105,7 +107,7 @@
 }
 
 func (a *scriptedAnswer) Status() int           { return 200 }
-func (a *scriptedAnswer) ContentType() string   { return "text/plain" }
+func (a *scriptedAnswer) Header() http.Header   { return swtarget.MediaType("text/plain") }
 func (a *scriptedAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
 func (a *scriptedAnswer) Close() error          { return nil }
 func (a *scriptedAnswer) Next() (swtarget.Chunk, error) {
@@ -123,7 +125,7 @@
 // buffer is a sink.
 type buffer struct{ data []byte }
 
-func (b *buffer) Begin(int, string) error { return nil }
+func (b *buffer) Begin(int, http.Header) error { return nil }
 func (b *buffer) Write(data []byte) error {
 	b.data = append(b.data, data...)
 	return nil
--- a/internal/node/swcommand/swcommand.go
+++ b/internal/node/swcommand/swcommand.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/node/swdaemon"
 	"github.com/sassafraswing/sassafraswing/internal/node/swdev"
+	"github.com/sassafraswing/sassafraswing/internal/node/swfleet"
 )
 
 // Exit codes.
@@ -32,15 +33,18 @@
   sassafraswing -version                  print the version
 `
 
+// Adapters has the adapters to operators' platforms, by the names that the settings use.
+type Adapters map[string]swfleet.Factory
+
 // Main runs the command and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, stdout, stderr io.Writer, adapters Adapters) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return Run(ctx, args, stdout, stderr)
+	return Run(ctx, args, stdout, stderr, adapters)
 }
 
 // Run is Main with a context whose end shuts the daemon down.
-func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer, adapters Adapters) int {
 	if len(args) > 0 && args[0] == "dev" {
 		return runDev(ctx, args[1:], stdout, stderr)
 	}
@@ -65,13 +69,33 @@
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
+	var adapter swfleet.Factory
+	if settings.Fleet != nil {
+		var known bool
+		if adapter, known = adapters[settings.Fleet.Adapter]; !known {
+			fmt.Fprintf(stderr, "%s: fleet.adapter: there is no adapter %q\n", *settingsFile, settings.Fleet.Adapter)
+			return ExitUsage
+		}
+	}
 	if *check {
 		fmt.Fprintln(stdout, *settingsFile+": valid")
 		return ExitOK
 	}
+	if adapter != nil {
+		return report(stderr, runFleet(ctx, settings, adapter, newLog(stdout, settings)))
+	}
 	return report(stderr, swdaemon.Run(ctx, settings, newLog(stderr, settings)))
 }
 
+// runFleet runs a host that follows the platform's store.
+func runFleet(ctx context.Context, settings *swsettings.Settings, adapter swfleet.Factory, log zerolog.Logger) error {
+	f, err := swfleet.New(settings, adapter, log)
+	if err != nil {
+		return err
+	}
+	return f.Run(ctx)
+}
+
 func runDev(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	flags := newFlags(stderr)
 	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
--- a/internal/node/swcommand/swcommand_test.go
+++ b/internal/node/swcommand/swcommand_test.go
@@ -9,7 +9,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"sassafraswing": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"sassafraswing": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr, nil)) },
 	})
 }
 
--- /dev/null
+++ b/internal/node/swfleet/swfleet.go
@@ -0,0 +1,166 @@
+// Package swfleet assembles an entry host whose configuration, targets and
+// fellow hosts are kept in the platform's store. An adapter translates between
+// the platform's protocols and the product.
+package swfleet
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
+	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
+	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
+	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// Platform translates between the platform's protocols and the product.
+type Platform interface {
+	// Catalogs follows the configuration, which is one object.
+	Catalogs() swwatch.Source[*swcatalog.Catalog]
+	// Targets follows the targets that registered themselves.
+	Targets() swwatch.Source[swcatalog.Target]
+	// Hosts follows the hosts that registered themselves.
+	Hosts() swwatch.Source[swcatalog.Host]
+	// Register writes this host's entry and returns the incarnation of its
+	// process, which is higher than that of any earlier one. An error means that
+	// it may or may not have been written.
+	Register(ctx context.Context, h swcatalog.Host) (swid.Incarnation, error)
+	// Leave marks this host's entry as leaving.
+	Leave(ctx context.Context, h swcatalog.Host) error
+	// Callers returns the handler of callers' requests.
+	Callers(gate *swgate.Gate, leaving func() bool) http.Handler
+	// Readiness returns the handler of the question whether the host takes callers.
+	Readiness(ready func() bool) http.Handler
+	// Target returns the adapter of one target, whose streams have a number of
+	// tokens in each event.
+	Target(id swid.TargetID, address string, eventTokens swid.Tokens) swtarget.Adapter
+}
+
+// Factory makes the adapter that the settings name.
+type Factory func(s *swsettings.Settings, clock swclock.Clock, log zerolog.Logger) (Platform, error)
+
+// Fleet is one entry host.
+type Fleet struct {
+	settings *swsettings.Settings
+	log      zerolog.Logger
+	clock    *swclock.System
+	platform Platform
+	self     swlink.Peer
+
+	registry *prometheus.Registry
+	metrics  *swmetrics.Metrics
+	gate     *swgate.Gate
+	ledger   *swquota.Ledger
+	retries  *retries
+	view     *view
+	exchange *swexchange.Exchange
+	network  *swlink.Network
+	router   *router
+	pool     *swpool.Pool
+	holder   *swholder.Holder
+	owner    *swowner.Owner
+
+	catalogs *swwatch.Follower[*swcatalog.Catalog]
+	targets  *swwatch.Follower[swcatalog.Target]
+	hosts    *swwatch.Follower[swcatalog.Host]
+	// configuring orders what is told to the parts that dispatch.
+	configuring sync.Mutex
+}
+
+// New assembles a host; nothing runs before Run.
+func New(settings *swsettings.Settings, factory Factory, log zerolog.Logger) (*Fleet, error) {
+	f := &Fleet{
+		settings: settings, log: log, clock: swclock.NewSystem(),
+		registry: prometheus.NewRegistry(), ledger: swquota.New(), view: newView(settings),
+	}
+	platform, err := factory(settings, f.clock, log)
+	if err != nil {
+		return nil, err
+	}
+	f.platform = platform
+	f.metrics = swmetrics.New(f.registry)
+	f.retries = newRetries(settings.Fleet, f.clock)
+	return f, nil
+}
+
+const (
+	// askTimeout is how long an owner may take to acknowledge an ask: many times
+	// the round trip in a region, and a part of the shortest objective.
+	askTimeout = 60 * swclock.Millis(1)
+	// askRefresh is the interval at which an ask that waits is repeated, by which
+	// a silent owner is noticed.
+	askRefresh = 400 * swclock.Millis(1)
+	// doubtTime is how long a holder whose link was lost has to report its work.
+	doubtTime = swclock.Second
+	// catalogWait and catalogWaitAfterChange bound the age of the configuration's
+	// confirmation well below the time within which a removed key must be refused.
+	catalogWait            = 3 * swclock.Second
+	catalogWaitAfterChange = 700 * swclock.Millis(1)
+	// targetWait is the wait of a watch of targets. A watch that went silent is
+	// noticed at its end, well within the time in which a leaving target is served.
+	targetWait = 3 * swclock.Second
+	// hostWait is the wait of a watch of hosts, which change rarely and are also
+	// noticed by their links.
+	hostWait = 20 * swclock.Second
+)
+
+// assemble builds the parts that know the process's incarnation.
+func (f *Fleet) assemble() {
+	f.exchange = swexchange.New(f.self)
+	f.network = swlink.New(swlink.Config{
+		Self: f.self, Address: f.settings.Peer.Address, Heartbeat: f.settings.Peer.Heartbeat,
+	}, f.clock, f.view.resolve, f.exchange, swlink.WithoutTLS(), swlink.WithLogger(f.log))
+	f.router = newRouter(swnode.NewRouter(f.self.Host, f.settings.Region, f.network, f.clock), f.self.Host, f.settings.Region, f.view)
+	f.pool = swpool.New(f.adapter)
+	f.holder = swholder.New(swholder.Config{
+		Host: f.self.Host, Incarnation: f.self.Incarnation, Clock: f.clock, Sender: f.exchange, Router: f.router,
+		Targets: f.pool, Observer: f.metrics, Log: f.log, MaxHeld: f.settings.Caller.MaxHeld,
+		Retries: f.retries, AskTimeout: askTimeout, AskRefresh: askRefresh,
+	})
+	f.owner = swowner.New(swowner.Config{
+		Host: f.self.Host, Clock: f.clock, Sender: f.exchange, Router: f.router, Members: f.view, Watcher: noWatcher{},
+		Observer: f.metrics, Log: f.log, NewCore: f.newCore, Acknowledge: true, Local: f.view.local, DoubtTime: doubtTime,
+	})
+	f.gate = swgate.New(swgate.Config{
+		Region: f.settings.Region, Holder: f.holder, Clock: f.clock, Boot: f.clock,
+		Confirmed: func() swclock.Millis { return f.catalogs.Confirmed() },
+		Counted:   f.retries.count, Log: f.log, Ended: func(*swgate.Result) {},
+	}, boundsOf(f.settings.Fleet))
+	f.exchange.OnLinkUp(f.linkUp)
+	f.exchange.Connect(f.network, f.linkDown, f.holder, f.owner)
+	f.follow()
+}
+
+// follow builds the followers of the store.
+func (f *Fleet) follow() {
+	config := func(kind string, wait swclock.Millis) swwatch.Config {
+		return swwatch.Config{Kind: kind, Wait: wait, Clock: f.clock, Boot: f.clock, Log: f.log}
+	}
+	catalogs := config("configuration", catalogWait)
+	catalogs.WaitAfterChange = catalogWaitAfterChange
+	f.catalogs = swwatch.NewFollower(catalogs, f.platform.Catalogs(), f.catalogChanged)
+	targets := config("targets", targetWait)
+	targets.Grace = f.settings.Fleet.ReturnWithin
+	targets.Outage = f.settings.Fleet.LapseTime / 2
+	f.targets = swwatch.NewFollower(targets, f.platform.Targets(), f.targetsChanged)
+	f.hosts = swwatch.NewFollower(config("hosts", hostWait), f.platform.Hosts(), f.hostsChanged)
+}
+
+func boundsOf(s *swsettings.Fleet) swgate.Bounds {
+	return swgate.Bounds{ApplyWithin: s.ApplyWithin, RevokeWithin: s.RevokeWithin}
+}
--- a/internal/node/swnode/bench_test.go
+++ b/internal/node/swnode/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -30,7 +31,7 @@
 var chunk = swtarget.Chunk{Data: []byte("data: {}\n\n"), Tokens: 1, Events: 1}
 
 func (a *instantAnswer) Status() int           { return 200 }
-func (a *instantAnswer) ContentType() string   { return "text/event-stream" }
+func (a *instantAnswer) Header() http.Header   { return swtarget.MediaType("text/event-stream") }
 func (a *instantAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
 func (a *instantAnswer) Close() error          { return nil }
 func (a *instantAnswer) Next() (swtarget.Chunk, error) {
@@ -43,8 +44,8 @@
 
 type discard struct{}
 
-func (discard) Begin(int, string) error { return nil }
-func (discard) Write([]byte) error      { return nil }
+func (discard) Begin(int, http.Header) error { return nil }
+func (discard) Write([]byte) error           { return nil }
 
 // benchmarkServe measures a request from the holder through the owner to a
 // target and back, in one process and without sockets.
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -10,6 +10,10 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
+// silentTime is how long a host is passed over that did not acknowledge an ask.
+// A silent link is found and replaced within it.
+const silentTime = swclock.Second
+
 // redialInterval is the time between two dials of a host that is passed over.
 const redialInterval = 2 * swclock.Second
 
@@ -35,6 +39,8 @@
 	// passed has the hosts that could not be reached, and when each is dialled
 	// next. One is passed over until a link to it is up.
 	passed map[swid.HostID]swclock.Millis
+	// silent has the hosts that did not acknowledge an ask, and until when each is passed over.
+	silent map[swid.HostID]swclock.Millis
 	// epochs has the highest epoch heard of each cell; none falls.
 	epochs map[swid.CellID]swid.Epoch
 }
@@ -45,6 +51,7 @@
 		self: self, region: region, links: links, clock: clock,
 		trackers: make(map[swid.CellID]*swelect.Tracker),
 		passed:   make(map[swid.HostID]swclock.Millis),
+		silent:   make(map[swid.HostID]swclock.Millis),
 		epochs:   make(map[swid.CellID]swid.Epoch),
 	}
 }
@@ -98,6 +105,12 @@
 
 // inReach trusts a host unless it could not be reached and is not back. It needs r.mu.
 func (r *HostRouter) inReach(host swid.HostID) bool {
+	if until, silent := r.silent[host]; silent {
+		if r.clock.Now() < until {
+			return false
+		}
+		delete(r.silent, host)
+	}
 	next, passed := r.passed[host]
 	if !passed {
 		return true
@@ -122,6 +135,14 @@
 	}
 }
 
+// Silent implements swholder.Router. The host may be paused or overloaded, or
+// its link may have gone silent, so that it is passed over for a while.
+func (r *HostRouter) Silent(host swid.HostID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent[host] = r.clock.Now() + silentTime
+}
+
 // Heard implements swholder.Router.
 func (r *HostRouter) Heard(cell swid.CellID, epoch swid.Epoch) {
 	r.mu.Lock()
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -19,6 +19,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
@@ -89,7 +90,9 @@
 		Watcher:  parts.Watcher,
 		Observer: n.metrics,
 		Log:      parts.Log,
-		Cell:     swcell.Config{},
+		NewCore: func(_ swid.CellID, hook func(swcell.Violation)) swowner.Core {
+			return swcell.New(swcell.Config{}, swcell.WithViolationHook(hook))
+		},
 	})
 	n.caller = swcaller.New(settings.Caller, settings.Region, n.holder, parts.Clock, parts.Log)
 	return n
--- a/internal/node/swnode/swnode_test.go
+++ b/internal/node/swnode/swnode_test.go
@@ -45,6 +45,7 @@
 }
 func (f fixed) Members() []swmember.Member                                             { return nil }
 func (f fixed) Owner(swid.CellID) (swid.HostID, bool)                                  { return f.host, false }
+func (f fixed) Silent(swid.HostID)                                                     {}
 func (f fixed) Heard(swid.CellID, swid.Epoch)                                          {}
 func (f fixed) Takeover(swid.CellID) swid.Epoch                                        { return 1 }
 func (f fixed) Watch(context.Context, swid.CellID, []swdoc.Target, func(swcell.Event)) {}
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -16,8 +16,14 @@
 }
 
 func askEvent(key swcell.Key, m swmsg.Ask, now swclock.Millis) swcell.Ask {
+	objective := swclock.Millis(0)
+	if m.Objective > 0 {
+		objective = now + m.Objective
+	}
 	return swcell.Ask{
 		Key:           key,
+		Objective:     objective,
+		Parts:         m.Parts,
 		Attempt:       m.Attempt,
 		Tier:          m.Tier,
 		Org:           m.Org,
@@ -79,6 +85,7 @@
 		State:      swcell.TargetActive,
 		Slots:      t.Slots,
 		KVTokens:   t.KVTokens,
+		Born:       t.Born,
 	}
 	if t.Draining {
 		target.State = swcell.TargetDraining
@@ -90,6 +97,7 @@
 	}
 	service := slices.IndexFunc(d.Services, func(s swdoc.Service) bool { return s.ID == t.Service })
 	if service >= 0 {
+		target.Plain = d.Services[service].Kind == swdoc.KindPlain
 		target.ServiceTime = d.Services[service].ServiceTime
 	}
 	return target
--- a/internal/owner/swowner/doubt.go
+++ b/internal/owner/swowner/doubt.go
@@ -7,9 +7,9 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
-// doubtTime is how long a holder has, after its link was lost, to report the
+// defaultDoubtTime is how long a holder has, after its link was lost, to report the
 // work that it still runs. What it does not report has ended: its Done was lost.
-const doubtTime = 5 * swclock.Second
+const defaultDoubtTime = 5 * swclock.Second
 
 // doubt is the check of one holder's grants after its link was lost.
 type doubt struct {
@@ -20,7 +20,7 @@
 
 // doubtHolder asks a holder to report its open work again.
 func (r *runner) doubtHolder(holder swid.HostID) {
-	d := &doubt{until: r.config.Clock.Now() + doubtTime, unconfirmed: make(map[swcell.Key]swid.Attempt)}
+	d := &doubt{until: r.config.Clock.Now() + r.config.DoubtTime, unconfirmed: make(map[swcell.Key]swid.Attempt)}
 	for key, g := range r.grants {
 		if key.Holder == holder {
 			d.unconfirmed[key] = g.message.Attempt
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
@@ -19,8 +20,6 @@
 	// settleTime is how long a new owner collects the holders' reports before it
 	// grants, so that it does not overfill targets that already run work.
 	settleTime swclock.Millis = 100
-	// idleTickInterval is the time between two ticks of a cell without work.
-	idleTickInterval = swclock.Second
 	// surplusTime is how long a cell is kept that has no work and another owner.
 	surplusTime = 30 * swclock.Second
 	// busy is the idleSince of a cell that has work.
@@ -40,9 +39,11 @@
 	inputs  *swring.Ring[input]
 	changes *swring.Ring[*swdoc.Document]
 
-	cell    *swcell.Cell
+	cell    Core
 	epoch   swid.Epoch
 	actions []swcell.Action
+	// tickAt is when the core is next given a Tick.
+	tickAt swclock.Millis
 	// grants has each grant from its action to its Done or Withdraw, so that a
 	// repeated ask is answered with the same grant.
 	grants map[swcell.Key]granted
@@ -67,10 +68,10 @@
 		doubts:    make(map[swid.HostID]*doubt),
 		stopWatch: func() {},
 	}
-	r.cell = swcell.New(config.Cell, swcell.WithViolationHook(func(v swcell.Violation) {
+	r.cell = config.NewCore(id, func(v swcell.Violation) {
 		config.Observer.Violated(id, v.Invariant)
 		config.Log.Error().Str("cell", string(id)).Str("invariant", v.Invariant).Uint64("seq", uint64(v.Key.Seq)).Msg("invariant violated")
-	}))
+	})
 	return r
 }
 
@@ -96,8 +97,9 @@
 	r.apply(ctx, <-r.changes.Items()) // start put it there, before any ask
 	r.takeOver()
 	defer func() { r.stopWatch() }()
-	timer := time.NewTimer(swcell.TickInterval.Duration())
+	timer := time.NewTimer(r.tickInterval().Duration())
 	defer timer.Stop()
+	r.tickAt = r.config.Clock.Now() + r.tickInterval()
 	for {
 		select {
 		case <-ctx.Done():
@@ -106,10 +108,10 @@
 			r.apply(ctx, d)
 		case in := <-r.inputs.Items():
 			in.apply(r)
-			if r.idleSince != busy {
-				continue
+			if interval := r.tickInterval(); r.config.Clock.Now()+interval < r.tickAt {
+				timer.Reset(interval.Duration())
+				r.tickAt = r.config.Clock.Now() + interval
 			}
-			timer.Reset(swcell.TickInterval.Duration())
 		case <-timer.C:
 			r.tick()
 			if r.surplus() && retire() {
@@ -117,6 +119,7 @@
 				return
 			}
 			timer.Reset(r.tickInterval().Duration())
+			r.tickAt = r.config.Clock.Now() + r.tickInterval()
 		}
 	}
 }
@@ -125,6 +128,9 @@
 func (r *runner) takeOver() {
 	r.epoch = r.config.Router.Takeover(r.id)
 	r.settled = r.config.Clock.Now()
+	if r.config.Local(r.id) {
+		return
+	}
 	others := 0
 	for _, m := range r.config.Members.Members() {
 		if m.State == swmsg.MemberDead {
@@ -171,10 +177,27 @@
 	r.idleSince = busy
 	e := askEvent(key, m, r.config.Clock.Now())
 	if r.settled > r.config.Clock.Now() {
-		r.held = append(r.held, e)
-		return
+		r.held = append(withoutAsk(r.held, key, m.Attempt), e)
+	} else {
+		r.step(e)
+	}
+	if r.config.Acknowledge && !r.decided(key) {
+		r.config.Sender.Send(from.Host, swmsg.Queued{Cell: r.id, Seq: m.Seq, Attempt: m.Attempt})
 	}
-	r.step(e)
+}
+
+// decided reports whether the last step decided on a request.
+func (r *runner) decided(key swcell.Key) bool {
+	return slices.ContainsFunc(r.actions, func(a swcell.Action) bool {
+		switch a := a.(type) {
+		case swcell.Grant:
+			return a.Key == key
+		case swcell.GiveUp:
+			return a.Key == key
+		default:
+			return false
+		}
+	})
 }
 
 // inFlight takes over work that was dispatched under another owner.
@@ -236,12 +259,12 @@
 	}
 }
 
-// tickInterval spares an idle cell most of its ticks.
+// tickInterval is short while a new owner collects reports.
 func (r *runner) tickInterval() swclock.Millis {
-	if r.idleSince == busy {
+	if len(r.held) > 0 {
 		return swcell.TickInterval
 	}
-	return idleTickInterval
+	return r.cell.TickInterval()
 }
 
 // surplus reports whether the cell has had no work for a while and belongs to another host.
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -31,6 +31,17 @@
 	Watch(ctx context.Context, cell swid.CellID, targets []swdoc.Target, report func(swcell.Event))
 }
 
+// Core decides on the requests of one cell. Its methods are called from one goroutine.
+type Core interface {
+	// Step takes one event and appends the actions that follow from it.
+	Step(now swclock.Millis, e swcell.Event, actions []swcell.Action) []swcell.Action
+	// Idle reports whether nothing waits or runs.
+	Idle() bool
+	// TickInterval returns the time after which the core needs a Tick.
+	TickInterval() swclock.Millis
+	Snapshot() swcell.Snapshot
+}
+
 // Observer is told of events for metrics. Its methods do not block.
 type Observer interface {
 	// Decided counts an action of a cell.
@@ -51,7 +62,17 @@
 	Watcher  Watcher
 	Observer Observer
 	Log      zerolog.Logger
-	Cell     swcell.Config
+	// NewCore makes the core of a cell. The hook is to be called for each
+	// invariant that does not hold.
+	NewCore func(cell swid.CellID, hook func(swcell.Violation)) Core
+	// Acknowledge has holders told when their asks wait.
+	Acknowledge bool
+	// Local reports whether a cell is decided on by each host for its own
+	// requests; nil stands for none.
+	Local func(cell swid.CellID) bool
+	// DoubtTime is how long a holder has, after its link was lost, to report the
+	// work that it still runs; 0 stands for the default.
+	DoubtTime swclock.Millis
 }
 
 // Owner runs the cells that this host owns. Its methods are safe for concurrent use.
@@ -70,6 +91,12 @@
 
 // New returns an Owner of no cells.
 func New(config Config) *Owner {
+	if config.Local == nil {
+		config.Local = func(swid.CellID) bool { return false }
+	}
+	if config.DoubtTime == 0 {
+		config.DoubtTime = defaultDoubtTime
+	}
 	return &Owner{config: config, cells: make(map[swid.CellID]*runner)}
 }
 
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -30,6 +30,8 @@
 		return checked("inFlight", k.InFlight, decodeInFlight)
 	case *swpb.Message_Progress:
 		return checked("progress", k.Progress, decodeProgress)
+	case *swpb.Message_Queued:
+		return checked("queued", k.Queued, decodeQueued)
 	case *swpb.Message_Recover:
 		return checked("recover", k.Recover, decodeRecover)
 	case *swpb.Message_Hello:
@@ -73,10 +75,33 @@
 			return swid.TargetID(c.required("exclude", t))
 		}),
 		NonIdempotent: w.GetNonIdempotent(), Insist: w.GetInsist(),
-		Strikes: uint8(c.between("strikes", w.GetStrikes(), 0, math.MaxUint8)),
+		Strikes:   uint8(c.between("strikes", w.GetStrikes(), 0, math.MaxUint8)),
+		Objective: span(c, "objectiveMillis", w.GetObjectiveMillis()),
+		Parts:     decodePromptParts(c, w),
 	}
 }
 
+func decodePromptParts(c *checker, w *swpb.Ask) []swcell.Part {
+	ids, sizes := w.GetParts(), w.GetPartTokens()
+	if len(ids) == 0 && len(sizes) == 0 {
+		return nil
+	}
+	c.count("parts", len(ids), MaxPromptParts)
+	if len(ids) != len(sizes) {
+		c.check("partTokens", false)
+		return nil
+	}
+	parts := make([]swcell.Part, len(ids))
+	for i := range ids {
+		parts[i] = swcell.Part{ID: swid.PrefixHash(ids[i]), Tokens: tokens(c, "partTokens", sizes[i])}
+	}
+	return parts
+}
+
+func decodeQueued(c *checker, w *swpb.Queued) swmsg.Queued {
+	return swmsg.Queued{Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt())}
+}
+
 func decodeGrant(c *checker, w *swpb.Grant) swmsg.Grant {
 	return swmsg.Grant{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
@@ -90,7 +115,7 @@
 	return swmsg.Done{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
 		Target:       target(c, w.GetTarget()),
-		Result:       swcell.Result(c.between("result", w.GetResult(), uint32(swcell.ResultAnswered), uint32(swcell.ResultNoAnswer))),
+		Result:       swcell.Result(c.between("result", w.GetResult(), uint32(swcell.ResultAnswered), uint32(swcell.ResultFailed))),
 		PromptTokens: tokens(c, "promptTokens", w.GetPromptTokens()),
 		OutputTokens: tokens(c, "outputTokens", w.GetOutputTokens()),
 		CachedTokens: tokens(c, "cachedTokens", w.GetCachedTokens()),
@@ -102,7 +127,7 @@
 func decodeGiveUp(c *checker, w *swpb.GiveUp) swmsg.GiveUp {
 	return swmsg.GiveUp{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
-		Reason:     swcell.Reason(c.between("reason", w.GetReason(), uint32(swcell.ReasonDeadline), uint32(swcell.ReasonRetryBudget))),
+		Reason:     swcell.Reason(c.between("reason", w.GetReason(), uint32(swcell.ReasonDeadline), uint32(swcell.ReasonQuota))),
 		RetryAfter: span(c, "retryAfterMillis", w.GetRetryAfterMillis()), Epoch: swid.Epoch(w.GetEpoch()),
 	}
 }
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
@@ -27,6 +28,9 @@
 		return &swpb.Message{Kind: &swpb.Message_Redirect{Redirect: encodeRedirect(m)}}, nil
 	case swmsg.InFlight:
 		return &swpb.Message{Kind: &swpb.Message_InFlight{InFlight: encodeInFlight(m)}}, nil
+	case swmsg.Queued:
+		q := &swpb.Queued{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
+		return &swpb.Message{Kind: &swpb.Message_Queued{Queued: q}}, nil
 	case swmsg.Progress:
 		return &swpb.Message{Kind: &swpb.Message_Progress{Progress: encodeProgress(m)}}, nil
 	case swmsg.Recover:
@@ -63,6 +67,9 @@
 		Prefix: convert(m.Prefix, func(h swid.PrefixHash) uint64 { return uint64(h) }), Fingerprint: uint64(m.Fingerprint),
 		Exclude:       convert(m.Exclude, func(t swid.TargetID) string { return string(t) }),
 		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Strikes: uint32(m.Strikes),
+		ObjectiveMillis: int64(m.Objective),
+		Parts:           convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
+		PartTokens:      convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
 	}
 }
 
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -20,6 +20,8 @@
 	MaxTextBytes = 512
 	// MaxPrefixes bounds the prefix hashes of one ask.
 	MaxPrefixes = 4096
+	// MaxPromptParts bounds the prompt parts of one ask.
+	MaxPromptParts = 1024
 	// MaxExclude bounds the excluded targets of one ask.
 	MaxExclude = 256
 	// MaxRumors bounds the rumors of one heartbeat.
--- a/internal/peer/swexchange/swexchange.go
+++ b/internal/peer/swexchange/swexchange.go
@@ -21,6 +21,8 @@
 	network  swlink.Sender
 	parts    []Receiver
 	linkDown func(peer swlink.Peer)
+	// linkUp may be nil.
+	linkUp func(peer swlink.Peer)
 }
 
 // New returns an Exchange for a host's process; Connect completes it.
@@ -53,5 +55,16 @@
 	}
 }
 
+// OnLinkUp sets a function that is told of each link that is up. It is called
+// before the first message.
+func (x *Exchange) OnLinkUp(f func(peer swlink.Peer)) { x.linkUp = f }
+
+// LinkUp implements swlink.Handler.
+func (x *Exchange) LinkUp(peer swlink.Peer) {
+	if x.linkUp != nil {
+		x.linkUp(peer)
+	}
+}
+
 // LinkDown implements swlink.Handler.
 func (x *Exchange) LinkDown(peer swlink.Peer) { x.linkDown(peer) }
--- a/internal/peer/swlink/bench_test.go
+++ b/internal/peer/swlink/bench_test.go
@@ -35,6 +35,7 @@
 	}
 }
 
+func (p *party) LinkUp(Peer)   {}
 func (p *party) LinkDown(Peer) {}
 
 // segments returns the TCP segments that a party sent, acknowledgements included, as the kernel counts them.
--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -175,6 +175,7 @@
 		<-old.done
 	}
 	n.logger.Info().Str("peer", string(l.id.Host)).Bool("dialled", l.dialled).Msg("peer link up")
+	n.handler.LinkUp(l.id)
 	stop := context.AfterFunc(ctx, func() { l.fail(errStopped) })
 	defer stop()
 	l.run()
--- a/internal/peer/swlink/harness_test.go
+++ b/internal/peer/swlink/harness_test.go
@@ -85,6 +85,8 @@
 	}
 }
 
+func (n *node) LinkUp(Peer) {}
+
 func (n *node) LinkDown(p Peer) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/peer/swlink/swlink.go
+++ b/internal/peer/swlink/swlink.go
@@ -24,6 +24,8 @@
 // calls for different links run at once.
 type Handler interface {
 	Receive(from Peer, m swmsg.Message)
+	// LinkUp tells that a link to a host is up.
+	LinkUp(peer Peer)
 	// LinkDown tells that a link was lost; messages queued for it may be lost.
 	LinkDown(peer Peer)
 }
--- a/internal/peer/swmember/members_test.go
+++ b/internal/peer/swmember/members_test.go
@@ -51,6 +51,7 @@
 type handler struct{ p *process }
 
 func (h handler) Receive(from swlink.Peer, m swmsg.Message) { h.p.Members.Receive(from, m) }
+func (h handler) LinkUp(swlink.Peer)                        {}
 func (h handler) LinkDown(peer swlink.Peer)                 { h.p.Members.LinkDown(peer) }
 
 // holds reports whether a process holds a host in a state and incarnation.
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -73,6 +73,17 @@
 	Insist bool
 	// Strikes counts the request's earlier attempts that broke.
 	Strikes uint8
+	// Objective is the time until the first part of the answer is late; 0 if there is no objective.
+	Objective swclock.Millis
+	// Parts are the parts of the prompt, where the caller names them.
+	Parts []swcell.Part
+}
+
+// Queued acknowledges an ask that waits for its grant.
+type Queued struct {
+	Cell    swid.CellID
+	Seq     swid.Seq
+	Attempt swid.Attempt
 }
 
 // InFlight reports dispatched work to a new owner.
@@ -183,6 +194,7 @@
 func (Progress) message()       {}
 func (Withdraw) message()       {}
 func (Done) message()           {}
+func (Queued) message()         {}
 func (Grant) message()          {}
 func (GiveUp) message()         {}
 func (Preempt) message()        {}
--- a/internal/target/swcall/swcall.go
+++ b/internal/target/swcall/swcall.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/target/swhttp"
@@ -70,8 +71,10 @@
 // Status implements swtarget.Answer.
 func (a *answer) Status() int { return a.response.Status }
 
-// ContentType implements swtarget.Answer.
-func (a *answer) ContentType() string { return a.response.Header.Get("Content-Type") }
+// Header implements swtarget.Answer.
+func (a *answer) Header() http.Header {
+	return swtarget.MediaType(a.response.Header.Get("Content-Type"))
+}
 
 // Next implements swtarget.Answer.
 func (a *answer) Next() (swtarget.Chunk, error) {
--- a/internal/target/swopenai/stream.go
+++ b/internal/target/swopenai/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -38,8 +39,10 @@
 // Status implements swtarget.Answer.
 func (s *stream) Status() int { return s.response.Status }
 
-// ContentType implements swtarget.Answer.
-func (s *stream) ContentType() string { return s.response.Header.Get("Content-Type") }
+// Header implements swtarget.Answer.
+func (s *stream) Header() http.Header {
+	return swtarget.MediaType(s.response.Header.Get("Content-Type"))
+}
 
 // Usage implements swtarget.Answer.
 func (s *stream) Usage() swtarget.Usage { return s.usage }
--- a/internal/target/swopenai/swopenai.go
+++ b/internal/target/swopenai/swopenai.go
@@ -177,8 +177,10 @@
 // Status implements swtarget.Answer.
 func (w *whole) Status() int { return w.response.Status }
 
-// ContentType implements swtarget.Answer.
-func (w *whole) ContentType() string { return w.response.Header.Get("Content-Type") }
+// Header implements swtarget.Answer.
+func (w *whole) Header() http.Header {
+	return swtarget.MediaType(w.response.Header.Get("Content-Type"))
+}
 
 // Next implements swtarget.Answer.
 func (w *whole) Next() (swtarget.Chunk, error) {
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -13,9 +14,14 @@
 type Request struct {
 	ID      swid.RequestID
 	Attempt swid.Attempt
+	// Org is the organisation that the request is accounted to.
+	Org swid.OrgID
 	// Method and Path are those of the target's own API.
 	Method string
 	Path   string
+	// Host and Header are the caller's, for adapters that pass them on.
+	Host   string
+	Header http.Header
 	// ContentType and Body are passed on byte for byte.
 	ContentType string
 	Body        []byte
@@ -26,9 +32,14 @@
 	// Patience bounds the silence before the first part of the answer; 0 leaves
 	// it to the adapter, whose own bound holds in any case.
 	Patience swclock.Millis
+	// Remaining is the time until the answer has no value any more; 0 is no bound.
+	Remaining swclock.Millis
 	// ResumeFrom is the number of events that the holder already has; above 0 the
 	// target continues a stream that broke.
 	ResumeFrom int
+	// ResumeAfter is the id of the last event that the holder has, where events
+	// have ids; a target that did not run the request before continues after it.
+	ResumeAfter string
 }
 
 // Chunk is a piece of an answer. Its bytes are valid until the next call to Next.
@@ -40,6 +51,8 @@
 	// Events is the number of a stream's data events in Data, without the
 	// terminal marker; their sum is a later Request.ResumeFrom.
 	Events int
+	// LastEvent is the id of the last event in Data, where events have ids.
+	LastEvent string
 }
 
 // Usage is a target's own account of a request; zero fields were not reported.
@@ -53,8 +66,9 @@
 type Answer interface {
 	// Status returns the HTTP status.
 	Status() int
-	// ContentType returns the answer's media type.
-	ContentType() string
+	// Header returns the fields of the answer's header that the caller is given.
+	// They are not changed.
+	Header() http.Header
 	// Next returns the next chunk. It returns io.EOF only after the answer's
 	// terminal marker, and a *Error in every other case that ends the answer.
 	Next() (Chunk, error)
@@ -85,10 +99,21 @@
 	FailureStalled
 )
 
+// MediaType returns the header of an answer of which only the media type is passed on.
+func MediaType(contentType string) http.Header {
+	h := make(http.Header, 1)
+	if contentType != "" {
+		h.Set("Content-Type", contentType)
+	}
+	return h
+}
+
 // Error is the error of an attempt.
 type Error struct {
 	Failure Failure
-	Err     error
+	// Unsent tells that nothing of the request reached the target.
+	Unsent bool
+	Err    error
 }
 
 // Error implements error.
