--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -39,7 +39,9 @@
 	// PromptTokens and OutputTokens are 0 if the caller does not say.
 	PromptTokens swid.Tokens
 	OutputTokens swid.Tokens
-	Parts        []swcell.Part
+	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
+	ExpectedTokens swid.Tokens
+	Parts          []swcell.Part
 	// ResumeAfter is the id of the last event that the caller has of a stream; empty for a new one.
 	ResumeAfter string
 	// ReadBody reads the body within the bounds.
@@ -63,6 +65,8 @@
 	DeniedStale
 	// DeniedBody: the body could not be read.
 	DeniedBody
+	// DeniedLeaving: the host is about to stop.
+	DeniedLeaving
 )
 
 var denialNames = [...]string{
@@ -72,6 +76,7 @@
 	DeniedKey:          "unknownKey",
 	DeniedStale:        "staleConfiguration",
 	DeniedBody:         "body",
+	DeniedLeaving:      "leaving",
 }
 
 // String returns the denial's name in logs and metrics.
@@ -127,6 +132,8 @@
 	bounds atomic.Pointer[Bounds]
 	// table is nil until the first configuration is in force.
 	table atomic.Pointer[swcatalog.Table]
+	// leaving is set once the host takes no new requests.
+	leaving atomic.Bool
 }
 
 // New returns a gate that admits nothing until Configure.
@@ -139,6 +146,9 @@
 // Configure brings a configuration into force.
 func (g *Gate) Configure(t *swcatalog.Table) { g.table.Store(t) }
 
+// Leave refuses new requests.
+func (g *Gate) Leave() { g.leaving.Store(true) }
+
 // SetBounds replaces the bounds.
 func (g *Gate) SetBounds(b Bounds) { g.bounds.Store(&b) }
 
@@ -152,6 +162,8 @@
 	// another host, or to this one once it has heard of the store.
 	returnUnconfigured = 300 * swclock.Millis(1)
 	returnStale        = 300 * swclock.Millis(1)
+	// returnLeaving leads a caller to another host at once.
+	returnLeaving = 10 * swclock.Millis(1)
 )
 
 // age returns the time since the store last confirmed the configuration.
@@ -172,8 +184,11 @@
 
 func (g *Gate) serve(ctx context.Context, c *Call, sink swholder.Sink) Result {
 	table := g.table.Load()
-	if table == nil {
+	switch {
+	case table == nil:
 		return g.deny(c, nil, DeniedUnconfigured, returnUnconfigured)
+	case g.leaving.Load():
+		return g.deny(c, table, DeniedLeaving, returnLeaving)
 	}
 	route, found := table.Route(c.Host, c.Path)
 	if !found {
@@ -236,8 +251,8 @@
 	r := &swholder.Request{
 		ID: c.ID, Seq: seq, Service: service, Cell: swid.NewCellID(service, g.config.Region),
 		Tier: route.Tier, Deadline: deadline(now, c.Deadline, route.Timeout),
-		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, Parts: c.Parts,
-		Attempts: swid.Attempt(route.Attempts), EndsAtDeadline: true,
+		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, ExpectedTokens: c.ExpectedTokens, Parts: c.Parts,
+		Attempts: swid.Attempt(route.Attempts), EndsAtDeadline: true, KeepsNothing: true,
 		Call: swtarget.Request{
 			Method: c.Method, Host: c.Host, Path: c.Target, Header: c.Header, Body: body,
 			Stream: route.Kind == swcatalog.KindStream,
@@ -305,6 +320,9 @@
 		Str("outcome", report.End.Outcome.String()).
 		Uint32("attempts", uint32(report.Attempts)).
 		Str("target", string(report.Target)).
+		Int64("promptTokens", int64(r.PromptTokens)).
+		Int64("expectedTokens", int64(r.ExpectedTokens)).
+		Int64("outputTokens", int64(report.OutputTokens)).
 		Int64("queueMillis", int64(report.Timing.Queue)).
 		Int64("firstMillis", int64(report.Timing.FirstToken)).
 		Int64("totalMillis", int64(report.Timing.Total))
--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -31,6 +31,7 @@
 	defaultApplyWithin     = 2 * swclock.Second
 	defaultLapseTime       = 3 * swclock.Second
 	defaultReturnWithin    = 2 * swclock.Second
+	defaultQuotaWindow     = 8 * swclock.Second
 	defaultRetryWindow     = 10 * swclock.Second
 	defaultRetryRatio      = 0.1
 	defaultRetryReserve    = 32
@@ -125,6 +126,7 @@
 	f.RevokeWithin = o.Optional("revokeWithin").Span(0, 0, swclock.Hour)
 	f.LapseTime = o.Optional("lapseTime").Span(defaultLapseTime, 100, swclock.Hour)
 	f.ReturnWithin = o.Optional("returnWithin").Span(defaultReturnWithin, 0, swclock.Minute)
+	f.QuotaWindow = o.Optional("quotaWindow").Span(defaultQuotaWindow, swclock.Second, swclock.Hour)
 	f.RetryWindow = o.Optional("retryWindow").Span(defaultRetryWindow, swclock.Second, swclock.Hour)
 	f.RetryRatio = o.Optional("retryRatio").Float(defaultRetryRatio, 0, 10)
 	f.RetryReserve = o.Optional("retryReserve").Float(defaultRetryReserve, 0, 1e6)
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -82,6 +82,8 @@
 	LapseTime swclock.Millis
 	// ReturnWithin is how soon after the store's return a lapsed entry is back.
 	ReturnWithin swclock.Millis
+	// QuotaWindow is the window over which an organisation's use is bounded.
+	QuotaWindow swclock.Millis
 	// Retries of a service within RetryWindow are bounded by RetryRatio of its
 	// requests and RetryReserve, over all hosts.
 	RetryWindow  swclock.Millis
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -52,6 +52,8 @@
 	Objective swclock.Millis
 	// Parts are the parts of the prompt in order, where the caller names them.
 	Parts []Part
+	// ExpectedTokens is the caller's estimate of the output, often far off; 0 if it gives none.
+	ExpectedTokens swid.Tokens
 }
 
 // Part is a part of a prompt that other prompts may share. A target that has
--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -1,15 +1,14 @@
 // Package swquota keeps organisations within their quotas, each of which holds
-// for all hosts together.
+// for all hosts together over any window of time.
 //
 // One host at a time accounts for most of an organisation's use: the owner of
-// the cells. It admits at the full rate. A host that decides alone admits at a
-// share of the rate. A bucket may be overdrawn by one request, so that one that
-// is larger than the burst is not refused for ever. Over any window an owner
-// admits at most rate x window + burst + one request.
+// the cells. A host that has just become the owner does not know what was
+// admitted before, and counts a steady use for that time. A host that other
+// hosts do not reach admits at a share of the quota, and the owner leaves that
+// share to it.
 package swquota
 
 import (
-	"math"
 	"sync"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -23,41 +22,54 @@
 	Burst float64
 }
 
-// firstLevel is the part of the burst that a new bucket holds. What an earlier
-// owner admitted just before is not known, and a full bucket would allow the
-// burst twice.
-const firstLevel = 0.5
+const (
+	// parts is the number of parts in which a window is counted.
+	parts = 32
+	// steadyUse is the share of its quota that an organisation is counted with
+	// for the time before this ledger's own account. The rest is at hand at once.
+	steadyUse = 0.8
+	// pause is how long nothing must have been taken for another host to have
+	// admitted requests meanwhile.
+	pause = swclock.Second
+)
 
 // Ledger accounts for the use of organisations. It is safe for concurrent use.
 type Ledger struct {
+	window swclock.Millis
+
 	mu     sync.Mutex
 	limits map[swid.OrgID]Limit
-	// share is the part of each rate and burst that this ledger admits, in (0, 1].
-	share   float64
-	buckets map[swid.OrgID]*bucket
+	// share is the part of each quota that this ledger admits, in (0, 1].
+	share float64
+	uses  map[swid.OrgID]*use
+	// since is when this ledger's own account began.
+	since swclock.Millis
+	// taken is when something was last taken.
+	taken swclock.Millis
+	began bool
 }
 
-// bucket is what an organisation may use now.
-type bucket struct {
-	// level is at most share x burst; it is below 0 by at most one request.
-	level float64
-	// at is when level was true.
-	at swclock.Millis
+// use is what an organisation used in the latest parts of time.
+type use struct {
+	// amounts is a ring; numbers has the part that each amount belongs to. A
+	// window begins and ends within a part, and so touches one more.
+	amounts [parts + 1]float64
+	numbers [parts + 1]int64
 }
 
 // New returns a ledger that admits everything until it is configured.
-func New() *Ledger {
-	return &Ledger{share: 1, buckets: make(map[swid.OrgID]*bucket)}
+func New(window swclock.Millis) *Ledger {
+	return &Ledger{window: window, share: 1, uses: make(map[swid.OrgID]*use)}
 }
 
-// Configure replaces the limits. Levels above a lower burst are cut.
+// Configure replaces the limits.
 func (l *Ledger) Configure(limits map[swid.OrgID]Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.limits = limits
-	for org := range l.buckets {
+	for org := range l.uses {
 		if limits[org].Rate == 0 {
-			delete(l.buckets, org)
+			delete(l.uses, org)
 		}
 	}
 }
@@ -69,8 +81,20 @@
 	l.share = share
 }
 
-// Take charges a request to its organisation. It is refused while the level is
-// not above reserve, a part of the burst that is kept for requests of higher
+// TakeOver starts the account anew, because another host admitted requests
+// until now. It does nothing if this ledger was in use all the while.
+func (l *Ledger) TakeOver(now swclock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.began && now-l.taken < pause {
+		return
+	}
+	l.began, l.since, l.taken = true, now, now
+	clear(l.uses)
+}
+
+// Take charges a request to its organisation. It is refused if the use would
+// exceed the quota less reserve, a share that is kept for requests of higher
 // tiers; wait is then when to come back.
 func (l *Ledger) Take(org swid.OrgID, amount, reserve float64, now swclock.Millis) (wait swclock.Millis, ok bool) {
 	l.mu.Lock()
@@ -79,35 +103,83 @@
 	if limit.Rate <= 0 {
 		return 0, true
 	}
-	rate, burst := limit.Rate*l.share, limit.Burst*l.share
-	b := l.fill(org, rate, burst, now)
-	if missing := reserve*burst - b.level; missing >= 0 {
-		return max(1, swclock.Millis(math.Ceil(missing/rate*float64(swclock.Second)))), false
+	quota := l.quota(limit)
+	allowed := quota*(1-reserve) - amount
+	u := l.use(org)
+	if l.used(u, quota, now) > allowed {
+		return l.wait(u, quota, allowed, now), false
+	}
+	part := l.part(now)
+	i := part % (parts + 1)
+	if u.numbers[i] != part {
+		u.numbers[i], u.amounts[i] = part, 0
 	}
-	b.level -= amount
+	u.amounts[i] += amount
+	l.taken = now
 	return 0, true
 }
 
-// fill needs l.mu.
-func (l *Ledger) fill(org swid.OrgID, rate, burst float64, now swclock.Millis) *bucket {
-	b, known := l.buckets[org]
+// quota returns what may be used in a window. It needs l.mu.
+func (l *Ledger) quota(limit Limit) float64 {
+	return l.share * (limit.Rate*float64(l.window)/float64(swclock.Second) + limit.Burst)
+}
+
+func (l *Ledger) use(org swid.OrgID) *use {
+	u, known := l.uses[org]
 	if !known {
-		b = &bucket{level: burst * firstLevel, at: now}
-		l.buckets[org] = b
+		u = &use{}
+		l.uses[org] = u
 	}
-	if now > b.at {
-		b.level += rate * float64(now-b.at) / float64(swclock.Second)
-		b.at = now
+	return u
+}
+
+func (l *Ledger) part(now swclock.Millis) int64 { return int64(now) * parts / int64(l.window) }
+
+// used returns what was used in the window that ends now. The part that the
+// window begins in counts whole.
+func (l *Ledger) used(u *use, quota float64, now swclock.Millis) float64 {
+	present := l.part(now)
+	sum := 0.0
+	for i, number := range u.numbers {
+		if present-number <= parts {
+			sum += u.amounts[i]
+		}
+	}
+	if before := l.window - (now - l.since); l.began && before > 0 {
+		sum += quota * steadyUse * float64(before) / float64(l.window)
 	}
-	b.level = min(b.level, burst)
-	return b
+	return sum
+}
+
+// wait returns the time until the use has fallen to what is allowed, at most a window.
+func (l *Ledger) wait(u *use, quota, allowed float64, now swclock.Millis) swclock.Millis {
+	step := l.window / parts
+	for wait := step; wait < l.window; wait += step {
+		if l.used(u, quota, now+wait) <= allowed {
+			return wait
+		}
+	}
+	return l.window
 }
 
 // Return takes back the charge of a request that did not run.
-func (l *Ledger) Return(org swid.OrgID, amount float64) {
+func (l *Ledger) Return(org swid.OrgID, amount float64, now swclock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b, known := l.buckets[org]; known {
-		b.level += amount
+	u, known := l.uses[org]
+	if !known {
+		return
+	}
+	part := l.part(now)
+	for back := range int64(parts + 1) {
+		i := (part - back) % (parts + 1)
+		if part-back < 0 || u.numbers[i] != part-back {
+			continue
+		}
+		taken := min(u.amounts[i], amount)
+		u.amounts[i] -= taken
+		if amount -= taken; amount <= 0 {
+			return
+		}
 	}
 }
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -32,7 +32,11 @@
 		c.giveUp(r, swcell.ReasonQuota, c.spread(wait))
 		return
 	}
-	if wait := c.expectedWait(r, idle); float64(c.now)+wait+idle.total > float64(r.ask.Deadline) {
+	work := c.work(r, idle.uncached)
+	rank := c.rank(r, work, float64(c.now)+idle.first)
+	c.inflow.add(rank, work, c.now)
+	queue := c.queue()
+	if wait, hopeless := c.hopeless(r, idle, queue); hopeless {
 		c.giveUp(r, swcell.ReasonOverload, c.spread(swclock.Millis(wait)))
 		return
 	}
@@ -48,7 +52,7 @@
 	if amount == 0 {
 		amount = c.cfg.PlainAmount
 	}
-	reserve := quotaReserve * float64(c.rank(r.ask.Tier))
+	reserve := quotaReserve * float64(c.tier(r.ask.Tier))
 	wait, ok := c.cfg.Ledger.Take(r.ask.Org, amount, reserve, c.now)
 	if ok {
 		r.charged = amount
@@ -56,34 +60,71 @@
 	return wait, ok
 }
 
-// expectedWait estimates the time until a request is granted a target: until
-// the running work leaves a place, and the waiting work that ranks higher has
-// been taken.
-func (c *Cell[P, O]) expectedWait(r *request, idle estimate) float64 {
-	own := c.claim(r, idle)
-	rank := c.order.Rank(&own)
-	places := c.typicalSlots()
+// ranked is a waiting request with what its place in the queue depends on.
+type ranked struct {
+	request *request
+	idle    estimate
+	work    float64
+	rank    float64
+}
+
+// queue returns the waiting requests that a target may take, the highest rank first.
+func (c *Cell[P, O]) queue() []ranked {
+	queue := make([]ranked, 0, len(c.waiting))
+	for _, r := range c.waiting {
+		if idle, ok := c.bestIdle(r); ok {
+			work := c.work(r, idle.uncached)
+			queue = append(queue, ranked{r, idle, work, c.rank(r, work, float64(c.now)+idle.first)})
+		}
+	}
+	slices.SortStableFunc(queue, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	return queue
+}
+
+// hopeless reports whether a request cannot be expected to be answered before
+// its deadline, and the time until it would be granted a target.
+func (c *Cell[P, O]) hopeless(r *request, idle estimate, queue []ranked) (wait float64, hopeless bool) {
+	work := c.work(r, idle.uncached)
+	wait = c.expectedWait(c.rank(r, work, float64(c.now)+idle.first), r, queue)
+	first := float64(c.now) + wait + idle.first
+	if r.ask.Objective > 0 && first > float64(r.ask.Objective) {
+		// It will be late, and ranks lower by then.
+		wait = c.expectedWait(c.rank(r, work, first), r, queue)
+	}
+	return wait, float64(c.now)+wait+c.least(idle) > float64(r.ask.Deadline)
+}
+
+// expectedWait estimates the time until a request of a rank is granted a target:
+// until a place is free, and the work of higher rank that waits, and that
+// arrives meanwhile, has been taken.
+func (c *Cell[P, O]) expectedWait(rank float64, r *request, queue []ranked) float64 {
 	ahead := 0.0
-	for _, o := range c.waiting {
-		e, ok := c.bestIdle(o)
-		if !ok {
-			continue
+	for _, q := range queue {
+		if q.rank < rank {
+			break
 		}
-		claim := c.claim(o, e)
-		if c.order.Rank(&claim) >= rank {
-			ahead += c.model.work(e.uncached, o.output, places)
+		if q.request != r {
+			ahead += q.work
 		}
 	}
 	speed, soonest := c.supply()
-	if speed == 0 {
-		return math.Inf(1)
-	}
-	if len(c.waiting) == 0 && soonest == 0 {
+	if soonest == 0 && ahead == 0 {
 		return 0
 	}
-	return soonest + ahead/speed
+	left := speed - c.inflow.above(rank, c.now)
+	if left <= speed*leastLeft {
+		left = speed * leastLeft
+	}
+	if left == 0 {
+		return math.Inf(1)
+	}
+	return soonest + ahead/left
 }
 
+// leastLeft is the share of the targets' time that is expected to be left to
+// any request: the load varies, and so does what its estimate is made of.
+const leastLeft = 0.05
+
 // supply returns how many typical targets the active ones are worth, and the
 // time until the first of them has room.
 func (c *Cell[P, O]) supply() (speed, soonest float64) {
@@ -92,7 +133,7 @@
 		if !t.active() || (t.distrusted() && c.now < t.retryAt) {
 			continue
 		}
-		speed += 1 / t.slow.ofDecode()
+		speed += 1 / t.rates.pace(&c.typical)
 		if t.room(c.now) > 0 {
 			soonest = 0
 			continue
@@ -107,24 +148,40 @@
 	return speed, soonest
 }
 
-// review gives up what can no longer be answered in time, and ends runs that are
-// lost from sight.
-func (c *Cell[P, O]) review() {
+// tick learns from the time that passed, and reviews what waits.
+func (c *Cell[P, O]) tick() {
+	c.updateTypical()
 	c.freeLost()
-	kept := c.waiting[:0]
-	for _, r := range c.waiting {
-		idle, ok := c.bestIdle(r)
-		switch {
-		case !ok && c.now-r.asked >= noTargetPatience:
+	c.review()
+}
+
+// review gives up what can no longer be expected to be answered in time.
+func (c *Cell[P, O]) review() {
+	queue := c.queue()
+	for _, q := range queue {
+		if wait, hopeless := c.hopeless(q.request, q.idle, queue); hopeless {
+			c.remove(slices.Index(c.waiting, q.request))
+			c.giveUp(q.request, swcell.ReasonOverload, c.spread(swclock.Millis(wait)))
+		}
+	}
+	if len(queue) == len(c.waiting) {
+		return
+	}
+	for _, r := range slices.Clone(c.waiting) {
+		if _, ok := c.bestIdle(r); !ok && c.now-r.asked >= noTargetPatience {
+			c.remove(slices.Index(c.waiting, r))
 			c.giveUp(r, swcell.ReasonNoTarget, c.spread(minReturn))
-		case ok && float64(c.now)+idle.total > float64(r.ask.Deadline):
-			c.giveUp(r, swcell.ReasonOverload, c.spread(minReturn))
-		default:
-			kept = append(kept, r)
 		}
 	}
-	clear(c.waiting[len(kept):])
-	c.waiting = kept
+}
+
+// shortOutput is the part of its expected output that a request may turn out
+// to generate. One that could still be answered then is not given up.
+const shortOutput = 0.4
+
+// least returns the shortest time in which a request may end on the best target.
+func (c *Cell[P, O]) least(idle estimate) float64 {
+	return idle.first + shortOutput*(idle.total-idle.first)
 }
 
 // noTargetPatience is how long a request waits while no target may take it.
@@ -142,18 +199,7 @@
 	if len(c.waiting) == 0 || !c.anyRoom() {
 		return
 	}
-	type ranked struct {
-		request *request
-		rank    float64
-	}
-	queue := make([]ranked, 0, len(c.waiting))
-	for _, r := range c.waiting {
-		if idle, ok := c.bestIdle(r); ok {
-			claim := c.claim(r, idle)
-			queue = append(queue, ranked{r, c.order.Rank(&claim)})
-		}
-	}
-	slices.SortStableFunc(queue, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	queue := c.queue()
 	for _, q := range queue {
 		if !c.anyRoom() {
 			return
--- a/internal/core/swvalue/model.go
+++ b/internal/core/swvalue/model.go
@@ -2,78 +2,65 @@
 
 import "github.com/sassafraswing/sassafraswing/internal/core/swcost"
 
-// First estimates of a typical engine, until requests have ended: those of the
-// slower of the engines in the users' tables.
+// First estimates, until requests have ended: those of an engine of middling
+// speed in the users' tables.
 const (
-	priorPrefill  = 1.0 / 48 // ms for a prompt token
-	priorDecode   = 5.0      // ms for an output token of one stream
-	priorOverhead = 30.0     // ms to the first output beside the prompt
-	priorService  = 30.0     // ms for a call of a plain service
+	priorPrefill  = 0.02 // ms for a prompt token
+	priorDecode   = 4.6  // ms for an output token of one stream
+	priorOverhead = 25.0 // ms to the first output beside the prompt
+	priorService  = 30.0 // ms for a call of a plain service
 )
 
 const (
-	// minSpeed and maxSpeed bound the learned speeds relative to a typical target.
-	minSlowness = 0.1
-	maxSlowness = 20.0
 	// minPrompt is the prompt from which its processing outweighs the overhead.
-	minPrompt = 800.0
+	minPrompt = 1500.0
 	// minOutput is the output from which the time between tokens can be told.
-	minOutput = 10.0
+	minOutput = 20.0
 )
 
-// model is what is known of a typical target of the cell. Single targets are
-// known by their slowness relative to it, so that few requests suffice to tell
-// them apart.
-type model struct {
-	// prefill and decode are ms for a token, overhead and service ms.
-	prefill  swcost.Average
-	decode   swcost.Average
-	overhead swcost.Average
-	service  swcost.Average
-}
-
-func newModel() model {
-	return model{
-		prefill:  swcost.NewAverage(priorPrefill),
-		decode:   swcost.NewAverage(priorDecode),
-		overhead: swcost.NewAverage(priorOverhead),
-		service:  swcost.NewAverage(priorService),
-	}
-}
-
-// slowness is how much longer a target takes than a typical one.
-type slowness struct {
+// rates are what was learned of one target, in ms.
+type rates struct {
+	// prefill and decode are for one token of a prompt and of one stream's output.
 	prefill swcost.Average
 	decode  swcost.Average
+	// overhead is the time to the first output beside the prompt.
+	overhead swcost.Average
+	// service is that of a call without tokens.
+	service swcost.Average
 }
 
-func newSlowness() slowness {
-	return slowness{prefill: swcost.NewAverage(1), decode: swcost.NewAverage(1)}
-}
+// typical are the mean rates of the active targets, by which one that is not
+// known yet is judged.
+type typical struct{ prefill, decode, overhead, service float64 }
 
-// ofPrefill and ofDecode fall back to each other until they have been observed.
-func (s *slowness) ofPrefill() float64 {
-	if s.prefill.Samples() == 0 {
-		return s.decode.Value()
-	}
-	return s.prefill.Value()
-}
+var priors = typical{prefill: priorPrefill, decode: priorDecode, overhead: priorOverhead, service: priorService}
 
-func (s *slowness) ofDecode() float64 {
-	if s.decode.Samples() == 0 {
-		return s.prefill.Value()
+// orTypical returns an average, or the typical value until there is an observation.
+func orTypical(a *swcost.Average, value float64) float64 {
+	if a.Samples() == 0 {
+		return value
 	}
-	return s.decode.Value()
+	return a.Value()
 }
 
-func (s *slowness) observePrefill(ratio float64) {
-	s.prefill.Add(min(max(ratio, minSlowness), maxSlowness))
-}
+// pace returns how much slower the target is than a typical one, by its output.
+func (r *rates) pace(y *typical) float64 { return orTypical(&r.decode, y.decode) / y.decode }
 
-func (s *slowness) observeDecode(ratio float64) {
-	s.decode.Add(min(max(ratio, minSlowness), maxSlowness))
+// at returns the rates to plan with. What is not known of a target is that of a
+// typical one, slower by as much as its output is.
+func (r *rates) at(y *typical) typical {
+	pace := r.pace(y)
+	return typical{
+		prefill:  orTypical(&r.prefill, y.prefill*pace),
+		decode:   orTypical(&r.decode, y.decode),
+		overhead: orTypical(&r.overhead, y.overhead*pace),
+		service:  orTypical(&r.service, y.service),
+	}
 }
 
+// maxStall bounds the share of a stream's time that is put down to the prompts of others.
+const maxStall = 0.7
+
 // estimate is the expected course of a request on a target, in ms from now.
 type estimate struct {
 	// wait is the time until its prompt is begun.
@@ -88,25 +75,25 @@
 }
 
 // idle estimates a request on a target that processes no other prompt.
-func (m *model) idle(t *target, uncached, output float64) estimate {
+func (c *Cell[P, O]) idle(t *target, r *request) estimate {
+	y := t.rates.at(&c.typical)
 	if t.plain() {
-		total := m.service.Value() * t.slow.ofDecode()
-		return estimate{first: total, total: total}
+		return estimate{first: y.service, total: y.service}
 	}
-	e := estimate{uncached: uncached}
-	e.prefill = uncached * m.prefill.Value() * t.slow.ofPrefill()
-	e.first = m.overhead.Value()*t.slow.ofDecode() + e.prefill
-	e.total = e.first + output*m.decode.Value()*t.slow.ofDecode()
+	e := estimate{uncached: max(float64(r.ask.PromptTokens-t.cache.cached(r.chain)), 0)}
+	e.prefill = e.uncached * y.prefill
+	e.first = y.overhead + e.prefill
+	e.total = e.first + r.output*y.decode/(1-min(t.stall.Value(), maxStall))
 	return e
 }
 
 // on estimates a request that is granted a target now.
-func (m *model) on(t *target, uncached, output, now float64) estimate {
-	e := m.idle(t, uncached, output)
+func (c *Cell[P, O]) on(t *target, r *request) estimate {
+	e := c.idle(t, r)
 	if t.plain() {
 		return e
 	}
-	e.wait = max(t.prefillFree-now, 0)
+	e.wait = max(t.prefillFree-float64(c.now), 0)
 	e.first += e.wait
 	e.total += e.wait
 	return e
@@ -114,9 +101,53 @@
 
 // work returns the share of a typical target's time that a request takes: its
 // prompt keeps the whole target busy, its output one place.
-func (m *model) work(prompt, output float64, places int) float64 {
-	if prompt == 0 && output == 0 {
-		return m.service.Value() / float64(max(places, 1))
+func (c *Cell[P, O]) work(r *request, uncached float64) float64 {
+	places := float64(c.typicalSlots)
+	if r.ask.PromptTokens == 0 && r.output == 0 {
+		return c.typical.service / places
+	}
+	return uncached*c.typical.prefill + (c.typical.overhead+r.output*c.typical.decode)/places
+}
+
+// updateTypical recomputes the mean rates of the active targets.
+func (c *Cell[P, O]) updateTypical() {
+	var prefill, decode, overhead, service, slots mean
+	for _, t := range c.targets {
+		if !t.active() {
+			continue
+		}
+		slots.add(float64(t.conf.Slots))
+		prefill.addKnown(&t.rates.prefill)
+		decode.addKnown(&t.rates.decode)
+		overhead.addKnown(&t.rates.overhead)
+		service.addKnown(&t.rates.service)
+	}
+	c.typical = typical{
+		prefill: prefill.or(priors.prefill), decode: decode.or(priors.decode),
+		overhead: overhead.or(priors.overhead), service: service.or(priors.service),
+	}
+	c.typicalSlots = max(int(slots.or(1)), 1)
+}
+
+// mean sums values up.
+type mean struct {
+	sum   float64
+	count int
+}
+
+func (m *mean) add(v float64) { m.sum, m.count = m.sum+v, m.count+1 }
+
+// addKnown adds an average that has an observation.
+func (m *mean) addKnown(a *swcost.Average) {
+	if a.Samples() > 0 {
+		m.add(a.Value())
+	}
+}
+
+// or returns the mean, or another value if there is none.
+func (m *mean) or(value float64) float64 {
+	if m.count == 0 {
+		return value
 	}
-	return prompt*m.prefill.Value() + (m.overhead.Value()+output*m.decode.Value())/float64(max(places, 1))
+	return m.sum / float64(m.count)
 }
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -1,6 +1,10 @@
 package swvalue
 
-import "github.com/sassafraswing/sassafraswing/internal/core/swclock"
+import (
+	"math"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
 
 // Claim is what a waiting request has to say for itself.
 type Claim struct {
@@ -18,11 +22,13 @@
 	Rank(c *Claim) float64
 }
 
-// ByWorth puts first what earns most for the time that it takes.
+// ByWorth puts first what is worth most, and of what is worth the same, what
+// takes the least time. The worth for each ms alone would starve the largest
+// requests of each tier.
 type ByWorth struct{}
 
 // Rank implements Order.
-func (ByWorth) Rank(c *Claim) float64 { return c.Value / max(c.Work, 1) }
+func (ByWorth) Rank(c *Claim) float64 { return c.Value / math.Sqrt(max(c.Work, 1)) }
 
 // ByArrival puts first what has waited longest; it is a baseline.
 type ByArrival struct{}
@@ -30,26 +36,19 @@
 // Rank implements Order.
 func (ByArrival) Rank(c *Claim) float64 { return float64(c.Waited) }
 
-// claim returns a request's claim. idle is the time to its first output on the
-// best target if that processed no other prompt.
-func (c *Cell[P, O]) claim(r *request, idle estimate) Claim {
-	return Claim{
-		Value:  c.valueAt(r, float64(c.now)+idle.first, float64(c.now)+idle.total),
-		Work:   c.model.work(idle.uncached, r.output, c.typicalSlots()),
-		Waited: c.now - r.asked,
-	}
+// rank returns the place of a request among those that wait, if its first
+// output comes at an instant.
+func (c *Cell[P, O]) rank(r *request, work, first float64) float64 {
+	claim := Claim{Value: c.valueAt(r, first), Work: work, Waited: c.now - r.asked}
+	return c.order.Rank(&claim)
 }
 
-// valueAt returns what an answer is worth whose first output and end come at the given instants.
-func (c *Cell[P, O]) valueAt(r *request, first, end float64) float64 {
-	switch {
-	case end > float64(r.ask.Deadline):
-		return 0
-	case r.ask.Objective > 0 && first > float64(r.ask.Objective):
+// valueAt returns what an answer is worth whose first output comes at an instant.
+func (c *Cell[P, O]) valueAt(r *request, first float64) float64 {
+	if r.ask.Objective > 0 && first > float64(r.ask.Objective) {
 		return r.value * c.cfg.LateShare
-	default:
-		return r.value
 	}
+	return r.value
 }
 
 // bestIdle estimates a request on the best target that it may run on, as if that
@@ -59,26 +58,10 @@
 		if !c.mayRun(r, t) {
 			continue
 		}
-		uncached := float64(r.ask.PromptTokens - t.cache.cached(r.chain))
-		e := c.model.idle(t, max(uncached, 0), r.output)
+		e := c.idle(t, r)
 		if !ok || e.first < best.first {
 			best, ok = e, true
 		}
 	}
 	return best, ok
 }
-
-// typicalSlots returns the mean number of places of the active targets.
-func (c *Cell[P, O]) typicalSlots() int {
-	sum, count := 0, 0
-	for _, t := range c.targets {
-		if t.active() {
-			sum += t.conf.Slots
-			count++
-		}
-	}
-	if count == 0 {
-		return 1
-	}
-	return max(sum/count, 1)
-}
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -99,8 +99,7 @@
 }
 
 func (c *Cell[P, O]) offer(r *request, t *target) Offer {
-	uncached := float64(r.ask.PromptTokens - t.cache.cached(r.chain))
-	e := c.model.on(t, max(uncached, 0), r.output, float64(c.now))
+	e := c.on(t, r)
 	return Offer{
 		target: t, First: e.first, Total: e.total, Left: c.objectiveLeft(&r.ask),
 		Running: len(t.runs), Slots: t.conf.Slots, Faults: t.faults.Value(),
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -41,13 +41,17 @@
 	expected estimate
 	// prefillEnd is when the prompt is expected to be processed.
 	prefillEnd float64
-	// firstAt is when the first output was reported, or 0.
-	firstAt  swclock.Millis
-	produced swid.Tokens
+	// firstAt is when the first output was reported, or 0, and prefilled the
+	// time that the target had spent on prompts by then.
+	firstAt   swclock.Millis
+	prefilled float64
+	produced  swid.Tokens
 	// orphanedAt is when the holder died, or 0 while it lives.
 	orphanedAt swclock.Millis
 	// alone tells that nothing else ran on the target since the grant.
 	alone bool
+	// clear tells that no other prompt was processed beside its own.
+	clear bool
 }
 
 func (r *run) id() runKey { return runKey{r.ask.Key, r.ask.Attempt} }
@@ -81,8 +85,10 @@
 
 func (c *Cell[P, O]) newRequest(e swcell.Ask) *request {
 	r := &request{ask: e, asked: c.now, chain: chainOf(e.Parts)}
-	r.output = c.sizes.output(e.Tier, e.OutputTokens)
-	r.value = c.cfg.TierValues[c.rank(e.Tier)] * c.sizes.weight(&e)
+	if e.PromptTokens > 0 {
+		r.output = c.sizes.expect(&e)
+	}
+	r.value = c.cfg.TierValues[c.tier(e.Tier)] * c.sizes.weight(&e, r.output)
 	return r
 }
 
@@ -144,6 +150,6 @@
 // uncharge takes back what a request that did not run was charged.
 func (c *Cell[P, O]) uncharge(org swid.OrgID, amount float64) {
 	if c.cfg.Ledger != nil && amount > 0 {
-		c.cfg.Ledger.Return(org, amount)
+		c.cfg.Ledger.Return(org, amount, c.now)
 	}
 }
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -26,7 +26,14 @@
 		ask: r.ask, chain: r.chain, target: t, granted: c.now, output: r.output, charged: r.charged, expected: o.expected,
 	}
 	if !t.plain() {
+		started.clear = o.expected.wait == 0
+		for _, other := range t.runs {
+			if other.firstAt == 0 {
+				other.clear, started.clear = false, false
+			}
+		}
 		t.prefillFree = max(t.prefillFree, float64(c.now)) + o.expected.prefill
+		t.prefillSum += o.expected.prefill
 		started.prefillEnd = t.prefillFree
 		t.cache.add(r.chain)
 	}
@@ -65,6 +72,7 @@
 	r.produced = e.Produced
 	if r.firstAt == 0 {
 		r.firstAt = c.now
+		r.prefilled = r.target.prefilled(c.now)
 		c.observeFirst(r, c.now-r.granted)
 	}
 }
@@ -98,44 +106,48 @@
 // learn takes in the times of an attempt.
 func (c *Cell[P, O]) learn(r *run, e swcell.Done) {
 	t := r.target
-	if e.Result == swcell.ResultAnswered {
-		c.sizes.outputs.Observe(r.ask.Tier, r.ask.OutputTokens, e.OutputTokens)
-	}
 	if t.plain() {
 		if e.Result == swcell.ResultAnswered {
-			t.slow.observeDecode(float64(e.Total) / max(c.model.service.Value(), 1))
-			c.model.service.Add(float64(e.Total))
+			t.rates.service.Add(float64(e.Total))
 		}
 		return
 	}
+	if e.Result == swcell.ResultAnswered {
+		c.sizes.observe(&r.ask, e.OutputTokens)
+	}
 	if r.firstAt == 0 && e.FirstToken > 0 {
 		c.observeFirst(r, e.FirstToken)
 	}
 	if output := float64(e.OutputTokens); output >= minOutput && e.FirstToken > 0 && e.Total > e.FirstToken {
-		between := float64(e.Total-e.FirstToken) / output
-		t.slow.observeDecode(between / c.model.decode.Value())
-		c.model.decode.Add(between)
+		c.observeRest(r, float64(e.Total-e.FirstToken), output)
 	}
 }
 
-// observeFirst takes in the time from a grant to the first output. The prompts
-// before it explain a part of that.
+// observeRest takes in the time from the first output to the end. Prompts of
+// others that were processed meanwhile explain a part of it.
+func (c *Cell[P, O]) observeRest(r *run, span, output float64) {
+	t := r.target
+	stalled := 0.0
+	if r.firstAt > 0 {
+		stalled = min(max(t.prefilled(c.now)-r.prefilled, 0), span*maxStall)
+		t.stall.Add(stalled / span)
+	}
+	t.rates.decode.Add((span - stalled) / output)
+}
+
+// observeFirst takes in the time from a grant to the first output, if no other
+// prompt had a part in it.
 func (c *Cell[P, O]) observeFirst(r *run, span swclock.Millis) {
-	m, t := &c.model, r.target
-	if t.plain() {
+	t := r.target
+	if t.plain() || !r.clear {
 		return
 	}
-	own := float64(span) - r.expected.wait
-	overhead := m.overhead.Value() * t.slow.ofDecode()
-	if r.expected.uncached >= minPrompt && own > overhead {
-		ratio := (own - overhead) / (r.expected.uncached * m.prefill.Value())
-		t.slow.observePrefill(ratio)
-		m.prefill.Add((own - overhead) / r.expected.uncached)
+	y := t.rates.at(&c.typical)
+	if r.expected.uncached >= minPrompt {
+		t.rates.prefill.Add(max(float64(span)-y.overhead, 1) / r.expected.uncached)
 		return
 	}
-	if own > r.expected.prefill {
-		m.overhead.Add((own - r.expected.prefill) / t.slow.ofDecode())
-	}
+	t.rates.overhead.Add(max(float64(span)-r.expected.uncached*y.prefill, 1))
 }
 
 // freeLost ends the runs of which no end arrived by a bound.
--- a/internal/core/swvalue/sizes.go
+++ b/internal/core/swvalue/sizes.go
@@ -1,6 +1,8 @@
 package swvalue
 
 import (
+	"math"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -14,31 +16,83 @@
 	baseWeight = 0.3
 	// maxWeight bounds the worth of a large answer, relative to one of mean size.
 	maxWeight = 4
+	// hintSlope is how the logarithm of the output follows that of the caller's
+	// estimate: what is estimated far from the mean lies nearer to it.
+	hintSlope = 0.83
+	// hintSpread is the factor between the mean and the median of the outputs for one estimate.
+	hintSpread = 1.1
 )
 
-// sizes learns how large the requests of each tier are and how much of their
-// limit they generate.
+// sizes learns how large the requests of each tier are.
 type sizes struct {
-	means   [swid.MaxTiers]swcost.Average
-	outputs swcost.Output
+	tiers [swid.MaxTiers]tierSizes
+}
+
+// tierSizes is what is known of the requests of one tier.
+type tierSizes struct {
+	// size is the mean of prompts and weighted outputs.
+	size swcost.Average
+	// hint and output are the means of the logarithms of estimates and outputs.
+	hint   swcost.Average
+	output swcost.Average
+	// share is the part of its limit that a request without an estimate generates.
+	share swcost.Average
+}
+
+func (s *sizes) of(t swid.Tier) *tierSizes { return &s.tiers[min(int(t), swid.MaxTiers-1)] }
+
+// expect returns the number of tokens that a request is expected to generate.
+func (s *sizes) expect(a *swcell.Ask) float64 {
+	t := s.of(a.Tier)
+	limit := float64(a.OutputTokens)
+	if a.ExpectedTokens <= 0 {
+		if t.share.Samples() == 0 {
+			return limit * firstShare
+		}
+		return limit * t.share.Value()
+	}
+	hint := math.Log(float64(a.ExpectedTokens))
+	if t.output.Samples() == 0 {
+		return bounded(float64(a.ExpectedTokens), limit)
+	}
+	return bounded(hintSpread*math.Exp(t.output.Value()+hintSlope*(hint-t.hint.Value())), limit)
+}
+
+// firstShare is the part of its limit that a request is expected to generate
+// before any has ended: limits are many times the usual output.
+const firstShare = 0.1
+
+// bounded bounds an output by its limit, if there is one.
+func bounded(output, limit float64) float64 {
+	if limit > 0 {
+		output = min(output, limit)
+	}
+	return max(output, 1)
 }
 
-func newSizes() sizes { return sizes{} }
+// observe takes in what a request generated.
+func (s *sizes) observe(a *swcell.Ask, generated swid.Tokens) {
+	if generated <= 0 {
+		return
+	}
+	t := s.of(a.Tier)
+	if a.ExpectedTokens > 0 {
+		t.hint.Add(math.Log(float64(a.ExpectedTokens)))
+		t.output.Add(math.Log(float64(generated)))
+	}
+	if a.OutputTokens > 0 {
+		t.share.Add(float64(generated) / float64(a.OutputTokens))
+	}
+}
 
 // weight returns the worth of an answer relative to one of mean size in its
 // tier, and takes the request into the mean.
-func (s *sizes) weight(a *swcell.Ask) float64 {
-	size := float64(a.PromptTokens) + outputWeight*float64(a.OutputTokens)
-	if size == 0 {
+func (s *sizes) weight(a *swcell.Ask, output float64) float64 {
+	size := float64(a.PromptTokens) + outputWeight*output
+	if a.PromptTokens == 0 {
 		return 1
 	}
-	mean := &s.means[min(int(a.Tier), swid.MaxTiers-1)]
-	mean.Add(size)
-	return min(baseWeight+(1-baseWeight)*size/mean.Value(), maxWeight)
-}
-
-// output returns the number of tokens that a request is expected to generate.
-func (s *sizes) output(tier swid.Tier, limit swid.Tokens) float64 {
-	mean, _ := s.outputs.Expect(tier, limit)
-	return mean
+	t := s.of(a.Tier)
+	t.size.Add(size)
+	return min(baseWeight+(1-baseWeight)*size/t.size.Value(), maxWeight)
 }
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -29,8 +29,11 @@
 	// targets is sorted by id, so that decisions do not depend on map order.
 	targets []*target
 	byID    map[swid.TargetID]*target
-	model   model
-	sizes   sizes
+	// typical are the mean rates of the active targets, and typicalSlots the mean of their places.
+	typical      typical
+	typicalSlots int
+	sizes        sizes
+	inflow       inflow
 	// waiting holds at most one attempt of each request, in order of arrival.
 	waiting []*request
 	running map[runKey]*run
@@ -89,12 +92,11 @@
 		placement: placement,
 		order:     order,
 		byID:      make(map[swid.TargetID]*target),
-		model:     newModel(),
-		sizes:     newSizes(),
-		running:   make(map[runKey]*run),
-		ended:     newHistory(historySize),
-		strikes:   swsuspect.New(historySize, strikeLimit, strikeSpan),
-		random:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+		typical:   priors, typicalSlots: 1,
+		running: make(map[runKey]*run),
+		ended:   newHistory(historySize),
+		strikes: swsuspect.New(historySize, strikeLimit, strikeSpan),
+		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
@@ -131,7 +133,7 @@
 	case swcell.HolderGone:
 		c.holderGone(e)
 	case swcell.Tick:
-		c.review()
+		c.tick()
 	}
 }
 
@@ -152,10 +154,10 @@
 func (c *Cell[P, O]) Snapshot() swcell.Snapshot {
 	s := swcell.Snapshot{Tiers: make([]swcell.TierStatus, len(c.cfg.TierValues))}
 	for _, r := range c.waiting {
-		s.Tiers[c.rank(r.ask.Tier)].Waiting++
+		s.Tiers[c.tier(r.ask.Tier)].Waiting++
 	}
 	for _, r := range c.running {
-		s.Tiers[c.rank(r.ask.Tier)].Running++
+		s.Tiers[c.tier(r.ask.Tier)].Running++
 	}
 	for _, t := range c.targets {
 		s.Targets = append(s.Targets, t.status(c.now))
@@ -163,5 +165,5 @@
 	return s
 }
 
-// rank returns the place of a tier among the configured values.
-func (c *Cell[P, O]) rank(t swid.Tier) int { return min(int(t), len(c.cfg.TierValues)-1) }
+// tier returns the place of a tier among the configured values.
+func (c *Cell[P, O]) tier(t swid.Tier) int { return min(int(t), len(c.cfg.TierValues)-1) }
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -31,10 +31,14 @@
 	runs      []*run
 	// tokens sums the tokens of runs.
 	tokens swid.Tokens
-	slow   slowness
+	rates  rates
 	cache  *cache
-	// prefillFree is when the prompts granted so far are expected to be processed.
+	// prefillFree is when the prompts granted so far are expected to be processed,
+	// and prefillSum the time that they all take, from the target's first on.
 	prefillFree float64
+	prefillSum  float64
+	// stall is the share of the time of streams in which prompts of others are processed.
+	stall swcost.Average
 
 	// failures counts the attempts in a row without an answer. From failureLimit
 	// on the target runs one request at a time, not before retryAt.
@@ -48,11 +52,16 @@
 
 func newTarget(conf swcell.Target) *target {
 	return &target{
-		conf: conf, reachable: true, slow: newSlowness(), cache: newCache(conf.KVTokens),
+		conf: conf, reachable: true, cache: newCache(conf.KVTokens),
 		unreachable: make(map[swid.HostID]swclock.Millis),
 	}
 }
 
+// prefilled returns the time that the target has spent on prompts until now.
+func (t *target) prefilled(now swclock.Millis) float64 {
+	return t.prefillSum - max(t.prefillFree-float64(now), 0)
+}
+
 // plain reports whether the target counts no tokens.
 func (t *target) plain() bool { return t.conf.Plain }
 
@@ -118,6 +127,7 @@
 		return
 	}
 	t.prefillFree -= saved
+	t.prefillSum -= saved
 	for _, o := range t.runs {
 		if o.prefillEnd > r.prefillEnd {
 			o.prefillEnd -= saved
@@ -149,7 +159,7 @@
 func (t *target) status(now swclock.Millis) swcell.TargetStatus {
 	s := swcell.TargetStatus{
 		ID: t.conf.ID, State: t.conf.State, Running: len(t.runs), Slots: len(t.runs) + max(t.room(now), 0),
-		PrefillTime: t.slow.ofPrefill(), DecodeTime: t.slow.ofDecode(),
+		PrefillTime: t.rates.prefill.Value(), DecodeTime: t.rates.decode.Value(), ServiceTime: t.rates.service.Value(),
 	}
 	switch {
 	case !t.reachable:
@@ -171,6 +181,7 @@
 		c.configureTarget(conf)
 	}
 	c.targets = slices.DeleteFunc(c.targets, c.forget)
+	c.updateTypical()
 }
 
 func (c *Cell[P, O]) configureTarget(conf swcell.Target) {
@@ -181,6 +192,7 @@
 	if t.conf.Born != conf.Born {
 		t.cache.clear()
 		t.failures = 0
+		t.rates = rates{}
 	}
 	t.conf = conf
 	t.cache.room = conf.KVTokens
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -219,7 +219,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running.produced = a.produced
-	if a.produced-a.reported >= progressTokens {
+	first := e.holder.config.ReportFirst && a.reported == 0
+	if first || a.produced-a.reported >= progressTokens {
 		a.reported = a.produced
 		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced}
 		for _, owner := range e.running.owners {
@@ -280,7 +281,9 @@
 }
 
 // resumable reports whether the target may have the rest of a stream.
-func (a *attempt) resumable() bool { return a.held.request.Call.Stream && a.events > 0 }
+func (a *attempt) resumable() bool {
+	return a.held.request.Call.Stream && a.events > 0 && !a.held.request.KeepsNothing
+}
 
 // cancelled names who ended the attempt's context.
 func cancelled(ctx context.Context) swlife.AttemptEnded {
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -206,21 +206,22 @@
 func (e *held) askMessage() swmsg.Ask {
 	r := e.request
 	return swmsg.Ask{
-		Cell:          r.Cell,
-		Seq:           r.Seq,
-		Attempt:       e.ask.Attempt,
-		Tier:          r.Tier,
-		Org:           r.Org,
-		Remaining:     e.remaining(),
-		PromptTokens:  r.PromptTokens,
-		OutputTokens:  r.OutputTokens,
-		Prefix:        r.Prefix,
-		Fingerprint:   r.Fingerprint,
-		Exclude:       e.ask.Exclude,
-		NonIdempotent: r.NonIdempotent,
-		Strikes:       e.strikes,
-		Objective:     e.objective(),
-		Parts:         r.Parts,
+		Cell:           r.Cell,
+		Seq:            r.Seq,
+		Attempt:        e.ask.Attempt,
+		Tier:           r.Tier,
+		Org:            r.Org,
+		Remaining:      e.remaining(),
+		PromptTokens:   r.PromptTokens,
+		OutputTokens:   r.OutputTokens,
+		Prefix:         r.Prefix,
+		Fingerprint:    r.Fingerprint,
+		Exclude:        e.ask.Exclude,
+		NonIdempotent:  r.NonIdempotent,
+		Strikes:        e.strikes,
+		Objective:      e.objective(),
+		Parts:          r.Parts,
+		ExpectedTokens: r.ExpectedTokens,
 	}
 }
 
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -27,6 +27,8 @@
 	Fingerprint  swid.Fingerprint
 	// Parts are the parts of the prompt, where the caller names them.
 	Parts []swcell.Part
+	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
+	ExpectedTokens swid.Tokens
 	// Objective is the instant by which the first part of the answer should arrive; 0 if there is none.
 	Objective swclock.Millis
 	// NonIdempotent marks a request that is claimed under IdempotencyKey before
@@ -37,6 +39,9 @@
 	Attempts swid.Attempt
 	// ResumeElsewhere tells that a broken stream is continued at another target.
 	ResumeElsewhere bool
+	// KeepsNothing tells that a target which broke a stream off cannot continue
+	// it, but would run the request anew.
+	KeepsNothing bool
 	// RetryFailures tells that another target is tried after one that answered
 	// with a failure of its own. It excludes NonIdempotent.
 	RetryFailures bool
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -82,7 +82,7 @@
 	report.Timing.FirstToken = last.firstDelivery
 	report.Timing.Total = e.sinceAccepted()
 	report.PromptTokens = last.usage.PromptTokens
-	report.OutputTokens = last.usage.OutputTokens
+	report.OutputTokens = max(last.usage.OutputTokens, last.produced)
 	report.CachedTokens = last.usage.CachedTokens
 	report.InTime = report.End.Outcome == swlife.OutcomeAnswered && e.holder.config.Clock.Now() <= e.request.Deadline
 	if claimed {
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -66,6 +66,8 @@
 	// AskTimeout is how long an owner may take to acknowledge an ask before it is
 	// passed over; 0 leaves that to its link.
 	AskTimeout swclock.Millis
+	// ReportFirst has owners told of the first output of each attempt.
+	ReportFirst bool
 	// AskRefresh is the interval at which an ask that waits is repeated; 0 stands for the default.
 	AskRefresh swclock.Millis
 }
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -253,6 +253,23 @@
 	<-reports
 }
 
+// TestKeepsNothing breaks a stream of a request that may run only once, at a
+// target that would run it anew.
+func TestKeepsNothing(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: errBroken}, {chunks: []string{"x", "y"}, end: io.EOF}}})
+	r := b.request(true, true)
+	r.KeepsNothing, r.Attempts = true, 1
+	reports, out := b.serve(r)
+	ask, _ := expect[swmsg.Ask](t, b)
+	b.grant("owner", ask, "a")
+	if report := <-reports; report.End.Outcome != swlife.OutcomeUnknown {
+		t.Errorf("report is %+v", report)
+	}
+	if b.starts["a"] != 1 || string(out.data) != "x" {
+		t.Errorf("started %d times, delivered %q", b.starts["a"], out.data)
+	}
+}
+
 func TestOutcomes(t *testing.T) {
 	whole := script{chunks: []string{"x", "y"}, end: io.EOF}
 	notStarted := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Err: errors.New("refused")}}
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -11,6 +11,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -109,23 +110,45 @@
 	f.view.setHosts(items)
 	f.router.SetMembers(f.view.Members())
 	f.retries.share(len(items))
+	f.updateShare()
 	f.log.Info().Int("hosts", len(items)).Uint64("revision", uint64(latest(items))).Msg("hosts changed")
 	f.ownerMayHaveMoved()
 }
 
 // ownerMayHaveMoved asks the new owner for what waits.
 func (f *Fleet) ownerMayHaveMoved() {
-	if owner, moved := f.router.moved(); moved {
+	owner, moved := f.router.moved()
+	if owner != f.self.Host {
+		// Each host keeps a link to the owner, which tells it whom it reaches.
+		f.network.Dial(owner)
+	}
+	if moved {
 		f.log.Info().Str("owner", string(owner)).Msg("owner of the shared cells changed")
 		f.holder.Reroute()
 	}
 }
 
+// updateShare leaves a share of the quotas to the hosts that this one has no link to.
+func (f *Fleet) updateShare() {
+	linked, all := 0, 0
+	for _, m := range f.view.Members() {
+		if m.State != swmsg.MemberAlive && m.Host != f.self.Host {
+			continue
+		}
+		all++
+		if f.exchange.Connected(m.Host) {
+			linked++
+		}
+	}
+	f.ledger.SetShare(float64(max(linked, 1)) / float64(max(all, 1)))
+}
+
 // linkUp ends the accounts of the peer's earlier process.
 func (f *Fleet) linkUp(peer swlink.Peer) {
 	if peer.Incarnation > 0 {
 		f.owner.HolderGone(swlink.Peer{Host: peer.Host, Incarnation: peer.Incarnation - 1})
 	}
+	f.updateShare()
 	f.ownerMayHaveMoved()
 }
 
@@ -136,6 +159,7 @@
 	} else {
 		f.owner.LinkDown(peer)
 	}
+	f.updateShare()
 	f.ownerMayHaveMoved()
 	f.holder.LinkDown(peer.Host)
 }
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -21,6 +21,12 @@
 	// platform, which asks each second and believes the second answer, leads
 	// callers elsewhere.
 	leaveTime = 3500 * swclock.Millis(1)
+	// refuseTime is how long a leaving host takes new requests. What arrives later
+	// could still run at the end of the shutdown.
+	refuseTime = 2500 * swclock.Millis(1)
+	// exitMargin is how long before the shutdown's end what still runs is cut, so
+	// that the process ends by itself.
+	exitMargin = 500 * swclock.Millis(1)
 	// leaveCallTimeout bounds telling the store that the host leaves.
 	leaveCallTimeout = 500 * swclock.Millis(1)
 	// registerTimeout bounds one try to register the host.
@@ -122,8 +128,10 @@
 		f.log.Warn().Err(err).Msg("store not told of leaving")
 	}
 	cancel()
+	sleep(parts, refuseTime-(f.clock.Now()-started))
+	f.gate.Leave()
 	sleep(parts, leaveTime-(f.clock.Now()-started))
-	rest := f.settings.ShutdownTimeout - (f.clock.Now() - started)
+	rest := f.settings.ShutdownTimeout - exitMargin - (f.clock.Now() - started)
 	ending, cancel := context.WithTimeout(parts, max(rest, 0).Duration())
 	defer cancel()
 	if err := callers.Shutdown(ending); err != nil {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -86,7 +86,7 @@
 func New(settings *swsettings.Settings, factory Factory, log zerolog.Logger) (*Fleet, error) {
 	f := &Fleet{
 		settings: settings, log: log, clock: swclock.NewSystem(),
-		registry: prometheus.NewRegistry(), ledger: swquota.New(), view: newView(settings),
+		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
 	}
 	platform, err := factory(settings, f.clock, log)
 	if err != nil {
@@ -130,11 +130,12 @@
 	f.holder = swholder.New(swholder.Config{
 		Host: f.self.Host, Incarnation: f.self.Incarnation, Clock: f.clock, Sender: f.exchange, Router: f.router,
 		Targets: f.pool, Observer: f.metrics, Log: f.log, MaxHeld: f.settings.Caller.MaxHeld,
-		Retries: f.retries, AskTimeout: askTimeout, AskRefresh: askRefresh,
+		Retries: f.retries, AskTimeout: askTimeout, AskRefresh: askRefresh, ReportFirst: true,
 	})
 	f.owner = swowner.New(swowner.Config{
 		Host: f.self.Host, Clock: f.clock, Sender: f.exchange, Router: f.router, Members: f.view, Watcher: noWatcher{},
 		Observer: f.metrics, Log: f.log, NewCore: f.newCore, Acknowledge: true, Local: f.view.local, DoubtTime: doubtTime,
+		TookOver: func() { f.ledger.TakeOver(f.clock.Now()) },
 	})
 	f.gate = swgate.New(swgate.Config{
 		Region: f.settings.Region, Holder: f.holder, Clock: f.clock, Boot: f.clock,
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -21,20 +21,21 @@
 		objective = now + m.Objective
 	}
 	return swcell.Ask{
-		Key:           key,
-		Objective:     objective,
-		Parts:         m.Parts,
-		Attempt:       m.Attempt,
-		Tier:          m.Tier,
-		Org:           m.Org,
-		Deadline:      now + m.Remaining,
-		PromptTokens:  m.PromptTokens,
-		OutputTokens:  m.OutputTokens,
-		Prefix:        m.Prefix,
-		Fingerprint:   m.Fingerprint,
-		Exclude:       m.Exclude,
-		NonIdempotent: m.NonIdempotent,
-		Strikes:       m.Strikes,
+		Key:            key,
+		Objective:      objective,
+		Parts:          m.Parts,
+		ExpectedTokens: m.ExpectedTokens,
+		Attempt:        m.Attempt,
+		Tier:           m.Tier,
+		Org:            m.Org,
+		Deadline:       now + m.Remaining,
+		PromptTokens:   m.PromptTokens,
+		OutputTokens:   m.OutputTokens,
+		Prefix:         m.Prefix,
+		Fingerprint:    m.Fingerprint,
+		Exclude:        m.Exclude,
+		NonIdempotent:  m.NonIdempotent,
+		Strikes:        m.Strikes,
 	}
 }
 
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -42,6 +45,8 @@
 	cell    Core
 	epoch   swid.Epoch
 	actions []swcell.Action
+	// statusAt is when the cell's state was last logged.
+	statusAt swclock.Millis
 	// tickAt is when the core is next given a Tick.
 	tickAt swclock.Millis
 	// grants has each grant from its action to its Done or Withdraw, so that a
@@ -131,6 +136,9 @@
 	if r.config.Local(r.id) {
 		return
 	}
+	if r.config.TookOver != nil {
+		r.config.TookOver()
+	}
 	others := 0
 	for _, m := range r.config.Members.Members() {
 		if m.State == swmsg.MemberDead {
@@ -251,6 +259,7 @@
 	}
 	r.settleDoubts(now)
 	r.step(swcell.Tick{})
+	r.logStatus(now)
 	switch idle := len(r.held) == 0 && r.cell.Idle(); {
 	case !idle:
 		r.idleSince = busy
@@ -267,6 +276,29 @@
 	return r.cell.TickInterval()
 }
 
+// statusInterval is the time between two log lines of a shared cell that has work.
+const statusInterval = 2 * swclock.Second
+
+// logStatus logs the cell's state, by which its decisions can be followed.
+func (r *runner) logStatus(now swclock.Millis) {
+	if now < r.statusAt+statusInterval || r.cell.Idle() || r.config.Local(r.id) {
+		return
+	}
+	r.statusAt = now
+	s := r.cell.Snapshot()
+	waiting, running := zerolog.Arr(), zerolog.Arr()
+	for _, t := range s.Tiers {
+		waiting.Int(t.Waiting)
+		running.Int(t.Running)
+	}
+	targets := zerolog.Dict()
+	for _, t := range s.Targets {
+		targets.Str(string(t.ID), fmt.Sprintf("%d/%d prefill %.4f decode %.2f", t.Running, t.Slots, t.PrefillTime, t.DecodeTime))
+	}
+	r.config.Log.Info().Str("cell", string(r.id)).Uint64("epoch", uint64(r.epoch)).
+		Array("waiting", waiting).Array("running", running).Dict("targets", targets).Msg("cell status")
+}
+
 // surplus reports whether the cell has had no work for a while and belongs to another host.
 func (r *runner) surplus() bool {
 	if r.idleSince == busy || r.config.Clock.Now()-r.idleSince < surplusTime {
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -75,9 +75,10 @@
 			return swid.TargetID(c.required("exclude", t))
 		}),
 		NonIdempotent: w.GetNonIdempotent(), Insist: w.GetInsist(),
-		Strikes:   uint8(c.between("strikes", w.GetStrikes(), 0, math.MaxUint8)),
-		Objective: span(c, "objectiveMillis", w.GetObjectiveMillis()),
-		Parts:     decodePromptParts(c, w),
+		Strikes:        uint8(c.between("strikes", w.GetStrikes(), 0, math.MaxUint8)),
+		Objective:      span(c, "objectiveMillis", w.GetObjectiveMillis()),
+		Parts:          decodePromptParts(c, w),
+		ExpectedTokens: tokens(c, "expectedTokens", w.GetExpectedTokens()),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -67,9 +67,9 @@
 		Prefix: convert(m.Prefix, func(h swid.PrefixHash) uint64 { return uint64(h) }), Fingerprint: uint64(m.Fingerprint),
 		Exclude:       convert(m.Exclude, func(t swid.TargetID) string { return string(t) }),
 		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Strikes: uint32(m.Strikes),
-		ObjectiveMillis: int64(m.Objective),
-		Parts:           convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
-		PartTokens:      convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
+		ObjectiveMillis: int64(m.Objective), ExpectedTokens: int64(m.ExpectedTokens),
+		Parts:      convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
+		PartTokens: convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
 	}
 }
 
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -77,6 +77,8 @@
 	Objective swclock.Millis
 	// Parts are the parts of the prompt, where the caller names them.
 	Parts []swcell.Part
+	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
+	ExpectedTokens swid.Tokens
 }
 
 // Queued acknowledges an ask that waits for its grant.
--- a/internal/store/swwatch/follower.go
+++ b/internal/store/swwatch/follower.go
@@ -92,7 +92,9 @@
 			f.failed(err)
 			f.sleep(ctx, retry)
 			retry = min(2*retry, maxRetry)
-			// Whether the history still reaches back is found out by the next watch.
+			// A watch that was cut may have missed changes, and the next one may
+			// hear of them late.
+			listed = false
 		}
 	}
 }
