--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -33,6 +33,7 @@
 		return
 	}
 	work := c.work(r, idle.uncached)
+	c.sizes.of(r.ask.Tier).work.add(work)
 	rank := c.rank(r, work, float64(c.now)+idle.first)
 	c.inflow.add(rank, work, c.now)
 	queue := c.queue()
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -10,8 +10,10 @@
 type Claim struct {
 	// Value is what its answer is worth if it starts now.
 	Value float64
-	// Work is the share of a typical target's time that it takes, in ms.
-	Work float64
+	// Work is the share of a typical target's time that it takes, in ms, and
+	// UsualWork that of the requests of its tier.
+	Work      float64
+	UsualWork float64
 	// Waited is the time since the ask.
 	Waited swclock.Millis
 }
@@ -22,13 +24,16 @@
 	Rank(c *Claim) float64
 }
 
-// ByWorth puts first what is worth most, and of what is worth the same, what
-// takes the least time. The worth for each ms alone would starve the largest
-// requests of each tier.
+// ByWorth puts first the tiers whose answers are worth most for the time that
+// they usually take, and within a tier what is worth most, with half regard to
+// the time that the single request takes: with full regard to it the largest
+// requests of each tier would starve.
 type ByWorth struct{}
 
 // Rank implements Order.
-func (ByWorth) Rank(c *Claim) float64 { return c.Value / math.Sqrt(max(c.Work, 1)) }
+func (ByWorth) Rank(c *Claim) float64 {
+	return c.Value / math.Sqrt(max(c.Work, 1)*max(c.UsualWork, 1))
+}
 
 // ByArrival puts first what has waited longest; it is a baseline.
 type ByArrival struct{}
@@ -39,7 +44,9 @@
 // rank returns the place of a request among those that wait, if its first
 // output comes at an instant.
 func (c *Cell[P, O]) rank(r *request, work, first float64) float64 {
-	claim := Claim{Value: c.valueAt(r, first), Work: work, Waited: c.now - r.asked}
+	claim := Claim{
+		Value: c.valueAt(r, first), Work: work, UsualWork: c.sizes.of(r.ask.Tier).work.value, Waited: c.now - r.asked,
+	}
 	return c.order.Rank(&claim)
 }
 
--- a/internal/core/swvalue/sizes.go
+++ b/internal/core/swvalue/sizes.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
-	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
@@ -23,6 +22,21 @@
 	hintSpread = 1.1
 )
 
+// slowGain is the weight of a new observation in a slowMean. Sizes differ by
+// factors of a hundred, so that it takes a hundred to know their mean.
+const slowGain = 0.01
+
+// slowMean is the mean of many observations, of which old ones fade out.
+type slowMean struct {
+	value float64
+	count int
+}
+
+func (m *slowMean) add(v float64) {
+	m.count++
+	m.value += max(slowGain, 1/float64(m.count)) * (v - m.value)
+}
+
 // sizes learns how large the requests of each tier are.
 type sizes struct {
 	tiers [swid.MaxTiers]tierSizes
@@ -31,12 +45,14 @@
 // tierSizes is what is known of the requests of one tier.
 type tierSizes struct {
 	// size is the mean of prompts and weighted outputs.
-	size swcost.Average
+	size slowMean
+	// work is the mean share of a target's time that they take.
+	work slowMean
 	// hint and output are the means of the logarithms of estimates and outputs.
-	hint   swcost.Average
-	output swcost.Average
+	hint   slowMean
+	output slowMean
 	// share is the part of its limit that a request without an estimate generates.
-	share swcost.Average
+	share slowMean
 }
 
 func (s *sizes) of(t swid.Tier) *tierSizes { return &s.tiers[min(int(t), swid.MaxTiers-1)] }
@@ -46,16 +62,16 @@
 	t := s.of(a.Tier)
 	limit := float64(a.OutputTokens)
 	if a.ExpectedTokens <= 0 {
-		if t.share.Samples() == 0 {
+		if t.share.count == 0 {
 			return limit * firstShare
 		}
-		return limit * t.share.Value()
+		return limit * t.share.value
 	}
 	hint := math.Log(float64(a.ExpectedTokens))
-	if t.output.Samples() == 0 {
+	if t.output.count == 0 {
 		return bounded(float64(a.ExpectedTokens), limit)
 	}
-	return bounded(hintSpread*math.Exp(t.output.Value()+hintSlope*(hint-t.hint.Value())), limit)
+	return bounded(hintSpread*math.Exp(t.output.value+hintSlope*(hint-t.hint.value)), limit)
 }
 
 // firstShare is the part of its limit that a request is expected to generate
@@ -77,11 +93,11 @@
 	}
 	t := s.of(a.Tier)
 	if a.ExpectedTokens > 0 {
-		t.hint.Add(math.Log(float64(a.ExpectedTokens)))
-		t.output.Add(math.Log(float64(generated)))
+		t.hint.add(math.Log(float64(a.ExpectedTokens)))
+		t.output.add(math.Log(float64(generated)))
 	}
 	if a.OutputTokens > 0 {
-		t.share.Add(float64(generated) / float64(a.OutputTokens))
+		t.share.add(float64(generated) / float64(a.OutputTokens))
 	}
 }
 
@@ -93,6 +109,6 @@
 		return 1
 	}
 	t := s.of(a.Tier)
-	t.size.Add(size)
-	return min(baseWeight+(1-baseWeight)*size/t.size.Value(), maxWeight)
+	t.size.add(size)
+	return min(baseWeight+(1-baseWeight)*size/t.size.value, maxWeight)
 }
