--- a/internal/core/swvalue/inflow.go
+++ b/internal/core/swvalue/inflow.go
@@ -9,7 +9,7 @@
 const (
 	// inflowSpan is the time over which arriving work is averaged: some times the
 	// usual work of a request, and shorter than a burst.
-	inflowSpan = 1500 * swclock.Millis(1)
+	inflowSpan = 5 * swclock.Second
 	// rankClasses are the classes of rank in which arriving work is counted, each
 	// rankStep times the one below. They cover all ranks of usual requests.
 	rankClasses = 40
