Keep quotas over changes of the owner, and answer what waits before a host exits

Cause, from the log: while the owner left, hosts that did not reach the store still named it, two hosts owned the cells, and each admitted the whole quota with an account that began empty.

Now each host remembers what its requests used and tells the host that it begins to ask; an owner admits the share of the hosts that ask it, within the rate and the burst over every span and half of the operators' tolerance.

It is refused as not run before that now (TestEndWaiting fails first).

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -260,6 +260,7 @@
 	}
 	if org != nil {
 		r.Org = org.ID
+		r.Charge = charge(c, &org.Quota)
 	}
 	if route.Objective > 0 {
 		r.Objective = now + route.Objective
@@ -279,6 +280,18 @@
 	return r
 }
 
+// charge returns what a call counts towards its organisation's quota.
+func charge(c *Call, q *swcatalog.Quota) int64 {
+	switch {
+	case !q.Tokens:
+		return 1
+	case c.PromptTokens+c.OutputTokens > 0:
+		return int64(c.PromptTokens + c.OutputTokens)
+	default:
+		return int64(q.PlainTokens)
+	}
+}
+
 // deadline returns the instant at which the caller or the operator stops waiting.
 func deadline(now, caller, timeout swclock.Millis) swclock.Millis {
 	switch {
--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -127,6 +127,8 @@
 	f.LapseTime = o.Optional("lapseTime").Span(defaultLapseTime, 100, swclock.Hour)
 	f.ReturnWithin = o.Optional("returnWithin").Span(defaultReturnWithin, 0, swclock.Minute)
 	f.QuotaWindow = o.Optional("quotaWindow").Span(defaultQuotaWindow, swclock.Second, swclock.Hour)
+	f.QuotaOverage = o.Optional("quotaOverage").Float(0, 0, 1)
+	f.QuotaSlack = o.Optional("quotaSlack").Float(0, 0, 1e12)
 	f.RetryWindow = o.Optional("retryWindow").Span(defaultRetryWindow, swclock.Second, swclock.Hour)
 	f.RetryRatio = o.Optional("retryRatio").Float(defaultRetryRatio, 0, 10)
 	f.RetryReserve = o.Optional("retryReserve").Float(defaultRetryReserve, 0, 1e6)
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -84,6 +84,10 @@
 	ReturnWithin swclock.Millis
 	// QuotaWindow is the window over which an organisation's use is bounded.
 	QuotaWindow swclock.Millis
+	// QuotaOverage and QuotaSlack are the operators' tolerance for the use of an
+	// organisation over a window: a share of the quota, and an amount.
+	QuotaOverage float64
+	QuotaSlack   float64
 	// Retries of a service within RetryWindow are bounded by RetryRatio of its
 	// requests and RetryReserve, over all hosts.
 	RetryWindow  swclock.Millis
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -54,6 +54,8 @@
 	Parts []Part
 	// ExpectedTokens is the caller's estimate of the output, often far off; 0 if it gives none.
 	ExpectedTokens swid.Tokens
+	// Charge is what the request counts towards its organisation's quota.
+	Charge int64
 }
 
 // Part is a part of a prompt that other prompts may share. A target that has
--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -1,11 +1,12 @@
 // Package swquota keeps organisations within their quotas, each of which holds
-// for all hosts together over any window of time.
+// for all hosts together: over any span of time an organisation uses at most its
+// rate times the span and its burst.
 //
-// One host at a time accounts for most of an organisation's use: the owner of
-// the cells. A host that has just become the owner does not know what was
-// admitted before, and counts a steady use for that time. A host that other
-// hosts do not reach admits at a share of the quota, and the owner leaves that
-// share to it.
+// Each host remembers what its own requests used, and tells the owner of the
+// cells when it begins to ask it. So an owner knows the use of all hosts that
+// ask it, however often owners change. Where several owners exist, because hosts
+// do not reach each other or learn of a change at different times, each admits
+// the share of the quota of those hosts that ask it.
 package swquota
 
 import (
@@ -22,44 +23,53 @@
 	Burst float64
 }
 
+// within returns what may be used in a span of time.
+func (l Limit) within(span swclock.Millis) float64 {
+	return l.Rate*float64(span)/float64(swclock.Second) + l.Burst
+}
+
+// times returns a share of the limit.
+func (l Limit) times(share float64) Limit {
+	return Limit{Rate: l.Rate * share, Burst: l.Burst * share}
+}
+
 const (
-	// parts is the number of parts in which a window is counted.
-	parts = 32
-	// steadyUse is the share of its quota that an organisation is counted with
-	// for the time before this ledger's own account. The rest is at hand at once.
-	steadyUse = 0.8
-	// pause is how long nothing must have been taken for another host to have
-	// admitted requests meanwhile.
-	pause = swclock.Second
+	// gatherTime is how long a new owner admits gatherShare of the quota or more,
+	// while hosts still find out that they have to ask it: the use of the first
+	// few hosts may be far from even.
+	gatherTime  = 400 * swclock.Millis(1)
+	gatherShare = 0.3
+	// AttachInterval is the time between two messages by which a host stays
+	// attached to its owner, and attachTimeout how long it counts as attached
+	// after one, so that one of them may be lost or late.
+	AttachInterval = 500 * swclock.Millis(1)
+	attachTimeout  = 1200 * swclock.Millis(1)
 )
 
-// Ledger accounts for the use of organisations. It is safe for concurrent use.
+// Ledger accounts for the use of organisations by the hosts that ask its owner.
+// It is safe for concurrent use.
 type Ledger struct {
 	window swclock.Millis
 
 	mu     sync.Mutex
 	limits map[swid.OrgID]Limit
-	// share is the part of each quota that this ledger admits, in (0, 1].
-	share float64
-	uses  map[swid.OrgID]*use
-	// since is when this ledger's own account began.
-	since swclock.Millis
-	// taken is when something was last taken.
-	taken swclock.Millis
-	began bool
-}
-
-// use is what an organisation used in the latest parts of time.
-type use struct {
-	// amounts is a ring; numbers has the part that each amount belongs to. A
-	// window begins and ends within a part, and so touches one more.
-	amounts [parts + 1]float64
-	numbers [parts + 1]int64
+	// hosts is the number of hosts that may ask anyone, at least 1.
+	hosts int
+	// attached has when each host was last heard to ask this owner.
+	attached map[swid.HostID]swclock.Millis
+	// first is when the first of the attached hosts came, or -1 if there is none.
+	first swclock.Millis
+	// uses has the accounts of each organisation by host.
+	uses map[swid.OrgID]map[swid.HostID]*use
 }
 
 // New returns a ledger that admits everything until it is configured.
 func New(window swclock.Millis) *Ledger {
-	return &Ledger{window: window, share: 1, uses: make(map[swid.OrgID]*use)}
+	return &Ledger{
+		window: window, hosts: 1, first: -1,
+		attached: make(map[swid.HostID]swclock.Millis),
+		uses:     make(map[swid.OrgID]map[swid.HostID]*use),
+	}
 }
 
 // Configure replaces the limits.
@@ -74,88 +84,133 @@
 	}
 }
 
-// SetShare sets the part of each quota that this ledger admits.
-func (l *Ledger) SetShare(share float64) {
+// SetHosts sets the number of hosts that may ask anyone.
+func (l *Ledger) SetHosts(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share = share
+	l.hosts = max(n, 1)
 }
 
-// TakeOver starts the account anew, because another host admitted requests
-// until now. It does nothing if this ledger was in use all the while.
-func (l *Ledger) TakeOver(now swclock.Millis) {
+// Attach notes that a host asks this owner. Amounts are what its requests used:
+// in place of all that was known if it is fresh, and in addition otherwise.
+func (l *Ledger) Attach(host swid.HostID, fresh bool, amounts []Amount, now swclock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.began && now-l.taken < pause {
-		return
+	if l.present(now) == 0 {
+		l.first = now
+	}
+	l.attached[host] = now
+	if fresh {
+		for _, accounts := range l.uses {
+			delete(accounts, host)
+		}
+	}
+	for _, a := range amounts {
+		if l.limits[a.Org].Rate > 0 {
+			l.account(a.Org, host).add(a.Value, now-a.Age, l.window)
+		}
 	}
-	l.began, l.since, l.taken = true, now, now
-	clear(l.uses)
 }
 
-// Take charges a request to its organisation. It is refused if the use would
-// exceed the quota less reserve, a share that is kept for requests of higher
-// tiers; wait is then when to come back.
-func (l *Ledger) Take(org swid.OrgID, amount, reserve float64, now swclock.Millis) (wait swclock.Millis, ok bool) {
+// Detach notes that a host asks another owner from now on, which accounts for its use.
+func (l *Ledger) Detach(host swid.HostID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.attached, host)
+	for _, accounts := range l.uses {
+		delete(accounts, host)
+	}
+}
+
+// Share returns the part of each quota that this ledger admits, and the number
+// of hosts that ask this owner.
+func (l *Ledger) Share(now swclock.Millis) (share float64, hosts int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.share(now), l.present(now)
+}
+
+// present returns the number of hosts that ask this owner. It needs l.mu.
+func (l *Ledger) present(now swclock.Millis) int {
+	count := 0
+	for host, heard := range l.attached {
+		if now-heard > attachTimeout {
+			delete(l.attached, host)
+			continue
+		}
+		count++
+	}
+	return count
+}
+
+// share needs l.mu.
+func (l *Ledger) share(now swclock.Millis) float64 {
+	present := l.present(now)
+	share := min(1, float64(max(present, 1))/float64(l.hosts))
+	if present > 0 && now-l.first < gatherTime {
+		share = max(share, gatherShare)
+	}
+	return share
+}
+
+// Take charges a request of a host to its organisation. It is refused if the use
+// would exceed the quota less reserve, a share that is kept for requests of
+// higher tiers; wait is then when to come back.
+func (l *Ledger) Take(host swid.HostID, org swid.OrgID, amount, reserve float64, now swclock.Millis) (wait swclock.Millis, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limit := l.limits[org]
 	if limit.Rate <= 0 {
 		return 0, true
 	}
-	quota := l.quota(limit)
-	allowed := quota*(1-reserve) - amount
-	u := l.use(org)
-	if l.used(u, quota, now) > allowed {
-		return l.wait(u, quota, allowed, now), false
-	}
-	part := l.part(now)
-	i := part % (parts + 1)
-	if u.numbers[i] != part {
-		u.numbers[i], u.amounts[i] = part, 0
+	limit = limit.times(l.share(now) * (1 - reserve))
+	if !l.fits(org, limit, amount, now) {
+		return l.wait(org, limit, amount, now), false
 	}
-	u.amounts[i] += amount
-	l.taken = now
+	l.account(org, host).add(amount, now, l.window)
 	return 0, true
 }
 
-// quota returns what may be used in a window. It needs l.mu.
-func (l *Ledger) quota(limit Limit) float64 {
-	return l.share * (limit.Rate*float64(l.window)/float64(swclock.Second) + limit.Burst)
-}
-
-func (l *Ledger) use(org swid.OrgID) *use {
-	u, known := l.uses[org]
+// account needs l.mu.
+func (l *Ledger) account(org swid.OrgID, host swid.HostID) *use {
+	accounts, known := l.uses[org]
+	if !known {
+		accounts = make(map[swid.HostID]*use)
+		l.uses[org] = accounts
+	}
+	u, known := accounts[host]
 	if !known {
 		u = &use{}
-		l.uses[org] = u
+		accounts[host] = u
 	}
 	return u
 }
 
-func (l *Ledger) part(now swclock.Millis) int64 { return int64(now) * parts / int64(l.window) }
-
-// used returns what was used in the window that ends now. The part that the
-// window begins in counts whole.
-func (l *Ledger) used(u *use, quota float64, now swclock.Millis) float64 {
-	present := l.part(now)
+// fits reports whether an amount may be used at an instant: whether no span that
+// ends then has more than it may have. A request that is larger than the burst
+// may overdraw it, so that it is not refused for ever. It needs l.mu.
+func (l *Ledger) fits(org swid.OrgID, limit Limit, amount float64, at swclock.Millis) bool {
+	var recent [parts + 1]float64
+	for _, u := range l.uses[org] {
+		u.addRecent(&recent, at, l.window)
+	}
+	amount = min(amount, limit.Burst)
 	sum := 0.0
-	for i, number := range u.numbers {
-		if present-number <= parts {
-			sum += u.amounts[i]
+	for back, used := range recent {
+		sum += used
+		// The present part may only have begun, and so counts for no time.
+		if sum+amount > limit.within(swclock.Millis(back)*l.window/parts) {
+			return false
 		}
 	}
-	if before := l.window - (now - l.since); l.began && before > 0 {
-		sum += quota * steadyUse * float64(before) / float64(l.window)
-	}
-	return sum
+	return true
 }
 
-// wait returns the time until the use has fallen to what is allowed, at most a window.
-func (l *Ledger) wait(u *use, quota, allowed float64, now swclock.Millis) swclock.Millis {
+// wait returns the time until an amount may be used if nothing else is, at most a window.
+func (l *Ledger) wait(org swid.OrgID, limit Limit, amount float64, now swclock.Millis) swclock.Millis {
 	step := l.window / parts
 	for wait := step; wait < l.window; wait += step {
-		if l.used(u, quota, now+wait) <= allowed {
+		if l.fits(org, limit, amount, now+wait) {
 			return wait
 		}
 	}
@@ -163,23 +218,10 @@
 }
 
 // Return takes back the charge of a request that did not run.
-func (l *Ledger) Return(org swid.OrgID, amount float64, now swclock.Millis) {
+func (l *Ledger) Return(host swid.HostID, org swid.OrgID, amount float64, now swclock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	u, known := l.uses[org]
-	if !known {
-		return
-	}
-	part := l.part(now)
-	for back := range int64(parts + 1) {
-		i := (part - back) % (parts + 1)
-		if part-back < 0 || u.numbers[i] != part-back {
-			continue
-		}
-		taken := min(u.amounts[i], amount)
-		u.amounts[i] -= taken
-		if amount -= taken; amount <= 0 {
-			return
-		}
+	if u, known := l.uses[org][host]; known {
+		u.take(amount, now, l.window)
 	}
 }
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// quotaReserve is the part of the burst that a tier leaves to each tier above
-	// it, so that an organisation's urgent requests are the last to meet its quota.
-	quotaReserve = 0.15
+	// quotaReserve is the part of a quota that a tier leaves to each tier above
+	// it, so that an organisation's urgent requests are the last to meet it.
+	quotaReserve = 0.1
 	// minReturn and maxReturn bound the time after which a refused request is to come back.
 	minReturn = 200 * swclock.Millis(1)
 	maxReturn = 5 * swclock.Second
@@ -49,12 +49,9 @@
 	if c.cfg.Ledger == nil || r.ask.Attempt > 1 {
 		return 0, true
 	}
-	amount := float64(tokens(&r.ask))
-	if amount == 0 {
-		amount = c.cfg.PlainAmount
-	}
+	amount := float64(r.ask.Charge)
 	reserve := quotaReserve * float64(c.tier(r.ask.Tier))
-	wait, ok := c.cfg.Ledger.Take(r.ask.Org, amount, reserve, c.now)
+	wait, ok := c.cfg.Ledger.Take(r.ask.Key.Holder, r.ask.Org, amount, reserve, c.now)
 	if ok {
 		r.charged = amount
 	}
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -99,18 +99,18 @@
 func (c *Cell[P, O]) remove(i int) { c.waiting = slices.Delete(c.waiting, i, i+1) }
 
 func (c *Cell[P, O]) giveUp(r *request, reason swcell.Reason, after swclock.Millis) {
-	c.uncharge(r.ask.Org, r.charged)
+	c.uncharge(&r.ask, r.charged)
 	c.ended.add(r.ask.Key, r.ask.Attempt)
 	c.emit(swcell.GiveUp{Key: r.ask.Key, Attempt: r.ask.Attempt, Reason: reason, RetryAfter: after})
 }
 
 func (c *Cell[P, O]) withdraw(e swcell.Withdraw) {
 	if i := c.indexOf(e.Key); i >= 0 && c.waiting[i].ask.Attempt == e.Attempt {
-		c.uncharge(c.waiting[i].ask.Org, c.waiting[i].charged)
+		c.uncharge(&c.waiting[i].ask, c.waiting[i].charged)
 		c.remove(i)
 	}
 	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
-		c.uncharge(r.ask.Org, r.charged)
+		c.uncharge(&r.ask, r.charged)
 		c.endRun(r)
 		c.ended.forget(e.Key)
 	}
@@ -148,8 +148,8 @@
 }
 
 // uncharge takes back what a request that did not run was charged.
-func (c *Cell[P, O]) uncharge(org swid.OrgID, amount float64) {
+func (c *Cell[P, O]) uncharge(a *swcell.Ask, amount float64) {
 	if c.cfg.Ledger != nil && amount > 0 {
-		c.cfg.Ledger.Return(org, amount, c.now)
+		c.cfg.Ledger.Return(a.Key.Holder, a.Org, amount, c.now)
 	}
 }
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -97,7 +97,7 @@
 	case swcell.ResultNoAnswer:
 		t.broke(c.now)
 	case swcell.ResultNotStarted:
-		c.uncharge(r.ask.Org, r.charged)
+		c.uncharge(&r.ask, r.charged)
 		t.unreachable[r.ask.Key.Holder] = c.now + unreachableTime
 		t.broke(c.now)
 	}
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -55,8 +55,6 @@
 	LateShare float64
 	// Ledger accounts for quotas; nil sets none.
 	Ledger *swquota.Ledger
-	// PlainAmount is charged to the quota for a request without tokens.
-	PlainAmount float64
 	// Seed makes the choices among equal targets differ from host to host.
 	Seed uint64
 }
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -20,6 +20,8 @@
 	grant    *swmsg.Grant
 	giveUp   *swmsg.GiveUp
 	redirect *swmsg.Redirect
+	// left ends the wait for a cause of the holder's own.
+	left swlife.Cause
 }
 
 // held is the state of one request. The goroutine of Serve drives it; the
@@ -119,6 +121,21 @@
 	return true
 }
 
+// leaveFor ends the wait for a grant, if there is one.
+func (e *held) leaveFor(cause swlife.Cause) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.waiting {
+		return
+	}
+	e.waiting = false
+	select {
+	case <-e.answers:
+	default:
+	}
+	e.answers <- answer{left: cause}
+}
+
 // uses reports whether a repeated grant is the one in use.
 func (e *held) uses(owner swid.HostID, m swmsg.Grant) bool {
 	e.mu.Lock()
@@ -222,6 +239,7 @@
 		Objective:      e.objective(),
 		Parts:          r.Parts,
 		ExpectedTokens: r.ExpectedTokens,
+		Charge:         r.Charge,
 	}
 }
 
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -29,6 +29,8 @@
 	Parts []swcell.Part
 	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
 	ExpectedTokens swid.Tokens
+	// Charge is what the request counts towards its organisation's quota.
+	Charge int64
 	// Objective is the instant by which the first part of the answer should arrive; 0 if there is none.
 	Objective swclock.Millis
 	// NonIdempotent marks a request that is claimed under IdempotencyKey before
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -170,6 +170,10 @@
 			switch {
 			case a.redirect != nil:
 				e.redirected(a.redirect)
+			case a.left != swlife.CauseNone:
+				left := e.leave(a.left)
+				left.RetryAfter = retryAfterShutdown
+				return left
 			case a.queued:
 				resend.Reset(e.holder.config.AskRefresh.Duration())
 			default:
@@ -189,6 +193,9 @@
 func (e *held) take(a answer) swlife.Event {
 	if a.grant != nil {
 		e.expected = expectation{firstToken: a.grant.FirstToken, total: a.grant.Total}
+		if e.holder.config.Used != nil && !e.arrived {
+			e.holder.config.Used(e.request)
+		}
 		return swlife.Granted{Target: a.grant.Target}
 	}
 	return swlife.GivenUp{Reason: a.giveUp.Reason, RetryAfter: a.giveUp.RetryAfter}
@@ -263,7 +270,7 @@
 }
 
 // leave ends the wait at the holder, and withdraws the ask or a grant that arrived meanwhile.
-func (e *held) leave(cause swlife.Cause) swlife.Event {
+func (e *held) leave(cause swlife.Cause) swlife.Left {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting, e.granted = false, false
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -66,6 +66,8 @@
 	// AskTimeout is how long an owner may take to acknowledge an ask before it is
 	// passed over; 0 leaves that to its link.
 	AskTimeout swclock.Millis
+	// Used is told of each request when its first attempt is granted; nil tells nobody.
+	Used func(r *Request)
 	// ReportFirst has owners told of the first output of each attempt.
 	ReportFirst bool
 	// AskRefresh is the interval at which an ask that waits is repeated; 0 stands for the default.
@@ -175,6 +177,20 @@
 	}
 }
 
+// EndWaiting ends the requests that wait for a grant as not run, because the
+// host stops before they could be answered.
+func (h *Holder) EndWaiting() {
+	h.mu.Lock()
+	all := make([]*held, 0, len(h.held))
+	for _, e := range h.held {
+		all = append(all, e)
+	}
+	h.mu.Unlock()
+	for _, e := range all {
+		e.leaveFor(swlife.CauseShutdown)
+	}
+}
+
 // closeIfIdle needs h.mu.
 func (h *Holder) closeIfIdle() {
 	if !h.draining || len(h.held) > 0 {
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -270,6 +270,27 @@
 	}
 }
 
+// TestEndWaiting ends a request that waits while the host stops, and leaves one
+// that runs alone.
+func TestEndWaiting(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
+	waiting, _ := b.serve(b.request(false, true))
+	expect[swmsg.Ask](t, b)
+	b.holder.EndWaiting()
+	if r := <-waiting; r.End.Outcome != swlife.OutcomeNotRun || r.End.Cause != swlife.CauseShutdown || r.End.RetryAfter == 0 {
+		t.Errorf("report is %+v", r)
+	}
+	if m, to := expect[swmsg.Withdraw](t, b); to != "owner" || m.Attempt != 1 {
+		t.Errorf("withdrawn %+v from %s", m, to)
+	}
+	running, out := b.serve(b.request(false, true))
+	ask, _ := expect[swmsg.Ask](t, b)
+	b.grant("owner", ask, "a")
+	if r := <-running; r.End.Outcome != swlife.OutcomeAnswered || string(out.data) != "x" {
+		t.Errorf("report is %+v", r)
+	}
+}
+
 func TestOutcomes(t *testing.T) {
 	whole := script{chunks: []string{"x", "y"}, end: io.EOF}
 	notStarted := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Err: errors.New("refused")}}
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -11,35 +11,19 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
-	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
 // newCore makes the core of a cell.
 func (f *Fleet) newCore(cell swid.CellID, _ func(swcell.Violation)) swowner.Core {
-	config := swvalue.Config{Seed: uint64(f.self.Incarnation) ^ uint64(len(f.self.Host))<<32, PlainAmount: f.view.plainAmount()}
+	config := swvalue.Config{Seed: uint64(f.self.Incarnation) ^ uint64(len(f.self.Host))<<32}
 	if !f.view.local(cell) {
 		config.Ledger = f.ledger
 	}
 	return swvalue.New(config, swvalue.Fastest{}, swvalue.ByWorth{})
 }
 
-// plainAmount returns what a request without tokens is charged.
-func (v *view) plainAmount() float64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.table == nil {
-		return 0
-	}
-	for _, o := range v.table.Catalog().Organisations {
-		if o.Quota.Tokens {
-			return float64(o.Quota.PlainTokens)
-		}
-	}
-	return 1
-}
-
 // adapter makes the adapter of a target.
 func (f *Fleet) adapter(t swdoc.Target, _ swdoc.ServiceKind) swtarget.Adapter {
 	return f.platform.Target(t.ID, t.URL, f.view.eventTokens(t.Service))
@@ -52,7 +36,8 @@
 		if !f.view.setTable(table) {
 			continue
 		}
-		f.ledger.Configure(quotasOf(item.Value))
+		f.ledger.Configure(f.quotasOf(item.Value))
+		f.meter.Configure(f.quotasOf(item.Value), len(f.view.Members()))
 		f.gate.Configure(table)
 		f.log.Info().
 			Uint64("configVersion", uint64(item.Value.Version)).Uint64("revision", uint64(item.Revision)).
@@ -62,10 +47,21 @@
 	}
 }
 
-func quotasOf(c *swcatalog.Catalog) map[swid.OrgID]swquota.Limit {
+// toleranceUse is the part of the operators' tolerance that is admitted in any
+// case, so that nothing within a quota is refused. The rest is left to what
+// several owners admit at once.
+const toleranceUse = 0.5
+
+// quotasOf returns what each organisation is admitted.
+func (f *Fleet) quotasOf(c *swcatalog.Catalog) map[swid.OrgID]swquota.Limit {
+	above := 1 + toleranceUse*f.settings.Fleet.QuotaOverage
 	limits := make(map[swid.OrgID]swquota.Limit, len(c.Organisations))
 	for _, o := range c.Organisations {
-		limits[o.ID] = swquota.Limit{Rate: o.Quota.Rate, Burst: o.Quota.Burst}
+		if o.Quota.Rate > 0 {
+			limits[o.ID] = swquota.Limit{
+				Rate: above * o.Quota.Rate, Burst: above*o.Quota.Burst + toleranceUse*f.settings.Fleet.QuotaSlack,
+			}
+		}
 	}
 	return limits
 }
@@ -110,45 +106,26 @@
 	f.view.setHosts(items)
 	f.router.SetMembers(f.view.Members())
 	f.retries.share(len(items))
-	f.updateShare()
+	f.ledger.SetHosts(len(items))
+	if table := f.gate.Table(); table != nil {
+		f.meter.Configure(f.quotasOf(table.Catalog()), len(items))
+	}
 	f.log.Info().Int("hosts", len(items)).Uint64("revision", uint64(latest(items))).Msg("hosts changed")
 	f.ownerMayHaveMoved()
 }
 
 // ownerMayHaveMoved asks the new owner for what waits.
 func (f *Fleet) ownerMayHaveMoved() {
-	owner, moved := f.router.moved()
-	if owner != f.self.Host {
-		// Each host keeps a link to the owner, which tells it whom it reaches.
-		f.network.Dial(owner)
-	}
-	if moved {
-		f.log.Info().Str("owner", string(owner)).Msg("owner of the shared cells changed")
+	if f.router.refresh() {
 		f.holder.Reroute()
 	}
 }
 
-// updateShare leaves a share of the quotas to the hosts that this one has no link to.
-func (f *Fleet) updateShare() {
-	linked, all := 0, 0
-	for _, m := range f.view.Members() {
-		if m.State != swmsg.MemberAlive && m.Host != f.self.Host {
-			continue
-		}
-		all++
-		if f.exchange.Connected(m.Host) {
-			linked++
-		}
-	}
-	f.ledger.SetShare(float64(max(linked, 1)) / float64(max(all, 1)))
-}
-
 // linkUp ends the accounts of the peer's earlier process.
 func (f *Fleet) linkUp(peer swlink.Peer) {
 	if peer.Incarnation > 0 {
 		f.owner.HolderGone(swlink.Peer{Host: peer.Host, Incarnation: peer.Incarnation - 1})
 	}
-	f.updateShare()
 	f.ownerMayHaveMoved()
 }
 
@@ -159,7 +136,9 @@
 	} else {
 		f.owner.LinkDown(peer)
 	}
-	f.updateShare()
+	if peer.Host == f.router.current() {
+		f.unattached.Store(true)
+	}
 	f.ownerMayHaveMoved()
 	f.holder.LinkDown(peer.Host)
 }
--- a/internal/node/swfleet/router.go
+++ b/internal/node/swfleet/router.go
@@ -18,6 +18,9 @@
 	// shared is the name by which the hosts are ranked for all shared cells.
 	shared swid.CellID
 	view   *view
+	// moved is told when the owner of the shared cells changes. It is called with
+	// mu held, and does not block.
+	moved func(before, owner swid.HostID)
 
 	mu   sync.Mutex
 	last swid.HostID
@@ -25,8 +28,8 @@
 	leaving bool
 }
 
-func newRouter(hosts *swnode.HostRouter, self swid.HostID, region swid.RegionID, v *view) *router {
-	return &router{HostRouter: hosts, self: self, shared: swid.NewCellID("engines", region), view: v}
+func newRouter(hosts *swnode.HostRouter, self swid.HostID, region swid.RegionID, v *view, moved func(before, owner swid.HostID)) *router {
+	return &router{HostRouter: hosts, self: self, shared: swid.NewCellID("engines", region), view: v, moved: moved}
 }
 
 // Owner implements swholder.Router.
@@ -34,7 +37,7 @@
 	if r.view.local(cell) {
 		return r.self, false
 	}
-	return r.HostRouter.Owner(r.shared)
+	return r.shareOwner()
 }
 
 // leave has the other hosts own the shared cells.
@@ -61,12 +64,32 @@
 	r.HostRouter.SetMembers(members)
 }
 
-// moved reports whether the owner of the shared cells is another than at the last call.
-func (r *router) moved() (owner swid.HostID, moved bool) {
-	owner, _ = r.HostRouter.Owner(r.shared)
+// refresh reports whether the owner of the shared cells has changed.
+func (r *router) refresh() bool {
+	r.mu.Lock()
+	before := r.last
+	r.mu.Unlock()
+	owner, _ := r.shareOwner()
+	return owner != before
+}
+
+// shareOwner returns the owner of the shared cells. A change is told before the
+// first ask can reach the new owner.
+func (r *router) shareOwner() (owner swid.HostID, insist bool) {
+	owner, insist = r.HostRouter.Owner(r.shared)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if owner != r.last {
+		before := r.last
+		r.last = owner
+		r.moved(before, owner)
+	}
+	return owner, insist
+}
+
+// current returns the owner that was last named.
+func (r *router) current() swid.HostID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	moved = owner != r.last
-	r.last = owner
-	return owner, moved
+	return r.last
 }
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -102,7 +102,7 @@
 	parts, stop := context.WithCancel(running)
 	tasks := pool.New().WithErrors().WithContext(parts)
 	tasks.Go(f.network.Run)
-	for _, run := range []func(context.Context){f.owner.Run, f.catalogs.Run, f.targets.Run, f.hosts.Run} {
+	for _, run := range []func(context.Context){f.owner.Run, f.catalogs.Run, f.targets.Run, f.hosts.Run, f.stayAttached} {
 		tasks.Go(func(ctx context.Context) error {
 			run(ctx)
 			return nil
@@ -131,6 +131,7 @@
 	sleep(parts, refuseTime-(f.clock.Now()-started))
 	f.gate.Leave()
 	sleep(parts, leaveTime-(f.clock.Now()-started))
+	f.holder.EndWaiting()
 	rest := f.settings.ShutdownTimeout - exitMargin - (f.clock.Now() - started)
 	ending, cancel := context.WithTimeout(parts, max(rest, 0).Duration())
 	defer cancel()
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -65,7 +68,9 @@
 	registry *prometheus.Registry
 	metrics  *swmetrics.Metrics
 	gate     *swgate.Gate
+	// ledger accounts for the hosts that ask this one, meter for this host's own requests.
 	ledger   *swquota.Ledger
+	meter    *swquota.Meter
 	retries  *retries
 	view     *view
 	exchange *swexchange.Exchange
@@ -78,6 +83,11 @@
 	catalogs *swwatch.Follower[*swcatalog.Catalog]
 	targets  *swwatch.Follower[swcatalog.Target]
 	hosts    *swwatch.Follower[swcatalog.Host]
+	// sharing is the number of hosts that asked this one when it was last logged.
+	// It belongs to the goroutine of stayAttached.
+	sharing int
+	// unattached tells that the owner may not know what this host's requests used.
+	unattached atomic.Bool
 	// configuring orders what is told to the parts that dispatch.
 	configuring sync.Mutex
 }
@@ -88,6 +98,7 @@
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
 	}
+	f.meter = swquota.NewMeter(settings.Fleet.QuotaWindow, f.clock.Now())
 	platform, err := factory(settings, f.clock, log)
 	if err != nil {
 		return nil, err
@@ -119,23 +130,27 @@
 	hostWait = 20 * swclock.Second
 )
 
+// linkKeepAlive finds a link without data that went silent within 3 s.
+var linkKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // assemble builds the parts that know the process's incarnation.
 func (f *Fleet) assemble() {
 	f.exchange = swexchange.New(f.self)
 	f.network = swlink.New(swlink.Config{
 		Self: f.self, Address: f.settings.Peer.Address, Heartbeat: f.settings.Peer.Heartbeat,
+		KeepAlive: linkKeepAlive,
 	}, f.clock, f.view.resolve, f.exchange, swlink.WithoutTLS(), swlink.WithLogger(f.log))
-	f.router = newRouter(swnode.NewRouter(f.self.Host, f.settings.Region, f.network, f.clock), f.self.Host, f.settings.Region, f.view)
+	f.router = newRouter(swnode.NewRouter(f.self.Host, f.settings.Region, f.network, f.clock), f.self.Host, f.settings.Region, f.view, f.ownerMoved)
 	f.pool = swpool.New(f.adapter)
 	f.holder = swholder.New(swholder.Config{
 		Host: f.self.Host, Incarnation: f.self.Incarnation, Clock: f.clock, Sender: f.exchange, Router: f.router,
 		Targets: f.pool, Observer: f.metrics, Log: f.log, MaxHeld: f.settings.Caller.MaxHeld,
 		Retries: f.retries, AskTimeout: askTimeout, AskRefresh: askRefresh, ReportFirst: true,
+		Used: f.used,
 	})
 	f.owner = swowner.New(swowner.Config{
 		Host: f.self.Host, Clock: f.clock, Sender: f.exchange, Router: f.router, Members: f.view, Watcher: noWatcher{},
 		Observer: f.metrics, Log: f.log, NewCore: f.newCore, Acknowledge: true, Local: f.view.local, DoubtTime: doubtTime,
-		TookOver: func() { f.ledger.TakeOver(f.clock.Now()) },
 	})
 	f.gate = swgate.New(swgate.Config{
 		Region: f.settings.Region, Holder: f.holder, Clock: f.clock, Boot: f.clock,
@@ -143,7 +158,7 @@
 		Counted:   f.retries.count, Log: f.log, Ended: func(*swgate.Result) {},
 	}, boundsOf(f.settings.Fleet))
 	f.exchange.OnLinkUp(f.linkUp)
-	f.exchange.Connect(f.network, f.linkDown, f.holder, f.owner)
+	f.exchange.Connect(f.network, f.linkDown, f.holder, f.owner, attachments{f})
 	f.follow()
 }
 
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -136,9 +136,6 @@
 	if r.config.Local(r.id) {
 		return
 	}
-	if r.config.TookOver != nil {
-		r.config.TookOver()
-	}
 	others := 0
 	for _, m := range r.config.Members.Members() {
 		if m.State == swmsg.MemberDead {
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -70,8 +70,6 @@
 	// Local reports whether a cell is decided on by each host for its own
 	// requests; nil stands for none.
 	Local func(cell swid.CellID) bool
-	// TookOver is told when this host takes a shared cell over; nil tells nobody.
-	TookOver func()
 	// DoubtTime is how long a holder has, after its link was lost, to report the
 	// work that it still runs; 0 stands for the default.
 	DoubtTime swclock.Millis
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -54,6 +54,12 @@
 	return swid.Tokens(value)
 }
 
+// amount checks a quantity that cannot be negative.
+func amount(c *checker, field string, value int64) int64 {
+	c.check(field, value >= 0)
+	return value
+}
+
 // span checks a span of time that cannot be negative.
 func span(c *checker, field string, value int64) swclock.Millis {
 	c.check(field, value >= 0)
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -30,6 +30,8 @@
 		return checked("inFlight", k.InFlight, decodeInFlight)
 	case *swpb.Message_Progress:
 		return checked("progress", k.Progress, decodeProgress)
+	case *swpb.Message_Attach:
+		return checked("attach", k.Attach, decodeAttach)
 	case *swpb.Message_Queued:
 		return checked("queued", k.Queued, decodeQueued)
 	case *swpb.Message_Recover:
@@ -79,6 +81,7 @@
 		Objective:      span(c, "objectiveMillis", w.GetObjectiveMillis()),
 		Parts:          decodePromptParts(c, w),
 		ExpectedTokens: tokens(c, "expectedTokens", w.GetExpectedTokens()),
+		Charge:         amount(c, "charge", w.GetCharge()),
 	}
 }
 
@@ -103,6 +106,19 @@
 	return swmsg.Queued{Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt())}
 }
 
+func decodeAttach(c *checker, w *swpb.Attach) swmsg.Attach {
+	c.count("amounts", len(w.GetAmounts()), MaxAmounts)
+	if c.err != nil {
+		return swmsg.Attach{}
+	}
+	return swmsg.Attach{Fresh: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: convert(w.GetAmounts(), func(a *swpb.Amount) swmsg.Amount {
+		return swmsg.Amount{
+			Org: swid.OrgID(c.required("org", a.GetOrg())), Age: span(c, "ageMillis", a.GetAgeMillis()),
+			Value: amount(c, "value", a.GetValue()),
+		}
+	})}
+}
+
 func decodeGrant(c *checker, w *swpb.Grant) swmsg.Grant {
 	return swmsg.Grant{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -28,6 +28,8 @@
 		return &swpb.Message{Kind: &swpb.Message_Redirect{Redirect: encodeRedirect(m)}}, nil
 	case swmsg.InFlight:
 		return &swpb.Message{Kind: &swpb.Message_InFlight{InFlight: encodeInFlight(m)}}, nil
+	case swmsg.Attach:
+		return &swpb.Message{Kind: &swpb.Message_Attach{Attach: encodeAttach(m)}}, nil
 	case swmsg.Queued:
 		q := &swpb.Queued{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
 		return &swpb.Message{Kind: &swpb.Message_Queued{Queued: q}}, nil
@@ -68,11 +70,18 @@
 		Exclude:       convert(m.Exclude, func(t swid.TargetID) string { return string(t) }),
 		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Strikes: uint32(m.Strikes),
 		ObjectiveMillis: int64(m.Objective), ExpectedTokens: int64(m.ExpectedTokens),
+		Charge:     m.Charge,
 		Parts:      convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
 		PartTokens: convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
 	}
 }
 
+func encodeAttach(m swmsg.Attach) *swpb.Attach {
+	return &swpb.Attach{Fresh: m.Fresh, Leaving: m.Leaving, Amounts: convert(m.Amounts, func(a swmsg.Amount) *swpb.Amount {
+		return &swpb.Amount{Org: string(a.Org), AgeMillis: int64(a.Age), Value: a.Value}
+	})}
+}
+
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
 	return &swpb.Grant{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target), Epoch: uint64(m.Epoch),
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -22,6 +22,8 @@
 	MaxPrefixes = 4096
 	// MaxPromptParts bounds the prompt parts of one ask.
 	MaxPromptParts = 1024
+	// MaxAmounts bounds the amounts of one message of an attached host.
+	MaxAmounts = 16384
 	// MaxExclude bounds the excluded targets of one ask.
 	MaxExclude = 256
 	// MaxRumors bounds the rumors of one heartbeat.
--- a/internal/peer/swlink/config.go
+++ b/internal/peer/swlink/config.go
@@ -58,6 +58,9 @@
 	DialTimeout swclock.Millis
 	// IdleTimeout closes a link that carried no message for that long.
 	IdleTimeout swclock.Millis
+	// KeepAlive has the operating system probe links without data, so that one
+	// which went silent ends although nothing is sent. The zero value leaves it off.
+	KeepAlive net.KeepAliveConfig
 	// BatchDelay is how long the first message of a batch waits for others; 0 sends at once.
 	BatchDelay swclock.Millis
 }
@@ -74,6 +77,9 @@
 	return c
 }
 
+// noKeepAlive turns the operating system's probes off, as net does it.
+const noKeepAlive = -1
+
 func orDefault[T int | swclock.Millis](value, otherwise T) T {
 	if value == 0 {
 		return otherwise
--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -54,7 +54,7 @@
 	if !n.security.chosen {
 		return nil, ErrNoTLS
 	}
-	dialer := net.Dialer{KeepAlive: -1}
+	dialer := net.Dialer{KeepAlive: noKeepAlive, KeepAliveConfig: n.config.KeepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
--- a/internal/peer/swlink/network.go
+++ b/internal/peer/swlink/network.go
@@ -62,7 +62,7 @@
 	if !n.security.chosen {
 		return ErrNoTLS
 	}
-	listen := net.ListenConfig{KeepAlive: -1}
+	listen := net.ListenConfig{KeepAlive: noKeepAlive, KeepAliveConfig: n.config.KeepAlive}
 	listener, err := listen.Listen(context.Background(), "tcp", n.config.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -79,6 +79,26 @@
 	Parts []swcell.Part
 	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
 	ExpectedTokens swid.Tokens
+	// Charge is what the request counts towards its organisation's quota.
+	Charge int64
+}
+
+// Attach tells an owner that the sender asks it, and what the sender's requests
+// used of their organisations' quotas. It is repeated while that holds.
+type Attach struct {
+	// Fresh tells that the amounts are all of the latest window, and not only
+	// those since the last message.
+	Fresh bool
+	// Leaving tells that the sender asks another host from now on.
+	Leaving bool
+	Amounts []Amount
+}
+
+// Amount is what an organisation's requests used some time ago.
+type Amount struct {
+	Org   swid.OrgID
+	Age   swclock.Millis
+	Value int64
 }
 
 // Queued acknowledges an ask that waits for its grant.
@@ -196,6 +216,7 @@
 func (Progress) message()       {}
 func (Withdraw) message()       {}
 func (Done) message()           {}
+func (Attach) message()         {}
 func (Queued) message()         {}
 func (Grant) message()          {}
 func (GiveUp) message()         {}
