Spare calls to the store, and tell over the links who leaves

Watches of targets now wait 15 s and end when the store is lost for another kind, one follower at a time tries a lost store, changes in quick succession take one call, and a leaving host tells the hosts that ask it.

--- a/internal/config/swcatalog/swcatalog.go
+++ b/internal/config/swcatalog/swcatalog.go
@@ -137,6 +137,4 @@
 	Address string // of peer links, IP:port
 	// Incarnation counts the starts of the host's process.
 	Incarnation swid.Incarnation
-	// Leaving hosts own no cells.
-	Leaving bool
 }
--- a/internal/node/swfleet/attach.go
+++ b/internal/node/swfleet/attach.go
@@ -47,6 +47,15 @@
 	return converted
 }
 
+// tellLeaving has the hosts that ask this one ask another.
+func (f *Fleet) tellLeaving() {
+	for _, m := range f.view.Members() {
+		if m.Host != f.self.Host && f.exchange.Connected(m.Host) {
+			f.exchange.Send(m.Host, swmsg.Leaving{})
+		}
+	}
+}
+
 // stayAttached repeats that this host asks its owner until ctx ends.
 func (f *Fleet) stayAttached(ctx context.Context) {
 	ticker := time.NewTicker(swquota.AttachInterval.Duration())
@@ -78,17 +87,24 @@
 
 // Receive implements swexchange.Receiver.
 func (a attachments) Receive(from swlink.Peer, m swmsg.Message) {
+	f := a.fleet
+	if _, leaving := m.(swmsg.Leaving); leaving {
+		f.log.Info().Str("peer", string(from.Host)).Uint64("incarnation", uint64(from.Incarnation)).Msg("host is leaving")
+		f.router.SetLeaving(from.Host, true)
+		f.ownerMayHaveMoved()
+		return
+	}
 	attach, ok := m.(swmsg.Attach)
 	if !ok {
 		return
 	}
 	if attach.Leaving {
-		a.fleet.ledger.Detach(from.Host)
+		f.ledger.Detach(from.Host)
 		return
 	}
 	amounts := make([]swquota.Amount, len(attach.Amounts))
 	for i, v := range attach.Amounts {
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
-	a.fleet.ledger.Attach(from.Host, attach.Fresh, amounts, a.fleet.clock.Now())
+	f.ledger.Attach(from.Host, attach.Fresh, amounts, f.clock.Now())
 }
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -125,6 +125,7 @@
 func (f *Fleet) linkUp(peer swlink.Peer) {
 	if peer.Incarnation > 0 {
 		f.owner.HolderGone(swlink.Peer{Host: peer.Host, Incarnation: peer.Incarnation - 1})
+		f.router.SetLeaving(peer.Host, false)
 	}
 	f.ownerMayHaveMoved()
 }
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -27,8 +27,6 @@
 	// exitMargin is how long before the shutdown's end what still runs is cut, so
 	// that the process ends by itself.
 	exitMargin = 500 * swclock.Millis(1)
-	// leaveCallTimeout bounds telling the store that the host leaves.
-	leaveCallTimeout = 500 * swclock.Millis(1)
 	// registerTimeout bounds one try to register the host.
 	registerTimeout = 1500 * swclock.Millis(1)
 	// registerRetry is the wait after a failed try.
@@ -123,11 +121,8 @@
 	g.leaving.Store(true)
 	f.log.Info().Int("held", f.holder.Held()).Msg("leaving")
 	f.router.leave()
-	call, cancel := context.WithTimeout(parts, leaveCallTimeout.Duration())
-	if err := f.platform.Leave(call, f.hostEntry()); err != nil {
-		f.log.Warn().Err(err).Msg("store not told of leaving")
-	}
-	cancel()
+	f.tellLeaving()
+	f.ownerMayHaveMoved()
 	sleep(parts, refuseTime-(f.clock.Now()-started))
 	f.gate.Leave()
 	sleep(parts, leaveTime-(f.clock.Now()-started))
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -43,8 +43,6 @@
 	// process, which is higher than that of any earlier one. An error means that
 	// it may or may not have been written.
 	Register(ctx context.Context, h swcatalog.Host) (swid.Incarnation, error)
-	// Leave marks this host's entry as leaving.
-	Leave(ctx context.Context, h swcatalog.Host) error
 	// Callers returns the handler of callers' requests.
 	Callers(gate *swgate.Gate, leaving func() bool) http.Handler
 	// Readiness returns the handler of the question whether the host takes callers.
@@ -122,12 +120,17 @@
 	// confirmation well below the time within which a removed key must be refused.
 	catalogWait            = 3 * swclock.Second
 	catalogWaitAfterChange = 700 * swclock.Millis(1)
-	// targetWait is the wait of a watch of targets. A watch that went silent is
-	// noticed at its end, well within the time in which a leaving target is served.
-	targetWait = 3 * swclock.Second
-	// hostWait is the wait of a watch of hosts, which change rarely and are also
-	// noticed by their links.
-	hostWait = 20 * swclock.Second
+	// targetWait and hostWait are the waits of watches that confirm nothing. One
+	// that went silent is ended when its connection's probes, or the next watch of
+	// the configuration, stay unanswered.
+	targetWait = 15 * swclock.Second
+	hostWait   = 20 * swclock.Second
+	// changeSettle spares calls when changes come in quick succession. It is a
+	// tenth of the time within which a change is to be in force.
+	changeSettle = 200 * swclock.Millis(1)
+	// hostSettle is that of hosts. When many restart, what changes is only how
+	// often each has started, which their links tell as well.
+	hostSettle = 3 * swclock.Second
 )
 
 // linkKeepAlive finds a link without data that went silent within 3 s.
@@ -164,17 +167,22 @@
 
 // follow builds the followers of the store.
 func (f *Fleet) follow() {
+	health := swwatch.NewHealth(f.clock, f.log)
 	config := func(kind string, wait swclock.Millis) swwatch.Config {
-		return swwatch.Config{Kind: kind, Wait: wait, Clock: f.clock, Boot: f.clock, Log: f.log}
+		return swwatch.Config{Kind: kind, Wait: wait, Clock: f.clock, Boot: f.clock, Health: health, Log: f.log}
 	}
 	catalogs := config("configuration", catalogWait)
 	catalogs.WaitAfterChange = catalogWaitAfterChange
+	catalogs.Settle = changeSettle
 	f.catalogs = swwatch.NewFollower(catalogs, f.platform.Catalogs(), f.catalogChanged)
 	targets := config("targets", targetWait)
+	targets.Settle = changeSettle
 	targets.Grace = f.settings.Fleet.ReturnWithin
 	targets.Outage = f.settings.Fleet.LapseTime / 2
 	f.targets = swwatch.NewFollower(targets, f.platform.Targets(), f.targetsChanged)
-	f.hosts = swwatch.NewFollower(config("hosts", hostWait), f.platform.Hosts(), f.hostsChanged)
+	hosts := config("hosts", hostWait)
+	hosts.Settle = hostSettle
+	f.hosts = swwatch.NewFollower(hosts, f.platform.Hosts(), f.hostsChanged)
 }
 
 func boundsOf(s *swsettings.Fleet) swgate.Bounds {
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -56,9 +56,6 @@
 		members[i] = swmember.Member{
 			Host: h.ID, Incarnation: h.Incarnation, Zone: h.Zone, Region: h.Region, Address: h.Address, State: swmsg.MemberAlive,
 		}
-		if h.Leaving {
-			members[i].State = swmsg.MemberLeaving
-		}
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -41,6 +41,9 @@
 	passed map[swid.HostID]swclock.Millis
 	// silent has the hosts that did not acknowledge an ask, and until when each is passed over.
 	silent map[swid.HostID]swclock.Millis
+	// left has the hosts whose process is about to stop. One is passed over until
+	// a later process of it is heard of.
+	left map[swid.HostID]bool
 	// epochs has the highest epoch heard of each cell; none falls.
 	epochs map[swid.CellID]swid.Epoch
 }
@@ -52,6 +55,7 @@
 		trackers: make(map[swid.CellID]*swelect.Tracker),
 		passed:   make(map[swid.HostID]swclock.Millis),
 		silent:   make(map[swid.HostID]swclock.Millis),
+		left:     make(map[swid.HostID]bool),
 		epochs:   make(map[swid.CellID]swid.Epoch),
 	}
 }
@@ -105,6 +109,9 @@
 
 // inReach trusts a host unless it could not be reached and is not back. It needs r.mu.
 func (r *HostRouter) inReach(host swid.HostID) bool {
+	if r.left[host] {
+		return false
+	}
 	if until, silent := r.silent[host]; silent {
 		if r.clock.Now() < until {
 			return false
@@ -143,6 +150,17 @@
 	r.silent[host] = r.clock.Now() + silentTime
 }
 
+// SetLeaving notes that a host's process is about to stop, or that a later one runs.
+func (r *HostRouter) SetLeaving(host swid.HostID, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if leaving {
+		r.left[host] = true
+		return
+	}
+	delete(r.left, host)
+}
+
 // Heard implements swholder.Router.
 func (r *HostRouter) Heard(cell swid.CellID, epoch swid.Epoch) {
 	r.mu.Lock()
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -32,6 +32,8 @@
 		return checked("progress", k.Progress, decodeProgress)
 	case *swpb.Message_Attach:
 		return checked("attach", k.Attach, decodeAttach)
+	case *swpb.Message_Leaving:
+		return swmsg.Leaving{}, nil
 	case *swpb.Message_Queued:
 		return checked("queued", k.Queued, decodeQueued)
 	case *swpb.Message_Recover:
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -30,6 +30,8 @@
 		return &swpb.Message{Kind: &swpb.Message_InFlight{InFlight: encodeInFlight(m)}}, nil
 	case swmsg.Attach:
 		return &swpb.Message{Kind: &swpb.Message_Attach{Attach: encodeAttach(m)}}, nil
+	case swmsg.Leaving:
+		return &swpb.Message{Kind: &swpb.Message_Leaving{Leaving: &swpb.Leaving{}}}, nil
 	case swmsg.Queued:
 		q := &swpb.Queued{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
 		return &swpb.Message{Kind: &swpb.Message_Queued{Queued: q}}, nil
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -19,7 +19,7 @@
 // samples holds one message of each kind; its fields are replaced by random ones.
 var samples = []swmsg.Message{
 	swmsg.Hello{}, swmsg.Heartbeat{}, swmsg.Ask{}, swmsg.InFlight{}, swmsg.Progress{}, swmsg.Withdraw{}, swmsg.Done{},
-	swmsg.Grant{}, swmsg.GiveUp{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Attach{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
+	swmsg.Grant{}, swmsg.GiveUp{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Attach{}, swmsg.Leaving{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
 }
 
 // fill draws every field of a value, so that a field added later is covered.
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -94,6 +94,9 @@
 	Amounts []Amount
 }
 
+// Leaving tells that the sender's process is about to stop and owns nothing any more.
+type Leaving struct{}
+
 // Amount is what an organisation's requests used some time ago.
 type Amount struct {
 	Org   swid.OrgID
@@ -217,6 +220,7 @@
 func (Withdraw) message()       {}
 func (Done) message()           {}
 func (Attach) message()         {}
+func (Leaving) message()        {}
 func (Queued) message()         {}
 func (Grant) message()          {}
 func (GiveUp) message()         {}
--- a/internal/store/swwatch/follower.go
+++ b/internal/store/swwatch/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -13,10 +12,6 @@
 )
 
 const (
-	// firstRetry and maxRetry bound the wait after a failed call: short enough
-	// to notice the store's return, and long enough to spare its rates.
-	firstRetry = 50 * swclock.Millis(1)
-	maxRetry   = 500 * swclock.Millis(1)
 	// listTimeout bounds a call that does not wait. The store answers in some
 	// milliseconds, and in a quarter of a second when it is slow.
 	listTimeout = 1500 * swclock.Millis(1)
@@ -34,12 +29,16 @@
 	// It is shorter where an answer confirms what is held, since one with a
 	// change confirms it only as of its call; 0 stands for Wait.
 	WaitAfterChange swclock.Millis
+	// Settle is the time between a change and the next watch, so that changes in
+	// quick succession take few calls.
+	Settle swclock.Millis
 	// Grace is how long a missing object is held after the store was away.
 	Grace swclock.Millis
-	// Outage is how long calls must have failed for missing objects to be held.
+	// Outage is how long the store must have been away for that.
 	Outage swclock.Millis
 	Clock  swclock.Clock
 	Boot   swclock.Boot
+	Health *Health
 	Log    zerolog.Logger
 }
 
@@ -53,8 +52,8 @@
 	// confirmed is when the store last confirmed what is held, in boot time; 0
 	// before the first listing.
 	confirmed atomic.Int64
-	// failingSince is when the calls began to fail, or 0 while they succeed.
-	failingSince swclock.Millis
+	// heard is when the store last answered this follower.
+	heard swclock.Millis
 }
 
 // NewFollower returns a follower that does nothing before Run.
@@ -70,30 +69,32 @@
 
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
-	retry := firstRetry
 	listed := false
 	wait := f.config.WaitAfterChange
-	for ctx.Err() == nil {
+	f.heard = f.config.Clock.Now()
+	for {
+		f.config.Health.await(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		var err error
 		if listed {
 			wait, err = f.watch(ctx, wait)
-		} else if err = f.list(ctx); err == nil {
-			listed = true
+		} else {
+			err = f.list(ctx)
 		}
 		switch {
-		case err == nil:
-			retry = firstRetry
 		case ctx.Err() != nil:
 			return
+		case err == nil:
+			listed = true
 		case errors.Is(err, ErrHistoryGone):
 			f.config.Log.Info().Str("kind", f.config.Kind).Uint64("asOf", uint64(f.state.AsOf())).Msg("store history gone, listing again")
 			listed = false
 		default:
-			f.failed(err)
-			f.sleep(ctx, retry)
-			retry = min(2*retry, maxRetry)
 			// A watch that was cut may have missed changes, and the next one may
 			// hear of them late.
+			f.config.Health.failed(f.config.Kind, err)
 			listed = false
 		}
 	}
@@ -107,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	f.succeeded()
+	f.answered()
 	if f.state.List(listing, f.config.Clock.Now()) {
 		f.changed(f.state.Items())
 	}
@@ -120,14 +121,16 @@
 	if at, due := f.state.NextExpiry(); due {
 		wait = min(wait, max(at-f.config.Clock.Now(), 1))
 	}
-	ctx, cancel := context.WithTimeout(ctx, (wait + answerMargin).Duration())
+	reached, cancelReached := f.config.Health.whileReached(ctx)
+	defer cancelReached()
+	watching, cancel := context.WithTimeout(reached, (wait + answerMargin).Duration())
 	defer cancel()
 	sent := f.config.Boot.SinceBoot()
-	changes, err := f.source.Watch(ctx, f.state.AsOf(), wait)
+	changes, err := f.source.Watch(watching, f.state.AsOf(), wait)
 	if err != nil {
 		return wait, err
 	}
-	f.succeeded()
+	f.answered()
 	now := f.config.Clock.Now()
 	changed := f.state.Apply(changes, now)
 	if f.state.Expire(now) || changed {
@@ -135,6 +138,7 @@
 	}
 	if len(changes.Changes) > 0 {
 		f.confirm(sent)
+		sleep(ctx, f.config.Settle)
 		return f.config.WaitAfterChange, nil
 	}
 	if f.config.Boot.SinceBoot() < sent+wait {
@@ -151,30 +155,22 @@
 	f.confirmed.Store(max(f.confirmed.Load(), int64(at), 1))
 }
 
-func (f *Follower[T]) failed(err error) {
-	if f.failingSince == 0 {
-		f.failingSince = max(f.config.Clock.Now(), 1)
-		f.config.Log.Warn().Str("kind", f.config.Kind).Err(err).Msg("store lost")
-	}
-}
-
-func (f *Follower[T]) succeeded() {
-	if f.failingSince == 0 {
-		return
-	}
+// answered notes that the store answers. After an outage an object that is
+// missing may come back.
+func (f *Follower[T]) answered() {
 	now := f.config.Clock.Now()
-	away := now - f.failingSince
-	f.failingSince = 0
-	if away >= f.config.Outage {
+	if f.config.Health.Lost() && now-f.heard >= f.config.Outage {
 		f.state.Returned(now)
 	}
-	f.config.Log.Info().Str("kind", f.config.Kind).Int64("awayMillis", int64(away)).Msg("store regained")
+	f.heard = now
+	f.config.Health.succeeded(f.config.Kind)
 }
 
-// sleep waits for about a span.
-func (f *Follower[T]) sleep(ctx context.Context, span swclock.Millis) {
-	jittered := span/2 + swclock.Millis(rand.Int64N(int64(span)))
-	timer := time.NewTimer(jittered.Duration())
+func sleep(ctx context.Context, span swclock.Millis) {
+	if span <= 0 {
+		return
+	}
+	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- /dev/null
+++ b/internal/store/swwatch/swwatch_test.go
@@ -0,0 +1,263 @@
+package swwatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// reply is what a scripted source answers to one call.
+type reply struct {
+	call    string
+	listing Listing[string]
+	changes Changes[string]
+	err     error
+	// takes is how much time passes before the answer.
+	takes swclock.Millis
+}
+
+// script is a source that answers from a list, and then waits for the end of the test.
+type script struct {
+	t     *testing.T
+	clock *swclock.Manual
+	done  chan struct{}
+
+	mu      sync.Mutex
+	replies []reply
+	waits   []swclock.Millis
+}
+
+func (s *script) next(ctx context.Context, call string) (reply, error) {
+	s.mu.Lock()
+	if len(s.replies) == 0 {
+		s.mu.Unlock()
+		select {
+		case <-s.done:
+		default:
+			close(s.done)
+		}
+		<-ctx.Done()
+		return reply{}, ctx.Err()
+	}
+	r := s.replies[0]
+	s.replies = s.replies[1:]
+	s.mu.Unlock()
+	if r.call != call {
+		s.t.Errorf("called %s, want %s", call, r.call)
+	}
+	s.clock.Advance(r.takes)
+	return r, r.err
+}
+
+func (s *script) List(ctx context.Context) (Listing[string], error) {
+	r, err := s.next(ctx, "list")
+	return r.listing, err
+}
+
+func (s *script) Watch(ctx context.Context, _ Revision, wait swclock.Millis) (Changes[string], error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
+	r, err := s.next(ctx, "watch")
+	return r.changes, err
+}
+
+func item(name string, revision Revision) Item[string] {
+	return Item[string]{Name: name, Revision: revision, Value: name}
+}
+
+func removed(name string) Change[string] { return Change[string]{Item: item(name, 0), Removed: true} }
+
+func namesOf(items []Item[string]) []string {
+	names := make([]string, len(items))
+	for i, it := range items {
+		names[i] = it.Name
+	}
+	return names
+}
+
+// play runs a follower on a script and returns the names that it held after each change.
+func play(t *testing.T, config Config, replies []reply) (held [][]string, f *Follower[string], s *script) {
+	t.Helper()
+	clock := &swclock.Manual{}
+	clock.Advance(1000)
+	s = &script{t: t, clock: clock, done: make(chan struct{}), replies: replies}
+	config.Clock, config.Boot, config.Log = clock, clock, zerolog.Nop()
+	config.Health = NewHealth(swclock.NewSystem(), zerolog.Nop())
+	f = NewFollower(config, s, func(items []Item[string]) { held = append(held, namesOf(items)) })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(ended)
+	}()
+	select {
+	case <-s.done:
+	case <-time.After(time.Minute):
+		t.Error("the script was not played to its end")
+	}
+	cancel()
+	<-ended
+	return held, f, s
+}
+
+var errAway = errors.New("no answer")
+
+func TestFollower(t *testing.T) {
+	both := Listing[string]{Items: []Item[string]{item("a", 1), item("b", 2)}, AsOf: 2}
+	one := Listing[string]{Items: []Item[string]{item("a", 1)}, AsOf: 9}
+	grace := Config{Wait: 100, Grace: 2000, Outage: 500}
+	tests := []struct {
+		name    string
+		config  Config
+		replies []reply
+		want    [][]string
+	}{
+		{"changes", Config{Wait: 100}, []reply{
+			{call: "list", listing: both},
+			{call: "watch", changes: Changes[string]{Changes: []Change[string]{{Item: item("c", 3)}, removed("a")}, AsOf: 4}},
+		}, [][]string{{"a", "b"}, {"b", "c"}}},
+		{"an older state changes nothing", Config{Wait: 100}, []reply{
+			{call: "list", listing: Listing[string]{Items: []Item[string]{item("a", 5)}, AsOf: 5}},
+			{call: "watch", changes: Changes[string]{Changes: []Change[string]{{Item: item("a", 4)}}, AsOf: 6}},
+		}, [][]string{{"a"}}},
+		{"lists after a cut watch", Config{Wait: 100}, []reply{
+			{call: "list", listing: both}, {call: "watch", err: errAway}, {call: "list", listing: one},
+		}, [][]string{{"a", "b"}, {"a"}}},
+		{"lists after a gap in the history", Config{Wait: 100}, []reply{
+			{call: "list", listing: both}, {call: "watch", err: ErrHistoryGone}, {call: "list", listing: one},
+		}, [][]string{{"a", "b"}, {"a"}}},
+		{"missing without an outage is gone", grace, []reply{
+			{call: "list", listing: both}, {call: "watch", changes: Changes[string]{Changes: []Change[string]{removed("b")}, AsOf: 3}},
+		}, [][]string{{"a", "b"}, {"a"}}},
+		{"missing after an outage comes back", grace, []reply{
+			{call: "list", listing: both}, {call: "watch", err: errAway, takes: 600}, {call: "list", listing: one},
+			{call: "watch", changes: Changes[string]{Changes: []Change[string]{{Item: item("b", 10)}}, AsOf: 10}},
+		}, [][]string{{"a", "b"}, {"a", "b"}}},
+		{"missing after an outage stays away", grace, []reply{
+			{call: "list", listing: both}, {call: "watch", err: errAway, takes: 600}, {call: "list", listing: one},
+			{call: "watch", changes: Changes[string]{AsOf: 9}, takes: 1000}, {call: "watch", changes: Changes[string]{AsOf: 9}, takes: 1000},
+		}, [][]string{{"a", "b"}, {"a"}}},
+		{"missing after a short outage is gone", grace, []reply{
+			{call: "list", listing: both}, {call: "watch", err: errAway, takes: 100}, {call: "list", listing: one},
+		}, [][]string{{"a", "b"}, {"a"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			held, _, _ := play(t, tt.config, tt.replies)
+			if !slices.EqualFunc(held, tt.want, slices.Equal) {
+				t.Errorf("held %v, want %v", held, tt.want)
+			}
+		})
+	}
+}
+
+// TestConfirmed checks as of when the store confirms what is held.
+func TestConfirmed(t *testing.T) {
+	listed := reply{call: "list", listing: Listing[string]{Items: []Item[string]{item("a", 1)}, AsOf: 1}, takes: 10}
+	quiet := Changes[string]{AsOf: 1}
+	changed := Changes[string]{Changes: []Change[string]{{Item: item("a", 2)}}, AsOf: 2}
+	tests := []struct {
+		name    string
+		replies []reply
+		want    swclock.Millis
+		// waits are those that the watches asked for; the last one is still under way.
+		waits []swclock.Millis
+	}{
+		{"a list as of its call", []reply{listed}, 1000, []swclock.Millis{300}},
+		{"a quiet watch as of its end", []reply{listed, {call: "watch", changes: quiet, takes: 305}}, 1310, []swclock.Millis{300, 1000}},
+		{"a watch with a change as of its call", []reply{listed, {call: "watch", changes: changed, takes: 200}}, 1010, []swclock.Millis{300, 300}},
+		{"a quiet watch that was cut short as of its call", []reply{listed, {call: "watch", changes: quiet, takes: 200}}, 1010, []swclock.Millis{300, 1000}},
+		{"nothing by a failure", []reply{listed, {call: "watch", err: errAway, takes: 200}, {call: "list", err: errAway}}, 1000, []swclock.Millis{300}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, f, s := play(t, Config{Wait: 1000, WaitAfterChange: 300}, tt.replies)
+			if got := f.Confirmed(); got != tt.want {
+				t.Errorf("confirmed as of %d, want %d", got, tt.want)
+			}
+			if !slices.Equal(s.waits, tt.waits) {
+				t.Errorf("waits %v, want %v", s.waits, tt.waits)
+			}
+		})
+	}
+}
+
+// TestStateConverges draws histories of objects, of which a follower hears with
+// gaps, and checks that it ends with what the store has.
+func TestStateConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string]Item[string]{}
+		state := NewState[string](swclock.Millis(rapid.IntRange(0, 500).Draw(t, "grace")))
+		revision, now := Revision(0), swclock.Millis(0)
+		var missed []Change[string]
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += swclock.Millis(rapid.IntRange(0, 300).Draw(t, "time"))
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				revision++
+				store[name] = item(name, revision)
+				missed = append(missed, Change[string]{Item: store[name]})
+			case 2:
+				revision++
+				delete(store, name)
+				missed = append(missed, removed(name))
+			case 3:
+				state.Apply(Changes[string]{Changes: missed, AsOf: revision}, now)
+				missed = nil
+			case 4:
+				state.Returned(now)
+				var l Listing[string]
+				for _, it := range store {
+					l.Items = append(l.Items, it)
+				}
+				l.AsOf = revision
+				state.List(l, now)
+				missed = nil
+			}
+		}
+		state.Apply(Changes[string]{Changes: missed, AsOf: revision}, now)
+		state.Expire(now + 1000)
+		var want []string
+		for name := range store {
+			want = append(want, name)
+		}
+		slices.Sort(want)
+		if got := namesOf(state.Items()); !slices.Equal(got, want) {
+			t.Fatalf("holds %v, the store has %v", got, want)
+		}
+	})
+}
+
+// TestHealthTakesTurns has several followers try a store that is away.
+func TestHealthTakesTurns(t *testing.T) {
+	clock := &swclock.Manual{}
+	h := NewHealth(clock, zerolog.Nop())
+	if wait, _ := h.turn(); wait != 0 {
+		t.Fatalf("must wait %d although the store is in reach", wait)
+	}
+	h.failed("a", errAway)
+	clock.Advance(firstRetry)
+	tries := 0
+	for range 5 {
+		if wait, _ := h.turn(); wait == 0 {
+			tries++
+		}
+	}
+	if tries != 1 {
+		t.Errorf("%d followers tried at once, want 1", tries)
+	}
+	h.succeeded("a")
+	if wait, _ := h.turn(); wait != 0 || h.Lost() {
+		t.Errorf("must wait %d after the store's return", wait)
+	}
+}
