--- /dev/null
+++ b/internal/caller/swgate/swgate_test.go
@@ -0,0 +1,226 @@
+package swgate
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+)
+
+var catalog = &swcatalog.Catalog{
+	Version: 3,
+	Routes: []swcatalog.Route{
+		{
+			Name: "read", Host: "h", Prefix: "/read/", Kind: swcatalog.KindIdempotent, Timeout: 1000, Objective: 100, Tier: 2, Attempts: 2,
+			Shares: []swcatalog.Share{{Service: "plain", Weight: 1}},
+		},
+		{
+			Name: "write", Host: "h", Prefix: "/write/", Kind: swcatalog.KindNonIdempotent, Attempts: 1,
+			Shares: []swcatalog.Share{{Service: "plain", Weight: 1}},
+		},
+		{
+			Name: "letter", Host: "h", Prefix: "/letter/", Kind: swcatalog.KindStream, Timeout: 9000, Attempts: 1,
+			Shares: []swcatalog.Share{{Service: "engines", Weight: 1}},
+		},
+		{
+			Name: "chat", Host: "h", Prefix: "/chat/", Kind: swcatalog.KindStream, Resumable: true, Attempts: 2,
+			Shares: []swcatalog.Share{{Service: "engines", Weight: 1}},
+		},
+		{
+			Name: "open", Host: "h", Prefix: "/read/open/", Kind: swcatalog.KindIdempotent, Public: true, Attempts: 1,
+			Shares: []swcatalog.Share{{Service: "plain", Weight: 1}},
+		},
+	},
+	Organisations: []swcatalog.Organisation{
+		{ID: "org", Keys: []string{"key"}, Quota: swcatalog.Quota{Rate: 1000, Burst: 1000, Tokens: true, PlainTokens: 200}},
+	},
+}
+
+// bench is a gate with what it works with.
+type bench struct {
+	gate      *Gate
+	clock     *swclock.Manual
+	confirmed swclock.Millis
+	// held is the last request that the holder was given.
+	held    *swholder.Request
+	counted int
+	ended   []Result
+}
+
+// NextID implements Holder.
+func (b *bench) NextID() (swid.Seq, swid.RequestID) { return 1, "" }
+
+// Serve implements Holder.
+func (b *bench) Serve(_ context.Context, r *swholder.Request, _ swholder.Sink) swholder.Report {
+	b.held = r
+	return swholder.Report{End: swlife.End{Outcome: swlife.OutcomeAnswered}}
+}
+
+func newBench() *bench {
+	b := &bench{clock: &swclock.Manual{}}
+	b.clock.Advance(swclock.Minute)
+	b.confirmed = b.clock.Now()
+	b.gate = New(Config{
+		Region: "r", Holder: b, Clock: b.clock, Boot: b.clock, Confirmed: func() swclock.Millis { return b.confirmed },
+		Counted: func(swid.ServiceID) { b.counted++ }, Log: zerolog.Nop(), Ended: func(r *Result) { b.ended = append(b.ended, *r) },
+	}, Bounds{ApplyWithin: 2000, RevokeWithin: 5000})
+	b.gate.Configure(swcatalog.NewTable(catalog))
+	return b
+}
+
+func callTo(path, key string) *Call {
+	return &Call{
+		ID: "id", Method: http.MethodPost, Host: "H:8080", Target: path + "?q", Path: path, Key: key,
+		ReadBody: func(swcatalog.Limits) ([]byte, error) { return []byte("body"), nil },
+	}
+}
+
+// TestDenials checks what a host answers by itself, also while it has not heard of the store.
+func TestDenials(t *testing.T) {
+	tests := []struct {
+		name, path, key string
+		// age is the time since the store confirmed the configuration.
+		age  swclock.Millis
+		want Denial
+	}{
+		{"known route and key", "/read/x", "key", 0, DeniedNone},
+		{"no route", "/none/", "key", 0, DeniedNoRoute},
+		{"no key", "/read/x", "", 0, DeniedKey},
+		{"unknown key", "/read/x", "other", 0, DeniedKey},
+		{"public route without a key", "/read/open/x", "", 0, DeniedNone},
+		{"known key shortly before it may have been removed", "/read/x", "key", 4900, DeniedNone},
+		{"known key that may have been removed", "/read/x", "key", 4901, DeniedStale},
+		{"public route long after", "/read/open/x", "", swclock.Hour, DeniedNone},
+		{"unknown key that may be new", "/read/x", "other", 4000, DeniedStale},
+		{"unknown route that may be new", "/none/", "key", 4000, DeniedStale},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench()
+			b.clock.Advance(tt.age)
+			result := b.gate.Serve(context.Background(), callTo(tt.path, tt.key), nil)
+			if result.Denial != tt.want {
+				t.Fatalf("denied by %s, want %s", result.Denial, tt.want)
+			}
+			if (b.held != nil) != (tt.want == DeniedNone) || b.counted != len(b.ended)-boolToInt(tt.want != DeniedNone) {
+				t.Errorf("held %v, counted %d, ended %d", b.held, b.counted, len(b.ended))
+			}
+			if mayReturn := tt.want == DeniedStale; (result.RetryAfter > 0) != mayReturn {
+				t.Errorf("to come back after %d", result.RetryAfter)
+			}
+		})
+	}
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// TestUnready answers before the first configuration, and while the host leaves.
+func TestUnready(t *testing.T) {
+	b := newBench()
+	fresh := New(b.gate.config, Bounds{})
+	if r := fresh.Serve(context.Background(), callTo("/read/x", "key"), nil); r.Denial != DeniedUnconfigured || r.RetryAfter == 0 {
+		t.Errorf("without a configuration: %+v", r)
+	}
+	b.gate.Leave()
+	if r := b.gate.Serve(context.Background(), callTo("/read/x", "key"), nil); r.Denial != DeniedLeaving || r.RetryAfter == 0 {
+		t.Errorf("while leaving: %+v", r)
+	}
+	if b.held != nil {
+		t.Error("a request was held")
+	}
+}
+
+// TestBody denies a request whose body cannot be read.
+func TestBody(t *testing.T) {
+	b := newBench()
+	c := callTo("/read/x", "key")
+	why := errors.New("too large")
+	c.ReadBody = func(swcatalog.Limits) ([]byte, error) { return nil, why }
+	if r := b.gate.Serve(context.Background(), c, nil); r.Denial != DeniedBody || !errors.Is(r.BodyError, why) {
+		t.Errorf("result %+v", r)
+	}
+}
+
+// TestRequest checks what the holder is given of each kind of route.
+func TestRequest(t *testing.T) {
+	tests := []struct {
+		name, path    string
+		deadline      swclock.Millis
+		nonIdempotent bool
+		resumes       bool
+		retries       bool
+		stream        bool
+		attempts      swid.Attempt
+		remaining     swclock.Millis
+		charge        int64
+	}{
+		{"idempotent", "/read/x", 5000, false, false, true, false, 2, 1000, 200},
+		{"caller's deadline", "/read/x", 400, false, false, true, false, 2, 400, 200},
+		{"non-idempotent without a timeout", "/write/x", 700, true, false, false, false, 1, 700, 200},
+		{"no bound at all", "/write/x", 0, true, false, false, false, 1, defaultDeadline, 200},
+		{"stream", "/letter/x", 15000, true, false, false, true, 1, 9000, 30},
+		{"resumable stream", "/chat/x", 15000, false, true, true, true, 2, 15000, 30},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench()
+			c := callTo(tt.path, "key")
+			c.Deadline = tt.deadline
+			if tt.stream {
+				c.PromptTokens, c.OutputTokens = 10, 20
+			}
+			b.gate.Serve(context.Background(), c, nil)
+			r := b.held
+			if r.NonIdempotent != tt.nonIdempotent || r.ResumeElsewhere != tt.resumes || r.RetryFailures != tt.retries ||
+				r.Call.Stream != tt.stream || r.Attempts != tt.attempts || !r.EndsAtDeadline || !r.KeepsNothing {
+				t.Errorf("request %+v", r)
+			}
+			if got := r.Deadline - b.clock.Now(); got != tt.remaining {
+				t.Errorf("%d ms remain, want %d", got, tt.remaining)
+			}
+			if r.Charge != tt.charge || r.Org != "org" {
+				t.Errorf("charge %d of %s, want %d", r.Charge, r.Org, tt.charge)
+			}
+			if r.Call.Path != tt.path+"?q" || string(r.Call.Body) != "body" || r.ID != "id" {
+				t.Errorf("call %+v", r.Call)
+			}
+		})
+	}
+}
+
+// TestFingerprint tells requests apart by all that identifies their content.
+func TestFingerprint(t *testing.T) {
+	b := newBench()
+	fingerprintOf := func(change func(c *Call)) swid.Fingerprint {
+		c := callTo("/read/x", "key")
+		change(c)
+		b.gate.Serve(context.Background(), c, nil)
+		return b.held.Fingerprint
+	}
+	first := fingerprintOf(func(c *Call) { c.ID = "other attempt" })
+	if again := fingerprintOf(func(*Call) {}); again != first {
+		t.Error("another attempt at the same request has another fingerprint")
+	}
+	for name, change := range map[string]func(c *Call){
+		"target": func(c *Call) { c.Target = "/read/x?other" },
+		"method": func(c *Call) { c.Method = http.MethodPut },
+		"body":   func(c *Call) { c.ReadBody = func(swcatalog.Limits) ([]byte, error) { return []byte("else"), nil } },
+	} {
+		if fingerprintOf(change) == first {
+			t.Errorf("another %s has the same fingerprint", name)
+		}
+	}
+}
--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -129,8 +129,12 @@
 // answers to earlier requests are passed over.
 func (c *conn) receive(r Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
+	foreign := false
 	for range maxForeign {
 		answer, err := http.ReadResponse(c.reader, request)
+		if err != nil && foreign {
+			return nil, errors.Wrap(ErrForeign, err.Error())
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
@@ -140,6 +144,7 @@
 		if r.Answers == nil || r.Answers(answer.Header) {
 			return answer, nil
 		}
+		foreign = true
 		if !isFramed(answer, r.Method) {
 			break
 		}
--- /dev/null
+++ b/internal/target/swconn/swconn_test.go
@@ -0,0 +1,341 @@
+package swconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// peer is a server whose connections are handled by a function.
+type peer struct {
+	listener net.Listener
+	handle   func(p *peer, c net.Conn, r *bufio.Reader)
+
+	mu sync.Mutex
+	// connections counts those that were accepted, requests those that were read whole.
+	connections int
+	requests    []string
+}
+
+func startPeer(t *testing.T, handle func(p *peer, c net.Conn, r *bufio.Reader)) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{listener: l, handle: handle}
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.connections++
+			p.mu.Unlock()
+			t.Cleanup(func() { _ = c.Close() })
+			tasks.Go(func() { p.handle(p, c, bufio.NewReader(c)) })
+		}
+	})
+	t.Cleanup(func() { _ = l.Close() })
+	return p
+}
+
+// read reads one request and returns its id, or false at the connection's end.
+func (p *peer) read(r *bufio.Reader) (id string, ok bool) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return "", false
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return "", false
+	}
+	id = request.Header.Get("Id")
+	p.mu.Lock()
+	p.requests = append(p.requests, id)
+	p.mu.Unlock()
+	return id, true
+}
+
+func (p *peer) counts() (connections, requests int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connections, len(p.requests)
+}
+
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// echo answers each request of a connection with its id.
+func echo(p *peer, c net.Conn, r *bufio.Reader) {
+	for {
+		id, ok := p.read(r)
+		if !ok {
+			return
+		}
+		_, _ = io.WriteString(c, answerTo(id, id))
+	}
+}
+
+func newPool(p *peer) *Pool {
+	return New(Config{Address: p.listener.Addr().String(), Clock: swclock.NewSystem(), Dial: swclock.Second, Keep: swclock.Minute})
+}
+
+func request(id, body string) Request {
+	return Request{
+		Method: http.MethodPost, Target: "/a?b=c", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
+		Answers: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// exchange sends a request and reads its answer.
+func exchange(pool *Pool, r Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	response, err := pool.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response)
+	return string(body), err
+}
+
+func TestKeepsConnections(t *testing.T) {
+	p := startPeer(t, echo)
+	pool := newPool(p)
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		if body, err := exchange(pool, request(id, "x")); err != nil || body != id {
+			t.Fatalf("request %s: body %q, error %v", id, body, err)
+		}
+	}
+	if connections, _ := p.counts(); connections != 1 {
+		t.Errorf("%d connections for requests one after the other, want 1", connections)
+	}
+}
+
+// TestSecondExchange checks what becomes of a second request on a pool whose
+// first exchange ended in one of many ways.
+func TestSecondExchange(t *testing.T) {
+	tests := []struct {
+		name string
+		// after is written after the first answer; close closes the connection then.
+		after string
+		close bool
+		first string
+		want  string
+		// connections is how many the two requests take.
+		connections int
+	}{
+		{"kept", "", false, "", "2", 1},
+		{"closed while idle", "", true, "", "2", 2},
+		{"a second answer while idle", answerTo("1", "again"), false, "", "2", 2},
+		{"announced close", "", false, "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1", "2", 2},
+		{"no time to keep", "", false, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\n1", "2", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			idle := make(chan struct{})
+			p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+				id, ok := p.read(r)
+				if !ok {
+					return
+				}
+				if id != "1" {
+					_, _ = io.WriteString(c, answerTo(id, id))
+					return
+				}
+				first := tt.first
+				if first == "" {
+					first = answerTo(id, id)
+				}
+				_, _ = io.WriteString(c, first)
+				if tt.after != "" || tt.close {
+					<-idle
+					_, _ = io.WriteString(c, tt.after)
+					if tt.close {
+						_ = c.Close()
+						return
+					}
+				}
+				echo(p, c, r)
+			})
+			pool := newPool(p)
+			if body, err := exchange(pool, request("1", "")); err != nil || body != "1" {
+				t.Fatalf("first: body %q, error %v", body, err)
+			}
+			close(idle)
+			if tt.after != "" || tt.close {
+				waitUntilNoisy(t, pool)
+			}
+			if body, err := exchange(pool, request("2", "")); err != nil || body != tt.want {
+				t.Errorf("second: body %q, error %v", body, err)
+			}
+			connections, requests := p.counts()
+			if connections != tt.connections || requests != 2 {
+				t.Errorf("%d connections and %d requests, want %d and 2", connections, requests, tt.connections)
+			}
+		})
+	}
+}
+
+// waitUntilNoisy waits until the kept connection has something to be read.
+func waitUntilNoisy(t *testing.T, pool *Pool) {
+	t.Helper()
+	for start := time.Now(); time.Since(start) < time.Minute; time.Sleep(time.Millisecond) {
+		pool.mu.Lock()
+		quiet := len(pool.idle) == 1 && pool.idle[0].quiet()
+		pool.mu.Unlock()
+		if !quiet {
+			return
+		}
+	}
+	t.Fatal("the connection stayed quiet")
+}
+
+// TestForeignAnswers has answers to other requests arrive before the right one.
+func TestForeignAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		foreign string
+		ok      bool
+	}{
+		{"one whole answer", answerTo("other", "x"), true},
+		{"an informational answer", "HTTP/1.1 103 Early Hints\r\n\r\n", true},
+		{"an answer without an end", "HTTP/1.1 200 OK\r\nId: other\r\n\r\nx", false},
+		{"bytes that are no answer", "\x00\x01\x02 what\r\n\r\n", false},
+		{"many", strings.Repeat(answerTo("other", "x"), maxForeign), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+				id, _ := p.read(r)
+				_, _ = io.WriteString(c, tt.foreign+answerTo(id, id))
+				p.read(r)
+			})
+			body, err := exchange(newPool(p), request("1", ""))
+			if tt.ok && (err != nil || body != "1") {
+				t.Errorf("body %q, error %v", body, err)
+			}
+			if !tt.ok {
+				var failed *Error
+				if !errors.As(err, &failed) || !failed.Sent {
+					t.Errorf("body %q, error %v", body, err)
+				}
+			}
+			if _, requests := p.counts(); requests != 1 {
+				t.Errorf("sent %d times", requests)
+			}
+		})
+	}
+}
+
+// TestFailures checks what is said of a request that failed.
+func TestFailures(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		p := startPeer(t, echo)
+		_ = p.listener.Close()
+		_, err := exchange(newPool(p), request("1", ""))
+		var failed *Error
+		if !errors.As(err, &failed) || failed.Sent {
+			t.Errorf("error %v", err)
+		}
+	})
+	t.Run("closed without an answer", func(t *testing.T) {
+		p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+			p.read(r)
+			_ = c.Close()
+		})
+		_, err := exchange(newPool(p), request("1", ""))
+		var failed *Error
+		if !errors.As(err, &failed) || !failed.Sent {
+			t.Errorf("error %v", err)
+		}
+		if _, requests := p.counts(); requests != 1 {
+			t.Errorf("sent %d times", requests)
+		}
+	})
+	t.Run("cut body", func(t *testing.T) {
+		p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+			id, _ := p.read(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 5\r\n\r\nab")
+			_ = c.Close()
+		})
+		if body, err := exchange(newPool(p), request("1", "")); err == nil {
+			t.Errorf("body %q counts as whole", body)
+		}
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		p := startPeer(t, func(p *peer, _ net.Conn, r *bufio.Reader) { p.read(r); p.read(r) })
+		ctx, cancel := context.WithCancelCause(context.Background())
+		why := errors.New("why")
+		go func() {
+			for _, requests := p.counts(); requests == 0; _, requests = p.counts() {
+				time.Sleep(time.Millisecond)
+			}
+			cancel(why)
+		}()
+		if _, err := newPool(p).Do(ctx, request("1", "")); !errors.Is(err, why) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+// TestEarlyAnswer answers a long request before it was read, and keeps the
+// connection. Nothing else may be sent where the rest of the body is due.
+func TestEarlyAnswer(t *testing.T) {
+	const size = 8 << 20
+	p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("Id")
+		_, _ = io.WriteString(c, answerTo(id, id))
+		if id == "2" {
+			return
+		}
+		if n, err := io.Copy(io.Discard, request.Body); err == nil && n == size {
+			// The whole body arrived, so that the connection may be used again.
+			echo(p, c, r)
+		}
+	})
+	pool := newPool(p)
+	for _, id := range []string{"1", "2"} {
+		size := map[string]int{"1": size, "2": 0}[id]
+		if body, err := exchange(pool, request(id, strings.Repeat("x", size))); err != nil || body != id {
+			t.Errorf("request %s: body %q, error %v", id, body, err)
+		}
+	}
+}
+
+// TestUnframed reads an answer whose end is that of its connection.
+func TestUnframed(t *testing.T) {
+	p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+		id, _ := p.read(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nabc")
+		_ = c.Close()
+	})
+	response, err := newPool(p).Do(context.Background(), request("1", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	if body, err := io.ReadAll(response); err != nil || string(body) != "abc" || response.Framed {
+		t.Errorf("body %q, error %v, framed %t", body, err, response.Framed)
+	}
+}
