--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -89,9 +89,16 @@
 		// It will be late, and ranks lower by then.
 		wait = c.expectedWait(c.rank(r, work, first), r, queue)
 	}
+	if had := r.ask.Deadline - r.asked; float64(c.now-r.asked) > maxWaited*float64(had) {
+		return wait, true
+	}
 	return wait, float64(c.now)+wait+c.least(idle) > float64(r.ask.Deadline)
 }
 
+// maxWaited is the share of its time after which a request is given up that was
+// granted nothing: what ranked higher until then has not become less.
+const maxWaited = 0.6
+
 // expectedWait estimates the time until a request of a rank is granted a target:
 // until a place is free, and the work of higher rank that waits, and that
 // arrives meanwhile, has been taken.
@@ -121,7 +128,7 @@
 
 // leastLeft is the share of the targets' time that is expected to be left to
 // any request: the load varies, and so does what its estimate is made of.
-const leastLeft = 0.15
+const leastLeft = 0.3
 
 // supply returns how many typical targets the active ones are worth, and the
 // time until the first of them has room.
@@ -136,9 +143,7 @@
 			soonest = 0
 			continue
 		}
-		for _, r := range t.runs {
-			soonest = min(soonest, r.remaining(c.now))
-		}
+		soonest = min(soonest, t.soonestEnd(c.now))
 	}
 	if math.IsInf(soonest, 1) {
 		soonest = 0
@@ -202,7 +207,7 @@
 		if !c.anyRoom() {
 			return
 		}
-		if o, ok := c.best(q.request); ok {
+		if o, ok := c.best(q.request); ok && !c.betterBusy(q.request, &o) {
 			c.grant(q.request, &o)
 		}
 	}
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 )
 
 // Offer is a target that has room for a request, with what is expected there.
@@ -16,6 +17,8 @@
 	Total float64
 	// Left is the time until the first output is late, without bound if there is no objective.
 	Left float64
+	// Deadline is the time until the answer has no value.
+	Deadline float64
 	// Running counts the requests on the target, Slots its places.
 	Running int
 	Slots   int
@@ -82,6 +85,68 @@
 	return found, found.target != nil
 }
 
+// Promise returns the share of its worth that the answer is expected to keep:
+// less if it will be late, or may be cut at the deadline because its output is
+// longer than expected.
+func (o *Offer) Promise(lateShare float64) float64 {
+	promise := 1.0
+	if o.First > o.Left {
+		promise = lateShare
+	}
+	if rest := o.Total - o.First; rest > 0 {
+		promise *= finishChance((o.Deadline - o.First) / rest)
+	}
+	return promise
+}
+
+// finishChance returns the chance that an output ends within a multiple of its
+// expected time. Estimates by callers are right at the median, and off by a
+// factor of 1.6 for one in six.
+func finishChance(multiple float64) float64 {
+	switch {
+	case multiple < 0.6:
+		return 0.05
+	case multiple < 1:
+		return 0.35
+	case multiple < 1.6:
+		return 0.7
+	default:
+		return 1
+	}
+}
+
+// waitAdvantage is how much more of its worth an answer must be expected to keep
+// on a target that is busy for a request to wait for that.
+const waitAdvantage = 0.2
+
+// betterBusy reports whether a request should leave a target that has room to
+// others, because one that is busy will soon answer it better.
+func (c *Cell[P, O]) betterBusy(r *request, offered *Offer) bool {
+	least := offered.Promise(c.cfg.LateShare) + waitAdvantage
+	if least > 1 {
+		return false
+	}
+	return slices.ContainsFunc(c.targets, func(t *target) bool {
+		if t.room(c.now) > 0 || t.distrusted() || len(t.runs) == 0 || !c.mayRun(r, t) {
+			return false
+		}
+		o := c.offer(r, t)
+		wait := max(t.soonestEnd(c.now)-o.expected.wait, 0)
+		o.First += wait
+		o.Total += wait
+		return o.Promise(c.cfg.LateShare) >= least
+	})
+}
+
+// soonestEnd returns the time until the first of the target's runs is expected to end.
+func (t *target) soonestEnd(now swclock.Millis) float64 {
+	soonest := math.Inf(1)
+	for _, r := range t.runs {
+		soonest = min(soonest, r.remaining(now))
+	}
+	return soonest
+}
+
 // mayRun reports whether the request may be granted the target at all.
 func (c *Cell[P, O]) mayRun(r *request, t *target) bool {
 	if !t.active() || slices.Contains(r.ask.Exclude, t.conf.ID) || !t.reachedBy(r.ask.Key.Holder, c.now) {
@@ -102,7 +167,8 @@
 	e := c.on(t, r)
 	return Offer{
 		target: t, First: e.first, Total: e.total, Left: c.objectiveLeft(&r.ask),
-		Running: len(t.runs), Slots: t.conf.Slots, Faults: t.faults.Value(),
+		Deadline: float64(r.ask.Deadline - c.now),
+		Running:  len(t.runs), Slots: t.conf.Slots, Faults: t.faults.Value(),
 		Random: c.random.Float64(), expected: e,
 	}
 }
