--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -265,6 +265,9 @@
 	if route.Objective > 0 {
 		r.Objective = now + route.Objective
 	}
+	if route.Abandon > 0 {
+		r.Abandon = now + route.Abandon
+	}
 	switch {
 	case route.Kind == swcatalog.KindIdempotent:
 		r.RetryFailures = true
--- a/internal/config/swcatalog/swcatalog.go
+++ b/internal/config/swcatalog/swcatalog.go
@@ -47,6 +47,8 @@
 	Timeout swclock.Millis
 	// Objective is the time to the answer, or to a stream's first event, that the operator aims at.
 	Objective swclock.Millis
+	// Abandon is the time without output after which callers leave a stream; 0 if they do not.
+	Abandon swclock.Millis
 	// Gap is the longest pause between two events of a stream that is still on time.
 	Gap  swclock.Millis
 	Tier swid.Tier
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -56,6 +56,9 @@
 	ExpectedTokens swid.Tokens
 	// Charge is what the request counts towards its organisation's quota.
 	Charge int64
+	// Abandon is the instant at which the caller leaves if there is no output; 0
+	// if it waits until the deadline.
+	Abandon swclock.Millis
 }
 
 // Part is a part of a prompt that other prompts may share. A target that has
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -89,10 +89,15 @@
 		// It will be late, and ranks lower by then.
 		wait = c.expectedWait(c.rank(r, work, first), r, queue)
 	}
-	if had := r.ask.Deadline - r.asked; float64(c.now-r.asked) > maxWaited*float64(had) {
+	leaves := r.ask.Deadline
+	if r.ask.Abandon > 0 {
+		leaves = min(leaves, r.ask.Abandon)
+	}
+	if float64(c.now-r.asked) > maxWaited*float64(leaves-r.asked) {
 		return wait, true
 	}
-	return wait, float64(c.now)+wait+c.least(idle) > float64(r.ask.Deadline)
+	start := float64(c.now) + wait
+	return wait, start+c.least(idle) > float64(r.ask.Deadline) || start+idle.first > float64(leaves)
 }
 
 // maxWaited is the share of its time after which a request is given up that was
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -236,19 +236,20 @@
 		Exclude:        e.ask.Exclude,
 		NonIdempotent:  r.NonIdempotent,
 		Strikes:        e.strikes,
-		Objective:      e.objective(),
+		Abandon:        e.until(r.Abandon),
+		Objective:      e.until(r.Objective),
 		Parts:          r.Parts,
 		ExpectedTokens: r.ExpectedTokens,
 		Charge:         r.Charge,
 	}
 }
 
-// objective returns the time that remains until the first part of the answer is late, at least 1, or 0 if it has no objective.
-func (e *held) objective() swclock.Millis {
-	if e.request.Objective == 0 {
+// until returns the time that remains until an instant, at least 1, or 0 if the instant is not set.
+func (e *held) until(instant swclock.Millis) swclock.Millis {
+	if instant == 0 {
 		return 0
 	}
-	return max(1, e.request.Objective-e.holder.config.Clock.Now())
+	return max(1, instant-e.holder.config.Clock.Now())
 }
 
 // strike counts a broken attempt.
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -29,6 +29,9 @@
 	Parts []swcell.Part
 	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
 	ExpectedTokens swid.Tokens
+	// Abandon is the instant at which the caller leaves if there is no output; 0
+	// if it waits until the deadline.
+	Abandon swclock.Millis
 	// Charge is what the request counts towards its organisation's quota.
 	Charge int64
 	// Objective is the instant by which the first part of the answer should arrive; 0 if there is none.
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -20,7 +20,12 @@
 	if m.Objective > 0 {
 		objective = now + m.Objective
 	}
+	abandon := swclock.Millis(0)
+	if m.Abandon > 0 {
+		abandon = now + m.Abandon
+	}
 	return swcell.Ask{
+		Abandon:        abandon,
 		Key:            key,
 		Objective:      objective,
 		Parts:          m.Parts,
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -84,6 +84,7 @@
 		Parts:          decodePromptParts(c, w),
 		ExpectedTokens: tokens(c, "expectedTokens", w.GetExpectedTokens()),
 		Charge:         amount(c, "charge", w.GetCharge()),
+		Abandon:        span(c, "abandonMillis", w.GetAbandonMillis()),
 	}
 }
 
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -81,6 +81,9 @@
 	ExpectedTokens swid.Tokens
 	// Charge is what the request counts towards its organisation's quota.
 	Charge int64
+	// Abandon is the time until the caller leaves if there is no output; 0 if it
+	// waits until the deadline.
+	Abandon swclock.Millis
 }
 
 // Attach tells an owner that the sender asks it, and what the sender's requests
