--- a/internal/node/swcommand/swcommand.go
+++ b/internal/node/swcommand/swcommand.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/node/swdaemon"
@@ -45,6 +46,9 @@
 
 // Run is Main with a context whose end shuts the daemon down.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer, adapters Adapters) int {
+	// From the start, since a hang-up signal ends a process that is not notified.
+	hangUps, release := notifyHangUps()
+	defer release()
 	if len(args) > 0 && args[0] == "dev" {
 		return runDev(ctx, args[1:], stdout, stderr)
 	}
@@ -82,17 +86,22 @@
 		return ExitOK
 	}
 	if adapter != nil {
-		return report(stderr, runFleet(ctx, settings, adapter, newLog(stdout, settings)))
+		return report(stderr, runFleet(ctx, *settingsFile, settings, hangUps, adapter, newLog(stdout, settings)))
 	}
 	return report(stderr, swdaemon.Run(ctx, settings, newLog(stderr, settings)))
 }
 
 // runFleet runs a host that follows the platform's store.
-func runFleet(ctx context.Context, settings *swsettings.Settings, adapter swfleet.Factory, log zerolog.Logger) error {
+func runFleet(ctx context.Context, path string, settings *swsettings.Settings, hangUps <-chan os.Signal, adapter swfleet.Factory, log zerolog.Logger) error {
 	f, err := swfleet.New(settings, adapter, log)
 	if err != nil {
 		return err
 	}
+	following, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var tasks conc.WaitGroup
+	tasks.Go(func() { followSettings(following, path, hangUps, log, f.Reload) })
+	defer tasks.Wait()
+	defer stop()
 	return f.Run(ctx)
 }
 
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -54,12 +54,13 @@
 
 // quotasOf returns what each organisation is admitted.
 func (f *Fleet) quotasOf(c *swcatalog.Catalog) map[swid.OrgID]swquota.Limit {
-	above := 1 + toleranceUse*f.settings.Fleet.QuotaOverage
+	s := f.bounds.Load()
+	above := 1 + toleranceUse*s.QuotaOverage
 	limits := make(map[swid.OrgID]swquota.Limit, len(c.Organisations))
 	for _, o := range c.Organisations {
 		if o.Quota.Rate > 0 {
 			limits[o.ID] = swquota.Limit{
-				Rate: above * o.Quota.Rate, Burst: above*o.Quota.Burst + toleranceUse*f.settings.Fleet.QuotaSlack,
+				Rate: above * o.Quota.Rate, Burst: above*o.Quota.Burst + toleranceUse*s.QuotaSlack,
 			}
 		}
 	}
--- a/internal/node/swfleet/retries.go
+++ b/internal/node/swfleet/retries.go
@@ -27,6 +27,19 @@
 	return &retries{clock: clock, settings: s, hosts: 1, windows: make(map[swid.ServiceID]*swbudget.Window)}
 }
 
+// configure replaces the budget. What was counted is kept where the window is the same.
+func (r *retries) configure(s *swsettings.Fleet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.RetryWindow != r.settings.RetryWindow || s.RetryRatio != r.settings.RetryRatio {
+		clear(r.windows)
+	}
+	r.settings = s
+	for _, w := range r.windows {
+		w.SetReserve(r.reserve())
+	}
+}
+
 // share divides the reserve between a number of hosts.
 func (r *retries) share(hosts int) {
 	r.mu.Lock()
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -58,6 +58,8 @@
 // Fleet is one entry host.
 type Fleet struct {
 	settings *swsettings.Settings
+	// bounds are the settings that a reload replaces.
+	bounds   atomic.Pointer[swsettings.Fleet]
 	log      zerolog.Logger
 	clock    *swclock.System
 	platform Platform
@@ -102,6 +104,7 @@
 		return nil, err
 	}
 	f.platform = platform
+	f.bounds.Store(settings.Fleet)
 	f.metrics = swmetrics.New(f.registry)
 	f.retries = newRetries(settings.Fleet, f.clock)
 	return f, nil
@@ -138,6 +141,8 @@
 
 // assemble builds the parts that know the process's incarnation.
 func (f *Fleet) assemble() {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
 	f.exchange = swexchange.New(f.self)
 	f.network = swlink.New(swlink.Config{
 		Self: f.self, Address: f.settings.Peer.Address, Heartbeat: f.settings.Peer.Heartbeat,
@@ -159,7 +164,7 @@
 		Region: f.settings.Region, Holder: f.holder, Clock: f.clock, Boot: f.clock,
 		Confirmed: func() swclock.Millis { return f.catalogs.Confirmed() },
 		Counted:   f.retries.count, Log: f.log, Ended: func(*swgate.Result) {},
-	}, boundsOf(f.settings.Fleet))
+	}, boundsOf(f.bounds.Load()))
 	f.exchange.OnLinkUp(f.linkUp)
 	f.exchange.Connect(f.network, f.linkDown, f.holder, f.owner, attachments{f})
 	f.follow()
