Keep an owner's account of processes that ended

Cause, from the log: the owner outlived a power loss of 11 of 19 hosts; when they were back they told it all that they knew to have used, which was little, and that replaced what the owner itself had granted them. Accounts are by process now.

--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -46,6 +46,12 @@
 	attachTimeout  = 1200 * swclock.Millis(1)
 )
 
+// Process is one process of a host. A later one does not know what an earlier one used.
+type Process struct {
+	Host        swid.HostID
+	Incarnation swid.Incarnation
+}
+
 // Ledger accounts for the use of organisations by the hosts that ask its owner.
 // It is safe for concurrent use.
 type Ledger struct {
@@ -59,8 +65,8 @@
 	attached map[swid.HostID]swclock.Millis
 	// first is when the first of the attached hosts came, or -1 if there is none.
 	first swclock.Millis
-	// uses has the accounts of each organisation by host.
-	uses map[swid.OrgID]map[swid.HostID]*use
+	// uses has the accounts of each organisation by the process that holds its requests.
+	uses map[swid.OrgID]map[Process]*use
 }
 
 // New returns a ledger that admits everything until it is configured.
@@ -68,7 +74,7 @@
 	return &Ledger{
 		window: window, hosts: 1, first: -1,
 		attached: make(map[swid.HostID]swclock.Millis),
-		uses:     make(map[swid.OrgID]map[swid.HostID]*use),
+		uses:     make(map[swid.OrgID]map[Process]*use),
 	}
 }
 
@@ -91,34 +97,38 @@
 	l.hosts = max(n, 1)
 }
 
-// Attach notes that a host asks this owner. Amounts are what its requests used:
-// in place of all that was known if it is fresh, and in addition otherwise.
-func (l *Ledger) Attach(host swid.HostID, fresh bool, amounts []Amount, now swclock.Millis) {
+// Attach notes that a host asks this owner. Amounts are what the requests of its
+// process used: in place of all that was known of it if they are fresh, and in
+// addition otherwise.
+func (l *Ledger) Attach(from Process, fresh bool, amounts []Amount, now swclock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.present(now) == 0 {
 		l.first = now
 	}
-	l.attached[host] = now
+	l.attached[from.Host] = now
 	if fresh {
-		for _, accounts := range l.uses {
-			delete(accounts, host)
-		}
+		l.forget(from)
 	}
 	for _, a := range amounts {
 		if l.limits[a.Org].Rate > 0 {
-			l.account(a.Org, host).add(a.Value, now-a.Age, l.window)
+			l.account(a.Org, from).add(a.Value, now-a.Age, l.window)
 		}
 	}
 }
 
 // Detach notes that a host asks another owner from now on, which accounts for its use.
-func (l *Ledger) Detach(host swid.HostID) {
+func (l *Ledger) Detach(from Process) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.attached, host)
+	delete(l.attached, from.Host)
+	l.forget(from)
+}
+
+// forget drops the accounts of a process. It needs l.mu.
+func (l *Ledger) forget(p Process) {
 	for _, accounts := range l.uses {
-		delete(accounts, host)
+		delete(accounts, p)
 	}
 }
 
@@ -153,39 +163,61 @@
 	return share
 }
 
-// Take charges a request of a host to its organisation. It is refused if the use
+// Take charges a request of a process to its organisation. It is refused if the use
 // would exceed the quota less reserve, a share that is kept for requests of
 // higher tiers; wait is then when to come back.
-func (l *Ledger) Take(host swid.HostID, org swid.OrgID, amount, reserve float64, now swclock.Millis) (wait swclock.Millis, ok bool) {
+func (l *Ledger) Take(holder Process, org swid.OrgID, amount, reserve float64, now swclock.Millis) (wait swclock.Millis, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limit := l.limits[org]
 	if limit.Rate <= 0 {
 		return 0, true
 	}
-	limit = limit.times(l.share(now) * (1 - reserve))
-	if !l.fits(org, limit, amount, now) {
-		return l.wait(org, limit, amount, now), false
+	share := l.share(now)
+	limit = limit.times(share * (1 - reserve))
+	fits := l.fits
+	if share < majority {
+		fits = l.fitsWindow
+	}
+	if !fits(org, limit, amount, now) {
+		return l.wait(fits, org, limit, amount, now), false
 	}
-	l.account(org, host).add(amount, now, l.window)
+	l.account(org, holder).add(amount, now, l.window)
 	return 0, true
 }
 
 // account needs l.mu.
-func (l *Ledger) account(org swid.OrgID, host swid.HostID) *use {
+func (l *Ledger) account(org swid.OrgID, holder Process) *use {
 	accounts, known := l.uses[org]
 	if !known {
-		accounts = make(map[swid.HostID]*use)
+		accounts = make(map[Process]*use)
 		l.uses[org] = accounts
 	}
-	u, known := accounts[host]
+	u, known := accounts[holder]
 	if !known {
 		u = &use{}
-		accounts[host] = u
+		accounts[holder] = u
 	}
 	return u
 }
 
+// majority is the share below which an owner has no burst to overdraw: the
+// shares of many owners are each smaller than one large request.
+const majority = 0.5
+
+// fitsWindow reports whether an amount may be used at an instant by what a whole
+// window may have. It needs l.mu.
+func (l *Ledger) fitsWindow(org swid.OrgID, limit Limit, amount float64, at swclock.Millis) bool {
+	var recent [parts + 1]float64
+	for _, u := range l.uses[org] {
+		u.addRecent(&recent, at, l.window)
+	}
+	for _, used := range recent {
+		amount += used
+	}
+	return amount <= limit.within(l.window)
+}
+
 // fits reports whether an amount may be used at an instant: whether no span that
 // ends then has more than it may have. A request that is larger than the burst
 // may overdraw it, so that it is not refused for ever. It needs l.mu.
@@ -207,10 +239,12 @@
 }
 
 // wait returns the time until an amount may be used if nothing else is, at most a window.
-func (l *Ledger) wait(org swid.OrgID, limit Limit, amount float64, now swclock.Millis) swclock.Millis {
+func (l *Ledger) wait(
+	fits func(swid.OrgID, Limit, float64, swclock.Millis) bool, org swid.OrgID, limit Limit, amount float64, now swclock.Millis,
+) swclock.Millis {
 	step := l.window / parts
 	for wait := step; wait < l.window; wait += step {
-		if l.fits(org, limit, amount, now+wait) {
+		if fits(org, limit, amount, now+wait) {
 			return wait
 		}
 	}
@@ -218,10 +252,10 @@
 }
 
 // Return takes back the charge of a request that did not run.
-func (l *Ledger) Return(host swid.HostID, org swid.OrgID, amount float64, now swclock.Millis) {
+func (l *Ledger) Return(holder Process, org swid.OrgID, amount float64, now swclock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if u, known := l.uses[org][host]; known {
+	if u, known := l.uses[org][holder]; known {
 		u.take(amount, now, l.window)
 	}
 }
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -51,7 +51,7 @@
 	}
 	amount := float64(r.ask.Charge)
 	reserve := quotaReserve * float64(c.tier(r.ask.Tier))
-	wait, ok := c.cfg.Ledger.Take(r.ask.Key.Holder, r.ask.Org, amount, reserve, c.now)
+	wait, ok := c.cfg.Ledger.Take(processOf(&r.ask), r.ask.Org, amount, reserve, c.now)
 	if ok {
 		r.charged = amount
 	}
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -6,6 +6,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
@@ -147,9 +148,14 @@
 	}
 }
 
+// processOf returns the process that holds a request.
+func processOf(a *swcell.Ask) swquota.Process {
+	return swquota.Process{Host: a.Key.Holder, Incarnation: a.Key.Incarnation}
+}
+
 // uncharge takes back what a request that did not run was charged.
 func (c *Cell[P, O]) uncharge(a *swcell.Ask, amount float64) {
 	if c.cfg.Ledger != nil && amount > 0 {
-		c.cfg.Ledger.Return(a.Key.Holder, a.Org, amount, c.now)
+		c.cfg.Ledger.Return(processOf(a), a.Org, amount, c.now)
 	}
 }
--- a/internal/node/swfleet/attach.go
+++ b/internal/node/swfleet/attach.go
@@ -98,13 +98,14 @@
 	if !ok {
 		return
 	}
+	process := swquota.Process{Host: from.Host, Incarnation: from.Incarnation}
 	if attach.Leaving {
-		f.ledger.Detach(from.Host)
+		f.ledger.Detach(process)
 		return
 	}
 	amounts := make([]swquota.Amount, len(attach.Amounts))
 	for i, v := range attach.Amounts {
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
-	f.ledger.Attach(from.Host, attach.Fresh, amounts, f.clock.Now())
+	f.ledger.Attach(process, attach.Fresh, amounts, f.clock.Now())
 }
