--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -117,6 +117,19 @@
 	ResultFailed
 )
 
+var resultNames = [...]string{
+	ResultAnswered:   "answered",
+	ResultNotStarted: "notStarted",
+	ResultBroken:     "broken",
+	ResultCancelled:  "cancelled",
+	ResultRejected:   "rejected",
+	ResultNoAnswer:   "noAnswer",
+	ResultFailed:     "failed",
+}
+
+// String returns the result's name in logs.
+func (r Result) String() string { return resultNames[r] }
+
 // Done reports the end of an attempt that was dispatched.
 type Done struct {
 	Key     Key
@@ -261,6 +274,18 @@
 	ReasonQuota
 )
 
+var reasonNames = [...]string{
+	ReasonDeadline:    "deadline",
+	ReasonOverload:    "overload",
+	ReasonNoTarget:    "noTarget",
+	ReasonSuspect:     "suspect",
+	ReasonRetryBudget: "retryBudget",
+	ReasonQuota:       "quota",
+}
+
+// String returns the reason's name in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
 // GiveUp ends a waiting request. It is sent as soon as it is known.
 type GiveUp struct {
 	Key     Key
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -73,6 +73,8 @@
 	produced swid.Tokens
 	reported swid.Tokens
 	result   swcell.Result
+	// err is what the adapter said of a failure.
+	err error
 	// done tells that the owner was told of the end.
 	done bool
 }
@@ -258,6 +260,7 @@
 
 // failed translates the end of an attempt without a whole answer.
 func (a *attempt) failed(ctx context.Context, err error) swlife.AttemptEnded {
+	a.err = err
 	if ctx.Err() != nil {
 		return cancelled(ctx)
 	}
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -57,6 +57,29 @@
 		if _, resumes := command.(swlife.Resume); !resumes {
 			last.reportDone()
 		}
+		e.logStep(event, &last)
+	}
+}
+
+// logStep logs an owner's refusal, and an attempt that did not end well.
+func (e *held) logStep(event swlife.Event, last *attempt) {
+	switch v := event.(type) {
+	case swlife.GivenUp:
+		e.holder.config.Log.Info().
+			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).Str("cell", string(e.request.Cell)).
+			Uint32("attempt", uint32(e.ask.Attempt)).Str("owner", string(e.askedHost())).Str("reason", v.Reason.String()).
+			Int64("retryAfterMillis", int64(v.RetryAfter)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
+			Msg("request given up")
+	case swlife.AttemptEnded:
+		if v.Result == swcell.ResultAnswered {
+			return
+		}
+		e.holder.config.Log.Info().
+			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).Uint32("attempt", uint32(last.number)).
+			Str("target", string(last.target)).Str("owner", string(e.askedHost())).Str("result", v.Result.String()).
+			Int("status", last.status).Str("cause", v.Cause.String()).Bool("unsent", v.Unsent).Bool("delivered", v.Delivered).AnErr("error", last.err).
+			Int64("attemptMillis", int64(last.ended-last.dispatched)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
+			Msg("attempt failed")
 	}
 }
 
--- a/internal/node/swcommand/swcommand.go
+++ b/internal/node/swcommand/swcommand.go
@@ -18,6 +18,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/node/swdaemon"
 	"github.com/sassafraswing/sassafraswing/internal/node/swdev"
 	"github.com/sassafraswing/sassafraswing/internal/node/swfleet"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swlog"
 )
 
 // Exit codes.
@@ -86,17 +87,21 @@
 		return ExitOK
 	}
 	if adapter != nil {
-		return report(stderr, runFleet(ctx, *settingsFile, settings, hangUps, adapter, newLog(stdout, settings)))
+		lines := swlog.New(stdout, swlog.DefaultLimit)
+		defer lines.Close()
+		return report(stderr, runFleet(ctx, *settingsFile, settings, hangUps, adapter, lines))
 	}
 	return report(stderr, swdaemon.Run(ctx, settings, newLog(stderr, settings)))
 }
 
 // runFleet runs a host that follows the platform's store.
-func runFleet(ctx context.Context, path string, settings *swsettings.Settings, hangUps <-chan os.Signal, adapter swfleet.Factory, log zerolog.Logger) error {
+func runFleet(ctx context.Context, path string, settings *swsettings.Settings, hangUps <-chan os.Signal, adapter swfleet.Factory, lines *swlog.Writer) error {
+	log := newLog(lines, settings)
 	f, err := swfleet.New(settings, adapter, log)
 	if err != nil {
 		return err
 	}
+	f.CountLost(lines.Dropped)
 	following, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	tasks.Go(func() { followSettings(following, path, hangUps, log, f.Reload) })
--- /dev/null
+++ b/internal/node/swfleet/gauges.go
@@ -0,0 +1,75 @@
+package swfleet
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// gauges shows what the host believes, and counts what it answers by itself.
+type gauges struct {
+	denials *prometheus.CounterVec
+}
+
+func newGauges(f *Fleet) *gauges {
+	g := &gauges{denials: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "sassafraswing", Name: "denials_total", Help: "Requests that were answered without a target, by reason.",
+	}, []string{"reason"})}
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "sassafraswing", Name: name, Help: help}, value)
+	}
+	f.registry.MustRegister(g.denials,
+		gauge("configuration_version", "Version of the configuration in force; 0 if there is none.", f.configurationVersion),
+		gauge("configuration_age_seconds", "Time since the store last confirmed the configuration.", f.configurationAge),
+		gauge("store_reached", "1 if the last call of the store was answered, and 0 otherwise.", f.storeReached),
+		gauge("ready", "1 if the host takes callers, and 0 otherwise.", func() float64 { return boolValue(f.ready()) }),
+		gauge("attached_hosts", "Hosts that ask this one for the cells of engines.", func() float64 {
+			_, hosts := f.ledger.Share(f.clock.Now())
+			return float64(hosts)
+		}),
+		gauge("known_targets", "Targets in the list in force.", func() float64 { return float64(f.view.targetCount()) }),
+		gauge("known_hosts", "Hosts in the list in force.", func() float64 { return float64(len(f.view.Members())) }),
+	)
+	return g
+}
+
+// ended counts a call that was denied.
+func (g *gauges) ended(r *swgate.Result) {
+	if r.Denial != swgate.DeniedNone {
+		g.denials.WithLabelValues(r.Denial.String()).Inc()
+	}
+}
+
+// CountLost has the lines counted that the log dropped. It is called before Run.
+func (f *Fleet) CountLost(lines func() uint64) {
+	f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "sassafraswing", Name: "log_lines_dropped_total", Help: "Log lines that were dropped because standard output was not read.",
+	}, func() float64 { return float64(lines()) }))
+}
+
+func (f *Fleet) configurationVersion() float64 {
+	if t := f.view.inForce(); t != nil {
+		return float64(t.Catalog().Version)
+	}
+	return 0
+}
+
+func (f *Fleet) configurationAge() float64 {
+	if f.view.inForce() == nil {
+		return 0
+	}
+	return float64(f.clock.SinceBoot()-f.catalogs.Confirmed()) / float64(swclock.Second)
+}
+
+func (f *Fleet) storeReached() float64 {
+	h := f.health.Load()
+	return boolValue(h != nil && !h.Lost())
+}
+
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -41,7 +41,6 @@
 // gateway hands callers' requests to the gate once that is built.
 type gateway struct {
 	handler atomic.Pointer[http.Handler]
-	leaving atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -69,7 +68,7 @@
 		MaxHeaderBytes: f.settings.Caller.MaxHeaderBytes, IdleTimeout: idleTimeout.Duration(),
 	}
 	readiness := &http.Server{
-		Handler:           f.platform.Readiness(func() bool { return g.handler.Load() != nil && !g.leaving.Load() && f.ready() }),
+		Handler:           f.platform.Readiness(func() bool { return f.ready() }),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}
 	operators := &http.Server{Handler: f.operators(), ReadHeaderTimeout: headerTimeout.Duration()}
@@ -86,9 +85,9 @@
 		if err := f.network.Listen(); err != nil {
 			return err
 		}
-		handler := f.platform.Callers(f.gate, g.leaving.Load)
+		handler := f.platform.Callers(f.gate, f.leaving.Load)
 		g.handler.Store(&handler)
-		return f.serve(ctx, running, &g, callers)
+		return f.serve(ctx, running, callers)
 	})
 	err = tasks.Wait()
 	f.log.Info().Err(err).Msg("stopped")
@@ -96,7 +95,7 @@
 }
 
 // serve runs the parts until ctx ends, and then leaves.
-func (f *Fleet) serve(ctx, running context.Context, g *gateway, callers *http.Server) error {
+func (f *Fleet) serve(ctx, running context.Context, callers *http.Server) error {
 	parts, stop := context.WithCancel(running)
 	tasks := pool.New().WithErrors().WithContext(parts)
 	tasks.Go(f.network.Run)
@@ -108,7 +107,7 @@
 	}
 	select {
 	case <-ctx.Done():
-		f.leave(parts, g, callers)
+		f.leave(parts, callers)
 	case <-running.Done():
 	}
 	stop()
@@ -116,9 +115,9 @@
 }
 
 // leave has callers led elsewhere, finishes what is held and closes the callers' connections.
-func (f *Fleet) leave(parts context.Context, g *gateway, callers *http.Server) {
+func (f *Fleet) leave(parts context.Context, callers *http.Server) {
 	started := f.clock.Now()
-	g.leaving.Store(true)
+	f.leaving.Store(true)
 	f.log.Info().Int("held", f.holder.Held()).Msg("leaving")
 	f.router.leave()
 	f.tellLeaving()
@@ -136,7 +135,7 @@
 }
 
 // ready reports whether the host takes callers.
-func (f *Fleet) ready() bool { return f.view.complete() && f.gate.Fresh() }
+func (f *Fleet) ready() bool { return f.view.complete() && f.gate.Fresh() && !f.leaving.Load() }
 
 // register writes this host's entry, again until it succeeds or ctx ends.
 func (f *Fleet) register(ctx context.Context) error {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -67,6 +67,7 @@
 
 	registry *prometheus.Registry
 	metrics  *swmetrics.Metrics
+	gauges   *gauges
 	gate     *swgate.Gate
 	// ledger accounts for the hosts that ask this one, meter for this host's own requests.
 	ledger   *swquota.Ledger
@@ -83,9 +84,13 @@
 	catalogs *swwatch.Follower[*swcatalog.Catalog]
 	targets  *swwatch.Follower[swcatalog.Target]
 	hosts    *swwatch.Follower[swcatalog.Host]
+	// health is that of the store; nil before the host was registered.
+	health atomic.Pointer[swwatch.Health]
 	// sharing is the number of hosts that asked this one when it was last logged.
 	// It belongs to the goroutine of stayAttached.
 	sharing int
+	// leaving is set when the host begins to stop.
+	leaving atomic.Bool
 	// unattached tells that the owner may not know what this host's requests used.
 	unattached atomic.Bool
 	// configuring orders what is told to the parts that dispatch.
@@ -106,6 +111,7 @@
 	f.platform = platform
 	f.bounds.Store(settings.Fleet)
 	f.metrics = swmetrics.New(f.registry)
+	f.gauges = newGauges(f)
 	f.retries = newRetries(settings.Fleet, f.clock)
 	return f, nil
 }
@@ -163,7 +169,7 @@
 	f.gate = swgate.New(swgate.Config{
 		Region: f.settings.Region, Holder: f.holder, Clock: f.clock, Boot: f.clock,
 		Confirmed: func() swclock.Millis { return f.catalogs.Confirmed() },
-		Counted:   f.retries.count, Log: f.log, Ended: func(*swgate.Result) {},
+		Counted:   f.retries.count, Log: f.log, Ended: f.gauges.ended,
 	}, boundsOf(f.bounds.Load()))
 	f.exchange.OnLinkUp(f.linkUp)
 	f.exchange.Connect(f.network, f.linkDown, f.holder, f.owner, attachments{f})
@@ -173,6 +179,7 @@
 // follow builds the followers of the store.
 func (f *Fleet) follow() {
 	health := swwatch.NewHealth(f.clock, f.log)
+	f.health.Store(health)
 	config := func(kind string, wait swclock.Millis) swwatch.Config {
 		return swwatch.Config{Kind: kind, Wait: wait, Clock: f.clock, Boot: f.clock, Health: health, Log: f.log}
 	}
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -89,6 +89,19 @@
 	return v.table != nil && v.listed
 }
 
+// inForce returns the configuration in force, or nil.
+func (v *view) inForce() *swcatalog.Table {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table
+}
+
+func (v *view) targetCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.targets)
+}
+
 // local reports whether a cell is that of a plain service. Calls of those are
 // short and their targets mostly idle, so that each host decides on its own.
 func (v *view) local(cell swid.CellID) bool {
