Tell an owner that starts again of the work that runs

Holders kept its name among the hosts that count their attempts, so they did not report them to its new process, which granted 121 places where 80 exist. And its question at the takeover was sent before it had a link to most holders. A holder now reports to whoever asks, and an owner asks again at each new link. The daemon on membership had the same fault and gets the same change.

Ruled out: the engines' own queues (they ran what was granted above their places), and a lost InFlight (none was sent).

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -166,11 +166,17 @@
 // review gives up what can no longer be expected to be answered in time.
 func (c *Cell[P, O]) review() {
 	queue := c.queue()
-	for _, q := range queue {
-		if wait, hopeless := c.hopeless(q.request, q.idle, queue); hopeless {
-			c.remove(slices.Index(c.waiting, q.request))
-			c.giveUp(q.request, swcell.ReasonOverload, c.spread(swclock.Millis(wait)))
+	for i := 0; i < len(queue); {
+		q := queue[i]
+		wait, hopeless := c.hopeless(q.request, q.idle, queue)
+		if !hopeless {
+			i++
+			continue
 		}
+		// Nothing waits behind what is given up.
+		queue = slices.Delete(queue, i, i+1)
+		c.remove(slices.Index(c.waiting, q.request))
+		c.giveUp(q.request, swcell.ReasonOverload, c.spread(swclock.Millis(wait)))
 	}
 	if len(queue) == len(c.waiting) {
 		return
--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -309,12 +309,9 @@
 	for _, r := range s.requests {
 		sizes[r.class.name] = append(sizes[r.class.name], r.size)
 	}
-	means := make(map[string]float64)
-	for name, v := range sizes {
+	means := s.meanSizes()
+	for _, v := range sizes {
 		slices.Sort(v)
-		for _, x := range v {
-			means[name] += x / float64(len(v))
-		}
 	}
 	for _, r := range s.requests {
 		k := kinds[r.class.name]
@@ -330,17 +327,17 @@
 }
 
 func (s *sim) count(t *tally, r *simRequest, mean float64, large bool) {
-	worth := min(baseWeight+(1-baseWeight)*r.size/mean, maxWeight)
+	worth := worthOf(r, mean)
 	t.asked++
-	t.owed += worth * r.class.worth
+	t.owed += worth
 	answered := r.done > 0 && !r.lost
 	switch {
 	case answered && r.first-r.firstAsk <= r.class.objective:
 		t.inTime++
-		t.earned += worth * r.class.worth
+		t.earned += worth
 	case answered:
 		t.late++
-		t.earned += worth * r.class.late
+		t.earned += worth * r.class.late / r.class.worth
 	case r.lost:
 		t.cut++
 	default:
@@ -357,6 +354,62 @@
 	}
 }
 
+// bound returns the share of the worth that no order and no placement can
+// exceed: all requests are known beforehand, every answer is in time, and the
+// engines' time is dealt out without a gap, to what is worth most for its time
+// first. An engine either processes a prompt or generates, at most for as many
+// requests as it has places, so that a request takes its prompt's time and its
+// output's divided by the places. Engines go on until the last deadline; the
+// load lasts longer here than in the runs, so that this time counts little.
+func bound(l simLoad) float64 {
+	l.seconds *= 30
+	s := newSim(New(Config{}, Fastest{}, ByWorth{}), l)
+	left := 0.0
+	last := swclock.Millis(0)
+	for _, r := range s.requests {
+		last = max(last, r.deadlineInstants)
+	}
+	for _, e := range s.order {
+		left += float64(last) / e.pace
+	}
+	type item struct{ worth, work float64 }
+	var items []item
+	owed := 0.0
+	means := s.meanSizes()
+	for _, r := range s.requests {
+		worth := worthOf(r, means[r.class.name])
+		owed += worth
+		places := float64(s.order[0].slots)
+		items = append(items, item{worth, float64(r.ask.PromptTokens)*simPrefill + (simOverhead+r.outputTokens*simDecode)/places})
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(b.worth/b.work, a.worth/a.work) })
+	earned := 0.0
+	for _, i := range items {
+		share := min(1, left/i.work)
+		earned += share * i.worth
+		left -= share * i.work
+	}
+	return earned / owed
+}
+
+// worthOf returns what an answer in time is worth.
+func worthOf(r *simRequest, meanSize float64) float64 {
+	return min(baseWeight+(1-baseWeight)*r.size/meanSize, maxWeight) * r.class.worth
+}
+
+// meanSizes returns the mean size of the requests of each kind.
+func (s *sim) meanSizes() map[string]float64 {
+	sums, counts := make(map[string]float64), make(map[string]float64)
+	for _, r := range s.requests {
+		sums[r.class.name] += r.size
+		counts[r.class.name]++
+	}
+	for name := range sums {
+		sums[name] /= counts[name]
+	}
+	return sums
+}
+
 func playLoad(c core, l simLoad) (all tally, kinds map[string]*tally) {
 	s := newSim(c, l)
 	s.run(l)
@@ -379,7 +432,7 @@
 			random, _ := playLoad(New(Config{}, Random{}, ByArrival{}), l)
 			least, _ := playLoad(New(Config{}, LeastOutstanding{}, ByArrival{}), l)
 			share := func(t tally) float64 { return t.earned / t.owed }
-			t.Logf("worth %.3f, random %.3f, least outstanding %.3f", share(all), share(random), share(least))
+			t.Logf("worth %.3f, random %.3f, least outstanding %.3f, bound %.3f", share(all), share(random), share(least), bound(l))
 			for name, k := range kinds {
 				t.Logf("%s: asked %d, in time %d, late %d, cut %d, refused %d (%d held), of the largest tenth %d of %d",
 					name, k.asked, k.inTime, k.late, k.cut, k.refused, k.held, k.largestAnswered, k.largestAsked)
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -191,6 +191,18 @@
 	}
 }
 
+// recoverTo answers a host that asks for this request, because it took the cell
+// over or lost the link. What it was told before may not have reached the
+// process that asks.
+func (e *held) recoverTo(owner swid.HostID) {
+	e.mu.Lock()
+	if e.running != nil {
+		e.running.owners = slices.DeleteFunc(e.running.owners, func(o swid.HostID) bool { return o == owner })
+	}
+	e.mu.Unlock()
+	e.reportTo(owner)
+}
+
 // askAgain repeats the ask after a lost link.
 func (e *held) askAgain() {
 	owner, insist := e.holder.config.Router.Owner(e.request.Cell)
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -277,7 +277,7 @@
 	open := h.openIn(cell)
 	h.mu.Unlock()
 	for _, e := range open {
-		e.reportTo(owner)
+		e.recoverTo(owner)
 	}
 }
 
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -226,6 +226,28 @@
 	}
 }
 
+// TestRecoverAgain has a host that counts the attempt already ask for it: it
+// may have started anew, or have lost the report with a link.
+func TestRecoverAgain(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, hang: true}}})
+	reports, _ := b.serve(b.request(true, false))
+	ask, _ := expect[swmsg.Ask](t, b)
+	b.grant("owner", ask, "a")
+	for b.holder.lookup(ask.Seq).runningOn() != "a" {
+	}
+	for range 2 {
+		b.holder.Receive(swlink.Peer{Host: "owner"}, swmsg.Recover{Cell: "c", Epoch: 2})
+		if m, to := expect[swmsg.InFlight](t, b); to != "owner" || m.Target != "a" {
+			t.Errorf("told %s of %+v", to, m)
+		}
+	}
+	b.holder.Receive(swlink.Peer{Host: "owner"}, swmsg.Preempt{Cell: "c", Seq: ask.Seq, Attempt: 1, Target: "a"})
+	if _, to := expect[swmsg.Done](t, b); to != "owner" {
+		t.Errorf("end told to %s", to)
+	}
+	<-reports
+}
+
 // TestStrikesAreReported breaks two attempts and changes the owner during the third.
 func TestStrikesAreReported(t *testing.T) {
 	b := newBench(map[swid.TargetID][]script{"a": {{end: errBroken}}, "b": {{end: errBroken}}, "c": {{hang: true}}})
--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -79,6 +79,7 @@
 		Registry:  d.registry,
 		CallerTLS: d.keys.caller.Server(),
 	})
+	d.exchange.OnLinkUp(d.node.Owner().LinkUp)
 	d.exchange.Connect(d.network, d.linkDown, d.node.Holder(), d.node.Owner(), d.members, d.relay)
 	d.registry.MustRegister(d.network, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.members.Subscribe(d.membersChanged)
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -128,6 +128,7 @@
 		f.owner.HolderGone(swlink.Peer{Host: peer.Host, Incarnation: peer.Incarnation - 1})
 		f.router.SetLeaving(peer.Host, false)
 	}
+	f.owner.LinkUp(peer)
 	f.ownerMayHaveMoved()
 }
 
--- a/internal/owner/swowner/doubt.go
+++ b/internal/owner/swowner/doubt.go
@@ -33,6 +33,17 @@
 	r.config.Sender.Send(holder, swmsg.Recover{Cell: r.id, Epoch: r.epoch})
 }
 
+// recoverFrom asks a holder with a new link for its open work: the question
+// that was asked at the takeover, or after a lost link, may not have reached it.
+func (r *runner) recoverFrom(holder swid.HostID) {
+	if r.config.Local(r.id) {
+		return
+	}
+	if owner, _ := r.config.Router.Owner(r.id); owner == r.config.Host {
+		r.config.Sender.Send(holder, swmsg.Recover{Cell: r.id, Epoch: r.epoch})
+	}
+}
+
 // confirm notes that a holder reported a grant.
 func (r *runner) confirm(key swcell.Key) {
 	if d, doubted := r.doubts[key.Holder]; doubted {
--- a/internal/owner/swowner/input.go
+++ b/internal/owner/swowner/input.go
@@ -24,6 +24,11 @@
 	r.step(in.gone)
 }
 
+// linkUpInput tells of a new link to a holder.
+type linkUpInput struct{ peer swlink.Peer }
+
+func (in linkUpInput) apply(r *runner) { r.recoverFrom(in.peer.Host) }
+
 // linkDownInput tells of a lost link to a holder.
 type linkDownInput struct{ peer swlink.Peer }
 
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -162,6 +162,9 @@
 	o.broadcast(goneInput{swcell.HolderGone{Holder: peer.Host, Incarnation: peer.Incarnation}})
 }
 
+// LinkUp has every cell that this host should own ask a holder for its open work.
+func (o *Owner) LinkUp(peer swlink.Peer) { o.broadcast(linkUpInput{peer}) }
+
 // LinkDown tells every cell that messages of a holder may have been lost.
 func (o *Owner) LinkDown(peer swlink.Peer) { o.broadcast(linkDownInput{peer}) }
 
