--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -260,6 +260,9 @@
 	}
 	if org != nil {
 		r.Org = org.ID
+		if org.HasTier {
+			r.OrgTier = org.Tier
+		}
 		r.Charge = charge(c, &org.Quota)
 	}
 	if route.Objective > 0 {
--- a/internal/caller/swgate/swgate_test.go
+++ b/internal/caller/swgate/swgate_test.go
@@ -40,7 +40,7 @@
 		},
 	},
 	Organisations: []swcatalog.Organisation{
-		{ID: "org", Keys: []string{"key"}, Quota: swcatalog.Quota{Rate: 1000, Burst: 1000, Tokens: true, PlainTokens: 200}},
+		{ID: "org", Keys: []string{"key"}, HasTier: true, Tier: 1, Quota: swcatalog.Quota{Rate: 1000, Burst: 1000, Tokens: true, PlainTokens: 200}},
 	},
 }
 
@@ -194,6 +194,9 @@
 			if r.Charge != tt.charge || r.Org != "org" {
 				t.Errorf("charge %d of %s, want %d", r.Charge, r.Org, tt.charge)
 			}
+			if r.OrgTier != 1 {
+				t.Errorf("the organisation's tier is %d, want 1", r.OrgTier)
+			}
 			if r.Call.Path != tt.path+"?q" || string(r.Call.Body) != "body" || r.ID != "id" {
 				t.Errorf("call %+v", r.Call)
 			}
--- a/internal/core/swvalue/inflow.go
+++ b/internal/core/swvalue/inflow.go
@@ -12,10 +12,10 @@
 	inflowSpan = 5 * swclock.Second
 	// rankClasses are the classes of rank in which arriving work is counted, each
 	// rankStep times the one below. They cover all ranks of usual requests.
-	rankClasses = 40
+	rankClasses = 56
 	rankStep    = 1.4
 	// lowestRank is the rank of the lowest class.
-	lowestRank = 1e-3
+	lowestRank = 1e-5
 )
 
 // inflow is the work that arrives, by the rank of the requests that bring it.
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -14,6 +14,8 @@
 	// UsualWork that of the requests of its tier.
 	Work      float64
 	UsualWork float64
+	// Precedence is the factor by which the organisation's tier raises the claim.
+	Precedence float64
 	// Waited is the time since the ask.
 	Waited swclock.Millis
 }
@@ -32,9 +34,13 @@
 
 // Rank implements Order.
 func (ByWorth) Rank(c *Claim) float64 {
-	return c.Value / math.Sqrt(max(c.Work, 1)*max(c.UsualWork, 1))
+	return c.Precedence * c.Value / math.Sqrt(max(c.Work, 1)*max(c.UsualWork, 1))
 }
 
+// precedenceStep is the factor between the claims of two tiers of organisations:
+// the one between the highest and the lowest tier of requests by default.
+const precedenceStep = 16
+
 // ByArrival puts first what has waited longest; it is a baseline.
 type ByArrival struct{}
 
@@ -46,6 +52,7 @@
 func (c *Cell[P, O]) rank(r *request, work, first float64) float64 {
 	claim := Claim{
 		Value: c.valueAt(r, first), Work: work, UsualWork: c.sizes.of(r.ask.Tier).work.value, Waited: c.now - r.asked,
+		Precedence: math.Pow(precedenceStep, -float64(r.ask.OrgTier)),
 	}
 	return c.order.Rank(&claim)
 }
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -252,6 +252,7 @@
 		Objective:      e.until(r.Objective),
 		Parts:          r.Parts,
 		ExpectedTokens: r.ExpectedTokens,
+		OrgTier:        r.OrgTier,
 		Charge:         r.Charge,
 	}
 }
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -27,6 +27,8 @@
 	Fingerprint  swid.Fingerprint
 	// Parts are the parts of the prompt, where the caller names them.
 	Parts []swcell.Part
+	// OrgTier is the organisation's own tier. It goes before Tier where the operators set one, and is 0 elsewhere.
+	OrgTier swid.Tier
 	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
 	ExpectedTokens swid.Tokens
 	// Abandon is the instant at which the caller leaves if there is no output; 0
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -30,6 +30,7 @@
 		Objective:      objective,
 		Parts:          m.Parts,
 		ExpectedTokens: m.ExpectedTokens,
+		OrgTier:        m.OrgTier,
 		Charge:         m.Charge,
 		Attempt:        m.Attempt,
 		Tier:           m.Tier,
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -69,7 +69,7 @@
 	}
 	return swmsg.Ask{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
-		Tier: tier(c, w.GetTier()), Org: swid.OrgID(c.optional("org", w.GetOrg())),
+		Tier: tier(c, w.GetTier()), OrgTier: tier(c, w.GetOrgTier()), Org: swid.OrgID(c.optional("org", w.GetOrg())),
 		Remaining:    span(c, "remainingMillis", w.GetRemainingMillis()),
 		PromptTokens: tokens(c, "promptTokens", w.GetPromptTokens()),
 		OutputTokens: tokens(c, "outputTokens", w.GetOutputTokens()),
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -72,7 +72,7 @@
 		Exclude:       convert(m.Exclude, func(t swid.TargetID) string { return string(t) }),
 		NonIdempotent: m.NonIdempotent, Insist: m.Insist, Strikes: uint32(m.Strikes),
 		ObjectiveMillis: int64(m.Objective), ExpectedTokens: int64(m.ExpectedTokens),
-		Charge: m.Charge, AbandonMillis: int64(m.Abandon),
+		Charge: m.Charge, AbandonMillis: int64(m.Abandon), OrgTier: uint32(m.OrgTier),
 		Parts:      convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
 		PartTokens: convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
 	}
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -77,6 +77,8 @@
 	Objective swclock.Millis
 	// Parts are the parts of the prompt, where the caller names them.
 	Parts []swcell.Part
+	// OrgTier is the organisation's own tier. It goes before Tier where the operators set one, and is 0 elsewhere.
+	OrgTier swid.Tier
 	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
 	ExpectedTokens swid.Tokens
 	// Charge is what the request counts towards its organisation's quota.
