Refuse what will not be served while the caller can still try again

The expected wait left at least three tenths of the targets' time to any rank, whatever of higher rank arrives, and a request kept waiting for up to six tenths of its time.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -102,7 +102,7 @@
 
 // maxWaited is the share of its time after which a request is given up that was
 // granted nothing: what ranked higher until then has not become less.
-const maxWaited = 0.6
+const maxWaited = 0.3
 
 // expectedWait estimates the time until a request of a rank is granted a target:
 // until a place is free, and the work of higher rank that waits, and that
@@ -133,7 +133,7 @@
 
 // leastLeft is the share of the targets' time that is expected to be left to
 // any request: the load varies, and so does what its estimate is made of.
-const leastLeft = 0.3
+const leastLeft = 0.1
 
 // supply returns how many typical targets the active ones are worth, and the
 // time until the first of them has room.
--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -295,6 +295,8 @@
 	// others without an answer, and held those of them that were told after three
 	// quarters of the time that they had when they asked last.
 	cut, refused, held int
+	// overdue are those of the refused that were told after their objective had passed.
+	overdue int
 	earned, owed       float64
 	// largest counts the largest tenth: asked for, and answered.
 	largestAsked, largestAnswered int
@@ -345,6 +347,9 @@
 		if r.refused-r.askedAt > min(r.deadlineInstants-r.askedAt, r.class.abandon)*3/4 {
 			t.held++
 		}
+		if r.refused-r.askedAt > r.class.objective {
+			t.overdue++
+		}
 	}
 	if large {
 		t.largestAsked++
@@ -434,8 +439,8 @@
 			share := func(t tally) float64 { return t.earned / t.owed }
 			t.Logf("worth %.3f, random %.3f, least outstanding %.3f, bound %.3f", share(all), share(random), share(least), bound(l))
 			for name, k := range kinds {
-				t.Logf("%s: asked %d, in time %d, late %d, cut %d, refused %d (%d held), of the largest tenth %d of %d",
-					name, k.asked, k.inTime, k.late, k.cut, k.refused, k.held, k.largestAnswered, k.largestAsked)
+				t.Logf("%s: asked %d, in time %d, late %d, cut %d, refused %d (%d after their objective, %d held), of the largest tenth %d of %d",
+					name, k.asked, k.inTime, k.late, k.cut, k.refused, k.overdue, k.held, k.largestAnswered, k.largestAsked)
 			}
 			if share(all) < max(share(random), share(least)) {
 				t.Error("callers get less than from a baseline")
@@ -451,6 +456,10 @@
 			if l == calm && all.refused+all.cut > 0 {
 				t.Errorf("%d refused and %d cut below capacity", all.refused, all.cut)
 			}
+			// Who is refused is told while another try can still be in time.
+			if most := all.refused / 10; all.overdue > most {
+				t.Errorf("%d of %d refused were told after their objective, at most %d are allowed", all.overdue, all.refused, most)
+			}
 			if most := all.asked / 100; all.held > most {
 				t.Errorf("%d requests were refused after three quarters of their time, at most %d are allowed", all.held, most)
 			}
