--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -296,8 +296,8 @@
 	// quarters of the time that they had when they asked last.
 	cut, refused, held int
 	// overdue are those of the refused that were told after their objective had passed.
-	overdue int
-	earned, owed       float64
+	overdue      int
+	earned, owed float64
 	// largest counts the largest tenth: asked for, and answered.
 	largestAsked, largestAnswered int
 }
