--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -343,7 +343,9 @@
 		Int64("expectedTokens", int64(r.ExpectedTokens)).
 		Int64("outputTokens", int64(report.OutputTokens)).
 		Int64("queueMillis", int64(report.Timing.Queue)).
+		Int64("expectedFirstMillis", int64(report.Timing.ExpectedFirst)).
 		Int64("firstMillis", int64(report.Timing.FirstToken)).
+		Int64("objectiveMillis", int64(route.Objective)).
 		Int64("totalMillis", int64(report.Timing.Total))
 	if report.End.Outcome != swlife.OutcomeAnswered {
 		e = e.Str("cause", report.End.Cause.String()).Int64("retryAfterMillis", int64(report.End.RetryAfter))
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -88,6 +88,9 @@
 	// FirstToken is 0 if nothing was delivered.
 	FirstToken swclock.Millis
 	Total      swclock.Millis
+	// ExpectedFirst is what the owner expected for the first output of the last
+	// attempt when it granted it, since the grant; 0 if no owner granted one.
+	ExpectedFirst swclock.Millis
 }
 
 // Report is the end of a request.
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -104,6 +104,7 @@
 	report.Begun = last.begun
 	report.Timing.FirstToken = last.firstDelivery
 	report.Timing.Total = e.sinceAccepted()
+	report.Timing.ExpectedFirst = e.expected.firstToken
 	report.PromptTokens = last.usage.PromptTokens
 	report.OutputTokens = max(last.usage.OutputTokens, last.produced)
 	report.CachedTokens = last.usage.CachedTokens
