--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -237,12 +237,23 @@
 	}
 	g.config.Log.Info().
 		Str("requestId", string(c.ID)).Str("denial", d.String()).
+		Str("callerHost", shorten(c.Host)).Str("path", shorten(c.Path)).
 		Uint64("configVersion", uint64(version)).Int64("configAgeMillis", int64(g.age())).
 		Int64("retryAfterMillis", int64(retryAfter)).
 		Msg("request denied")
 	return Result{Denial: d, RetryAfter: retryAfter}
 }
 
+// longestLogged bounds what a line takes over from a caller, in bytes.
+const longestLogged = 160
+
+func shorten(s string) string {
+	if len(s) <= longestLogged {
+		return s
+	}
+	return s[:longestLogged]
+}
+
 // request builds what the holder is given.
 func (g *Gate) request(c *Call, route *swcatalog.Route, org *swcatalog.Organisation, body []byte) *swholder.Request {
 	now := g.config.Clock.Now()
