--- /dev/null
+++ b/internal/core/swbudget/window_test.go
@@ -0,0 +1,69 @@
+package swbudget
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// TestWindow draws requests and retries and checks that within any window the
+// retries keep to the ratio of the requests in it and the reserve.
+func TestWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 1000
+		ratio := float64(rapid.IntRange(0, 10).Draw(t, "tenths")) / 10
+		reserve := float64(rapid.IntRange(0, 5).Draw(t, "reserve"))
+		w := NewWindow(span, ratio, reserve)
+		var requests, retries []swclock.Millis
+		now := swclock.Millis(1)
+		// within counts what happened in the window that ends now.
+		within := func(times []swclock.Millis) (n int) {
+			for _, at := range times {
+				if at > now-span {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += swclock.Millis(rapid.IntRange(0, 120).Draw(t, "time"))
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			if !w.Take(now) {
+				continue
+			}
+			retries = append(retries, now)
+			if n, most := within(retries), ratio*float64(within(requests))+reserve; float64(n) > most {
+				t.Fatalf("%d retries in the window that ends at %d, at most %.1f are allowed", n, now, most)
+			}
+		}
+	})
+}
+
+// TestWindowRefills allows what the reserve and the requests give, and again
+// once the window has passed.
+func TestWindowRefills(t *testing.T) {
+	w := NewWindow(1000, 0.5, 1)
+	now := swclock.Millis(5000)
+	for range 4 {
+		w.Request(now)
+	}
+	for i, want := range []bool{true, true, true, false} {
+		if got := w.Take(now); got != want {
+			t.Errorf("retry %d is allowed: %v", i+1, got)
+		}
+	}
+	w.SetReserve(2)
+	if !w.Take(now) {
+		t.Error("a larger reserve allows no more")
+	}
+	now += 1100
+	if !w.Take(now) || !w.Take(now) || w.Take(now) {
+		t.Error("after the window, not just the reserve is allowed")
+	}
+}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -56,6 +56,12 @@
 // Run serves until ctx ends, and then finishes what the host holds.
 func (f *Fleet) Run(ctx context.Context) error {
 	f.log.Info().Str("zone", string(f.settings.Zone)).Str("address", f.settings.Caller.Address).Msg("starting")
+	err := f.run(ctx)
+	f.log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+func (f *Fleet) run(ctx context.Context) error {
 	listeners, err := f.listen()
 	if err != nil {
 		return err
@@ -89,9 +95,7 @@
 		g.handler.Store(&handler)
 		return f.serve(ctx, running, callers)
 	})
-	err = tasks.Wait()
-	f.log.Info().Err(err).Msg("stopped")
-	return err
+	return tasks.Wait()
 }
 
 // serve runs the parts until ctx ends, and then leaves.
