--- a/internal/core/swbudget/window_test.go
+++ b/internal/core/swbudget/window_test.go
@@ -63,7 +63,9 @@
 		t.Error("a larger reserve allows no more")
 	}
 	now += 1100
-	if !w.Take(now) || !w.Take(now) || w.Take(now) {
-		t.Error("after the window, not just the reserve is allowed")
+	for i, want := range []bool{true, true, false} {
+		if got := w.Take(now); got != want {
+			t.Errorf("retry %d after the window is allowed: %v", i+1, got)
+		}
 	}
 }
