Learn a target's pace before its first requests end, refuse with less optimism

Holders now report the output a second time after 32 tokens, and the owner learns from it while it knows little of the target.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -133,7 +133,7 @@
 
 // leastLeft is the share of the targets' time that is expected to be left to
 // any request: the load varies, and so does what its estimate is made of.
-const leastLeft = 0.1
+const leastLeft = 0.05
 
 // supply returns how many typical targets the active ones are worth, and the
 // time until the first of them has room.
--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -55,6 +55,8 @@
 	prompt, output float64
 	started        swclock.Millis
 	first          swclock.Millis
+	// told tells that the second report of the output was made.
+	told bool
 }
 
 // simRequest is a request and what its caller gets.
@@ -79,6 +81,8 @@
 	simPrefill  = 0.0185
 	simDecode   = 4.6
 	simOverhead = 25.0
+	// simReported is the output after which holders report for the second time.
+	simReported = 32
 )
 
 // step lets an engine work for a step and returns the runs that ended.
@@ -261,6 +265,10 @@
 		if !before[r] && r.first > 0 {
 			s.step(swcell.Progress{Key: s.keyOf(r), Attempt: 1, Produced: 5})
 		}
+		if done := r.request.outputTokens - r.output/simDecode; !r.told && r.first > 0 && done >= simReported {
+			r.told = true
+			s.step(swcell.Progress{Key: s.keyOf(r), Attempt: 1, Produced: swid.Tokens(done)})
+		}
 	}
 	for _, r := range ended {
 		r.request.first, r.request.done = r.first, s.now
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -69,14 +69,25 @@
 	if r == nil || e.Produced <= r.produced {
 		return
 	}
+	before := r.produced
 	r.produced = e.Produced
 	if r.firstAt == 0 {
 		r.firstAt = c.now
 		r.prefilled = r.target.prefilled(c.now)
 		c.observeFirst(r, c.now-r.granted)
+		return
+	}
+	// The pace of a target that is not well known is learned before its first
+	// requests end, which takes seconds where they are long.
+	if output := float64(e.Produced - before); r.target.rates.decode.Samples() < earlySamples && output >= minOutput {
+		c.observeRest(r, float64(c.now-r.firstAt), output)
 	}
 }
 
+// earlySamples is the number of observations up to which a target's pace is
+// learned from output that goes on: from then on one more changes it little.
+const earlySamples = 2
+
 func (c *Cell[P, O]) done(e swcell.Done) {
 	r := c.running[runKey{e.Key, e.Attempt}]
 	if r == nil || r.target.conf.ID != e.Target {
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -29,6 +29,9 @@
 	minPatience = swclock.Second
 	// progressTokens is the number of output tokens between two progress reports.
 	progressTokens swid.Tokens = 256
+	// earlyTokens is the number of output tokens of the second report where
+	// owners are told early: enough to tell a target's pace by.
+	earlyTokens swid.Tokens = 32
 )
 
 // endedByHolder is the cause of an attempt's cancellation by the holder itself.
@@ -221,8 +224,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running.produced = a.produced
-	first := e.holder.config.ReportFirst && a.reported == 0
-	if first || a.produced-a.reported >= progressTokens {
+	early := e.holder.config.ReportEarly && (a.reported == 0 || a.reported < earlyTokens && a.produced >= earlyTokens)
+	if early || a.produced-a.reported >= progressTokens {
 		a.reported = a.produced
 		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced}
 		for _, owner := range e.running.owners {
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -68,8 +68,10 @@
 	AskTimeout swclock.Millis
 	// Used is told of each request when its first attempt is granted; nil tells nobody.
 	Used func(r *Request)
-	// ReportFirst has owners told of the first output of each attempt.
-	ReportFirst bool
+	// ReportEarly has owners told of the first output of each attempt, and once
+	// more soon after, by which they learn a target's pace before it ends its first
+	// requests.
+	ReportEarly bool
 	// AskRefresh is the interval at which an ask that waits is repeated; 0 stands for the default.
 	AskRefresh swclock.Millis
 }
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -162,7 +162,7 @@
 	f.holder = swholder.New(swholder.Config{
 		Host: f.self.Host, Incarnation: f.self.Incarnation, Clock: f.clock, Sender: f.exchange, Router: f.router,
 		Targets: f.pool, Observer: f.metrics, Log: f.log, MaxHeld: f.settings.Caller.MaxHeld,
-		Retries: f.retries, AskTimeout: askTimeout, AskRefresh: askRefresh, ReportFirst: true,
+		Retries: f.retries, AskTimeout: askTimeout, AskRefresh: askRefresh, ReportEarly: true,
 		Used: f.used,
 	})
 	f.owner = swowner.New(swowner.Config{
