Count what hosts used before their start against quotas as their part of the rate

The owner and ten other hosts lost power for 2 s and returned; the owner's new process knew what the eight others had used, and took the use of the eleven before their start to be half of their part of the burst, at their start. Change: the ledger takes the use before the start of a process to be its host's even part of the rate and half of that of the burst, unless it accounted for the process before. Hosts tell the age of their process; the assumed amounts are not sent any more.

--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -67,6 +67,17 @@
 	first swclock.Millis
 	// uses has the accounts of each organisation by the process that holds its requests.
 	uses map[swid.OrgID]map[Process]*use
+	// young has the start of each process whose host may have used something in
+	// the window before that nobody accounts for.
+	young map[Process]swclock.Millis
+	// known has the latest process of each host whose use this ledger knows whole.
+	known map[swid.HostID]attachment
+}
+
+// attachment is a process, and when it last said that it asks this owner.
+type attachment struct {
+	process Process
+	heard   swclock.Millis
 }
 
 // New returns a ledger that admits everything until it is configured.
@@ -75,6 +86,8 @@
 		window: window, hosts: 1, first: -1,
 		attached: make(map[swid.HostID]swclock.Millis),
 		uses:     make(map[swid.OrgID]map[Process]*use),
+		young:    make(map[Process]swclock.Millis),
+		known:    make(map[swid.HostID]attachment),
 	}
 }
 
@@ -97,10 +110,10 @@
 	l.hosts = max(n, 1)
 }
 
-// Attach notes that a host asks this owner. Amounts are what the requests of its
-// process used: in place of all that was known of it if they are fresh, and in
-// addition otherwise.
-func (l *Ledger) Attach(from Process, fresh bool, amounts []Amount, now swclock.Millis) {
+// Attach notes that a host asks this owner, by a process of some age. Amounts are
+// what the requests of the process used: in place of all that was known of it if
+// they are fresh, and in addition otherwise.
+func (l *Ledger) Attach(from Process, age swclock.Millis, fresh bool, amounts []Amount, now swclock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.present(now) == 0 {
@@ -109,7 +122,11 @@
 	l.attached[from.Host] = now
 	if fresh {
 		l.forget(from)
+		if started := now - age; age < l.window && !l.knowsBefore(from, started) {
+			l.young[from] = started
+		}
 	}
+	l.known[from.Host] = attachment{from, now}
 	for _, a := range amounts {
 		if l.limits[a.Org].Rate > 0 {
 			l.account(a.Org, from).add(a.Value, now-a.Age, l.window)
@@ -122,14 +139,28 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.attached, from.Host)
+	delete(l.known, from.Host)
 	l.forget(from)
 }
 
+// knownGap is how long before the start of a process its predecessor was last
+// heard at most, if that asked this owner to its end: the time between two
+// messages, and that of a restart.
+const knownGap = 2 * swclock.Second
+
+// knowsBefore reports whether the ledger accounts for all that the process before
+// one used. It needs l.mu.
+func (l *Ledger) knowsBefore(p Process, started swclock.Millis) bool {
+	last, known := l.known[p.Host]
+	return known && last.process.Incarnation+1 == p.Incarnation && last.heard >= started-knownGap
+}
+
 // forget drops the accounts of a process. It needs l.mu.
 func (l *Ledger) forget(p Process) {
 	for _, accounts := range l.uses {
 		delete(accounts, p)
 	}
+	delete(l.young, p)
 }
 
 // Share returns the part of each quota that this ledger admits, and the number
@@ -201,6 +232,37 @@
 	return u
 }
 
+// unknownBurst is the share of its part of a burst that a host is taken to have
+// used shortly before its process started.
+const unknownBurst = 0.5
+
+// recent returns what was used in the latest parts, the present one first. What a
+// host used before its process started is not known if this owner did not account
+// for it; it is taken to be the host's even part of the rate, and a share of its
+// part of the burst at the end. It needs l.mu.
+func (l *Ledger) recent(org swid.OrgID, at swclock.Millis) (recent [parts + 1]float64) {
+	for _, u := range l.uses[org] {
+		u.addRecent(&recent, at, l.window)
+	}
+	even := l.limits[org].times(1 / float64(l.hosts))
+	present := partOf(at, l.window)
+	for p, started := range l.young {
+		age := present - partOf(started, l.window)
+		if age > parts {
+			delete(l.young, p)
+			continue
+		}
+		if age < 0 {
+			continue // asked for a time before the start
+		}
+		recent[age] += unknownBurst * even.Burst
+		for back := age + 1; back <= parts; back++ {
+			recent[back] += even.Rate * float64(l.window/parts) / float64(swclock.Second)
+		}
+	}
+	return recent
+}
+
 // majority is the share below which an owner has no burst to overdraw: the
 // shares of many owners are each smaller than one large request.
 const majority = 0.5
@@ -208,11 +270,7 @@
 // fitsWindow reports whether an amount may be used at an instant by what a whole
 // window may have. It needs l.mu.
 func (l *Ledger) fitsWindow(org swid.OrgID, limit Limit, amount float64, at swclock.Millis) bool {
-	var recent [parts + 1]float64
-	for _, u := range l.uses[org] {
-		u.addRecent(&recent, at, l.window)
-	}
-	for _, used := range recent {
+	for _, used := range l.recent(org, at) {
 		amount += used
 	}
 	return amount <= limit.within(l.window)
@@ -222,13 +280,9 @@
 // ends then has more than it may have. A request that is larger than the burst
 // may overdraw it, so that it is not refused for ever. It needs l.mu.
 func (l *Ledger) fits(org swid.OrgID, limit Limit, amount float64, at swclock.Millis) bool {
-	var recent [parts + 1]float64
-	for _, u := range l.uses[org] {
-		u.addRecent(&recent, at, l.window)
-	}
 	amount = min(amount, limit.Burst)
 	sum := 0.0
-	for back, used := range recent {
+	for back, used := range l.recent(org, at) {
 		sum += used
 		// The present part may only have begun, and so counts for no time.
 		if sum+amount > limit.within(swclock.Millis(back)*l.window/parts) {
--- a/internal/core/swquota/swquota_test.go
+++ b/internal/core/swquota/swquota_test.go
@@ -61,7 +61,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "requests") {
 			now += swclock.Millis(rapid.IntRange(0, 400).Draw(t, "gap"))
 			amount := float64(rapid.IntRange(1, 1000).Draw(t, "amount"))
-			l.Attach(lone, false, nil, now)
+			l.Attach(lone, window, false, nil, now)
 			if _, ok := l.Take(lone, "o", amount, 0, now); ok {
 				all = append(all, charge{now, amount})
 			}
@@ -74,38 +74,50 @@
 
 // fleet is a number of hosts, each of which asks one of several owners.
 type fleet struct {
+	limit  Limit
 	owners []*Ledger
 	meters []*Meter
 	// owner is the one that each host asks.
 	owner []int
 	fresh []bool
-	// starts counts the starts of each host.
-	starts []int
-	now    swclock.Millis
-	all    []charge
+	// starts counts the starts of each host; one that is down does nothing.
+	starts  []int
+	started []swclock.Millis
+	down    []bool
+	now     swclock.Millis
+	all     []charge
 }
 
-func newFleet(hosts, owners int) *fleet {
-	f := &fleet{owner: make([]int, hosts), fresh: make([]bool, hosts), starts: make([]int, hosts)}
+func newFleet(hosts, owners int, limit Limit) *fleet {
+	f := &fleet{limit: limit, owner: make([]int, hosts), fresh: make([]bool, hosts), starts: make([]int, hosts), started: make([]swclock.Millis, hosts), down: make([]bool, hosts)}
 	for range owners {
-		f.owners = append(f.owners, newLedger(hosts))
+		f.owners = append(f.owners, f.newLedger(hosts))
 	}
 	for i := range hosts {
-		f.meters = append(f.meters, NewMeter(window, -window))
-		f.fresh[i] = true
+		f.meters = append(f.meters, NewMeter(window))
+		f.fresh[i], f.started[i] = true, -window
 	}
 	return f
 }
 
+func (f *fleet) newLedger(hosts int) *Ledger {
+	l := newLedger(hosts)
+	l.Configure(map[swid.OrgID]Limit{"o": f.limit})
+	return l
+}
+
 // step lets a tenth of a second pass: each host stays attached and sends requests.
 func (f *fleet) step(requests int, amount float64) {
 	for h, m := range f.meters {
+		if f.down[h] {
+			continue
+		}
 		owner, host := f.owners[f.owner[h]], processOf(h, f.starts[h])
 		if f.fresh[h] {
-			owner.Attach(host, true, m.All(f.now), f.now)
+			owner.Attach(host, f.now-f.started[h], true, m.All(f.now), f.now)
 			f.fresh[h] = false
 		} else {
-			owner.Attach(host, false, m.Untold(), f.now)
+			owner.Attach(host, f.now-f.started[h], false, m.Untold(), f.now)
 		}
 		for range requests {
 			if _, ok := owner.Take(host, "o", amount, 0, f.now); ok {
@@ -183,7 +195,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := newFleet(hosts, 5)
+			f := newFleet(hosts, 5, limit)
 			for step := range 300 {
 				tt.move(f, step)
 				if every := max(int(tt.amount)/50, 1); step%every == 0 {
@@ -221,7 +233,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := newFleet(hosts, 1)
+			f := newFleet(hosts, 1, limit)
 			for step := range 300 {
 				if step >= 100 && (step-100)%tt.every == 0 {
 					f.restart(tt.hosts, tt.owner)
@@ -238,22 +250,80 @@
 // restart starts the processes of the first hosts anew.
 func (f *fleet) restart(hosts int, owner bool) {
 	if owner {
-		f.owners[0] = newLedger(len(f.meters))
+		f.owners[0] = f.newLedger(len(f.meters))
 	}
 	for h := range hosts {
 		f.starts[h]++
-		f.meters[h] = NewMeter(window, f.now)
-		f.meters[h].Configure(map[swid.OrgID]Limit{"o": limit}, len(f.meters))
+		f.meters[h], f.started[h] = NewMeter(window), f.now
 		f.fresh[h] = true
 	}
 }
 
+// TestOwnerAndOthersReturn takes an owner and other hosts away for two seconds.
+// Those that remain ask another host; later all ask one of the new processes,
+// which knows the use of those only that remained.
+func TestOwnerAndOthersReturn(t *testing.T) {
+	const hosts = 10
+	// A burst that is large beside the rate, as the platform's tolerance makes it.
+	large := Limit{Rate: 1000, Burst: 6000}
+	tests := []struct {
+		name string
+		// lost is the number of hosts that go, and before how many steps earlier an
+		// organisation begins to ask for five times its quota.
+		lost, before int
+	}{
+		{"six of ten, soon after", 6, 5},
+		{"six of ten, half a window after", 6, 40},
+		{"eight of ten, half a window after", 8, 40},
+		{"three of ten, a quarter of a window after", 3, 20},
+		{"all, half a window after", hosts, 40},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(hosts, 3, large)
+			for step := range 300 {
+				switch step {
+				case 100:
+					for h := range hosts {
+						f.down[h] = h < tt.lost
+						f.move(h, 1)
+					}
+				case 120:
+					f.restart(tt.lost, false)
+					for h := range hosts {
+						f.down[h] = false
+						f.move(h, 2)
+					}
+				}
+				switch {
+				case step < 100-tt.before:
+					f.step(0, 0)
+				case step < 100 && tt.before < 10:
+					f.step(8, 100) // all of the burst at once
+				default:
+					f.step(3, 50)
+				}
+			}
+			if sum, allowed := most(f.all), large.within(window)*1.2; sum > allowed {
+				t.Errorf("%v used in a window, at most %v are allowed", sum, allowed)
+			}
+			served := 0.0
+			for _, c := range f.all {
+				served += c.amount
+			}
+			if least := float64(200+tt.before) / 10 * limit.Rate * 0.7; served < least {
+				t.Errorf("%v used, at least %v of the quota were asked for", served, least)
+			}
+		})
+	}
+}
+
 // TestUntold counts requests that a host admitted without its owner.
 func TestUntold(t *testing.T) {
-	l, m := newLedger(1), NewMeter(window, -window)
-	l.Attach(lone, true, m.All(0), 0)
+	l, m := newLedger(1), NewMeter(window)
+	l.Attach(lone, window, true, m.All(0), 0)
 	m.Add("o", 5000, false, 100)
-	l.Attach(lone, false, m.Untold(), 500)
+	l.Attach(lone, window, false, m.Untold(), 500)
 	if _, ok := l.Take(lone, "o", 2000, 0, 500); ok {
 		t.Error("admitted above the quota")
 	}
@@ -267,7 +337,7 @@
 	l := newLedger(1)
 	now := swclock.Millis(0)
 	for range 9 {
-		l.Attach(lone, false, nil, now)
+		l.Attach(lone, window, false, nil, now)
 		l.Take(lone, "o", 200, 0, now)
 		now += 100
 	}
--- a/internal/core/swquota/use.go
+++ b/internal/core/swquota/use.go
@@ -82,41 +82,19 @@
 	Value float64
 }
 
-// unknownUse is the share of its part of a burst that a host is taken to have
-// used when its process started.
-const unknownUse = 0.5
-
-// Meter remembers what the requests of one host used. What an earlier process
-// of the host used is not known; it is taken to be a part of the burst. It is
-// safe for concurrent use.
+// Meter remembers what the requests of one process used. It is safe for concurrent use.
 type Meter struct {
 	window swclock.Millis
-	// started is when the process started.
-	started swclock.Millis
 
 	mu   sync.Mutex
 	uses map[swid.OrgID]*use
-	// before has what each organisation is taken to have used before the start.
-	before map[swid.OrgID]float64
 	// untold has the amounts that no owner has accounted for.
 	untold map[swid.OrgID]float64
 }
 
-// NewMeter returns a meter of requests over a window of time, of a process that started at an instant.
-func NewMeter(window, started swclock.Millis) *Meter {
-	return &Meter{window: window, started: started, uses: make(map[swid.OrgID]*use), untold: make(map[swid.OrgID]float64)}
-}
-
-// Configure sets the quotas, and the number of hosts that share them.
-func (m *Meter) Configure(limits map[swid.OrgID]Limit, hosts int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.before = make(map[swid.OrgID]float64, len(limits))
-	for org, l := range limits {
-		if l.Rate > 0 {
-			m.before[org] = unknownUse * l.Burst / float64(max(hosts, 1))
-		}
-	}
+// NewMeter returns a meter of requests over a window of time.
+func NewMeter(window swclock.Millis) *Meter {
+	return &Meter{window: window, uses: make(map[swid.OrgID]*use), untold: make(map[swid.OrgID]float64)}
 }
 
 // Add counts a request. told tells that the owner has accounted for it.
@@ -170,18 +148,5 @@
 		}
 	}
 	clear(m.untold)
-	return append(amounts, m.assumed(now)...)
-}
-
-// assumed returns the use before the process started. It needs m.mu.
-func (m *Meter) assumed(now swclock.Millis) []Amount {
-	age := now - m.started
-	if age >= m.window {
-		return nil
-	}
-	amounts := make([]Amount, 0, len(m.before))
-	for org, value := range m.before {
-		amounts = append(amounts, Amount{Org: org, Age: age, Value: value})
-	}
 	return amounts
 }
--- a/internal/node/swfleet/attach.go
+++ b/internal/node/swfleet/attach.go
@@ -29,7 +29,7 @@
 
 // attach tells the owner that this host asks it.
 func (f *Fleet) attach(owner swid.HostID, fresh bool) {
-	m := swmsg.Attach{Fresh: fresh}
+	m := swmsg.Attach{Fresh: fresh, Age: f.clock.Now() - f.started}
 	if fresh {
 		m.Amounts = amountsOf(f.meter.All(f.clock.Now()))
 	} else {
@@ -107,5 +107,5 @@
 	for i, v := range attach.Amounts {
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
-	f.ledger.Attach(process, attach.Fresh, amounts, f.clock.Now())
+	f.ledger.Attach(process, attach.Age, attach.Fresh, amounts, f.clock.Now())
 }
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -37,7 +37,6 @@
 			continue
 		}
 		f.ledger.Configure(f.quotasOf(item.Value))
-		f.meter.Configure(f.quotasOf(item.Value), len(f.view.Members()))
 		f.gate.Configure(table)
 		f.log.Info().
 			Uint64("configVersion", uint64(item.Value.Version)).Uint64("revision", uint64(item.Revision)).
@@ -108,9 +107,6 @@
 	f.router.SetMembers(f.view.Members())
 	f.retries.share(len(items))
 	f.ledger.SetHosts(len(items))
-	if table := f.gate.Table(); table != nil {
-		f.meter.Configure(f.quotasOf(table.Catalog()), len(items))
-	}
 	f.log.Info().Int("hosts", len(items)).Uint64("revision", uint64(latest(items))).Msg("hosts changed")
 	f.ownerMayHaveMoved()
 }
--- a/internal/node/swfleet/reload.go
+++ b/internal/node/swfleet/reload.go
@@ -28,8 +28,6 @@
 	}
 	f.gate.SetBounds(boundsOf(f.bounds.Load()))
 	if table := f.gate.Table(); table != nil {
-		limits := f.quotasOf(table.Catalog())
-		f.ledger.Configure(limits)
-		f.meter.Configure(limits, len(f.view.Members()))
+		f.ledger.Configure(f.quotasOf(table.Catalog()))
 	}
 }
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -64,6 +64,8 @@
 	clock    *swclock.System
 	platform Platform
 	self     swlink.Peer
+	// started is when the process began to count what its requests use.
+	started swclock.Millis
 
 	registry *prometheus.Registry
 	metrics  *swmetrics.Metrics
@@ -103,7 +105,7 @@
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
 	}
-	f.meter = swquota.NewMeter(settings.Fleet.QuotaWindow, f.clock.Now())
+	f.meter, f.started = swquota.NewMeter(settings.Fleet.QuotaWindow), f.clock.Now()
 	platform, err := factory(settings, f.clock, log)
 	if err != nil {
 		return nil, err
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -114,12 +114,13 @@
 	if c.err != nil {
 		return swmsg.Attach{}
 	}
-	return swmsg.Attach{Fresh: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: convert(w.GetAmounts(), func(a *swpb.Amount) swmsg.Amount {
+	amounts := convert(w.GetAmounts(), func(a *swpb.Amount) swmsg.Amount {
 		return swmsg.Amount{
 			Org: swid.OrgID(c.required("org", a.GetOrg())), Age: span(c, "ageMillis", a.GetAgeMillis()),
 			Value: amount(c, "value", a.GetValue()),
 		}
-	})}
+	})
+	return swmsg.Attach{Fresh: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: span(c, "ageMillis", w.GetAgeMillis())}
 }
 
 func decodeGrant(c *checker, w *swpb.Grant) swmsg.Grant {
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -79,9 +79,10 @@
 }
 
 func encodeAttach(m swmsg.Attach) *swpb.Attach {
-	return &swpb.Attach{Fresh: m.Fresh, Leaving: m.Leaving, Amounts: convert(m.Amounts, func(a swmsg.Amount) *swpb.Amount {
+	amounts := convert(m.Amounts, func(a swmsg.Amount) *swpb.Amount {
 		return &swpb.Amount{Org: string(a.Org), AgeMillis: int64(a.Age), Value: a.Value}
-	})}
+	})
+	return &swpb.Attach{Fresh: m.Fresh, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age)}
 }
 
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -97,6 +97,8 @@
 	// Leaving tells that the sender asks another host from now on.
 	Leaving bool
 	Amounts []Amount
+	// Age is that of the sender's process, which knows nothing of the use before.
+	Age swclock.Millis
 }
 
 // Leaving tells that the sender's process is about to stop and owns nothing any more.
