--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -232,19 +232,20 @@
 	return u
 }
 
-// unknownBurst is the share of its part of a burst that a host is taken to have
-// used shortly before its process started.
-const unknownBurst = 0.5
+// unknownUse is the share of its even part of a quota that a host is taken to have
+// used before its process started. With all of it the lower tiers, which leave a
+// reserve, would be refused for a window after each restart.
+const unknownUse = 0.5
 
 // recent returns what was used in the latest parts, the present one first. What a
 // host used before its process started is not known if this owner did not account
-// for it; it is taken to be the host's even part of the rate, and a share of its
-// part of the burst at the end. It needs l.mu.
+// for it; it is taken to be a share of the host's even part of the rate, and of
+// the burst at the end. It needs l.mu.
 func (l *Ledger) recent(org swid.OrgID, at swclock.Millis) (recent [parts + 1]float64) {
 	for _, u := range l.uses[org] {
 		u.addRecent(&recent, at, l.window)
 	}
-	even := l.limits[org].times(1 / float64(l.hosts))
+	before := l.limits[org].times(unknownUse / float64(l.hosts))
 	present := partOf(at, l.window)
 	for p, started := range l.young {
 		age := present - partOf(started, l.window)
@@ -255,9 +256,9 @@
 		if age < 0 {
 			continue // asked for a time before the start
 		}
-		recent[age] += unknownBurst * even.Burst
+		recent[age] += before.Burst
 		for back := age + 1; back <= parts; back++ {
-			recent[back] += even.Rate * float64(l.window/parts) / float64(swclock.Second)
+			recent[back] += before.Rate * float64(l.window/parts) / float64(swclock.Second)
 		}
 	}
 	return recent
--- a/internal/core/swquota/swquota_test.go
+++ b/internal/core/swquota/swquota_test.go
@@ -385,3 +385,21 @@
 		t.Error("refused what was returned")
 	}
 }
+
+// TestServedAfterRestart restarts all hosts and refuses nothing to the lowest tier
+// of an organisation that asks for two thirds of its quota.
+func TestServedAfterRestart(t *testing.T) {
+	const hosts = 10
+	l := newLedger(hosts)
+	for h := range hosts {
+		l.Attach(processOf(h, 1), 0, true, nil, 0)
+	}
+	for now := swclock.Millis(500); now < 2*window; now += 100 {
+		for h := range hosts {
+			l.Attach(processOf(h, 1), now, false, nil, now)
+		}
+		if _, ok := l.Take(processOf(0, 1), "o", 66, 0.2, now); !ok {
+			t.Fatalf("refused at %d", now)
+		}
+	}
+}
