--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -256,13 +256,14 @@
 }
 
 func (s *sim) advance(e *simEngine) {
-	before := make(map[*simRun]bool, len(e.runs))
-	for _, r := range e.runs {
-		before[r] = r.first > 0
+	runs := slices.Clone(e.runs)
+	begun := make([]bool, len(runs))
+	for i, r := range runs {
+		begun[i] = r.first > 0
 	}
 	ended := e.step(s.now)
-	for r := range before {
-		if !before[r] && r.first > 0 {
+	for i, r := range runs {
+		if !begun[i] && r.first > 0 {
 			s.step(swcell.Progress{Key: s.keyOf(r), Attempt: 1, Produced: 5})
 		}
 		if done := r.request.outputTokens - r.output/simDecode; !r.told && r.first > 0 && done >= simReported {
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -41,6 +41,11 @@
 	scripts map[swid.TargetID][]script
 	// claimErr is the answer to claims; nil grants them.
 	claimErr error
+	// silent has the owners that were found silent; the next takes their place.
+	silent []swid.HostID
+	next   swid.HostID
+	// calls has the requests that targets were given.
+	calls []swtarget.Request
 }
 
 // script is the course of one start on a target.
@@ -51,6 +56,11 @@
 	end error
 	// hang waits for the attempt's context after the chunks.
 	hang bool
+	// status is 200 if it is 0.
+	status int
+	// lastEvent is the id of the last event in each chunk, tokens their number in it; 1 if 0.
+	lastEvent string
+	tokens    swid.Tokens
 }
 
 func (b *bench) Send(to swid.HostID, m swmsg.Message) bool {
@@ -59,7 +69,6 @@
 }
 func (b *bench) Connected(swid.HostID) bool             { return true }
 func (b *bench) Heard(swid.CellID, swid.Epoch)          {}
-func (b *bench) Silent(swid.HostID)                     {}
 func (b *bench) RequestEnded(*Request, *Report)         {}
 func (b *bench) UnusedGrant()                           {}
 func (b *bench) Finish(swclaim.Entry, swclaim.Decision) {}
@@ -73,6 +82,13 @@
 	return b.owner, false
 }
 
+func (b *bench) Silent(host swid.HostID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent = append(b.silent, host)
+	b.owner = b.next
+}
+
 func (b *bench) setOwner(host swid.HostID) {
 	b.mu.Lock()
 	b.owner = host
@@ -88,9 +104,10 @@
 	target swid.TargetID
 }
 
-func (s scripted) Start(ctx context.Context, _ swtarget.Request) (swtarget.Answer, error) {
+func (s scripted) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	s.bench.mu.Lock()
 	defer s.bench.mu.Unlock()
+	s.bench.calls = append(s.bench.calls, r)
 	s.bench.starts[s.target]++
 	next := s.bench.scripts[s.target][0]
 	s.bench.scripts[s.target] = s.bench.scripts[s.target][1:]
@@ -106,14 +123,16 @@
 	next   int
 }
 
-func (a *scriptedAnswer) Status() int           { return 200 }
+func (a *scriptedAnswer) Status() int           { return max(a.script.status, http.StatusOK) }
 func (a *scriptedAnswer) Header() http.Header   { return swtarget.MediaType("text/plain") }
 func (a *scriptedAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
 func (a *scriptedAnswer) Close() error          { return nil }
 func (a *scriptedAnswer) Next() (swtarget.Chunk, error) {
 	if a.next < len(a.script.chunks) {
 		a.next++
-		return swtarget.Chunk{Data: []byte(a.script.chunks[a.next-1]), Tokens: 1, Events: 1}, nil
+		return swtarget.Chunk{
+			Data: []byte(a.script.chunks[a.next-1]), Tokens: max(a.script.tokens, 1), Events: 1, LastEvent: a.script.lastEvent,
+		}, nil
 	}
 	if a.script.hang {
 		<-a.ctx.Done()
@@ -132,11 +151,17 @@
 }
 
 func newBench(scripts map[swid.TargetID][]script) *bench {
+	return newBenchWith(scripts, func(*Config) {})
+}
+
+func newBenchWith(scripts map[swid.TargetID][]script, change func(c *Config)) *bench {
 	b := &bench{owner: "owner", sent: make(chan sent, 64), starts: make(map[swid.TargetID]int), scripts: scripts}
-	b.holder = New(Config{
+	config := Config{
 		Host: "holder", Incarnation: 1, Clock: swclock.NewSystem(), Sender: b, Router: b, Targets: b,
 		Claims: b, Observer: b, Log: zerolog.Nop(), MaxHeld: 10,
-	})
+	}
+	change(&config)
+	b.holder = New(config)
 	return b
 }
 
@@ -292,6 +317,117 @@
 	}
 }
 
+// TestSilentOwner passes an owner over that acknowledges nothing, and stays with
+// one that does.
+func TestSilentOwner(t *testing.T) {
+	b := newBenchWith(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}}, func(c *Config) {
+		c.AskTimeout, c.AskRefresh = swclock.Second, 5
+	})
+	b.next = "second"
+	reports, _ := b.serve(b.request(false, false))
+	if _, to := expect[swmsg.Ask](t, b); to != "owner" {
+		t.Errorf("asked %s", to)
+	}
+	ask, to := expect[swmsg.Ask](t, b)
+	if to != "second" {
+		t.Fatalf("asked %s after the silent owner", to)
+	}
+	b.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Queued{Cell: ask.Cell, Seq: ask.Seq, Attempt: ask.Attempt})
+	// It is asked again, and acknowledges that too: it is there.
+	for range 3 {
+		again, to := expect[swmsg.Ask](t, b)
+		if to != "second" {
+			t.Errorf("asked %s, although the owner answers", to)
+		}
+		b.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Queued{Cell: again.Cell, Seq: again.Seq, Attempt: again.Attempt})
+	}
+	b.grant("second", ask, "a")
+	if r := <-reports; r.End.Outcome != swlife.OutcomeAnswered {
+		t.Errorf("report is %+v", r)
+	}
+	if b.mu.Lock(); !slices.Equal(b.silent, []swid.HostID{"owner"}) {
+		t.Errorf("found silent: %v", b.silent)
+	}
+	b.mu.Unlock()
+}
+
+// TestReportsEarly tells the owner of the first output and of a little more.
+func TestReportsEarly(t *testing.T) {
+	long := script{chunks: make([]string, 30), end: io.EOF, tokens: 5}
+	b := newBenchWith(map[swid.TargetID][]script{"a": {long}}, func(c *Config) { c.ReportEarly = true })
+	reports, _ := b.serve(b.request(true, false))
+	ask, _ := expect[swmsg.Ask](t, b)
+	b.grant("owner", ask, "a")
+	<-reports
+	var produced []swid.Tokens
+	for {
+		s := <-b.sent
+		if m, ok := s.message.(swmsg.Progress); ok {
+			produced = append(produced, m.Produced)
+		}
+		if _, ok := s.message.(swmsg.Done); ok {
+			break
+		}
+	}
+	if want := []swid.Tokens{5, 35}; !slices.Equal(produced, want) {
+		t.Errorf("told of %v, want %v", produced, want)
+	}
+}
+
+// TestRetryFailures tries another target after a failure, and gives the caller
+// the failure that a target answered with if no other answers.
+func TestRetryFailures(t *testing.T) {
+	failure := script{status: http.StatusInternalServerError, chunks: []string{"failed"}, end: io.EOF}
+	tests := []struct {
+		name   string
+		second script
+		want   string
+	}{
+		{"the second answers", script{chunks: []string{"fine"}, end: io.EOF}, "fine"},
+		{"the second fails too", failure, "failed"},
+		{"the second does not answer", script{startErr: errBroken}, "failed"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(map[swid.TargetID][]script{"a": {failure}, "b": {tt.second}})
+			r := b.request(false, false)
+			r.RetryFailures, r.Attempts = true, 2
+			reports, out := b.serve(r)
+			for _, target := range []swid.TargetID{"a", "b"} {
+				ask, _ := expect[swmsg.Ask](t, b)
+				b.grant("owner", ask, target)
+			}
+			if report := <-reports; report.End.Outcome != swlife.OutcomeAnswered || report.Attempts != 2 {
+				t.Errorf("report is %+v", report)
+			}
+			if string(out.data) != tt.want {
+				t.Errorf("delivered %q, want %q", out.data, tt.want)
+			}
+		})
+	}
+}
+
+// TestResumeElsewhere continues a broken stream at another target after the last
+// event that the caller has.
+func TestResumeElsewhere(t *testing.T) {
+	b := newBench(map[swid.TargetID][]script{
+		"a": {{chunks: []string{"1", "2"}, end: errBroken, lastEvent: "e2"}}, "b": {{chunks: []string{"3"}, end: io.EOF}},
+	})
+	r := b.request(true, false)
+	r.ResumeElsewhere, r.Attempts = true, 2
+	reports, out := b.serve(r)
+	for _, target := range []swid.TargetID{"a", "b"} {
+		ask, _ := expect[swmsg.Ask](t, b)
+		b.grant("owner", ask, target)
+	}
+	if report := <-reports; report.End.Outcome != swlife.OutcomeAnswered || string(out.data) != "123" {
+		t.Errorf("report is %+v, delivered %q", report, out.data)
+	}
+	if after := b.calls[1].ResumeAfter; after != "e2" {
+		t.Errorf("continued after %q", after)
+	}
+}
+
 // TestEndWaiting ends a request that waits while the host stops, and leaves one
 // that runs alone.
 func TestEndWaiting(t *testing.T) {
