Place organisations without a tier between those that have one

Cause: an organisation without a priority of its own counted as of the highest one, before all whose operators gave them a lower one. Ruled out: the route's tier in its place; organisations without one would then be ordered by it twice. Conclusion: the middle tier stands for none, so that the route's decides.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -261,7 +261,7 @@
 	service := route.Pick(rand.Float64())
 	r := &swholder.Request{
 		ID: c.ID, Seq: seq, Service: service, Cell: swid.NewCellID(service, g.config.Region),
-		Tier: route.Tier, Deadline: deadline(now, c.Deadline, route.Timeout),
+		Tier: route.Tier, OrgTier: usualOrgTier, Deadline: deadline(now, c.Deadline, route.Timeout),
 		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, ExpectedTokens: c.ExpectedTokens, Parts: c.Parts,
 		Attempts: swid.Attempt(route.Attempts), EndsAtDeadline: true, KeepsNothing: true,
 		Call: swtarget.Request{
@@ -297,6 +297,11 @@
 	return r
 }
 
+// usualOrgTier is the tier of organisations for which the operators set none: the
+// middle of the users' three, so that their requests stand by their route's tier
+// among those of organisations that have one.
+const usualOrgTier swid.Tier = 1
+
 // charge returns what a call counts towards its organisation's quota.
 func charge(c *Call, q *swcatalog.Quota) int64 {
 	switch {
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -52,7 +52,7 @@
 	Objective swclock.Millis
 	// Parts are the parts of the prompt in order, where the caller names them.
 	Parts []Part
-	// OrgTier is the organisation's own tier. It goes before Tier where the operators set one, and is 0 elsewhere.
+	// OrgTier is the organisation's own tier, which goes before Tier; the same for all where the operators set none.
 	OrgTier swid.Tier
 	// ExpectedTokens is the caller's estimate of the output, often far off; 0 if it gives none.
 	ExpectedTokens swid.Tokens
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -27,7 +27,7 @@
 	Fingerprint  swid.Fingerprint
 	// Parts are the parts of the prompt, where the caller names them.
 	Parts []swcell.Part
-	// OrgTier is the organisation's own tier. It goes before Tier where the operators set one, and is 0 elsewhere.
+	// OrgTier is the organisation's own tier, which goes before Tier; the same for all where the operators set none.
 	OrgTier swid.Tier
 	// ExpectedTokens is the caller's estimate of the output; 0 if it gives none.
 	ExpectedTokens swid.Tokens
