Count plain requests against quotas that count requests

Ruled out: refusing by each host's even part, as callers are not spread evenly; an owner that tells hosts who is over, as each would admit for half a second more. Change: where a quota counts requests, plain services have the owner of the engines' cells. A ledger also takes a process as known only after it was told all of its use.

--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -4,9 +4,10 @@
 //
 // Each host remembers what its own requests used, and tells the owner of the
 // cells when it begins to ask it. So an owner knows the use of all hosts that
-// ask it, however often owners change. Where several owners exist, because hosts
-// do not reach each other or learn of a change at different times, each admits
-// the share of the quota of those hosts that ask it.
+// ask it, however often owners change. What a host used before its process started
+// is assumed, unless the owner accounted for the process before. Where several
+// owners exist, because hosts do not reach each other or learn of a change at
+// different times, each admits the share of the quota of those hosts that ask it.
 package swquota
 
 import (
@@ -70,7 +71,7 @@
 	// young has the start of each process whose host may have used something in
 	// the window before that nobody accounts for.
 	young map[Process]swclock.Millis
-	// known has the latest process of each host whose use this ledger knows whole.
+	// known has the latest process of each host, if this ledger knows all that it used.
 	known map[swid.HostID]attachment
 }
 
@@ -126,7 +127,9 @@
 			l.young[from] = started
 		}
 	}
-	l.known[from.Host] = attachment{from, now}
+	if fresh || l.known[from.Host].process == from {
+		l.known[from.Host] = attachment{from, now}
+	}
 	for _, a := range amounts {
 		if l.limits[a.Org].Rate > 0 {
 			l.account(a.Org, from).add(a.Value, now-a.Age, l.window)
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -296,8 +296,10 @@
 }
 
 const (
-	engineSlots = 2
-	engineWork  = 20 * time.Millisecond
+	// limitedBurst is the burst of the organisation "limited", in requests.
+	limitedBurst = 10
+	engineSlots  = 2
+	engineWork   = 20 * time.Millisecond
 )
 
 var benches atomic.Int32
@@ -329,10 +331,13 @@
 		}
 	}
 	return &swcatalog.Catalog{
-		Version:       version,
-		Routes:        []swcatalog.Route{route("model", "model"), route("plain", "plain"), route(fmt.Sprint("version", version), "plain")},
-		Services:      []swcatalog.Service{{ID: "model", Engine: &swcatalog.Engine{Slots: engineSlots, KVTokens: 100_000, EventTokens: 1}}, {ID: "plain"}},
-		Organisations: []swcatalog.Organisation{{ID: "org", Keys: []string{"key"}}},
+		Version:  version,
+		Routes:   []swcatalog.Route{route("model", "model"), route("plain", "plain"), route(fmt.Sprint("version", version), "plain")},
+		Services: []swcatalog.Service{{ID: "model", Engine: &swcatalog.Engine{Slots: engineSlots, KVTokens: 100_000, EventTokens: 1}}, {ID: "plain"}},
+		Organisations: []swcatalog.Organisation{
+			{ID: "org", Keys: []string{"key"}},
+			{ID: "limited", Keys: []string{"limited"}, Quota: swcatalog.Quota{Rate: 1, Burst: limitedBurst}},
+		},
 	}
 }
 
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// TestQuota bounds the plain requests of an organisation over all hosts, where
+// quotas count requests.
+func TestQuota(t *testing.T) {
+	b := newBench(t, 3)
+	b.until("one owner", func() bool { return len(b.owners()) == 1 })
+	owner := b.owners()[0].fleet
+	b.until("all hosts ask it", func() bool { share, _ := owner.ledger.Share(owner.clock.Now()); return share == 1 })
+	started := time.Now()
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			b.ask(b.hosts[i%len(b.hosts)], "/plain/x", fmt.Sprint("l", i), "limited")
+		}()
+	}
+	wg.Wait()
+	// A request for each second that began, beside the burst.
+	most := limitedBurst + 1 + int(time.Since(started)/time.Second)
+	if ran := len(b.ran()); ran < limitedBurst/2 || ran > most {
+		t.Errorf("%d requests ran, at most %d are allowed", ran, most)
+	}
+}
+
 // TestOwnerLeaves stops the owner while callers go on asking the others, and has
 // it finish what it holds.
 func TestOwnerLeaves(t *testing.T) {
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -1,6 +1,7 @@
 package swfleet
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 
@@ -18,9 +19,11 @@
 type view struct {
 	settings *swsettings.Settings
 
-	mu      sync.Mutex
-	table   *swcatalog.Table
-	targets []swcatalog.Target
+	mu    sync.Mutex
+	table *swcatalog.Table
+	// countsRequests tells that a quota of the table bounds a number of requests.
+	countsRequests bool
+	targets        []swcatalog.Target
 	// listed tells that the targets were listed once.
 	listed  bool
 	members []swmember.Member
@@ -36,6 +39,9 @@
 		return false
 	}
 	v.table = t
+	v.countsRequests = slices.ContainsFunc(t.Catalog().Organisations, func(o swcatalog.Organisation) bool {
+		return o.Quota.Rate > 0 && !o.Quota.Tokens
+	})
 	return true
 }
 
@@ -102,12 +108,14 @@
 	return len(v.targets)
 }
 
-// local reports whether a cell is that of a plain service. Calls of those are
-// short and their targets mostly idle, so that each host decides on its own.
+// local reports whether each host decides on its own for a cell: for those of
+// plain services, whose calls are short and whose targets are mostly idle. Where
+// quotas count requests, one owner has to see those too; where they count tokens,
+// a plain request is a small part of an engine's.
 func (v *view) local(cell swid.CellID) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.table == nil {
+	if v.table == nil || v.countsRequests {
 		return false
 	}
 	for _, s := range v.table.Catalog().Services {
