Say ready only once the host has brought a document into force

Traced with the answers that the test prints now: "this host has no configuration yet". Ready looked at the relay, which holds a document some time before it tells the node; on starved processors callers came in between. Ruled out: the killed owner; the refused requests never reached a holder. Conclusion: Ready asks the callers' interface whether it is configured.

--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -61,6 +61,9 @@
 // Configure brings a document into force.
 func (s *Server) Configure(d *swdoc.Document) { s.index.Store(newIndex(d, s.region)) }
 
+// Configured reports whether a document is in force here, without which all requests are refused.
+func (s *Server) Configured() bool { return s.index.Load() != nil }
+
 // HTTP returns a server with the bounds of the settings.
 func (s *Server) HTTP() *http.Server {
 	return &http.Server{
--- a/internal/node/swdaemon/drain_test.go
+++ b/internal/node/swdaemon/drain_test.go
@@ -76,7 +76,7 @@
 	seen := <-done
 	c.check(seen)
 	if len(seen.notRun)+seen.unknown+seen.lost > 0 {
-		t.Error("requests that waited at living hosts were not answered")
+		t.Errorf("requests that waited at living hosts were not answered: %q", seen.refusals)
 	}
 	if next, _ := others[0].daemon.router.Owner(swid.NewCellID("chat", "local")); next == owner {
 		t.Errorf("%s still counts as the owner", owner)
--- a/internal/node/swdaemon/load_test.go
+++ b/internal/node/swdaemon/load_test.go
@@ -35,6 +35,8 @@
 	mu       sync.Mutex
 	answered int
 	notRun   []swid.RequestID
+	// refusals has the answers to those that were not run, for the trace of a failure.
+	refusals []string
 	unknown  int
 	lost     int
 	wrong    []string
@@ -184,7 +186,7 @@
 	case status == http.StatusOK:
 		k.count(func(t *tally) { t.answered++ })
 	case strings.Contains(body, `"outcome":"notRun"`):
-		k.count(func(t *tally) { t.notRun = append(t.notRun, id) })
+		k.count(func(t *tally) { t.notRun, t.refusals = append(t.notRun, id), append(t.refusals, body) })
 	case strings.Contains(body, `"outcome":"unknown"`):
 		k.count(func(t *tally) { t.unknown++ })
 	default:
--- a/internal/node/swdaemon/operator.go
+++ b/internal/node/swdaemon/operator.go
@@ -41,7 +41,8 @@
 	if d.draining.Load() {
 		return errDraining
 	}
-	if d.relay.Current().Document == nil {
+	// The relay tells the node of a document some time after it holds it.
+	if !d.node.Configured() {
 		return errNoDocument
 	}
 	return nil
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -147,6 +147,9 @@
 	return tasks.Wait()
 }
 
+// Configured reports whether the node has brought a document into force.
+func (n *Node) Configured() bool { return n.caller.Configured() }
+
 func (n *Node) subscribe() {
 	n.parts.Config.Subscribe(func(f swrelay.InForce) {
 		if f.Document == nil {
