Let the answer come late in TestInTime, and not the grant

The test moved its clock on as soon as the ask was sent; on a starved processor the holder set its timer only then, with no time left, and ended the request rightly as not run before it saw the grant. Change: the clock moves on while the target works. The assertions are the same.

--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -56,6 +56,8 @@
 	end error
 	// hang waits for the attempt's context after the chunks.
 	hang bool
+	// wait holds the answer back until it is closed; nil does not.
+	wait chan struct{}
 	// status is 200 if it is 0.
 	status int
 	// lastEvent is the id of the last event in each chunk, tokens their number in it; 1 if 0.
@@ -128,6 +130,9 @@
 func (a *scriptedAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
 func (a *scriptedAnswer) Close() error          { return nil }
 func (a *scriptedAnswer) Next() (swtarget.Chunk, error) {
+	if a.script.wait != nil {
+		<-a.script.wait
+	}
 	if a.next < len(a.script.chunks) {
 		a.next++
 		return swtarget.Chunk{
@@ -500,14 +505,18 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			clock := &swclock.Manual{}
-			b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
+			wait := make(chan struct{})
+			b := newBench(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF, wait: wait}}})
 			b.holder.config.Clock = clock
 			r := b.request(false, true)
 			r.Deadline = swclock.Second
 			reports, _ := b.serve(r)
 			ask, _ := expect[swmsg.Ask](t, b)
-			clock.Advance(tt.delay)
 			b.grant("owner", ask, "a")
+			for b.holder.lookup(ask.Seq).runningOn() != "a" {
+			}
+			clock.Advance(tt.delay)
+			close(wait)
 			if report := <-reports; report.End.Outcome != swlife.OutcomeAnswered || report.InTime != tt.inTime {
 				t.Errorf("report is %+v", report)
 			}
