Forget assumed use by the time that is, not by the one that is asked about

Cause: found on reading the change again. The ledger dropped the starts of young processes while it looked for the time to come back, which asks about instants up to a window ahead; one refusal could so end the assumption of early. Ruled out: nothing else reads or prunes them. Change: starts are pruned when a host attaches; a question changes nothing.

--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -11,6 +11,7 @@
 package swquota
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -121,6 +122,7 @@
 		l.first = now
 	}
 	l.attached[from.Host] = now
+	maps.DeleteFunc(l.young, func(_ Process, started swclock.Millis) bool { return now-started > l.window+l.window/parts })
 	if fresh {
 		l.forget(from)
 		if started := now - age; age < l.window && !l.knowsBefore(from, started) {
@@ -250,14 +252,10 @@
 	}
 	before := l.limits[org].times(unknownUse / float64(l.hosts))
 	present := partOf(at, l.window)
-	for p, started := range l.young {
+	for _, started := range l.young {
 		age := present - partOf(started, l.window)
-		if age > parts {
-			delete(l.young, p)
-			continue
-		}
-		if age < 0 {
-			continue // asked for a time before the start
+		if age < 0 || age > parts {
+			continue // not in the window that is asked for
 		}
 		recent[age] += before.Burst
 		for back := age + 1; back <= parts; back++ {
--- a/internal/core/swquota/swquota_test.go
+++ b/internal/core/swquota/swquota_test.go
@@ -403,3 +403,21 @@
 		}
 	}
 }
+
+// TestWaitForgetsNothing refuses a request, for which the time to come back is
+// looked for up to a window ahead, and still counts what was used before a start.
+func TestWaitForgetsNothing(t *testing.T) {
+	l := newLedger(1)
+	l.Attach(lone, 0, true, nil, 0)
+	for range 20 {
+		l.Take(lone, "o", 100, 0, 100)
+	}
+	before := l.recent("o", 100)
+	l.wait(func(swid.OrgID, Limit, float64, swclock.Millis) bool { return false }, "o", limit, 100, 100)
+	for at := swclock.Millis(600); at < window; at += 500 {
+		l.fits("o", limit, 100, at+window)
+	}
+	if after := l.recent("o", 100); after != before {
+		t.Errorf("counts %v, before the question %v", after, before)
+	}
+}
