Log why an owner is left, and where its answers wait

The logs could not tell a busy owner from a busy holder, a slow cell or a lost link. New fields and lines: - owner of the shared cells changed: skipped (the reason for which the previous owner is skipped), members - host skipped as owner: reason, whether there is a link, and the age of the latest data from the host - peer link up: handshakeMillis; peer link lost: upMillis, sinceHeardMillis - process was delayed: by how much this process's own timer was late - cell status: inputs and longestInputMillis, the longest time that an input waited in the ring - registered, first grant, readiness changed: sinceStartMillis, for what a host waits for after a restart

The links' connections come from a Transport, so that tests can run them without a network. No decision changes.

--- a/internal/node/swdaemon/assemble.go
+++ b/internal/node/swdaemon/assemble.go
@@ -66,7 +66,7 @@
 // buildNode builds the node, which serves requests, and the operators' interface, and
 // connects all components.
 func (d *Daemon) buildNode() {
-	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.network, d.clock)
+	d.router = swnode.NewRouter(d.settings.Host, d.settings.Region, d.network, d.clock, d.log)
 	d.node = swnode.New(d.settings, swnode.Dependencies{
 		Self:      d.self,
 		Clock:     d.clock,
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -7,6 +7,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
@@ -17,14 +18,18 @@
 // reported to that owner with the next registration.
 func (h *Host) recordUsage(r *swholder.Request) {
 	accounted := !h.view.scheduledByEachHost(r.Cell)
+	if !h.granted.Swap(true) {
+		h.log.Info().Int64("sinceStartMillis", int64(h.clock.Now())).Msg("first grant")
+	}
 	h.meter.Add(r.Org, float64(r.Charge), accounted, h.clock.Now())
 }
 
 // ownerChanged cancels this host's registration with the previous owner of the
 // shared cells and registers with the new one, reporting the full quota usage of
 // this host's requests.
-func (h *Host) ownerChanged(before, owner swid.HostID) {
-	h.log.Info().Str("owner", string(owner)).Str("before", string(before)).Msg("owner of the shared cells changed")
+func (h *Host) ownerChanged(before, owner swid.HostID, skipped swnode.SkipReason) {
+	h.log.Info().Str("owner", string(owner)).Str("before", string(before)).Str("skipped", skipped.String()).
+		Int("members", len(h.view.Members())).Msg("owner of the shared cells changed")
 	if before != "" {
 		h.exchange.Send(before, swmsg.Registration{Leaving: true})
 	}
--- a/internal/node/swfleet/router.go
+++ b/internal/node/swfleet/router.go
@@ -22,8 +22,9 @@
 	sharedCell swid.CellID
 	view       *view
 	// onOwnerChange is called with mu held when the owner of the shared cells
-	// changes. It must not block or call the router.
-	onOwnerChange func(before, owner swid.HostID)
+	// changes. skipped is the reason for which the previous owner is skipped, if it
+	// is. onOwnerChange must not block or call the router.
+	onOwnerChange func(before, owner swid.HostID, skipped swnode.SkipReason)
 
 	mu sync.Mutex
 	// lastOwner is the owner of the shared cells at the latest lookup.
@@ -32,7 +33,7 @@
 	selfLeaving bool
 }
 
-func newRouter(hosts *swnode.HostRouter, self swid.HostID, region swid.RegionID, v *view, onOwnerChange func(before, owner swid.HostID)) *router {
+func newRouter(hosts *swnode.HostRouter, self swid.HostID, region swid.RegionID, v *view, onOwnerChange func(before, owner swid.HostID, skipped swnode.SkipReason)) *router {
 	return &router{HostRouter: hosts, self: self, sharedCell: swid.NewCellID("engines", region), view: v, onOwnerChange: onOwnerChange}
 }
 
@@ -90,7 +91,7 @@
 	if owner != r.lastOwner {
 		before := r.lastOwner
 		r.lastOwner = owner
-		r.onOwnerChange(before, owner)
+		r.onOwnerChange(before, owner, r.SkipReason(before))
 	}
 	return owner, noRedirect
 }
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -149,7 +149,15 @@
 }
 
 // ready reports whether the host accepts callers' requests.
-func (h *Host) ready() bool { return h.view.complete() && h.gate.ConfigFresh() && !h.leaving.Load() }
+func (h *Host) ready() bool {
+	complete := h.view.complete()
+	ready := complete && h.gate.ConfigFresh() && !h.leaving.Load()
+	if ready != h.reportedReady.Swap(ready) {
+		h.log.Info().Bool("ready", ready).Bool("listed", complete).Bool("leaving", h.leaving.Load()).
+			Int64("sinceStartMillis", int64(h.clock.Now())).Msg("readiness changed")
+	}
+	return ready
+}
 
 // register writes this host's entry to the store, retrying until it succeeds or ctx ends.
 func (h *Host) register(ctx context.Context) error {
@@ -159,7 +167,7 @@
 		cancel()
 		if err == nil {
 			h.self = swlink.Peer{Host: h.settings.Host, Incarnation: incarnation}
-			h.log.Info().Uint64("incarnation", uint64(incarnation)).Msg("registered")
+			h.log.Info().Uint64("incarnation", uint64(incarnation)).Int64("sinceStartMillis", int64(h.clock.Now())).Msg("registered")
 			return nil
 		}
 		if ctx.Err() != nil {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -80,11 +80,13 @@
 	retries  *retryBudget
 	view     *view
 	exchange *swexchange.Exchange
-	network  *swlink.Network
-	router   *router
-	pool     *swpool.Pool
-	holder   *swholder.Holder
-	owner    *swowner.Owner
+	// linkOptions are further options of network; tests set them.
+	linkOptions []swlink.Option
+	network     *swlink.Network
+	router      *router
+	pool        *swpool.Pool
+	holder      *swholder.Holder
+	owner       *swowner.Owner
 
 	catalogs *swwatch.Follower[*swcatalog.Catalog]
 	targets  *swwatch.Follower[swcatalog.Target]
@@ -94,6 +96,9 @@
 	// loggedHostCount is the number of hosts registered with this one when it was
 	// last logged. Only the goroutine of renewRegistration accesses it.
 	loggedHostCount int
+	// granted is set by the first grant of a request of this host, reportedReady has the
+	// latest answer to a readiness check.
+	granted, reportedReady atomic.Bool
 	// leaving is set when the host begins to stop.
 	leaving atomic.Bool
 	// needsCompleteRegistration is set while the owner may lack the quota usage of this
@@ -170,8 +175,8 @@
 	h.network = swlink.New(swlink.Config{
 		Self: h.self, Address: h.settings.Peer.Address, ProbeInterval: h.settings.Peer.Heartbeat,
 		KeepAlive: linkKeepAlive,
-	}, h.clock, h.view.resolve, h.exchange, swlink.WithoutTLS(), swlink.WithLogger(h.log))
-	h.router = newRouter(swnode.NewRouter(h.self.Host, h.settings.Region, h.network, h.clock), h.self.Host, h.settings.Region, h.view, h.ownerChanged)
+	}, h.clock, h.view.resolve, h.exchange, append(h.linkOptions, swlink.WithoutTLS(), swlink.WithLogger(h.log))...)
+	h.router = newRouter(swnode.NewRouter(h.self.Host, h.settings.Region, h.network, h.clock, h.log), h.self.Host, h.settings.Region, h.view, h.ownerChanged)
 	h.pool = swpool.New(h.adapter)
 	h.holder = swholder.New(swholder.Config{
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Clock: h.clock, Sender: h.exchange, Router: h.router,
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -22,6 +24,24 @@
 	Connected(host swid.HostID) bool
 	// Dial starts to connect to a host unless there is a link to it.
 	Dial(host swid.HostID)
+	// HeardAt returns when the link to a host last received anything, and whether there is a link.
+	HeardAt(host swid.HostID) (at swclock.Millis, linked bool)
+}
+
+// SkipReason is the reason for which a host is not chosen as owner.
+type SkipReason uint8
+
+// Reasons for skipping a host.
+const (
+	SkipNone SkipReason = iota
+	SkipLeaving
+	SkipUnresponsive
+	SkipUnreachable
+)
+
+// String returns the reason as it is logged.
+func (s SkipReason) String() string {
+	return [...]string{"none", "leaving", "unresponsive", "unreachable"}[s]
 }
 
 // HostRouter implements Router. It has a tracker for each cell, which ranks the hosts
@@ -31,6 +51,7 @@
 	region swid.RegionID
 	links  Links
 	clock  swclock.Clock
+	log    zerolog.Logger
 
 	mu sync.Mutex
 	// members is the list from which the candidates of every tracker are taken.
@@ -51,9 +72,9 @@
 }
 
 // NewRouter returns a router without members. Until SetMembers, the only candidate is self.
-func NewRouter(self swid.HostID, region swid.RegionID, links Links, clock swclock.Clock) *HostRouter {
+func NewRouter(self swid.HostID, region swid.RegionID, links Links, clock swclock.Clock, log zerolog.Logger) *HostRouter {
 	return &HostRouter{
-		self: self, region: region, links: links, clock: clock,
+		self: self, region: region, links: links, clock: clock, log: log,
 		trackers:     make(map[swid.CellID]*swelect.Tracker),
 		unreachable:  make(map[swid.HostID]swclock.Millis),
 		unresponsive: make(map[swid.HostID]swclock.Millis),
@@ -147,6 +168,7 @@
 	defer r.mu.Unlock()
 	if _, unreachable := r.unreachable[host]; !unreachable {
 		r.unreachable[host] = r.clock.Now() + redialInterval
+		r.logSkip(host, SkipUnreachable)
 	}
 }
 
@@ -156,9 +178,38 @@
 func (r *HostRouter) MarkUnresponsive(host swid.HostID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if _, unresponsive := r.unresponsive[host]; !unresponsive {
+		r.logSkip(host, SkipUnresponsive)
+	}
 	r.unresponsive[host] = r.clock.Now() + unresponsivePeriod
 }
 
+// logSkip logs that a host is skipped from now on, with the age of the latest data from it.
+func (r *HostRouter) logSkip(host swid.HostID, reason SkipReason) {
+	heardAt, linked := r.links.HeardAt(host)
+	e := r.log.Info().Str("peer", string(host)).Str("reason", reason.String()).Bool("linked", linked)
+	if linked {
+		e = e.Int64("sinceHeardMillis", int64(r.clock.Now()-heardAt))
+	}
+	e.Msg("host skipped as owner")
+}
+
+// SkipReason returns the reason for which a host is skipped at present.
+func (r *HostRouter) SkipReason(host swid.HostID) SkipReason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving[host] {
+		return SkipLeaving
+	}
+	if until, unresponsive := r.unresponsive[host]; unresponsive && r.clock.Now() < until {
+		return SkipUnresponsive
+	}
+	if _, unreachable := r.unreachable[host]; unreachable {
+		return SkipUnreachable
+	}
+	return SkipNone
+}
+
 // SetLeaving records that a host's process is about to stop, or, if leaving is false, that
 // a later process of the host runs.
 func (r *HostRouter) SetLeaving(host swid.HostID, leaving bool) {
--- a/internal/node/swnode/router_test.go
+++ b/internal/node/swnode/router_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
@@ -13,11 +15,15 @@
 // fakeLinks implements Links. Tests set which hosts are connected.
 type fakeLinks struct {
 	connected map[swid.HostID]bool
+	heardAt   map[swid.HostID]swclock.Millis
 	dials     int
 }
 
 func (l *fakeLinks) Connected(host swid.HostID) bool { return l.connected[host] }
 func (l *fakeLinks) Dial(swid.HostID)                { l.dials++ }
+func (l *fakeLinks) HeardAt(host swid.HostID) (swclock.Millis, bool) {
+	return l.heardAt[host], l.connected[host]
+}
 
 // cellOwnedByOther returns a cell that another host owns.
 func cellOwnedByOther(r *HostRouter) swid.CellID {
@@ -58,7 +64,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			clock, l := &swclock.Manual{}, &fakeLinks{connected: make(map[swid.HostID]bool)}
-			r := NewRouter("self", "r", l, clock)
+			r := NewRouter("self", "r", l, clock, zerolog.Nop())
 			var members []swmember.Member
 			for _, host := range []swid.HostID{"self", "a", "b"} {
 				members = append(members, swmember.Member{Host: host, Region: "r", State: swmsg.MemberAlive})
@@ -87,7 +93,7 @@
 // no other host is available.
 func TestRedial(t *testing.T) {
 	clock, l := &swclock.Manual{}, &fakeLinks{connected: make(map[swid.HostID]bool)}
-	r := NewRouter("self", "r", l, clock)
+	r := NewRouter("self", "r", l, clock, zerolog.Nop())
 	r.SetMembers([]swmember.Member{{Host: "a", Region: "r", State: swmsg.MemberAlive}})
 	cell := cellOwnedByOther(r)
 	r.MarkUnreachable("a")
@@ -104,7 +110,7 @@
 
 // TestEpochs checks that a takeover raises the epoch above all epochs received for the cell.
 func TestEpochs(t *testing.T) {
-	r := NewRouter("self", "r", &fakeLinks{}, &swclock.Manual{})
+	r := NewRouter("self", "r", &fakeLinks{}, &swclock.Manual{}, zerolog.Nop())
 	r.ObserveEpoch("c", 5)
 	r.ObserveEpoch("c", 3)
 	if e := r.NextEpoch("c"); e != 6 {
--- a/internal/owner/swowner/input.go
+++ b/internal/owner/swowner/input.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
@@ -11,6 +12,24 @@
 	apply(r *runner)
 }
 
+// queuedInput is an input in the ring.
+type queuedInput struct {
+	input
+	queuedAt swclock.Millis
+}
+
+// inputLoad sums up the inputs of a span of time.
+type inputLoad struct {
+	count int
+	// longestWait is the longest time that an input waited in the ring.
+	longestWait swclock.Millis
+}
+
+func (l *inputLoad) add(wait swclock.Millis) {
+	l.count++
+	l.longestWait = max(l.longestWait, wait)
+}
+
 // eventInput carries an event for the core.
 type eventInput struct{ event swcell.Event }
 
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -42,7 +42,7 @@
 type runner struct {
 	config    *Config
 	id        swid.CellID
-	inputs    *swring.Ring[input]
+	inputs    *swring.Ring[queuedInput]
 	documents *swring.Ring[*swdoc.Document]
 
 	core    Core
@@ -50,6 +50,8 @@
 	actions []swcell.Action
 	// lastStatusAt is when the cell's state was last logged.
 	lastStatusAt swclock.Millis
+	// load sums up the inputs since lastStatusAt.
+	load inputLoad
 	// nextTickAt is when the core next receives a Tick.
 	nextTickAt swclock.Millis
 	// grants holds each grant from its action until its Done or Withdraw, so that a repeated grant
@@ -72,7 +74,7 @@
 	r := &runner{
 		config:        config,
 		id:            id,
-		inputs:        swring.New[input](inputCapacity),
+		inputs:        swring.New[queuedInput](inputCapacity),
 		documents:     swring.New[*swdoc.Document](1),
 		grants:        make(map[swcell.Key]openGrant),
 		verifications: make(map[swid.HostID]*verification),
@@ -87,7 +89,7 @@
 
 // enqueue queues an input without blocking, and drops it if the ring is full.
 func (r *runner) enqueue(in input) {
-	if !r.inputs.TryPut(in) {
+	if !r.inputs.TryPut(queuedInput{in, r.config.Clock.Now()}) {
 		r.config.Observer.InputDropped(r.id)
 	}
 }
@@ -117,6 +119,7 @@
 		case d := <-r.documents.Items():
 			r.apply(ctx, d)
 		case in := <-r.inputs.Items():
+			r.load.add(r.config.Clock.Now() - in.queuedAt)
 			in.apply(r)
 			if interval := r.tickInterval(); r.config.Clock.Now()+interval < r.nextTickAt {
 				timer.Reset(interval.Duration())
@@ -297,6 +300,8 @@
 		return
 	}
 	r.lastStatusAt = now
+	load := r.load
+	r.load = inputLoad{}
 	s := r.core.Snapshot()
 	waiting, running := zerolog.Arr(), zerolog.Arr()
 	for _, t := range s.Tiers {
@@ -308,6 +313,7 @@
 		targets.Str(string(t.ID), fmt.Sprintf("%d/%d prefill %.4f decode %.2f", t.Running, t.Slots, t.PrefillTime, t.DecodeTime))
 	}
 	r.config.Log.Info().Str("cell", string(r.id)).Uint64("epoch", uint64(r.epoch)).
+		Int("inputs", load.count).Int64("longestInputMillis", int64(load.longestWait)).
 		Array("waiting", waiting).Array("running", running).Dict("targets", targets).Msg("cell status")
 }
 
@@ -360,7 +366,7 @@
 
 func (r *runner) status(ctx context.Context) (CellStatus, bool) {
 	reply := make(chan CellStatus, 1)
-	if err := r.inputs.Put(ctx, statusInput{reply}); err != nil {
+	if err := r.inputs.Put(ctx, queuedInput{statusInput{reply}, r.config.Clock.Now()}); err != nil {
 		return CellStatus{}, false
 	}
 	select {
--- a/internal/peer/swlink/config.go
+++ b/internal/peer/swlink/config.go
@@ -29,6 +29,9 @@
 	maxRetryDelay = swclock.Second
 	// watchInterval is the time between two checks of all links.
 	watchInterval = 50 * swclock.Millis(1)
+	// loggedDelay is the delay of this process's own timer from which it is logged: it explains late
+	// answers of this host, and answers of others that it reads late.
+	loggedDelay = 150 * swclock.Millis(1)
 	// batchBytes is the size in bytes from which a batch is written without adding further messages.
 	batchBytes = 32 << 10
 )
@@ -77,9 +80,6 @@
 	return c
 }
 
-// noKeepAlive turns off the keep-alive that package net enables by default.
-const noKeepAlive = -1
-
 // orDefault returns value, or fallback if value is zero.
 func orDefault[T int | swclock.Millis](value, fallback T) T {
 	if value == 0 {
--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -54,8 +54,7 @@
 	if !n.security.configured {
 		return nil, ErrNoTLS
 	}
-	dialer := net.Dialer{KeepAlive: noKeepAlive, KeepAliveConfig: n.config.KeepAlive}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := n.transport.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
@@ -178,7 +177,12 @@
 		old.fail(errReplaced)
 		<-old.done
 	}
-	n.logger.Info().Str("peer", string(l.id.Host)).Bool("dialled", l.dialled).Msg("peer link up")
+	now := n.clock.Now()
+	l.mu.Lock()
+	l.upAt, l.heardAt = now, now
+	l.mu.Unlock()
+	n.logger.Info().Str("peer", string(l.id.Host)).Bool("dialled", l.dialled).
+		Int64("handshakeMillis", int64(now-l.startedAt)).Msg("peer link up")
 	n.handler.LinkUp(l.id)
 	stop := context.AfterFunc(ctx, func() { l.fail(errStopped) })
 	defer stop()
@@ -190,8 +194,8 @@
 	return &link{
 		network: n, session: session, stream: stream, frames: newFrameReader(stream),
 		flushSignal: make(chan struct{}, 1), shutdown: make(chan struct{}), done: make(chan struct{}),
-		prober:        prober{interval: n.config.ProbeInterval, timeout: n.config.ProbeTimeout},
-		lastMessageAt: n.clock.Now(),
+		prober:    prober{interval: n.config.ProbeInterval, timeout: n.config.ProbeTimeout},
+		startedAt: n.clock.Now(), lastMessageAt: n.clock.Now(),
 	}
 }
 
--- a/internal/peer/swlink/link.go
+++ b/internal/peer/swlink/link.go
@@ -30,9 +30,11 @@
 	// helloNumber is the number of the peer's Hello.
 	helloNumber uint64
 	dialled     bool
-	session     *yamux.Session
-	stream      net.Conn
-	frames      *frameReader
+	// startedAt is when the stream of the handshake was opened.
+	startedAt swclock.Millis
+	session   *yamux.Session
+	stream    net.Conn
+	frames    *frameReader
 	// flushSignal wakes the writer to send a due probe or reply without messages.
 	flushSignal chan struct{}
 	// shutdown is closed to end the link gracefully.
@@ -44,6 +46,10 @@
 	prober prober
 	// lastMessageAt is when the link last sent or received a message.
 	lastMessageAt swclock.Millis
+	// upAt is when the link came up.
+	upAt swclock.Millis
+	// heardAt is when the link last received anything, the Hello included.
+	heardAt swclock.Millis
 	// shuttingDown is set when shutdown is closed. The time that the peer has to
 	// close its side starts at shutdownAt.
 	shuttingDown bool
@@ -104,6 +110,7 @@
 func (l *link) receive(b swcodec.Batch) {
 	now := l.network.clock.Now()
 	l.mu.Lock()
+	l.heardAt = now
 	l.prober.replyReceived(b.ProbeReply)
 	if len(b.Messages) > 0 {
 		l.lastMessageAt = now
--- a/internal/peer/swlink/network.go
+++ b/internal/peer/swlink/network.go
@@ -28,7 +28,9 @@
 	security security
 	logger   zerolog.Logger
 	wrap     func(net.Conn) net.Conn
-	listener net.Listener
+	// transport opens connections and listens for those of other hosts.
+	transport Transport
+	listener  net.Listener
 	// dials queues the hosts to dial.
 	dials *swring.Ring[*remote]
 	stats counters
@@ -47,7 +49,7 @@
 	cfg = cfg.withDefaults()
 	n := &Network{
 		config: cfg, clock: clock, resolver: resolver, handler: handler, logger: zerolog.Nop(),
-		wrap:    func(c net.Conn) net.Conn { return c },
+		wrap: func(c net.Conn) net.Conn { return c }, transport: tcp{cfg.KeepAlive},
 		dials:   swring.New[*remote](cfg.MaxPeers),
 		remotes: make(map[swid.HostID]*remote),
 	}
@@ -62,8 +64,7 @@
 	if !n.security.configured {
 		return ErrNoTLS
 	}
-	listen := net.ListenConfig{KeepAlive: noKeepAlive, KeepAliveConfig: n.config.KeepAlive}
-	listener, err := listen.Listen(context.Background(), "tcp", n.config.Address)
+	listener, err := n.transport.Listen(n.config.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
@@ -117,6 +118,17 @@
 	return r != nil && r.connected()
 }
 
+// HeardAt returns when the link to a host last received anything, and whether there is a link.
+func (n *Network) HeardAt(host swid.HostID) (at swclock.Millis, linked bool) {
+	n.mu.Lock()
+	r := n.remotes[host]
+	n.mu.Unlock()
+	if r == nil {
+		return 0, false
+	}
+	return r.heardAt()
+}
+
 // remote returns the state of a host and creates it if needed. It returns nil for
 // this host itself, and for a new host once MaxPeers is reached.
 func (n *Network) remote(host swid.HostID) *remote {
@@ -178,6 +190,9 @@
 			return
 		}
 		now := n.clock.Now()
+		if delay := now - last - watchInterval; delay > loggedDelay {
+			n.logger.Info().Int64("delayMillis", int64(delay)).Msg("process was delayed")
+		}
 		suspended := now-last > n.config.ProbeTimeout/2
 		last = now
 		for _, l := range n.links() {
--- a/internal/peer/swlink/remote.go
+++ b/internal/peer/swlink/remote.go
@@ -87,6 +87,19 @@
 	return r.link != nil
 }
 
+// heardAt returns when the link last received anything, and whether there is a link.
+func (r *remote) heardAt() (at swclock.Millis, linked bool) {
+	r.mu.Lock()
+	l := r.link
+	r.mu.Unlock()
+	if l == nil {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heardAt, true
+}
+
 // setDialCancel sets the function that cancels the dial. It returns false if
 // another connection has superseded the dial, so that it is no longer needed.
 func (r *remote) setDialCancel(cancel context.CancelFunc) bool {
@@ -183,11 +196,14 @@
 func (r *remote) linkEnded(l *link, graceful bool) {
 	l.mu.Lock()
 	cause, unacknowledged := l.cause, l.prober.outstanding || l.prober.unconfirmed
+	now := r.network.clock.Now()
+	up, sinceHeard := now-l.upAt, now-l.heardAt
 	l.mu.Unlock()
 	l.close()
 	if !graceful {
 		r.network.stats.linksDown.Add(1)
-		r.network.logger.Info().Str("peer", string(r.host)).Err(cause).Msg("peer link lost")
+		r.network.logger.Info().Str("peer", string(r.host)).Int64("upMillis", int64(up)).
+			Int64("sinceHeardMillis", int64(sinceHeard)).Err(cause).Msg("peer link lost")
 		r.dropQueue()
 		r.network.handler.LinkDown(l.id)
 	}
