Send nothing to a target after the caller has left or the deadline has passed

Cause: a grant that arrives together with the caller's end, or after it, won. A host that is short of processor time finds both in the same turn; the wait for the grant then picks either, and nothing between the grant and the write of the request looked at the request's context again. On a pooled connection swconn wrote the whole request before the ended context could abort it, and without a deadline in its header, because no time was left.

Now the holder looks at the context at the dispatch, and swconn after it has acquired a connection, which goes back to the pool. An attempt of which nothing was sent is not counted as one that may have run, so such a request ends as notRun, which is true.

TestEndedRequestIsNotSent and TestNoDispatchAfterCallerLeft failed before: the target got the request, and the outcome was answered. Class of fault: a check (is the caller still there) separated from the act it guards by a queue. net/http's transport, which the other adapters use, checks its context before it sends.

--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -168,7 +168,7 @@
 		}
 		return l.retry(e)
 	default:
-		l.mayHaveRun = true
+		l.mayHaveRun = l.mayHaveRun || !e.Unsent
 		if e.Cause == CausePreempted {
 			return l.retry(e)
 		}
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -142,6 +142,10 @@
 	if !known || (!accepting && a.events == 0) {
 		return swlife.AttemptEnded{Result: swcell.ResultNotStarted, Unsent: true}
 	}
+	// The grant may have arrived together with the caller's end, or after the deadline.
+	if ctx.Err() != nil {
+		return classifyCancellation(ctx, true)
+	}
 	call := a.held.request.Call
 	call.Org = a.held.request.Org
 	call.Remaining = a.held.remaining()
@@ -280,11 +284,12 @@
 // before the whole answer was received.
 func (a *attempt) classifyError(ctx context.Context, err error) swlife.AttemptEnded {
 	a.err = err
+	var failure *swtarget.Error
+	known := errors.As(err, &failure)
 	if ctx.Err() != nil {
-		return classifyCancellation(ctx)
+		return classifyCancellation(ctx, known && failure.Unsent)
 	}
-	var failure *swtarget.Error
-	if !errors.As(err, &failure) {
+	if !known {
 		return swlife.AttemptEnded{Result: swcell.ResultBroken}
 	}
 	switch failure.Failure {
@@ -307,15 +312,16 @@
 	return a.held.request.Call.Stream && a.events > 0 && !a.held.request.NotResumable
 }
 
-// classifyCancellation returns the end of an attempt whose context ended. The holder
-// sets a holderCancelError as the cause of the context; any other cause means that
-// the caller disconnected.
-func classifyCancellation(ctx context.Context) swlife.AttemptEnded {
+// classifyCancellation returns the end of an attempt whose context ended. unsent is true if
+// nothing of the request reached the target. The holder sets a holderCancelError as the
+// cause of the context; any other cause means that the caller disconnected.
+func classifyCancellation(ctx context.Context, unsent bool) swlife.AttemptEnded {
+	ended := swlife.AttemptEnded{Result: swcell.ResultCancelled, Cause: swlife.CauseCallerGone, Unsent: unsent}
 	var cancelled *holderCancelError
 	if errors.As(context.Cause(ctx), &cancelled) {
-		return swlife.AttemptEnded{Result: swcell.ResultCancelled, Cause: cancelled.cause, RetryAfter: cancelled.retryAfter}
+		ended.Cause, ended.RetryAfter = cancelled.cause, cancelled.retryAfter
 	}
-	return swlife.AttemptEnded{Result: swcell.ResultCancelled, Cause: swlife.CauseCallerGone}
+	return ended
 }
 
 // reportDone reports to the owners, once, that the attempt no longer uses its target's
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -534,6 +534,42 @@
 	}
 }
 
+// TestNoDispatchAfterCallerLeft guards against requests that reach a target after their caller has left.
+func TestNoDispatchAfterCallerLeft(t *testing.T) {
+	tests := []struct {
+		name string
+		// end ends the request between its grant and its dispatch.
+		end   func(cancel context.CancelFunc, clock *swclock.Manual)
+		cause swlife.Cause
+	}{
+		{"the caller disconnected", func(cancel context.CancelFunc, _ *swclock.Manual) { cancel() }, swlife.CauseCallerGone},
+		{"the deadline passed", func(_ context.CancelFunc, clock *swclock.Manual) { clock.Advance(swclock.Hour) }, swlife.CauseDeadline},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &swclock.Manual{}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f := newFixtureWithConfig(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}}, func(c *Config) {
+				c.Clock = clock
+				c.OnGranted = func(*Request) { tt.end(cancel, clock) }
+			})
+			reports := make(chan Report, 1)
+			r := f.request(true, true)
+			r.EndsAtDeadline = true
+			go func() { reports <- f.holder.Serve(ctx, r, &bufferSink{}) }()
+			grantRequest, owner := expect[swmsg.GrantRequest](t, f)
+			f.grant(owner, grantRequest, "a")
+			if end := (<-reports).End; end.Outcome != swlife.OutcomeNotRun || end.Cause != tt.cause {
+				t.Errorf("the request ended with %+v, want outcome notRun and cause %v", end, tt.cause)
+			}
+			if f.starts["a"] != 0 {
+				t.Errorf("the target got the request %d times", f.starts["a"])
+			}
+		})
+	}
+}
+
 // TestDrain checks that a draining holder finishes its held requests and rejects new ones.
 func TestDrain(t *testing.T) {
 	f := newFixture(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -50,14 +50,18 @@
 	}
 }
 
-// Do sends a request once and returns when the header of its answer has arrived.
-// Until the response is closed, the end of ctx aborts reads and writes on the
+// Do sends a request once and returns when the header of its answer has arrived. It
+// sends nothing if ctx has ended. Until the response is closed, the end of ctx aborts reads and writes on the
 // connection. The returned error is always an *Error.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
 	c, err := p.acquire(ctx)
 	if err != nil {
 		return nil, &Error{Err: contextCauseOr(ctx, err)}
 	}
+	if cause := context.Cause(ctx); cause != nil {
+		p.release(c)
+		return nil, &Error{Err: cause}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
 	w := c.send(r)
 	answer, err := c.receive(r)
--- a/internal/target/swconn/swconn_test.go
+++ b/internal/target/swconn/swconn_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// TestEndedRequestIsNotSent guards against work for callers that have left.
+func TestEndedRequestIsNotSent(t *testing.T) {
+	p := startPeer(t, echo)
+	pool := newPool(p)
+	if _, err := exchange(pool, request("1", "x")); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		_, err := pool.Do(ctx, request("2", "x"))
+		if failed := (*Error)(nil); !errors.As(err, &failed) || failed.Sent {
+			t.Fatalf("error %v, want one of a request that was not sent", err)
+		}
+	}
+	if _, err := exchange(pool, request("3", "x")); err != nil {
+		t.Fatal(err)
+	}
+	if connections, requests := p.counts(); connections != 1 || requests != 2 {
+		t.Errorf("%d connections and %d requests, want 1 and 2", connections, requests)
+	}
+}
+
 // TestSecondExchange checks that a second request succeeds whichever way the
 // first exchange ended, and that a connection is reused only when that is safe.
 func TestSecondExchange(t *testing.T) {
