Compare waiting requests with targets only when a target has changed

Cause: each event, a progress report included, compared every waiting request with every target up to three times, so the work of the owner grew as events x waiting x targets; 204 waiting requests before 112 targets took 1.7 ms an event.

Now a request that declined the free targets is offered those that have changed since, and all of them again after 50 ms; comparisons of all targets for a waiting request are kept for 50 ms, or longer the more wait (2,000 a second at most); the supply is computed once for each instant.

TestDecisionsOfACrowdedCell failed before with 1, 2.5 and 8.5 million comparisons for 100 requests (20,000 allowed). TestLoads, which checks what callers get, passes unchanged. Class of fault: work for each event that grows with the product of queue and targets.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -25,7 +25,7 @@
 // admit queues a request, or rejects it at once: if no target may run it, if it
 // exceeds its organisation's quota, or if it is infeasible.
 func (c *Cell[P, O]) admit(r *request) {
-	idle, ok := c.bestIdle(r)
+	idle, ok := c.idle(r)
 	if !ok {
 		c.reject(r, swcell.ReasonNoTarget, c.retryAfter(minRetryAfter))
 		return
@@ -71,10 +71,14 @@
 }
 
 // queue returns the waiting requests that at least one target may run, the highest rank first.
-func (c *Cell[P, O]) queue() []ranked {
-	queue := make([]ranked, 0, len(c.waiting))
-	for _, r := range c.waiting {
-		if idle, ok := c.bestIdle(r); ok {
+func (c *Cell[P, O]) queue() []ranked { return c.rankAll(c.waiting) }
+
+// rankAll returns those of the given requests that at least one target may run, the highest
+// rank first.
+func (c *Cell[P, O]) rankAll(requests []*request) []ranked {
+	queue := make([]ranked, 0, len(requests))
+	for _, r := range requests {
+		if idle, ok := c.idle(r); ok {
 			work := c.work(r, idle.uncached)
 			queue = append(queue, ranked{r, idle, work, c.rank(r, work, float64(c.now)+idle.first)})
 		}
@@ -148,6 +152,23 @@
 // supply returns the speed of the targets that take work now, as a number of typical
 // targets, and the time until the first of them has a free slot, or 0 if there is none.
 func (c *Cell[P, O]) supply() (speed, soonest float64) {
+	if s := &c.lastSupply; s.at != c.now || s.changes != c.changes || s.running != len(c.running) {
+		speed, soonest = c.computeSupply()
+		*s = supply{at: c.now, changes: c.changes, running: len(c.running), speed: speed, soonest: soonest}
+	}
+	return c.lastSupply.speed, c.lastSupply.soonest
+}
+
+// supply is the result of Cell.supply at an instant, after a number of changes and with a number
+// of running requests.
+type supply struct {
+	at             swclock.Millis
+	changes        uint64
+	running        int
+	speed, soonest float64
+}
+
+func (c *Cell[P, O]) computeSupply() (speed, soonest float64) {
 	soonest = math.Inf(1)
 	for _, t := range c.targets {
 		if !t.active() || (t.probing() && c.now < t.nextProbeAt) {
@@ -194,7 +215,7 @@
 		return
 	}
 	for _, r := range slices.Clone(c.waiting) {
-		if _, ok := c.bestIdle(r); !ok && c.now-r.requestedAt >= noTargetTimeout {
+		if _, ok := c.idle(r); !ok && c.now-r.requestedAt >= noTargetTimeout {
 			c.remove(slices.Index(c.waiting, r))
 			c.reject(r, swcell.ReasonNoTarget, c.retryAfter(minRetryAfter))
 		}
@@ -224,22 +245,34 @@
 
 // dispatch grants waiting requests, the highest rank first, as long as targets have
 // free slots. A request keeps waiting if a target that is busy now is expected to answer
-// it better.
+// it better. It is offered the targets that have changed since it last declined, and all
+// targets again after reviewInterval.
 func (c *Cell[P, O]) dispatch() {
 	if len(c.waiting) == 0 || !c.anyFreeSlot() {
 		return
 	}
-	queue := c.queue()
-	for _, q := range queue {
+	due := slices.DeleteFunc(slices.Clone(c.waiting), func(r *request) bool { return !r.dueAfter(c.changes, c.now) })
+	for _, q := range c.rankAll(due) {
 		if !c.anyFreeSlot() {
 			return
 		}
-		if o, ok := c.bestOffer(q.request); ok && !c.shouldWait(q.request, &o) {
-			c.grant(q.request, &o)
+		r := q.request
+		if o, ok := c.bestOffer(r); ok && !c.shouldWait(r, &o) {
+			c.grant(r, &o)
+			continue
+		}
+		if c.now >= r.offerAllAt {
+			r.offerAllAt = c.now + reviewInterval
 		}
+		r.declinedAt = c.changes
 	}
 }
 
+// dueAfter reports whether a request has not declined all targets as they are now.
+func (r *request) dueAfter(changes uint64, now swclock.Millis) bool {
+	return r.declinedAt < changes || now >= r.offerAllAt
+}
+
 func (c *Cell[P, O]) anyFreeSlot() bool {
 	return slices.ContainsFunc(c.targets, func(t *target) bool { return t.freeSlots(c.now) > 0 })
 }
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -64,6 +64,25 @@
 	return r.value
 }
 
+// idle returns the result of bestIdle, which may be as old as outlookAge.
+func (c *Cell[P, O]) idle(r *request) (best estimate, ok bool) {
+	if c.now >= r.idleUntil || r.idleListing != c.listing {
+		r.idleBest, r.idleFound = c.bestIdle(r)
+		r.idleUntil, r.idleListing = c.now+c.outlookAge(), c.listing
+	}
+	return r.idleBest, r.idleFound
+}
+
+// outlooksPerSecond bounds how often the targets are compared for waiting requests, whatever
+// their number. Each comparison takes time in proportion to the number of targets.
+const outlooksPerSecond = 2000
+
+// outlookAge returns the age up to which comparisons of all targets for a waiting request are
+// used: reviewInterval, or longer if many requests wait.
+func (c *Cell[P, O]) outlookAge() swclock.Millis {
+	return max(reviewInterval, swclock.Millis(len(c.waiting))*swclock.Second/outlooksPerSecond)
+}
+
 // bestIdle returns the estimate with the earliest first output among the targets
 // that the request may run on, as if they processed no other prompt, and reports
 // whether there is such a target.
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -71,11 +71,15 @@
 func (Random) Cost(o *Offer) float64 { return o.Random }
 
 // bestOffer returns the offer of least cost for a request, and false if no target that
-// may run it has a free slot and the memory for it.
+// may run it has a free slot and the memory for it. Until offerAllAt it considers only the
+// targets that have changed since the request declined the others.
 func (c *Cell[P, O]) bestOffer(r *request) (Offer, bool) {
 	var found Offer
 	lowest := math.Inf(1)
 	for _, t := range c.targets {
+		if c.now < r.offerAllAt && t.changedAt <= r.declinedAt {
+			continue
+		}
 		if t.freeSlots(c.now) <= 0 || !t.fitsMemory(tokens(&r.grantRequest)) || !c.mayRun(r, t) {
 			continue
 		}
@@ -126,19 +130,28 @@
 // (by minWaitGain), even after the wait for a free slot.
 func (c *Cell[P, O]) shouldWait(r *request, offered *Offer) bool {
 	minShare := offered.ExpectedShare(c.cfg.LateShare) + minWaitGain
-	if minShare > 1 {
-		return false
+	return minShare <= 1 && c.busyShare(r) >= minShare
+}
+
+// busyShare returns the largest share of its worth that the answer to a request is expected to
+// keep on a target that is busy now, after the wait for a free slot. The result may be as old as
+// outlookAge.
+func (c *Cell[P, O]) busyShare(r *request) float64 {
+	if c.now < r.busyShareUntil && r.busyShareListing == c.listing {
+		return r.busyShare
 	}
-	return slices.ContainsFunc(c.targets, func(t *target) bool {
+	r.busyShare, r.busyShareUntil, r.busyShareListing = 0, c.now+c.outlookAge(), c.listing
+	for _, t := range c.targets {
 		if t.freeSlots(c.now) > 0 || t.probing() || len(t.runs) == 0 || !c.mayRun(r, t) {
-			return false
+			continue
 		}
 		o := c.offer(r, t)
 		wait := max(t.soonestEnd(c.now)-o.expected.wait, 0)
 		o.First += wait
 		o.Total += wait
-		return o.ExpectedShare(c.cfg.LateShare) >= minShare
-	})
+		r.busyShare = max(r.busyShare, o.ExpectedShare(c.cfg.LateShare))
+	}
+	return r.busyShare
 }
 
 // soonestEnd returns the time until the first of the target's runs is expected to end,
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -22,6 +22,20 @@
 	output float64
 	// charged is what the organisation's quota was charged.
 	charged float64
+
+	// declinedAt is the value of Cell.changes when the request last declined the free targets, and
+	// offerAllAt when it is offered all of them again.
+	declinedAt uint64
+	offerAllAt swclock.Millis
+	// idleBest and idleFound are the result of bestIdle, busyShare that of busyShare. Each is used
+	// until an instant, and while Cell.listing is the same.
+	idleBest         estimate
+	idleFound        bool
+	idleUntil        swclock.Millis
+	idleListing      uint64
+	busyShare        float64
+	busyShareUntil   swclock.Millis
+	busyShareListing uint64
 }
 
 // runKey identifies one attempt.
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -63,6 +63,13 @@
 func (c *Cell[P, O]) endRun(r *run) {
 	delete(c.running, r.id())
 	r.target.remove(r, c.now)
+	c.changed(r.target)
+}
+
+// changed records that a target may take requests that declined it before.
+func (c *Cell[P, O]) changed(t *target) {
+	c.changes++
+	t.changedAt = c.changes
 }
 
 func (c *Cell[P, O]) handleProgress(e swcell.Progress) {
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -52,6 +52,10 @@
 	strikes *swsuspect.Register
 	random  *rand.Rand
 	actions []swcell.Action
+	// changes counts the changes by which a target may take requests that declined it, listing
+	// those of the targets' configuration and reachability.
+	changes, listing uint64
+	lastSupply       supply
 }
 
 // Config holds a cell's settings; zero fields get the defaults.
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -39,6 +39,9 @@
 	// the time that removePrefill subtracts for runs that ended early.
 	prefillFreeAt float64
 	prefillSum    float64
+	// changedAt is the value of Cell.changes when a slot was last freed or the target's
+	// configuration or reachability last changed.
+	changedAt uint64
 	// stallShare is the share of the streams' time in which the target processes
 	// the prompts of other requests.
 	stallShare swcost.Average
@@ -188,6 +191,10 @@
 		c.configureTarget(conf)
 	}
 	c.targets = slices.DeleteFunc(c.targets, c.removeIfUnused)
+	c.listing++
+	for _, t := range c.targets {
+		c.changed(t)
+	}
 	c.updateTypical()
 }
 
@@ -230,6 +237,8 @@
 func (c *Cell[P, O]) handleTargetReachability(e swcell.TargetReachability) {
 	if t := c.byID[e.Target]; t != nil {
 		t.reachable = e.Reachable
+		c.listing++
+		c.changed(t)
 	}
 }
 
