Rank hosts by their size for the ownership of cells

The rank of a host as the owner of the shared cells was a hash alone, so the owner of all requests was a small host in 131 of 137 cases.

Hosts now write their processor and link to their entry in the store. Candidates of the same region rank by the binary logarithm of the requests a second that they can schedule for others, and by the hash within that class; a host of unknown size ranks last, so that during a rolling change hosts of both builds agree that a known size goes first.

TestSmallHostOwnsNothing fails before (the hash decides). Class of fault: a role of constant cost for the whole fleet assigned without regard to capacity.

--- a/internal/config/swcatalog/swcatalog.go
+++ b/internal/config/swcatalog/swcatalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
@@ -144,4 +145,5 @@
 	Address string // of peer links, IP:port
 	// Incarnation counts the starts of the host's process.
 	Incarnation swid.Incarnation
+	Size        swelect.Size
 }
--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -135,6 +135,9 @@
 	f.RetryWindow = o.Optional("retryWindow").Span(defaultRetryWindow, swclock.Second, swclock.Hour)
 	f.RetryRatio = o.Optional("retryRatio").Float(defaultRetryRatio, 0, 10)
 	f.RetryReserve = o.Optional("retryReserve").Float(defaultRetryReserve, 0, 1e6)
+	f.ProcessorShare = o.Optional("processorShare").Float(0, 0, 1e3)
+	f.Cores = o.Optional("cores").Float(1, 0, 1e3)
+	f.LinkMegabits = o.Optional("linkMegabits").Float(0, 0, 1e7)
 }
 
 func mapLog(o *swyaml.Object, l *Log) {
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -98,6 +98,12 @@
 	RetryWindow  swclock.Millis
 	RetryRatio   float64
 	RetryReserve float64
+	// ProcessorShare is the part of a core that this process may use, and Cores the number of
+	// times that a core is as fast as a usual one. LinkMegabits is the bandwidth of the host's
+	// link in Mbit/s. A host whose ProcessorShare or LinkMegabits is 0 does not tell its size.
+	ProcessorShare float64
+	Cores          float64
+	LinkMegabits   float64
 }
 
 // Orders configures the orders that hosts send to engines, such as loading a model.
--- a/internal/core/swelect/rank.go
+++ b/internal/core/swelect/rank.go
@@ -23,6 +23,9 @@
 	Host swid.HostID
 	// Local is set if the host is in the cell's own region. Such hosts rank before all others.
 	Local bool
+	// Size ranks a host before those of the same region that can schedule less than half as
+	// many requests.
+	Size Size
 }
 
 // Score returns a host's rendezvous score for a cell; the highest ranks first.
@@ -55,7 +58,8 @@
 	return RankCandidates(cell, candidates)
 }
 
-// RankCandidates is like Rank, but puts the hosts in the cell's own region first.
+// RankCandidates is like Rank, but puts the hosts in the cell's own region first, and among
+// these the larger ones: an owner works for all hosts, whatever its own size.
 func RankCandidates(cell swid.CellID, candidates []Candidate) []swid.HostID {
 	scored := make([]scored, len(candidates))
 	for i, c := range candidates {
@@ -83,11 +87,12 @@
 // scored is a candidate with its score.
 type scored struct {
 	Candidate
+	class int
 	score uint64
 }
 
 func scoreCandidate(cell swid.CellID, c Candidate) scored {
-	return scored{Candidate: c, score: Score(cell, c.Host)}
+	return scored{Candidate: c, class: c.Size.class(), score: Score(cell, c.Host)}
 }
 
 // compareScored orders the better candidate first.
@@ -98,5 +103,5 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Host, b.Host))
+	return cmp.Or(cmp.Compare(b.class, a.class), cmp.Compare(b.score, a.score), cmp.Compare(a.Host, b.Host))
 }
--- a/internal/core/swelect/rank_test.go
+++ b/internal/core/swelect/rank_test.go
@@ -16,7 +16,8 @@
 		cell := swid.CellID(rapid.StringMatching(`[a-z]{1,8}@r[0-9]`).Draw(t, "cell"))
 		candidates := make([]Candidate, len(hosts))
 		for i, h := range hosts {
-			candidates[i] = Candidate{Host: swid.HostID(h), Local: rapid.Bool().Draw(t, "local")}
+			size := Size{Cores: rapid.Float64Range(0, 8).Draw(t, "cores"), LinkMegabits: rapid.Float64Range(0, 1000).Draw(t, "link")}
+			candidates[i] = Candidate{Host: swid.HostID(h), Local: rapid.Bool().Draw(t, "local"), Size: size}
 		}
 		ranked := RankCandidates(cell, candidates)
 		if got := Owner(cell, candidates); got != ranked[0] {
@@ -57,6 +58,38 @@
 	}
 }
 
+// TestSmallHostOwnsNothing guards against an owner that is too small for the requests of all hosts.
+func TestSmallHostOwnsNothing(t *testing.T) {
+	large, small := Size{Cores: 0.8, LinkMegabits: 200}, Size{Cores: 0.134, LinkMegabits: 10}
+	tests := []struct {
+		name          string
+		first, second Size
+		// want is the size of the host that ranks first for every cell; nil if it depends on the cell.
+		want *Size
+	}{
+		{"larger", large, small, &large},
+		{"unknown size", small, Size{}, &small},
+		{"small link", Size{Cores: 0.8, LinkMegabits: 1}, small, &small},
+		{"same size", small, small, nil},
+		{"nearly the same size", Size{Cores: 0.136, LinkMegabits: 10}, small, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			candidates := []Candidate{{Host: "a", Local: true, Size: tt.first}, {Host: "b", Local: true, Size: tt.second}}
+			owned := make(map[swid.HostID]int)
+			for i := range 100 {
+				owned[Owner(swid.CellID(fmt.Sprint("cell-", i)), candidates)]++
+			}
+			switch {
+			case tt.want == nil && (owned["a"] == 0 || owned["b"] == 0):
+				t.Errorf("cells by owner %v, want some of each", owned)
+			case tt.want != nil && *tt.want == tt.first && owned["a"] != 100, tt.want != nil && *tt.want != tt.first && owned["b"] != 100:
+				t.Errorf("cells by owner %v, want all at the host of size %+v", owned, *tt.want)
+			}
+		})
+	}
+}
+
 func TestShards(t *testing.T) {
 	tests := []struct {
 		targets, shards int
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 )
 
@@ -179,9 +180,10 @@
 }
 
 func (h *Host) hostEntry() swcatalog.Host {
+	f := h.settings.Fleet
 	return swcatalog.Host{
 		ID: h.settings.Host, Zone: h.settings.Zone, Region: h.settings.Region, Address: h.settings.Peer.Address,
-		Incarnation: h.self.Incarnation,
+		Incarnation: h.self.Incarnation, Size: swelect.Size{Cores: f.ProcessorShare * f.Cores, LinkMegabits: f.LinkMegabits},
 	}
 }
 
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -61,7 +61,7 @@
 	for i, item := range items {
 		h := item.Value
 		members[i] = swmember.Member{
-			Host: h.ID, Incarnation: h.Incarnation, Zone: h.Zone, Region: h.Region, Address: h.Address, State: swmsg.MemberAlive,
+			Host: h.ID, Incarnation: h.Incarnation, Zone: h.Zone, Region: h.Region, Address: h.Address, State: swmsg.MemberAlive, Size: h.Size,
 		}
 	}
 	v.mu.Lock()
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -124,7 +124,7 @@
 	for _, m := range r.members {
 		listed = listed || m.Host == r.self
 		if m.State == swmsg.MemberAlive || m.State == swmsg.MemberSuspect {
-			candidates = append(candidates, swelect.Candidate{Host: m.Host, Local: m.Region == region})
+			candidates = append(candidates, swelect.Candidate{Host: m.Host, Local: m.Region == region, Size: m.Size})
 		}
 	}
 	if !listed {
--- a/internal/peer/swmember/swmember.go
+++ b/internal/peer/swmember/swmember.go
@@ -3,6 +3,7 @@
 package swmember
 
 import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
@@ -15,6 +16,8 @@
 	Region      swid.RegionID
 	Address     string
 	State       swmsg.MemberState
+	// Size is not known of members that gossip with each other.
+	Size swelect.Size
 }
 
 // Source provides the current members, this host included.
