Leave an owner only when the next in rank does not hear from it either

Each change costs a handshake for every holder, and a new owner dialled every member to ask for its open work; that used up the next owner's processor, whose acknowledgements were late in turn. Handshakes took up to 3.2 s, against 0.5 s after which a dial counts as failed; probes failed after 0.6 s and links were torn down and dialled again (5,739 of them).

The failure detector is now the link, and the decision is made in one place: - A late acknowledgement makes the holder probe the owner. It doubts the owner if nothing at all was received for 400 ms, and then asks the next host in rank, without forbidding a redirect. - That host redirects it back while it hears from the owner itself (Router.Vouch), and takes the cell over if not. So a busy holder or a bad link moves nothing, and there are at most the former owner and the next. - A doubted owner is used again when something is received from it, not after a fixed time. - A new owner asks only hosts with a link for their open work; others are asked when they connect. - Any data counts as a sign of life for a link's probe. The Hello of a host may take 3 s, as all others may dial it at once, unless its last link fell silent. - A waiting request is repeated every 400 ms and no longer every 60 ms to an owner that is late. - An unreachable host is dialled again after 0.25, 0.5, 1 and then every 2 s; a holder follows three redirects at most.

TestOneOwner plays restart of all hosts, death and freeze of the owner with the real links, holders and owners on virtual time, with a processor of 0.134 of a core for most hosts. TestBusyOwnerIsKept and the new cases of TestPassedOver and TestChoose hold the rule itself.

Class of fault: a failure detector on response time whose reaction adds load to what it measures, decided by each observer alone.

--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -53,6 +53,10 @@
 	// acknowledged is true if requestedOwner replied to the last grant request, even
 	// if only that the request is queued.
 	acknowledged bool
+	// grantRequestSentAt is when the last grant request was sent.
+	grantRequestSentAt swclock.Millis
+	// redirects counts the redirects of the current attempt.
+	redirects int
 	// queuedToSend is true if the last grant request could be queued for sending.
 	queuedToSend bool
 	// strikes counts the attempts that broke, each a suspected crash caused by the
@@ -234,7 +238,7 @@
 	if e.requestedOwner != "" && e.requestedOwner != owner {
 		e.holder.config.Sender.Send(e.requestedOwner, e.withdrawMessage())
 	}
-	e.requestedOwner, e.acknowledged = owner, false
+	e.requestedOwner, e.acknowledged, e.grantRequestSentAt = owner, false, e.holder.config.Clock.Now()
 	m := e.grantRequestMessage()
 	m.NoRedirect = noRedirect
 	e.queuedToSend = e.holder.config.Sender.Send(owner, m)
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -234,16 +234,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.grantRequest = c
-	e.waiting, e.granted = true, false
+	e.waiting, e.granted, e.redirects = true, false, 0
 	return e.resendInterval(e.sendGrantRequest(owner, noRedirect))
 }
 
-// resendGrantRequest repeats the grant request and returns the wait before the
-// next repetition. It first reports an owner that did not acknowledge the previous
-// one in time as unresponsive, so that the Router can select another host.
+// resendGrantRequest repeats the grant request when that is due, or if the Router selects
+// another host. It returns the wait before the next look. It first reports an owner that did
+// not acknowledge the previous grant request in time to the Router.
 func (e *heldRequest) resendGrantRequest() swclock.Millis {
-	if unresponsive := e.unresponsiveOwner(); unresponsive != "" {
-		e.holder.config.Router.MarkUnresponsive(unresponsive)
+	if late := e.lateOwner(); late != "" {
+		e.holder.config.Router.Doubt(late)
 	}
 	owner, noRedirect := e.holder.config.Router.Owner(e.request.Cell)
 	e.mu.Lock()
@@ -251,13 +251,18 @@
 	if !e.waiting {
 		return e.holder.config.GrantRequestInterval
 	}
+	// An owner that is busy is not made busier.
+	wait := e.grantRequestSentAt + e.holder.config.GrantRequestInterval - e.holder.config.Clock.Now()
+	if owner == e.requestedOwner && e.queuedToSend && !e.acknowledged && wait > 0 && e.holder.config.AckTimeout > 0 {
+		return min(wait, e.holder.config.AckTimeout)
+	}
 	return e.resendInterval(e.sendGrantRequest(owner, noRedirect))
 }
 
-// unresponsiveOwner returns the host that the last grant request was sent to, if that
+// lateOwner returns the host that the last grant request was sent to, if that
 // is another host that has not replied and the request still waits. It returns "" otherwise,
 // and always if AckTimeout is 0.
-func (e *heldRequest) unresponsiveOwner() swid.HostID {
+func (e *heldRequest) lateOwner() swid.HostID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.holder.config.AckTimeout == 0 || !e.waiting || e.acknowledged || !e.queuedToSend || e.requestedOwner == e.holder.config.Host {
@@ -286,16 +291,24 @@
 	return retries == nil || !e.reachedTarget || retries.Take(e.request.Service)
 }
 
+// maxRedirects bounds the redirects that the holder follows for one grant request. Hosts that
+// disagree about the owner cannot send it back and forth for ever.
+const maxRedirects = 3
+
 // followRedirect sends the grant request to the named owner if it is reachable.
 // Otherwise it repeats the request at the same host with redirects forbidden.
 func (e *heldRequest) followRedirect(m *swmsg.Redirect) {
+	if m.Owner != e.holder.config.Host {
+		e.holder.config.Router.Vouch(m.Owner)
+	}
 	reachable := m.Owner == e.holder.config.Host || e.holder.config.Sender.Connected(m.Owner)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.waiting {
 		return
 	}
-	if reachable {
+	e.redirects++
+	if reachable && e.redirects <= maxRedirects {
 		e.sendGrantRequest(m.Owner, false)
 		return
 	}
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -28,8 +28,10 @@
 	// host cannot use a better-ranked host: the receiver must then not redirect the
 	// grant request to that host.
 	Owner(cell swid.CellID) (host swid.HostID, noRedirect bool)
-	// MarkUnresponsive records that a host did not acknowledge a grant request in time.
-	MarkUnresponsive(host swid.HostID)
+	// Doubt records that a host did not acknowledge a grant request in time.
+	Doubt(host swid.HostID)
+	// Vouch records that another host redirected a grant request to a host.
+	Vouch(host swid.HostID)
 	// ObserveEpoch records the epoch that a message of a cell's owner carried.
 	ObserveEpoch(cell swid.CellID, epoch swid.Epoch)
 }
@@ -70,8 +72,8 @@
 	// Retries is the budget for attempts after one that reached a target; nil means no limit.
 	Retries Retries
 	// AckTimeout is how long an owner may take to acknowledge a grant request
-	// before the holder reports that owner to the Router as unresponsive. If AckTimeout
-	// is 0, the holder detects only the loss of the link to the owner.
+	// before the holder reports its doubt to the Router. If AckTimeout is 0, the holder
+	// detects only the loss of the link to the owner.
 	AckTimeout swclock.Millis
 	// OnGranted, if not nil, is called with the request at each grant until an attempt has reached a target.
 	OnGranted func(r *Request)
@@ -80,8 +82,7 @@
 	// target's speed before it completes its first requests.
 	ReportEarly bool
 	// GrantRequestInterval is the interval at which a waiting grant request is repeated; 0 means
-	// defaultGrantRequestInterval. AckTimeout, if set, is the interval until the owner
-	// acknowledges the grant request.
+	// defaultGrantRequestInterval.
 	GrantRequestInterval swclock.Millis
 }
 
--- /dev/null
+++ b/internal/node/swfleet/simulation_test.go
@@ -0,0 +1,578 @@
+package swfleet
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// Processor time, of a whole core, that the simulated hosts use.
+const (
+	startCost     = 60 * time.Millisecond
+	handshakeCost = 1500 * time.Microsecond
+	packetCost    = 40 * time.Microsecond
+)
+
+const (
+	networkDelay = 500 * time.Microsecond
+	// requestsPerHost is the mean number of requests a second that each host accepts.
+	requestsPerHost = 4
+	// patience is how long a caller waits for its answer.
+	patience = 2 * time.Second
+	// minServed is the share of the requests that has to be answered once the owner is settled. The
+	// targets have the capacity for all.
+	minServed = 0.9
+	// lateness is how late after its caller has left a request may reach a target.
+	lateness = 500 * time.Millisecond
+)
+
+// Parts of a core that hosts have. One host in largeInterval has the large one.
+const (
+	smallShare    = 0.134
+	largeShare    = 0.8
+	largeInterval = 20
+)
+
+// shareOf returns the part of a core that a host has.
+func shareOf(number int) float64 {
+	if number%largeInterval == largeInterval/2 {
+		return largeShare
+	}
+	return smallShare
+}
+
+// processor is the part of a core that one host has. It does the host's work in order of arrival.
+type processor struct {
+	share float64
+
+	mu     sync.Mutex
+	freeAt time.Time
+}
+
+// use returns when work that takes the given time of a whole core is done, or when closed is closed.
+func (p *processor) use(core time.Duration, closed <-chan struct{}) {
+	p.mu.Lock()
+	now := time.Now()
+	if p.freeAt.Before(now) {
+		p.freeAt = now
+	}
+	p.freeAt = p.freeAt.Add(time.Duration(float64(core) / p.share))
+	wait := p.freeAt.Sub(now)
+	p.mu.Unlock()
+	select {
+	case <-time.After(wait):
+	case <-closed:
+	}
+}
+
+// memoryNetwork connects simulated hosts.
+type memoryNetwork struct {
+	mu         sync.Mutex
+	listeners  map[string]*memoryListener
+	handshakes atomic.Int64
+}
+
+// memoryTransport is one host's access to the network. It implements swlink.Transport.
+type memoryTransport struct {
+	network   *memoryNetwork
+	processor *processor
+}
+
+type memoryListener struct {
+	transport memoryTransport
+	address   string
+	accepted  chan *memoryConn
+	closed    chan struct{}
+	once      sync.Once
+}
+
+var errRefused = errors.New("connection refused")
+
+// Listen implements swlink.Transport.
+func (t memoryTransport) Listen(address string) (net.Listener, error) {
+	l := &memoryListener{transport: t, address: address, accepted: make(chan *memoryConn, 4096), closed: make(chan struct{})}
+	t.network.mu.Lock()
+	defer t.network.mu.Unlock()
+	t.network.listeners[address] = l
+	return l, nil
+}
+
+// Dial implements swlink.Transport.
+func (t memoryTransport) Dial(ctx context.Context, address string) (net.Conn, error) {
+	t.processor.use(handshakeCost, ctx.Done())
+	time.Sleep(2 * networkDelay)
+	t.network.mu.Lock()
+	l := t.network.listeners[address]
+	t.network.mu.Unlock()
+	if l == nil {
+		return nil, errRefused
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	t.network.handshakes.Add(1)
+	out, in := newMemoryPipe(), newMemoryPipe()
+	server := &memoryConn{processor: l.transport.processor, in: out, out: in}
+	select {
+	case l.accepted <- server:
+		return &memoryConn{processor: t.processor, in: in, out: out}, nil
+	default:
+		return nil, errRefused
+	}
+}
+
+// Accept implements net.Listener.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		l.transport.processor.use(handshakeCost, l.closed)
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.transport.network.mu.Lock()
+		defer l.transport.network.mu.Unlock()
+		if l.transport.network.listeners[l.address] == l {
+			delete(l.transport.network.listeners, l.address)
+		}
+		for {
+			select {
+			case c := <-l.accepted:
+				_ = c.Close() // never fails
+			default:
+				return
+			}
+		}
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
+
+type memoryAddr string
+
+func (memoryAddr) Network() string  { return "memory" }
+func (a memoryAddr) String() string { return string(a) }
+
+// memoryPipe is one direction of a connection.
+type memoryPipe struct {
+	packets chan packet
+	closed  chan struct{}
+	once    sync.Once
+}
+
+type packet struct {
+	data      []byte
+	arrivesAt time.Time
+}
+
+func newMemoryPipe() *memoryPipe {
+	return &memoryPipe{packets: make(chan packet, 1024), closed: make(chan struct{})}
+}
+
+func (p *memoryPipe) close() { p.once.Do(func() { close(p.closed) }) }
+
+// memoryConn is one end of a connection. It implements net.Conn without deadlines.
+type memoryConn struct {
+	net.Conn
+	processor *processor
+	in, out   *memoryPipe
+	unread    []byte
+}
+
+// Read implements net.Conn.
+func (c *memoryConn) Read(b []byte) (int, error) {
+	if len(c.unread) == 0 {
+		select {
+		case p := <-c.in.packets:
+			select {
+			case <-time.After(time.Until(p.arrivesAt)):
+			case <-c.in.closed:
+			}
+			c.processor.use(packetCost, c.in.closed)
+			c.unread = p.data
+		case <-c.in.closed:
+			return 0, io.EOF
+		}
+	}
+	n := copy(b, c.unread)
+	c.unread = c.unread[n:]
+	return n, nil
+}
+
+// Write implements net.Conn.
+func (c *memoryConn) Write(b []byte) (int, error) {
+	c.processor.use(packetCost, c.out.closed)
+	select {
+	case c.out.packets <- packet{append([]byte(nil), b...), time.Now().Add(networkDelay)}:
+		return len(b), nil
+	case <-c.out.closed:
+		return 0, io.ErrClosedPipe
+	}
+}
+
+// Close implements net.Conn.
+func (c *memoryConn) Close() error {
+	c.in.close()
+	c.out.close()
+	return nil
+}
+
+func (c *memoryConn) RemoteAddr() net.Addr { return memoryAddr("peer") }
+func (c *memoryConn) LocalAddr() net.Addr  { return memoryAddr("self") }
+
+// simulatedFleet is a fleet of hosts in one process on virtual time.
+type simulatedFleet struct {
+	deployment *deployment
+	network    *memoryNetwork
+	hosts      []*simulatedHost
+	// answered counts the answers of each second since the start.
+	mu       sync.Mutex
+	started  time.Time
+	answered []int
+	asked    []int
+	// late counts the requests that reached a target later than lateness after their caller had left.
+	late int
+}
+
+// simulatedHost is one host of a simulatedFleet.
+type simulatedHost struct {
+	fleet     *simulatedFleet
+	number    int
+	processor *processor
+	// current is nil while the host is down.
+	current atomic.Pointer[Host]
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+func newSimulatedFleet(t *testing.T, size int) *simulatedFleet {
+	d := &deployment{t: t, store: newFakeStore(), targets: make(map[swid.TargetID]*fakeTarget)}
+	d.store.catalogs.put("main", catalogOf(1))
+	f := &simulatedFleet{deployment: d, network: &memoryNetwork{listeners: make(map[string]*memoryListener)}, started: time.Now()}
+	const slots = 7
+	for i := range size {
+		id := swid.TargetID(fmt.Sprint("engine-", i))
+		d.addTarget(id, "model", slots)
+		d.targets[id].duration = time.Second
+	}
+	for i := range size {
+		f.hosts = append(f.hosts, &simulatedHost{
+			fleet: f, number: i, processor: &processor{share: shareOf(i), freeAt: time.Now()},
+		})
+	}
+	return f
+}
+
+func (h *simulatedHost) address() string {
+	return fmt.Sprintf("10.0.%d.%d:7600", h.number/250, h.number%250)
+}
+
+// start starts the host's process.
+func (h *simulatedHost) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop, h.ended = stop, make(chan struct{})
+	go func() {
+		defer close(h.ended)
+		h.processor.use(startCost, ctx.Done())
+		h.run(ctx)
+		h.current.Store(nil)
+	}()
+	go h.accept(ctx)
+}
+
+// run runs the host as Host.run does, but without the listeners for callers and operators.
+func (h *simulatedHost) run(ctx context.Context) {
+	t := h.fleet.deployment.t
+	settings := &swsettings.Settings{
+		Host: swid.HostID(fmt.Sprint("host-", h.number)), Zone: "z", Region: "r",
+		Caller:   swsettings.Caller{MaxHeld: 1000},
+		Peer:     swsettings.Peer{Address: h.address(), Heartbeat: 400},
+		Operator: swsettings.Operator{},
+		Fleet: &swsettings.Fleet{
+			ApplyWithin: 2 * swclock.Second, TargetHeartbeat: swclock.Second, ReregisterWithin: 2 * swclock.Second,
+			QuotaWindow: 8 * swclock.Second, RetryWindow: 10 * swclock.Second, RetryRatio: 0.1, RetryReserve: 32,
+			ProcessorShare: h.processor.share, Cores: 1, LinkMegabits: 100,
+		},
+	}
+	factory := func(*swsettings.Settings, swclock.Clock, zerolog.Logger) (Platform, error) {
+		return simulatedPlatform{fakePlatform{h.fleet.deployment}, h.fleet}, nil
+	}
+	host, err := New(settings, factory, zerolog.Nop())
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	host.linkOptions = []swlink.Option{swlink.WithTransport(memoryTransport{h.fleet.network, h.processor})}
+	if err := host.register(ctx); err != nil {
+		return // ctx ended
+	}
+	host.assemble()
+	if err := host.network.Listen(); err != nil {
+		t.Error(err)
+		return
+	}
+	h.current.Store(host)
+	if err := host.runComponents(context.Background(), ctx, &http.Server{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// accept serves callers until ctx ends.
+func (h *simulatedHost) accept(ctx context.Context) {
+	random := rand.New(rand.NewPCG(uint64(h.number), uint64(time.Now().UnixNano())))
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-time.After(time.Duration(random.ExpFloat64() / requestsPerHost * float64(time.Second))):
+		case <-ctx.Done():
+			return
+		}
+		callers.Go(func() { h.call(ctx, swid.RequestID(fmt.Sprintf("%d-%d-%d", h.number, time.Now().UnixNano(), n))) })
+	}
+}
+
+// call sends one request, which its caller abandons after patience.
+func (h *simulatedHost) call(ctx context.Context, id swid.RequestID) {
+	f := h.fleet
+	second := int(time.Since(f.started) / time.Second)
+	f.count(&f.asked, second)
+	host := h.current.Load()
+	if host == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	ctx = context.WithValue(ctx, leavesAt{}, time.Now().Add(patience))
+	call := &swgate.Call{
+		ID: id, Method: http.MethodPost, Host: "h", Target: "/model/x", Path: "/model/x", Key: "key",
+		PromptTokens: 100, OutputTokens: 10, ExpectedTokens: 5,
+		ReadBody: func(swcatalog.Limits) ([]byte, error) { return nil, nil },
+	}
+	result := host.gate.Serve(ctx, call, discardSink{})
+	if result.Denial == swgate.DeniedNone && result.Report.End.Outcome == swlife.OutcomeAnswered {
+		f.count(&f.answered, second)
+	}
+}
+
+// leavesAt is the key of the instant at which the caller of a request leaves.
+type leavesAt struct{}
+
+// lateCounter is a target that counts the requests that reach it late after their caller has left.
+type lateCounter struct {
+	swtarget.Adapter
+	fleet *simulatedFleet
+}
+
+// Start implements swtarget.Adapter.
+func (l lateCounter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
+	if left, known := ctx.Value(leavesAt{}).(time.Time); known && time.Since(left) > lateness {
+		l.fleet.mu.Lock()
+		l.fleet.late++
+		l.fleet.mu.Unlock()
+	}
+	return l.Adapter.Start(ctx, r)
+}
+
+// simulatedPlatform is a fakePlatform whose targets are lateCounters.
+type simulatedPlatform struct {
+	fakePlatform
+	fleet *simulatedFleet
+}
+
+func (p simulatedPlatform) TargetAdapter(id swid.TargetID, address string, eventTokens swid.Tokens) swtarget.Adapter {
+	return lateCounter{p.fakePlatform.TargetAdapter(id, address, eventTokens), p.fleet}
+}
+
+// discardSink discards an answer. It implements swholder.Sink.
+type discardSink struct{}
+
+func (discardSink) Begin(int, http.Header) error { return nil }
+func (discardSink) Write([]byte) error           { return nil }
+
+// count adds one to a second's count.
+func (f *simulatedFleet) count(counts *[]int, second int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(*counts) <= second {
+		*counts = append(*counts, 0)
+	}
+	(*counts)[second]++
+}
+
+// owners returns the hosts that others send their grant requests to, with the number of these.
+func (f *simulatedFleet) owners() map[swid.HostID]int {
+	owners := make(map[swid.HostID]int)
+	for _, h := range f.hosts {
+		if host := h.current.Load(); host != nil && host.view.complete() {
+			owners[host.router.currentOwner()]++
+		}
+	}
+	return owners
+}
+
+// startAll starts all hosts within 0.3 s.
+func (f *simulatedFleet) startAll() {
+	random := rand.New(rand.NewPCG(1, uint64(len(f.hosts))))
+	for _, h := range f.hosts {
+		delay := time.Duration(random.Int64N(int64(300 * time.Millisecond)))
+		time.AfterFunc(delay, h.start)
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
+// killAll kills the processes of all hosts.
+func (f *simulatedFleet) killAll() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	for _, h := range f.hosts {
+		<-h.ended
+	}
+}
+
+// observe returns the number of owners at each of the next seconds.
+func (f *simulatedFleet) observe(seconds int) []int {
+	counts := make([]int, seconds)
+	for i := range counts {
+		time.Sleep(time.Second)
+		counts[i] = len(f.owners())
+	}
+	return counts
+}
+
+// servedShare returns the share of the requests of a second that were answered.
+func (f *simulatedFleet) servedShare(second int) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if second >= len(f.asked) || f.asked[second] == 0 {
+		return 0
+	}
+	if second >= len(f.answered) {
+		return 0
+	}
+	return float64(f.answered[second]) / float64(f.asked[second])
+}
+
+// clearPools empties every sync.Pool: yamux pools timers, which must not leave a bubble.
+func clearPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
+// freeze suspends the host's processor.
+func (p *processor) freeze(span time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now(); p.freeAt.Before(now) {
+		p.freeAt = now
+	}
+	p.freeAt = p.freeAt.Add(span)
+}
+
+// owner returns the host that owns the shared cells for most hosts.
+func (f *simulatedFleet) owner() *simulatedHost {
+	var found swid.HostID
+	owners := f.owners()
+	for host, users := range owners {
+		if users > owners[found] {
+			found = host
+		}
+	}
+	i := slices.IndexFunc(f.hosts, func(h *simulatedHost) bool { return h.current.Load() != nil && h.current.Load().self.Host == found })
+	return f.hosts[i]
+}
+
+// furtherSize is for measurements by hand.
+var furtherSize = flag.Int("hosts", 0, "a further number of hosts in TestOneOwner")
+
+// TestOneOwner guards against hosts that leave a busy owner one by one.
+func TestOneOwner(t *testing.T) {
+	events := []struct {
+		name string
+		run  func(f *simulatedFleet)
+		// settled is the time after the event from which there is one owner again.
+		settled time.Duration
+	}{
+		{"all hosts restart", func(f *simulatedFleet) {
+			f.killAll()
+			time.Sleep(time.Second)
+			f.startAll()
+		}, 3 * time.Second},
+		{"the owner is killed", func(f *simulatedFleet) {
+			owner := f.owner()
+			owner.stop()
+			<-owner.ended
+		}, 3 * time.Second},
+		{"the owner freezes", func(f *simulatedFleet) { f.owner().processor.freeze(3 * time.Second) }, 6 * time.Second},
+	}
+	sizes := []int{30, 100}
+	if *furtherSize > 0 {
+		sizes = []int{*furtherSize}
+	}
+	for _, size := range sizes {
+		for _, e := range events {
+			t.Run(fmt.Sprint(size, " hosts, ", e.name), func(t *testing.T) {
+				clearPools()
+				synctest.Test(t, func(t *testing.T) {
+					defer clearPools()
+					f := newSimulatedFleet(t, size)
+					f.startAll()
+					f.observe(6)
+					f.network.handshakes.Store(0)
+					e.run(f)
+					at := int(time.Since(f.started) / time.Second)
+					owners := f.observe(12)
+					t.Logf("owners in each second after the event %v; handshakes %d", owners, f.network.handshakes.Load())
+					settled := int(e.settled / time.Second)
+					if most := slices.Max(owners); most > 2 {
+						t.Errorf("%d owners at once, want at most the former and the next", most)
+					}
+					if owners := owners[settled:]; slices.Max(owners) > 1 {
+						t.Errorf("owners in each second from %d s after the event %v, want 1", settled, owners)
+					}
+					for second := at + settled + 1; second < at+10; second++ {
+						if share := f.servedShare(second); share < minServed {
+							t.Errorf("%.2f of the requests were answered %d s after the event", share, second-at)
+						}
+					}
+					f.killAll()
+					if f.late > 0 {
+						t.Errorf("%d requests reached a target over %v after their caller had left", f.late, lateness)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -8,24 +8,43 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
-// unresponsivePeriod is how long a host that did not acknowledge a grant request is
-// skipped. Within this period a link that receives no data is detected and replaced.
-const unresponsivePeriod = swclock.Second
+// silenceLimit is how long a sign of life of a host may be overdue before another host is asked
+// whether it should take over. It exceeds the delay of a probe's reply and the pauses of a process
+// that has used up its share of a processor. A host that is busy for longer loses nothing: the
+// next in rank sends grant requests back to it while it hears from it.
+const silenceLimit = 400 * swclock.Millis(1)
 
-// redialInterval is the time between two dials of an unreachable host.
-const redialInterval = 2 * swclock.Second
+// vouchPeriod is how long a host is not doubted after another one redirected a grant request to it.
+// Within this period a broken link is detected and replaced.
+const vouchPeriod = swclock.Second
+
+// The time between two dials of an unreachable host doubles from minRedialInterval, within which a
+// host that is starting accepts links, to maxRedialInterval.
+const (
+	minRedialInterval = 250 * swclock.Millis(1)
+	maxRedialInterval = 2 * swclock.Second
+)
+
+// redial is the schedule of the dials of an unreachable host.
+type redial struct {
+	next     swclock.Millis
+	interval swclock.Millis
+}
 
 // Links reports which hosts are connected, and connects to others.
 type Links interface {
 	Connected(host swid.HostID) bool
 	// Dial starts to connect to a host unless there is a link to it.
 	Dial(host swid.HostID)
-	// HeardAt returns when the link to a host last received anything, and whether there is a link.
-	HeardAt(host swid.HostID) (at swclock.Millis, linked bool)
+	// Liveness returns what was observed of a host.
+	Liveness(host swid.HostID) swlink.Liveness
+	// Probe asks a host with a link for a sign of life.
+	Probe(host swid.HostID)
 }
 
 // SkipReason is the reason for which a host is not chosen as owner.
@@ -35,13 +54,13 @@
 const (
 	SkipNone SkipReason = iota
 	SkipLeaving
-	SkipUnresponsive
+	SkipSilent
 	SkipUnreachable
 )
 
 // String returns the reason as it is logged.
 func (s SkipReason) String() string {
-	return [...]string{"none", "leaving", "unresponsive", "unreachable"}[s]
+	return [...]string{"none", "leaving", "silent", "unreachable"}[s]
 }
 
 // HostRouter implements Router. It has a tracker for each cell, which ranks the hosts
@@ -57,12 +76,15 @@
 	// members is the list from which the candidates of every tracker are taken.
 	members  []swmember.Member
 	trackers map[swid.CellID]*swelect.Tracker
-	// unreachable maps each host that could not be reached to the time of its next
-	// dial. A host is skipped until a link to it is up.
-	unreachable map[swid.HostID]swclock.Millis
-	// unresponsive maps each host that did not acknowledge a grant request to the
-	// time until which it is skipped.
-	unresponsive map[swid.HostID]swclock.Millis
+	// unreachable has the hosts that could not be reached. A host is skipped until a link
+	// to it is up.
+	unreachable map[swid.HostID]redial
+	// silent maps each host whose sign of life is overdue to the time at which that was
+	// noticed. Such a host is skipped until something is received from it.
+	silent map[swid.HostID]swclock.Millis
+	// vouchedUntil maps each host that another one redirected to, and so hears from, to the
+	// time until which it is not doubted.
+	vouchedUntil map[swid.HostID]swclock.Millis
 	// leaving has the hosts whose process is about to stop. Such a host is skipped until
 	// SetLeaving records that a later process of the host runs.
 	leaving map[swid.HostID]bool
@@ -76,8 +98,9 @@
 	return &HostRouter{
 		self: self, region: region, links: links, clock: clock, log: log,
 		trackers:     make(map[swid.CellID]*swelect.Tracker),
-		unreachable:  make(map[swid.HostID]swclock.Millis),
-		unresponsive: make(map[swid.HostID]swclock.Millis),
+		unreachable:  make(map[swid.HostID]redial),
+		silent:       make(map[swid.HostID]swclock.Millis),
+		vouchedUntil: make(map[swid.HostID]swclock.Millis),
 		leaving:      make(map[swid.HostID]bool),
 		epochs:       make(map[swid.CellID]swid.Epoch),
 	}
@@ -95,12 +118,12 @@
 
 // Owner implements swholder.Router and swowner.Router. It returns the best-ranked
 // available host, or this host if no better-ranked one is available. noRedirect is set if
-// a better-ranked host was skipped: the returned host must then not redirect the grant
-// request to that one.
+// better-ranked hosts were skipped and all of them are known to be unavailable: the returned
+// host must then not redirect the grant request to one of them.
 func (r *HostRouter) Owner(cell swid.CellID) (host swid.HostID, noRedirect bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	choice := r.tracker(cell).Choose(r.available)
+	choice := r.tracker(cell).Choose(r.availability)
 	return choice.Host, choice.NoRedirect
 }
 
@@ -133,32 +156,36 @@
 	return candidates
 }
 
-// available reports whether a host may be chosen as owner: it is not leaving, did not
-// recently fail to acknowledge a grant request, and has a link if it was unreachable.
-// It redials an unreachable host when its next dial is due. r.mu must be held.
-func (r *HostRouter) available(host swid.HostID) bool {
+// availability returns whether a host may be chosen as owner: it is not leaving, has given a sign
+// of life if one was overdue, and has a link if it was unreachable. It redials an unreachable
+// host when its next dial is due. r.mu must be held.
+func (r *HostRouter) availability(host swid.HostID) swelect.Availability {
 	if r.leaving[host] {
-		return false
+		return swelect.Unavailable
 	}
-	if until, unresponsive := r.unresponsive[host]; unresponsive {
-		if r.clock.Now() < until {
-			return false
+	if silentAt, silent := r.silent[host]; silent {
+		if l := r.links.Liveness(host); l.Linked && l.HeardAt <= silentAt || l.Dialling {
+			return swelect.Doubtful
+		}
+		// The host answered, or its link ended. A host without a link has to be dialled.
+		delete(r.silent, host)
+		if _, unreachable := r.unreachable[host]; !unreachable {
+			r.unreachable[host] = redial{next: r.clock.Now(), interval: minRedialInterval}
 		}
-		delete(r.unresponsive, host)
 	}
-	next, unreachable := r.unreachable[host]
+	scheduled, unreachable := r.unreachable[host]
 	if !unreachable {
-		return true
+		return swelect.Available
 	}
 	if r.links.Connected(host) {
 		delete(r.unreachable, host)
-		return true
+		return swelect.Available
 	}
-	if now := r.clock.Now(); now >= next {
-		r.unreachable[host] = now + redialInterval
+	if now := r.clock.Now(); now >= scheduled.next {
+		r.unreachable[host] = redial{now + scheduled.interval, min(2*scheduled.interval, maxRedialInterval)}
 		r.links.Dial(host)
 	}
-	return false
+	return swelect.Unavailable
 }
 
 // MarkUnreachable records that a host could not be reached. The host is skipped until a
@@ -167,29 +194,53 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, unreachable := r.unreachable[host]; !unreachable {
-		r.unreachable[host] = r.clock.Now() + redialInterval
+		r.unreachable[host] = redial{r.clock.Now() + minRedialInterval, minRedialInterval}
 		r.logSkip(host, SkipUnreachable)
 	}
 }
 
-// MarkUnresponsive implements swholder.Router. It records that a host did not acknowledge
-// a grant request: the host may be paused or overloaded, or the link to it may be broken.
-// The host is skipped for unresponsivePeriod.
-func (r *HostRouter) MarkUnresponsive(host swid.HostID) {
+// Doubt implements swholder.Router. It records that a host did not acknowledge a grant request in
+// time. That alone says nothing: the host may be busy, or this one. The host is skipped once a
+// sign of life that it was asked for has been overdue for silenceLimit.
+func (r *HostRouter) Doubt(host swid.HostID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	l := r.links.Liveness(host)
+	if l.Linked && !l.Probed {
+		r.links.Probe(host)
+		return
+	}
+	if l.SilentFor(now) < silenceLimit || now < r.vouchedUntil[host] {
+		return
+	}
+	if _, silent := r.silent[host]; !silent {
+		r.silent[host] = now
+		r.logSkip(host, SkipSilent)
+	}
+}
+
+// Vouch implements swholder.Router. It records that another host redirected a grant request to a
+// host, and so hears from it. If this host has no link to it, it dials.
+func (r *HostRouter) Vouch(host swid.HostID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, unresponsive := r.unresponsive[host]; !unresponsive {
-		r.logSkip(host, SkipUnresponsive)
+	now := r.clock.Now()
+	delete(r.silent, host)
+	r.vouchedUntil[host] = now + vouchPeriod
+	if !r.links.Connected(host) {
+		r.unreachable[host] = redial{now + minRedialInterval, minRedialInterval}
+		r.links.Dial(host)
 	}
-	r.unresponsive[host] = r.clock.Now() + unresponsivePeriod
 }
 
 // logSkip logs that a host is skipped from now on, with the age of the latest data from it.
 func (r *HostRouter) logSkip(host swid.HostID, reason SkipReason) {
-	heardAt, linked := r.links.HeardAt(host)
-	e := r.log.Info().Str("peer", string(host)).Str("reason", reason.String()).Bool("linked", linked)
-	if linked {
-		e = e.Int64("sinceHeardMillis", int64(r.clock.Now()-heardAt))
+	now, l := r.clock.Now(), r.links.Liveness(host)
+	e := r.log.Info().Str("peer", string(host)).Str("reason", reason.String()).Bool("linked", l.Linked).
+		Int64("silentMillis", int64(l.SilentFor(now)))
+	if l.Linked {
+		e = e.Int64("sinceHeardMillis", int64(now-l.HeardAt))
 	}
 	e.Msg("host skipped as owner")
 }
@@ -201,8 +252,8 @@
 	if r.leaving[host] {
 		return SkipLeaving
 	}
-	if until, unresponsive := r.unresponsive[host]; unresponsive && r.clock.Now() < until {
-		return SkipUnresponsive
+	if _, silent := r.silent[host]; silent {
+		return SkipSilent
 	}
 	if _, unreachable := r.unreachable[host]; unreachable {
 		return SkipUnreachable
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -138,8 +138,9 @@
 }
 
 // takeOver assigns a new epoch to the cell. Unless the cell is local, it requests the open work (the
-// waiting and the dispatched requests) of every member that is not dead, and starts the recovery
-// window if there are other such members.
+// waiting and the dispatched requests) of every member with a link, and starts the recovery window
+// if there are other such members. A member without a link does not use this host as the owner
+// yet; requestOpenWork asks it once it connects.
 func (r *runner) takeOver() {
 	r.epoch = r.config.Router.NextEpoch(r.id)
 	r.recoveredAt = r.config.Clock.Now()
@@ -148,7 +149,7 @@
 	}
 	others := 0
 	for _, m := range r.config.Members.Members() {
-		if m.State == swmsg.MemberDead {
+		if m.State == swmsg.MemberDead || !r.config.Sender.Connected(m.Host) {
 			continue
 		}
 		if m.Host != r.config.Host {
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -23,8 +23,7 @@
 // Router determines which host should own a cell, from this host's view of the members.
 type Router interface {
 	// Owner returns the best-ranked available host: one that is reachable, responsive and not leaving.
-	// noRedirect reports that a better-ranked host is unavailable, so that a holder must not be
-	// redirected.
+	// noRedirect reports that all better-ranked hosts are known to be unavailable.
 	Owner(cell swid.CellID) (host swid.HostID, noRedirect bool)
 	// NextEpoch returns the epoch under which this host takes a cell over. It is higher than every
 	// epoch of the cell that this host has received.
@@ -153,15 +152,15 @@
 }
 
 // redirect sends a Redirect message if another host should own the cell, and reports whether the
-// message was queued for sending. It does not redirect a grant request of this host, one with
-// NoRedirect, whose holder cannot use a better-ranked host, or any while this host cannot reach a
-// better-ranked host.
+// message was queued for sending. It does not redirect a grant request of this host, or one with
+// NoRedirect, whose holder cannot use a better-ranked host. So a holder that only doubts the owner
+// learns whether this host, which would take the cell over, hears from the owner.
 func (o *Owner) redirect(from swlink.Peer, m swmsg.GrantRequest) bool {
 	if m.NoRedirect || from.Host == o.config.Host {
 		return false
 	}
-	owner, noRedirect := o.config.Router.Owner(m.Cell)
-	if owner == o.config.Host || noRedirect {
+	owner, _ := o.config.Router.Owner(m.Cell)
+	if owner == o.config.Host {
 		return false
 	}
 	return o.config.Sender.Send(from.Host, swmsg.Redirect{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Owner: owner})
--- a/internal/peer/swlink/config.go
+++ b/internal/peer/swlink/config.go
@@ -17,9 +17,11 @@
 	DefaultProbeTimeout  = 600 * swclock.Millis(1)
 	DefaultReplyDelay    = 100 * swclock.Millis(1)
 	DefaultDialTimeout   = 500 * swclock.Millis(1)
-	DefaultIdleTimeout   = 5 * swclock.Minute
-	DefaultQueueLength   = 1024
-	DefaultMaxPeers      = 4096
+	// DefaultHandshakeTimeout leaves time for the handshakes of all other hosts.
+	DefaultHandshakeTimeout = 3 * swclock.Second
+	DefaultIdleTimeout      = 5 * swclock.Minute
+	DefaultQueueLength      = 1024
+	DefaultMaxPeers         = 4096
 )
 
 // Limits and times that Config does not set.
@@ -57,8 +59,11 @@
 	// ReplyDelay is how long the reply to a probe may wait to be sent with a batch of messages.
 	// It must be shorter than ProbeTimeout.
 	ReplyDelay swclock.Millis
-	// DialTimeout bounds connecting and the exchange of Hello, on both sides.
+	// DialTimeout bounds connecting, and the exchange of Hello with a host whose last link fell
+	// silent.
 	DialTimeout swclock.Millis
+	// HandshakeTimeout bounds the exchange of Hello with any other host, on both sides.
+	HandshakeTimeout swclock.Millis
 	// IdleTimeout is how long a link may carry no message before the host that dialled it closes it.
 	IdleTimeout swclock.Millis
 	// KeepAlive configures TCP keep-alive, which ends a broken link even if
@@ -76,6 +81,7 @@
 	c.ProbeTimeout = orDefault(c.ProbeTimeout, DefaultProbeTimeout)
 	c.ReplyDelay = orDefault(c.ReplyDelay, DefaultReplyDelay)
 	c.DialTimeout = orDefault(c.DialTimeout, DefaultDialTimeout)
+	c.HandshakeTimeout = orDefault(c.HandshakeTimeout, DefaultHandshakeTimeout)
 	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
 	return c
 }
--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -25,7 +25,7 @@
 
 // connect dials a host and runs the link until it ends.
 func (n *Network) connect(ctx context.Context, r *remote) {
-	dialCtx, cancel := context.WithTimeout(ctx, n.config.DialTimeout.Duration())
+	dialCtx, cancel := context.WithTimeout(ctx, r.handshakeTimeout().Duration())
 	defer cancel()
 	if !r.setDialCancel(cancel) {
 		return
@@ -54,7 +54,9 @@
 	if !n.security.configured {
 		return nil, ErrNoTLS
 	}
-	raw, err := n.transport.Dial(ctx, address)
+	connectCtx, cancel := context.WithTimeout(ctx, n.config.DialTimeout.Duration())
+	raw, err := n.transport.Dial(connectCtx, address)
+	cancel()
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
@@ -111,7 +113,7 @@
 		raw.Close()
 		return
 	}
-	handshakeCtx, cancel := context.WithTimeout(ctx, n.config.DialTimeout.Duration())
+	handshakeCtx, cancel := context.WithTimeout(ctx, n.config.HandshakeTimeout.Duration())
 	stop := context.AfterFunc(handshakeCtx, func() { session.Close() })
 	l, err := n.acceptHandshake(handshakeCtx, session)
 	stopped := stop()
--- a/internal/peer/swlink/link.go
+++ b/internal/peer/swlink/link.go
@@ -199,7 +199,7 @@
 		l.prober.restartTimeout(now)
 		l.shutdownAt = now
 	}
-	timedOut := l.prober.timedOut(now) || l.shuttingDown && now-l.shutdownAt > l.prober.timeout
+	timedOut := l.prober.timedOut(now, l.heardAt) || l.shuttingDown && now-l.shutdownAt > l.prober.timeout
 	flushDue := l.prober.probeDue(now) || l.prober.replyDue(now, l.network.config.ReplyDelay)
 	idle := l.dialled && now-l.lastMessageAt > l.network.config.IdleTimeout
 	l.mu.Unlock()
--- a/internal/peer/swlink/network.go
+++ b/internal/peer/swlink/network.go
@@ -118,15 +118,25 @@
 	return r != nil && r.connected()
 }
 
-// HeardAt returns when the link to a host last received anything, and whether there is a link.
-func (n *Network) HeardAt(host swid.HostID) (at swclock.Millis, linked bool) {
+// Liveness returns what was observed of a host.
+func (n *Network) Liveness(host swid.HostID) Liveness {
 	n.mu.Lock()
 	r := n.remotes[host]
 	n.mu.Unlock()
 	if r == nil {
-		return 0, false
+		return Liveness{}
+	}
+	return r.liveness()
+}
+
+// Probe asks a host with a link for a sign of life, unless a probe is unanswered.
+func (n *Network) Probe(host swid.HostID) {
+	n.mu.Lock()
+	r := n.remotes[host]
+	n.mu.Unlock()
+	if r != nil {
+		r.probe()
 	}
-	return r.heardAt()
 }
 
 // remote returns the state of a host and creates it if needed. It returns nil for
--- a/internal/peer/swlink/prober.go
+++ b/internal/peer/swlink/prober.go
@@ -17,6 +17,8 @@
 	outstanding bool
 	// unconfirmed is set if data was sent after the last probe.
 	unconfirmed bool
+	// requested is set if a probe has to be sent even without unconfirmed data.
+	requested bool
 	// replyTo is the number of the peer's latest probe to answer, or 0. The oldest
 	// unanswered probe of the peer arrived at replySince.
 	replyTo    uint64
@@ -38,12 +40,13 @@
 	p.sentAt = now
 	p.outstanding = true
 	p.unconfirmed = false
+	p.requested = false
 	return p.number
 }
 
 // probeDue reports whether a probe must be sent without data to confirm what was sent before.
 func (p *prober) probeDue(now swclock.Millis) bool {
-	return p.unconfirmed && !p.outstanding && now-p.sentAt >= p.interval
+	return !p.outstanding && (p.requested || p.unconfirmed && now-p.sentAt >= p.interval)
 }
 
 // replyReceived records the reply to a probe. A reply to any probe but the last one is ignored.
@@ -73,9 +76,14 @@
 	return p.replyTo != 0 && now-p.replySince >= delay
 }
 
-// timedOut reports whether the last probe has been unanswered for longer than the timeout.
-func (p *prober) timedOut(now swclock.Millis) bool {
-	return p.outstanding && now-p.sentAt > p.timeout
+// maxUnanswered is the number of timeouts after which a peer that sends data, but answers no
+// probe, counts as not answering: it may not receive what this host sends.
+const maxUnanswered = 5
+
+// timedOut reports whether the last probe is unanswered and nothing was received from the
+// peer for longer than the timeout. A peer that is busy answers late, but sends something.
+func (p *prober) timedOut(now, heardAt swclock.Millis) bool {
+	return p.outstanding && (now-max(p.sentAt, heardAt) > p.timeout || now-p.sentAt > maxUnanswered*p.timeout)
 }
 
 // restartTimeout restarts the wait for a reply after this process itself was suspended.
--- a/internal/peer/swlink/remote.go
+++ b/internal/peer/swlink/remote.go
@@ -33,6 +33,10 @@
 	// link is the current link, or nil.
 	link *link
 	dial dialState
+	// dialledAt is when the latest dial was queued.
+	dialledAt swclock.Millis
+	// silent is set if the latest link ended because the host did not answer.
+	silent bool
 	// pendingInbound counts the connections dialled by the host that were admitted
 	// but are not links yet. No dial starts while there is one.
 	pendingInbound int
@@ -75,7 +79,7 @@
 	if r.network.clock.Now() < r.retryAt || !r.network.dials.TryPut(r) {
 		return false
 	}
-	r.dial = dialConnecting
+	r.dial, r.dialledAt = dialConnecting, r.network.clock.Now()
 	r.superseded = make(chan struct{})
 	return true
 }
@@ -87,17 +91,43 @@
 	return r.link != nil
 }
 
-// heardAt returns when the link last received anything, and whether there is a link.
-func (r *remote) heardAt() (at swclock.Millis, linked bool) {
+// liveness returns what was observed of the host.
+func (r *remote) liveness() Liveness {
 	r.mu.Lock()
-	l := r.link
+	l, dialling, dialledAt := r.link, r.dial != dialNone, r.dialledAt
 	r.mu.Unlock()
 	if l == nil {
-		return 0, false
+		return Liveness{Dialling: dialling, DialledAt: dialledAt}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heardAt, true
+	return Liveness{Linked: true, HeardAt: l.heardAt, Probed: l.prober.outstanding, ProbedAt: l.prober.sentAt}
+}
+
+// probe makes the link send a probe at once, unless one is unanswered.
+func (r *remote) probe() {
+	r.mu.Lock()
+	l := r.link
+	r.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	l.prober.requested = true
+	l.mu.Unlock()
+	l.requestFlush()
+}
+
+// handshakeTimeout returns how long the host may take to answer a Hello. A host whose last
+// link fell silent has to show that it is alive; any other may be busy with the
+// connections of all hosts at once.
+func (r *remote) handshakeTimeout() swclock.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent {
+		return r.network.config.DialTimeout
+	}
+	return r.network.config.HandshakeTimeout
 }
 
 // setDialCancel sets the function that cancels the dial. It returns false if
@@ -186,6 +216,7 @@
 	r.link = l
 	r.failures = 0
 	r.retryAt = 0
+	r.silent = false
 	r.supersedeDial()
 	r.network.stats.linksUp.Add(1)
 	return old, true
@@ -213,6 +244,7 @@
 		return
 	}
 	r.link = nil
+	r.silent = cause == errPeerTimeout
 	// A link that timed out with unconfirmed data is replaced at once, because the peer may not
 	// have detected the loss. The new link makes the peer end the old one.
 	r.redial(cause == errPeerTimeout && unacknowledged)
--- a/internal/peer/swlink/swlink.go
+++ b/internal/peer/swlink/swlink.go
@@ -2,6 +2,7 @@
 package swlink
 
 import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
@@ -12,6 +13,32 @@
 	Incarnation swid.Incarnation
 }
 
+// Liveness is what a network has observed of another host.
+type Liveness struct {
+	// Linked is set if there is a link. HeardAt is when it last received anything.
+	Linked  bool
+	HeardAt swclock.Millis
+	// Probed is set while a probe that was sent at ProbedAt is unanswered.
+	Probed   bool
+	ProbedAt swclock.Millis
+	// Dialling is set while a connection that was started at DialledAt is being set up.
+	Dialling  bool
+	DialledAt swclock.Millis
+}
+
+// SilentFor returns how long a sign of life of the host has been overdue: the time since a
+// dial or a probe that has had no effect yet.
+func (l Liveness) SilentFor(now swclock.Millis) swclock.Millis {
+	switch {
+	case l.Linked && l.Probed:
+		return now - max(l.ProbedAt, l.HeardAt)
+	case !l.Linked && l.Dialling:
+		return now - l.DialledAt
+	default:
+		return 0
+	}
+}
+
 // Sender sends messages to other entry hosts without blocking.
 type Sender interface {
 	// Send queues a message and reports whether it was queued. A queued message may
