Tie the end of a dial between hosts to that dial

A dial now keeps its own channel, and its failure counts only while it is the current dial. A refused dial waits for the peer's own for the dial timeout, as before, and not for the longer time of a handshake.

TestSupersededDial ends a first dial after the second has started; before, the second one was ended too. TestFailures and the tests of swlink pass with the race detector.

--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -27,19 +27,23 @@
 func (n *Network) connect(ctx context.Context, r *remote) {
 	dialCtx, cancel := context.WithTimeout(ctx, r.handshakeTimeout().Duration())
 	defer cancel()
-	if !r.setDialCancel(cancel) {
+	superseded, ok := r.setDialCancel(cancel)
+	if !ok {
 		return
 	}
 	l, err := n.dial(dialCtx, r)
 	if errors.Is(err, errDialRefused) {
 		// The queued messages are kept for the link that the peer's own dial may open, until the dial timeout.
+		timer := time.NewTimer(n.config.DialTimeout.Duration())
 		select {
-		case <-r.superseded:
+		case <-superseded:
+		case <-timer.C:
 		case <-dialCtx.Done():
 		}
+		timer.Stop()
 	}
 	if err != nil {
-		r.dialFailed(err)
+		r.dialFailed(superseded, err)
 		return
 	}
 	n.run(ctx, l)
--- a/internal/peer/swlink/remote.go
+++ b/internal/peer/swlink/remote.go
@@ -42,7 +42,8 @@
 	pendingInbound int
 	// cancelDial cancels the dial under way.
 	cancelDial context.CancelFunc
-	// superseded is closed when an admitted connection or a link ends the dial under way.
+	// superseded is closed when an admitted connection or a link ends the dial under way. Each
+	// dial has its own.
 	superseded chan struct{}
 	// failures counts consecutive failed dials. No dial starts before retryAt.
 	failures int
@@ -130,13 +131,14 @@
 	return r.network.config.HandshakeTimeout
 }
 
-// setDialCancel sets the function that cancels the dial. It returns false if
-// another connection has superseded the dial, so that it is no longer needed.
-func (r *remote) setDialCancel(cancel context.CancelFunc) bool {
+// setDialCancel sets the function that cancels the dial. It returns the channel that is closed
+// when the dial is superseded, and false if another connection has superseded it, so that it is
+// no longer needed.
+func (r *remote) setDialCancel(cancel context.CancelFunc) (superseded <-chan struct{}, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cancelDial = cancel
-	return r.dial == dialConnecting
+	return r.superseded, r.dial == dialConnecting
 }
 
 // setHandshaking moves the dial to dialHandshaking and returns the number for its
@@ -252,10 +254,10 @@
 
 // dialFailed ends a dial that did not become a link, sets the retry delay, drops the
 // queued messages and notifies the handler. It does nothing if another connection
-// has superseded the dial.
-func (r *remote) dialFailed(err error) {
+// has superseded the dial, even if a later dial has started since.
+func (r *remote) dialFailed(superseded <-chan struct{}, err error) {
 	r.mu.Lock()
-	if r.dial == dialNone {
+	if r.dial == dialNone || r.superseded != superseded {
 		r.mu.Unlock()
 		return
 	}
--- a/internal/peer/swlink/swlink_test.go
+++ b/internal/peer/swlink/swlink_test.go
@@ -257,3 +257,24 @@
 		t.Error("an abandoned dial was admitted, or a new process refused")
 	}
 }
+
+// TestSupersededDial guards against a dial that ends a later one of the same host.
+func TestSupersededDial(t *testing.T) {
+	r := newRemote(New(Config{}, &swclock.Manual{}, nil, nil), swid.HostID("b"))
+	r.ensureDial()
+	first, ok := r.setDialCancel(func() {})
+	if !ok || !r.admit(Peer{Host: "b", Incarnation: 1}, 1) {
+		t.Fatal("a connection of the peer did not supersede the dial")
+	}
+	r.inboundFailed()
+	r.ensureDial()
+	select {
+	case <-first:
+	default:
+		t.Error("the first dial was not told that it is superseded")
+	}
+	r.dialFailed(first, errRefused)
+	if r.dial != dialConnecting {
+		t.Error("the failure of the first dial ended the second one")
+	}
+}
