Let the next in rank look for the owner when it is asked in its place

A host that is asked instead of a silent owner decided by what its own late requests had shown. Without any, it sent the requests back until its link timed out, so callers at other hosts waited up to 1.5 s for a frozen owner.

It now probes the owner when it is asked, and takes the cell over once a sign of life is 400 ms overdue; a holder that was sent back asks again after the same time instead of 1 s. TestSuccessorLooksForItself times out without the probe.

--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -19,9 +19,9 @@
 // next in rank sends grant requests back to it while it hears from it.
 const silenceLimit = 400 * swclock.Millis(1)
 
-// vouchPeriod is how long a host is not doubted after another one redirected a grant request to it.
-// Within this period a broken link is detected and replaced.
-const vouchPeriod = swclock.Second
+// vouchPeriod is how long a host is not doubted after another one redirected a grant request to it,
+// and so heard from it: as long as that host takes to notice that it has fallen silent.
+const vouchPeriod = silenceLimit
 
 // The time between two dials of an unreachable host doubles from minRedialInterval, within which a
 // host that is starting accepts links, to maxRedialInterval.
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -25,6 +25,9 @@
 	// Owner returns the best-ranked available host: one that is reachable, responsive and not leaving.
 	// noRedirect reports that all better-ranked hosts are known to be unavailable.
 	Owner(cell swid.CellID) (host swid.HostID, noRedirect bool)
+	// Doubt makes this host look for a sign of life of a host that may have fallen silent. Owner skips
+	// that host if it is overdue.
+	Doubt(host swid.HostID)
 	// NextEpoch returns the epoch under which this host takes a cell over. It is higher than every
 	// epoch of the cell that this host has received.
 	NextEpoch(cell swid.CellID) swid.Epoch
@@ -163,6 +166,11 @@
 	if owner == o.config.Host {
 		return false
 	}
+	// The holder may doubt the owner. This host finds out for itself.
+	o.config.Router.Doubt(owner)
+	if owner, _ = o.config.Router.Owner(m.Cell); owner == o.config.Host {
+		return false
+	}
 	return o.config.Sender.Send(from.Host, swmsg.Redirect{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Owner: owner})
 }
 
--- a/internal/owner/swowner/swowner_test.go
+++ b/internal/owner/swowner/swowner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +55,7 @@
 type fixedOwner swid.HostID
 
 func (r fixedOwner) Owner(swid.CellID) (swid.HostID, bool)                { return swid.HostID(r), false }
+func (r fixedOwner) Doubt(swid.HostID)                                    {}
 func (r fixedOwner) NextEpoch(swid.CellID) swid.Epoch                     { return 3 }
 func (r fixedOwner) Members() []swmember.Member                           { return []swmember.Member{{Host: "a"}, {Host: "b"}} }
 func (r fixedOwner) Subscribe(func([]swmember.Member))                    {}
@@ -107,6 +109,32 @@
 	return o, out, events, clock
 }
 
+// silentOwner is a Router that names a host until it is doubted, and host "a" from then on.
+type silentOwner struct {
+	fixedOwner
+	doubted *atomic.Bool
+}
+
+func (r silentOwner) Owner(cell swid.CellID) (swid.HostID, bool) {
+	if r.doubted.Load() {
+		return "a", true
+	}
+	return r.fixedOwner.Owner(cell)
+}
+
+func (r silentOwner) Doubt(host swid.HostID) { r.doubted.Store(host == swid.HostID(r.fixedOwner)) }
+
+// TestSuccessorLooksForItself guards against a host that sends requests back to a silent owner for
+// as long as it has none of its own.
+func TestSuccessorLooksForItself(t *testing.T) {
+	o, out, _, _ := startOwner(t, "c", false)
+	o.config.Router = silentOwner{"c", &atomic.Bool{}}
+	o.Receive(holder, swmsg.GrantRequest{Cell: cell, Seq: 1, Attempt: 1})
+	if m, to := next[swmsg.Queued](t, out); to != "b" || m.Seq != 1 {
+		t.Errorf("sent %+v to %s, want the request queued here", m, to)
+	}
+}
+
 var holder = swlink.Peer{Host: "b", Incarnation: 1}
 
 // TestRecoverAtLinkUp checks that an owner requests a holder's open work when the link to it comes
