--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -154,14 +154,14 @@
 func (c *Cell[P, O]) supply() (speed, soonest float64) {
 	if s := &c.lastSupply; s.at != c.now || s.changes != c.changes || s.running != len(c.running) {
 		speed, soonest = c.computeSupply()
-		*s = supply{at: c.now, changes: c.changes, running: len(c.running), speed: speed, soonest: soonest}
+		*s = cachedSupply{at: c.now, changes: c.changes, running: len(c.running), speed: speed, soonest: soonest}
 	}
 	return c.lastSupply.speed, c.lastSupply.soonest
 }
 
-// supply is the result of Cell.supply at an instant, after a number of changes and with a number
+// cachedSupply is the result of Cell.supply at an instant, after a number of changes and with a number
 // of running requests.
-type supply struct {
+type cachedSupply struct {
 	at             swclock.Millis
 	changes        uint64
 	running        int
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -55,7 +55,7 @@
 	// changes counts the changes by which a target may take requests that declined it, listing
 	// those of the targets' configuration and reachability.
 	changes, listing uint64
-	lastSupply       supply
+	lastSupply       cachedSupply
 }
 
 // Config holds a cell's settings; zero fields get the defaults.
--- a/internal/node/swcommand/reload_test.go
+++ b/internal/node/swcommand/reload_test.go
@@ -37,7 +37,12 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		watchSettings(ctx, path, hangups, zerolog.Nop(), func(s *swsettings.Settings) { reloaded <- s })
+		watchSettings(ctx, path, hangups, zerolog.Nop(), func(s *swsettings.Settings) {
+			select {
+			case reloaded <- s:
+			case <-ctx.Done(): // a hangup that the test no longer waits for
+			}
+		})
 	}()
 	sendHangup := func() *swsettings.Settings {
 		for start := time.Now(); time.Since(start) < time.Minute; {
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime"
 	"slices"
@@ -16,7 +14,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
@@ -29,15 +26,9 @@
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
-// Processor time, of a whole core, that the simulated hosts use.
 const (
-	startCost     = 60 * time.Millisecond
-	handshakeCost = 1500 * time.Microsecond
-	packetCost    = 40 * time.Microsecond
-)
-
-const (
-	networkDelay = 500 * time.Microsecond
+	// startCost is the processor time, of a whole core, until a process has started.
+	startCost = 60 * time.Millisecond
 	// requestsPerHost is the mean number of requests a second that each host accepts.
 	requestsPerHost = 4
 	// patience is how long a caller waits for its answer.
@@ -64,193 +55,6 @@
 	return smallShare
 }
 
-// processor is the part of a core that one host has. It does the host's work in order of arrival.
-type processor struct {
-	share float64
-
-	mu     sync.Mutex
-	freeAt time.Time
-}
-
-// use returns when work that takes the given time of a whole core is done, or when closed is closed.
-func (p *processor) use(core time.Duration, closed <-chan struct{}) {
-	p.mu.Lock()
-	now := time.Now()
-	if p.freeAt.Before(now) {
-		p.freeAt = now
-	}
-	p.freeAt = p.freeAt.Add(time.Duration(float64(core) / p.share))
-	wait := p.freeAt.Sub(now)
-	p.mu.Unlock()
-	select {
-	case <-time.After(wait):
-	case <-closed:
-	}
-}
-
-// memoryNetwork connects simulated hosts.
-type memoryNetwork struct {
-	mu         sync.Mutex
-	listeners  map[string]*memoryListener
-	handshakes atomic.Int64
-}
-
-// memoryTransport is one host's access to the network. It implements swlink.Transport.
-type memoryTransport struct {
-	network   *memoryNetwork
-	processor *processor
-}
-
-type memoryListener struct {
-	transport memoryTransport
-	address   string
-	accepted  chan *memoryConn
-	closed    chan struct{}
-	once      sync.Once
-}
-
-var errRefused = errors.New("connection refused")
-
-// Listen implements swlink.Transport.
-func (t memoryTransport) Listen(address string) (net.Listener, error) {
-	l := &memoryListener{transport: t, address: address, accepted: make(chan *memoryConn, 4096), closed: make(chan struct{})}
-	t.network.mu.Lock()
-	defer t.network.mu.Unlock()
-	t.network.listeners[address] = l
-	return l, nil
-}
-
-// Dial implements swlink.Transport.
-func (t memoryTransport) Dial(ctx context.Context, address string) (net.Conn, error) {
-	t.processor.use(handshakeCost, ctx.Done())
-	time.Sleep(2 * networkDelay)
-	t.network.mu.Lock()
-	l := t.network.listeners[address]
-	t.network.mu.Unlock()
-	if l == nil {
-		return nil, errRefused
-	}
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
-	t.network.handshakes.Add(1)
-	out, in := newMemoryPipe(), newMemoryPipe()
-	server := &memoryConn{processor: l.transport.processor, in: out, out: in}
-	select {
-	case l.accepted <- server:
-		return &memoryConn{processor: t.processor, in: in, out: out}, nil
-	default:
-		return nil, errRefused
-	}
-}
-
-// Accept implements net.Listener.
-func (l *memoryListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		l.transport.processor.use(handshakeCost, l.closed)
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *memoryListener) Close() error {
-	l.once.Do(func() {
-		close(l.closed)
-		l.transport.network.mu.Lock()
-		defer l.transport.network.mu.Unlock()
-		if l.transport.network.listeners[l.address] == l {
-			delete(l.transport.network.listeners, l.address)
-		}
-		for {
-			select {
-			case c := <-l.accepted:
-				_ = c.Close() // never fails
-			default:
-				return
-			}
-		}
-	})
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
-
-type memoryAddr string
-
-func (memoryAddr) Network() string  { return "memory" }
-func (a memoryAddr) String() string { return string(a) }
-
-// memoryPipe is one direction of a connection.
-type memoryPipe struct {
-	packets chan packet
-	closed  chan struct{}
-	once    sync.Once
-}
-
-type packet struct {
-	data      []byte
-	arrivesAt time.Time
-}
-
-func newMemoryPipe() *memoryPipe {
-	return &memoryPipe{packets: make(chan packet, 1024), closed: make(chan struct{})}
-}
-
-func (p *memoryPipe) close() { p.once.Do(func() { close(p.closed) }) }
-
-// memoryConn is one end of a connection. It implements net.Conn without deadlines.
-type memoryConn struct {
-	net.Conn
-	processor *processor
-	in, out   *memoryPipe
-	unread    []byte
-}
-
-// Read implements net.Conn.
-func (c *memoryConn) Read(b []byte) (int, error) {
-	if len(c.unread) == 0 {
-		select {
-		case p := <-c.in.packets:
-			select {
-			case <-time.After(time.Until(p.arrivesAt)):
-			case <-c.in.closed:
-			}
-			c.processor.use(packetCost, c.in.closed)
-			c.unread = p.data
-		case <-c.in.closed:
-			return 0, io.EOF
-		}
-	}
-	n := copy(b, c.unread)
-	c.unread = c.unread[n:]
-	return n, nil
-}
-
-// Write implements net.Conn.
-func (c *memoryConn) Write(b []byte) (int, error) {
-	c.processor.use(packetCost, c.out.closed)
-	select {
-	case c.out.packets <- packet{append([]byte(nil), b...), time.Now().Add(networkDelay)}:
-		return len(b), nil
-	case <-c.out.closed:
-		return 0, io.ErrClosedPipe
-	}
-}
-
-// Close implements net.Conn.
-func (c *memoryConn) Close() error {
-	c.in.close()
-	c.out.close()
-	return nil
-}
-
-func (c *memoryConn) RemoteAddr() net.Addr { return memoryAddr("peer") }
-func (c *memoryConn) LocalAddr() net.Addr  { return memoryAddr("self") }
-
 // simulatedFleet is a fleet of hosts in one process on virtual time.
 type simulatedFleet struct {
 	deployment *deployment
@@ -491,16 +295,6 @@
 	runtime.GC()
 }
 
-// freeze suspends the host's processor.
-func (p *processor) freeze(span time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now := time.Now(); p.freeAt.Before(now) {
-		p.freeAt = now
-	}
-	p.freeAt = p.freeAt.Add(span)
-}
-
 // owner returns the host that owns the shared cells for most hosts.
 func (f *simulatedFleet) owner() *simulatedHost {
 	var found swid.HostID
--- a/internal/node/swnode/router_test.go
+++ b/internal/node/swnode/router_test.go
@@ -30,6 +30,13 @@
 	l.liveness[host] = swlink.Liveness{Linked: true, HeardAt: now}
 }
 
+// fallSilent makes a host leave a probe unanswered for silenceLimit.
+func fallSilent(r *HostRouter, l *fakeLinks, clock *swclock.Manual, host swid.HostID) {
+	l.liveness[host] = swlink.Liveness{Linked: true, Probed: true}
+	clock.Advance(silenceLimit)
+	r.Doubt(host)
+}
+
 // newTestRouter returns the router of host self with the members self, a and b, a cell that another
 // host owns, and that owner.
 func newTestRouter(t *testing.T) (*HostRouter, *fakeLinks, *swclock.Manual, swid.CellID, swid.HostID) {
@@ -79,11 +86,7 @@
 		},
 		{
 			"silent, until something is received",
-			func(r *HostRouter, l *fakeLinks, clock *swclock.Manual, owner swid.HostID) {
-				l.liveness[owner] = swlink.Liveness{Linked: true, Probed: true}
-				clock.Advance(silenceLimit)
-				r.Doubt(owner)
-			},
+			fallSilent,
 			func(_ *HostRouter, l *fakeLinks, clock *swclock.Manual, owner swid.HostID) {
 				l.setLinked(owner, clock.Advance(1))
 			},
@@ -91,11 +94,7 @@
 		},
 		{
 			"silent, until another host hears from it",
-			func(r *HostRouter, l *fakeLinks, clock *swclock.Manual, owner swid.HostID) {
-				l.liveness[owner] = swlink.Liveness{Linked: true, Probed: true}
-				clock.Advance(silenceLimit)
-				r.Doubt(owner)
-			},
+			fallSilent,
 			func(r *HostRouter, _ *fakeLinks, _ *swclock.Manual, owner swid.HostID) { r.Vouch(owner) },
 			false,
 		},
