--- a/internal/core/swid/swid.go
+++ b/internal/core/swid/swid.go
@@ -1,7 +1,10 @@
 // Package swid defines the identifiers and units that the other packages share.
 package swid
 
-import "strconv"
+import (
+	"fmt"
+	"strconv"
+)
 
 // HostID identifies an entry host of the system.
 type HostID string
@@ -68,6 +71,9 @@
 // crashes targets is recognised when its caller sends it again.
 type Fingerprint uint64
 
+// String returns the fingerprint as it is written to logs.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // NewRequestID returns the id of a holder's request.
 func NewRequestID(host HostID, incarnation Incarnation, seq Seq) RequestID {
 	return RequestID(string(host) + "-" + strconv.FormatUint(uint64(incarnation), 36) + "-" + strconv.FormatUint(uint64(seq), 10))
--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -54,9 +54,9 @@
 	return &Register{entries: entries, limit: limit, retention: retention}
 }
 
-// Strike records a crash of a target that ran the content. alone is set if the target
-// ran nothing else.
-func (r *Register) Strike(f swid.Fingerprint, alone bool, now swclock.Millis) {
+// Strike records a crash of a target that ran the content, and returns the content's number
+// of strikes. alone is set if the target ran nothing else.
+func (r *Register) Strike(f swid.Fingerprint, alone bool, now swclock.Millis) int {
 	e, ok := r.entries.Get(f)
 	if ok && e.expires <= now {
 		e.strikes = 0
@@ -67,6 +67,7 @@
 	}
 	e.expires = now + r.retention
 	r.entries.Add(f, e)
+	return e.strikes
 }
 
 // Report merges the number of strikes that another register has counted: the larger of
@@ -86,8 +87,14 @@
 
 // RecordAnswer deletes the strikes of content that was answered. For the retention time
 // after the answer, the content is not refused and reports about it are ignored.
-func (r *Register) RecordAnswer(f swid.Fingerprint, now swclock.Millis) {
+// RecordAnswer returns the number of deleted strikes.
+func (r *Register) RecordAnswer(f swid.Fingerprint, now swclock.Millis) int {
+	e, _ := r.entries.Peek(f)
 	r.entries.Add(f, entry{clearedUntil: now + r.retention})
+	if e.expires <= now {
+		return 0
+	}
+	return e.strikes
 }
 
 // Verdict returns whether and how the content may run, and the time until its strikes
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -106,12 +106,15 @@
 	c.endRun(r)
 	switch e.Result {
 	case swcell.ResultAnswered:
-		c.strikes.RecordAnswer(r.grantRequest.Fingerprint, c.now)
+		if cleared := c.strikes.RecordAnswer(r.grantRequest.Fingerprint, c.now); cleared > 0 {
+			c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Target: t.conf.ID, Cleared: cleared})
+		}
 		t.recordAnswer()
 	case swcell.ResultRejected, swcell.ResultFailed:
 		t.recordFailure()
 	case swcell.ResultBroken:
-		c.strikes.Strike(r.grantRequest.Fingerprint, r.alone, c.now)
+		strikes := c.strikes.Strike(r.grantRequest.Fingerprint, r.alone, c.now)
+		c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Target: t.conf.ID, Strikes: strikes, Alone: r.alone})
 		t.recordNoAnswer(c.now)
 	case swcell.ResultNoAnswer:
 		t.recordNoAnswer(c.now)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -71,6 +71,22 @@
 	Ledger *swquota.Ledger
 	// Seed makes the choices among equal targets differ from host to host.
 	Seed uint64
+	// OnStrikes is called when the strikes of content change, for logs. It must not block.
+	OnStrikes func(StrikeChange)
+}
+
+// StrikeChange is a change of the strikes of content: of the suspected crashes of targets that
+// ran it.
+type StrikeChange struct {
+	Content swid.Fingerprint
+	// Target ended, or answered if strikes were cleared.
+	Target swid.TargetID
+	// Strikes is the number of strikes after the change.
+	Strikes int
+	// Alone is set if the target that ended ran nothing else.
+	Alone bool
+	// Cleared is the number of strikes that were deleted because the content was answered.
+	Cleared int
 }
 
 // Constants that are not configured.
@@ -95,6 +111,9 @@
 	if c.LateShare == 0 {
 		c.LateShare = 0.35
 	}
+	if c.OnStrikes == nil {
+		c.OnStrikes = func(StrikeChange) {}
+	}
 	return c
 }
 
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -69,7 +69,7 @@
 	case swlife.Rejected:
 		e.holder.config.Log.Info().
 			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).Str("cell", string(e.request.Cell)).
-			Uint32("attempt", uint32(e.grantRequest.Attempt)).Str("owner", string(e.lastOwner())).Str("reason", v.Reason.String()).
+			Str("content", e.request.Fingerprint.String()).Uint32("attempt", uint32(e.grantRequest.Attempt)).Str("owner", string(e.lastOwner())).Str("reason", v.Reason.String()).
 			Int64("retryAfterMillis", int64(v.RetryAfter)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
 			Msg("request rejected")
 	case swlife.AttemptEnded:
@@ -77,7 +77,8 @@
 			return
 		}
 		e.holder.config.Log.Info().
-			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).Uint32("attempt", uint32(last.number)).
+			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).
+			Str("content", e.request.Fingerprint.String()).Uint32("attempt", uint32(last.number)).
 			Str("target", string(last.target)).Str("owner", string(e.lastOwner())).Str("result", v.Result.String()).
 			Int("status", last.status).Str("cause", v.Cause.String()).Bool("unsent", v.Unsent).Bool("delivered", v.Delivered).AnErr("error", last.err).
 			Int64("attemptMillis", int64(last.ended-last.dispatched)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
