--- a/internal/core/swsuspect/swsuspect_test.go
+++ b/internal/core/swsuspect/swsuspect_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
 func TestVerdicts(t *testing.T) {
@@ -31,3 +32,19 @@
 	r.Strike(content, true, 8+2*swclock.Minute)
 	check(9+2*swclock.Minute, Refused)
 }
+
+// TestRefusedContentIsKept guards against refused content that is forgotten because many other
+// contents have strikes.
+func TestRefusedContentIsKept(t *testing.T) {
+	const refused, size = 1, 100
+	r := New(size, 3, swclock.Minute)
+	for at := range swclock.Millis(3) {
+		r.Strike(refused, false, at)
+	}
+	for i := range 10 * size {
+		r.Strike(swid.Fingerprint(i+2), false, 4)
+	}
+	if got, _ := r.Verdict(refused, 5); got != Refused {
+		t.Errorf("verdict %d after strikes of %d other contents, want %d", got, 10*size, Refused)
+	}
+}
--- /dev/null
+++ b/internal/node/swfleet/crashingcontent_test.go
@@ -0,0 +1,317 @@
+package swfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+const (
+	// crashingBody is the body of the content that crashes targets.
+	crashingBody = "crash"
+	// downTime is how long a target is away after a crash.
+	downTime = 1500 * time.Millisecond
+	// crashingInterval is the time between two requests with the content that crashes targets.
+	crashingInterval = 300 * time.Millisecond
+	// stableTime is the time after the third crash from which lateLimit arrivals are allowed.
+	stableTime = 3 * time.Second
+	lateLimit  = 3
+	// ordinaryRate is the number of other requests a second, over all hosts.
+	ordinaryRate = 60
+)
+
+// crashLog records when the content that crashes targets reached them.
+type crashLog struct {
+	mu       sync.Mutex
+	arrivals []time.Time
+	// harmless is set while the content is answered.
+	harmless bool
+	// silent is set if targets fall silent rather than reset their connections.
+	silent bool
+}
+
+func (l *crashLog) setHarmless(harmless bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.harmless = harmless
+}
+
+// arrive records an arrival, and reports whether it crashes the target.
+func (l *crashLog) arrive() (crashes bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.harmless {
+		return false
+	}
+	l.arrivals = append(l.arrivals, time.Now())
+	return true
+}
+
+// late returns the number of arrivals later than stableTime after the third crash.
+func (l *crashLog) late() (late, all int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, at := range l.arrivals {
+		if at.Sub(l.arrivals[min(2, len(l.arrivals)-1)]) > stableTime {
+			late++
+		}
+	}
+	return late, len(l.arrivals)
+}
+
+// crashableTarget is a target that the content with crashingBody crashes. It implements
+// swtarget.Adapter; all hosts share it.
+type crashableTarget struct {
+	id    swid.TargetID
+	fleet *simulatedFleet
+	log   *crashLog
+
+	mu   sync.Mutex
+	down bool
+	// crashed is closed by a crash, and replaced when the target is up again.
+	crashed chan struct{}
+}
+
+var errConnection = errors.New("connection lost")
+
+// Start implements swtarget.Adapter.
+func (c *crashableTarget) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
+	c.mu.Lock()
+	if c.down {
+		c.mu.Unlock()
+		return nil, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errConnection}
+	}
+	if string(r.Body) == crashingBody && c.log.arrive() {
+		c.crash()
+	}
+	crashed := c.crashed
+	c.mu.Unlock()
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-crashed:
+			cancel()
+		case <-runCtx.Done():
+		}
+	}()
+	answer, err := c.fleet.deployment.targets[c.id].Start(runCtx, r)
+	if err == nil || ctx.Err() != nil {
+		return answer, err
+	}
+	if c.log.silent {
+		return nil, awaitSilence(ctx, r.FirstOutputTimeout)
+	}
+	return nil, &swtarget.Error{Failure: swtarget.FailureBroken, Err: errConnection}
+}
+
+// awaitSilence waits for an answer that never comes.
+func awaitSilence(ctx context.Context, limit swclock.Millis) error {
+	if limit == 0 {
+		limit = swclock.Minute
+	}
+	select {
+	case <-time.After(limit.Duration()):
+		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errConnection}
+	case <-ctx.Done():
+		return &swtarget.Error{Failure: swtarget.FailureBroken, Err: ctx.Err()}
+	}
+}
+
+// crash ends all runs and starts the target again after downTime. c.mu must be held.
+func (c *crashableTarget) crash() {
+	close(c.crashed)
+	c.down = true
+	time.AfterFunc(downTime, func() {
+		targets := &c.fleet.deployment.store.targets
+		targets.store.mu.Lock()
+		t := targets.items[string(c.id)].Value
+		t.Born++
+		targets.write(string(c.id), t)
+		targets.store.mu.Unlock()
+		c.mu.Lock()
+		c.down, c.crashed = false, make(chan struct{})
+		c.mu.Unlock()
+	})
+}
+
+// newCrashableFleet returns a fleet in front of eight targets of each kind that log crashes.
+func newCrashableFleet(t *testing.T, size int, log *crashLog) *simulatedFleet {
+	f := newSimulatedFleet(t, 0)
+	c := catalogOf(2)
+	split := c.Routes[0]
+	split.Name, split.Prefix = "split", "/split/"
+	split.Shares = []swcatalog.Share{{Service: "model", Weight: 1}, {Service: "plain", Weight: 1}}
+	c.Routes = append(c.Routes, split)
+	c.Organisations = []swcatalog.Organisation{{ID: "org", Keys: []string{"key"}}}
+	f.deployment.store.catalogs.put("main", c)
+	f.requestsPerHost = 0
+	crashable := make(map[swid.TargetID]*crashableTarget)
+	for i := range 8 {
+		for _, service := range []swid.ServiceID{"model", "plain"} {
+			id := swid.TargetID(fmt.Sprint(service, "-", i))
+			f.deployment.addTarget(id, service, 7)
+			f.deployment.targets[id].duration = 100 * time.Millisecond
+			crashable[id] = &crashableTarget{id: id, fleet: f, log: log, crashed: make(chan struct{})}
+		}
+	}
+	f.adapter = func(id swid.TargetID) swtarget.Adapter { return crashable[id] }
+	f.addHosts(size)
+	return f
+}
+
+// outcomes counts the ends of requests.
+type outcomes struct {
+	mu sync.Mutex
+	// sent, answered and suspected count requests, the last those that were rejected because of
+	// their content.
+	sent, answered, suspected int
+}
+
+// send sends one request to a random host that is up, and counts its end.
+func (f *simulatedFleet) send(ctx context.Context, path, body string, o *outcomes) {
+	host := f.hosts[rand.IntN(len(f.hosts))].current.Load()
+	if host == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	call := &swgate.Call{
+		ID: swid.RequestID(fmt.Sprint(path, time.Now().UnixNano(), rand.Uint64())), Method: http.MethodPost, Host: "h",
+		Target: path, Path: path, Key: "key", PromptTokens: 100, OutputTokens: 10, ExpectedTokens: 5,
+		ReadBody: func(swcatalog.Limits) ([]byte, error) { return []byte(body), nil },
+	}
+	result := host.gate.Serve(ctx, call, discardSink{})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent++
+	switch {
+	case result.Denial == swgate.DeniedNone && result.Report.End.Outcome == swlife.OutcomeAnswered:
+		o.answered++
+	case result.Report.End.Cause == swlife.CauseSuspect:
+		o.suspected++
+	}
+}
+
+// sendEvery sends requests at an interval until ctx ends. body returns the body of each.
+func (f *simulatedFleet) sendEvery(ctx context.Context, interval time.Duration, path string, body func() string, o *outcomes) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		select {
+		case <-time.After(interval):
+			calls.Go(func() { f.send(ctx, path, body(), o) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func fixedBody(body string) func() string { return func() string { return body } }
+func uniqueBody() string                  { return fmt.Sprint(rand.Uint64()) }
+
+// TestCrashingContent guards against content that crashes its targets and goes on reaching them
+// after three have ended, whichever hosts receive it.
+func TestCrashingContent(t *testing.T) {
+	const span = 24 * time.Second
+	restart := func(f *simulatedFleet) {
+		f.killAll()
+		f.startAll()
+	}
+	events := []struct {
+		name   string
+		silent bool
+		// before is how long the content is answered before it begins to crash targets.
+		before time.Duration
+		run    func(f *simulatedFleet)
+	}{
+		{name: "undisturbed"},
+		{name: "answered before", before: 2 * time.Second},
+		{name: "owner killed", run: func(f *simulatedFleet) {
+			for range 3 {
+				time.Sleep(5 * time.Second)
+				owner := f.owner()
+				owner.stop()
+				<-owner.ended
+				time.Sleep(time.Second)
+				owner.start()
+			}
+		}},
+		{name: "all hosts restart", run: func(f *simulatedFleet) {
+			for range 4 {
+				time.Sleep(5 * time.Second)
+				restart(f)
+			}
+		}},
+		{name: "store set back", run: func(f *simulatedFleet) {
+			for range 3 {
+				earlier := f.deployment.store.copy()
+				time.Sleep(5 * time.Second)
+				f.deployment.store.setBack(earlier)
+				time.Sleep(1500 * time.Millisecond)
+				restart(f)
+			}
+		}},
+		{name: "silent targets", silent: true},
+	}
+	for _, size := range sizesOf(15) {
+		for _, path := range []string{"/model/x", "/plain/x", "/split/x"} {
+			for _, e := range events {
+				t.Run(fmt.Sprint(size, " hosts, ", path[1:6], ", ", e.name), func(t *testing.T) {
+					clearPools()
+					synctest.Test(t, func(t *testing.T) {
+						defer clearPools()
+						log := &crashLog{silent: e.silent, harmless: true}
+						f := newCrashableFleet(t, size, log)
+						f.startAll()
+						f.observe(4)
+						ctx, stop := context.WithTimeout(context.Background(), span)
+						var senders sync.WaitGroup
+						var crashing, repeated, unique outcomes
+						send := func(interval time.Duration, path string, body func() string, o *outcomes) {
+							senders.Go(func() { f.sendEvery(ctx, interval, path, body, o) })
+						}
+						for _, p := range []string{"/model/x", "/plain/x"} {
+							send(4*time.Second/ordinaryRate, p, fixedBody("repeated"), &repeated)
+							send(4*time.Second/ordinaryRate, p, uniqueBody, &unique)
+						}
+						send(crashingInterval, path, fixedBody(crashingBody), &crashing)
+						time.AfterFunc(e.before, func() { log.setHarmless(false) })
+						if e.run != nil {
+							e.run(f)
+						}
+						<-ctx.Done()
+						stop()
+						senders.Wait()
+						f.killAll()
+						late, all := log.late()
+						t.Logf("%d arrivals in all; of %d other requests %d answered, of %d repeated ones %d",
+							all, unique.sent, unique.answered, repeated.sent, repeated.answered)
+						if late > lateLimit {
+							t.Errorf("%d arrivals later than %v after the third crash, want at most %d", late, stableTime, lateLimit)
+						}
+						if crashing.suspected == 0 {
+							t.Error("the content that crashes targets was never rejected for that")
+						}
+						if n := repeated.suspected + unique.suspected; n > 0 {
+							t.Errorf("%d other requests were rejected because of their content", n)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -29,8 +29,8 @@
 const (
 	// startCost is the processor time, of a whole core, until a process has started.
 	startCost = 60 * time.Millisecond
-	// requestsPerHost is the mean number of requests a second that each host accepts.
-	requestsPerHost = 4
+	// defaultRequestsPerHost is the mean number of requests a second that each host accepts.
+	defaultRequestsPerHost = 4
 	// patience is how long a caller waits for its answer.
 	patience = 2 * time.Second
 	// minServed is the share of the requests that has to be answered once the owner is settled. The
@@ -60,6 +60,10 @@
 	deployment *deployment
 	network    *memoryNetwork
 	hosts      []*simulatedHost
+	// requestsPerHost is the mean number of requests a second that each host accepts by itself.
+	requestsPerHost float64
+	// adapter, if not nil, returns the targets' adapters.
+	adapter func(swid.TargetID) swtarget.Adapter
 	// answered counts the answers of each second since the start.
 	mu       sync.Mutex
 	started  time.Time
@@ -83,19 +87,25 @@
 func newSimulatedFleet(t *testing.T, size int) *simulatedFleet {
 	d := &deployment{t: t, store: newFakeStore(), targets: make(map[swid.TargetID]*fakeTarget)}
 	d.store.catalogs.put("main", catalogOf(1))
-	f := &simulatedFleet{deployment: d, network: &memoryNetwork{listeners: make(map[string]*memoryListener)}, started: time.Now()}
+	f := &simulatedFleet{
+		deployment: d, network: &memoryNetwork{listeners: make(map[string]*memoryListener)}, started: time.Now(), requestsPerHost: defaultRequestsPerHost,
+	}
 	const slots = 7
 	for i := range size {
 		id := swid.TargetID(fmt.Sprint("engine-", i))
 		d.addTarget(id, "model", slots)
 		d.targets[id].duration = time.Second
 	}
+	f.addHosts(size)
+	return f
+}
+
+func (f *simulatedFleet) addHosts(size int) {
 	for i := range size {
 		f.hosts = append(f.hosts, &simulatedHost{
 			fleet: f, number: i, processor: &processor{share: shareOf(i), freeAt: time.Now()},
 		})
 	}
-	return f
 }
 
 func (h *simulatedHost) address() string {
@@ -154,12 +164,15 @@
 
 // accept serves callers until ctx ends.
 func (h *simulatedHost) accept(ctx context.Context) {
+	if h.fleet.requestsPerHost == 0 {
+		return
+	}
 	random := rand.New(rand.NewPCG(uint64(h.number), uint64(time.Now().UnixNano())))
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	for n := 0; ; n++ {
 		select {
-		case <-time.After(time.Duration(random.ExpFloat64() / requestsPerHost * float64(time.Second))):
+		case <-time.After(time.Duration(random.ExpFloat64() / h.fleet.requestsPerHost * float64(time.Second))):
 		case <-ctx.Done():
 			return
 		}
@@ -216,6 +229,9 @@
 }
 
 func (p simulatedPlatform) TargetAdapter(id swid.TargetID, address string, eventTokens swid.Tokens) swtarget.Adapter {
+	if p.fleet.adapter != nil {
+		return p.fleet.adapter(id)
+	}
 	return lateCounter{p.fakePlatform.TargetAdapter(id, address, eventTokens), p.fleet}
 }
 
@@ -308,8 +324,16 @@
 	return f.hosts[i]
 }
 
-// furtherSize is for measurements by hand.
-var furtherSize = flag.Int("hosts", 0, "a further number of hosts in TestOneOwner")
+// furtherSize replaces the usual numbers of hosts.
+var furtherSize = flag.Int("hosts", 0, "the number of hosts in tests of a simulated fleet")
+
+// sizesOf returns the numbers of hosts to run a test with: the usual ones, unless the flag sets another.
+func sizesOf(usual ...int) []int {
+	if *furtherSize > 0 {
+		return []int{*furtherSize}
+	}
+	return usual
+}
 
 // TestOneOwner guards against hosts that leave a busy owner one by one.
 func TestOneOwner(t *testing.T) {
@@ -331,11 +355,7 @@
 		}, 3 * time.Second},
 		{"the owner freezes", func(f *simulatedFleet) { f.owner().processor.freeze(3 * time.Second) }, 6 * time.Second},
 	}
-	sizes := []int{30, 100}
-	if *furtherSize > 0 {
-		sizes = []int{*furtherSize}
-	}
-	for _, size := range sizes {
+	for _, size := range sizesOf(30, 100) {
 		for _, e := range events {
 			t.Run(fmt.Sprint(size, " hosts, ", e.name), func(t *testing.T) {
 				clearPools()
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -71,6 +72,50 @@
 	s.notifyWatchers()
 }
 
+// setBack replaces the objects by those of an earlier copy after the store was away for a moment.
+// What the operator and the targets wrote since is written again; what hosts wrote is lost.
+func (s *fakeStore) setBack(earlier *fakeStore) {
+	s.setUnavailable(true)
+	time.Sleep(500 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	catalogs, targets := s.catalogs.items, s.targets.items
+	s.revision = earlier.revision
+	s.catalogs.restore(&earlier.catalogs)
+	s.targets.restore(&earlier.targets)
+	s.hosts.restore(&earlier.hosts)
+	s.catalogs.rewrite(catalogs)
+	s.targets.rewrite(targets)
+	s.unavailable = false
+	s.notifyWatchers()
+}
+
+// copy returns a copy of the store.
+func (s *fakeStore) copy() *fakeStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := newFakeStore()
+	c.revision = s.revision
+	c.catalogs.restore(&s.catalogs)
+	c.targets.restore(&s.targets)
+	c.hosts.restore(&s.hosts)
+	return c
+}
+
+// restore replaces the objects by those of an earlier copy. The store's mu must be held.
+func (s *fakeSource[T]) restore(earlier *fakeSource[T]) {
+	s.items, s.changeLog = maps.Clone(earlier.items), slices.Clone(earlier.changeLog)
+}
+
+// rewrite writes the objects again that were written since. The store's mu must be held.
+func (s *fakeSource[T]) rewrite(later map[string]swwatch.Item[T]) {
+	for name, item := range later {
+		if item.Revision != s.items[name].Revision {
+			s.write(name, item.Value)
+		}
+	}
+}
+
 var errUnavailable = errors.New("store unavailable")
 
 func (s *fakeSource[T]) put(name string, value T) {
