Count crashes of targets against content, not runs

Callers of content that several requests share got 503 (suspect) for ten minutes after a single crash: each run that broke was a strike, so three requests with the same content on one target made three.

Cause: a strike was a run that broke, whatever ended it. Now it is a crash: runs of one content on one target that overlap in time end with the same crash, and count once. A break of a target that has not worked since its last crash, by an answer or a new start, counts for no content, as that target may break whatever it runs.

--- a/internal/core/swcell/configure.go
+++ b/internal/core/swcell/configure.go
@@ -29,6 +29,9 @@
 	}
 	changed := conf.PrefillRate != t.conf.PrefillRate || conf.DecodeRate != t.conf.DecodeRate ||
 		conf.ServiceTime != t.conf.ServiceTime || conf.Generation != t.conf.Generation
+	if conf.Born != t.conf.Born {
+		t.breaks.Restarted()
+	}
 	t.conf = conf
 	t.listed = true
 	if changed {
@@ -67,6 +70,7 @@
 	if t.reachable {
 		// The target may have restarted, which empties its prefix cache.
 		t.prefixes.Gap()
+		t.breaks.Restarted()
 	}
 	c.applyTargetChange()
 }
--- a/internal/core/swcell/run.go
+++ b/internal/core/swcell/run.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 // startRun adds an attempt to the runs of a target and to the history.
@@ -62,11 +63,15 @@
 	case ResultAnswered:
 		c.retryBudget.Success()
 		c.strikes.RecordAnswer(r.grantRequest.Fingerprint, c.now)
+		t.breaks.Answered(r.grantedAt)
 		c.recordSuccess(t, probe)
 	case ResultRejected:
 		c.recordSuccess(t, probe)
 	case ResultBroken:
-		c.strikes.Strike(r.grantRequest.Fingerprint, r.alone, c.now)
+		if t.breaks.Broke(r.grantedAt, c.now) {
+			crash := swsuspect.Crash{Target: t.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone}
+			c.strikes.Strike(r.grantRequest.Fingerprint, crash, c.now)
+		}
 		c.recordFailure(t)
 	case ResultNotStarted, ResultNoAnswer:
 		c.recordFailure(t)
--- a/internal/core/swcell/target.go
+++ b/internal/core/swcell/target.go
@@ -5,6 +5,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swprefix"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 // Trust says how much new work a target is granted. It depends on the target's failures
@@ -52,6 +53,7 @@
 	failures int
 	// nextProbeAt is when a TrustProbing target may be granted its next probe.
 	nextProbeAt swclock.Millis
+	breaks      swsuspect.Breaks
 
 	load loadTracker
 }
--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -1,8 +1,10 @@
-// Package swsuspect counts strikes: how often the content of a request was running
-// when its target crashed. Content with too many strikes is refused.
+// Package swsuspect counts strikes: the crashes of targets that were running the content of a
+// request. Content with too many strikes is refused.
 package swsuspect
 
 import (
+	"slices"
+
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -35,7 +37,11 @@
 
 // entry holds the strikes of the content with one fingerprint.
 type entry struct {
-	strikes int
+	// crashes holds the crashes that the register counted itself, as long as there are fewer
+	// strikes than the limit.
+	crashes []Crash
+	// reported is the number of strikes that only other registers counted.
+	reported int
 	// expires is when the strikes expire.
 	expires swclock.Millis
 	// clearedUntil is the time until which an earlier answer counts as evidence that
@@ -43,6 +49,14 @@
 	clearedUntil swclock.Millis
 }
 
+func (e *entry) strikes() int {
+	strikes := e.reported
+	for i := range e.crashes {
+		strikes += e.crashes[i].strikes()
+	}
+	return strikes
+}
+
 // New returns an empty register of at most size entries. Content is refused at limit
 // strikes, unless its last answer is more recent than retention. Its strikes expire when
 // no further strike follows within retention.
@@ -54,34 +68,38 @@
 	return &Register{entries: entries, limit: limit, retention: retention}
 }
 
-// Strike records a crash of a target that ran the content, and returns the content's number
-// of strikes. alone is set if the target ran nothing else.
-func (r *Register) Strike(f swid.Fingerprint, alone bool, now swclock.Millis) int {
-	e, ok := r.entries.Get(f)
-	if ok && e.expires <= now {
-		e.strikes = 0
+// get returns the entry of content. It has no strikes if they have expired.
+func (r *Register) get(f swid.Fingerprint, now swclock.Millis) entry {
+	e, _ := r.entries.Peek(f)
+	if e.expires <= now {
+		e.crashes, e.reported = nil, 0
 	}
-	e.strikes++
-	if alone {
-		e.strikes += aloneStrikes - 1
+	return e
+}
+
+// Strike records the crash of a target that ran the content, and returns the content's number of
+// strikes. Runs of the same content that end with the same crash count once.
+func (r *Register) Strike(f swid.Fingerprint, c Crash, now swclock.Millis) int {
+	e := r.get(f, now)
+	known := slices.ContainsFunc(e.crashes, func(o Crash) bool { return c.same(&o) })
+	if !known && e.strikes() < r.limit {
+		e.crashes = append(slices.Clip(e.crashes), c)
 	}
 	e.expires = now + r.retention
 	r.entries.Add(f, e)
-	return e.strikes
+	return e.strikes()
 }
 
 // Report merges the number of strikes that another register has counted: the larger of
 // that number and the register's own is kept. The report is ignored for content that was
 // answered recently.
 func (r *Register) Report(f swid.Fingerprint, strikes int, now swclock.Millis) {
-	e, ok := r.entries.Peek(f)
-	if ok && e.expires <= now {
-		e.strikes = 0
-	}
-	if strikes <= e.strikes || now < e.clearedUntil {
+	e := r.get(f, now)
+	if strikes <= e.strikes() || now < e.clearedUntil {
 		return
 	}
-	e.strikes, e.expires = strikes, now+r.retention
+	e.reported += strikes - e.strikes()
+	e.expires = now + r.retention
 	r.entries.Add(f, e)
 }
 
@@ -89,22 +107,19 @@
 // after the answer, the content is not refused and reports about it are ignored.
 // RecordAnswer returns the number of deleted strikes.
 func (r *Register) RecordAnswer(f swid.Fingerprint, now swclock.Millis) int {
-	e, _ := r.entries.Peek(f)
+	e := r.get(f, now)
 	r.entries.Add(f, entry{clearedUntil: now + r.retention})
-	if e.expires <= now {
-		return 0
-	}
-	return e.strikes
+	return e.strikes()
 }
 
 // Verdict returns whether and how the content may run, and the time until its strikes
 // expire, or 0 if it has none.
 func (r *Register) Verdict(f swid.Fingerprint, now swclock.Millis) (Verdict, swclock.Millis) {
-	e, ok := r.entries.Peek(f)
-	switch {
-	case !ok || e.expires <= now:
+	e := r.get(f, now)
+	switch strikes := e.strikes(); {
+	case strikes == 0:
 		return Clear, 0
-	case e.strikes >= r.limit && now >= e.clearedUntil:
+	case strikes >= r.limit && now >= e.clearedUntil:
 		return Refused, e.expires - now
 	default:
 		return Suspect, e.expires - now
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 const (
@@ -109,12 +110,12 @@
 		if cleared := c.strikes.RecordAnswer(r.grantRequest.Fingerprint, c.now); cleared > 0 {
 			c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Target: t.conf.ID, Cleared: cleared})
 		}
+		t.breaks.Answered(r.grantedAt)
 		t.recordAnswer()
 	case swcell.ResultRejected, swcell.ResultFailed:
 		t.recordFailure()
 	case swcell.ResultBroken:
-		strikes := c.strikes.Strike(r.grantRequest.Fingerprint, r.alone, c.now)
-		c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Target: t.conf.ID, Strikes: strikes, Alone: r.alone})
+		c.recordBreak(r)
 		t.recordNoAnswer(c.now)
 	case swcell.ResultNoAnswer:
 		t.recordNoAnswer(c.now)
@@ -125,6 +126,17 @@
 	}
 }
 
+// recordBreak counts a strike against the content of a run that broke, unless the target may
+// break whatever it runs.
+func (c *Cell[P, O]) recordBreak(r *run) {
+	if !r.target.breaks.Broke(r.grantedAt, c.now) {
+		return
+	}
+	crash := swsuspect.Crash{Target: r.target.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone}
+	strikes := c.strikes.Strike(r.grantRequest.Fingerprint, crash, c.now)
+	c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Target: crash.Target, Strikes: strikes, Alone: r.alone})
+}
+
 // observeRun adds the times and the output of an attempt that ended to the estimates.
 func (c *Cell[P, O]) observeRun(r *run, e swcell.Done) {
 	t := r.target
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -126,6 +126,37 @@
 	}
 }
 
+// rejectedAsSuspect reports whether the actions reject a request for its content.
+func rejectedAsSuspect(actions []swcell.Action) bool {
+	return slices.ContainsFunc(actions, func(a swcell.Action) bool {
+		r, ok := a.(swcell.Reject)
+		return ok && r.Reason == swcell.ReasonSuspect
+	})
+}
+
+// TestContentOnCrashedTarget guards against content that is refused because several requests with
+// it ran on a target that crashed once.
+func TestContentOnCrashedTarget(t *testing.T) {
+	b := newHarness()
+	b.configure(strikeLimit, "a")
+	content := func(a *swcell.GrantRequest) { a.Fingerprint = 99 }
+	var grants []swcell.Grant
+	for range strikeLimit {
+		g, ok := grantOf(b.step(b.newGrantRequest(content)))
+		if !ok {
+			t.Fatal("not granted")
+		}
+		grants = append(grants, g)
+	}
+	b.now += 100
+	for _, g := range grants {
+		b.end(g, swcell.ResultBroken)
+	}
+	if rejectedAsSuspect(b.step(b.newGrantRequest(content))) {
+		t.Error("content is refused after one crash")
+	}
+}
+
 // TestUnreachable checks that a target is not granted again to a holder that could not
 // connect to it, and is still granted to other holders.
 func TestUnreachable(t *testing.T) {
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -8,6 +8,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 const (
@@ -52,6 +53,7 @@
 	nextProbeAt swclock.Millis
 	// faultRate is the share of recent attempts that were rejected, failed or got no answer.
 	faultRate swcost.Average
+	breaks    swsuspect.Breaks
 	// unreachable maps the holders that could not connect to the instant until which
 	// each is not granted the target.
 	unreachable map[swid.HostID]swclock.Millis
@@ -206,6 +208,7 @@
 	if t.conf.Born != conf.Born {
 		t.cache.clear()
 		t.unanswered = 0
+		t.breaks.Restarted()
 		t.rates = rates{}
 	}
 	t.conf = conf
