Keep refused content in the register when others have strikes

Content that had crashed three targets ran again once 4,096 other contents had a strike or an answer since: the register dropped the entry that was updated longest ago, and refused content is not updated, as it does not run. Refused content now has its own part of the register, so it is dropped only for newer refused content. The register stays bounded, at twice as many entries.

--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -27,10 +27,12 @@
 // aloneStrikes is the number of strikes for a crash while nothing else ran on the target.
 const aloneStrikes = 2
 
-// Register holds strikes by fingerprint. It is bounded and evicts the least
-// recently updated entry first.
+// Register holds strikes by fingerprint. It is bounded: it evicts the least recently updated
+// entry first, and refused content only for other refused content.
 type Register struct {
-	entries   *simplelru.LRU[swid.Fingerprint, entry]
+	// refused holds the entries with limit strikes or more, and others the remaining ones.
+	refused   *simplelru.LRU[swid.Fingerprint, entry]
+	others    *simplelru.LRU[swid.Fingerprint, entry]
 	limit     int
 	retention swclock.Millis
 }
@@ -57,26 +59,44 @@
 	return strikes
 }
 
-// New returns an empty register of at most size entries. Content is refused at limit
-// strikes, unless its last answer is more recent than retention. Its strikes expire when
-// no further strike follows within retention.
+// New returns an empty register of at most size refused contents and as many others. Content
+// is refused at limit strikes, unless its last answer is more recent than retention. Its
+// strikes expire when no further strike follows within retention.
 func New(size, limit int, retention swclock.Millis) *Register {
+	return &Register{refused: newEntries(size), others: newEntries(size), limit: limit, retention: retention}
+}
+
+func newEntries(size int) *simplelru.LRU[swid.Fingerprint, entry] {
 	entries, err := simplelru.NewLRU[swid.Fingerprint, entry](size, nil)
 	if err != nil {
 		panic(err) // fails only if size is not positive
 	}
-	return &Register{entries: entries, limit: limit, retention: retention}
+	return entries
 }
 
 // get returns the entry of content. It has no strikes if they have expired.
 func (r *Register) get(f swid.Fingerprint, now swclock.Millis) entry {
-	e, _ := r.entries.Peek(f)
+	e, known := r.refused.Peek(f)
+	if !known {
+		e, _ = r.others.Peek(f)
+	}
 	if e.expires <= now {
 		e.crashes, e.reported = nil, 0
 	}
 	return e
 }
 
+// put stores the entry of content.
+func (r *Register) put(f swid.Fingerprint, e entry) {
+	if e.strikes() >= r.limit {
+		r.others.Remove(f)
+		r.refused.Add(f, e)
+		return
+	}
+	r.refused.Remove(f)
+	r.others.Add(f, e)
+}
+
 // Strike records the crash of a target that ran the content, and returns the content's number of
 // strikes. Runs of the same content that end with the same crash count once.
 func (r *Register) Strike(f swid.Fingerprint, c Crash, now swclock.Millis) int {
@@ -86,7 +106,7 @@
 		e.crashes = append(slices.Clip(e.crashes), c)
 	}
 	e.expires = now + r.retention
-	r.entries.Add(f, e)
+	r.put(f, e)
 	return e.strikes()
 }
 
@@ -100,7 +120,7 @@
 	}
 	e.reported += strikes - e.strikes()
 	e.expires = now + r.retention
-	r.entries.Add(f, e)
+	r.put(f, e)
 }
 
 // RecordAnswer deletes the strikes of content that was answered. For the retention time
@@ -108,7 +128,7 @@
 // RecordAnswer returns the number of deleted strikes.
 func (r *Register) RecordAnswer(f swid.Fingerprint, now swclock.Millis) int {
 	e := r.get(f, now)
-	r.entries.Add(f, entry{clearedUntil: now + r.retention})
+	r.put(f, entry{clearedUntil: now + r.retention})
 	return e.strikes()
 }
 
