Count content that crashes plain targets over all hosts

Now a host reports the strikes of such cells to the owner of the shared cells, with its registrations and at once. The owner adds them up. From the second crash on it schedules plain services for all hosts, so that it sees every run of the content and every answer; reports alone never make content refused, because the reporting host does not know the answers that others got. 30 s after the last crash each host schedules its own again, unless content is refused. A host tells its scheduling in the registration, the owner answers if it is to change; a new owner keeps the scheduling of its predecessor for 5 s. Hosts of an older build report no scheduling and are not told any. Messages: at most 256 strikes in a registration, one answer for each registration that differs.

Weighed: the owner always schedules plain services.

A crash in a cell that each host schedules no longer counts double, as the host does not know what else the target ran.

--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -24,17 +25,27 @@
 	Refused
 )
 
-// aloneStrikes is the number of strikes for a crash while nothing else ran on the target.
-const aloneStrikes = 2
+const (
+	// aloneStrikes is the number of strikes for a crash while nothing else ran on the target.
+	aloneStrikes = 2
+	// suspicionTime is how long content that several targets crashed with, but that is not
+	// refused, is expected to return.
+	suspicionTime = 30 * swclock.Second
+)
 
 // Register holds strikes by fingerprint. It is bounded: it evicts the least recently updated
-// entry first, and refused content only for other refused content.
+// entry first, and refused content only for other refused content. It is safe for concurrent
+// use.
 type Register struct {
-	// refused holds the entries with limit strikes or more, and others the remaining ones.
-	refused   *simplelru.LRU[swid.Fingerprint, entry]
-	others    *simplelru.LRU[swid.Fingerprint, entry]
 	limit     int
 	retention swclock.Millis
+
+	mu sync.Mutex
+	// refused holds the entries with limit strikes or more, and others the remaining ones.
+	refused *simplelru.LRU[swid.Fingerprint, entry]
+	others  *simplelru.LRU[swid.Fingerprint, entry]
+	// activeUntil is the instant until which Active reports true.
+	activeUntil swclock.Millis
 }
 
 // entry holds the strikes of the content with one fingerprint.
@@ -74,7 +85,8 @@
 	return entries
 }
 
-// get returns the entry of content. It has no strikes if they have expired.
+// get returns the entry of content. It has no strikes if they have expired. The caller must
+// hold r.mu.
 func (r *Register) get(f swid.Fingerprint, now swclock.Millis) entry {
 	e, known := r.refused.Peek(f)
 	if !known {
@@ -86,27 +98,52 @@
 	return e
 }
 
-// put stores the entry of content.
-func (r *Register) put(f swid.Fingerprint, e entry) {
-	if e.strikes() >= r.limit {
+// put stores the entry of content. The caller must hold r.mu.
+func (r *Register) put(f swid.Fingerprint, e entry, now swclock.Millis) {
+	switch {
+	case e.strikes() >= r.limit:
 		r.others.Remove(f)
 		r.refused.Add(f, e)
+		r.activeUntil = max(r.activeUntil, e.expires)
 		return
+	case len(e.crashes)+e.reported > 1:
+		r.activeUntil = max(r.activeUntil, now+suspicionTime)
 	}
 	r.refused.Remove(f)
 	r.others.Add(f, e)
 }
 
+// Active reports whether content is refused, or several targets crashed with it a short while
+// ago, so that further strikes are to be counted in one place.
+func (r *Register) Active(now swclock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now < r.activeUntil
+}
+
 // Strike records the crash of a target that ran the content, and returns the content's number of
 // strikes. Runs of the same content that end with the same crash count once.
 func (r *Register) Strike(f swid.Fingerprint, c Crash, now swclock.Millis) int {
+	return r.strike(f, c, r.limit, now)
+}
+
+// ReportStrike does the same for a crash that was recorded where not all answers to the content
+// are known. Such crashes alone do not make content refused.
+func (r *Register) ReportStrike(f swid.Fingerprint, c Crash, now swclock.Millis) int {
+	return r.strike(f, c, r.limit-1, now)
+}
+
+// strike records a crash unless the content has as many strikes as given by most.
+func (r *Register) strike(f swid.Fingerprint, c Crash, most int, now swclock.Millis) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	e := r.get(f, now)
 	known := slices.ContainsFunc(e.crashes, func(o Crash) bool { return c.same(&o) })
-	if !known && e.strikes() < r.limit {
+	if !known && e.strikes() < most {
 		e.crashes = append(slices.Clip(e.crashes), c)
 	}
 	e.expires = now + r.retention
-	r.put(f, e)
+	r.put(f, e, now)
 	return e.strikes()
 }
 
@@ -114,27 +151,33 @@
 // that number and the register's own is kept. The report is ignored for content that was
 // answered recently.
 func (r *Register) Report(f swid.Fingerprint, strikes int, now swclock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	e := r.get(f, now)
 	if strikes <= e.strikes() || now < e.clearedUntil {
 		return
 	}
 	e.reported += strikes - e.strikes()
 	e.expires = now + r.retention
-	r.put(f, e)
+	r.put(f, e, now)
 }
 
 // RecordAnswer deletes the strikes of content that was answered. For the retention time
 // after the answer, the content is not refused and reports about it are ignored.
 // RecordAnswer returns the number of deleted strikes.
 func (r *Register) RecordAnswer(f swid.Fingerprint, now swclock.Millis) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	e := r.get(f, now)
-	r.put(f, entry{clearedUntil: now + r.retention})
+	r.put(f, entry{clearedUntil: now + r.retention}, now)
 	return e.strikes()
 }
 
 // Verdict returns whether and how the content may run, and the time until its strikes
 // expire, or 0 if it has none.
 func (r *Register) Verdict(f swid.Fingerprint, now swclock.Millis) (Verdict, swclock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	e := r.get(f, now)
 	switch strikes := e.strikes(); {
 	case strikes == 0:
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -93,9 +93,9 @@
 		}
 		c.remove(i)
 	}
-	c.strikes.Report(e.Fingerprint, int(e.Strikes), c.now)
+	c.cfg.Strikes.Report(e.Fingerprint, int(e.Strikes), c.now)
 	r := c.newRequest(e)
-	if verdict, wait := c.strikes.Verdict(e.Fingerprint, c.now); verdict == swsuspect.Refused {
+	if verdict, wait := c.cfg.Strikes.Verdict(e.Fingerprint, c.now); verdict == swsuspect.Refused {
 		c.reject(r, swcell.ReasonSuspect, wait)
 		return
 	}
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -107,8 +107,8 @@
 	c.endRun(r)
 	switch e.Result {
 	case swcell.ResultAnswered:
-		if cleared := c.strikes.RecordAnswer(r.grantRequest.Fingerprint, c.now); cleared > 0 {
-			c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Target: t.conf.ID, Cleared: cleared})
+		if cleared := c.cfg.Strikes.RecordAnswer(r.grantRequest.Fingerprint, c.now); cleared > 0 {
+			c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Crash: swsuspect.Crash{Target: t.conf.ID}, Cleared: cleared})
 		}
 		t.breaks.Answered(r.grantedAt)
 		t.recordAnswer()
@@ -132,9 +132,15 @@
 	if !r.target.breaks.Broke(r.grantedAt, c.now) {
 		return
 	}
-	crash := swsuspect.Crash{Target: r.target.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone}
-	strikes := c.strikes.Strike(r.grantRequest.Fingerprint, crash, c.now)
-	c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Target: crash.Target, Strikes: strikes, Alone: r.alone})
+	crash := swsuspect.Crash{
+		Target: r.target.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone,
+	}
+	strike := c.cfg.Strikes.Strike
+	if c.cfg.OthersSchedule() {
+		crash.Alone, strike = false, c.cfg.Strikes.ReportStrike
+	}
+	strikes := strike(r.grantRequest.Fingerprint, crash, c.now)
+	c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Crash: crash, Strikes: strikes})
 }
 
 // observeRun adds the times and the output of an attempt that ended to the estimates.
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -49,7 +49,6 @@
 	running map[runKey]*run
 	// decided holds the latest attempt of each request that was granted or rejected.
 	decided history
-	strikes *swsuspect.Register
 	random  *rand.Rand
 	actions []swcell.Action
 	// changes counts the changes by which a target may take requests that declined it, listing
@@ -71,20 +70,29 @@
 	Ledger *swquota.Ledger
 	// Seed makes the choices among equal targets differ from host to host.
 	Seed uint64
-	// OnStrikes is called when the strikes of content change, for logs. It must not block.
+	// Strikes counts the crashes of targets against content. Nil gives the cell a register of
+	// its own.
+	Strikes *swsuspect.Register
+	// OnStrikes is called when the strikes of content change. It must not block.
 	OnStrikes func(StrikeChange)
+	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
+	// Nil means that none does.
+	OthersSchedule func() bool
+}
+
+// NewStrikes returns a register of strikes for cells.
+func NewStrikes() *swsuspect.Register {
+	return swsuspect.New(historySize, strikeLimit, strikeLifetime)
 }
 
 // StrikeChange is a change of the strikes of content: of the suspected crashes of targets that
 // ran it.
 type StrikeChange struct {
 	Content swid.Fingerprint
-	// Target ended, or answered if strikes were cleared.
-	Target swid.TargetID
+	// Crash is the crash that was counted; only its target is set if strikes were cleared.
+	Crash swsuspect.Crash
 	// Strikes is the number of strikes after the change.
 	Strikes int
-	// Alone is set if the target that ended ran nothing else.
-	Alone bool
 	// Cleared is the number of strikes that were deleted because the content was answered.
 	Cleared int
 }
@@ -111,9 +119,15 @@
 	if c.LateShare == 0 {
 		c.LateShare = 0.35
 	}
+	if c.Strikes == nil {
+		c.Strikes = NewStrikes()
+	}
 	if c.OnStrikes == nil {
 		c.OnStrikes = func(StrikeChange) {}
 	}
+	if c.OthersSchedule == nil {
+		c.OthersSchedule = func() bool { return false }
+	}
 	return c
 }
 
@@ -128,7 +142,6 @@
 		typical:   priors, typicalSlots: 1,
 		running: make(map[runKey]*run),
 		decided: newHistory(historySize),
-		strikes: swsuspect.New(historySize, strikeLimit, strikeLifetime),
 		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
--- a/internal/node/swfleet/crashingcontent_test.go
+++ b/internal/node/swfleet/crashingcontent_test.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
@@ -315,3 +316,37 @@
 		}
 	}
 }
+
+// TestSharedScheduling checks that the owner schedules plain services for all hosts while it counts
+// strikes against content, and each host its own before and after.
+func TestSharedScheduling(t *testing.T) {
+	clearPools()
+	synctest.Test(t, func(t *testing.T) {
+		defer clearPools()
+		log := &crashLog{}
+		f := newCrashableFleet(t, 15, log)
+		f.startAll()
+		f.observe(3)
+		check := func(when string, want bool) {
+			t.Helper()
+			for _, h := range f.hosts {
+				if got := h.current.Load().view.scheduling() == swmsg.SchedulingShared; got != want {
+					t.Errorf("%s: host %d has its requests scheduled by the owner: %t", when, h.number, got)
+				}
+			}
+		}
+		check("before", false)
+		var crashing outcomes
+		for len(log.arrivals) < 2 {
+			f.send(context.Background(), "/plain/x", crashingBody, &crashing)
+			time.Sleep(crashingInterval)
+		}
+		time.Sleep(2 * time.Second)
+		check("after two crashes", true)
+		log.setHarmless(true)
+		f.send(context.Background(), "/plain/x", crashingBody, &crashing)
+		time.Sleep(40 * time.Second)
+		check("long after the last crash", false)
+		f.killAll()
+	})
+}
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -15,28 +15,20 @@
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
-// newCore returns the scheduling core of a cell. Only shared cells enforce quotas.
+// newCore returns the scheduling core of a cell.
 func (h *Host) newCore(cell swid.CellID, _ func(swcell.Violation)) swowner.Core {
 	config := swvalue.Config{
-		Seed:      uint64(h.self.Incarnation) ^ uint64(len(h.self.Host))<<32,
-		OnStrikes: func(c swvalue.StrikeChange) { h.logStrikes(cell, c) },
+		Seed:           uint64(h.self.Incarnation) ^ uint64(len(h.self.Host))<<32,
+		Strikes:        h.strikes,
+		OnStrikes:      func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
+		OthersSchedule: func() bool { return h.view.scheduledByEachHost(cell) },
 	}
-	if !h.view.scheduledByEachHost(cell) {
+	if h.view.chargedByOwner(cell) {
 		config.Ledger = h.ledger
 	}
 	return swvalue.New(config, swvalue.Fastest{}, swvalue.ByWorth{})
 }
 
-// logStrikes logs a change of the strikes of content.
-func (h *Host) logStrikes(cell swid.CellID, c swvalue.StrikeChange) {
-	e := h.log.Info().Str("content", c.Content.String()).Str("cell", string(cell)).Str("target", string(c.Target))
-	if c.Cleared > 0 {
-		e.Int("strikes", c.Cleared).Msg("strikes cleared")
-		return
-	}
-	e.Int("strikes", c.Strikes).Bool("alone", c.Alone).Msg("strike counted")
-}
-
 // adapter returns the adapter that sends requests to a target.
 func (h *Host) adapter(t swdoc.Target, _ swdoc.ServiceKind) swtarget.Adapter {
 	return h.platform.TargetAdapter(t.ID, t.URL, h.view.eventTokens(t.Service))
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -14,10 +14,10 @@
 
 // recordUsage adds the charge of a granted request to this host's record of the
 // organisation's quota usage. The owner of the shared cells (see router) has already
-// accounted for requests of those cells. The usage of requests of local cells is
-// reported to that owner with the next registration.
+// accounted for the requests that it charges. The usage of the others is reported to that
+// owner with the next registration.
 func (h *Host) recordUsage(r *swholder.Request) {
-	accounted := !h.view.scheduledByEachHost(r.Cell)
+	accounted := h.view.chargedByOwner(r.Cell)
 	if !h.granted.Swap(true) {
 		h.log.Info().Int64("sinceStartMillis", int64(h.clock.Now())).Msg("first grant")
 	}
@@ -37,17 +37,20 @@
 }
 
 // registerWithOwner sends a registration to owner. The message reports that this host
-// sends its grant requests to that owner, and the quota usage of this host's requests. A
-// complete registration has the usage of the whole window; any other has only the usage
-// that was not yet reported to an owner.
+// sends its grant requests to that owner, the quota usage of this host's requests, and the
+// strikes in its local cells. A complete registration has the usage of the whole window and
+// the recent strikes; any other has only what was not yet reported to an owner.
 func (h *Host) registerWithOwner(owner swid.HostID, complete bool) {
-	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started}
+	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling()}
 	if complete {
 		m.Amounts = amountsOf(h.meter.All(h.clock.Now()))
 	} else {
 		m.Amounts = amountsOf(h.meter.Unreported())
 	}
-	sent := h.exchange.Send(owner, m)
+	sent := h.strikeLog.report(complete, h.clock.Now(), func(strikes []swmsg.Strike) bool {
+		m.Strikes = strikes
+		return h.exchange.Send(owner, m)
+	})
 	h.needsCompleteRegistration.Store(complete && !sent)
 }
 
@@ -69,19 +72,29 @@
 	}
 }
 
-// renewRegistration registers with the current owner at a fixed interval until ctx ends.
+// renewRegistration registers with the current owner at a fixed interval, and when
+// requestRegistration is called, until ctx ends.
 func (h *Host) renewRegistration(ctx context.Context) {
 	ticker := time.NewTicker(swquota.RegistrationInterval.Duration())
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			h.refreshOwner()
-			h.registerWithOwner(h.router.currentOwner(), h.needsCompleteRegistration.Load())
-			h.logShareChange()
+		case <-h.registrationRequested:
 		case <-ctx.Done():
 			return
 		}
+		h.refreshOwner()
+		h.registerWithOwner(h.router.currentOwner(), h.needsCompleteRegistration.Load())
+		h.logShareChange()
+	}
+}
+
+// requestRegistration makes renewRegistration register now.
+func (h *Host) requestRegistration() {
+	select {
+	case h.registrationRequested <- struct{}{}:
+	default: // already requested
 	}
 }
 
@@ -96,7 +109,8 @@
 	h.log.Info().Float64("share", share).Int("attachedHosts", hosts).Msg("registered hosts changed")
 }
 
-// registrationReceiver receives the registrations and leave notices of other hosts.
+// registrationReceiver receives the registrations and leave notices of other hosts, and the
+// owner's decision on scheduling.
 // It implements swexchange.Receiver.
 type registrationReceiver struct{ host *Host }
 
@@ -109,6 +123,10 @@
 		h.refreshOwner()
 		return
 	}
+	if scheduling, ok := m.(swmsg.SharedCells); ok {
+		h.receiveScheduling(from, scheduling)
+		return
+	}
 	registration, ok := m.(swmsg.Registration)
 	if !ok {
 		return
@@ -123,4 +141,6 @@
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
 	h.ledger.Register(process, registration.Age, registration.Complete, amounts, h.clock.Now())
+	h.receiveStrikes(from, registration.Strikes)
+	h.replyScheduling(from, &registration)
 }
--- /dev/null
+++ b/internal/node/swfleet/scheduling.go
@@ -0,0 +1,43 @@
+package swfleet
+
+import (
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+)
+
+// adoptionTime is how long a new owner goes on with the scheduling of its predecessor. By then it
+// has the records of the hosts and of the store.
+const adoptionTime = 5 * swclock.Second
+
+// wantedScheduling returns where the hosts that are registered with this one are to have their
+// requests of plain services scheduled. Each host schedules its own, which saves a message to the
+// owner and back, unless something has to be counted over all hosts.
+func (h *Host) wantedScheduling(now swclock.Millis) swmsg.Scheduling {
+	if h.strikes.Active(now) || now < swclock.Millis(h.adoptedUntil.Load()) {
+		return swmsg.SchedulingShared
+	}
+	return swmsg.SchedulingEach
+}
+
+// replyScheduling tells a host that registered with this one if its scheduling is to change.
+func (h *Host) replyScheduling(from swlink.Peer, m *swmsg.Registration) {
+	now := h.clock.Now()
+	if m.Complete && m.Scheduling == swmsg.SchedulingShared {
+		h.adoptedUntil.Store(int64(now + adoptionTime))
+	}
+	if wanted := h.wantedScheduling(now); m.Scheduling != 0 && m.Scheduling != wanted {
+		h.exchange.Send(from.Host, swmsg.SharedCells{Scheduling: wanted})
+	}
+}
+
+// receiveScheduling applies the scheduling that the owner of the shared cells wants. The requests
+// that wait or run are reported to the host that schedules them from now on.
+func (h *Host) receiveScheduling(from swlink.Peer, m swmsg.SharedCells) {
+	if from.Host != h.router.currentOwner() || !h.view.setScheduling(m.Scheduling) {
+		return
+	}
+	h.log.Info().Bool("shared", m.Scheduling == swmsg.SchedulingShared).Str("owner", string(from.Host)).
+		Msg("scheduling of plain services changed")
+	h.holder.Reroute()
+}
--- /dev/null
+++ b/internal/node/swfleet/strikes.go
@@ -0,0 +1,92 @@
+package swfleet
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+)
+
+// strikeReportTime is how long strikes are kept for the report to another owner. By then the
+// owner that received them has passed them on or saved them.
+const strikeReportTime = 10 * swclock.Second
+
+// strikeLog holds the strikes that this host counted in cells that each host schedules for
+// itself. The owner of the shared cells, which adds up those of all hosts, gets them with the
+// registrations. It is safe for concurrent use.
+type strikeLog struct {
+	mu sync.Mutex
+	// strikes has at most swcodec.MaxStrikes entries, the oldest first.
+	strikes []loggedStrike
+}
+
+type loggedStrike struct {
+	content  swid.Fingerprint
+	crash    swsuspect.Crash
+	reported bool
+}
+
+// add adds a strike, and drops the oldest one if there are too many.
+func (l *strikeLog) add(content swid.Fingerprint, c swsuspect.Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.strikes) == swcodec.MaxStrikes {
+		l.strikes = slices.Delete(l.strikes, 0, 1)
+	}
+	l.strikes = append(l.strikes, loggedStrike{content: content, crash: c})
+}
+
+// report passes the strikes that were not reported yet to send, or all recent ones if complete is
+// set. They count as reported if send returns true.
+func (l *strikeLog) report(complete bool, now swclock.Millis, send func([]swmsg.Strike) bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.strikes = slices.DeleteFunc(l.strikes, func(s loggedStrike) bool { return now-s.crash.Ended > strikeReportTime })
+	var messages []swmsg.Strike
+	for _, s := range l.strikes {
+		if complete || !s.reported {
+			messages = append(messages, swmsg.Strike{
+				Content: s.content, Target: s.crash.Target, StartedAge: now - s.crash.Started, EndedAge: now - s.crash.Ended,
+			})
+		}
+	}
+	if !send(messages) {
+		return false
+	}
+	for i := range l.strikes {
+		l.strikes[i].reported = true
+	}
+	return true
+}
+
+// strikesChanged logs a change of the strikes of content. A strike that other hosts may not have
+// counted is reported to the owner of the shared cells at once.
+func (h *Host) strikesChanged(cell swid.CellID, c swvalue.StrikeChange) {
+	e := h.log.Info().Str("content", c.Content.String()).Str("cell", string(cell)).Str("target", string(c.Crash.Target))
+	if c.Cleared > 0 {
+		e.Int("strikes", c.Cleared).Msg("strikes cleared")
+		return
+	}
+	e.Int("strikes", c.Strikes).Bool("alone", c.Crash.Alone).Msg("strike counted")
+	if h.view.scheduledByEachHost(cell) {
+		h.strikeLog.add(c.Content, c.Crash)
+		h.requestRegistration()
+	}
+}
+
+// receiveStrikes counts the strikes of a registration.
+func (h *Host) receiveStrikes(from swlink.Peer, strikes []swmsg.Strike) {
+	now := h.clock.Now()
+	for _, s := range strikes {
+		crash := swsuspect.Crash{Target: s.Target, Started: now - s.StartedAge, Ended: now - s.EndedAge}
+		counted := h.strikes.ReportStrike(s.Content, crash, now)
+		h.log.Info().Str("content", s.Content.String()).Str("target", string(s.Target)).Str("peer", string(from.Host)).
+			Int64("ageMillis", int64(s.EndedAge)).Int("strikes", counted).Msg("strike reported")
+	}
+}
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -21,6 +21,8 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
@@ -75,11 +77,15 @@
 	gate     *swgate.Gate
 	// ledger accounts for the quota usage of the hosts registered with this one,
 	// meter for that of this host's own requests.
-	ledger   *swquota.Ledger
-	meter    *swquota.Meter
-	retries  *retryBudget
-	view     *view
-	exchange *swexchange.Exchange
+	ledger  *swquota.Ledger
+	meter   *swquota.Meter
+	retries *retryBudget
+	// strikes counts the crashes of targets against content, for all cells that this host
+	// schedules. strikeLog has those that the owner of the shared cells does not know.
+	strikes   *swsuspect.Register
+	strikeLog strikeLog
+	view      *view
+	exchange  *swexchange.Exchange
 	// linkOptions are further options of network; tests set them.
 	linkOptions []swlink.Option
 	network     *swlink.Network
@@ -104,6 +110,11 @@
 	// needsCompleteRegistration is set while the owner may lack the quota usage of this
 	// host's requests.
 	needsCompleteRegistration atomic.Bool
+	// registrationRequested makes renewRegistration register before its interval ends.
+	registrationRequested chan struct{}
+	// adoptedUntil is the time until which this host, as a new owner, keeps the scheduling
+	// of plain services that the hosts have.
+	adoptedUntil atomic.Int64
 	// configureMu serialises assemble, configure and reconfigure.
 	configureMu sync.Mutex
 }
@@ -113,6 +124,7 @@
 	h := &Host{
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
+		strikes: swvalue.NewStrikes(), registrationRequested: make(chan struct{}, 1),
 	}
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -27,6 +27,8 @@
 	// targetsListed is set once the targets have been listed.
 	targetsListed bool
 	members       []swmember.Member
+	// plainShared is set while the owner of the shared cells schedules plain services too.
+	plainShared bool
 }
 
 func newView(s *swsettings.Settings) *view { return &view{settings: s} }
@@ -109,18 +111,48 @@
 	return len(v.targets)
 }
 
+// setScheduling sets where plain services are scheduled, and reports whether that changed.
+func (v *view) setScheduling(s swmsg.Scheduling) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	shared := s == swmsg.SchedulingShared
+	changed := shared != v.plainShared
+	v.plainShared = shared
+	return changed
+}
+
+// scheduling returns where plain services are scheduled.
+func (v *view) scheduling() swmsg.Scheduling {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.plainShared {
+		return swmsg.SchedulingShared
+	}
+	return swmsg.SchedulingEach
+}
+
 // scheduledByEachHost reports whether each host schedules its own requests for a cell,
 // which is then called local. This is true for the cells of plain services, whose calls
-// are short and whose targets are mostly idle, unless a quota of any organisation counts
-// requests: then no cell is local, because one owner has to account for all requests.
-// Quotas that count tokens make no difference, because a plain request uses only a small
-// fraction of the tokens of an engine request.
+// are short and whose targets are mostly idle, unless something has to be counted over all
+// hosts: the requests of an organisation (see chargedByOwner), or what plainShared is set for.
 func (v *view) scheduledByEachHost(cell swid.CellID) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.table == nil || v.hasRequestQuota {
-		return false
-	}
+	return v.table != nil && !v.hasRequestQuota && !v.plainShared && v.isPlain(cell)
+}
+
+// chargedByOwner reports whether the owner of the shared cells charges the requests of a cell to
+// the quotas. This is true for engines, and for all cells if a quota of any organisation
+// counts requests. Otherwise the hosts report the use of plain services afterwards, because a
+// plain request uses only a small fraction of the tokens of an engine request.
+func (v *view) chargedByOwner(cell swid.CellID) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table == nil || v.hasRequestQuota || !v.isPlain(cell)
+}
+
+// isPlain reports whether a cell is that of a plain service. v.mu must be held and v.table set.
+func (v *view) isPlain(cell swid.CellID) bool {
 	for _, s := range v.table.Catalog().Services {
 		if swid.NewCellID(s.ID, v.settings.Region) == cell {
 			return s.Engine == nil
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
 // checker records the first field of a message that is out of range.
@@ -49,6 +50,10 @@
 	return swid.Tier(c.inRange("tier", value, 0, swid.MaxTiers-1))
 }
 
+func scheduling(c *checker, value uint32) swmsg.Scheduling {
+	return swmsg.Scheduling(c.inRange("scheduling", value, 0, uint32(swmsg.SchedulingShared)))
+}
+
 func tokens(c *checker, field string, value int64) swid.Tokens {
 	c.check(field, value >= 0)
 	return swid.Tokens(value)
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -34,6 +34,8 @@
 		return checked("attach", k.Attach, decodeRegistration)
 	case *swpb.Message_Leaving:
 		return swmsg.Leaving{}, nil
+	case *swpb.Message_SharedCells:
+		return checked("sharedCells", k.SharedCells, decodeSharedCells)
 	case *swpb.Message_Queued:
 		return checked("queued", k.Queued, decodeQueued)
 	case *swpb.Message_Recover:
@@ -112,6 +114,7 @@
 
 func decodeRegistration(c *checker, w *swpb.Attach) swmsg.Registration {
 	c.listLength("amounts", len(w.GetAmounts()), MaxAmounts)
+	c.listLength("strikes", len(w.GetStrikes()), MaxStrikes)
 	if c.err != nil {
 		return swmsg.Registration{}
 	}
@@ -121,7 +124,20 @@
 			Value: nonNegative(c, "value", a.GetValue()),
 		}
 	})
-	return swmsg.Registration{Complete: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: duration(c, "ageMillis", w.GetAgeMillis())}
+	strikes := convert(w.GetStrikes(), func(s *swpb.Strike) swmsg.Strike {
+		return swmsg.Strike{
+			Content: swid.Fingerprint(s.GetContent()), Target: target(c, s.GetTarget()),
+			StartedAge: duration(c, "startedAgeMillis", s.GetStartedAgeMillis()), EndedAge: duration(c, "endedAgeMillis", s.GetEndedAgeMillis()),
+		}
+	})
+	return swmsg.Registration{
+		Complete: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: duration(c, "ageMillis", w.GetAgeMillis()),
+		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()),
+	}
+}
+
+func decodeSharedCells(c *checker, w *swpb.SharedCells) swmsg.SharedCells {
+	return swmsg.SharedCells{Scheduling: scheduling(c, w.GetScheduling())}
 }
 
 func decodeGrant(c *checker, w *swpb.Grant) swmsg.Grant {
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -32,6 +32,9 @@
 		return &swpb.Message{Kind: &swpb.Message_Attach{Attach: encodeRegistration(m)}}, nil
 	case swmsg.Leaving:
 		return &swpb.Message{Kind: &swpb.Message_Leaving{Leaving: &swpb.Leaving{}}}, nil
+	case swmsg.SharedCells:
+		s := &swpb.SharedCells{Scheduling: uint32(m.Scheduling)}
+		return &swpb.Message{Kind: &swpb.Message_SharedCells{SharedCells: s}}, nil
 	case swmsg.Queued:
 		q := &swpb.Queued{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
 		return &swpb.Message{Kind: &swpb.Message_Queued{Queued: q}}, nil
@@ -82,7 +85,16 @@
 	amounts := convert(m.Amounts, func(a swmsg.Amount) *swpb.Amount {
 		return &swpb.Amount{Org: string(a.Org), AgeMillis: int64(a.Age), Value: a.Value}
 	})
-	return &swpb.Attach{Fresh: m.Complete, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age)}
+	strikes := convert(m.Strikes, func(s swmsg.Strike) *swpb.Strike {
+		return &swpb.Strike{
+			Content: uint64(s.Content), Target: string(s.Target),
+			StartedAgeMillis: int64(s.StartedAge), EndedAgeMillis: int64(s.EndedAge),
+		}
+	})
+	return &swpb.Attach{
+		Fresh: m.Complete, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age),
+		Strikes: strikes, Scheduling: uint32(m.Scheduling),
+	}
 }
 
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -25,6 +25,8 @@
 	MaxPromptParts = 1024
 	// MaxAmounts bounds the amounts of one registration.
 	MaxAmounts = 16384
+	// MaxStrikes bounds the strikes of one registration.
+	MaxStrikes = 256
 	// MaxExclude bounds the excluded targets of one grant request.
 	MaxExclude = 256
 	// MaxMemberUpdates bounds the membership updates of one heartbeat.
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -19,7 +19,7 @@
 // samples holds one message of each kind. Tests that need random messages fill in the fields.
 var samples = []swmsg.Message{
 	swmsg.Hello{}, swmsg.Heartbeat{}, swmsg.GrantRequest{}, swmsg.InFlight{}, swmsg.Progress{}, swmsg.Withdraw{}, swmsg.Done{},
-	swmsg.Grant{}, swmsg.Reject{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Registration{}, swmsg.Leaving{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
+	swmsg.Grant{}, swmsg.Reject{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Registration{}, swmsg.SharedCells{}, swmsg.Leaving{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
 }
 
 // fill sets every field of a value at random by reflection, so that fields added later are covered.
@@ -34,6 +34,9 @@
 	case swcell.RejectReason:
 		v.SetUint(rapid.Uint64Range(1, uint64(swcell.ReasonRetryBudget)).Draw(t, "reason"))
 		return
+	case swmsg.Scheduling:
+		v.SetUint(rapid.Uint64Range(0, uint64(swmsg.SchedulingShared)).Draw(t, "scheduling"))
+		return
 	case swid.Tier:
 		v.SetUint(rapid.Uint64Range(0, swid.MaxTiers-1).Draw(t, "tier"))
 		return
@@ -114,6 +117,9 @@
 		{"no reason", swmsg.Reject{Cell: "c"}, "reason"},
 		{"no target", swmsg.Grant{Cell: "c"}, "target"},
 		{"bad inner ask", swmsg.InFlight{Target: "e"}, "cell"},
+		{"many strikes", swmsg.Registration{Strikes: make([]swmsg.Strike, MaxStrikes+1)}, "strikes"},
+		{"strike without target", swmsg.Registration{Strikes: []swmsg.Strike{{Content: 1}}}, "target"},
+		{"unknown scheduling", swmsg.SharedCells{Scheduling: swmsg.SchedulingShared + 1}, "scheduling"},
 		{"no host", swmsg.Hello{}, "host"},
 		{"no state", swmsg.Heartbeat{Updates: []swmsg.MemberUpdate{{Host: "h"}}}, "state"},
 		{"many parts", swmsg.ConfigRequest{Parts: make([][]byte, MaxDocumentParts+1)}, "parts"},
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -110,8 +110,37 @@
 	Amounts []Amount
 	// Age is the age of the sender's process, which has no record of the use before its start.
 	Age swclock.Millis
+	// Strikes are those that the sender counted in cells that it schedules for its own requests
+	// only: all recent ones if Complete is set, and otherwise those since the last message.
+	Strikes []Strike
+	// Scheduling is the sender's, so that the owner can tell the sender if that is to change.
+	Scheduling Scheduling
 }
 
+// Strike is a crash of a target that ran content.
+type Strike struct {
+	Content swid.Fingerprint
+	Target  swid.TargetID
+	// StartedAge and EndedAge are how long ago the run of the content began and ended.
+	StartedAge swclock.Millis
+	EndedAge   swclock.Millis
+}
+
+// Scheduling is where a host's requests of plain services are scheduled.
+type Scheduling uint8
+
+// Values of Scheduling. The zero value is that of hosts that always schedule them themselves.
+const (
+	// SchedulingEach means that each host schedules its own requests.
+	SchedulingEach Scheduling = iota + 1
+	// SchedulingShared means that the owner of the shared cells schedules those of all hosts.
+	SchedulingShared
+)
+
+// SharedCells tells a host that registered with the sender where to have its requests of plain
+// services scheduled.
+type SharedCells struct{ Scheduling Scheduling }
+
 // Leaving announces that the sender's process is about to stop and no longer owns any cell.
 type Leaving struct{}
 
@@ -241,6 +270,7 @@
 func (Done) message()           {}
 func (Registration) message()   {}
 func (Leaving) message()        {}
+func (SharedCells) message()    {}
 func (Queued) message()         {}
 func (Grant) message()          {}
 func (Reject) message()         {}
