Let answers excuse no later crash of a content's targets

Cause: an answer set a time until which the content was not refused. It was put there so that a broken target does not make all content refused, which the count of crashes now prevents by itself (TestOnlyTargetRegainsTrust still passes). An answer now deletes the strikes before it and nothing else, and content without strikes is not recorded. Reports of other registers are still ignored for the time, as they may include the deleted strikes.

TestVerdicts expected the excuse ('answered less than a minute ago', not refused at three strikes). It now expects that the content is refused, which is stricter. TestStrikesAreKept failed on the code before.

--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -57,9 +57,9 @@
 	reported int
 	// expires is when the strikes expire.
 	expires swclock.Millis
-	// clearedUntil is the time until which an earlier answer counts as evidence that
-	// the content does not crash targets.
-	clearedUntil swclock.Millis
+	// reportsIgnoredUntil is set when an answer deletes strikes. Until then, reports may still
+	// include these.
+	reportsIgnoredUntil swclock.Millis
 }
 
 func (e *entry) strikes() int {
@@ -70,9 +70,9 @@
 	return strikes
 }
 
-// New returns an empty register of at most size refused contents and as many others. Content
-// is refused at limit strikes, unless its last answer is more recent than retention. Its
-// strikes expire when no further strike follows within retention.
+// New returns an empty register of at most size refused contents and as many others with
+// strikes. Content is refused at limit strikes. Its strikes expire when no further strike
+// follows within retention.
 func New(size, limit int, retention swclock.Millis) *Register {
 	return &Register{refused: newEntries(size), others: newEntries(size), limit: limit, retention: retention}
 }
@@ -154,7 +154,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.get(f, now)
-	if strikes <= e.strikes() || now < e.clearedUntil {
+	if strikes <= e.strikes() || now < e.reportsIgnoredUntil {
 		return
 	}
 	e.reported += strikes - e.strikes()
@@ -162,15 +162,18 @@
 	r.put(f, e, now)
 }
 
-// RecordAnswer deletes the strikes of content that was answered. For the retention time
-// after the answer, the content is not refused and reports about it are ignored.
-// RecordAnswer returns the number of deleted strikes.
+// RecordAnswer deletes the strikes of content that was answered, and returns their number. For
+// the retention time after it, reports of other registers are ignored, as they may include the
+// deleted strikes.
 func (r *Register) RecordAnswer(f swid.Fingerprint, now swclock.Millis) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.get(f, now)
-	r.put(f, entry{clearedUntil: now + r.retention}, now)
-	return e.strikes()
+	strikes := e.strikes()
+	if strikes > 0 {
+		r.put(f, entry{reportsIgnoredUntil: now + r.retention}, now)
+	}
+	return strikes
 }
 
 // Verdict returns whether and how the content may run, and the time until its strikes
@@ -182,7 +185,7 @@
 	switch strikes := e.strikes(); {
 	case strikes == 0:
 		return Clear, 0
-	case strikes >= r.limit && now >= e.clearedUntil:
+	case strikes >= r.limit:
 		return Refused, e.expires - now
 	default:
 		return Suspect, e.expires - now
--- a/internal/core/swsuspect/swsuspect_test.go
+++ b/internal/core/swsuspect/swsuspect_test.go
@@ -34,24 +34,48 @@
 	check(8+swclock.Minute, Clear)
 	strike(false, 9+swclock.Minute)
 	strike(true, 10+swclock.Minute)
-	check(11+swclock.Minute, Suspect) // answered less than a minute ago
+	check(11+swclock.Minute, Refused) // the answer excuses no later crash
 	strike(true, 8+2*swclock.Minute)
 	check(9+2*swclock.Minute, Refused)
 }
 
-// TestRefusedContentIsKept guards against refused content that is forgotten because many other
-// contents have strikes.
+// TestRefusedContentIsKept guards against refused content that is forgotten because of many
+// other contents.
 func TestRefusedContentIsKept(t *testing.T) {
 	const refused, size = 1, 100
-	r := New(size, 3, swclock.Minute)
-	for at := range swclock.Millis(3) {
-		r.Strike(refused, crashAt(at, false), at)
+	tests := []struct {
+		name  string
+		other func(r *Register, f swid.Fingerprint)
+	}{
+		{"others with a strike", func(r *Register, f swid.Fingerprint) { r.Strike(f, crashAt(4, false), 4) }},
+		{"others that were answered", func(r *Register, f swid.Fingerprint) { r.RecordAnswer(f, 4) }},
 	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New(size, 3, swclock.Minute)
+			for at := range swclock.Millis(3) {
+				r.Strike(refused, crashAt(at, false), at)
+			}
+			for i := range 10 * size {
+				tt.other(r, swid.Fingerprint(i+2))
+			}
+			if got, _ := r.Verdict(refused, 5); got != Refused {
+				t.Errorf("verdict %d after %d other contents, want %d", got, 10*size, Refused)
+			}
+		})
+	}
+}
+
+// TestStrikesAreKept guards against strikes that are forgotten because other content is answered.
+func TestStrikesAreKept(t *testing.T) {
+	const content, size = 1, 100
+	r := New(size, 3, swclock.Minute)
+	r.Strike(content, crashAt(1, false), 1)
 	for i := range 10 * size {
-		r.Strike(swid.Fingerprint(i+2), crashAt(4, false), 4)
+		r.RecordAnswer(swid.Fingerprint(i+2), 2)
 	}
-	if got, _ := r.Verdict(refused, 5); got != Refused {
-		t.Errorf("verdict %d after strikes of %d other contents, want %d", got, 10*size, Refused)
+	if got, _ := r.Verdict(content, 3); got != Suspect {
+		t.Errorf("verdict %d after answers to %d other contents, want %d", got, 10*size, Suspect)
 	}
 }
 
