Reject waiting requests whose content is refused meanwhile

A request that waited for a target was granted it although its content had been refused since: the count was looked at on arrival only. The cells of documents (swcell) look at the grant already. Now the value scheduler does so too. TestWaitingContentIsRefused failed on the code before.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -7,6 +7,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 const (
@@ -246,7 +247,8 @@
 // dispatch grants waiting requests, the highest rank first, as long as targets have
 // free slots. A request keeps waiting if a target that is busy now is expected to answer
 // it better. It is offered the targets that have changed since it last declined, and all
-// targets again after reviewInterval.
+// targets again after reviewInterval. A request whose content was refused since it arrived is
+// rejected.
 func (c *Cell[P, O]) dispatch() {
 	if len(c.waiting) == 0 || !c.anyFreeSlot() {
 		return
@@ -257,6 +259,11 @@
 			return
 		}
 		r := q.request
+		if verdict, wait := c.cfg.Strikes.Verdict(r.grantRequest.Fingerprint, c.now); verdict == swsuspect.Refused {
+			c.remove(slices.Index(c.waiting, r))
+			c.reject(r, swcell.ReasonSuspect, wait)
+			continue
+		}
 		if o, ok := c.bestOffer(r); ok && !c.shouldWait(r, &o) {
 			c.grant(r, &o)
 			continue
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+// TestWaitingContentIsRefused guards against content that is granted after it was refused, because
+// it waited for a target meanwhile.
+func TestWaitingContentIsRefused(t *testing.T) {
+	b := newHarness("a")
+	running, _ := grantOf(b.step(b.newGrantRequest(nil)))
+	content := func(a *swcell.GrantRequest) { a.Fingerprint = 99 }
+	b.step(b.newGrantRequest(content))
+	b.step(b.newGrantRequest(func(a *swcell.GrantRequest) { a.Fingerprint, a.Strikes = 99, strikeLimit }))
+	actions := b.end(running, swcell.ResultAnswered)
+	if g, ok := grantOf(actions); ok {
+		t.Errorf("request %d is granted although its content is refused", g.Key.Seq)
+	}
+	if !rejectedAsSuspect(actions) {
+		t.Error("the waiting request was not rejected for its content")
+	}
+}
+
 // TestUnreachable checks that a target is not granted again to a holder that could not
 // connect to it, and is still granted to other holders.
 func TestUnreachable(t *testing.T) {
