Count content under one fingerprint, whatever service runs it

Content on a route that leads to several services, or that a configuration moved to another one, had a fingerprint for each service, so its crashes were counted apart: up to three for each. TestFingerprintOfEveryService failed on the code before.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -345,13 +345,14 @@
 // answer. The other half of the remaining time is left for an attempt at another target.
 func firstOutputTimeout(remaining swclock.Millis) swclock.Millis { return remaining / 2 }
 
-// fingerprint returns a hash of the service, organisation, method, path, query and body.
+// fingerprint returns a hash of the organisation, method, path, query and body. The service is left
+// out, because a route may lead to several services, and to others after a change.
 func fingerprint(r *swholder.Request, c *Call) swid.Fingerprint {
 	content := make([]byte, 0, len(r.Org)+len(c.Method)+len(c.Target)+len(r.Call.Body)+3)
 	content = append(append(content, r.Org...), 0)
 	content = append(append(content, c.Method...), 0)
 	content = append(append(content, c.Target...), 0)
-	return swprompt.Fingerprint(r.Service, append(content, r.Call.Body...))
+	return swprompt.Fingerprint("", append(content, r.Call.Body...))
 }
 
 // logEnd logs how a request ended, with the values that explain its outcome.
--- a/internal/caller/swgate/swgate_test.go
+++ b/internal/caller/swgate/swgate_test.go
@@ -233,6 +233,28 @@
 	}
 }
 
+// TestFingerprintOfEveryService guards against content that is counted once for each service that
+// its route leads to.
+func TestFingerprintOfEveryService(t *testing.T) {
+	f := newFixture()
+	seen := make(map[swid.Fingerprint]bool)
+	for version, service := range []swid.ServiceID{"plain", "other", "engines"} {
+		moved := *catalog
+		moved.Version += swid.ConfigVersion(version)
+		moved.Routes = []swcatalog.Route{catalog.Routes[0]}
+		moved.Routes[0].Shares = []swcatalog.Share{{Service: service, Weight: 1}}
+		f.gate.Configure(swcatalog.NewTable(&moved))
+		f.gate.Serve(context.Background(), callTo("/read/x", "key"), nil)
+		if f.lastRequest.Service != service {
+			t.Fatalf("sent to service %s, want %s", f.lastRequest.Service, service)
+		}
+		seen[f.lastRequest.Fingerprint] = true
+	}
+	if len(seen) != 1 {
+		t.Errorf("%d fingerprints of the same content", len(seen))
+	}
+}
+
 // TestUsualTier checks that a request on a public route, which has no organisation, gets defaultOrgTier.
 func TestUsualTier(t *testing.T) {
 	f := newFixture()
--- a/internal/core/swprompt/swprompt.go
+++ b/internal/core/swprompt/swprompt.go
@@ -68,7 +68,8 @@
 	return sampled
 }
 
-// Fingerprint returns the hash that identifies a request's content within its service.
+// Fingerprint returns the hash that identifies a request's content within a service, or within all
+// services if service is empty.
 func Fingerprint(service swid.ServiceID, body []byte) swid.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
