Keep the strikes of contents in the platform's store

Content that had crashed three targets ran again after each change of the owner, and after each restart of all hosts: 4 to 6 late arrivals with three killed owners at engines, 57 with four restarts at a plain service (TestCrashingContent; three are allowed).

Cause: the strikes were in the memory of the owner's process alone. Now the owner saves those of contents that several targets crashed with in one object of the store, at the first change at once and then once a second at most, and every host reads it when it starts and when it becomes an owner. A write is conditional on the version that was read; after a conflict, or an answer that was lost, the object is read again and merged. An owner reads it every 10 s for what another owner saved. When the store was set back (the era in its answers changed), the owner reads and merges again, so what the store lost is written from memory; the versions of the earlier era are not used. Strikes that an answer deleted do not come back. The object has at most 4,096 contents, refused ones first.

Lost with the process: strikes of the last second, and a first strike. Both cost a few arrivals once, which the rule allows for.

--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -46,6 +46,17 @@
 	others  *simplelru.LRU[swid.Fingerprint, entry]
 	// activeUntil is the instant until which Active reports true.
 	activeUntil swclock.Millis
+	// changes counts the changes of entries.
+	changes uint64
+}
+
+// Content is content that several targets crashed with.
+type Content struct {
+	Fingerprint swid.Fingerprint
+	// Strikes is at most the register's limit.
+	Strikes int
+	// Remaining is the time until the strikes expire.
+	Remaining swclock.Millis
 }
 
 // entry holds the strikes of the content with one fingerprint.
@@ -62,6 +73,9 @@
 	reportsIgnoredUntil swclock.Millis
 }
 
+// several reports whether several targets crashed with the content.
+func (e *entry) several() bool { return len(e.crashes)+e.reported > 1 }
+
 func (e *entry) strikes() int {
 	strikes := e.reported
 	for i := range e.crashes {
@@ -100,13 +114,14 @@
 
 // put stores the entry of content. The caller must hold r.mu.
 func (r *Register) put(f swid.Fingerprint, e entry, now swclock.Millis) {
+	r.changes++
 	switch {
 	case e.strikes() >= r.limit:
 		r.others.Remove(f)
 		r.refused.Add(f, e)
 		r.activeUntil = max(r.activeUntil, e.expires)
 		return
-	case len(e.crashes)+e.reported > 1:
+	case e.several():
 		r.activeUntil = max(r.activeUntil, now+suspicionTime)
 	}
 	r.refused.Remove(f)
@@ -162,6 +177,45 @@
 	r.put(f, e, now)
 }
 
+// Load merges a content that was saved by another register as Report does, but its strikes
+// expire when they would have there.
+func (r *Register) Load(c Content, now swclock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.get(c.Fingerprint, now)
+	strikes := min(c.Strikes, r.limit)
+	if strikes <= e.strikes() || now < e.reportsIgnoredUntil {
+		return
+	}
+	e.reported += strikes - e.strikes()
+	e.expires = max(e.expires, now+min(c.Remaining, r.retention))
+	r.put(c.Fingerprint, e, now)
+}
+
+// Contents returns the contents that several targets crashed with: the refused ones first, and the
+// latest first of these and of the others. It returns at most the given number.
+func (r *Register) Contents(most int, now swclock.Millis) []Content {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var contents []Content
+	for _, entries := range []*simplelru.LRU[swid.Fingerprint, entry]{r.refused, r.others} {
+		for _, f := range slices.Backward(entries.Keys()) {
+			e := r.get(f, now)
+			if len(contents) < most && e.several() {
+				contents = append(contents, Content{Fingerprint: f, Strikes: min(e.strikes(), r.limit), Remaining: e.expires - now})
+			}
+		}
+	}
+	return contents
+}
+
+// Changes returns a number that grows with each change of the register, except that strikes expire.
+func (r *Register) Changes() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changes
+}
+
 // RecordAnswer deletes the strikes of content that was answered, and returns their number. For
 // the retention time after it, reports of other registers are ignored, as they may include the
 // deleted strikes.
--- a/internal/node/swfleet/crashingcontent_test.go
+++ b/internal/node/swfleet/crashingcontent_test.go
@@ -258,8 +258,8 @@
 			}
 		}},
 		{name: "store set back", run: func(f *simulatedFleet) {
+			earlier := f.deployment.store.copy()
 			for range 3 {
-				earlier := f.deployment.store.copy()
 				time.Sleep(5 * time.Second)
 				f.deployment.store.setBack(earlier)
 				time.Sleep(1500 * time.Millisecond)
--- a/internal/node/swfleet/gauges.go
+++ b/internal/node/swfleet/gauges.go
@@ -65,8 +65,7 @@
 }
 
 func (h *Host) storeReached() float64 {
-	health := h.health.Load()
-	return boolValue(health != nil && !health.Unreachable())
+	return boolValue(h.health.Load() != nil && h.storeReachable())
 }
 
 func boolValue(b bool) float64 {
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -23,6 +23,9 @@
 // replyScheduling tells a host that registered with this one if its scheduling is to change.
 func (h *Host) replyScheduling(from swlink.Peer, m *swmsg.Registration) {
 	now := h.clock.Now()
+	if m.Complete {
+		h.strikeKeeper.Wake() // this host may have become the owner
+	}
 	if m.Complete && m.Scheduling == swmsg.SchedulingShared {
 		h.adoptedUntil.Store(int64(now + adoptionTime))
 	}
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -25,6 +25,8 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swstrikes"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -49,6 +51,11 @@
 	catalogs fakeSource[*swcatalog.Catalog]
 	targets  fakeSource[swcatalog.Target]
 	hosts    fakeSource[swcatalog.Host]
+	// values are the hosts' own objects.
+	values fakeSource[[]byte]
+	// era counts the calls of setBack; calls counts those for values.
+	era   swobject.Era
+	calls int
 }
 
 func newFakeStore() *fakeStore {
@@ -56,9 +63,50 @@
 	s.catalogs = fakeSource[*swcatalog.Catalog]{store: s, items: make(map[string]swwatch.Item[*swcatalog.Catalog])}
 	s.targets = fakeSource[swcatalog.Target]{store: s, items: make(map[string]swwatch.Item[swcatalog.Target])}
 	s.hosts = fakeSource[swcatalog.Host]{store: s, items: make(map[string]swwatch.Item[swcatalog.Host])}
+	s.values = fakeSource[[]byte]{store: s, items: make(map[string]swwatch.Item[[]byte])}
 	return s
 }
 
+// fakeObjects implements swstrikes.Objects.
+type fakeObjects struct{ store *fakeStore }
+
+// Get implements swstrikes.Objects.
+func (o fakeObjects) Get(_ context.Context, key string) (swobject.Object, error) {
+	o.store.mu.Lock()
+	defer o.store.mu.Unlock()
+	o.store.calls++
+	item, found := o.store.values.items[key]
+	switch {
+	case o.store.unavailable:
+		return swobject.Object{}, swobject.ErrUnavailable
+	case !found:
+		return swobject.Object{}, swobject.ErrNotFound
+	}
+	return swobject.Object{Key: key, Version: swobject.Version(item.Revision), Value: item.Value}, nil
+}
+
+// Put implements swstrikes.Objects.
+func (o fakeObjects) Put(_ context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
+	o.store.mu.Lock()
+	defer o.store.mu.Unlock()
+	o.store.calls++
+	switch {
+	case o.store.unavailable:
+		return 0, swobject.ErrUnavailable
+	case o.store.values.items[key].Revision != swwatch.Revision(expected):
+		return 0, swobject.ErrConflict
+	}
+	o.store.values.write(key, value)
+	return swobject.Version(o.store.revision), nil
+}
+
+// Era implements swstrikes.Objects.
+func (o fakeObjects) Era() swobject.Era {
+	o.store.mu.Lock()
+	defer o.store.mu.Unlock()
+	return o.store.era
+}
+
 // notifyWatchers wakes the calls of Watch that wait for a change. s.mu must be held.
 func (s *fakeStore) notifyWatchers() {
 	close(s.changed)
@@ -84,6 +132,8 @@
 	s.catalogs.restore(&earlier.catalogs)
 	s.targets.restore(&earlier.targets)
 	s.hosts.restore(&earlier.hosts)
+	s.values.restore(&earlier.values)
+	s.era++
 	s.catalogs.rewrite(catalogs)
 	s.targets.rewrite(targets)
 	s.unavailable = false
@@ -99,6 +149,7 @@
 	c.catalogs.restore(&s.catalogs)
 	c.targets.restore(&s.targets)
 	c.hosts.restore(&s.hosts)
+	c.values.restore(&s.values)
 	return c
 }
 
@@ -242,6 +293,8 @@
 func (p fakePlatform) Targets() swwatch.Source[swcatalog.Target] { return &p.deployment.store.targets }
 func (p fakePlatform) Hosts() swwatch.Source[swcatalog.Host]     { return &p.deployment.store.hosts }
 
+func (p fakePlatform) Objects() swstrikes.Objects { return fakeObjects{p.deployment.store} }
+
 func (p fakePlatform) Register(_ context.Context, h swcatalog.Host) (swid.Incarnation, error) {
 	s := p.deployment.store
 	s.mu.Lock()
--- a/internal/node/swfleet/strikes.go
+++ b/internal/node/swfleet/strikes.go
@@ -1,6 +1,7 @@
 package swfleet
 
 import (
+	"context"
 	"slices"
 	"sync"
 
@@ -11,6 +12,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/store/swstrikes"
 )
 
 // strikeReportTime is how long strikes are kept for the report to another owner. By then the
@@ -90,3 +92,28 @@
 			Int64("ageMillis", int64(s.EndedAge)).Int("strikes", counted).Msg("strike reported")
 	}
 }
+
+// isOwner reports whether hosts have their requests scheduled by this one.
+func (h *Host) isOwner() bool {
+	_, hosts := h.ledger.Share(h.clock.Now())
+	return hosts > 0
+}
+
+// storeReachable reports whether the last call of the store was answered. Until the first call
+// after the registration it is taken for reachable.
+func (h *Host) storeReachable() bool {
+	health := h.health.Load()
+	return health == nil || !health.Unreachable()
+}
+
+// loadStrikes reads the strikes that earlier processes saved. If there is refused content, the
+// owner of the shared cells schedules plain services from the start.
+func (h *Host) loadStrikes(ctx context.Context) {
+	h.strikeKeeper = swstrikes.New(swstrikes.Config{
+		Objects: h.platform.Objects(), Register: h.strikes, Clock: h.clock, Owner: h.isOwner, Reachable: h.storeReachable, Log: h.log,
+	})
+	h.strikeKeeper.Step(ctx)
+	if h.strikes.Active(h.clock.Now()) {
+		h.view.setScheduling(swmsg.SchedulingShared)
+	}
+}
--- a/internal/store/swobject/swobject.go
+++ b/internal/store/swobject/swobject.go
@@ -13,6 +13,11 @@
 // stands for an object that does not exist.
 type Version uint64
 
+// Era counts how often the platform's store was set back to an earlier copy of itself. What was
+// written between the copy and the beginning of an era is gone, and its versions are given out
+// again.
+type Era uint64
+
 // Object is a value stored under a key.
 type Object struct {
 	Key     string
--- /dev/null
+++ b/internal/store/swstrikes/swstrikes.go
@@ -0,0 +1,222 @@
+// Package swstrikes keeps the strikes of contents in the platform's store, so that they outlast
+// the processes that counted them. A content that has crashed several targets is then known to
+// the next owner of the cells, also after all hosts were restarted.
+package swstrikes
+
+import (
+	"context"
+	"hash/maphash"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
+)
+
+// Objects is the part of the platform's object API that a Keeper uses.
+type Objects interface {
+	// Get returns an object, or swobject.ErrNotFound.
+	Get(ctx context.Context, key string) (swobject.Object, error)
+	// Put writes a value if the object still has the expected version, and returns the new
+	// version. If expected is 0, the object must not exist.
+	Put(ctx context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error)
+	// Era returns the era of the store's latest answer.
+	Era() swobject.Era
+}
+
+// Key is the key of the object.
+const Key = "strikes"
+
+const (
+	// stepInterval is the time between two looks at what is to be loaded or saved.
+	stepInterval = 200 * swclock.Millis(1)
+	// saveInterval is the least time between two writes.
+	saveInterval = swclock.Second
+	// reloadInterval is the time after which an owner reads the object again, for strikes that
+	// another owner saved.
+	reloadInterval = 10 * swclock.Second
+	// retryInterval is the time after a failed call until the next one, with a random addition
+	// of up to as much.
+	retryInterval = swclock.Second
+	// callTimeout bounds one call.
+	callTimeout = 1500 * swclock.Millis(1)
+	// maxContents bounds the contents in the object, which has about 80 bytes for each.
+	maxContents = 4096
+)
+
+// Config holds the settings and dependencies of a Keeper.
+type Config struct {
+	Objects  Objects
+	Register *swsuspect.Register
+	Clock    swclock.Clock
+	// Owner reports whether other hosts have their requests scheduled by this one.
+	Owner func() bool
+	// Reachable reports whether the store can be reached. No call is made while it cannot.
+	Reachable func() bool
+	Log       zerolog.Logger
+}
+
+// Keeper loads the strikes of a register when its host becomes an owner, and saves those that the
+// host counts as an owner. Owners at the same time merge their strikes in the object.
+type Keeper struct {
+	config Config
+	// loaded is set while version and era are those of the object as last read or written.
+	loaded   bool
+	version  swobject.Version
+	era      swobject.Era
+	loadedAt swclock.Millis
+	savedAt  swclock.Millis
+	// stored identifies the strikes in the object.
+	stored uint64
+	seed   maphash.Seed
+	// checked is the register's number of changes when stored was last compared with it.
+	checked uint64
+	// owner is what Config.Owner last returned. counting is set from then until everything
+	// that the host counted as an owner is saved.
+	owner, counting bool
+	nextCallAt      swclock.Millis
+	wake            chan struct{}
+}
+
+// New returns a Keeper that has loaded nothing.
+func New(config Config) *Keeper {
+	return &Keeper{config: config, seed: maphash.MakeSeed(), wake: make(chan struct{}, 1)}
+}
+
+// Wake makes Run look at once. It is called when the host may have become an owner.
+func (k *Keeper) Wake() {
+	select {
+	case k.wake <- struct{}{}:
+	default: // already woken
+	}
+}
+
+// Run loads and saves strikes until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-k.wake:
+		case <-ctx.Done():
+			return
+		}
+		k.Step(ctx)
+	}
+}
+
+// Step loads the object if that is due, and saves the register's strikes if they differ.
+func (k *Keeper) Step(ctx context.Context) {
+	now := k.config.Clock.Now()
+	owner := k.config.Owner()
+	if owner && !k.owner {
+		k.loaded = false
+	}
+	k.owner, k.counting = owner, k.counting || owner
+	if now < k.nextCallAt || !k.config.Reachable() {
+		return
+	}
+	outdated := k.counting && k.config.Objects.Era() != k.era || owner && now-k.loadedAt >= reloadInterval
+	if (!k.loaded || outdated) && !k.load(ctx) {
+		return
+	}
+	if k.counting && now-k.savedAt >= saveInterval && k.differs() {
+		k.save(ctx)
+	}
+}
+
+// load reads the object into the register, and reports whether it could.
+func (k *Keeper) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	k.loaded = false
+	era := k.config.Objects.Era()
+	object, err := k.config.Objects.Get(ctx, Key)
+	if err != nil && !errors.Is(err, swobject.ErrNotFound) {
+		k.failed(err, "strikes not loaded")
+		return false
+	}
+	var contents []swsuspect.Content
+	if err == nil {
+		if contents, err = decode(object.Value); err != nil {
+			k.config.Log.Warn().Err(err).Uint64("version", uint64(object.Version)).Msg("stored strikes cannot be read, they are replaced")
+		}
+	}
+	now := k.config.Clock.Now()
+	for _, c := range contents {
+		k.config.Register.Load(c, now)
+	}
+	if stored := k.identify(contents); stored != k.stored || k.config.Objects.Era() != k.era {
+		k.config.Log.Info().Int("contents", len(contents)).Uint64("version", uint64(object.Version)).
+			Uint64("era", uint64(k.config.Objects.Era())).Bool("owner", k.owner).Msg("strikes loaded")
+		k.stored = stored
+	}
+	k.checked = 0
+	k.version, k.loadedAt, k.era = object.Version, now, k.config.Objects.Era()
+	// If the store was set back during the call, the object may be one of before.
+	k.loaded = era == k.era || era == 0
+	return k.loaded
+}
+
+// differs reports whether the register's strikes differ from those in the object. If they do not,
+// everything is saved.
+func (k *Keeper) differs() bool {
+	changes := k.config.Register.Changes()
+	if k.checked == changes {
+		k.counting = k.owner
+		return false
+	}
+	contents := k.config.Register.Contents(maxContents, k.config.Clock.Now())
+	if k.identify(contents) != k.stored {
+		return true
+	}
+	k.checked = changes
+	k.counting = k.owner
+	return false
+}
+
+// save writes the register's strikes.
+func (k *Keeper) save(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	now := k.config.Clock.Now()
+	contents := k.config.Register.Contents(maxContents, now)
+	value, err := encode(contents)
+	if err != nil {
+		k.failed(err, "strikes not saved")
+		return
+	}
+	k.savedAt = now
+	version, err := k.config.Objects.Put(ctx, Key, value, k.version)
+	switch {
+	case err == nil:
+		k.version, k.stored = version, k.identify(contents)
+		k.loaded = version != 0
+		k.config.Log.Info().Int("contents", len(contents)).Int("bytes", len(value)).Uint64("version", uint64(version)).Msg("strikes saved")
+	case errors.Is(err, swobject.ErrConflict):
+		k.loaded = false // another owner saved its own
+	default:
+		k.loaded = false // the write may have happened
+		k.failed(err, "strikes not saved")
+	}
+}
+
+// failed logs a failed call and delays the next one.
+func (k *Keeper) failed(err error, message string) {
+	k.nextCallAt = k.config.Clock.Now() + retryInterval + swclock.Millis(rand.Int64N(int64(retryInterval)))
+	k.config.Log.Warn().Err(err).Msg(message)
+}
+
+// identify returns a hash of the contents and their strikes, without the times.
+func (k *Keeper) identify(contents []swsuspect.Content) uint64 {
+	var sum uint64
+	for _, c := range contents {
+		sum += maphash.Comparable(k.seed, swsuspect.Content{Fingerprint: c.Fingerprint, Strikes: c.Strikes})
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/store/swstrikes/swstrikes_test.go
@@ -0,0 +1,262 @@
+package swstrikes
+
+import (
+	"context"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
+)
+
+// store is an object store with one object. It implements Objects.
+type store struct {
+	object  swobject.Object
+	era     swobject.Era
+	version swobject.Version
+	// copied is the state that setBack returns to.
+	copied swobject.Object
+	// down makes calls fail; loseAnswers makes writes happen without an answer.
+	down        bool
+	loseAnswers bool
+	reads       int
+	writes      int
+	// largest is the size of the largest value that was written.
+	largest int
+}
+
+func (s *store) Get(context.Context, string) (swobject.Object, error) {
+	s.reads++
+	switch {
+	case s.down:
+		return swobject.Object{}, swobject.ErrUnavailable
+	case s.object.Version == 0:
+		return swobject.Object{}, swobject.ErrNotFound
+	}
+	return s.object, nil
+}
+
+func (s *store) Put(_ context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
+	s.writes++
+	switch {
+	case s.down:
+		return 0, swobject.ErrUnavailable
+	case expected != s.object.Version:
+		return 0, swobject.ErrConflict
+	}
+	s.version++
+	s.object = swobject.Object{Key: key, Version: s.version, Value: value}
+	s.largest = max(s.largest, len(value))
+	if s.loseAnswers {
+		return 0, swobject.ErrUnknown
+	}
+	return s.version, nil
+}
+
+func (s *store) Era() swobject.Era { return s.era }
+
+func (s *store) copy() { s.copied = s.object }
+
+func (s *store) setBack() {
+	s.object, s.version = s.copied, s.copied.Version
+	s.era++
+}
+
+const (
+	limit   = 3
+	content = swid.Fingerprint(7)
+)
+
+// host is a process with a register and a keeper.
+type host struct {
+	clock    *swclock.Manual
+	register *swsuspect.Register
+	keeper   *Keeper
+	owner    bool
+}
+
+func newHost(s *store, clock *swclock.Manual) *host {
+	h := &host{clock: clock, register: swsuspect.New(maxContents, limit, 10*swclock.Minute), owner: true}
+	h.keeper = New(Config{
+		Objects: s, Register: h.register, Clock: clock, Owner: func() bool { return h.owner },
+		Reachable: func() bool { return true }, Log: zerolog.Nop(),
+	})
+	h.keeper.Step(context.Background())
+	return h
+}
+
+// crash counts crashes of content on as many targets.
+func (h *host) crash(f swid.Fingerprint, targets ...swid.TargetID) {
+	for _, id := range targets {
+		now := h.clock.Now()
+		h.register.Strike(f, swsuspect.Crash{Target: id, Started: now - 1, Ended: now}, now)
+	}
+}
+
+// run steps the keepers of hosts for a time.
+func run(clock *swclock.Manual, span swclock.Millis, hosts ...*host) {
+	for range span / stepInterval {
+		clock.Advance(stepInterval)
+		for _, h := range hosts {
+			h.keeper.Step(context.Background())
+		}
+	}
+}
+
+func (h *host) refuses(f swid.Fingerprint) bool {
+	verdict, _ := h.register.Verdict(f, h.clock.Now())
+	return verdict == swsuspect.Refused
+}
+
+func newClock() *swclock.Manual {
+	c := &swclock.Manual{}
+	c.Advance(swclock.Minute)
+	return c
+}
+
+// TestStrikesOutlastTheirProcess guards against content that is forgotten when the process that
+// counted its crashes ends, whatever happened in the store before.
+func TestStrikesOutlastTheirProcess(t *testing.T) {
+	tests := []struct {
+		name string
+		run  func(s *store, clock *swclock.Manual, h *host)
+	}{
+		{"saved", func(_ *store, clock *swclock.Manual, h *host) { run(clock, 2*swclock.Second, h) }},
+		{"the store was down meanwhile", func(s *store, clock *swclock.Manual, h *host) {
+			s.down = true
+			run(clock, 10*swclock.Second, h)
+			s.down = false
+			run(clock, 5*swclock.Second, h)
+		}},
+		{"answers were lost", func(s *store, clock *swclock.Manual, h *host) {
+			s.loseAnswers = true
+			run(clock, 10*swclock.Second, h)
+		}},
+		{"the store was set back", func(s *store, clock *swclock.Manual, h *host) {
+			s.copy()
+			run(clock, 2*swclock.Second, h)
+			s.setBack()
+			run(clock, 2*swclock.Second, h)
+		}},
+		{"the store was set back, and its versions were given out again", func(s *store, clock *swclock.Manual, h *host) {
+			s.copy()
+			run(clock, 2*swclock.Second, h)
+			s.setBack()
+			other := newHost(s, clock)
+			other.crash(99, "x", "y")
+			run(clock, 2*swclock.Second, other)
+			run(clock, 3*swclock.Second, h)
+		}},
+		{"the host is no owner any more", func(s *store, clock *swclock.Manual, h *host) {
+			s.down = true
+			run(clock, 3*swclock.Second, h)
+			h.owner, s.down = false, false
+			run(clock, 5*swclock.Second, h)
+		}},
+		{"the object cannot be read", func(s *store, clock *swclock.Manual, h *host) {
+			s.version++
+			s.object = swobject.Object{Key: Key, Version: s.version, Value: []byte("{")}
+			run(clock, 5*swclock.Second, h)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, clock := &store{}, newClock()
+			h := newHost(s, clock)
+			h.crash(content, "a", "b", "c")
+			tt.run(s, clock, h)
+			if !newHost(s, clock).refuses(content) {
+				t.Error("the content is not refused by a process that starts later")
+			}
+		})
+	}
+}
+
+// TestOwnersMerge checks that two owners at the same time end with the strikes of both, and that
+// one of them dying loses none.
+func TestOwnersMerge(t *testing.T) {
+	s, clock := &store{}, newClock()
+	one, two := newHost(s, clock), newHost(s, clock)
+	one.crash(1, "a", "b", "c")
+	two.crash(2, "a", "b", "c")
+	run(clock, reloadInterval+5*swclock.Second, one, two)
+	for i, h := range []*host{one, two, newHost(s, clock)} {
+		if !h.refuses(1) || !h.refuses(2) {
+			t.Errorf("host %d refuses %t and %t, want both contents refused", i, h.refuses(1), h.refuses(2))
+		}
+	}
+}
+
+// TestAnsweredContentIsNotLoaded checks that strikes which an answer deleted do not come back from
+// the store.
+func TestAnsweredContentIsNotLoaded(t *testing.T) {
+	s, clock := &store{}, newClock()
+	h := newHost(s, clock)
+	h.crash(content, "a", "b")
+	run(clock, 2*swclock.Second, h)
+	h.register.RecordAnswer(content, clock.Now())
+	s.copy()
+	s.setBack()
+	run(clock, 2*reloadInterval, h)
+	if verdict, _ := h.register.Verdict(content, clock.Now()); verdict != swsuspect.Clear {
+		t.Errorf("verdict %d, want %d", verdict, swsuspect.Clear)
+	}
+	if verdict, _ := newHost(s, clock).register.Verdict(content, clock.Now()); verdict != swsuspect.Clear {
+		t.Errorf("verdict %d of a process that starts later, want %d", verdict, swsuspect.Clear)
+	}
+}
+
+// TestStoredStrikesExpire checks that the expiry of strikes does not begin anew with each process.
+func TestStoredStrikesExpire(t *testing.T) {
+	s, clock := &store{}, newClock()
+	h := newHost(s, clock)
+	h.crash(content, "a", "b", "c")
+	run(clock, 9*swclock.Minute, h)
+	h.crash(99, "a", "b") // makes the keeper write
+	run(clock, 2*swclock.Second, h)
+	later := newHost(s, clock)
+	if !later.refuses(content) {
+		t.Error("not refused before the strikes expire")
+	}
+	clock.Advance(2 * swclock.Minute)
+	if later.refuses(content) {
+		t.Error("still refused after the strikes have expired")
+	}
+}
+
+// TestBoundedStoreCalls counts the calls and the size of the object while thousands of contents
+// crash targets, at an owner and at hosts that own nothing.
+func TestBoundedStoreCalls(t *testing.T) {
+	s, clock := &store{}, newClock()
+	owner := newHost(s, clock)
+	reads, writes := s.reads, s.writes
+	const seconds = 60
+	for i := range seconds {
+		for j := range 200 {
+			owner.crash(swid.Fingerprint(i*200+j+1), "a", "b", "c")
+		}
+		run(clock, swclock.Second, owner)
+	}
+	if n := s.writes - writes; n > seconds {
+		t.Errorf("%d writes in %d s, want at most one a second", n, seconds)
+	}
+	if n := s.reads - reads; n > seconds*int(swclock.Second)/int(reloadInterval) {
+		t.Errorf("%d reads in %d s, want at most one each %d ms", n, seconds, reloadInterval)
+	}
+	if s.largest > swobject.MaxValueBytes/2 {
+		t.Errorf("the object has up to %d bytes", s.largest)
+	}
+	other := newHost(s, clock)
+	other.owner = false
+	reads, writes = s.reads, s.writes
+	run(clock, swclock.Minute, other)
+	if s.reads != reads || s.writes != writes {
+		t.Errorf("%d reads and %d writes by a host that owns nothing", s.reads-reads, s.writes-writes)
+	}
+	if _, err := decode(s.object.Value); err != nil {
+		t.Error(err)
+	}
+}
