Count crashes of targets that fall silent against content

Only an attempt that ended 'broken' was a strike, and such attempts end 'noAnswer' or 'cancelled'.

An attempt without an answer is no proof of a crash by itself (TestStallsAreNoStrikes). It counts now once its target is known to have ended meanwhile: the platform lists it with a later start, or no longer lists it although it was not draining, and it has not been heard of since. Runs that ended up to 5 s before that is noticed count as well, at most 32 a target. Several runs on one target still count once.

--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
@@ -79,7 +80,7 @@
 		return
 	}
 	before := r.produced
-	r.produced = e.Produced
+	r.produced, r.target.heardAt = e.Produced, c.now
 	if r.firstOutputAt == 0 {
 		r.firstOutputAt = c.now
 		r.prefilled = r.target.prefilled(c.now)
@@ -111,14 +112,19 @@
 			c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Crash: swsuspect.Crash{Target: t.conf.ID}, Cleared: cleared})
 		}
 		t.breaks.Answered(r.grantedAt)
+		t.heardAt = c.now
 		t.recordAnswer()
 	case swcell.ResultRejected, swcell.ResultFailed:
+		t.heardAt = c.now
 		t.recordFailure()
 	case swcell.ResultBroken:
 		c.recordBreak(r)
 		t.recordNoAnswer(c.now)
 	case swcell.ResultNoAnswer:
+		c.recordSilentRun(r)
 		t.recordNoAnswer(c.now)
+	case swcell.ResultCancelled:
+		c.recordSilentRun(r)
 	case swcell.ResultNotStarted:
 		c.uncharge(&r.grantRequest, r.charged)
 		t.unreachable[r.grantRequest.Key.Holder] = c.now + unreachableTime
@@ -132,15 +138,19 @@
 	if !r.target.breaks.Broke(r.grantedAt, c.now) {
 		return
 	}
-	crash := swsuspect.Crash{
+	c.strike(r.grantRequest.Fingerprint, swsuspect.Crash{
 		Target: r.target.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone,
-	}
-	strike := c.cfg.Strikes.Strike
+	})
+}
+
+// strike counts the crash of a target against content.
+func (c *Cell[P, O]) strike(content swid.Fingerprint, crash swsuspect.Crash) {
+	count := c.cfg.Strikes.Strike
 	if c.cfg.OthersSchedule() {
-		crash.Alone, strike = false, c.cfg.Strikes.ReportStrike
+		crash.Alone, count = false, c.cfg.Strikes.ReportStrike
 	}
-	strikes := strike(r.grantRequest.Fingerprint, crash, c.now)
-	c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Crash: crash, Strikes: strikes})
+	strikes := count(content, crash, c.now)
+	c.cfg.OnStrikes(StrikeChange{Content: content, Crash: crash, Strikes: strikes})
 }
 
 // observeRun adds the times and the output of an attempt that ended to the estimates.
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -157,6 +157,92 @@
 	}
 }
 
+// TestSilentCrashes guards against content that is never refused because its targets fall silent, or
+// because its callers leave, before their connections end.
+func TestSilentCrashes(t *testing.T) {
+	const content = 99
+	tests := []struct {
+		name string
+		// run ends a run of the content on target "a", which began 2 s ago.
+		run  func(b *harness, g swcell.Grant)
+		want int
+	}{
+		{"restart noticed before the end", func(b *harness, g swcell.Grant) {
+			b.relist(2, swcell.TargetActive)
+			b.now += 100
+			b.end(g, swcell.ResultCancelled)
+		}, 1},
+		{"restart noticed after the end", func(b *harness, g swcell.Grant) {
+			b.end(g, swcell.ResultNoAnswer)
+			b.now += 3 * swclock.Second
+			b.relist(2, swcell.TargetActive)
+		}, 1},
+		{"restart noticed long after the end", func(b *harness, g swcell.Grant) {
+			b.end(g, swcell.ResultCancelled)
+			b.now += 10 * swclock.Second
+			b.relist(2, swcell.TargetActive)
+		}, 0},
+		{"removed before the end", func(b *harness, g swcell.Grant) {
+			b.step(swcell.Configure{})
+			b.now += 100
+			b.end(g, swcell.ResultCancelled)
+		}, 1},
+		{"removed after the end", func(b *harness, g swcell.Grant) {
+			b.end(g, swcell.ResultCancelled)
+			b.now += 3 * swclock.Second
+			b.step(swcell.Configure{})
+		}, 1},
+		{"removed, but answers another run afterwards", func(b *harness, g swcell.Grant) {
+			other, _ := grantOf(b.step(b.newGrantRequest(nil)))
+			b.step(swcell.Configure{})
+			b.now += 100
+			b.end(other, swcell.ResultAnswered)
+			b.end(g, swcell.ResultCancelled)
+		}, 0},
+		{"removed after draining", func(b *harness, g swcell.Grant) {
+			b.relist(1, swcell.TargetDraining)
+			b.end(g, swcell.ResultCancelled)
+			b.step(swcell.Configure{})
+		}, 0},
+		{"answered", func(b *harness, g swcell.Grant) {
+			b.end(g, swcell.ResultAnswered)
+			b.now += 100
+			b.relist(2, swcell.TargetActive)
+		}, 0},
+		{"several runs of the content", func(b *harness, g swcell.Grant) {
+			other, _ := grantOf(b.step(b.newGrantRequest(func(a *swcell.GrantRequest) { a.Fingerprint = content })))
+			b.now += 100
+			b.relist(2, swcell.TargetActive)
+			b.now += 100
+			b.end(g, swcell.ResultCancelled)
+			b.end(other, swcell.ResultNoAnswer)
+		}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newHarness()
+			b.relist(1, swcell.TargetActive)
+			g, _ := grantOf(b.step(b.newGrantRequest(func(a *swcell.GrantRequest) { a.Fingerprint = content })))
+			b.now += 2 * swclock.Second
+			strikes := 0
+			b.cell.cfg.OnStrikes = func(c StrikeChange) {
+				if c.Content == content {
+					strikes = c.Strikes
+				}
+			}
+			tt.run(b, g)
+			if strikes != tt.want {
+				t.Errorf("%d strikes, want %d", strikes, tt.want)
+			}
+		})
+	}
+}
+
+// relist configures target "a" with a time of start and a state.
+func (b *harness) relist(born int64, state swcell.TargetState) {
+	b.step(swcell.Configure{Targets: []swcell.Target{{ID: "a", State: state, Slots: 4, Born: born}}})
+}
+
 // TestWaitingContentIsRefused guards against content that is granted after it was refused, because
 // it waited for a target meanwhile.
 func TestWaitingContentIsRefused(t *testing.T) {
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -23,11 +23,27 @@
 	unreachableTime = 500 * swclock.Millis(1)
 )
 
+const (
+	// silentRunTime is how long after a run without an answer the end of its target may be
+	// noticed: the platform drops the entry of a target after some seconds of silence.
+	silentRunTime = 5 * swclock.Second
+	// maxSilentRuns bounds the runs in target.silent.
+	maxSilentRuns = 32
+)
+
+// silentRun is a run that ended without an answer.
+type silentRun struct {
+	content swid.Fingerprint
+	started swclock.Millis
+	ended   swclock.Millis
+}
+
 // target holds the configuration, the runs and the statistics of one target.
 type target struct {
 	conf swcell.Target
-	// listed is set if the latest configuration contains the target.
-	listed bool
+	// listed is set if the latest configuration contains the target, wasListed if the one
+	// before did.
+	listed, wasListed bool
 	// reachable is set unless the owner's host last reported the target as unreachable.
 	reachable bool
 	runs      []*run
@@ -54,6 +70,14 @@
 	// faultRate is the share of recent attempts that were rejected, failed or got no answer.
 	faultRate swcost.Average
 	breaks    swsuspect.Breaks
+	// restartedAt is when it was last noticed that the target had been started anew, and removedAt
+	// when it was no longer listed although it was not draining. Such a target may still work.
+	restartedAt, removedAt swclock.Millis
+	// heardAt is when the target last answered or produced output.
+	heardAt swclock.Millis
+	// silent holds the latest runs that ended without an answer while the target was not known
+	// to have ended, the oldest first.
+	silent []silentRun
 	// unreachable maps the holders that could not connect to the instant until which
 	// each is not granted the target.
 	unreachable map[swid.HostID]swclock.Millis
@@ -187,11 +211,17 @@
 
 func (c *Cell[P, O]) configure(e swcell.Configure) {
 	for _, t := range c.targets {
-		t.listed = false
+		t.wasListed, t.listed = t.listed, false
 	}
 	for _, conf := range e.Targets {
 		c.configureTarget(conf)
 	}
+	for _, t := range c.targets {
+		if !t.listed && t.wasListed && t.conf.State == swcell.TargetActive {
+			t.removedAt = c.now
+			c.reviewSilentRuns(t)
+		}
+	}
 	c.targets = slices.DeleteFunc(c.targets, c.removeIfUnused)
 	c.listing++
 	for _, t := range c.targets {
@@ -210,6 +240,11 @@
 		t.unanswered = 0
 		t.breaks.Restarted()
 		t.rates = rates{}
+		t.restartedAt = c.now
+		c.reviewSilentRuns(t)
+		for _, r := range t.runs {
+			c.recordSilentRun(r)
+		}
 	}
 	t.conf = conf
 	t.cache.capacity = conf.KVTokens
@@ -266,3 +301,35 @@
 		}
 	}
 }
+
+// reviewSilentRuns counts the runs that ended without an answer shortly before it was noticed that
+// their target had ended.
+func (c *Cell[P, O]) reviewSilentRuns(t *target) {
+	for _, s := range t.silent {
+		if c.now-s.ended <= silentRunTime && t.endedDuring(s.started, s.ended) {
+			c.strike(s.content, swsuspect.Crash{Target: t.conf.ID, Started: s.started, Ended: s.ended})
+		}
+	}
+	t.silent = nil
+}
+
+// recordSilentRun counts a strike against the content of a run without an answer if its target is
+// known to have ended meanwhile. Otherwise it keeps the run in case that is noticed later.
+func (c *Cell[P, O]) recordSilentRun(r *run) {
+	t, content := r.target, r.grantRequest.Fingerprint
+	if t.endedDuring(r.grantedAt, c.now) {
+		c.strike(content, swsuspect.Crash{Target: t.conf.ID, Started: r.grantedAt, Ended: max(t.restartedAt, t.removedAt)})
+		return
+	}
+	if len(t.silent) == maxSilentRuns {
+		t.silent = slices.Delete(t.silent, 0, 1)
+	}
+	t.silent = append(t.silent, silentRun{content: content, started: r.grantedAt, ended: c.now})
+}
+
+// endedDuring reports whether the target seems to have ended during a run without an answer: it
+// has been started anew since the run began, or is no longer listed and was not heard of after
+// that or after the run.
+func (t *target) endedDuring(started, ended swclock.Millis) bool {
+	return t.restartedAt > started || t.removedAt > started && t.heardAt <= min(ended, t.removedAt)
+}
