Let hosts without an owner read from the store what others refuse

With 300 hosts cut in two halves, the half without a large host has no working owner for six seconds, as its next in rank is short of processor time. Meanwhile each of its hosts counted for itself what the other half refused long ago: 4 to 9 late arrivals at a plain service (three are allowed). A host that has had no link to its owner for a second now reads the store's object once a second until it has one. Before, only owners and starting hosts did.

The object keeps refused contents only, no longer those that several targets crashed with: a host that loads the latter knows none of the answers they got since, and one crash more refused them. What a dead owner had counted of content that is not refused yet is lost; that costs two arrivals at most. The package is named for what it keeps (swrefusal).

TestOwnerlessHost; TestCrashingContent with hosts cut in two at 300.

--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -50,12 +50,10 @@
 	changes uint64
 }
 
-// Content is content that several targets crashed with.
+// Content is refused content.
 type Content struct {
 	Fingerprint swid.Fingerprint
-	// Strikes is at most the register's limit.
-	Strikes int
-	// Remaining is the time until the strikes expire.
+	// Remaining is the time until it is no longer refused.
 	Remaining swclock.Millis
 }
 
@@ -177,33 +175,29 @@
 	r.put(f, e, now)
 }
 
-// Load merges a content that was saved by another register as Report does, but its strikes
-// expire when they would have there.
+// Load refuses a content that another register refused, for as long as that one does. It is ignored
+// for content that was answered recently.
 func (r *Register) Load(c Content, now swclock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.get(c.Fingerprint, now)
-	strikes := min(c.Strikes, r.limit)
-	if strikes <= e.strikes() || now < e.reportsIgnoredUntil {
+	if e.strikes() >= r.limit || now < e.reportsIgnoredUntil {
 		return
 	}
-	e.reported += strikes - e.strikes()
+	e.reported += r.limit - e.strikes()
 	e.expires = max(e.expires, now+min(c.Remaining, r.retention))
 	r.put(c.Fingerprint, e, now)
 }
 
-// Contents returns the contents that several targets crashed with: the refused ones first, and the
-// latest first of these and of the others. It returns at most the given number.
+// Contents returns the refused contents, the latest first, but at most the given number.
 func (r *Register) Contents(most int, now swclock.Millis) []Content {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var contents []Content
-	for _, entries := range []*simplelru.LRU[swid.Fingerprint, entry]{r.refused, r.others} {
-		for _, f := range slices.Backward(entries.Keys()) {
-			e := r.get(f, now)
-			if len(contents) < most && e.several() {
-				contents = append(contents, Content{Fingerprint: f, Strikes: min(e.strikes(), r.limit), Remaining: e.expires - now})
-			}
+	for _, f := range slices.Backward(r.refused.Keys()) {
+		e := r.get(f, now)
+		if len(contents) < most && e.strikes() >= r.limit {
+			contents = append(contents, Content{Fingerprint: f, Remaining: e.expires - now})
 		}
 	}
 	return contents
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -25,7 +25,7 @@
 func (h *Host) replyScheduling(from swlink.Peer, m *swmsg.Registration) {
 	now := h.clock.Now()
 	if m.Complete {
-		h.strikeKeeper.Wake() // this host may have become the owner
+		h.refusalKeeper.Wake() // this host may have become the owner
 	}
 	if m.Complete && m.Scheduling == swmsg.SchedulingShared {
 		h.adoptedUntil.Store(int64(now + adoptionTime))
--- a/internal/node/swfleet/strikes.go
+++ b/internal/node/swfleet/strikes.go
@@ -12,11 +12,10 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
-	"github.com/sassafraswing/sassafraswing/internal/store/swstrikes"
+	"github.com/sassafraswing/sassafraswing/internal/store/swrefusal"
 )
 
-// strikeReportTime is how long strikes are kept for the report to another owner. By then the
-// owner that received them has passed them on or saved them.
+// strikeReportTime is how long strikes are kept for the report to another owner.
 const strikeReportTime = 10 * swclock.Second
 
 // strikeLog holds the strikes that this host counted in cells that each host schedules for
@@ -106,13 +105,23 @@
 	return health == nil || !health.Unreachable()
 }
 
-// loadStrikes reads the strikes that earlier processes saved. If there is refused content, the
-// owner of the shared cells schedules plain services from the start.
-func (h *Host) loadStrikes(ctx context.Context) {
-	h.strikeKeeper = swstrikes.New(swstrikes.Config{
-		Objects: h.platform.Objects(), Register: h.strikes, Clock: h.clock, Owner: h.isOwner, Reachable: h.storeReachable, Log: h.log,
+// isOwnerless reports whether this host has no link to the owner of its shared cells.
+func (h *Host) isOwnerless() bool {
+	if h.router == nil {
+		return false // not assembled yet
+	}
+	owner := h.router.currentOwner()
+	return owner != h.self.Host && !h.exchange.Connected(owner)
+}
+
+// loadRefusals reads which contents earlier processes refused. If there are any, the owner of the
+// shared cells schedules plain services from the start.
+func (h *Host) loadRefusals(ctx context.Context) {
+	h.refusalKeeper = swrefusal.New(swrefusal.Config{
+		Objects: h.platform.Objects(), Register: h.strikes, Clock: h.clock, Owner: h.isOwner, Ownerless: h.isOwnerless,
+		Reachable: h.storeReachable, Log: h.log,
 	})
-	h.strikeKeeper.Step(ctx)
+	h.refusalKeeper.Step(ctx)
 	if h.strikes.Active(h.clock.Now()) {
 		h.view.setScheduling(swmsg.SchedulingShared)
 	}
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -29,7 +29,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
-	"github.com/sassafraswing/sassafraswing/internal/store/swstrikes"
+	"github.com/sassafraswing/sassafraswing/internal/store/swrefusal"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -44,7 +44,7 @@
 	// Hosts returns the source of the hosts that registered themselves in the store.
 	Hosts() swwatch.Source[swcatalog.Host]
 	// Objects returns the objects in which the hosts keep what has to outlast them.
-	Objects() swstrikes.Objects
+	Objects() swrefusal.Objects
 	// Register writes this host's entry to the store and returns the incarnation of
 	// this process, which is higher than that of any earlier process of the host. After
 	// an error the entry may or may not have been written.
@@ -87,10 +87,10 @@
 	// schedules. strikeLog has those that the owner of the shared cells does not know.
 	strikes   *swsuspect.Register
 	strikeLog strikeLog
-	// strikeKeeper keeps the strikes in the store. It is nil until the host is registered.
-	strikeKeeper *swstrikes.Keeper
-	view         *view
-	exchange     *swexchange.Exchange
+	// refusalKeeper keeps the refused contents in the store. It is nil until the host is registered.
+	refusalKeeper *swrefusal.Keeper
+	view          *view
+	exchange      *swexchange.Exchange
 	// linkOptions are further options of network; tests set them.
 	linkOptions []swlink.Option
 	network     *swlink.Network
--- a/internal/store/swstrikes/swstrikes.go
+++ b/internal/store/swrefusal/swrefusal.go
@@ -1,7 +1,7 @@
-// Package swstrikes keeps the strikes of contents in the platform's store, so that they outlast
-// the processes that counted them. A content that has crashed several targets is then known to
-// the next owner of the cells, also after all hosts were restarted.
-package swstrikes
+// Package swrefusal keeps the refused contents in the platform's store, so that they outlast the
+// processes that refused them. Content that crashes its targets is then known to the next owner of
+// the cells, also after all hosts were restarted.
+package swrefusal
 
 import (
 	"context"
@@ -29,22 +29,25 @@
 }
 
 // Key is the key of the object.
-const Key = "strikes"
+const Key = "refusedContents"
 
 const (
 	// stepInterval is the time between two looks at what is to be loaded or saved.
 	stepInterval = 200 * swclock.Millis(1)
 	// saveInterval is the least time between two writes.
 	saveInterval = swclock.Second
-	// reloadInterval is the time after which an owner reads the object again, for strikes that
-	// another owner saved.
+	// reloadInterval is the time after which an owner reads the object again, for contents that
+	// another owner refused.
 	reloadInterval = 10 * swclock.Second
+	// ownerlessTime is how long a host that cannot reach its owner waits before it reads the
+	// object, and between two reads.
+	ownerlessTime = swclock.Second
 	// retryInterval is the time after a failed call until the next one, with a random addition
 	// of up to as much.
 	retryInterval = swclock.Second
 	// callTimeout bounds one call.
 	callTimeout = 1500 * swclock.Millis(1)
-	// maxContents bounds the contents in the object, which has about 80 bytes for each.
+	// maxContents bounds the contents in the object, which has about 60 bytes for each.
 	maxContents = 4096
 )
 
@@ -53,15 +56,18 @@
 	Objects  Objects
 	Register *swsuspect.Register
 	Clock    swclock.Clock
-	// Owner reports whether other hosts have their requests scheduled by this one.
+	// Owner reports whether hosts have their requests scheduled by this one.
 	Owner func() bool
+	// Ownerless reports whether this host has its requests scheduled by one that it has no link to.
+	Ownerless func() bool
 	// Reachable reports whether the store can be reached. No call is made while it cannot.
 	Reachable func() bool
 	Log       zerolog.Logger
 }
 
-// Keeper loads the strikes of a register when its host becomes an owner, and saves those that the
-// host counts as an owner. Owners at the same time merge their strikes in the object.
+// Keeper loads the refused contents into a register when its host becomes an owner or cannot reach
+// one, and saves those that the host refuses as an owner. Owners at the same time merge theirs in
+// the object.
 type Keeper struct {
 	config Config
 	// loaded is set while version and era are those of the object as last read or written.
@@ -70,7 +76,7 @@
 	era      swobject.Era
 	loadedAt swclock.Millis
 	savedAt  swclock.Millis
-	// stored identifies the strikes in the object.
+	// stored identifies the contents in the object.
 	stored uint64
 	seed   maphash.Seed
 	// checked is the register's number of changes when stored was last compared with it.
@@ -78,8 +84,10 @@
 	// owner is what Config.Owner last returned. counting is set from then until everything
 	// that the host counted as an owner is saved.
 	owner, counting bool
-	nextCallAt      swclock.Millis
-	wake            chan struct{}
+	// ownerlessSince is when Config.Ownerless began to return true, or 0.
+	ownerlessSince swclock.Millis
+	nextCallAt     swclock.Millis
+	wake           chan struct{}
 }
 
 // New returns a Keeper that has loaded nothing.
@@ -95,7 +103,7 @@
 	}
 }
 
-// Run loads and saves strikes until ctx ends.
+// Run loads and saves refused contents until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval.Duration())
 	defer ticker.Stop()
@@ -110,7 +118,7 @@
 	}
 }
 
-// Step loads the object if that is due, and saves the register's strikes if they differ.
+// Step loads the object if that is due, and saves the register's refused contents if they differ.
 func (k *Keeper) Step(ctx context.Context) {
 	now := k.config.Clock.Now()
 	owner := k.config.Owner()
@@ -121,8 +129,7 @@
 	if now < k.nextCallAt || !k.config.Reachable() {
 		return
 	}
-	outdated := k.counting && k.config.Objects.Era() != k.era || owner && now-k.loadedAt >= reloadInterval
-	if (!k.loaded || outdated) && !k.load(ctx) {
+	if (!k.loaded || k.outdated(now)) && !k.load(ctx) {
 		return
 	}
 	if k.counting && now-k.savedAt >= saveInterval && k.differs() {
@@ -130,6 +137,19 @@
 	}
 }
 
+// outdated reports whether the object may have contents that the register lacks.
+func (k *Keeper) outdated(now swclock.Millis) bool {
+	switch {
+	case !k.config.Ownerless():
+		k.ownerlessSince = 0
+	case k.ownerlessSince == 0:
+		k.ownerlessSince = now
+	case now-max(k.ownerlessSince, k.loadedAt) >= ownerlessTime:
+		return true
+	}
+	return k.owner && now-k.loadedAt >= reloadInterval || k.counting && k.config.Objects.Era() != k.era
+}
+
 // load reads the object into the register, and reports whether it could.
 func (k *Keeper) load(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
@@ -138,13 +158,13 @@
 	era := k.config.Objects.Era()
 	object, err := k.config.Objects.Get(ctx, Key)
 	if err != nil && !errors.Is(err, swobject.ErrNotFound) {
-		k.failed(err, "strikes not loaded")
+		k.failed(err, "refused contents not loaded")
 		return false
 	}
 	var contents []swsuspect.Content
 	if err == nil {
 		if contents, err = decode(object.Value); err != nil {
-			k.config.Log.Warn().Err(err).Uint64("version", uint64(object.Version)).Msg("stored strikes cannot be read, they are replaced")
+			k.config.Log.Warn().Err(err).Uint64("version", uint64(object.Version)).Msg("stored contents cannot be read, they are replaced")
 		}
 	}
 	now := k.config.Clock.Now()
@@ -153,7 +173,7 @@
 	}
 	if stored := k.identify(contents); stored != k.stored || k.config.Objects.Era() != k.era {
 		k.config.Log.Info().Int("contents", len(contents)).Uint64("version", uint64(object.Version)).
-			Uint64("era", uint64(k.config.Objects.Era())).Bool("owner", k.owner).Msg("strikes loaded")
+			Uint64("era", uint64(k.config.Objects.Era())).Bool("owner", k.owner).Msg("refused contents loaded")
 		k.stored = stored
 	}
 	k.checked = 0
@@ -163,16 +183,15 @@
 	return k.loaded
 }
 
-// differs reports whether the register's strikes differ from those in the object. If they do not,
-// everything is saved.
+// differs reports whether the register's refused contents differ from those in the object. If they
+// do not, everything is saved.
 func (k *Keeper) differs() bool {
 	changes := k.config.Register.Changes()
 	if k.checked == changes {
 		k.counting = k.owner
 		return false
 	}
-	contents := k.config.Register.Contents(maxContents, k.config.Clock.Now())
-	if k.identify(contents) != k.stored {
+	if k.identify(k.config.Register.Contents(maxContents, k.config.Clock.Now())) != k.stored {
 		return true
 	}
 	k.checked = changes
@@ -180,7 +199,7 @@
 	return false
 }
 
-// save writes the register's strikes.
+// save writes the register's refused contents.
 func (k *Keeper) save(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
@@ -188,7 +207,7 @@
 	contents := k.config.Register.Contents(maxContents, now)
 	value, err := encode(contents)
 	if err != nil {
-		k.failed(err, "strikes not saved")
+		k.failed(err, "refused contents not saved")
 		return
 	}
 	k.savedAt = now
@@ -197,12 +216,12 @@
 	case err == nil:
 		k.version, k.stored = version, k.identify(contents)
 		k.loaded = version != 0
-		k.config.Log.Info().Int("contents", len(contents)).Int("bytes", len(value)).Uint64("version", uint64(version)).Msg("strikes saved")
+		k.config.Log.Info().Int("contents", len(contents)).Int("bytes", len(value)).Uint64("version", uint64(version)).Msg("refused contents saved")
 	case errors.Is(err, swobject.ErrConflict):
 		k.loaded = false // another owner saved its own
 	default:
 		k.loaded = false // the write may have happened
-		k.failed(err, "strikes not saved")
+		k.failed(err, "refused contents not saved")
 	}
 }
 
@@ -212,11 +231,11 @@
 	k.config.Log.Warn().Err(err).Msg(message)
 }
 
-// identify returns a hash of the contents and their strikes, without the times.
+// identify returns a hash of the contents, without the times.
 func (k *Keeper) identify(contents []swsuspect.Content) uint64 {
 	var sum uint64
 	for _, c := range contents {
-		sum += maphash.Comparable(k.seed, swsuspect.Content{Fingerprint: c.Fingerprint, Strikes: c.Strikes})
+		sum += maphash.Comparable(k.seed, c.Fingerprint)
 	}
 	return sum
 }
