Refuse content only for crashes in runs apart from other suspects

Content that many callers send was refused for ten minutes, to all of them, because other content had crashed three of its targets while it ran there: up to 344 of 720 requests in TestCrashingContent with hosts cut in two, up to 229 with a frozen owner, single ones in other cases.

Cause: any crash counted against everything that ran on the target. Now a crash shows at first only that a content is one of the suspects. Once two targets have crashed with it, it runs apart: once at a time, and on no target that runs other such content. Only a crash of such a run brings the third strike. Where hosts schedule their own requests no run is apart, as they do not know each other's. A crash while nothing else ran no longer counts twice in these cells: with two owners neither knows what else ran. In the cells of documents, where suspects run alone on their target, nothing changes.

Content that is refused although it was answered before (the register holds the 4,096 contents answered last) runs once more, apart, after 2.5 s; that is longer than the longest pause of a target that is probed, and within the three seconds after the third crash. An answer ends the refusal, a crash makes it final. So if two owners crash each other's targets, a content is refused for 2.5 s: that case alone may reject so many (the trace: with the hosts cut in two, a run apart under one owner ended with the crash of a request under the other).

Ruled out: counting crashes of overlapping runs as one (undercounts content whose targets fall silent, as its runs overlap), and a limit of four (a target that has not worked since its last crash does not count, so three targets give three).

--- a/internal/core/swcell/cell.go
+++ b/internal/core/swcell/cell.go
@@ -71,7 +71,7 @@
 		served:      make(map[swid.OrgID]float64),
 		waiting:     make(map[Key]*request),
 		running:     make(map[runKey]*run),
-		strikes:     swsuspect.New(cfg.HistorySize, cfg.StrikeLimit, cfg.StrikeLifetime),
+		strikes:     swsuspect.New(cfg.HistorySize, swsuspect.Limits{Strikes: cfg.StrikeLimit, Retention: cfg.StrikeLifetime}),
 		retryBudget: swbudget.New(cfg.RetryRatio, cfg.RetryReserve),
 	}
 	history, err := lru.NewLRU[Key, historyEntry](cfg.HistorySize, nil)
--- a/internal/core/swcell/run.go
+++ b/internal/core/swcell/run.go
@@ -69,7 +69,7 @@
 		c.recordSuccess(t, probe)
 	case ResultBroken:
 		if t.breaks.Broke(r.grantedAt, c.now) {
-			crash := swsuspect.Crash{Target: t.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone}
+			crash := swsuspect.Crash{Target: t.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone, Apart: r.suspect}
 			c.strikes.Strike(r.grantRequest.Fingerprint, crash, c.now)
 		}
 		c.recordFailure(t)
--- a/internal/core/swsuspect/crash.go
+++ b/internal/core/swsuspect/crash.go
@@ -13,8 +13,15 @@
 	Ended   swclock.Millis
 	// Alone is set if the target ran nothing else.
 	Alone bool
+	// Apart is set if the content ran nowhere else, and on no target that ran other content that
+	// several targets had crashed with.
+	Apart bool
 }
 
+// conclusive reports whether the crash may make the content refused. Others show no more than that
+// it is a suspect, like all content that ran on the targets that crashed.
+func (c *Crash) conclusive() bool { return c.Alone || c.Apart }
+
 // strikes returns the number of strikes for the crash.
 func (c *Crash) strikes() int {
 	if c.Alone {
--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -37,19 +37,31 @@
 // entry first, and refused content only for other refused content. It is safe for concurrent
 // use.
 type Register struct {
-	limit     int
-	retention swclock.Millis
+	limits Limits
 
 	mu sync.Mutex
-	// refused holds the entries with limit strikes or more, and others the remaining ones.
+	// refused holds the entries of refused contents, and others the remaining ones.
 	refused *simplelru.LRU[swid.Fingerprint, entry]
 	others  *simplelru.LRU[swid.Fingerprint, entry]
+	// answered holds the contents that were answered last.
+	answered *simplelru.LRU[swid.Fingerprint, struct{}]
 	// activeUntil is the instant until which Active reports true.
 	activeUntil swclock.Millis
 	// changes counts the changes of entries.
 	changes uint64
 }
 
+// Limits tells when content is refused.
+type Limits struct {
+	// Strikes is the number of strikes from which content is refused.
+	Strikes int
+	// VerifyAfter is the time after which refused content that was answered before may run once
+	// more, apart, in case that something else crashed its targets; 0 means never.
+	VerifyAfter swclock.Millis
+	// Retention is the time after which strikes expire if no further one follows.
+	Retention swclock.Millis
+}
+
 // Content is refused content.
 type Content struct {
 	Fingerprint swid.Fingerprint
@@ -59,11 +71,14 @@
 
 // entry holds the strikes of the content with one fingerprint.
 type entry struct {
-	// crashes holds the crashes that the register counted itself, as long as there are fewer
-	// strikes than the limit.
+	// crashes holds the crashes that the register counted itself, at most as many as the limit.
 	crashes []Crash
 	// reported is the number of strikes that only other registers counted.
 	reported int
+	// refusedAt is when the content was refused. verified is set once it needs not run again to
+	// verify that: it did, or another register refused it.
+	refusedAt swclock.Millis
+	verified  bool
 	// expires is when the strikes expire.
 	expires swclock.Millis
 	// reportsIgnoredUntil is set when an answer deletes strikes. Until then, reports may still
@@ -82,15 +97,14 @@
 	return strikes
 }
 
-// New returns an empty register of at most size refused contents and as many others with
-// strikes. Content is refused at limit strikes. Its strikes expire when no further strike
-// follows within retention.
-func New(size, limit int, retention swclock.Millis) *Register {
-	return &Register{refused: newEntries(size), others: newEntries(size), limit: limit, retention: retention}
+// New returns an empty register of at most size refused contents, as many others with strikes, and
+// as many that were answered.
+func New(size int, limits Limits) *Register {
+	return &Register{refused: newLRU[entry](size), others: newLRU[entry](size), answered: newLRU[struct{}](size), limits: limits}
 }
 
-func newEntries(size int) *simplelru.LRU[swid.Fingerprint, entry] {
-	entries, err := simplelru.NewLRU[swid.Fingerprint, entry](size, nil)
+func newLRU[V any](size int) *simplelru.LRU[swid.Fingerprint, V] {
+	entries, err := simplelru.NewLRU[swid.Fingerprint, V](size, nil)
 	if err != nil {
 		panic(err) // fails only if size is not positive
 	}
@@ -105,7 +119,7 @@
 		e, _ = r.others.Peek(f)
 	}
 	if e.expires <= now {
-		e.crashes, e.reported = nil, 0
+		e.crashes, e.reported, e.verified = nil, 0, false
 	}
 	return e
 }
@@ -114,7 +128,10 @@
 func (r *Register) put(f swid.Fingerprint, e entry, now swclock.Millis) {
 	r.changes++
 	switch {
-	case e.strikes() >= r.limit:
+	case e.strikes() >= r.limits.Strikes:
+		if !r.refused.Contains(f) {
+			e.refusedAt = now
+		}
 		r.others.Remove(f)
 		r.refused.Add(f, e)
 		r.activeUntil = max(r.activeUntil, e.expires)
@@ -135,27 +152,17 @@
 }
 
 // Strike records the crash of a target that ran the content, and returns the content's number of
-// strikes. Runs of the same content that end with the same crash count once.
+// strikes. Runs of the same content that end with the same crash count once. Only a conclusive
+// crash makes content refused.
 func (r *Register) Strike(f swid.Fingerprint, c Crash, now swclock.Millis) int {
-	return r.strike(f, c, r.limit, now)
-}
-
-// ReportStrike does the same for a crash that was recorded where not all answers to the content
-// are known. Such crashes alone do not make content refused.
-func (r *Register) ReportStrike(f swid.Fingerprint, c Crash, now swclock.Millis) int {
-	return r.strike(f, c, r.limit-1, now)
-}
-
-// strike records a crash unless the content has as many strikes as given by most.
-func (r *Register) strike(f swid.Fingerprint, c Crash, most int, now swclock.Millis) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.get(f, now)
 	known := slices.ContainsFunc(e.crashes, func(o Crash) bool { return c.same(&o) })
-	if !known && e.strikes() < most {
+	if !known && e.strikes() < r.limits.Strikes && (c.conclusive() || e.strikes()+1 < r.limits.Strikes) {
 		e.crashes = append(slices.Clip(e.crashes), c)
 	}
-	e.expires = now + r.retention
+	e.expires = now + r.limits.Retention
 	r.put(f, e, now)
 	return e.strikes()
 }
@@ -171,7 +178,7 @@
 		return
 	}
 	e.reported += strikes - e.strikes()
-	e.expires = now + r.retention
+	e.expires = now + r.limits.Retention
 	r.put(f, e, now)
 }
 
@@ -181,11 +188,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.get(c.Fingerprint, now)
-	if e.strikes() >= r.limit || now < e.reportsIgnoredUntil {
+	if e.strikes() >= r.limits.Strikes || now < e.reportsIgnoredUntil {
 		return
 	}
-	e.reported += r.limit - e.strikes()
-	e.expires = max(e.expires, now+min(c.Remaining, r.retention))
+	e.reported += r.limits.Strikes - e.strikes()
+	e.verified = true
+	e.expires = max(e.expires, now+min(c.Remaining, r.limits.Retention))
 	r.put(c.Fingerprint, e, now)
 }
 
@@ -196,7 +204,7 @@
 	var contents []Content
 	for _, f := range slices.Backward(r.refused.Keys()) {
 		e := r.get(f, now)
-		if len(contents) < most && e.strikes() >= r.limit {
+		if len(contents) < most && e.strikes() >= r.limits.Strikes {
 			contents = append(contents, Content{Fingerprint: f, Remaining: e.expires - now})
 		}
 	}
@@ -216,10 +224,11 @@
 func (r *Register) RecordAnswer(f swid.Fingerprint, now swclock.Millis) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.answered.Add(f, struct{}{})
 	e := r.get(f, now)
 	strikes := e.strikes()
 	if strikes > 0 {
-		r.put(f, entry{reportsIgnoredUntil: now + r.retention}, now)
+		r.put(f, entry{reportsIgnoredUntil: now + r.limits.Retention}, now)
 	}
 	return strikes
 }
@@ -233,9 +242,33 @@
 	switch strikes := e.strikes(); {
 	case strikes == 0:
 		return Clear, 0
-	case strikes >= r.limit:
+	case strikes >= r.limits.Strikes && !r.verifiable(f, &e, now):
 		return Refused, e.expires - now
 	default:
 		return Suspect, e.expires - now
 	}
 }
+
+// verifiable reports whether refused content may run once more.
+func (r *Register) verifiable(f swid.Fingerprint, e *entry, now swclock.Millis) bool {
+	return r.limits.VerifyAfter > 0 && !e.verified && now-e.refusedAt >= r.limits.VerifyAfter && r.answered.Contains(f)
+}
+
+// Verify records that refused content runs once more, as Verdict allowed.
+func (r *Register) Verify(f swid.Fingerprint, now swclock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.get(f, now); e.strikes() >= r.limits.Strikes {
+		e.verified = true
+		r.put(f, e, now)
+	}
+}
+
+// RunsApart reports whether content is to run once at a time, and not beside other such content,
+// because several targets crashed with it.
+func (r *Register) RunsApart(f swid.Fingerprint, now swclock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.get(f, now)
+	return e.several()
+}
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -264,6 +264,7 @@
 			c.reject(r, swcell.ReasonSuspect, wait)
 			continue
 		}
+		r.apart = c.cfg.Strikes.RunsApart(r.grantRequest.Fingerprint, c.now)
 		if o, ok := c.bestOffer(r); ok && !c.shouldWait(r, &o) {
 			c.grant(r, &o)
 			continue
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -23,6 +23,8 @@
 	// charged is what the organisation's quota was charged.
 	charged float64
 
+	// apart is set while the content is to run apart, see swsuspect.Register.RunsApart.
+	apart bool
 	// declinedAt is the value of Cell.changes when the request last declined the free targets, and
 	// offerAllAt when it is offered all of them again.
 	declinedAt uint64
@@ -63,8 +65,8 @@
 	produced      swid.Tokens
 	// orphanedAt is when the death of the holder was recorded, or 0 before.
 	orphanedAt swclock.Millis
-	// alone is set if nothing else has run on the target since the grant.
-	alone bool
+	// apart is set if the content runs apart.
+	apart bool
 	// soloPrefill is set if the target processed no other prompt between the grant and
 	// the first output.
 	soloPrefill bool
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -27,6 +27,7 @@
 	o := c.offer(r, t)
 	started := &run{
 		grantRequest: r.grantRequest, prefixes: r.prefixes, target: t, grantedAt: c.now, output: r.output, charged: r.charged, expected: o.expected,
+		apart: r.apart,
 	}
 	if !t.plain() {
 		started.soloPrefill = o.expected.wait == 0
@@ -42,6 +43,10 @@
 	}
 	c.running[started.id()] = started
 	t.add(started)
+	if started.apart {
+		c.apart[started.grantRequest.Fingerprint] = started
+		c.cfg.Strikes.Verify(started.grantRequest.Fingerprint, c.now)
+	}
 	c.decided.add(r.grantRequest.Key, r.grantRequest.Attempt)
 	return started
 }
@@ -65,6 +70,9 @@
 func (c *Cell[P, O]) endRun(r *run) {
 	delete(c.running, r.id())
 	r.target.remove(r, c.now)
+	if r.apart {
+		delete(c.apart, r.grantRequest.Fingerprint)
+	}
 	c.changed(r.target)
 }
 
@@ -139,17 +147,15 @@
 		return
 	}
 	c.strike(r.grantRequest.Fingerprint, swsuspect.Crash{
-		Target: r.target.conf.ID, Started: r.grantedAt, Ended: c.now, Alone: r.alone,
+		Target: r.target.conf.ID, Started: r.grantedAt, Ended: c.now, Apart: r.apart,
 	})
 }
 
 // strike counts the crash of a target against content.
 func (c *Cell[P, O]) strike(content swid.Fingerprint, crash swsuspect.Crash) {
-	count := c.cfg.Strikes.Strike
-	if c.cfg.OthersSchedule() {
-		crash.Alone, count = false, c.cfg.Strikes.ReportStrike
-	}
-	strikes := count(content, crash, c.now)
+	// Where others schedule too, this cell knows neither all runs of the content nor all answers.
+	crash.Apart = crash.Apart && !c.cfg.OthersSchedule()
+	strikes := c.cfg.Strikes.Strike(content, crash, c.now)
 	c.cfg.OnStrikes(StrikeChange{Content: content, Crash: crash, Strikes: strikes})
 }
 
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -47,6 +47,8 @@
 	// waiting holds at most one attempt of each request, in order of arrival.
 	waiting []*request
 	running map[runKey]*run
+	// apart holds the run of each content that runs apart, see swsuspect.Register.RunsApart.
+	apart map[swid.Fingerprint]*run
 	// decided holds the latest attempt of each request that was granted or rejected.
 	decided history
 	random  *rand.Rand
@@ -82,7 +84,7 @@
 
 // NewStrikes returns a register of strikes for cells.
 func NewStrikes() *swsuspect.Register {
-	return swsuspect.New(historySize, strikeLimit, strikeLifetime)
+	return swsuspect.New(historySize, swsuspect.Limits{Strikes: strikeLimit, VerifyAfter: verificationDelay, Retention: strikeLifetime})
 }
 
 // StrikeChange is a change of the strikes of content: of the suspected crashes of targets that
@@ -110,6 +112,10 @@
 	// by chance when one crashed.
 	strikeLimit    = 3
 	strikeLifetime = 10 * swclock.Minute
+	// verificationDelay is how long content that was answered before is rejected until it runs
+	// once more, in case that a target crashed by chance while the content ran there apart. It
+	// is longer than maxBackoff, so that the targets may be used again.
+	verificationDelay = 2500 * swclock.Millis(1)
 )
 
 func (c Config) withDefaults() Config {
@@ -141,6 +147,7 @@
 		byID:      make(map[swid.TargetID]*target),
 		typical:   priors, typicalSlots: 1,
 		running: make(map[runKey]*run),
+		apart:   make(map[swid.Fingerprint]*run),
 		decided: newHistory(historySize),
 		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -36,6 +36,7 @@
 	content swid.Fingerprint
 	started swclock.Millis
 	ended   swclock.Millis
+	apart   bool
 }
 
 // target holds the configuration, the runs and the statistics of one target.
@@ -132,10 +133,6 @@
 }
 
 func (t *target) add(r *run) {
-	r.alone = len(t.runs) == 0
-	for _, other := range t.runs {
-		other.alone = false
-	}
 	t.runs = append(t.runs, r)
 	t.tokens += tokens(&r.grantRequest)
 }
@@ -307,7 +304,7 @@
 func (c *Cell[P, O]) reviewSilentRuns(t *target) {
 	for _, s := range t.silent {
 		if c.now-s.ended <= silentRunTime && t.endedDuring(s.started, s.ended) {
-			c.strike(s.content, swsuspect.Crash{Target: t.conf.ID, Started: s.started, Ended: s.ended})
+			c.strike(s.content, swsuspect.Crash{Target: t.conf.ID, Started: s.started, Ended: s.ended, Apart: s.apart})
 		}
 	}
 	t.silent = nil
@@ -318,13 +315,13 @@
 func (c *Cell[P, O]) recordSilentRun(r *run) {
 	t, content := r.target, r.grantRequest.Fingerprint
 	if t.endedDuring(r.grantedAt, c.now) {
-		c.strike(content, swsuspect.Crash{Target: t.conf.ID, Started: r.grantedAt, Ended: max(t.restartedAt, t.removedAt)})
+		c.strike(content, swsuspect.Crash{Target: t.conf.ID, Started: r.grantedAt, Ended: max(t.restartedAt, t.removedAt), Apart: r.apart})
 		return
 	}
 	if len(t.silent) == maxSilentRuns {
 		t.silent = slices.Delete(t.silent, 0, 1)
 	}
-	t.silent = append(t.silent, silentRun{content: content, started: r.grantedAt, ended: c.now})
+	t.silent = append(t.silent, silentRun{content: content, started: r.grantedAt, ended: c.now, apart: r.apart})
 }
 
 // endedDuring reports whether the target seems to have ended during a run without an answer: it
--- a/internal/node/swfleet/strikes.go
+++ b/internal/node/swfleet/strikes.go
@@ -74,7 +74,7 @@
 		e.Int("strikes", c.Cleared).Msg("strikes cleared")
 		return
 	}
-	e.Int("strikes", c.Strikes).Bool("alone", c.Crash.Alone).Msg("strike counted")
+	e.Int("strikes", c.Strikes).Msg("strike counted")
 	if h.view.scheduledByEachHost(cell) {
 		h.strikeLog.add(c.Content, c.Crash)
 		h.requestRegistration()
@@ -85,8 +85,9 @@
 func (h *Host) receiveStrikes(from swlink.Peer, strikes []swmsg.Strike) {
 	now := h.clock.Now()
 	for _, s := range strikes {
-		crash := swsuspect.Crash{Target: s.Target, Started: now - s.StartedAge, Ended: now - s.EndedAge}
-		counted := h.strikes.ReportStrike(s.Content, crash, now)
+		counted := h.strikes.Strike(s.Content, swsuspect.Crash{
+			Target: s.Target, Started: now - s.StartedAge, Ended: now - s.EndedAge,
+		}, now)
 		h.log.Info().Str("content", s.Content.String()).Str("target", string(s.Target)).Str("peer", string(from.Host)).
 			Int64("ageMillis", int64(s.EndedAge)).Int("strikes", counted).Msg("strike reported")
 	}
