Give a process its part of the retry reserve after a window has passed

After a restart of all hosts their retries together could exceed the budget: each process began with its whole part of the reserve, whatever its predecessor had used in the same window, and took the whole reserve of all hosts until it had listed them.

Now a process has no part of the reserve until its first window has passed and the hosts are listed; until then it retries by the ratio of its own requests, which is a sum that needs no memory.

--- a/internal/node/swfleet/retries.go
+++ b/internal/node/swfleet/retries.go
@@ -21,13 +21,18 @@
 	clock    swclock.Clock
 	settings *swsettings.Fleet
 
-	mu      sync.Mutex
+	// started is when the process began. What its predecessor used of the host's part of the
+	// reserve is not known.
+	started swclock.Millis
+
+	mu sync.Mutex
+	// hosts is 0 until the hosts have been listed.
 	hosts   int
 	windows map[swid.ServiceID]*swbudget.Window
 }
 
 func newRetryBudget(s *swsettings.Fleet, clock swclock.Clock) *retryBudget {
-	return &retryBudget{clock: clock, settings: s, hosts: 1, windows: make(map[swid.ServiceID]*swbudget.Window)}
+	return &retryBudget{clock: clock, settings: s, started: clock.Now(), windows: make(map[swid.ServiceID]*swbudget.Window)}
 }
 
 // configure replaces the settings of the budget. The counts of requests and retries are
@@ -39,9 +44,6 @@
 		clear(r.windows)
 	}
 	r.settings = s
-	for _, w := range r.windows {
-		w.SetReserve(r.reserve())
-	}
 }
 
 // setHostCount sets the number of hosts among which the reserve is divided.
@@ -49,13 +51,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.hosts = max(hosts, 1)
-	for _, w := range r.windows {
-		w.SetReserve(r.reserve())
-	}
 }
 
-// reserve returns this host's part of the reserve. r.mu must be held.
+// reserve returns this host's part of the reserve. It is 0 until the hosts are known, and while a
+// window may include what an earlier process used. r.mu must be held.
 func (r *retryBudget) reserve() float64 {
+	if r.hosts == 0 || r.clock.Now()-r.started <= r.settings.RetryWindow {
+		return 0
+	}
 	return retryShare * r.settings.RetryReserve / float64(r.hosts)
 }
 
@@ -70,7 +73,9 @@
 func (r *retryBudget) Take(service swid.ServiceID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.window(service).Take(r.clock.Now())
+	w := r.window(service)
+	w.SetReserve(r.reserve())
+	return w.Take(r.clock.Now())
 }
 
 // window returns the window of a service, creating it if needed. r.mu must be held.
