--- a/internal/core/swid/swid.go
+++ b/internal/core/swid/swid.go
@@ -58,6 +58,9 @@
 // Tokens counts prompt or output tokens.
 type Tokens int64
 
+// RequestRate is a number of requests a second.
+type RequestRate float64
+
 // Tier is the rank of a request; 0 is the highest tier.
 type Tier uint8
 
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -187,6 +188,7 @@
 // receive reads the answer to its end.
 func (a *attempt) receive(ctx context.Context, response swtarget.Answer) swlife.AttemptEnded {
 	a.status, a.header = response.Status(), response.Header()
+	a.recordRateLimit(response.RateLimit())
 	streamed := a.held.request.Call.Stream && a.status < 300
 	for {
 		chunk, err := response.Next()
@@ -208,6 +210,13 @@
 	}
 }
 
+// recordRateLimit records what an answer says of the target's rate limit.
+func (a *attempt) recordRateLimit(s swlimit.Statement) {
+	if s.Heard && a.held.holder.config.OnRateLimit != nil {
+		a.held.holder.config.OnRateLimit(a.held.request, a.target, s, a.dispatched)
+	}
+}
+
 // finishAnswer handles a completely received answer. If the request has RetryFailures,
 // a server error is stored as lastFailure, and the request may be sent to another
 // target. Any other answer is sent to the caller unless it was already streamed.
@@ -286,6 +295,9 @@
 	a.err = err
 	var failure *swtarget.Error
 	known := errors.As(err, &failure)
+	if known {
+		a.recordRateLimit(failure.RateLimit)
+	}
 	if ctx.Err() != nil {
 		return classifyCancellation(ctx, known && failure.Unsent)
 	}
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
@@ -77,6 +78,9 @@
 	AckTimeout swclock.Millis
 	// OnGranted, if not nil, is called with the request at each grant until an attempt has reached a target.
 	OnGranted func(r *Request)
+	// OnRateLimit, if not nil, is called with what each answer says of its target's rate limit, once
+	// its header has arrived. sent is when the request was sent.
+	OnRateLimit func(r *Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis)
 	// ReportEarly sends owners a progress report at the first output of each
 	// attempt and another after secondReportTokens, so that they can estimate a
 	// target's speed before it completes its first requests.
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -15,6 +15,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
@@ -61,6 +62,8 @@
 	wait chan struct{}
 	// status is the status of the answer; 0 means 200.
 	status int
+	// limit is what the answer says of its target's rate limit.
+	limit swlimit.Statement
 	// lastEventID is the ID of the last event in each chunk.
 	lastEventID string
 	// tokens is the number of tokens in each chunk; 0 means 1.
@@ -129,10 +132,11 @@
 	next   int
 }
 
-func (a *scriptedAnswer) Status() int           { return max(a.script.status, http.StatusOK) }
-func (a *scriptedAnswer) Header() http.Header   { return swtarget.MediaType("text/plain") }
-func (a *scriptedAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
-func (a *scriptedAnswer) Close() error          { return nil }
+func (a *scriptedAnswer) Status() int                  { return max(a.script.status, http.StatusOK) }
+func (a *scriptedAnswer) Header() http.Header          { return swtarget.MediaType("text/plain") }
+func (a *scriptedAnswer) RateLimit() swlimit.Statement { return a.script.limit }
+func (a *scriptedAnswer) Usage() swtarget.Usage        { return swtarget.Usage{} }
+func (a *scriptedAnswer) Close() error                 { return nil }
 func (a *scriptedAnswer) Next() (swtarget.Chunk, error) {
 	if a.script.wait != nil {
 		<-a.script.wait
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -25,6 +25,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/store/swrefusal"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
@@ -269,12 +270,16 @@
 }
 
 // fakeAnswer implements swtarget.Answer.
-type fakeAnswer struct{ body []byte }
+type fakeAnswer struct {
+	body  []byte
+	limit swlimit.Statement
+}
 
-func (*fakeAnswer) Status() int           { return http.StatusOK }
-func (*fakeAnswer) Header() http.Header   { return nil }
-func (*fakeAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
-func (*fakeAnswer) Close() error          { return nil }
+func (*fakeAnswer) Status() int                    { return http.StatusOK }
+func (*fakeAnswer) Header() http.Header            { return nil }
+func (a *fakeAnswer) RateLimit() swlimit.Statement { return a.limit }
+func (*fakeAnswer) Usage() swtarget.Usage          { return swtarget.Usage{} }
+func (*fakeAnswer) Close() error                   { return nil }
 func (a *fakeAnswer) Next() (swtarget.Chunk, error) {
 	if a.body == nil {
 		return swtarget.Chunk{}, io.EOF
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -20,6 +20,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
@@ -87,6 +88,8 @@
 	// schedules. strikeLog has those that the owner of the shared cells does not know.
 	strikes   *swsuspect.Register
 	strikeLog strikeLog
+	// limits has the rate limits that targets named in answers to this host's requests.
+	limits *swlimit.Limiter
 	// refusalKeeper keeps the refused contents in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -130,7 +133,7 @@
 	h := &Host{
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
-		strikes: swvalue.NewStrikes(), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
+		strikes: swvalue.NewStrikes(), limits: swlimit.New(), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
@@ -200,7 +203,7 @@
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Clock: h.clock, Sender: h.exchange, Router: h.router,
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
-		OnGranted: h.recordUsage,
+		OnGranted: h.recordUsage, OnRateLimit: h.recordRateLimit,
 	})
 	h.owner = swowner.New(swowner.Config{
 		Host: h.self.Host, Clock: h.clock, Sender: h.exchange, Router: h.router, Members: h.view, Watcher: noWatcher{},
--- a/internal/node/swnode/bench_test.go
+++ b/internal/node/swnode/bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
@@ -32,8 +33,10 @@
 
 var chunk = swtarget.Chunk{Data: []byte("data: {}\n\n"), Tokens: 1, Events: 1}
 
-func (a *instantAnswer) Status() int           { return 200 }
-func (a *instantAnswer) Header() http.Header   { return swtarget.MediaType("text/event-stream") }
+func (a *instantAnswer) Status() int                { return 200 }
+func (a *instantAnswer) Header() http.Header        { return swtarget.MediaType("text/event-stream") }
+func (*instantAnswer) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+
 func (a *instantAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
 func (a *instantAnswer) Close() error          { return nil }
 func (a *instantAnswer) Next() (swtarget.Chunk, error) {
--- a/internal/target/swcall/swcall.go
+++ b/internal/target/swcall/swcall.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/target/swhttp"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -93,6 +94,9 @@
 	return swtarget.Chunk{Data: body}, nil
 }
 
+// RateLimit implements swtarget.Answer. These targets name no limits.
+func (*answer) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+
 // Usage implements swtarget.Answer. Plain services report no usage.
 func (a *answer) Usage() swtarget.Usage { return swtarget.Usage{} }
 
--- a/internal/target/swopenai/stream.go
+++ b/internal/target/swopenai/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/target/swhttp"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -44,6 +45,9 @@
 	return swtarget.MediaType(s.response.Header.Get("Content-Type"))
 }
 
+// RateLimit implements swtarget.Answer. These targets name no limits.
+func (*stream) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+
 // Usage implements swtarget.Answer.
 func (s *stream) Usage() swtarget.Usage { return s.usage }
 
--- a/internal/target/swopenai/swopenai.go
+++ b/internal/target/swopenai/swopenai.go
@@ -13,6 +13,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/target/swhttp"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -210,6 +211,9 @@
 	return swtarget.Chunk{Data: body, Tokens: w.usage.OutputTokens}, nil
 }
 
+// RateLimit implements swtarget.Answer. These targets name no limits.
+func (*bufferedAnswer) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+
 // Usage implements swtarget.Answer.
 func (w *bufferedAnswer) Usage() swtarget.Usage { return w.usage }
 
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -9,6 +9,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 )
 
 // Request holds one attempt of a request, as an adapter sends it to a target.
@@ -70,6 +71,8 @@
 	// Header returns the fields of the answer's header that are forwarded to the
 	// caller. They must not be modified.
 	Header() http.Header
+	// RateLimit returns what the answer says of the target's rate limit.
+	RateLimit() swlimit.Statement
 	// Next returns the next chunk. It returns io.EOF only after the answer's
 	// terminal marker, and an *Error in every other case that ends the answer.
 	Next() (Chunk, error)
@@ -114,7 +117,9 @@
 	Failure Failure
 	// Unsent means that no part of the request reached the target.
 	Unsent bool
-	Err    error
+	// RateLimit is what the answer says of the target's rate limit, if there was an answer.
+	RateLimit swlimit.Statement
+	Err       error
 }
 
 // Error implements error.
