--- a/internal/node/swfleet/crashingcontent_test.go
+++ b/internal/node/swfleet/crashingcontent_test.go
@@ -151,6 +151,18 @@
 
 // newCrashableFleet returns a fleet in front of eight targets of each kind that log crashes.
 func newCrashableFleet(t *testing.T, size int, log *crashLog) *simulatedFleet {
+	f := newMixedFleet(t, size)
+	crashable := make(map[swid.TargetID]*crashableTarget)
+	for id := range f.deployment.targets {
+		crashable[id] = &crashableTarget{id: id, fleet: f, log: log, crashed: make(chan struct{})}
+	}
+	f.adapter = func(id swid.TargetID) swtarget.Adapter { return crashable[id] }
+	return f
+}
+
+// newMixedFleet returns a fleet in front of eight engines and eight targets of a plain service, whose
+// hosts accept no requests by themselves. One route leads to both services.
+func newMixedFleet(t *testing.T, size int) *simulatedFleet {
 	f := newSimulatedFleet(t, 0)
 	c := catalogOf(2)
 	split := c.Routes[0]
@@ -160,16 +172,13 @@
 	c.Organisations = []swcatalog.Organisation{{ID: "org", Keys: []string{"key"}}}
 	f.deployment.store.catalogs.put("main", c)
 	f.requestsPerHost = 0
-	crashable := make(map[swid.TargetID]*crashableTarget)
 	for i := range 8 {
 		for _, service := range []swid.ServiceID{"model", "plain"} {
 			id := swid.TargetID(fmt.Sprint(service, "-", i))
 			f.deployment.addTarget(id, service, 7)
 			f.deployment.targets[id].duration = 100 * time.Millisecond
-			crashable[id] = &crashableTarget{id: id, fleet: f, log: log, crashed: make(chan struct{})}
 		}
 	}
-	f.adapter = func(id swid.TargetID) swtarget.Adapter { return crashable[id] }
 	f.addHosts(size)
 	return f
 }
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -62,7 +62,7 @@
 	hosts      []*simulatedHost
 	// requestsPerHost is the mean number of requests a second that each host accepts by itself.
 	requestsPerHost float64
-	// adapter, if not nil, returns the targets' adapters.
+	// adapter, if not nil, returns the adapter of a target for one process of a host.
 	adapter func(swid.TargetID) swtarget.Adapter
 	// answered counts the answers of each second since the start.
 	mu       sync.Mutex
