Grant engines no more requests than the rate limit that they name

An engine that named a limit of 3 requests a second got up to 251 in 4 s (23 are allowed), as any other engine: nothing read the limit.

What an answer says of it now travels with the progress and the end of a run to the cell's owner, which keeps a token bucket for each target that names one and grants within it. An answer without a limit ends it only if its request was sent after the latest answer that named it had arrived, as answers overtake each other. Decisions on waiting requests count such a target with no more speed than its limit has work.

--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -23,6 +23,7 @@
 import (
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 )
 
 // Key identifies a request within a cell.
@@ -111,6 +112,8 @@
 	Key      Key
 	Attempt  swid.Attempt
 	Produced swid.Tokens
+	// RateLimit is what the answer says of its target's rate limit.
+	RateLimit swlimit.Statement
 }
 
 // Result says how an attempt ended.
@@ -166,6 +169,8 @@
 	FirstToken swclock.Millis
 	// Total is the time from dispatch to the end.
 	Total swclock.Millis
+	// RateLimit is what the answer says of its target's rate limit, if there was one.
+	RateLimit swlimit.Statement
 }
 
 // LoadReport contains a target's own report of its load.
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -169,18 +169,28 @@
 	speed, soonest float64
 }
 
+// speed returns the speed of a target, as a number of typical targets. One with a rate limit is no
+// faster than the mean work of as many requests.
+func (c *Cell[P, O]) speed(t *target) float64 {
+	speed := 1 / t.rates.slowdown(&c.typical)
+	if limit, limited := t.limits.PerSecond(t.conf.ID); limited && c.meanWork.Samples() > 0 {
+		speed = min(speed, float64(limit)*c.meanWork.Value()/float64(swclock.Second))
+	}
+	return speed
+}
+
 func (c *Cell[P, O]) computeSupply() (speed, soonest float64) {
 	soonest = math.Inf(1)
 	for _, t := range c.targets {
 		if !t.active() || (t.probing() && c.now < t.nextProbeAt) {
 			continue
 		}
-		speed += 1 / t.rates.slowdown(&c.typical)
+		speed += c.speed(t)
 		if t.freeSlots(c.now) > 0 {
 			soonest = 0
 			continue
 		}
-		soonest = min(soonest, t.soonestEnd(c.now))
+		soonest = min(soonest, t.soonestSlot(c.now))
 	}
 	if math.IsInf(soonest, 1) {
 		soonest = 0
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -150,11 +150,11 @@
 	}
 	r.busyShare, r.busyShareUntil, r.busyShareListing = 0, c.now+c.outlookAge(), c.listing
 	for _, t := range c.targets {
-		if t.freeSlots(c.now) > 0 || t.probing() || len(t.runs) == 0 || !c.mayRun(r, t) {
+		if t.freeSlots(c.now) > 0 || t.probing() || len(t.runs) == 0 && !t.limited() || !c.mayRun(r, t) {
 			continue
 		}
 		o := c.offer(r, t)
-		wait := max(t.soonestEnd(c.now)-o.expected.wait, 0)
+		wait := max(t.soonestSlot(c.now)-o.expected.wait, 0)
 		o.First += wait
 		o.Total += wait
 		r.busyShare = max(r.busyShare, o.ExpectedShare(c.cfg.LateShare))
@@ -162,6 +162,16 @@
 	return r.busyShare
 }
 
+// soonestSlot returns the time until a busy target may be granted a request: until one of its runs is
+// expected to end, and its rate limit allows another.
+func (t *target) soonestSlot(now swclock.Millis) float64 {
+	wait := t.limits.Wait(t.conf.ID, now)
+	if t.unlimitedSlots(now) > 0 {
+		return wait
+	}
+	return max(wait, t.soonestEnd(now))
+}
+
 // soonestEnd returns the time until the first of the target's runs is expected to end,
 // infinite if it runs nothing.
 func (t *target) soonestEnd(now swclock.Millis) float64 {
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -6,6 +6,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
@@ -18,6 +19,8 @@
 
 func (c *Cell[P, O]) grant(r *request, o *Offer) {
 	c.remove(slices.Index(c.waiting, r))
+	c.cfg.Limits.Take(o.target.conf.ID, c.now)
+	c.meanWork.Add(c.work(r, o.expected.uncached))
 	c.emit(c.start(r, o.target).grant())
 }
 
@@ -84,7 +87,11 @@
 
 func (c *Cell[P, O]) handleProgress(e swcell.Progress) {
 	r := c.running[runKey{e.Key, e.Attempt}]
-	if r == nil || e.Produced <= r.produced {
+	if r == nil {
+		return
+	}
+	c.observeRateLimit(r, e.RateLimit)
+	if e.Produced <= r.produced {
 		return
 	}
 	before := r.produced
@@ -113,6 +120,7 @@
 	}
 	t := r.target
 	c.observeRun(r, e)
+	c.observeRateLimit(r, e.RateLimit)
 	c.endRun(r)
 	switch e.Result {
 	case swcell.ResultAnswered:
@@ -140,6 +148,14 @@
 	}
 }
 
+// observeRateLimit records what the answer to a run says of its target's rate limit.
+func (c *Cell[P, O]) observeRateLimit(r *run, s swlimit.Statement) {
+	if c.cfg.Limits.Observe(r.target.conf.ID, s, r.grantedAt, c.now) {
+		c.cfg.OnRateLimit(r.target.conf.ID, s.PerSecond)
+		c.changed(r.target)
+	}
+}
+
 // recordBreak counts a strike against the content of a run that broke, unless the target may
 // break whatever it runs.
 func (c *Cell[P, O]) recordBreak(r *run) {
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -25,7 +25,9 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
@@ -57,6 +59,8 @@
 	// those of the targets' configuration and reachability.
 	changes, listing uint64
 	lastSupply       cachedSupply
+	// meanWork is the mean work of the granted requests.
+	meanWork swcost.Average
 }
 
 // Config holds a cell's settings; zero fields get the defaults.
@@ -77,6 +81,10 @@
 	Strikes *swsuspect.Register
 	// OnStrikes is called when the strikes of content change. It must not block.
 	OnStrikes func(StrikeChange)
+	// Limits holds the rate limits that targets name. Nil gives the cell a limiter of its own.
+	Limits *swlimit.Limiter
+	// OnRateLimit is called when the rate limit of a target changes, 0 if it ends. It must not block.
+	OnRateLimit func(swid.TargetID, swid.RequestRate)
 	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
 	// Nil means that none does.
 	OthersSchedule func() bool
@@ -131,6 +139,12 @@
 	if c.OnStrikes == nil {
 		c.OnStrikes = func(StrikeChange) {}
 	}
+	if c.Limits == nil {
+		c.Limits = swlimit.New()
+	}
+	if c.OnRateLimit == nil {
+		c.OnRateLimit = func(swid.TargetID, swid.RequestRate) {}
+	}
 	if c.OthersSchedule == nil {
 		c.OthersSchedule = func() bool { return false }
 	}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -8,6 +8,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
@@ -42,6 +43,8 @@
 // target holds the configuration, the runs and the statistics of one target.
 type target struct {
 	conf swcell.Target
+	// limits holds the target's rate limit, if it names one.
+	limits *swlimit.Limiter
 	// listed is set if the latest configuration contains the target, wasListed if the one
 	// before did.
 	listed, wasListed bool
@@ -84,9 +87,9 @@
 	unreachable map[swid.HostID]swclock.Millis
 }
 
-func newTarget(conf swcell.Target) *target {
+func newTarget(conf swcell.Target, limits *swlimit.Limiter) *target {
 	return &target{
-		conf: conf, reachable: true, cache: newCache(conf.KVTokens),
+		conf: conf, limits: limits, reachable: true, cache: newCache(conf.KVTokens),
 		unreachable: make(map[swid.HostID]swclock.Millis),
 	}
 }
@@ -108,11 +111,30 @@
 // request at a time as a probe.
 func (t *target) probing() bool { return t.unanswered >= unansweredLimit }
 
-// freeSlots returns the number of requests that may be granted now.
+// freeSlots returns the number of requests that may be granted now, which is 1 at most if the
+// target has a rate limit.
 func (t *target) freeSlots(now swclock.Millis) int {
 	if !t.active() {
 		return 0
 	}
+	if free := t.unlimitedSlots(now); free < 1 || !t.limited() {
+		return free
+	}
+	if t.limits.Wait(t.conf.ID, now) > 0 {
+		return 0
+	}
+	return 1
+}
+
+// limited reports whether the target has a rate limit.
+func (t *target) limited() bool {
+	_, limited := t.limits.PerSecond(t.conf.ID)
+	return limited
+}
+
+// unlimitedSlots returns the number of requests that an active target may be granted now if it has
+// no rate limit.
+func (t *target) unlimitedSlots(now swclock.Millis) int {
 	if t.probing() {
 		if len(t.runs) > 0 || now < t.nextProbeAt {
 			return 0
@@ -250,7 +272,7 @@
 
 // addTarget adds a target, which takes no new work until it is marked as listed.
 func (c *Cell[P, O]) addTarget(conf swcell.Target) *target {
-	t := newTarget(conf)
+	t := newTarget(conf, c.cfg.Limits)
 	c.byID[conf.ID] = t
 	i, _ := slices.BinarySearchFunc(c.targets, conf.ID, func(t *target, id swid.TargetID) int {
 		return strings.Compare(string(t.conf.ID), string(id))
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -79,6 +79,8 @@
 	body     []byte
 	complete bool
 	usage    swtarget.Usage
+	// rateLimit is what the answer says of its target's rate limit, if there was one.
+	rateLimit swlimit.Statement
 	// produced is the number of output tokens received, over all runs; reportedTokens
 	// is the number in the last progress report.
 	produced       swid.Tokens
@@ -212,6 +214,9 @@
 
 // recordRateLimit records what an answer says of the target's rate limit.
 func (a *attempt) recordRateLimit(s swlimit.Statement) {
+	if s.Heard {
+		a.rateLimit = s
+	}
 	if s.Heard && a.held.holder.config.OnRateLimit != nil {
 		a.held.holder.config.OnRateLimit(a.held.request, a.target, s, a.dispatched)
 	}
@@ -255,7 +260,7 @@
 	early := e.holder.config.ReportEarly && (a.reportedTokens == 0 || a.reportedTokens < secondReportTokens && a.produced >= secondReportTokens)
 	if early || a.produced-a.reportedTokens >= progressTokens {
 		a.reportedTokens = a.produced
-		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced}
+		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced, RateLimit: a.rateLimit}
 		for _, owner := range e.running.owners {
 			e.holder.config.Sender.Send(owner, m)
 		}
@@ -362,6 +367,7 @@
 		CachedTokens: a.usage.CachedTokens,
 		FirstToken:   a.firstToken,
 		Total:        a.ended - a.dispatched,
+		RateLimit:    a.rateLimit,
 	}
 	for _, owner := range a.owners {
 		e.holder.config.Sender.Send(owner, m)
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -20,6 +20,8 @@
 	config := swvalue.Config{
 		Seed:           uint64(h.self.Incarnation) ^ uint64(len(h.self.Host))<<32,
 		Strikes:        h.strikes,
+		Limits:         h.limits,
+		OnRateLimit:    func(t swid.TargetID, limit swid.RequestRate) { h.rateLimitChanged(cell, t, limit) },
 		OnStrikes:      func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
 		OthersSchedule: func() bool { return h.view.scheduledByEachHost(cell) },
 	}
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -1,9 +1,13 @@
 package swcodec
 
 import (
+	"math"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
 
 // checker records the first field of a message that is out of range.
@@ -50,6 +54,16 @@
 	return swid.Tier(c.inRange("tier", value, 0, swid.MaxTiers-1))
 }
 
+// rateLimit checks that a rate limit is a finite number and not negative.
+func rateLimit(c *checker, w *swpb.RateLimit) swlimit.Statement {
+	if w == nil {
+		return swlimit.Statement{}
+	}
+	perSecond := w.GetPerSecond()
+	c.check("perSecond", perSecond >= 0 && !math.IsInf(perSecond, 0))
+	return swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(perSecond)}
+}
+
 func scheduling(c *checker, value uint32) swmsg.Scheduling {
 	return swmsg.Scheduling(c.inRange("scheduling", value, 0, uint32(swmsg.SchedulingShared)))
 }
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
@@ -109,9 +110,18 @@
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target),
 		Result: uint32(m.Result), PromptTokens: int64(m.PromptTokens), OutputTokens: int64(m.OutputTokens),
 		CachedTokens: int64(m.CachedTokens), FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total),
+		RateLimit: encodeRateLimit(m.RateLimit),
 	}
 }
 
+// encodeRateLimit returns nil if there was no answer.
+func encodeRateLimit(s swlimit.Statement) *swpb.RateLimit {
+	if !s.Heard {
+		return nil
+	}
+	return &swpb.RateLimit{PerSecond: float64(s.PerSecond)}
+}
+
 func encodeReject(m swmsg.Reject) *swpb.GiveUp {
 	return &swpb.GiveUp{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Reason: uint32(m.Reason),
@@ -141,7 +151,10 @@
 }
 
 func encodeProgress(m swmsg.Progress) *swpb.Progress {
-	return &swpb.Progress{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Produced: int64(m.Produced)}
+	return &swpb.Progress{
+		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Produced: int64(m.Produced),
+		RateLimit: encodeRateLimit(m.RateLimit),
+	}
 }
 
 func encodeHeartbeat(m swmsg.Heartbeat) *swpb.Heartbeat {
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -1,6 +1,7 @@
 package swcodec
 
 import (
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
@@ -37,6 +39,11 @@
 	case swmsg.Scheduling:
 		v.SetUint(rapid.Uint64Range(0, uint64(swmsg.SchedulingShared)).Draw(t, "scheduling"))
 		return
+	case swlimit.Statement:
+		if rapid.Bool().Draw(t, "heard") {
+			v.Set(reflect.ValueOf(swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(rapid.Float64Range(0, 1e6).Draw(t, "rate"))}))
+		}
+		return
 	case swid.Tier:
 		v.SetUint(rapid.Uint64Range(0, swid.MaxTiers-1).Draw(t, "tier"))
 		return
@@ -120,6 +127,8 @@
 		{"many strikes", swmsg.Registration{Strikes: make([]swmsg.Strike, MaxStrikes+1)}, "strikes"},
 		{"strike without target", swmsg.Registration{Strikes: []swmsg.Strike{{Content: 1}}}, "target"},
 		{"unknown scheduling", swmsg.SharedCells{Scheduling: swmsg.SchedulingShared + 1}, "scheduling"},
+		{"negative rate", swmsg.Progress{Cell: "c", RateLimit: swlimit.Statement{Heard: true, PerSecond: -1}}, "perSecond"},
+		{"rate that is no number", swmsg.Progress{Cell: "c", RateLimit: swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(math.NaN())}}, "perSecond"},
 		{"no host", swmsg.Hello{}, "host"},
 		{"no state", swmsg.Heartbeat{Updates: []swmsg.MemberUpdate{{Host: "h"}}}, "state"},
 		{"many parts", swmsg.ConfigRequest{Parts: make([][]byte, MaxDocumentParts+1)}, "parts"},
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -5,6 +5,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 )
 
 // Message is one message between two entry hosts. The link identifies the sender.
@@ -172,6 +173,8 @@
 	Seq      swid.Seq
 	Attempt  swid.Attempt
 	Produced swid.Tokens
+	// RateLimit is what the answer says of its target's rate limit.
+	RateLimit swlimit.Statement
 }
 
 // Withdraw cancels a grant request or an unused grant.
@@ -193,6 +196,8 @@
 	CachedTokens swid.Tokens
 	FirstToken   swclock.Millis
 	Total        swclock.Millis
+	// RateLimit is what the answer says of its target's rate limit, if there was one.
+	RateLimit swlimit.Statement
 }
 
 // Grant permits the holder to dispatch one attempt to one target.
