Log the parts of a prompt and the output of attempts that failed

No line of a log told the hypotheses on crashing parts apart: none names the parts of a prompt, and none tells whether a run had begun to answer when its target ended. Both stand in the line of the failed attempt now. No decision changes.

--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -88,6 +88,10 @@
 	Tokens swid.Tokens
 }
 
+// SharedParts returns the parts of a prompt that other requests may have as well: all but the last,
+// which belongs to the request itself or to its session.
+func SharedParts(parts []Part) []Part { return parts[:max(len(parts)-1, 0)] }
+
 // Withdraw cancels a grant request or an unused grant, for example because the
 // caller left.
 type Withdraw struct {
--- a/internal/core/swid/swid.go
+++ b/internal/core/swid/swid.go
@@ -70,6 +70,9 @@
 // PrefixHash identifies a prompt prefix of a known number of blocks.
 type PrefixHash uint64
 
+// String returns the hash as it is written to logs.
+func (p PrefixHash) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // Fingerprint identifies the content of a request, so that a request that
 // crashes targets is recognised when its caller sends it again.
 type Fingerprint uint64
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -81,11 +82,27 @@
 			Str("content", e.request.Fingerprint.String()).Uint32("attempt", uint32(last.number)).
 			Str("target", string(last.target)).Str("owner", string(e.lastOwner())).Str("result", v.Result.String()).
 			Int("status", last.status).Str("cause", v.Cause.String()).Bool("unsent", v.Unsent).Bool("delivered", v.Delivered).AnErr("error", last.err).
+			Array("parts", loggedParts(e.request.Parts)).Int64("firstMillis", int64(last.firstToken)).Int64("producedTokens", int64(last.produced)).
 			Int64("attemptMillis", int64(last.ended-last.dispatched)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
 			Msg("attempt failed")
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in one log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the parts of a prompt that other requests may have, for a log line.
+func loggedParts(parts []swcell.Part) *zerolog.Array {
+	logged := zerolog.Arr()
+	for i, p := range swcell.SharedParts(parts) {
+		if i == maxLoggedParts {
+			break
+		}
+		logged.Str(p.ID.String())
+	}
+	return logged
+}
+
 // deliverLastFailure sends lastFailure to the caller, if no other answer was
 // delivered. It returns the resulting end of the request.
 func (e *heldRequest) deliverLastFailure(end swlife.End, last *attempt) swlife.End {
