Ignore the pace of output that is reported in one instant

Two reports of one stream had arrived in the same millisecond, as they do after the owner or the link was delayed: the decode time of the engine became 0, estimates by it NaN, and the class of the rank an index out of range.

Such reports tell nothing of the pace and are left out now. TestProgressAtOneInstant panics without the change.

--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -104,8 +104,9 @@
 	}
 	// The decode rate of a target with few observations is updated before its first
 	// requests end, because long requests take seconds to end.
-	if output := float64(e.Produced - before); r.target.rates.decode.Samples() < minDecodeSamples && output >= minDecodeTokens {
-		c.observeDecode(r, float64(c.now-r.firstOutputAt), output)
+	span := float64(c.now - r.firstOutputAt)
+	if output := float64(e.Produced - before); span > 0 && r.target.rates.decode.Samples() < minDecodeSamples && output >= minDecodeTokens {
+		c.observeDecode(r, span, output)
 	}
 }
 
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -489,3 +489,19 @@
 		}
 	})
 }
+
+// TestProgressAtOneInstant guards against a cell that panics after two reports of a run arrived together.
+func TestProgressAtOneInstant(t *testing.T) {
+	b := newHarness("t")
+	running, _ := grantOf(b.step(b.newGrantRequest(nil)))
+	for _, produced := range []swid.Tokens{10, 50} {
+		b.step(swcell.Progress{Key: running.Key, Attempt: running.Attempt, Produced: produced})
+	}
+	b.step(swcell.Tick{})
+	waiting := b.newGrantRequest(nil)
+	b.step(waiting)
+	b.now += swclock.Second
+	if g, ok := grantOf(b.end(running, swcell.ResultAnswered)); !ok || g.Key != waiting.Key {
+		t.Errorf("granted %v to request %d, want %d", ok, g.Key.Seq, waiting.Key.Seq)
+	}
+}
