Count a run that its caller left only if the target ended with it

Each run that ended without an answer up to 5 s before a target was noticed to have been started anew counted as a crash of its content, whatever the target did in between: a request whose caller left got a strike for a crash of seconds later.

Output or an answer to a run that was granted before, or less than a second after, shows that the target outlived the run; so does a later run that breaks, as the target had taken it. Such runs are forgotten. TestSilentCrashes has both cases; both count 1 strike without the change, 0 wanted. TestCrashingContent passes as before.

--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -95,7 +95,8 @@
 		return
 	}
 	before := r.produced
-	r.produced, r.target.heardAt = e.Produced, c.now
+	r.produced = e.Produced
+	r.target.heardOf(r, c.now)
 	if r.firstOutputAt == 0 {
 		r.firstOutputAt = c.now
 		r.prefilled = r.target.prefilled(c.now)
@@ -129,10 +130,10 @@
 			c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Crash: swsuspect.Crash{Target: t.conf.ID}, Cleared: cleared})
 		}
 		t.breaks.Answered(r.grantedAt)
-		t.heardAt = c.now
+		t.heardOf(r, c.now)
 		t.recordAnswer()
 	case swcell.ResultRejected, swcell.ResultFailed:
-		t.heardAt = c.now
+		t.heardOf(r, c.now)
 		t.recordFailure()
 	case swcell.ResultBroken:
 		c.recordBreak(r)
@@ -160,11 +161,14 @@
 // recordBreak counts a strike against the content of a run that broke, unless the target may
 // break whatever it runs.
 func (c *Cell[P, O]) recordBreak(r *run) {
-	if !r.target.breaks.Broke(r.grantedAt, c.now) {
+	t := r.target
+	if !t.breaks.Broke(r.grantedAt, c.now) {
 		return
 	}
+	// The target worked when the run began.
+	t.silent = slices.DeleteFunc(t.silent, func(s silentRun) bool { return r.grantedAt >= s.ended })
 	c.strike(r.grantRequest.Fingerprint, swsuspect.Crash{
-		Target: r.target.conf.ID, Started: r.grantedAt, Ended: c.now, Apart: r.apart,
+		Target: t.conf.ID, Started: r.grantedAt, Ended: c.now, Apart: r.apart,
 	})
 }
 
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -209,6 +209,22 @@
 			b.now += 100
 			b.relist(2, swcell.TargetActive)
 		}, 0},
+		{"the caller left, and the target answered another run before it was started anew", func(b *harness, g swcell.Grant) {
+			other, _ := grantOf(b.step(b.newGrantRequest(nil)))
+			b.end(g, swcell.ResultCancelled)
+			b.now += 100
+			b.end(other, swcell.ResultAnswered)
+			b.now += 2 * swclock.Second
+			b.relist(2, swcell.TargetActive)
+		}, 0},
+		{"the caller left, and the target broke during a later run", func(b *harness, g swcell.Grant) {
+			b.end(g, swcell.ResultCancelled)
+			later, _ := grantOf(b.step(b.newGrantRequest(nil)))
+			b.now += 100
+			b.end(later, swcell.ResultBroken)
+			b.now += 2 * swclock.Second
+			b.relist(2, swcell.TargetActive)
+		}, 0},
 		{"several runs of the content", func(b *harness, g swcell.Grant) {
 			other, _ := grantOf(b.step(b.newGrantRequest(func(a *swcell.GrantRequest) { a.Fingerprint = content })))
 			b.now += 100
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -30,6 +30,8 @@
 	silentRunTime = 5 * swclock.Second
 	// maxSilentRuns bounds the runs in target.silent.
 	maxSilentRuns = 32
+	// minRestartTime is the least time that a target is away after a crash.
+	minRestartTime = swclock.Second
 )
 
 // silentRun is a run that ended without an answer.
@@ -332,6 +334,13 @@
 	t.silent = nil
 }
 
+// heardOf records that the target answered a run or produced output for it. Runs that ended without an
+// answer before that did not end with the target, unless it has been started anew meanwhile.
+func (t *target) heardOf(r *run, now swclock.Millis) {
+	t.heardAt = now
+	t.silent = slices.DeleteFunc(t.silent, func(s silentRun) bool { return r.grantedAt <= s.ended+minRestartTime })
+}
+
 // recordSilentRun counts a strike against the content of a run without an answer if its target is
 // known to have ended meanwhile. Otherwise it keeps the run in case that is noticed later.
 func (c *Cell[P, O]) recordSilentRun(r *run) {
