Refuse requests with parts of prompts that crash engines

What callers saw: requests with one part in their prompts crashed one engine after the other (BUDGET, 31 after the fifth crash where 3 are allowed, 41 engines in all), and with each engine up to ten sound requests.

Cause: crashes were counted against the whole content of a request only, and no two of these are alike. Sound requests that were sent again and ended beside one of them three times were refused in its place.

Crashes are counted by part now (swsuspect.Parts), at the owner, over all hosts, with what is known of suspect parts in the store's object of refused contents. Any crash blames all parts of the requests that the engine had not begun to answer; an answer to a later run excuses its parts. From two crashes on, requests with a part run apart, so that the next crash has one possible cause. A request is refused once such crashes have causes all of which it has, so sound requests that share all but the bad part are not. A part may crash engines on one route or model only: its scope travels with the grant request. A host that becomes an owner again reads the store before its next decisions.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -45,6 +47,8 @@
 	// ExpectedTokens is the caller's estimate of the output; 0 if the caller sends none.
 	ExpectedTokens swid.Tokens
 	Parts          []swcell.Part
+	// Model is the model that the caller asks for; empty if it names none.
+	Model string
 	// ResumeAfter is the ID of the last stream event that the caller received; empty for a new stream.
 	ResumeAfter string
 	// ReadBody reads the body within the given limits.
@@ -269,7 +273,7 @@
 	r := &swholder.Request{
 		ID: c.ID, Seq: seq, Service: service, Cell: swid.NewCellID(service, g.config.Region),
 		Tier: route.Tier, OrgTier: defaultOrgTier, Deadline: deadline(now, c.Deadline, route.Timeout),
-		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, ExpectedTokens: c.ExpectedTokens, Parts: c.Parts,
+		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, ExpectedTokens: c.ExpectedTokens, Parts: c.Parts, Scope: promptScope(route.Name, c.Model),
 		Attempts: swid.Attempt(route.Attempts), EndsAtDeadline: true, NotResumable: true,
 		Call: swtarget.Request{
 			Method: c.Method, Host: c.Host, Path: c.Target, Header: c.Header, Body: body,
@@ -355,6 +359,13 @@
 	return swprompt.Fingerprint("", append(content, r.Call.Body...))
 }
 
+// promptScope returns the scope of prompts on a route for a model.
+func promptScope(route, model string) swid.PromptScope {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, route+"\x00"+model) // never fails
+	return swid.PromptScope(h.Sum32())
+}
+
 // logEnd logs how a request ended, with the values that explain its outcome.
 func (g *Gate) logEnd(c *Call, table *swcatalog.Table, route *swcatalog.Route, r *swholder.Request, report *swholder.Report) {
 	e := g.config.Log.Info().
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -69,6 +69,8 @@
 	Objective swclock.Millis
 	// Parts are the parts of the prompt in order, if the caller names them.
 	Parts []Part
+	// Scope is that of Parts.
+	Scope swid.PromptScope
 	// OrgTier is the organisation's own tier, which takes precedence over Tier. It is the same for all
 	// organisations if the operators set none.
 	OrgTier swid.Tier
--- a/internal/core/swid/swid.go
+++ b/internal/core/swid/swid.go
@@ -73,6 +73,10 @@
 // String returns the hash as it is written to logs.
 func (p PrefixHash) String() string { return strconv.FormatUint(uint64(p), 16) }
 
+// PromptScope identifies the route and the model of a request. The effect of a part of a prompt on
+// targets may differ between two of them.
+type PromptScope uint32
+
 // Fingerprint identifies the content of a request, so that a request that
 // crashes targets is recognised when its caller sends it again.
 type Fingerprint uint64
--- a/internal/core/swsuspect/swsuspect.go
+++ b/internal/core/swsuspect/swsuspect.go
@@ -19,12 +19,17 @@
 const (
 	// Clear requests may share a target with others.
 	Clear Verdict = iota
-	// Suspect requests run alone on their target.
+	// Suspect requests run alone on their target, or apart from others.
 	Suspect
 	// Refused requests do not run.
 	Refused
 )
 
+var verdictNames = [...]string{Clear: "clear", Suspect: "suspect", Refused: "refused"}
+
+// String returns the verdict's name in logs.
+func (v Verdict) String() string { return verdictNames[v] }
+
 const (
 	// aloneStrikes is the number of strikes for a crash while nothing else ran on the target.
 	aloneStrikes = 2
@@ -100,11 +105,11 @@
 // New returns an empty register of at most size refused contents, as many others with strikes, and
 // as many that were answered.
 func New(size int, limits Limits) *Register {
-	return &Register{refused: newLRU[entry](size), others: newLRU[entry](size), answered: newLRU[struct{}](size), limits: limits}
+	return &Register{refused: newLRU[swid.Fingerprint, entry](size), others: newLRU[swid.Fingerprint, entry](size), answered: newLRU[swid.Fingerprint, struct{}](size), limits: limits}
 }
 
-func newLRU[V any](size int) *simplelru.LRU[swid.Fingerprint, V] {
-	entries, err := simplelru.NewLRU[swid.Fingerprint, V](size, nil)
+func newLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
+	entries, err := simplelru.NewLRU[K, V](size, nil)
 	if err != nil {
 		panic(err) // fails only if size is not positive
 	}
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -7,7 +7,6 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 const (
@@ -269,12 +268,11 @@
 			return
 		}
 		r := q.request
-		if verdict, wait := c.cfg.Strikes.Verdict(r.grantRequest.Fingerprint, c.now); verdict == swsuspect.Refused {
+		if wait, refused := c.refused(r); refused {
 			c.remove(slices.Index(c.waiting, r))
 			c.reject(r, swcell.ReasonSuspect, wait)
 			continue
 		}
-		r.apart = c.cfg.Strikes.RunsApart(r.grantRequest.Fingerprint, c.now)
 		if o, ok := c.bestOffer(r); ok && !c.shouldWait(r, &o) {
 			c.grant(r, &o)
 			continue
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -75,7 +75,7 @@
 // targets that have changed since the request declined the others.
 func (c *Cell[P, O]) bestOffer(r *request) (Offer, bool) {
 	var found Offer
-	if r.apart && c.apart[r.grantRequest.Fingerprint] != nil {
+	if c.runsElsewhere(r) {
 		return found, false
 	}
 	lowest := math.Inf(1)
@@ -83,7 +83,7 @@
 		if c.now < r.offerAllAt && t.changedAt <= r.declinedAt {
 			continue
 		}
-		if t.freeSlots(c.now) <= 0 || !t.fitsMemory(tokens(&r.grantRequest)) || !c.mayRun(r, t) || r.apart && t.runsApart() {
+		if t.freeSlots(c.now) <= 0 || !t.fitsMemory(tokens(&r.grantRequest)) || !c.mayRun(r, t) || !c.mayShare(r, t) {
 			continue
 		}
 		o := c.offer(r, t)
@@ -94,11 +94,6 @@
 	return found, found.target != nil
 }
 
-// runsApart reports whether the target runs content that is to run apart.
-func (t *target) runsApart() bool {
-	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.apart })
-}
-
 // ExpectedShare returns the share of its worth that the answer is expected to keep:
 // less than 1 if it will be late, or may be cut off at the deadline because its
 // output is longer than expected.
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -23,8 +23,14 @@
 	// charged is what the organisation's quota was charged.
 	charged float64
 
-	// apart is set while the content is to run apart, see swsuspect.Register.RunsApart.
-	apart bool
+	// prompt identifies the parts of the prompt.
+	prompt swsuspect.Prompt
+	// apart is set while the content is to run apart, see swsuspect.Register.RunsApart, and suspects
+	// has the parts for which the request is, see swsuspect.Parts.Verdict.
+	apart    bool
+	suspects []swsuspect.SuspectPart
+	// vouched is set while all parts of the prompt are known to be harmless, see swsuspect.Parts.Vouched.
+	vouched bool
 	// declinedAt is the value of Cell.changes when the request last declined the free targets, and
 	// offerAllAt when it is offered all of them again.
 	declinedAt uint64
@@ -65,8 +71,12 @@
 	produced      swid.Tokens
 	// orphanedAt is when the death of the holder was recorded, or 0 before.
 	orphanedAt swclock.Millis
-	// apart is set if the content runs apart.
-	apart bool
+	prompt     swsuspect.Prompt
+	// apart is set if the content runs apart, and suspects has the parts for which the request does.
+	apart    bool
+	suspects []swsuspect.SuspectPart
+	// sound is set once it is certain that the target can answer the prompt.
+	sound bool
 	// soloPrefill is set if the target processed no other prompt between the grant and
 	// the first output.
 	soloPrefill bool
@@ -97,7 +107,7 @@
 	}
 	c.cfg.Strikes.Report(e.Fingerprint, int(e.Strikes), c.now)
 	r := c.newRequest(e)
-	if verdict, wait := c.cfg.Strikes.Verdict(e.Fingerprint, c.now); verdict == swsuspect.Refused {
+	if wait, refused := c.refused(r); refused {
 		c.reject(r, swcell.ReasonSuspect, wait)
 		return
 	}
@@ -105,7 +115,7 @@
 }
 
 func (c *Cell[P, O]) newRequest(e swcell.GrantRequest) *request {
-	r := &request{grantRequest: e, requestedAt: c.now, prefixes: prefixesOf(e.Parts)}
+	r := &request{grantRequest: e, requestedAt: c.now, prefixes: prefixesOf(e.Parts), prompt: promptOf(&e)}
 	if e.PromptTokens > 0 {
 		r.output = c.sizes.expectedOutput(&e)
 	}
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -5,9 +5,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
-	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
 
 const (
@@ -30,7 +28,7 @@
 	o := c.offer(r, t)
 	started := &run{
 		grantRequest: r.grantRequest, prefixes: r.prefixes, target: t, grantedAt: c.now, output: r.output, charged: r.charged, expected: o.expected,
-		apart: r.apart,
+		prompt: r.prompt, apart: r.apart, suspects: r.suspects,
 	}
 	if !t.plain() {
 		started.soloPrefill = o.expected.wait == 0
@@ -46,10 +44,7 @@
 	}
 	c.running[started.id()] = started
 	t.add(started)
-	if started.apart {
-		c.apart[started.grantRequest.Fingerprint] = started
-		c.cfg.Strikes.Verify(started.grantRequest.Fingerprint, c.now)
-	}
+	c.recordApart(started)
 	c.decided.add(r.grantRequest.Key, r.grantRequest.Attempt)
 	return started
 }
@@ -103,6 +98,9 @@
 		c.observeFirstOutput(r, c.now-r.grantedAt)
 		return
 	}
+	if c.now-r.firstOutputAt >= soundTime {
+		c.recordSound(r)
+	}
 	// The decode rate of a target with few observations is updated before its first
 	// requests end, because long requests take seconds to end.
 	span := float64(c.now - r.firstOutputAt)
@@ -126,9 +124,7 @@
 	c.endRun(r)
 	switch e.Result {
 	case swcell.ResultAnswered:
-		if cleared := c.cfg.Strikes.RecordAnswer(r.grantRequest.Fingerprint, c.now); cleared > 0 {
-			c.cfg.OnStrikes(StrikeChange{Content: r.grantRequest.Fingerprint, Crash: swsuspect.Crash{Target: t.conf.ID}, Cleared: cleared})
-		}
+		c.recordAnswer(r)
 		t.breaks.Answered(r.grantedAt)
 		t.heardOf(r, c.now)
 		t.recordAnswer()
@@ -136,6 +132,9 @@
 		t.heardOf(r, c.now)
 		t.recordFailure()
 	case swcell.ResultBroken:
+		if e.FirstToken > 0 && e.Total-e.FirstToken >= soundTime {
+			c.recordSound(r)
+		}
 		c.recordBreak(r)
 		t.recordNoAnswer(c.now)
 	case swcell.ResultNoAnswer:
@@ -158,28 +157,6 @@
 	}
 }
 
-// recordBreak counts a strike against the content of a run that broke, unless the target may
-// break whatever it runs.
-func (c *Cell[P, O]) recordBreak(r *run) {
-	t := r.target
-	if !t.breaks.Broke(r.grantedAt, c.now) {
-		return
-	}
-	// The target worked when the run began.
-	t.silent = slices.DeleteFunc(t.silent, func(s silentRun) bool { return r.grantedAt >= s.ended })
-	c.strike(r.grantRequest.Fingerprint, swsuspect.Crash{
-		Target: t.conf.ID, Started: r.grantedAt, Ended: c.now, Apart: r.apart,
-	})
-}
-
-// strike counts the crash of a target against content.
-func (c *Cell[P, O]) strike(content swid.Fingerprint, crash swsuspect.Crash) {
-	// Where others schedule too, this cell knows neither all runs of the content nor all answers.
-	crash.Apart = crash.Apart && !c.cfg.OthersSchedule()
-	strikes := c.cfg.Strikes.Strike(content, crash, c.now)
-	c.cfg.OnStrikes(StrikeChange{Content: content, Crash: crash, Strikes: strikes})
-}
-
 // observeRun adds the times and the output of an attempt that ended to the estimates.
 func (c *Cell[P, O]) observeRun(r *run, e swcell.Done) {
 	t := r.target
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -51,6 +51,7 @@
 	running map[runKey]*run
 	// apart holds the run of each content that runs apart, see swsuspect.Register.RunsApart.
 	apart map[swid.Fingerprint]*run
+	tried triedParts
 	// decided holds the latest attempt of each request that was granted or rejected.
 	decided history
 	random  *rand.Rand
@@ -81,6 +82,12 @@
 	Strikes *swsuspect.Register
 	// OnStrikes is called when the strikes of content change. It must not block.
 	OnStrikes func(StrikeChange)
+	// Parts counts the crashes of targets against parts of prompts. Nil gives the cell a register of
+	// its own.
+	Parts *swsuspect.Parts
+	// OnPartChange is called when the verdict on a part changes because of a run on a target. It must
+	// not block.
+	OnPartChange func(swid.TargetID, swsuspect.PartChange)
 	// Limits holds the rate limits that targets name. Nil gives the cell a limiter of its own.
 	Limits *swlimit.Limiter
 	// OnRateLimit is called when the rate limit of a target changes, 0 if it ends. It must not block.
@@ -95,6 +102,11 @@
 	return swsuspect.New(historySize, swsuspect.Limits{Strikes: strikeLimit, VerifyAfter: verificationDelay, Retention: strikeLifetime})
 }
 
+// NewParts returns a register of the parts of prompts for cells.
+func NewParts() *swsuspect.Parts {
+	return swsuspect.NewParts(historySize, swsuspect.PartLimits{VerifyAfter: verificationDelay, Retention: strikeLifetime})
+}
+
 // StrikeChange is a change of the strikes of content: of the suspected crashes of targets that
 // ran it.
 type StrikeChange struct {
@@ -120,9 +132,9 @@
 	// by chance when one crashed.
 	strikeLimit    = 3
 	strikeLifetime = 10 * swclock.Minute
-	// verificationDelay is how long content that was answered before is rejected until it runs
-	// once more, in case that a target crashed by chance while the content ran there apart. It
-	// is longer than maxBackoff, so that the targets may be used again.
+	// verificationDelay is how long content that was answered before, or a part of a prompt, is
+	// rejected until it runs once more, in case that a target crashed by chance while it ran there
+	// apart. It is longer than maxBackoff, so that the targets may be used again.
 	verificationDelay = 2500 * swclock.Millis(1)
 )
 
@@ -139,6 +151,12 @@
 	if c.OnStrikes == nil {
 		c.OnStrikes = func(StrikeChange) {}
 	}
+	if c.Parts == nil {
+		c.Parts = NewParts()
+	}
+	if c.OnPartChange == nil {
+		c.OnPartChange = func(swid.TargetID, swsuspect.PartChange) {}
+	}
 	if c.Limits == nil {
 		c.Limits = swlimit.New()
 	}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -36,10 +36,8 @@
 
 // silentRun is a run that ended without an answer.
 type silentRun struct {
-	content swid.Fingerprint
-	started swclock.Millis
-	ended   swclock.Millis
-	apart   bool
+	*run
+	ended swclock.Millis
 }
 
 // target holds the configuration, the runs and the statistics of one target.
@@ -79,6 +77,12 @@
 	// restartedAt is when it was last noticed that the target had been started anew, and removedAt
 	// when it was no longer listed although it was not draining. Such a target may still work.
 	restartedAt, removedAt swclock.Millis
+	// trialBrokeAt is when a crash was last recorded of a request that ran apart because of its parts,
+	// and unvouchedBrokeAt of another one that nothing vouched for.
+	trialBrokeAt, unvouchedBrokeAt swclock.Millis
+	// runChanges counts the changes of runs.
+	runChanges uint64
+	unvouched  cachedUnvouched
 	// heardAt is when the target last answered or produced output.
 	heardAt swclock.Millis
 	// silent holds the latest runs that ended without an answer while the target was not known
@@ -158,6 +162,7 @@
 
 func (t *target) add(r *run) {
 	t.runs = append(t.runs, r)
+	t.runChanges++
 	t.tokens += tokens(&r.grantRequest)
 }
 
@@ -167,6 +172,7 @@
 		return
 	}
 	t.runs = slices.Delete(t.runs, i, i+1)
+	t.runChanges++
 	t.tokens -= tokens(&r.grantRequest)
 	t.removePrefill(r, float64(now))
 }
@@ -323,38 +329,6 @@
 	}
 }
 
-// reviewSilentRuns counts the runs that ended without an answer shortly before it was noticed that
-// their target had ended.
-func (c *Cell[P, O]) reviewSilentRuns(t *target) {
-	for _, s := range t.silent {
-		if c.now-s.ended <= silentRunTime && t.endedDuring(s.started, s.ended) {
-			c.strike(s.content, swsuspect.Crash{Target: t.conf.ID, Started: s.started, Ended: s.ended, Apart: s.apart})
-		}
-	}
-	t.silent = nil
-}
-
-// heardOf records that the target answered a run or produced output for it. Runs that ended without an
-// answer before that did not end with the target, unless it has been started anew meanwhile.
-func (t *target) heardOf(r *run, now swclock.Millis) {
-	t.heardAt = now
-	t.silent = slices.DeleteFunc(t.silent, func(s silentRun) bool { return r.grantedAt <= s.ended+minRestartTime })
-}
-
-// recordSilentRun counts a strike against the content of a run without an answer if its target is
-// known to have ended meanwhile. Otherwise it keeps the run in case that is noticed later.
-func (c *Cell[P, O]) recordSilentRun(r *run) {
-	t, content := r.target, r.grantRequest.Fingerprint
-	if t.endedDuring(r.grantedAt, c.now) {
-		c.strike(content, swsuspect.Crash{Target: t.conf.ID, Started: r.grantedAt, Ended: max(t.restartedAt, t.removedAt), Apart: r.apart})
-		return
-	}
-	if len(t.silent) == maxSilentRuns {
-		t.silent = slices.Delete(t.silent, 0, 1)
-	}
-	t.silent = append(t.silent, silentRun{content: content, started: r.grantedAt, ended: c.now, apart: r.apart})
-}
-
 // endedDuring reports whether the target seems to have ended during a run without an answer: it
 // has been started anew since the run began, or is no longer listed and was not heard of after
 // that or after the run.
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -272,6 +272,7 @@
 		Parts:          r.Parts,
 		ExpectedTokens: r.ExpectedTokens,
 		OrgTier:        r.OrgTier,
+		Scope:          r.Scope,
 		Charge:         r.Charge,
 	}
 }
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -27,6 +27,8 @@
 	Fingerprint  swid.Fingerprint
 	// Parts are the parts of the prompt, if the caller lists them.
 	Parts []swcell.Part
+	// Scope is that of Parts.
+	Scope swid.PromptScope
 	// OrgTier is the organisation's own tier, which takes precedence over Tier. It is
 	// the same for all organisations if the operators set none.
 	OrgTier swid.Tier
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -8,6 +8,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
+	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
@@ -20,6 +21,8 @@
 	config := swvalue.Config{
 		Seed:           uint64(h.self.Incarnation) ^ uint64(len(h.self.Host))<<32,
 		Strikes:        h.strikes,
+		Parts:          h.parts,
+		OnPartChange:   func(t swid.TargetID, c swsuspect.PartChange) { h.partChanged(cell, t, c) },
 		Limits:         h.limits,
 		OnRateLimit:    func(t swid.TargetID, limit swid.RequestRate) { h.rateLimitChanged(cell, t, limit) },
 		OnStrikes:      func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -11,6 +11,10 @@
 // has the records of the hosts and of the store.
 const adoptionTime = 5 * swclock.Second
 
+// minChangeAge is the age from which a process that registers has changed its owner, rather than
+// chosen its first one.
+const minChangeAge = 2 * swclock.Second
+
 // wantedScheduling returns where the hosts that are registered with this one are to have their
 // requests of plain services scheduled. Each host schedules its own, which saves a message to the
 // owner and back, unless something has to be counted over all hosts.
@@ -24,7 +28,7 @@
 // replyScheduling tells a host that registered with this one if its scheduling is to change.
 func (h *Host) replyScheduling(from swlink.Peer, m *swmsg.Registration) {
 	now := h.clock.Now()
-	if m.Complete {
+	if m.Complete && m.Age >= minChangeAge {
 		h.refusalKeeper.Wake() // this host may have become the owner
 	}
 	if m.Complete && m.Scheduling == swmsg.SchedulingShared {
--- a/internal/node/swfleet/strikes.go
+++ b/internal/node/swfleet/strikes.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// partChanged logs that the verdict on a part of prompts changed because of a run on a target.
+func (h *Host) partChanged(cell swid.CellID, target swid.TargetID, c swsuspect.PartChange) {
+	h.log.Info().Str("part", c.Part.String()).Str("cell", string(cell)).Str("target", string(target)).
+		Str("before", c.Before.String()).Str("verdict", c.Verdict.String()).Int("crashes", c.Crashes).
+		Msg("verdict on a part changed")
+}
+
 // receiveStrikes counts the strikes of a registration.
 func (h *Host) receiveStrikes(from swlink.Peer, strikes []swmsg.Strike) {
 	now := h.clock.Now()
@@ -115,11 +122,11 @@
 	return owner != h.self.Host && !h.exchange.Connected(owner)
 }
 
-// loadRefusals reads which contents earlier processes refused. If there are any, the owner of the
-// shared cells schedules plain services from the start.
+// loadRefusals reads which contents and parts earlier processes refused. If there are contents, the
+// owner of the shared cells schedules plain services from the start.
 func (h *Host) loadRefusals(ctx context.Context) {
 	h.refusalKeeper = swrefusal.New(swrefusal.Config{
-		Objects: h.platform.Objects(), Register: h.strikes, Clock: h.clock, Owner: h.isOwner, Ownerless: h.isOwnerless,
+		Objects: h.platform.Objects(), Register: h.strikes, Parts: h.parts, Clock: h.clock, Owner: h.isOwner, Ownerless: h.isOwnerless,
 		Reachable: h.storeReachable, Log: h.log,
 	})
 	h.refusalKeeper.Step(ctx)
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -88,9 +88,11 @@
 	// schedules. strikeLog has those that the owner of the shared cells does not know.
 	strikes   *swsuspect.Register
 	strikeLog strikeLog
+	// parts counts the crashes of targets against parts of prompts.
+	parts *swsuspect.Parts
 	// limits has the rate limits that targets named in answers to this host's requests.
 	limits *swlimit.Limiter
-	// refusalKeeper keeps the refused contents in the store. It is nil until the host is registered.
+	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
 	exchange      *swexchange.Exchange
@@ -133,7 +135,7 @@
 	h := &Host{
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
-		strikes: swvalue.NewStrikes(), limits: swlimit.New(), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
+		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -33,6 +33,7 @@
 		Parts:          m.Parts,
 		ExpectedTokens: m.ExpectedTokens,
 		OrgTier:        m.OrgTier,
+		Scope:          m.Scope,
 		Charge:         m.Charge,
 		Attempt:        m.Attempt,
 		Tier:           m.Tier,
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -72,7 +72,7 @@
 	}
 	return swmsg.GrantRequest{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
-		Tier: tier(c, w.GetTier()), OrgTier: tier(c, w.GetOrgTier()), Org: swid.OrgID(c.optionalText("org", w.GetOrg())),
+		Tier: tier(c, w.GetTier()), OrgTier: tier(c, w.GetOrgTier()), Scope: swid.PromptScope(w.GetScope()), Org: swid.OrgID(c.optionalText("org", w.GetOrg())),
 		Remaining:    duration(c, "remainingMillis", w.GetRemainingMillis()),
 		PromptTokens: tokens(c, "promptTokens", w.GetPromptTokens()),
 		OutputTokens: tokens(c, "outputTokens", w.GetOutputTokens()),
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -76,7 +76,7 @@
 		Exclude:       convert(m.Exclude, func(t swid.TargetID) string { return string(t) }),
 		NonIdempotent: m.NonIdempotent, Insist: m.NoRedirect, Strikes: uint32(m.Strikes),
 		ObjectiveMillis: int64(m.Objective), ExpectedTokens: int64(m.ExpectedTokens),
-		Charge: m.Charge, AbandonMillis: int64(m.Abandon), OrgTier: uint32(m.OrgTier),
+		Charge: m.Charge, AbandonMillis: int64(m.Abandon), OrgTier: uint32(m.OrgTier), Scope: uint32(m.Scope),
 		Parts:      convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
 		PartTokens: convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
 	}
--- a/internal/store/swrefusal/swrefusal.go
+++ b/internal/store/swrefusal/swrefusal.go
@@ -1,6 +1,6 @@
-// Package swrefusal keeps the refused contents in the platform's store, so that they outlast the
-// processes that refused them. Content that crashes its targets is then known to the next owner of
-// the cells, also after all hosts were restarted.
+// Package swrefusal keeps the refused contents, and the refused and suspect parts of prompts, in the
+// platform's store, so that they outlast the processes that refused them. What crashes its targets is then known to
+// the next owner of the cells, also after all hosts were restarted.
 package swrefusal
 
 import (
@@ -42,19 +42,24 @@
 	// ownerlessTime is how long a host that cannot reach its owner waits before it reads the
 	// object, and between two reads.
 	ownerlessTime = swclock.Second
+	// wakeInterval is the least time between two reads that Wake causes.
+	wakeInterval = swclock.Second
 	// retryInterval is the time after a failed call until the next one, with a random addition
 	// of up to as much.
 	retryInterval = swclock.Second
 	// callTimeout bounds one call.
 	callTimeout = 1500 * swclock.Millis(1)
-	// maxContents bounds the contents in the object, which has about 60 bytes for each.
+	// maxContents and maxParts bound the contents and the entries of parts in the object, which has
+	// about 60 bytes for each content and 120 for each part.
 	maxContents = 4096
+	maxParts    = 2048
 )
 
 // Config holds the settings and dependencies of a Keeper.
 type Config struct {
 	Objects  Objects
 	Register *swsuspect.Register
+	Parts    *swsuspect.Parts
 	Clock    swclock.Clock
 	// Owner reports whether hosts have their requests scheduled by this one.
 	Owner func() bool
@@ -76,11 +81,11 @@
 	era      swobject.Era
 	loadedAt swclock.Millis
 	savedAt  swclock.Millis
-	// stored identifies the contents in the object.
+	// stored identifies what is in the object.
 	stored uint64
 	seed   maphash.Seed
-	// checked is the register's number of changes when stored was last compared with it.
-	checked uint64
+	// checked holds the registers' numbers of changes when stored was last compared with them.
+	checked changes
 	// owner is what Config.Owner last returned. counting is set from then until everything
 	// that the host counted as an owner is saved.
 	owner, counting bool
@@ -90,12 +95,22 @@
 	wake           chan struct{}
 }
 
+// changes holds the numbers of changes of the registers.
+type changes struct{ contents, parts uint64 }
+
+// refusals holds the refused contents and the crashes that are blamed on parts.
+type refusals struct {
+	contents []swsuspect.Content
+	parts    []swsuspect.PartCrashes
+}
+
 // New returns a Keeper that has loaded nothing.
 func New(config Config) *Keeper {
 	return &Keeper{config: config, seed: maphash.MakeSeed(), wake: make(chan struct{}, 1)}
 }
 
-// Wake makes Run look at once. It is called when the host may have become an owner.
+// Wake makes Run read the object soon, unless it has just done so. It is called when a host comes to have
+// its requests scheduled by this one, which may have been an owner before and missed what others refused.
 func (k *Keeper) Wake() {
 	select {
 	case k.wake <- struct{}{}:
@@ -111,6 +126,9 @@
 		select {
 		case <-ticker.C:
 		case <-k.wake:
+			if k.config.Clock.Now()-k.loadedAt >= wakeInterval {
+				k.loaded = false
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -161,51 +179,59 @@
 		k.failed(err, "refused contents not loaded")
 		return false
 	}
-	var contents []swsuspect.Content
+	var loaded refusals
 	if err == nil {
-		if contents, err = decode(object.Value); err != nil {
+		if loaded, err = decode(object.Value); err != nil {
 			k.config.Log.Warn().Err(err).Uint64("version", uint64(object.Version)).Msg("stored contents cannot be read, they are replaced")
 		}
 	}
 	now := k.config.Clock.Now()
-	for _, c := range contents {
+	for _, c := range loaded.contents {
 		k.config.Register.Load(c, now)
 	}
-	if stored := k.identify(contents); stored != k.stored || k.config.Objects.Era() != k.era {
-		k.config.Log.Info().Int("contents", len(contents)).Uint64("version", uint64(object.Version)).
+	for _, c := range loaded.parts {
+		k.config.Parts.Load(c, now)
+	}
+	if stored := k.identify(&loaded); stored != k.stored || k.config.Objects.Era() != k.era {
+		k.config.Log.Info().Int("contents", len(loaded.contents)).Int("parts", len(loaded.parts)).Uint64("version", uint64(object.Version)).
 			Uint64("era", uint64(k.config.Objects.Era())).Bool("owner", k.owner).Msg("refused contents loaded")
 		k.stored = stored
 	}
-	k.checked = 0
+	k.checked = changes{}
 	k.version, k.loadedAt, k.era = object.Version, now, k.config.Objects.Era()
 	// If the store was set back during the call, the object may be one of before.
 	k.loaded = era == k.era || era == 0
 	return k.loaded
 }
 
-// differs reports whether the register's refused contents differ from those in the object. If they
-// do not, everything is saved.
+// known returns what the registers hold.
+func (k *Keeper) known(now swclock.Millis) *refusals {
+	return &refusals{contents: k.config.Register.Contents(maxContents, now), parts: k.config.Parts.Crashes(maxParts, now)}
+}
+
+// differs reports whether what the registers hold differs from what is in the object. If it does not,
+// everything is saved.
 func (k *Keeper) differs() bool {
-	changes := k.config.Register.Changes()
-	if k.checked == changes {
+	current := changes{k.config.Register.Changes(), k.config.Parts.Changes()}
+	if k.checked == current {
 		k.counting = k.owner
 		return false
 	}
-	if k.identify(k.config.Register.Contents(maxContents, k.config.Clock.Now())) != k.stored {
+	if k.identify(k.known(k.config.Clock.Now())) != k.stored {
 		return true
 	}
-	k.checked = changes
+	k.checked = current
 	k.counting = k.owner
 	return false
 }
 
-// save writes the register's refused contents.
+// save writes what the registers hold.
 func (k *Keeper) save(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	now := k.config.Clock.Now()
-	contents := k.config.Register.Contents(maxContents, now)
-	value, err := encode(contents)
+	known := k.known(now)
+	value, err := encode(known)
 	if err != nil {
 		k.failed(err, "refused contents not saved")
 		return
@@ -214,9 +240,9 @@
 	version, err := k.config.Objects.Put(ctx, Key, value, k.version)
 	switch {
 	case err == nil:
-		k.version, k.stored = version, k.identify(contents)
+		k.version, k.stored = version, k.identify(known)
 		k.loaded = version != 0
-		k.config.Log.Info().Int("contents", len(contents)).Int("bytes", len(value)).Uint64("version", uint64(version)).Msg("refused contents saved")
+		k.config.Log.Info().Int("contents", len(known.contents)).Int("parts", len(known.parts)).Int("bytes", len(value)).Uint64("version", uint64(version)).Msg("refused contents saved")
 	case errors.Is(err, swobject.ErrConflict):
 		k.loaded = false // another owner saved its own
 	default:
@@ -231,11 +257,14 @@
 	k.config.Log.Warn().Err(err).Msg(message)
 }
 
-// identify returns a hash of the contents, without the times.
-func (k *Keeper) identify(contents []swsuspect.Content) uint64 {
+// identify returns a hash, without the times.
+func (k *Keeper) identify(r *refusals) uint64 {
 	var sum uint64
-	for _, c := range contents {
+	for _, c := range r.contents {
 		sum += maphash.Comparable(k.seed, c.Fingerprint)
 	}
+	for i := range r.parts {
+		sum += maphash.String(k.seed, r.parts[i].Key())
+	}
 	return sum
 }
