Keep all hosts together within the rate limits of plain targets

A limit that a host is told by a plain target goes to the owner of the shared cells with the next registration, at once when it changes. While a plain target has a limit, the owner schedules plain services for all hosts, as it does while content is counted, and grants within the target's token bucket. A new owner learns all limits from the complete registrations. A limit that was not named for 5 s is not reported, as others may have heard of its end. Limits of targets that are gone are dropped.

--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -87,6 +87,10 @@
 		}
 	}
 	h.log.Info().Int("targets", len(items)).Int("draining", draining).Uint64("revision", uint64(latest(items))).Msg("targets changed")
+	h.limits.Retain(func(id swid.TargetID) bool {
+		_, listed := h.view.serviceOf(id)
+		return listed
+	}, h.clock.Now())
 	h.configure()
 }
 
--- a/internal/node/swfleet/limits.go
+++ b/internal/node/swfleet/limits.go
@@ -1,10 +1,15 @@
 package swfleet
 
 import (
+	"slices"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
 // rateLimitChanged logs that an answer to a request that this host scheduled changed a rate limit.
@@ -20,4 +25,44 @@
 	}
 	h.log.Info().Str("target", string(target)).Str("cell", string(r.Cell)).Float64("perSecond", float64(s.PerSecond)).
 		Str("requestId", string(r.ID)).Int64("sentAgeMillis", int64(h.clock.Now()-sent)).Msg("rate limit of a target changed")
+	if h.view.scheduledByEachHost(r.Cell) {
+		h.requestRegistration()
+	}
+}
+
+// limitReportTime is how long a limit is reported after the latest answer that named it. Others may know
+// by then that it has ended.
+const limitReportTime = 5 * swclock.Second
+
+// rateLimitsToReport returns the rate limits for a registration: all of them if complete is set, so that
+// a new owner knows them, and otherwise the recent ones of targets that the owner of the shared cells
+// does not schedule.
+func (h *Host) rateLimitsToReport(complete bool) []swmsg.RateLimit {
+	var reported []swmsg.RateLimit
+	now := h.clock.Now()
+	for _, l := range h.limits.Limits() {
+		age := max(now-l.StatedAt, 0)
+		due := complete || age < limitReportTime && h.view.targetScheduledByEachHost(l.Target)
+		if due && len(reported) < swcodec.MaxRateLimits {
+			reported = append(reported, swmsg.RateLimit{Target: l.Target, PerSecond: l.PerSecond, Age: age})
+		}
+	}
+	return reported
+}
+
+// receiveRateLimits records the rate limits of a registration.
+func (h *Host) receiveRateLimits(from swlink.Peer, limits []swmsg.RateLimit) {
+	now := h.clock.Now()
+	for _, l := range limits {
+		if h.limits.Observe(l.Target, swlimit.Statement{Heard: true, PerSecond: l.PerSecond}, 0, now-l.Age) {
+			h.log.Info().Str("target", string(l.Target)).Float64("perSecond", float64(l.PerSecond)).Str("peer", string(from.Host)).
+				Int64("ageMillis", int64(l.Age)).Msg("rate limit of a target reported")
+		}
+	}
+}
+
+// limitsPlainTargets reports whether a target of a plain service has a rate limit, so that requests to it
+// have to be counted over all hosts.
+func (h *Host) limitsPlainTargets() bool {
+	return slices.ContainsFunc(h.limits.Limits(), func(l swlimit.Limit) bool { return h.view.isPlainTarget(l.Target) })
 }
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -38,10 +38,11 @@
 
 // registerWithOwner sends a registration to owner. The message reports that this host
 // sends its grant requests to that owner, the quota usage of this host's requests, and the
-// strikes in its local cells. A complete registration has the usage of the whole window and
-// the recent strikes; any other has only what was not yet reported to an owner.
+// strikes and rate limits of its local cells. A complete registration has the usage of the
+// whole window, the recent strikes and all rate limits that this host knows; any other has only
+// what was not yet reported to an owner.
 func (h *Host) registerWithOwner(owner swid.HostID, complete bool) {
-	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling()}
+	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete)}
 	if complete {
 		m.Amounts = amountsOf(h.meter.All(h.clock.Now()))
 	} else {
@@ -146,5 +147,6 @@
 	}
 	h.ledger.Register(process, registration.Age, registration.Complete, amounts, h.clock.Now())
 	h.receiveStrikes(from, registration.Strikes)
+	h.receiveRateLimits(from, registration.RateLimits)
 	h.replyScheduling(from, &registration)
 }
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -19,7 +19,7 @@
 // requests of plain services scheduled. Each host schedules its own, which saves a message to the
 // owner and back, unless something has to be counted over all hosts.
 func (h *Host) wantedScheduling(now swclock.Millis) swmsg.Scheduling {
-	if h.strikes.Active(now) || now < swclock.Millis(h.adoptedUntil.Load()) {
+	if h.strikes.Active(now) || h.limitsPlainTargets() || now < swclock.Millis(h.adoptedUntil.Load()) {
 		return swmsg.SchedulingShared
 	}
 	return swmsg.SchedulingEach
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -141,6 +141,34 @@
 	return v.table != nil && !v.hasRequestQuota && !v.plainShared && v.isPlain(cell)
 }
 
+// targetScheduledByEachHost reports whether each host schedules its own requests for a target.
+func (v *view) targetScheduledByEachHost(target swid.TargetID) bool {
+	service, known := v.serviceOf(target)
+	return known && v.scheduledByEachHost(swid.NewCellID(service, v.settings.Region))
+}
+
+// isPlainTarget reports whether a target is listed and runs a plain service.
+func (v *view) isPlainTarget(target swid.TargetID) bool {
+	service, known := v.serviceOf(target)
+	if !known {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table != nil && v.isPlain(swid.NewCellID(service, v.settings.Region))
+}
+
+// serviceOf returns the service of a listed target.
+func (v *view) serviceOf(target swid.TargetID) (service swid.ServiceID, listed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	i := slices.IndexFunc(v.targets, func(t swcatalog.Target) bool { return t.ID == target })
+	if i < 0 {
+		return "", false
+	}
+	return v.targets[i].Service, true
+}
+
 // chargedByOwner reports whether the owner of the shared cells charges the requests of a cell to
 // the quotas. This is true for engines, and for all cells if a quota of any organisation
 // counts requests. Otherwise the hosts report the use of plain services afterwards, because a
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -54,14 +54,17 @@
 	return swid.Tier(c.inRange("tier", value, 0, swid.MaxTiers-1))
 }
 
-// rateLimit checks that a rate limit is a finite number and not negative.
 func rateLimit(c *checker, w *swpb.RateLimit) swlimit.Statement {
 	if w == nil {
 		return swlimit.Statement{}
 	}
-	perSecond := w.GetPerSecond()
+	return swlimit.Statement{Heard: true, PerSecond: requestRate(c, w.GetPerSecond())}
+}
+
+// requestRate checks that a rate is a finite number and not negative.
+func requestRate(c *checker, perSecond float64) swid.RequestRate {
 	c.check("perSecond", perSecond >= 0 && !math.IsInf(perSecond, 0))
-	return swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(perSecond)}
+	return swid.RequestRate(perSecond)
 }
 
 func scheduling(c *checker, value uint32) swmsg.Scheduling {
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -115,6 +115,7 @@
 func decodeRegistration(c *checker, w *swpb.Attach) swmsg.Registration {
 	c.listLength("amounts", len(w.GetAmounts()), MaxAmounts)
 	c.listLength("strikes", len(w.GetStrikes()), MaxStrikes)
+	c.listLength("rateLimits", len(w.GetRateLimits()), MaxRateLimits)
 	if c.err != nil {
 		return swmsg.Registration{}
 	}
@@ -133,6 +134,11 @@
 	return swmsg.Registration{
 		Complete: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: duration(c, "ageMillis", w.GetAgeMillis()),
 		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()),
+		RateLimits: convert(w.GetRateLimits(), func(l *swpb.TargetRateLimit) swmsg.RateLimit {
+			return swmsg.RateLimit{
+				Target: target(c, l.GetTarget()), PerSecond: requestRate(c, l.GetPerSecond()), Age: duration(c, "ageMillis", l.GetAgeMillis()),
+			}
+		}),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -95,6 +95,9 @@
 	return &swpb.Attach{
 		Fresh: m.Complete, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age),
 		Strikes: strikes, Scheduling: uint32(m.Scheduling),
+		RateLimits: convert(m.RateLimits, func(l swmsg.RateLimit) *swpb.TargetRateLimit {
+			return &swpb.TargetRateLimit{Target: string(l.Target), PerSecond: float64(l.PerSecond), AgeMillis: int64(l.Age)}
+		}),
 	}
 }
 
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -27,6 +27,8 @@
 	MaxAmounts = 16384
 	// MaxStrikes bounds the strikes of one registration.
 	MaxStrikes = 256
+	// MaxRateLimits bounds the rate limits of one registration.
+	MaxRateLimits = 4096
 	// MaxExclude bounds the excluded targets of one grant request.
 	MaxExclude = 256
 	// MaxMemberUpdates bounds the membership updates of one heartbeat.
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -44,6 +44,9 @@
 			v.Set(reflect.ValueOf(swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(rapid.Float64Range(0, 1e6).Draw(t, "rate"))}))
 		}
 		return
+	case swid.RequestRate:
+		v.SetFloat(rapid.Float64Range(0, 1e6).Draw(t, "rate"))
+		return
 	case swid.Tier:
 		v.SetUint(rapid.Uint64Range(0, swid.MaxTiers-1).Draw(t, "tier"))
 		return
@@ -129,6 +132,8 @@
 		{"unknown scheduling", swmsg.SharedCells{Scheduling: swmsg.SchedulingShared + 1}, "scheduling"},
 		{"negative rate", swmsg.Progress{Cell: "c", RateLimit: swlimit.Statement{Heard: true, PerSecond: -1}}, "perSecond"},
 		{"rate that is no number", swmsg.Progress{Cell: "c", RateLimit: swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(math.NaN())}}, "perSecond"},
+		{"limit without target", swmsg.Registration{RateLimits: []swmsg.RateLimit{{PerSecond: 1}}}, "target"},
+		{"many limits", swmsg.Registration{RateLimits: make([]swmsg.RateLimit, MaxRateLimits+1)}, "rateLimits"},
 		{"no host", swmsg.Hello{}, "host"},
 		{"no state", swmsg.Heartbeat{Updates: []swmsg.MemberUpdate{{Host: "h"}}}, "state"},
 		{"many parts", swmsg.ConfigRequest{Parts: make([][]byte, MaxDocumentParts+1)}, "parts"},
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -116,6 +116,9 @@
 	// Strikes are those that the sender counted in cells that it schedules for its own requests
 	// only: all recent ones if Complete is set, and otherwise those since the last message.
 	Strikes []Strike
+	// RateLimits are those of targets that the sender schedules for its own requests only: all that
+	// it knows if Complete is set.
+	RateLimits []RateLimit
 	// Scheduling is the sender's, so that the owner can tell the sender if that is to change.
 	Scheduling Scheduling
 }
@@ -129,6 +132,13 @@
 	EndedAge   swclock.Millis
 }
 
+// RateLimit is the rate limit of a target, which an answer named Age ago.
+type RateLimit struct {
+	Target    swid.TargetID
+	PerSecond swid.RequestRate
+	Age       swclock.Millis
+}
+
 // Scheduling is where a host's requests of plain services are scheduled.
 type Scheduling uint8
 
