Tell replies to a host's earlier process from those to the present one

Sequence numbers of requests began anew with each process, and a holder looked replies up by them alone. So a grant that the owner decided late for a request of the earlier process was taken for the grant of a request of the new one, with a target of the other request's service; a rejection likewise.

Replies are looked up by cell and number, and the numbers of successive processes differ. TestReplyToEarlierProcess fails without either. TestShutdownUnderLoad counted requests by the numbers from 0 on; it counts from the first one that it sees.

--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -108,13 +108,23 @@
 	if config.GrantRequestInterval == 0 {
 		config.GrantRequestInterval = defaultGrantRequestInterval
 	}
-	return &Holder{
+	h := &Holder{
 		config:   config,
 		requests: make(map[swid.Seq]*heldRequest),
 		idle:     make(chan struct{}),
 	}
+	h.seq.Store(uint64(config.Incarnation) % seqBlocks * seqBlock)
+	return h
 }
 
+const (
+	// seqBlock is the number of requests after which a process uses sequence numbers of its successor,
+	// more than a host has in the time that messages are delayed. The numbers of seqBlocks processes
+	// differ, so that a message for an earlier process names no request of a later one.
+	seqBlock  = 1 << 20
+	seqBlocks = 1 << 7
+)
+
 // NextID returns the sequence number and the ID of a new request.
 func (h *Holder) NextID() (swid.Seq, swid.RequestID) {
 	seq := swid.Seq(h.seq.Add(1))
@@ -248,19 +258,19 @@
 		h.handleGrant(from.Host, m)
 	case swmsg.Reject:
 		h.config.Router.ObserveEpoch(m.Cell, m.Epoch)
-		if e := h.lookup(m.Seq); e != nil {
+		if e := h.lookup(m.Cell, m.Seq); e != nil {
 			e.deliverReply(m.Attempt, ownerReply{from: from.Host, reject: &m})
 		}
 	case swmsg.Queued:
-		if e := h.lookup(m.Seq); e != nil {
+		if e := h.lookup(m.Cell, m.Seq); e != nil {
 			e.deliverReply(m.Attempt, ownerReply{from: from.Host, queued: true})
 		}
 	case swmsg.Redirect:
-		if e := h.lookup(m.Seq); e != nil {
+		if e := h.lookup(m.Cell, m.Seq); e != nil {
 			e.deliverReply(m.Attempt, ownerReply{from: from.Host, redirect: &m})
 		}
 	case swmsg.Preempt:
-		if e := h.lookup(m.Seq); e != nil {
+		if e := h.lookup(m.Cell, m.Seq); e != nil {
 			e.preempt(from.Host, m)
 		}
 	case swmsg.Recover:
@@ -271,7 +281,7 @@
 
 // handleGrant delivers a grant to its request, or cancels the grant at the owner if no request uses it.
 func (h *Holder) handleGrant(owner swid.HostID, m swmsg.Grant) {
-	e := h.lookup(m.Seq)
+	e := h.lookup(m.Cell, m.Seq)
 	if e != nil && e.deliverReply(m.Attempt, ownerReply{from: owner, grant: &m}) {
 		return
 	}
@@ -282,10 +292,14 @@
 	h.config.Sender.Send(owner, swmsg.Withdraw{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt})
 }
 
-func (h *Holder) lookup(seq swid.Seq) *heldRequest {
+// lookup returns the request of a cell with a sequence number, or nil.
+func (h *Holder) lookup(cell swid.CellID, seq swid.Seq) *heldRequest {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.requests[seq]
+	if e := h.requests[seq]; e != nil && e.request.Cell == cell {
+		return e
+	}
+	return nil
 }
 
 // reportOpenWork reports the waiting and running requests of a cell to a host that sent a Recover message.
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -239,6 +239,31 @@
 	}
 }
 
+// TestReplyToEarlierProcess guards against an owner's delayed replies to the host's earlier process that
+// are taken for replies to a request of the present one, which may have another service.
+func TestReplyToEarlierProcess(t *testing.T) {
+	start := func(incarnation swid.Incarnation) (*fixture, <-chan Report, swmsg.GrantRequest) {
+		f := newFixtureWithConfig(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}}, func(c *Config) { c.Incarnation = incarnation })
+		reports, _ := f.serve(f.request(false, false))
+		grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+		return f, reports, grantRequest
+	}
+	_, _, earlier := start(1)
+	f, reports, present := start(2)
+	owner := swlink.Peer{Host: "owner"}
+	for _, cell := range []swid.CellID{"c", "other"} {
+		f.holder.Receive(owner, swmsg.Reject{Cell: cell, Seq: earlier.Seq, Attempt: 1, Reason: swcell.ReasonOverload})
+		f.holder.Receive(owner, swmsg.Grant{Cell: cell, Seq: earlier.Seq, Attempt: 1, Target: "z"})
+		if _, to := expect[swmsg.Withdraw](t, f); to != "owner" {
+			t.Errorf("grant cancelled at %s, want owner", to)
+		}
+	}
+	f.grant("owner", present, "a")
+	if r := <-reports; r.End.Outcome != swlife.OutcomeAnswered || f.starts["z"] != 0 {
+		t.Errorf("report is %+v, starts %v", r, f.starts)
+	}
+}
+
 // TestOwnerChangeWhileRunning has a second host take the cell over. It may preempt
 // the running attempt, and both owners receive the report of its end.
 func TestOwnerChangeWhileRunning(t *testing.T) {
@@ -246,7 +271,7 @@
 	reports, _ := f.serve(f.request(true, false))
 	grantRequest, _ := expect[swmsg.GrantRequest](t, f)
 	f.grant("owner", grantRequest, "a")
-	for f.holder.lookup(grantRequest.Seq).runningOn() != "a" {
+	for f.holder.lookup(grantRequest.Cell, grantRequest.Seq).runningOn() != "a" {
 	}
 	f.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Recover{Cell: "c", Epoch: 2})
 	if m, to := expect[swmsg.InFlight](t, f); to != "second" || m.Target != "a" {
@@ -274,7 +299,7 @@
 	reports, _ := f.serve(f.request(true, false))
 	grantRequest, _ := expect[swmsg.GrantRequest](t, f)
 	f.grant("owner", grantRequest, "a")
-	for f.holder.lookup(grantRequest.Seq).runningOn() != "a" {
+	for f.holder.lookup(grantRequest.Cell, grantRequest.Seq).runningOn() != "a" {
 	}
 	for range 2 {
 		f.holder.Receive(swlink.Peer{Host: "owner"}, swmsg.Recover{Cell: "c", Epoch: 2})
@@ -303,7 +328,7 @@
 		}
 		f.grant("owner", last, target)
 	}
-	for f.holder.lookup(last.Seq).runningOn() != "c" {
+	for f.holder.lookup(last.Cell, last.Seq).runningOn() != "c" {
 	}
 	f.holder.Receive(swlink.Peer{Host: "second"}, swmsg.Recover{Cell: "c", Epoch: 2})
 	if m, _ := expect[swmsg.InFlight](t, f); m.GrantRequest.Strikes != 2 {
@@ -529,7 +554,7 @@
 			reports, _ := f.serve(r)
 			grantRequest, _ := expect[swmsg.GrantRequest](t, f)
 			f.grant("owner", grantRequest, "a")
-			for f.holder.lookup(grantRequest.Seq).runningOn() != "a" {
+			for f.holder.lookup(grantRequest.Cell, grantRequest.Seq).runningOn() != "a" {
 			}
 			clock.Advance(tt.delay)
 			close(wait)
--- a/internal/node/swdaemon/drain_test.go
+++ b/internal/node/swdaemon/drain_test.go
@@ -92,13 +92,14 @@
 	c.mu.Lock()
 	c.entryHosts = []*host{leaving}
 	c.mu.Unlock()
+	first, _ := leaving.daemon.node.Holder().NextID()
 	done := make(chan *callerResults, 1)
 	go func() { done <- c.runLoad(callers, 1) }()
 	calls := 0
 	eventually(t, "every request has reached the host", func() bool {
 		calls++
 		next, _ := leaving.daemon.node.Holder().NextID() // counts the requests and these calls
-		return int(next)-calls >= callers
+		return int(next-first)-calls >= callers
 	})
 	c.endHost(leaving, leaving.shutDown)
 	results := <-done
