Send no requests to targets whose answers say that they are leaving (DRAIN)

A host that gets such an answer sends that target nothing from then on, also if an owner grants it, and says why in its reply. What answers say travels with progress and end of runs to the cell's owner, which grants the target to nobody. Both hold until the target is started anew. A target that has said so and is gone from the list was no crash.

--- a/internal/core/swlimit/swlimit.go
+++ b/internal/core/swlimit/swlimit.go
@@ -25,12 +25,14 @@
 	forgetTime = swclock.Minute
 )
 
-// Statement is what an answer of a target says of its rate limit.
+// Statement is what an answer of a target says of the requests that it takes.
 type Statement struct {
 	// Heard is set if there was an answer.
 	Heard bool
-	// PerSecond is the limit that the answer names, or 0 if it names none.
+	// PerSecond is the rate limit that the answer names, or 0 if it names none.
 	PerSecond swid.RequestRate
+	// Leaving is set if the target is leaving and takes no new requests.
+	Leaving bool
 }
 
 // Limit is the limit of one target.
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -149,8 +149,14 @@
 	}
 }
 
-// observeRateLimit records what the answer to a run says of its target's rate limit.
+// observeRateLimit records what the answer to a run says of the requests that its target takes.
 func (c *Cell[P, O]) observeRateLimit(r *run, s swlimit.Statement) {
+	if s.Leaving && !r.target.leaving {
+		r.target.leaving = true
+		c.cfg.OnLeaving(r.target.conf.ID)
+		c.listing++
+		c.changed(r.target)
+	}
 	if c.cfg.Limits.Observe(r.target.conf.ID, s, r.grantedAt, c.now) {
 		c.cfg.OnRateLimit(r.target.conf.ID, s.PerSecond)
 		c.changed(r.target)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -92,6 +92,8 @@
 	Limits *swlimit.Limiter
 	// OnRateLimit is called when the rate limit of a target changes, 0 if it ends. It must not block.
 	OnRateLimit func(swid.TargetID, swid.RequestRate)
+	// OnLeaving is called when an answer of a target first says that it is leaving. It must not block.
+	OnLeaving func(swid.TargetID)
 	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
 	// Nil means that none does.
 	OthersSchedule func() bool
@@ -163,6 +165,9 @@
 	if c.OnRateLimit == nil {
 		c.OnRateLimit = func(swid.TargetID, swid.RequestRate) {}
 	}
+	if c.OnLeaving == nil {
+		c.OnLeaving = func(swid.TargetID) {}
+	}
 	if c.OthersSchedule == nil {
 		c.OthersSchedule = func() bool { return false }
 	}
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -10,6 +10,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 )
 
 // harness drives a cell with single events.
@@ -521,3 +522,25 @@
 		t.Errorf("granted %v to request %d, want %d", ok, g.Key.Seq, waiting.Key.Seq)
 	}
 }
+
+// TestLeavingTarget checks that a target whose answer says that it is leaving is granted no more requests
+// until it is started anew.
+func TestLeavingTarget(t *testing.T) {
+	b := newHarness()
+	b.relist(1, swcell.TargetActive)
+	running, _ := grantOf(b.step(b.newGrantRequest(nil)))
+	b.step(swcell.Progress{
+		Key: running.Key, Attempt: running.Attempt, Produced: 10, RateLimit: swlimit.Statement{Heard: true, Leaving: true},
+	})
+	if g, ok := grantOf(b.step(b.newGrantRequest(nil))); ok {
+		t.Errorf("granted %s, which is leaving", g.Target)
+	}
+	b.relist(1, swcell.TargetActive)
+	if g, ok := grantOf(b.step(b.newGrantRequest(nil))); ok {
+		t.Errorf("granted %s, which is leaving, after it was listed again", g.Target)
+	}
+	b.relist(2, swcell.TargetActive)
+	if _, ok := grantOf(b.step(b.newGrantRequest(nil))); !ok {
+		t.Error("the target is not granted after it was started anew")
+	}
+}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -50,7 +50,9 @@
 	listed, wasListed bool
 	// reachable is set unless the owner's host last reported the target as unreachable.
 	reachable bool
-	runs      []*run
+	// leaving is set once an answer said that the target is leaving.
+	leaving bool
+	runs    []*run
 	// tokens is the sum of the tokens of runs.
 	tokens swid.Tokens
 	rates  rates
@@ -110,7 +112,7 @@
 
 // active reports whether the target takes new work.
 func (t *target) active() bool {
-	return t.listed && t.reachable && t.conf.State == swcell.TargetActive
+	return t.listed && t.reachable && !t.leaving && t.conf.State == swcell.TargetActive
 }
 
 // probing reports whether the target has reached unansweredLimit, so that it runs one
@@ -227,7 +229,7 @@
 	switch {
 	case !t.reachable:
 		s.State = swcell.TargetDown
-	case !t.listed:
+	case !t.listed || t.leaving:
 		s.State = swcell.TargetDraining
 	}
 	if t.probing() {
@@ -244,7 +246,7 @@
 		c.configureTarget(conf)
 	}
 	for _, t := range c.targets {
-		if !t.listed && t.wasListed && t.conf.State == swcell.TargetActive {
+		if !t.listed && t.wasListed && t.conf.State == swcell.TargetActive && !t.leaving {
 			t.removedAt = c.now
 			c.reviewSilentRuns(t)
 		}
@@ -267,7 +269,7 @@
 		t.unanswered = 0
 		t.breaks.Restarted()
 		t.rates = rates{}
-		t.restartedAt = c.now
+		t.restartedAt, t.leaving = c.now, false
 		c.reviewSilentRuns(t)
 		for _, r := range t.runs {
 			c.recordSilentRun(r)
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -45,6 +45,9 @@
 // Error implements error.
 func (e *holderCancelError) Error() string { return "attempt cancelled by the holder" }
 
+// errClosed reports a target that has said that it takes no requests from this host.
+var errClosed = errors.New("the target takes no requests from this host")
+
 // errAnswerTooLarge reports an answer that exceeds maxAnswerBytes.
 var errAnswerTooLarge = errors.New("target's answer exceeds the size limit")
 
@@ -142,7 +145,7 @@
 
 func (a *attempt) exchange(ctx context.Context) swlife.AttemptEnded {
 	adapter, accepting, known := a.held.holder.config.Targets.Adapter(a.target)
-	if !known || (!accepting && a.events == 0) {
+	if !known || a.events == 0 && (!accepting || a.isClosed()) {
 		return swlife.AttemptEnded{Result: swcell.ResultNotStarted, Unsent: true}
 	}
 	// The grant may have arrived together with the caller's end, or after the deadline.
@@ -166,6 +169,19 @@
 	return a.receive(ctx, response)
 }
 
+// isClosed reports whether the target has said that it takes no requests from this host. The owner that
+// granted it gets to know why.
+func (a *attempt) isClosed() bool {
+	if a.held.holder.config.Closed == nil {
+		return false
+	}
+	statement, closed := a.held.holder.config.Closed(a.target)
+	if closed {
+		a.rateLimit, a.err = statement, errClosed
+	}
+	return closed
+}
+
 // firstOutputTimeout returns the maximum wait for the first part of the target's
 // answer, or 0 for no limit. A limit set in the request takes precedence over the one
 // derived from the owner's estimate, which leaves half of the remaining time for
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -19,13 +19,16 @@
 // newCore returns the scheduling core of a cell.
 func (h *Host) newCore(cell swid.CellID, _ func(swcell.Violation)) swowner.Core {
 	config := swvalue.Config{
-		Seed:           uint64(h.self.Incarnation) ^ uint64(len(h.self.Host))<<32,
-		Strikes:        h.strikes,
-		Parts:          h.parts,
-		OnPartChange:   func(t swid.TargetID, c swsuspect.PartChange) { h.partChanged(cell, t, c) },
-		Limits:         h.limits,
-		OnRateLimit:    func(t swid.TargetID, limit swid.RequestRate) { h.rateLimitChanged(cell, t, limit) },
-		OnStrikes:      func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
+		Seed:         uint64(h.self.Incarnation) ^ uint64(len(h.self.Host))<<32,
+		Strikes:      h.strikes,
+		Parts:        h.parts,
+		OnPartChange: func(t swid.TargetID, c swsuspect.PartChange) { h.partChanged(cell, t, c) },
+		Limits:       h.limits,
+		OnRateLimit:  func(t swid.TargetID, limit swid.RequestRate) { h.rateLimitChanged(cell, t, limit) },
+		OnStrikes:    func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
+		OnLeaving: func(t swid.TargetID) {
+			h.log.Info().Str("target", string(t)).Str("cell", string(cell)).Msg("target is leaving, it is granted no more requests")
+		},
 		OthersSchedule: func() bool { return h.view.scheduledByEachHost(cell) },
 	}
 	if h.view.chargedByOwner(cell) {
@@ -88,9 +91,10 @@
 	}
 	h.log.Info().Int("targets", len(items)).Int("draining", draining).Uint64("revision", uint64(latest(items))).Msg("targets changed")
 	h.limits.Retain(func(id swid.TargetID) bool {
-		_, listed := h.view.serviceOf(id)
+		_, listed := h.view.bornOf(id)
 		return listed
 	}, h.clock.Now())
+	h.closed.Retain(h.view.bornOf, h.clock.Now())
 	h.configure()
 }
 
--- a/internal/node/swfleet/limits.go
+++ b/internal/node/swfleet/limits.go
@@ -18,8 +18,12 @@
 		Msg("rate limit of a target changed")
 }
 
-// recordRateLimit records what an answer to a request of this host says of its target's rate limit.
+// recordRateLimit records what an answer to a request of this host says of the requests that its target
+// takes.
 func (h *Host) recordRateLimit(r *swholder.Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis) {
+	if s.Leaving {
+		h.recordLeaving(r, target, s)
+	}
 	if !h.limits.Observe(target, s, sent, h.clock.Now()) {
 		return
 	}
@@ -30,6 +34,15 @@
 	}
 }
 
+// recordLeaving records that a target takes no new requests from this host.
+func (h *Host) recordLeaving(r *swholder.Request, target swid.TargetID, s swlimit.Statement) {
+	born, _ := h.view.bornOf(target)
+	if h.closed.Observe(target, born, s, h.clock.Now()) {
+		h.log.Info().Str("target", string(target)).Str("cell", string(r.Cell)).Str("requestId", string(r.ID)).
+			Msg("answer of a leaving target")
+	}
+}
+
 // limitReportTime is how long a limit is reported after the latest answer that named it. Others may know
 // by then that it has ended.
 const limitReportTime = 5 * swclock.Second
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -92,6 +92,8 @@
 	parts *swsuspect.Parts
 	// limits has the rate limits that targets named in answers to this host's requests.
 	limits *swlimit.Limiter
+	// closed has the targets that take no new requests from this host.
+	closed *swlimit.Closed
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -135,7 +137,7 @@
 	h := &Host{
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
-		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
+		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), closed: swlimit.NewClosed(), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
@@ -205,7 +207,7 @@
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Clock: h.clock, Sender: h.exchange, Router: h.router,
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
-		OnGranted: h.recordUsage, OnRateLimit: h.recordRateLimit,
+		OnGranted: h.recordUsage, OnRateLimit: h.recordRateLimit, Closed: h.closed.Statement,
 	})
 	h.owner = swowner.New(swowner.Config{
 		Host: h.self.Host, Clock: h.clock, Sender: h.exchange, Router: h.router, Members: h.view, Watcher: noWatcher{},
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -160,13 +160,25 @@
 
 // serviceOf returns the service of a listed target.
 func (v *view) serviceOf(target swid.TargetID) (service swid.ServiceID, listed bool) {
+	t, listed := v.target(target)
+	return t.Service, listed
+}
+
+// bornOf returns what identifies the start of a listed target.
+func (v *view) bornOf(target swid.TargetID) (born int64, listed bool) {
+	t, listed := v.target(target)
+	return t.Born, listed
+}
+
+// target returns a listed target.
+func (v *view) target(id swid.TargetID) (t swcatalog.Target, listed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	i := slices.IndexFunc(v.targets, func(t swcatalog.Target) bool { return t.ID == target })
+	i := slices.IndexFunc(v.targets, func(t swcatalog.Target) bool { return t.ID == id })
 	if i < 0 {
-		return "", false
+		return swcatalog.Target{}, false
 	}
-	return v.targets[i].Service, true
+	return v.targets[i], true
 }
 
 // chargedByOwner reports whether the owner of the shared cells charges the requests of a cell to
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -58,7 +58,7 @@
 	if w == nil {
 		return swlimit.Statement{}
 	}
-	return swlimit.Statement{Heard: true, PerSecond: requestRate(c, w.GetPerSecond())}
+	return swlimit.Statement{Heard: true, PerSecond: requestRate(c, w.GetPerSecond()), Leaving: w.GetLeaving()}
 }
 
 // requestRate checks that a rate is a finite number and not negative.
