Follow a store that was set back to an earlier copy at once

Hosts ignored listings of lower revisions than they held, so configurations, new targets, draining and revoked keys waited until the store's revision had passed the old one: measured from outside, 3.1 to 4.3 s until the first request to a new target, 0.0 and 0.2 s without.

Listings and changes carry the era of their answer. A listing of a later era replaces what is held whatever its revisions; a watch that shows one, or that waits while another call shows one, lists again. What the copy lacks is held for the time in which targets register again, hosts too, and each host makes sure of its own entry. What the copy has but had gone before stays hidden until it changes or should have lapsed, and a target that was draining stays so: the copy knows less than the host.

TestStoreSetBack, 15 hosts, without the era in the stand-in's answers: all 15 hosts lack the next configuration after 2 s, and 13 list a target that had gone. With it none, also at 137 and 300 hosts.

--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -82,7 +82,7 @@
 
 // targetsChanged applies a new list of targets.
 func (h *Host) targetsChanged(items []swwatch.Item[swcatalog.Target]) {
-	h.view.setTargets(items)
+	h.view.setTargets(items, h.clock.Now())
 	draining := 0
 	for _, item := range items {
 		if item.Value.Draining {
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -34,6 +35,8 @@
 	registerTimeout = 1500 * swclock.Millis(1)
 	// registerRetryInterval is the wait after a failed attempt to register.
 	registerRetryInterval = 200 * swclock.Millis(1)
+	// entryInterval is the mean time between two looks whether the store was set back.
+	entryInterval = 500 * swclock.Millis(1)
 	// headerTimeout bounds the time to read the header of a request for readiness or
 	// metrics.
 	headerTimeout = 3 * swclock.Second
@@ -110,7 +113,7 @@
 	componentsCtx, stop := context.WithCancel(runCtx)
 	tasks := pool.New().WithErrors().WithContext(componentsCtx)
 	tasks.Go(h.network.Run)
-	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run} {
+	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.keepEntry} {
 		tasks.Go(func(ctx context.Context) error {
 			run(ctx)
 			return nil
@@ -164,6 +167,7 @@
 // reads what earlier processes saved.
 func (h *Host) register(ctx context.Context) error {
 	for {
+		h.entryEra = h.platform.Objects().Era()
 		call, cancel := context.WithTimeout(ctx, registerTimeout.Duration())
 		incarnation, err := h.platform.Register(call, h.hostEntry())
 		cancel()
@@ -181,6 +185,27 @@
 	}
 }
 
+// keepEntry writes this host's entry again after the store was set back, until ctx ends.
+func (h *Host) keepEntry(ctx context.Context) {
+	for ctx.Err() == nil {
+		// Hosts that find the store set back at the same moment write at different ones.
+		sleep(ctx, entryInterval/2+swclock.Millis(rand.Int64N(int64(entryInterval))))
+		era := h.platform.Objects().Era()
+		if era == h.entryEra || !h.storeReachable() {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, registerTimeout.Duration())
+		err := h.platform.Restore(call, h.hostEntry())
+		cancel()
+		if err != nil {
+			h.log.Warn().Err(err).Uint64("era", uint64(era)).Msg("own entry not restored yet")
+			continue
+		}
+		h.entryEra = era
+		h.log.Info().Uint64("era", uint64(era)).Msg("own entry is in the store")
+	}
+}
+
 func (h *Host) hostEntry() swcatalog.Host {
 	f := h.settings.Fleet
 	return swcatalog.Host{
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -54,7 +54,7 @@
 	hosts    fakeSource[swcatalog.Host]
 	// values are the hosts' own objects.
 	values fakeSource[[]byte]
-	// era counts the calls of setBack; calls counts those for values.
+	// era counts the calls of setBack. calls counts those for values.
 	era   swobject.Era
 	calls int
 }
@@ -122,13 +122,17 @@
 }
 
 // setBack replaces the objects by those of an earlier copy after the store was away for a moment.
-// What the operator and the targets wrote since is written again; what hosts wrote is lost.
-func (s *fakeStore) setBack(earlier *fakeStore) {
+// What the operator and the targets wrote since is written again, but for the silent targets; what
+// hosts wrote is lost.
+func (s *fakeStore) setBack(earlier *fakeStore, silent ...string) {
 	s.setUnavailable(true)
 	time.Sleep(500 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	catalogs, targets := s.catalogs.items, s.targets.items
+	for _, name := range silent {
+		delete(targets, name)
+	}
 	s.revision = earlier.revision
 	s.catalogs.restore(&earlier.catalogs)
 	s.targets.restore(&earlier.targets)
@@ -168,6 +172,9 @@
 	}
 }
 
+// storeLatency is the time that the store takes for a listing.
+const storeLatency = 4 * time.Millisecond
+
 var errUnavailable = errors.New("store unavailable")
 
 func (s *fakeSource[T]) put(name string, value T) {
@@ -187,12 +194,13 @@
 
 // List implements swwatch.Source.
 func (s *fakeSource[T]) List(context.Context) (swwatch.Listing[T], error) {
+	time.Sleep(storeLatency)
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
 	if s.store.unavailable {
 		return swwatch.Listing[T]{}, errUnavailable
 	}
-	listing := swwatch.Listing[T]{AsOf: s.store.revision}
+	listing := swwatch.Listing[T]{AsOf: s.store.revision, Era: s.store.era}
 	for _, item := range s.items {
 		listing.Items = append(listing.Items, item)
 	}
@@ -224,7 +232,10 @@
 	if s.store.unavailable {
 		return swwatch.Changes[T]{}, nil, errUnavailable
 	}
-	changes := swwatch.Changes[T]{AsOf: s.store.revision}
+	if revision > s.store.revision {
+		return swwatch.Changes[T]{}, nil, swwatch.ErrHistoryGone
+	}
+	changes := swwatch.Changes[T]{AsOf: s.store.revision, Era: s.store.era}
 	for _, c := range s.changeLog {
 		if c.Revision > revision {
 			changes.Changes = append(changes.Changes, c)
@@ -312,6 +323,19 @@
 	return h.Incarnation, nil
 }
 
+func (p fakePlatform) Restore(_ context.Context, h swcatalog.Host) error {
+	s := p.deployment.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unavailable {
+		return errUnavailable
+	}
+	if s.hosts.items[string(h.ID)].Value.Incarnation < h.Incarnation {
+		s.hosts.write(string(h.ID), h)
+	}
+	return nil
+}
+
 func (p fakePlatform) TargetAdapter(id swid.TargetID, _ string, _ swid.Tokens) swtarget.Adapter {
 	return p.deployment.targets[id]
 }
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -30,6 +30,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/store/swrefusal"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
@@ -50,6 +51,9 @@
 	// this process, which is higher than that of any earlier process of the host. After
 	// an error the entry may or may not have been written.
 	Register(ctx context.Context, h swcatalog.Host) (swid.Incarnation, error)
+	// Restore writes this host's entry if the store has none, or one of an earlier process, because the
+	// store was set back.
+	Restore(ctx context.Context, h swcatalog.Host) error
 	// CallerHandler returns the handler of callers' requests.
 	CallerHandler(gate *swgate.Gate, leaving func() bool) http.Handler
 	// ReadinessHandler returns the handler of the platform's readiness checks.
@@ -117,6 +121,9 @@
 	// granted is set by the first grant of a request of this host, reportedReady has the
 	// latest answer to a readiness check.
 	granted, reportedReady atomic.Bool
+	// entryEra is the era of the store in which this host's entry was last written or found. Only the
+	// goroutine of register, and then that of keepEntry accesses it.
+	entryEra swobject.Era
 	// leaving is set when the host begins to stop.
 	leaving atomic.Bool
 	// needsCompleteRegistration is set while the owner may lack the quota usage of this
@@ -241,6 +248,7 @@
 	h.targets = swwatch.NewFollower(targets, h.platform.Targets(), h.targetsChanged)
 	hosts := config("hosts", hostWait)
 	hosts.ChangePause = hostChangePause
+	hosts.MissingGrace = h.settings.Fleet.ReregisterWithin
 	h.hosts = swwatch.NewFollower(hosts, h.platform.Hosts(), h.hostsChanged)
 }
 
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -1,6 +1,7 @@
 package swfleet
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -8,6 +9,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -26,12 +28,16 @@
 	targets         []swcatalog.Target
 	// targetsListed is set once the targets have been listed.
 	targetsListed bool
-	members       []swmember.Member
+	// drained has the targets that were draining when they were last listed.
+	drained map[swid.TargetID]drainedTarget
+	members []swmember.Member
 	// plainShared is set while the owner of the shared cells schedules plain services too.
 	plainShared bool
 }
 
-func newView(s *swsettings.Settings) *view { return &view{settings: s} }
+func newView(s *swsettings.Settings) *view {
+	return &view{settings: s, drained: make(map[swid.TargetID]drainedTarget)}
+}
 
 // setTable makes t the current table of the configuration if t has a higher version
 // than the current one or there is none, and reports whether it did.
@@ -48,16 +54,37 @@
 	return true
 }
 
-func (v *view) setTargets(items []swwatch.Item[swcatalog.Target]) {
+// setTargets replaces the targets. One that was draining stays so until it is started anew: a store that
+// was set back may list it as it was before.
+func (v *view) setTargets(items []swwatch.Item[swcatalog.Target], now swclock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	targets := make([]swcatalog.Target, len(items))
 	for i, item := range items {
-		targets[i] = item.Value
+		t := item.Value
+		if d, known := v.drained[t.ID]; known && t.Born != 0 && t.Born == d.born {
+			t.Draining = true
+		}
+		if t.Draining {
+			v.drained[t.ID] = drainedTarget{born: t.Born, listedAt: now}
+		}
+		targets[i] = t
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	maps.DeleteFunc(v.drained, func(_ swid.TargetID, d drainedTarget) bool { return now-d.listedAt > drainedMemory })
 	v.targets, v.targetsListed = targets, true
 }
 
+// drainedTarget is a target that was draining.
+type drainedTarget struct {
+	// born identifies its start.
+	born     int64
+	listedAt swclock.Millis
+}
+
+// drainedMemory is how long a target that is not listed any more is known to have been draining, which is
+// more than the age of copies that the store is set back to.
+const drainedMemory = swclock.Minute
+
 func (v *view) setHosts(items []swwatch.Item[swcatalog.Host]) {
 	members := make([]swmember.Member, len(items))
 	for i, item := range items {
--- a/internal/store/swwatch/follower.go
+++ b/internal/store/swwatch/follower.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
@@ -38,8 +39,8 @@
 	// ChangePause is the pause between a change and the next watch, so that changes in
 	// quick succession are fetched with few calls.
 	ChangePause swclock.Millis
-	// MissingGrace is how long an object that is missing after an outage of the store is
-	// still held.
+	// MissingGrace is how long an object that is missing after an outage of the store, or after it was
+	// set back, is still held.
 	MissingGrace swclock.Millis
 	// RenewalTimeout is the time without a renewal after which the store drops an object,
 	// or 0 if it never does. After an outage in which the store may have dropped
@@ -70,7 +71,7 @@
 	if config.WaitAfterChange == 0 {
 		config.WaitAfterChange = config.Wait
 	}
-	return &Follower[T]{config: config, source: source, state: NewState[T](config.MissingGrace), changed: changed}
+	return &Follower[T]{config: config, source: source, state: NewState[T](config.MissingGrace, config.RenewalTimeout), changed: changed}
 }
 
 // ConfirmedAt returns the time since boot as of which the store last confirmed the
@@ -118,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	f.recordAnswer()
+	f.recordAnswer(listing.Era)
 	if f.state.List(listing, f.config.Clock.Now()) {
 		f.changed(f.state.Items())
 	}
@@ -137,10 +138,16 @@
 	defer cancel()
 	sent := f.config.Boot.SinceBoot()
 	changes, err := f.source.Watch(watching, f.state.AsOf(), wait)
+	if err != nil && f.config.Health.Era() > f.state.Era() {
+		return wait, ErrHistoryGone // the call was ended for that
+	}
 	if err != nil {
 		return wait, err
 	}
-	f.recordAnswer()
+	f.recordAnswer(changes.Era)
+	if changes.Era != f.state.Era() {
+		return wait, ErrHistoryGone // changes before the revision may be missing
+	}
 	now := f.config.Clock.Now()
 	changed := f.state.Apply(changes, now)
 	if f.state.Expire(now) || changed {
@@ -169,8 +176,8 @@
 // recordAnswer records that the store answered. After an outage in which the
 // store may have dropped objects, it starts the grace period for missing objects,
 // which may reappear.
-func (f *Follower[T]) recordAnswer() {
-	o := f.config.Health.recordSuccess(f.config.Kind)
+func (f *Follower[T]) recordAnswer(era swobject.Era) {
+	o := f.config.Health.recordSuccess(f.config.Kind, era)
 	if o.Number == f.lastOutage {
 		return
 	}
--- a/internal/store/swwatch/health.go
+++ b/internal/store/swwatch/health.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 const (
@@ -39,7 +40,9 @@
 	answeredAt swclock.Millis
 	// outage is the latest outage that ended.
 	outage Outage
-	// changed is closed, and then replaced, when unreachable changes.
+	// era is the highest one of an answer.
+	era swobject.Era
+	// changed is closed, and then replaced, when unreachable or era changes.
 	changed chan struct{}
 }
 
@@ -103,7 +106,15 @@
 	return 0, nil
 }
 
-// whileReachable returns a context that also ends when the store becomes unreachable.
+// Era returns the highest era of an answer.
+func (h *Health) Era() swobject.Era {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.era
+}
+
+// whileReachable returns a context that also ends when the store becomes unreachable, or is found to be set
+// back.
 func (h *Health) whileReachable(ctx context.Context) (context.Context, context.CancelFunc) {
 	h.mu.Lock()
 	unreachable, changed := h.unreachable, h.changed
@@ -135,11 +146,15 @@
 	h.log.Warn().Str("kind", kind).Err(err).Msg("store lost")
 }
 
-// recordSuccess records that the store answered a call, and returns the latest outage.
-func (h *Health) recordSuccess(kind string) Outage {
+// recordSuccess records that the store answered a call in an era, and returns the latest outage.
+func (h *Health) recordSuccess(kind string, era swobject.Era) Outage {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	if era > h.era {
+		h.era = era
+		h.signalChange()
+	}
 	if h.unreachable {
 		h.unreachable = false
 		h.outage = Outage{Number: h.outage.Number + 1, Failing: now - h.unreachableSince, Unanswered: now - h.answeredAt}
--- a/internal/store/swwatch/swwatch.go
+++ b/internal/store/swwatch/swwatch.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // Revision is the sequence number of a change in the store.
@@ -25,6 +26,8 @@
 type Listing[T any] struct {
 	Items []Item[T]
 	AsOf  Revision
+	// Era is that of the store. Revisions of different eras cannot be compared.
+	Era swobject.Era
 }
 
 // Change is a change or the removal of one object. Value is meaningless
@@ -38,6 +41,7 @@
 type Changes[T any] struct {
 	Changes []Change[T]
 	AsOf    Revision
+	Era     swobject.Era
 }
 
 // ErrHistoryGone means that the store no longer has all changes after the
--- a/internal/store/swwatch/swwatch_test.go
+++ b/internal/store/swwatch/swwatch_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
 // reply is the answer of a scripted source to one call.
@@ -147,6 +148,11 @@
 		{"lists after a gap in the history", Config{Wait: 100}, []reply{
 			{call: "list", listing: both}, {call: "watch", err: ErrHistoryGone}, {call: "list", listing: one},
 		}, [][]string{{"a", "b"}, {"a"}}},
+		{"lists after a watch that shows a store that was set back", Config{Wait: 100}, []reply{
+			{call: "list", listing: both},
+			{call: "watch", changes: Changes[string]{Changes: []Change[string]{{Item: item("c", 3)}}, AsOf: 3, Era: 1}},
+			{call: "list", listing: Listing[string]{Items: []Item[string]{item("a", 1), item("d", 1)}, AsOf: 1, Era: 1}},
+		}, [][]string{{"a", "b"}, {"a", "d"}}},
 		{"missing without an outage is gone", grace, []reply{
 			{call: "list", listing: both}, {call: "watch", changes: Changes[string]{Changes: []Change[string]{removed("b")}, AsOf: 3}},
 		}, [][]string{{"a", "b"}, {"a"}}},
@@ -212,7 +218,7 @@
 func TestStateConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := map[string]Item[string]{}
-		state := NewState[string](swclock.Millis(rapid.IntRange(0, 500).Draw(t, "grace")))
+		state := NewState[string](swclock.Millis(rapid.IntRange(0, 500).Draw(t, "grace")), 0)
 		revision, now := Revision(0), swclock.Millis(0)
 		var missed []Change[string]
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -254,6 +260,76 @@
 	})
 }
 
+// TestStateOfStoreSetBack checks which objects are held after the store was set back to an earlier copy.
+func TestStateOfStoreSetBack(t *testing.T) {
+	const grace, lapse = 200, 500
+	listing := func(era swobject.Era, asOf Revision, items ...Item[string]) Listing[string] {
+		return Listing[string]{Era: era, AsOf: asOf, Items: items}
+	}
+	drop := Changes[string]{AsOf: 101, Changes: []Change[string]{removed("b")}}
+	tests := []struct {
+		name string
+		// run begins at 0 with the objects a and b as of revision 100, which the store has at 90.
+		run  func(s *State[string])
+		want []string
+	}{
+		{"an older revision of the same era", func(s *State[string]) { s.List(listing(0, 50, item("c", 50)), 10) }, []string{"a", "b"}},
+		{"a new object", func(s *State[string]) {
+			s.List(listing(1, 50, item("a", 40), item("b", 40), item("c", 50)), 10)
+		}, []string{"a", "b", "c"}},
+		{"a late listing of the era before", func(s *State[string]) {
+			s.List(listing(1, 50, item("a", 40), item("b", 40)), 10)
+			s.List(listing(0, 200, item("d", 150)), 20)
+		}, []string{"a", "b"}},
+		{"missing in the copy", func(s *State[string]) { s.List(listing(1, 50, item("a", 40)), 10) }, []string{"a", "b"}},
+		{"missing in the copy and not written again", func(s *State[string]) {
+			s.List(listing(1, 50, item("a", 40)), 10)
+			s.Expire(10 + grace)
+		}, []string{"a"}},
+		{"missing in the copy and written again", func(s *State[string]) {
+			s.List(listing(1, 50, item("a", 40)), 10)
+			s.Apply(Changes[string]{Era: 1, AsOf: 51, Changes: []Change[string]{{Item: item("b", 51)}}}, 20)
+			s.Expire(10 + grace)
+		}, []string{"a", "b"}},
+		{"dropped before", func(s *State[string]) {
+			s.Apply(drop, 5)
+			s.List(listing(1, 50, item("a", 40), item("b", 40)), 10)
+			s.List(listing(1, 51, item("a", 40), item("b", 40)), 20)
+		}, []string{"a"}},
+		{"dropped before and changed since", func(s *State[string]) {
+			s.Apply(drop, 5)
+			s.List(listing(1, 50, item("a", 40), item("b", 40)), 10)
+			s.Apply(Changes[string]{Era: 1, AsOf: 51, Changes: []Change[string]{{Item: item("b", 51)}}}, 20)
+		}, []string{"a", "b"}},
+		{"dropped before and kept by the store", func(s *State[string]) {
+			s.Apply(drop, 5)
+			s.List(listing(1, 50, item("a", 40), item("b", 40)), 10)
+			s.Expire(10 + lapse)
+		}, []string{"a", "b"}},
+		{"dropped before and lapsed", func(s *State[string]) {
+			s.Apply(drop, 5)
+			s.List(listing(1, 50, item("a", 40), item("b", 40)), 10)
+			s.Apply(Changes[string]{Era: 1, AsOf: 51, Changes: []Change[string]{removed("b")}}, 20)
+			s.Expire(10 + lapse)
+		}, []string{"a"}},
+		{"set back twice", func(s *State[string]) {
+			s.List(listing(1, 50, item("a", 40), item("b", 40)), 10)
+			s.List(listing(2, 30, item("a", 20), item("c", 25)), 20)
+			s.Expire(20 + grace)
+		}, []string{"a", "c"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := NewState[string](grace, lapse)
+			s.List(listing(0, 100, item("a", 90), item("b", 90)), 0)
+			tt.run(s)
+			if got := namesOf(s.Items()); !slices.Equal(got, tt.want) {
+				t.Errorf("holds %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestHealthTakesTurns checks that only one of several followers calls an
 // unreachable store when a try is due, and that all may call after its return.
 func TestHealthTakesTurns(t *testing.T) {
@@ -273,7 +349,7 @@
 	if tries != 1 {
 		t.Errorf("%d followers tried at once, want 1", tries)
 	}
-	h.recordSuccess("a")
+	h.recordSuccess("a", 0)
 	if wait, _ := h.takeTurn(); wait != 0 || h.Unreachable() {
 		t.Errorf("must wait %d after the store's return", wait)
 	}
