Bound the header of an answer

A body and an event of a stream are bounded, a header was not: with a peer that sends one without end, an exchange read 0.2 to 1.1 GB in 5 s, all of it kept, until its time limit. A host has 120 MB.

At most 64 KiB are read until the end of a header; then the exchange fails as sent. TestEndlessHead: three of four cases failed before, by time and by 240 MB and more.

--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -137,7 +137,9 @@
 	request := &http.Request{Method: r.Method}
 	skipped := false
 	for range maxAnswersRead {
+		c.head.limited, c.head.left = true, maxHeadBytes
 		answer, err := http.ReadResponse(c.reader, request)
+		c.head.limited = false
 		if err != nil && skipped {
 			return nil, errors.Wrap(ErrWrongRequest, err.Error())
 		}
--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,8 @@
 	maxIdleConns = 8
 	// readBufferBytes is the size of a connection's read buffer. A usual header fits into it.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the bytes that are read to find the end of an answer's header.
+	maxHeadBytes = 64 << 10
 	// maxInlineBytes is the largest request that is written before its answer is
 	// read. It fits into an empty socket buffer, so that the write does not block.
 	maxInlineBytes = 4 << 10
@@ -45,6 +48,8 @@
 	ErrWrongRequest = errors.New("the answer belongs to another request")
 	// ErrStray means that bytes followed the end of an answer.
 	ErrStray = errors.New("bytes follow the end of the answer")
+	// ErrHead means that the header of an answer has no end within maxHeadBytes.
+	ErrHead = errors.New("the header of the answer is too large")
 )
 
 // Error is the error of a failed exchange.
@@ -98,6 +103,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimiter
 	// maxIdleTime is how long the connection may stay idle.
 	maxIdleTime swclock.Millis
 	idleSince   swclock.Millis
@@ -139,7 +145,31 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), maxIdleTime: min(defaultMaxIdleTime, p.config.MaxIdleTime)}, nil
+	head := &headLimiter{reader: raw}
+	return &conn{
+		Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, maxIdleTime: min(defaultMaxIdleTime, p.config.MaxIdleTime),
+	}, nil
+}
+
+// headLimiter bounds the bytes that are read while the header of an answer is expected.
+type headLimiter struct {
+	reader io.Reader
+	// limited is set while a header is expected, and left is the number of bytes that may be read until its end.
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.reader.Read(b)
+	}
+	if l.left == 0 {
+		return 0, ErrHead
+	}
+	n, err := l.reader.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // pop removes and returns the most recently used idle connection, which is the least likely to be
--- a/internal/target/swconn/swconn_test.go
+++ b/internal/target/swconn/swconn_test.go
@@ -269,6 +269,42 @@
 	}
 }
 
+// TestEndlessHead guards against a peer that sends a header, or bytes that are no answer, without an end.
+func TestEndlessHead(t *testing.T) {
+	const piece = 64 << 10
+	tests := []struct{ name, first, piece string }{
+		{"a line", "HTTP/1.1 200 OK\r\nId: ", strings.Repeat("x", piece)},
+		{"many lines", "HTTP/1.1 200 OK\r\n", strings.Repeat("Name: value\r\n", piece/13)},
+		{"no answer", "", strings.Repeat("\x00", piece)},
+		{"informational answers", "", strings.Repeat("HTTP/1.1 103 Early Hints\r\nName: value\r\n", piece/40)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+				p.read(r)
+				n, err := io.WriteString(c, tt.first)
+				for total := n; ; total += n {
+					if err != nil {
+						sent <- total
+						return
+					}
+					n, err = io.WriteString(c, tt.piece)
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			var failed *Error
+			if _, err := newPool(p).Do(ctx, request("1", "")); !errors.As(err, &failed) || !failed.Sent || ctx.Err() != nil {
+				t.Errorf("error %v", err)
+			}
+			if n := <-sent; n > 32<<20 {
+				t.Errorf("the peer could send %d bytes", n)
+			}
+		})
+	}
+}
+
 // TestFailures checks the error of a failed request, and whether it reports the request as sent.
 func TestFailures(t *testing.T) {
 	t.Run("nobody listens", func(t *testing.T) {
