--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -118,8 +118,8 @@
 	Key      Key
 	Attempt  swid.Attempt
 	Produced swid.Tokens
-	// RateLimit is what the answer says of its target's rate limit.
-	RateLimit swlimit.Statement
+	// Statement is what the answer says of the requests that its target takes.
+	Statement swlimit.Statement
 }
 
 // Result says how an attempt ended.
@@ -175,8 +175,8 @@
 	FirstToken swclock.Millis
 	// Total is the time from dispatch to the end.
 	Total swclock.Millis
-	// RateLimit is what the answer says of its target's rate limit, if there was one.
-	RateLimit swlimit.Statement
+	// Statement is what the answer says of the requests that its target takes, if there was one.
+	Statement swlimit.Statement
 }
 
 // LoadReport contains a target's own report of its load.
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -85,7 +85,7 @@
 	if r == nil {
 		return
 	}
-	c.observeRateLimit(r, e.RateLimit)
+	c.observeStatement(r, e.Statement)
 	if e.Produced <= r.produced {
 		return
 	}
@@ -120,7 +120,7 @@
 	}
 	t := r.target
 	c.observeRun(r, e)
-	c.observeRateLimit(r, e.RateLimit)
+	c.observeStatement(r, e.Statement)
 	c.endRun(r)
 	switch e.Result {
 	case swcell.ResultAnswered:
@@ -150,8 +150,8 @@
 	}
 }
 
-// observeRateLimit records what the answer to a run says of the requests that its target takes.
-func (c *Cell[P, O]) observeRateLimit(r *run, s swlimit.Statement) {
+// observeStatement records what the answer to a run says of the requests that its target takes.
+func (c *Cell[P, O]) observeStatement(r *run, s swlimit.Statement) {
 	if s.Leaving && !r.target.leaving {
 		r.target.leaving = true
 		c.cfg.OnLeaving(r.target.conf.ID)
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -530,7 +530,7 @@
 	b.relist(1, swcell.TargetActive)
 	running, _ := grantOf(b.step(b.newGrantRequest(nil)))
 	b.step(swcell.Progress{
-		Key: running.Key, Attempt: running.Attempt, Produced: 10, RateLimit: swlimit.Statement{Heard: true, Leaving: true},
+		Key: running.Key, Attempt: running.Attempt, Produced: 10, Statement: swlimit.Statement{Heard: true, Leaving: true},
 	})
 	if g, ok := grantOf(b.step(b.newGrantRequest(nil))); ok {
 		t.Errorf("granted %s, which is leaving", g.Target)
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -82,8 +82,8 @@
 	body     []byte
 	complete bool
 	usage    swtarget.Usage
-	// rateLimit is what the answer says of its target's rate limit, if there was one.
-	rateLimit swlimit.Statement
+	// statement is what the answer says of the requests that its target takes, if there was one.
+	statement swlimit.Statement
 	// produced is the number of output tokens received, over all runs; reportedTokens
 	// is the number in the last progress report.
 	produced       swid.Tokens
@@ -177,7 +177,7 @@
 	}
 	statement, closed := a.held.holder.config.Closed(a.target, a.held.holder.config.Clock.Now())
 	if closed {
-		a.rateLimit, a.err = statement, errClosed
+		a.statement, a.err = statement, errClosed
 	}
 	return closed
 }
@@ -206,7 +206,7 @@
 // receive reads the answer to its end.
 func (a *attempt) receive(ctx context.Context, response swtarget.Answer) swlife.AttemptEnded {
 	a.status, a.header = response.Status(), response.Header()
-	a.recordRateLimit(response.RateLimit())
+	a.recordStatement(response.Statement())
 	streamed := a.held.request.Call.Stream && a.status < 300
 	for {
 		chunk, err := response.Next()
@@ -228,13 +228,13 @@
 	}
 }
 
-// recordRateLimit records what an answer says of the target's rate limit.
-func (a *attempt) recordRateLimit(s swlimit.Statement) {
+// recordStatement records what an answer says of the requests that the target takes.
+func (a *attempt) recordStatement(s swlimit.Statement) {
 	if s.Heard {
-		a.rateLimit = s
+		a.statement = s
 	}
-	if s.Heard && a.held.holder.config.OnRateLimit != nil {
-		a.held.holder.config.OnRateLimit(a.held.request, a.target, s, a.dispatched)
+	if s.Heard && a.held.holder.config.OnStatement != nil {
+		a.held.holder.config.OnStatement(a.held.request, a.target, s, a.dispatched)
 	}
 }
 
@@ -276,7 +276,7 @@
 	early := e.holder.config.ReportEarly && (a.reportedTokens == 0 || a.reportedTokens < secondReportTokens && a.produced >= secondReportTokens)
 	if early || a.produced-a.reportedTokens >= progressTokens {
 		a.reportedTokens = a.produced
-		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced, RateLimit: a.rateLimit}
+		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced, Statement: a.statement}
 		for _, owner := range e.running.owners {
 			e.holder.config.Sender.Send(owner, m)
 		}
@@ -317,7 +317,7 @@
 	var failure *swtarget.Error
 	known := errors.As(err, &failure)
 	if known {
-		a.recordRateLimit(failure.RateLimit)
+		a.recordStatement(failure.Statement)
 	}
 	if ctx.Err() != nil {
 		return classifyCancellation(ctx, known && failure.Unsent)
@@ -383,7 +383,7 @@
 		CachedTokens: a.usage.CachedTokens,
 		FirstToken:   a.firstToken,
 		Total:        a.ended - a.dispatched,
-		RateLimit:    a.rateLimit,
+		Statement:    a.statement,
 	}
 	for _, owner := range a.owners {
 		e.holder.config.Sender.Send(owner, m)
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -78,9 +78,9 @@
 	AckTimeout swclock.Millis
 	// OnGranted, if not nil, is called with the request at each grant until an attempt has reached a target.
 	OnGranted func(r *Request)
-	// OnRateLimit, if not nil, is called with what each answer says of its target's rate limit, once
+	// OnStatement, if not nil, is called with what each answer says of the requests that its target takes, once
 	// its header has arrived. sent is when the request was sent.
-	OnRateLimit func(r *Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis)
+	OnStatement func(r *Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis)
 	// Closed, if not nil, returns what a target has said that keeps this host from sending requests to
 	// it, and whether it has.
 	Closed func(target swid.TargetID, now swclock.Millis) (swlimit.Statement, bool)
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -62,7 +62,7 @@
 	wait chan struct{}
 	// status is the status of the answer; 0 means 200.
 	status int
-	// limit is what the answer says of its target's rate limit.
+	// limit is what the answer says of the requests that its target takes.
 	limit swlimit.Statement
 	// lastEventID is the ID of the last event in each chunk.
 	lastEventID string
@@ -134,7 +134,7 @@
 
 func (a *scriptedAnswer) Status() int                  { return max(a.script.status, http.StatusOK) }
 func (a *scriptedAnswer) Header() http.Header          { return swtarget.MediaType("text/plain") }
-func (a *scriptedAnswer) RateLimit() swlimit.Statement { return a.script.limit }
+func (a *scriptedAnswer) Statement() swlimit.Statement { return a.script.limit }
 func (a *scriptedAnswer) Usage() swtarget.Usage        { return swtarget.Usage{} }
 func (a *scriptedAnswer) Close() error                 { return nil }
 func (a *scriptedAnswer) Next() (swtarget.Chunk, error) {
--- a/internal/node/swfleet/crashingparts_test.go
+++ b/internal/node/swfleet/crashingparts_test.go
@@ -134,7 +134,7 @@
 
 func (*engineAnswer) Status() int                  { return http.StatusOK }
 func (*engineAnswer) Header() http.Header          { return nil }
-func (*engineAnswer) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+func (*engineAnswer) Statement() swlimit.Statement { return swlimit.Statement{} }
 func (*engineAnswer) Usage() swtarget.Usage        { return swtarget.Usage{} }
 func (*engineAnswer) Close() error                 { return nil }
 
--- a/internal/node/swfleet/limits.go
+++ b/internal/node/swfleet/limits.go
@@ -18,9 +18,9 @@
 		Msg("rate limit of a target changed")
 }
 
-// recordRateLimit records what an answer to a request of this host says of the requests that its target
+// recordStatement records what an answer to a request of this host says of the requests that its target
 // takes.
-func (h *Host) recordRateLimit(r *swholder.Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis) {
+func (h *Host) recordStatement(r *swholder.Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis) {
 	if s.Leaving || s.Pause > 0 {
 		h.recordClosed(r, target, s)
 	}
--- a/internal/node/swfleet/pausing_test.go
+++ b/internal/node/swfleet/pausing_test.go
@@ -71,7 +71,7 @@
 	if pausing {
 		return nil, &swtarget.Error{
 			Failure: swtarget.FailureNotStarted, Err: errConnection,
-			RateLimit: swlimit.Statement{Heard: true, Pause: swclock.Millis(p.pause / time.Millisecond)},
+			Statement: swlimit.Statement{Heard: true, Pause: swclock.Millis(p.pause / time.Millisecond)},
 		}
 	}
 	return p.fleet.deployment.targets[p.id].Start(ctx, r)
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -288,7 +288,7 @@
 
 func (*fakeAnswer) Status() int                    { return http.StatusOK }
 func (*fakeAnswer) Header() http.Header            { return nil }
-func (a *fakeAnswer) RateLimit() swlimit.Statement { return a.limit }
+func (a *fakeAnswer) Statement() swlimit.Statement { return a.limit }
 func (*fakeAnswer) Usage() swtarget.Usage          { return swtarget.Usage{} }
 func (*fakeAnswer) Close() error                   { return nil }
 func (a *fakeAnswer) Next() (swtarget.Chunk, error) {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -214,7 +214,7 @@
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Clock: h.clock, Sender: h.exchange, Router: h.router,
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
-		OnGranted: h.recordUsage, OnRateLimit: h.recordRateLimit, Closed: h.closed.Statement,
+		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement,
 	})
 	h.owner = swowner.New(swowner.Config{
 		Host: h.self.Host, Clock: h.clock, Sender: h.exchange, Router: h.router, Members: h.view, Watcher: noWatcher{},
--- a/internal/node/swnode/bench_test.go
+++ b/internal/node/swnode/bench_test.go
@@ -35,7 +35,7 @@
 
 func (a *instantAnswer) Status() int                { return 200 }
 func (a *instantAnswer) Header() http.Header        { return swtarget.MediaType("text/event-stream") }
-func (*instantAnswer) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+func (*instantAnswer) Statement() swlimit.Statement { return swlimit.Statement{} }
 
 func (a *instantAnswer) Usage() swtarget.Usage { return swtarget.Usage{} }
 func (a *instantAnswer) Close() error          { return nil }
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -60,7 +60,7 @@
 		CachedTokens: m.CachedTokens,
 		FirstToken:   m.FirstToken,
 		Total:        m.Total,
-		RateLimit:    m.RateLimit,
+		Statement:    m.Statement,
 	}
 }
 
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -54,7 +54,7 @@
 	return swid.Tier(c.inRange("tier", value, 0, swid.MaxTiers-1))
 }
 
-func rateLimit(c *checker, w *swpb.RateLimit) swlimit.Statement {
+func statement(c *checker, w *swpb.RateLimit) swlimit.Statement {
 	if w == nil {
 		return swlimit.Statement{}
 	}
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -165,7 +165,7 @@
 		CachedTokens: tokens(c, "cachedTokens", w.GetCachedTokens()),
 		FirstToken:   duration(c, "firstTokenMillis", w.GetFirstTokenMillis()),
 		Total:        duration(c, "totalMillis", w.GetTotalMillis()),
-		RateLimit:    rateLimit(c, w.GetRateLimit()),
+		Statement:    statement(c, w.GetRateLimit()),
 	}
 }
 
@@ -208,7 +208,7 @@
 func decodeProgress(c *checker, w *swpb.Progress) swmsg.Progress {
 	return swmsg.Progress{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
-		Produced: tokens(c, "produced", w.GetProduced()), RateLimit: rateLimit(c, w.GetRateLimit()),
+		Produced: tokens(c, "produced", w.GetProduced()), Statement: statement(c, w.GetRateLimit()),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -113,12 +113,12 @@
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target),
 		Result: uint32(m.Result), PromptTokens: int64(m.PromptTokens), OutputTokens: int64(m.OutputTokens),
 		CachedTokens: int64(m.CachedTokens), FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total),
-		RateLimit: encodeRateLimit(m.RateLimit),
+		RateLimit: encodeStatement(m.Statement),
 	}
 }
 
-// encodeRateLimit returns nil if there was no answer.
-func encodeRateLimit(s swlimit.Statement) *swpb.RateLimit {
+// encodeStatement returns nil if there was no answer.
+func encodeStatement(s swlimit.Statement) *swpb.RateLimit {
 	if !s.Heard {
 		return nil
 	}
@@ -156,7 +156,7 @@
 func encodeProgress(m swmsg.Progress) *swpb.Progress {
 	return &swpb.Progress{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Produced: int64(m.Produced),
-		RateLimit: encodeRateLimit(m.RateLimit),
+		RateLimit: encodeStatement(m.Statement),
 	}
 }
 
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -185,8 +185,8 @@
 	Seq      swid.Seq
 	Attempt  swid.Attempt
 	Produced swid.Tokens
-	// RateLimit is what the answer says of its target's rate limit.
-	RateLimit swlimit.Statement
+	// Statement is what the answer says of the requests that its target takes.
+	Statement swlimit.Statement
 }
 
 // Withdraw cancels a grant request or an unused grant.
@@ -208,8 +208,8 @@
 	CachedTokens swid.Tokens
 	FirstToken   swclock.Millis
 	Total        swclock.Millis
-	// RateLimit is what the answer says of its target's rate limit, if there was one.
-	RateLimit swlimit.Statement
+	// Statement is what the answer says of the requests that its target takes, if there was one.
+	Statement swlimit.Statement
 }
 
 // Grant permits the holder to dispatch one attempt to one target.
--- a/internal/target/swcall/swcall.go
+++ b/internal/target/swcall/swcall.go
@@ -94,8 +94,8 @@
 	return swtarget.Chunk{Data: body}, nil
 }
 
-// RateLimit implements swtarget.Answer. These targets name no limits.
-func (*answer) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+// Statement implements swtarget.Answer. These targets say nothing of it.
+func (*answer) Statement() swlimit.Statement { return swlimit.Statement{} }
 
 // Usage implements swtarget.Answer. Plain services report no usage.
 func (a *answer) Usage() swtarget.Usage { return swtarget.Usage{} }
--- a/internal/target/swopenai/stream.go
+++ b/internal/target/swopenai/stream.go
@@ -45,8 +45,8 @@
 	return swtarget.MediaType(s.response.Header.Get("Content-Type"))
 }
 
-// RateLimit implements swtarget.Answer. These targets name no limits.
-func (*stream) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+// Statement implements swtarget.Answer. These targets say nothing of it.
+func (*stream) Statement() swlimit.Statement { return swlimit.Statement{} }
 
 // Usage implements swtarget.Answer.
 func (s *stream) Usage() swtarget.Usage { return s.usage }
--- a/internal/target/swopenai/swopenai.go
+++ b/internal/target/swopenai/swopenai.go
@@ -211,8 +211,8 @@
 	return swtarget.Chunk{Data: body, Tokens: w.usage.OutputTokens}, nil
 }
 
-// RateLimit implements swtarget.Answer. These targets name no limits.
-func (*bufferedAnswer) RateLimit() swlimit.Statement { return swlimit.Statement{} }
+// Statement implements swtarget.Answer. These targets say nothing of it.
+func (*bufferedAnswer) Statement() swlimit.Statement { return swlimit.Statement{} }
 
 // Usage implements swtarget.Answer.
 func (w *bufferedAnswer) Usage() swtarget.Usage { return w.usage }
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -71,8 +71,8 @@
 	// Header returns the fields of the answer's header that are forwarded to the
 	// caller. They must not be modified.
 	Header() http.Header
-	// RateLimit returns what the answer says of the target's rate limit.
-	RateLimit() swlimit.Statement
+	// Statement returns what the answer says of the requests that the target takes.
+	Statement() swlimit.Statement
 	// Next returns the next chunk. It returns io.EOF only after the answer's
 	// terminal marker, and an *Error in every other case that ends the answer.
 	Next() (Chunk, error)
@@ -117,8 +117,8 @@
 	Failure Failure
 	// Unsent means that no part of the request reached the target.
 	Unsent bool
-	// RateLimit is what the answer says of the target's rate limit, if there was an answer.
-	RateLimit swlimit.Statement
+	// Statement is what the answer says of the requests that the target takes, if there was an answer.
+	Statement swlimit.Statement
 	Err       error
 }
 
