Register without a look at the store's era

TestSessions/fleet ended with a nil pointer: its platform has no objects before the host is registered. The look is not needed: a host that starts after the store was set back reads its entry once more.

--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -167,7 +167,6 @@
 // reads what earlier processes saved.
 func (h *Host) register(ctx context.Context) error {
 	for {
-		h.entryEra = h.platform.Objects().Era()
 		call, cancel := context.WithTimeout(ctx, registerTimeout.Duration())
 		incarnation, err := h.platform.Register(call, h.hostEntry())
 		cancel()
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -121,8 +121,8 @@
 	// granted is set by the first grant of a request of this host, reportedReady has the
 	// latest answer to a readiness check.
 	granted, reportedReady atomic.Bool
-	// entryEra is the era of the store in which this host's entry was last written or found. Only the
-	// goroutine of register, and then that of keepEntry accesses it.
+	// entryEra is the era of the store in which keepEntry last wrote or found this host's entry. Only the
+	// goroutine of keepEntry accesses it.
 	entryEra swobject.Era
 	// leaving is set when the host begins to stop.
 	leaving atomic.Bool
