--- a/internal/node/swfleet/setback_test.go
+++ b/internal/node/swfleet/setback_test.go
@@ -58,7 +58,7 @@
 			time.Sleep(setBackTime)
 			for _, h := range f.hosts {
 				view := h.current.Load().view
-				if got := view.table.Catalog().Version; got != next.Version {
+				if got := h.current.Load().gate.Table().Catalog().Version; got != next.Version {
 					t.Errorf("host %d has configuration %d %v after the store's return, want %d", h.number, got, setBackTime, next.Version)
 				}
 				for _, id := range []swid.TargetID{"model-8", "model-9"} {
