Take late answers of a target's earlier process for no sign that it is leaving

A run that ends after its target was started anew under the same name may still say that the target is leaving; the new process would have been granted nothing until it ended. TestLeavingTarget fails without the check.

--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -152,7 +152,7 @@
 
 // observeStatement records what the answer to a run says of the requests that its target takes.
 func (c *Cell[P, O]) observeStatement(r *run, s swlimit.Statement) {
-	if s.Leaving && !r.target.leaving {
+	if s.Leaving && !r.target.leaving && r.grantedAt >= r.target.restartedAt {
 		r.target.leaving = true
 		c.cfg.OnLeaving(r.target.conf.ID)
 		c.listing++
--- a/internal/core/swvalue/swvalue_test.go
+++ b/internal/core/swvalue/swvalue_test.go
@@ -539,7 +539,12 @@
 	if g, ok := grantOf(b.step(b.newGrantRequest(nil))); ok {
 		t.Errorf("granted %s, which is leaving, after it was listed again", g.Target)
 	}
+	b.now += 100
 	b.relist(2, swcell.TargetActive)
+	b.step(swcell.Done{
+		Key: running.Key, Attempt: running.Attempt, Target: running.Target, Result: swcell.ResultBroken,
+		Statement: swlimit.Statement{Heard: true, Leaving: true},
+	})
 	if _, ok := grantOf(b.step(b.newGrantRequest(nil))); !ok {
 		t.Error("the target is not granted after it was started anew")
 	}
