Split TestCrashingParts, and play it with hosts cut in two and restarts before a refusal

The steps that several simulated fleets share (the owner or all hosts restart, the hosts are cut in two) stand once. Two further cases: a bad request every 1.5 s while all hosts restart each 4 s, and hosts cut in two halves twice.

--- a/internal/node/swfleet/crashingcontent_test.go
+++ b/internal/node/swfleet/crashingcontent_test.go
@@ -274,10 +274,6 @@
 // after three have ended, whichever hosts receive it.
 func TestCrashingContent(t *testing.T) {
 	const span = 24 * time.Second
-	restart := func(f *simulatedFleet) {
-		f.killAll()
-		f.startAll()
-	}
 	events := []struct {
 		name   string
 		silent bool
@@ -292,17 +288,13 @@
 		{name: "owner killed", run: func(f *simulatedFleet) {
 			for range 3 {
 				time.Sleep(5 * time.Second)
-				owner := f.owner()
-				owner.stop()
-				<-owner.ended
-				time.Sleep(time.Second)
-				owner.start()
+				f.restartOwner()
 			}
 		}},
 		{name: "all hosts restart", run: func(f *simulatedFleet) {
 			for range 4 {
 				time.Sleep(5 * time.Second)
-				restart(f)
+				f.restartAll()
 			}
 		}},
 		{name: "store set back", run: func(f *simulatedFleet) {
@@ -311,7 +303,7 @@
 				time.Sleep(5 * time.Second)
 				f.deployment.store.setBack(earlier)
 				time.Sleep(1500 * time.Millisecond)
-				restart(f)
+				f.restartAll()
 			}
 		}},
 		{name: "owner frozen", run: func(f *simulatedFleet) {
@@ -324,15 +316,8 @@
 		// Each half's owner sees targets crash with what the other half runs there. It refuses the
 		// content that it ran there itself until that is verified, 2.5 s later.
 		{name: "hosts cut in two", rejected: 3 * ordinaryRate, run: func(f *simulatedFleet) {
-			part := make(map[string]int)
-			for i, h := range f.hosts {
-				part[h.address()] = i % 2
-			}
-			cut := func(from, to string) bool { return part[from] != part[to] }
 			for range 2 {
-				f.network.cut.Store(&cut)
-				time.Sleep(8 * time.Second)
-				f.network.cut.Store(nil)
+				f.cutInTwo(8 * time.Second)
 				time.Sleep(3 * time.Second)
 			}
 		}},
--- a/internal/node/swfleet/crashingparts_test.go
+++ b/internal/node/swfleet/crashingparts_test.go
@@ -226,20 +226,19 @@
 // TestCrashingParts guards against requests with one part of a prompt that crash one engine after the
 // other, and against the rejection of sound requests that share all else with them.
 func TestCrashingParts(t *testing.T) {
-	const span = 28 * time.Second
-	restart := func(f *simulatedFleet) {
-		f.killAll()
-		f.startAll()
-	}
 	killOwner := func(interval time.Duration) func(f *simulatedFleet) {
 		return func(f *simulatedFleet) {
 			for range 3 {
 				time.Sleep(interval)
-				owner := f.owner()
-				owner.stop()
-				<-owner.ended
-				time.Sleep(time.Second)
-				owner.start()
+				f.restartOwner()
+			}
+		}
+	}
+	restartAll := func(interval time.Duration) func(f *simulatedFleet) {
+		return func(f *simulatedFleet) {
+			for range 4 {
+				time.Sleep(interval)
+				f.restartAll()
 			}
 		}
 	}
@@ -256,11 +255,12 @@
 		{name: "silent engines", interval: 300 * time.Millisecond, silent: true},
 		{name: "owner killed", interval: 300 * time.Millisecond, run: killOwner(5 * time.Second)},
 		{name: "rare, owner killed", interval: 1500 * time.Millisecond, run: killOwner(2500 * time.Millisecond)},
-		{name: "all hosts restart", interval: 300 * time.Millisecond, run: func(f *simulatedFleet) {
-			for range 4 {
-				time.Sleep(5 * time.Second)
-				restart(f)
-			}
+		{name: "all hosts restart", interval: 300 * time.Millisecond, run: restartAll(5 * time.Second)},
+		{name: "rare, all hosts restart", interval: 1500 * time.Millisecond, run: restartAll(4 * time.Second)},
+		{name: "hosts cut in two", interval: 300 * time.Millisecond, run: func(f *simulatedFleet) {
+			f.cutInTwo(8 * time.Second)
+			time.Sleep(3 * time.Second)
+			f.cutInTwo(8 * time.Second)
 		}},
 		{name: "store set back", interval: 300 * time.Millisecond, run: func(f *simulatedFleet) {
 			earlier := f.deployment.store.copy()
@@ -268,7 +268,7 @@
 				time.Sleep(5 * time.Second)
 				f.deployment.store.setBack(earlier)
 				time.Sleep(1500 * time.Millisecond)
-				restart(f)
+				f.restartAll()
 			}
 		}},
 		{name: "owner frozen", interval: 300 * time.Millisecond, run: func(f *simulatedFleet) {
@@ -284,111 +284,117 @@
 			for _, paths := range e.variants() {
 				t.Run(fmt.Sprint(size, " hosts, ", strings.Join(paths, " "), ", ", e.name), func(t *testing.T) {
 					clearPools()
-					synctest.Test(t, func(t *testing.T) {
-						defer clearPools()
-						logs := make([]*crashLog, max(e.parts, 1))
-						for i := range logs {
-							logs[i] = &crashLog{silent: e.silent, harmless: e.answered}
-						}
-						f := newPartsFleet(t, size, logs, e.harmless)
-						f.startAll()
-						f.observe(4)
-						settled := func() (time.Time, bool) {
-							var latest time.Time
-							for _, l := range logs {
-								at, crashed := l.lastCrash(crashNumber)
-								if !crashed {
-									return latest, false
-								}
-								if at = at.Add(settledTime); at.After(latest) {
-									latest = at
-								}
-							}
-							return latest, true
-						}
-						ctx, stop := context.WithTimeout(context.Background(), span)
-						var senders sync.WaitGroup
-						var crashing, sound, sessions, others, elsewhere beginnings
-						every := func(interval time.Duration, send func()) {
-							senders.Go(func() {
-								var calls sync.WaitGroup
-								defer calls.Wait()
-								for ctx.Err() == nil {
-									calls.Go(send)
-									time.Sleep(interval)
-								}
-							})
-						}
-						for _, p := range []string{"/stream/x", "/model/x"} {
-							every(150*time.Millisecond, func() {
-								parts := []swcell.Part{part(firstPart, 100), part(secondPart, 60), uniquePart(140)}
-								f.sendPrompt(ctx, p, uniqueBody(), parts, &sound, settled)
-							})
-							every(150*time.Millisecond, func() {
-								parts := []swcell.Part{part(firstPart, 100), part(sessionPart+swid.PrefixHash(rand.IntN(2000)), 60), uniquePart(140)}
-								f.sendPrompt(ctx, p, uniqueBody(), parts, &sessions, settled)
-							})
-							every(50*time.Millisecond, func() {
-								parts := []swcell.Part{part(otherPart, 200), uniquePart(100)}
-								if e.fresh {
-									parts[0] = uniquePart(200)
-								}
-								f.sendPrompt(ctx, p, uniqueBody(), parts, &others, settled)
-							})
-						}
-						time.AfterFunc(partsWarmup, func() {
-							for _, l := range logs {
-								l.setHarmless(false)
-							}
-						})
-						if !e.answered {
-							time.Sleep(partsWarmup)
-						}
-						for i := range logs {
-							for _, p := range paths {
-								count := &crashing
-								if p == e.harmless {
-									count = &elsewhere
-								}
-								every(e.interval, func() {
-									parts := []swcell.Part{part(firstPart, 100), part(crashingParts[i], 60), part(secondPart, 60), uniquePart(80)}
-									if e.first {
-										parts[0], parts[1] = parts[1], parts[0]
-									}
-									f.sendPrompt(ctx, p, fmt.Sprint(crashingPrompt, i, " ", rand.Uint64()), parts, count, settled)
-								})
-							}
-						}
-						if e.run != nil {
-							e.run(f)
-						}
-						<-ctx.Done()
-						stop()
-						senders.Wait()
-						f.killAll()
-						for i, l := range logs {
-							late, all := l.late(crashNumber)
-							t.Logf("part %d: %d arrivals in all, %d crashes", i+1, all, len(l.crashes))
-							if late > lateLimit {
-								t.Errorf("part %d: %d arrivals later than %v after the crash %d, want at most %d", i+1, late, stableTime, crashNumber, lateLimit)
-							}
-						}
-						for _, k := range []struct {
-							name string
-							*beginnings
-						}{{"with the same first part", &sound}, {"with parts of sessions", &sessions}, {"with other parts", &others}, {"with the part where it is harmless", &elsewhere}} {
-							t.Logf("requests %s: %d of %d began", k.name, k.begun, k.sent)
-							if k.sent >= 20 && float64(k.begun) < minBegun*float64(k.sent) {
-								t.Errorf("requests %s: %d of %d began, want at least %.2f of them", k.name, k.begun, k.sent, minBegun)
-							}
-						}
-					})
+					synctest.Test(t, func(t *testing.T) { e.play(t, size, paths) })
 				})
 			}
 		}
 	}
 }
 
+// partsSpan is how long a case is played after all hosts have started.
+const partsSpan = 28 * time.Second
+
+// play plays the case with a number of hosts, and requests with crashing parts on paths.
+func (c *partsCase) play(t *testing.T, size int, paths []string) {
+	defer clearPools()
+	logs := make([]*crashLog, max(c.parts, 1))
+	for i := range logs {
+		logs[i] = &crashLog{silent: c.silent, harmless: c.answered}
+	}
+	f := newPartsFleet(t, size, logs, c.harmless)
+	f.startAll()
+	f.observe(4)
+	settled := func() (time.Time, bool) {
+		var latest time.Time
+		for _, l := range logs {
+			at, crashed := l.lastCrash(crashNumber)
+			if !crashed {
+				return latest, false
+			}
+			if at = at.Add(settledTime); at.After(latest) {
+				latest = at
+			}
+		}
+		return latest, true
+	}
+	ctx, stop := context.WithTimeout(context.Background(), partsSpan)
+	var senders sync.WaitGroup
+	var crashing, sound, sessions, others, elsewhere beginnings
+	every := func(interval time.Duration, send func()) {
+		senders.Go(func() {
+			var calls sync.WaitGroup
+			defer calls.Wait()
+			for ctx.Err() == nil {
+				calls.Go(send)
+				time.Sleep(interval)
+			}
+		})
+	}
+	for _, p := range []string{"/stream/x", "/model/x"} {
+		every(150*time.Millisecond, func() {
+			parts := []swcell.Part{part(firstPart, 100), part(secondPart, 60), uniquePart(140)}
+			f.sendPrompt(ctx, p, uniqueBody(), parts, &sound, settled)
+		})
+		every(150*time.Millisecond, func() {
+			parts := []swcell.Part{part(firstPart, 100), part(sessionPart+swid.PrefixHash(rand.IntN(2000)), 60), uniquePart(140)}
+			f.sendPrompt(ctx, p, uniqueBody(), parts, &sessions, settled)
+		})
+		every(50*time.Millisecond, func() {
+			parts := []swcell.Part{part(otherPart, 200), uniquePart(100)}
+			if c.fresh {
+				parts[0] = uniquePart(200)
+			}
+			f.sendPrompt(ctx, p, uniqueBody(), parts, &others, settled)
+		})
+	}
+	time.AfterFunc(partsWarmup, func() {
+		for _, l := range logs {
+			l.setHarmless(false)
+		}
+	})
+	if !c.answered {
+		time.Sleep(partsWarmup)
+	}
+	for i := range logs {
+		for _, p := range paths {
+			count := &crashing
+			if p == c.harmless {
+				count = &elsewhere
+			}
+			every(c.interval, func() {
+				parts := []swcell.Part{part(firstPart, 100), part(crashingParts[i], 60), part(secondPart, 60), uniquePart(80)}
+				if c.first {
+					parts[0], parts[1] = parts[1], parts[0]
+				}
+				f.sendPrompt(ctx, p, fmt.Sprint(crashingPrompt, i, " ", rand.Uint64()), parts, count, settled)
+			})
+		}
+	}
+	if c.run != nil {
+		c.run(f)
+	}
+	<-ctx.Done()
+	stop()
+	senders.Wait()
+	f.killAll()
+	for i, l := range logs {
+		late, all := l.late(crashNumber)
+		t.Logf("part %d: %d arrivals in all, %d crashes", i+1, all, len(l.crashes))
+		if late > lateLimit {
+			t.Errorf("part %d: %d arrivals later than %v after the crash %d, want at most %d", i+1, late, stableTime, crashNumber, lateLimit)
+		}
+	}
+	for _, k := range []struct {
+		name string
+		*beginnings
+	}{{"with the same first part", &sound}, {"with parts of sessions", &sessions}, {"with other parts", &others}, {"with the part where it is harmless", &elsewhere}} {
+		t.Logf("requests %s: %d of %d began", k.name, k.begun, k.sent)
+		if k.sent >= 20 && float64(k.begun) < minBegun*float64(k.sent) {
+			t.Errorf("requests %s: %d of %d began, want at least %.2f of them", k.name, k.begun, k.sent, minBegun)
+		}
+	}
+}
+
 // lastCrash returns when the crash with a number happened, or the last one if there were fewer.
 func (l *crashLog) lastCrash(number int) (time.Time, bool) {
 	l.mu.Lock()
--- a/internal/node/swfleet/leaving_test.go
+++ b/internal/node/swfleet/leaving_test.go
@@ -79,11 +79,7 @@
 		{name: "owner killed", run: func(f *simulatedFleet) {
 			for range 2 {
 				time.Sleep(4 * time.Second)
-				owner := f.owner()
-				owner.stop()
-				<-owner.ended
-				time.Sleep(time.Second)
-				owner.start()
+				f.restartOwner()
 			}
 		}},
 		{name: "store set back", run: func(f *simulatedFleet) {
--- a/internal/node/swfleet/pausing_test.go
+++ b/internal/node/swfleet/pausing_test.go
@@ -88,11 +88,7 @@
 		{name: "owner killed", run: func(f *simulatedFleet) {
 			for range 3 {
 				time.Sleep(4 * time.Second)
-				owner := f.owner()
-				owner.stop()
-				<-owner.ended
-				time.Sleep(time.Second)
-				owner.start()
+				f.restartOwner()
 			}
 		}},
 	}
--- a/internal/node/swfleet/ratelimit_test.go
+++ b/internal/node/swfleet/ratelimit_test.go
@@ -154,10 +154,6 @@
 		// rate is the load, in requests a second.
 		rate int
 	}{{"model", 8, 80}, {"plain", 2, 160}, {"plain", 8, 160}}
-	restart := func(f *simulatedFleet) {
-		f.killAll()
-		f.startAll()
-	}
 	events := []struct {
 		name        string
 		limit       func(since time.Duration) swid.RequestRate
@@ -182,17 +178,13 @@
 		{name: "owner killed", limit: constantLimit(3), run: func(f *simulatedFleet) {
 			for range 3 {
 				time.Sleep(5 * time.Second)
-				owner := f.owner()
-				owner.stop()
-				<-owner.ended
-				time.Sleep(time.Second)
-				owner.start()
+				f.restartOwner()
 			}
 		}, unused: true},
 		{name: "all hosts restart", limit: constantLimit(3), run: func(f *simulatedFleet) {
 			for range 2 {
 				time.Sleep(8 * time.Second)
-				restart(f)
+				f.restartAll()
 			}
 		}, unused: true},
 		{name: "store set back", limit: constantLimit(3), run: func(f *simulatedFleet) {
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -282,6 +282,33 @@
 	}
 }
 
+// restartAll kills the processes of all hosts and starts them again.
+func (f *simulatedFleet) restartAll() {
+	f.killAll()
+	f.startAll()
+}
+
+// restartOwner kills the process of the owner and starts it again a second later.
+func (f *simulatedFleet) restartOwner() {
+	owner := f.owner()
+	owner.stop()
+	<-owner.ended
+	time.Sleep(time.Second)
+	owner.start()
+}
+
+// cutInTwo cuts the links between the hosts with even and those with odd numbers for a time.
+func (f *simulatedFleet) cutInTwo(span time.Duration) {
+	half := make(map[string]int)
+	for i, h := range f.hosts {
+		half[h.address()] = i % 2
+	}
+	cut := func(from, to string) bool { return half[from] != half[to] }
+	f.network.cut.Store(&cut)
+	time.Sleep(span)
+	f.network.cut.Store(nil)
+}
+
 // observe returns the number of owners at each of the next seconds.
 func (f *simulatedFleet) observe(seconds int) []int {
 	counts := make([]int, seconds)
