Log the software version of targets, and which stream a request takes up

The version of a target's entry, which was checked for and dropped, is kept with the target; lines on attempts and ends of requests have it, and those of requests that take a stream up the last event and the try that is named as its first one. The list in force is logged with its versions.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -51,6 +51,9 @@
 	Model string
 	// ResumeAfter is the ID of the last stream event that the caller received; empty for a new stream.
 	ResumeAfter string
+	// BegunBy is the caller's attempt that brought the first event of the stream that is taken up; empty
+	// for a new stream, and if the caller does not say it.
+	BegunBy swid.RequestID
 	// ReadBody reads the body within the given limits.
 	ReadBody func(swcatalog.Limits) ([]byte, error)
 }
@@ -300,7 +303,7 @@
 	case route.Kind == swcatalog.KindStream && route.Resumable:
 		r.ResumeElsewhere = true
 		r.RetryFailures = true
-		r.Call.LastEventID = c.ResumeAfter
+		r.Call.LastEventID, r.BegunBy = c.ResumeAfter, c.BegunBy
 	default:
 		r.NonIdempotent = true
 	}
@@ -378,6 +381,7 @@
 		Str("outcome", report.End.Outcome.String()).
 		Uint32("attempts", uint32(report.Attempts)).
 		Str("target", string(report.Target)).
+		Str("targetVersion", string(report.TargetVersion)).
 		Int64("promptTokens", int64(r.PromptTokens)).
 		Int64("expectedTokens", int64(r.ExpectedTokens)).
 		Int64("outputTokens", int64(report.OutputTokens)).
@@ -386,6 +390,9 @@
 		Int64("firstMillis", int64(report.Timing.FirstToken)).
 		Int64("objectiveMillis", int64(route.Objective)).
 		Int64("totalMillis", int64(report.Timing.Total))
+	if r.Call.LastEventID != "" {
+		e = e.Str("resumeAfter", truncate(r.Call.LastEventID)).Str("begunBy", truncate(string(r.BegunBy)))
+	}
 	if report.End.Outcome != swlife.OutcomeAnswered {
 		e = e.Str("cause", report.End.Cause.String()).Int64("retryAfterMillis", int64(report.End.RetryAfter))
 	}
--- a/internal/config/swcatalog/swcatalog.go
+++ b/internal/config/swcatalog/swcatalog.go
@@ -133,6 +133,8 @@
 	// the same ID. The owner then discards the cache contents, the rates and the count of
 	// unanswered attempts that it recorded for the target. Born is 0 if unknown.
 	Born int64
+	// Version is that of the target's software, which has nothing to do with the weights of its models.
+	Version swid.SoftwareVersion
 	// WarmupRemaining is the time for which the target is still slow after its start.
 	WarmupRemaining swclock.Millis
 }
--- a/internal/config/swdoc/swdoc.go
+++ b/internal/config/swdoc/swdoc.go
@@ -105,6 +105,8 @@
 	// unanswered attempts that it recorded for the target. Born is 0 if unknown; Parse does
 	// not set it.
 	Born int64
+	// Version is that of the target's software; empty if unknown. Parse does not set it.
+	Version swid.SoftwareVersion
 	// ChecksCaller is set if the target itself authenticates the sender of an order.
 	ChecksCaller bool
 	Fencing      FencingMode
--- a/internal/core/swid/swid.go
+++ b/internal/core/swid/swid.go
@@ -28,6 +28,10 @@
 // TargetID identifies a target: an engine or an instance of a plain service.
 type TargetID string
 
+// SoftwareVersion is the version of the software that a target runs. What two versions write does not fit
+// together in one stream.
+type SoftwareVersion string
+
 // GenerationID identifies a hardware generation of targets.
 type GenerationID string
 
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -57,6 +57,8 @@
 	held   *heldRequest
 	number swid.Attempt
 	target swid.TargetID
+	// version is the software version of the target.
+	version swid.SoftwareVersion
 	// owners holds the owner that granted the attempt and each host that the running
 	// attempt was reported to since.
 	owners []swid.HostID
@@ -144,8 +146,9 @@
 }
 
 func (a *attempt) exchange(ctx context.Context) swlife.AttemptEnded {
-	adapter, accepting, known := a.held.holder.config.Targets.Adapter(a.target)
-	if !known || a.events == 0 && (!accepting || a.isClosed()) {
+	target, listed := a.held.holder.config.Targets.Target(a.target)
+	a.version = target.Version
+	if !listed || a.events == 0 && (!target.Accepting || a.isClosed()) {
 		return swlife.AttemptEnded{Result: swcell.ResultNotStarted, Unsent: true}
 	}
 	// The grant may have arrived together with the caller's end, or after the deadline.
@@ -161,7 +164,7 @@
 	call.IdempotencyKey = a.held.request.IdempotencyKey
 	call.FirstOutputTimeout = a.firstOutputTimeout()
 	call.ReceivedEvents = a.events
-	response, err := adapter.Start(ctx, call)
+	response, err := target.Adapter.Start(ctx, call)
 	if err != nil {
 		return a.classifyError(ctx, err)
 	}
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -50,6 +50,9 @@
 	Attempts swid.Attempt
 	// ResumeElsewhere allows a broken stream to continue at another target.
 	ResumeElsewhere bool
+	// BegunBy is the caller's attempt that brought the first event of the stream that Call.LastEventID
+	// continues; empty if the caller does not say it.
+	BegunBy swid.RequestID
 	// NotResumable marks a request whose broken stream the same target cannot
 	// resume: the target would run the request again from the start.
 	NotResumable bool
@@ -101,10 +104,12 @@
 
 // Report describes how a request ended.
 type Report struct {
-	End      swlife.End
-	Target   swid.TargetID // of the last attempt; empty if there was none
-	Attempts swid.Attempt
-	Timing   Timing
+	End    swlife.End
+	Target swid.TargetID // of the last attempt; empty if there was none
+	// TargetVersion is the software version of Target.
+	TargetVersion swid.SoftwareVersion
+	Attempts      swid.Attempt
+	Timing        Timing
 	// InTime is true if the whole answer was delivered by the deadline.
 	InTime bool
 	// Begun is true if the delivery of a target's answer to the caller began, so that an error can no longer be sent as a status.
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -20,7 +20,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
-	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
 )
 
 // Router selects the host that grant requests are sent to.
@@ -37,11 +37,10 @@
 	ObserveEpoch(cell swid.CellID, epoch swid.Epoch)
 }
 
-// Targets looks up the adapter of each target.
+// Targets looks up targets.
 type Targets interface {
-	// Adapter returns a target's adapter. accepting is false if the target is
-	// draining; known is false if the target is not listed.
-	Adapter(target swid.TargetID) (adapter swtarget.Adapter, accepting, known bool)
+	// Target returns a target, and whether it is listed.
+	Target(id swid.TargetID) (t swpool.Target, listed bool)
 }
 
 // Retries is the budget for further attempts at requests that reached a target.
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -19,6 +19,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
+	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
@@ -104,8 +105,8 @@
 	f.mu.Unlock()
 }
 
-func (f *fixture) Adapter(target swid.TargetID) (swtarget.Adapter, bool, bool) {
-	return scriptedAdapter{f, target}, true, true
+func (f *fixture) Target(id swid.TargetID) (swpool.Target, bool) {
+	return swpool.Target{Adapter: scriptedAdapter{f, id}, Accepting: true}, true
 }
 
 type scriptedAdapter struct {
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
@@ -89,7 +90,8 @@
 			draining++
 		}
 	}
-	h.log.Info().Int("targets", len(items)).Int("draining", draining).Uint64("revision", uint64(latest(items))).Msg("targets changed")
+	h.log.Info().Int("targets", len(items)).Int("draining", draining).Strs("versions", versionsOf(items)).
+		Uint64("revision", uint64(latest(items))).Msg("targets changed")
 	h.limits.Retain(func(id swid.TargetID) bool {
 		_, listed := h.view.bornOf(id)
 		return listed
@@ -98,6 +100,16 @@
 	h.configure()
 }
 
+// versionsOf returns the software versions of targets, each once with its service.
+func versionsOf(items []swwatch.Item[swcatalog.Target]) []string {
+	versions := make([]string, len(items))
+	for i, item := range items {
+		versions[i] = string(item.Value.Service) + " " + string(item.Value.Version)
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // latest returns the highest revision among items, or 0 if there are none.
 func latest[T any](items []swwatch.Item[T]) swwatch.Revision {
 	var revision swwatch.Revision
--- a/internal/target/swpool/swpool.go
+++ b/internal/target/swpool/swpool.go
@@ -54,8 +54,18 @@
 	p.entries.Store(&entries)
 }
 
-// Adapter returns a target's adapter. accepting is false if the target is draining or not known.
-func (p *Pool) Adapter(target swid.TargetID) (adapter swtarget.Adapter, accepting, known bool) {
-	e, known := (*p.entries.Load())[target]
-	return e.adapter, known && !e.target.Draining, known
+// Target is a target of the current document.
+type Target struct {
+	Adapter swtarget.Adapter
+	// Accepting is set unless the target is draining.
+	Accepting bool
+	// Born identifies one start of the target; 0 if unknown.
+	Born    int64
+	Version swid.SoftwareVersion
+}
+
+// Target returns a target of the current document, and whether the document lists it.
+func (p *Pool) Target(id swid.TargetID) (Target, bool) {
+	e, listed := (*p.entries.Load())[id]
+	return Target{Adapter: e.adapter, Accepting: !e.target.Draining, Born: e.target.Born, Version: e.target.Version}, listed
 }
