--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -82,6 +82,8 @@
 	current atomic.Pointer[Host]
 	stop    context.CancelFunc
 	ended   chan struct{}
+	// startedAt is when the process was last started.
+	startedAt time.Time
 }
 
 func newSimulatedFleet(t *testing.T, size int) *simulatedFleet {
@@ -115,7 +117,7 @@
 // start starts the host's process.
 func (h *simulatedHost) start() {
 	ctx, stop := context.WithCancel(context.Background())
-	h.stop, h.ended = stop, make(chan struct{})
+	h.stop, h.ended, h.startedAt = stop, make(chan struct{}), time.Now()
 	go func() {
 		defer close(h.ended)
 		h.processor.use(startCost, ctx.Done())
