--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -272,7 +273,7 @@
 func (g *Gate) newRequest(c *Call, route *swcatalog.Route, org *swcatalog.Organisation, body []byte) *swholder.Request {
 	now := g.config.Clock.Now()
 	seq, _ := g.config.Holder.NextID()
-	service := route.Pick(rand.Float64())
+	service := route.Pick(share(c, route))
 	r := &swholder.Request{
 		ID: c.ID, Seq: seq, Service: service, Cell: swid.NewCellID(service, g.config.Region),
 		Tier: route.Tier, OrgTier: defaultOrgTier, Deadline: deadline(now, c.Deadline, route.Timeout),
@@ -303,7 +304,11 @@
 	case route.Kind == swcatalog.KindStream && route.Resumable:
 		r.ResumeElsewhere = true
 		r.RetryFailures = true
-		r.Call.LastEventID, r.BegunBy = c.ResumeAfter, c.BegunBy
+		r.Call.LastEventID = c.ResumeAfter
+		r.Stream, r.ContinuableUntil = sworigin.StreamOf(c.ID), now+continuableFor(c.Deadline)
+		if c.ResumeAfter != "" {
+			r.Continuation = sworigin.Continuation{Continues: true, Stream: sworigin.StreamOf(c.BegunBy)}
+		}
 	default:
 		r.NonIdempotent = true
 	}
@@ -311,6 +316,19 @@
 	return r
 }
 
+// share returns the number by which a call's service is picked. A stream that is taken up goes to the
+// service that its first attempt went to, as long as the route's shares are the same.
+func share(c *Call, route *swcatalog.Route) float64 {
+	if !route.Resumable || c.ID == "" {
+		return rand.Float64()
+	}
+	first := c.ID
+	if c.ResumeAfter != "" && c.BegunBy != "" {
+		first = c.BegunBy
+	}
+	return float64(sworigin.StreamOf(first)>>11) / (1 << 53)
+}
+
 // defaultOrgTier is the tier of organisations for which the operators set none. It is
 // the middle one of the three tiers (0 to 2) that operators use, so that such
 // organisations rank between the others. Among requests of organisations of the same
@@ -345,6 +363,18 @@
 	}
 }
 
+// continuableFor returns how long a caller may take up a stream that breaks: as long as it waits, and a
+// moment longer, as its clock is another one.
+func continuableFor(deadline swclock.Millis) swclock.Millis {
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	return deadline + continuationMargin
+}
+
+// continuationMargin is added to the time for which a caller may take a stream up.
+const continuationMargin = 2 * swclock.Second
+
 // defaultDeadline applies to a request if neither the caller nor the operator sets a limit.
 const defaultDeadline = swclock.Minute
 
@@ -390,8 +420,9 @@
 		Int64("firstMillis", int64(report.Timing.FirstToken)).
 		Int64("objectiveMillis", int64(route.Objective)).
 		Int64("totalMillis", int64(report.Timing.Total))
-	if r.Call.LastEventID != "" {
-		e = e.Str("resumeAfter", truncate(r.Call.LastEventID)).Str("begunBy", truncate(string(r.BegunBy)))
+	if r.Continuation.Continues {
+		e = e.Str("resumeAfter", truncate(r.Call.LastEventID)).Str("begunBy", truncate(string(c.BegunBy))).
+			Str("continuedVersion", string(report.Continued.Version))
 	}
 	if report.End.Outcome != swlife.OutcomeAnswered {
 		e = e.Str("cause", report.End.Cause.String()).Int64("retryAfterMillis", int64(report.End.RetryAfter))
--- a/internal/caller/swgate/swgate_test.go
+++ b/internal/caller/swgate/swgate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -12,6 +13,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 )
 
@@ -208,6 +210,42 @@
 	}
 }
 
+// TestTakenUpService checks that a stream which is taken up goes to the service that its first attempt went to.
+func TestTakenUpService(t *testing.T) {
+	f := newFixture()
+	split := *catalog
+	split.Version++
+	split.Routes = []swcatalog.Route{{
+		Name: "chat", Host: "h", Prefix: "/chat/", Kind: swcatalog.KindStream, Resumable: true, Attempts: 2, Public: true,
+		Shares: []swcatalog.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}},
+	}}
+	f.gate.Configure(swcatalog.NewTable(&split))
+	serve := func(id, begunBy swid.RequestID) *swholder.Request {
+		call := callTo("/chat/x", "")
+		call.ID = id
+		if begunBy != "" {
+			call.ResumeAfter, call.BegunBy = "3", begunBy
+		}
+		f.gate.Serve(context.Background(), call, nil)
+		return f.lastRequest
+	}
+	picked := make(map[swid.ServiceID]int)
+	for i := range 100 {
+		first := swid.RequestID(fmt.Sprint("first ", i))
+		service := serve(first, "").Service
+		picked[service]++
+		for try := range 3 {
+			r := serve(swid.RequestID(fmt.Sprint("try ", i, try)), first)
+			if want := (sworigin.Continuation{Continues: true, Stream: sworigin.StreamOf(first)}); r.Service != service || r.Continuation != want {
+				t.Fatalf("a stream of %s is taken up at %s as %+v, want %+v", service, r.Service, r.Continuation, want)
+			}
+		}
+	}
+	if picked["a"] < 30 || picked["b"] < 30 {
+		t.Errorf("new streams went to %v, want about half to each", picked)
+	}
+}
+
 // TestFingerprint checks that requests which differ in path, query, method or body have
 // different fingerprints, and that a repeated request has the same fingerprint.
 func TestFingerprint(t *testing.T) {
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -24,6 +24,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 )
 
 // Key identifies a request within a cell.
@@ -81,6 +82,10 @@
 	// Abandon is the instant at which the caller leaves if there is no output; 0
 	// if it waits until the deadline.
 	Abandon swclock.Millis
+	// Resumable marks a stream that may be continued at another target.
+	Resumable bool
+	// Continuation says whether the attempt continues a stream, and which.
+	Continuation sworigin.Continuation
 }
 
 // Part is a part of a prompt that other prompts may share. A target that has
@@ -120,6 +125,8 @@
 	Produced swid.Tokens
 	// Statement is what the answer says of the requests that its target takes.
 	Statement swlimit.Statement
+	// Begun is the stream that the attempt has begun since the report before, if it has.
+	Begun sworigin.Begun
 }
 
 // Result says how an attempt ended.
@@ -231,6 +238,8 @@
 	// Born identifies a start of the target, so that a restart under the same ID is
 	// detected; 0 if unknown.
 	Born int64
+	// Version is that of the target's software.
+	Version swid.SoftwareVersion
 }
 
 // Organisation defines an organisation's share of a cell.
@@ -288,6 +297,8 @@
 	// FirstToken and Total are the expected spans from dispatch to the first token and to the end.
 	FirstToken swclock.Millis
 	Total      swclock.Millis
+	// Origin is that of the stream which the attempt continues, if it continues one.
+	Origin sworigin.Origin
 }
 
 // RejectReason says why a request was rejected.
@@ -308,6 +319,12 @@
 	ReasonRetryBudget
 	// ReasonQuota means that the organisation's quota is used up.
 	ReasonQuota
+	// ReasonVersionUnknown means that nothing tells which software version began the stream that the
+	// request continues.
+	ReasonVersionUnknown
+	// ReasonVersionGone means that no target of the service has the software version that began the stream which
+	// the request continues.
+	ReasonVersionGone
 )
 
 var reasonNames = [...]string{
@@ -317,6 +334,9 @@
 	ReasonSuspect:     "suspect",
 	ReasonRetryBudget: "retryBudget",
 	ReasonQuota:       "quota",
+
+	ReasonVersionUnknown: "versionUnknown",
+	ReasonVersionGone:    "versionGone",
 }
 
 // String returns the reason's name in logs.
--- a/internal/core/swelect/shard.go
+++ b/internal/core/swelect/shard.go
@@ -46,3 +46,9 @@
 	region, _, _ := strings.Cut(rest, "#")
 	return swid.RegionID(region)
 }
+
+// Service returns the service of a cell.
+func Service(cell swid.CellID) swid.ServiceID {
+	service, _, _ := strings.Cut(string(cell), "@")
+	return swid.ServiceID(service)
+}
--- a/internal/core/swlife/command.go
+++ b/internal/core/swlife/command.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 )
 
 // Command is what the holder does next. The holder answers every command except End with one event.
@@ -16,6 +17,8 @@
 	Attempt swid.Attempt
 	// Exclude holds the targets of earlier attempts.
 	Exclude []swid.TargetID
+	// Continuation is the stream that the attempt continues, if it continues one.
+	Continuation sworigin.Continuation
 }
 
 // Dispatch instructs the holder to send the request to a target.
--- a/internal/core/swlife/event.go
+++ b/internal/core/swlife/event.go
@@ -4,6 +4,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 )
 
 // Event is an input of Lifecycle.Step.
@@ -26,6 +27,10 @@
 // Granted reports a grant for the current attempt.
 type Granted struct {
 	Target swid.TargetID
+	// Origin is what the streams have as their origin that the target begins.
+	Origin sworigin.Origin
+	// Continued is the origin of the stream that the attempt continues, if the owner knows it.
+	Continued sworigin.Origin
 }
 
 // Rejected reports that the owner rejected the request.
@@ -53,6 +58,10 @@
 	Delivered bool
 	// Resumable is set if the target may be able to resume the stream.
 	Resumable bool
+	// Began is set if this host received the first event of the stream in this attempt, and Origin is its
+	// origin if that is certain.
+	Began  bool
+	Origin sworigin.Origin
 }
 
 func (Claimed) event()      {}
--- a/internal/core/swlife/outcome.go
+++ b/internal/core/swlife/outcome.go
@@ -45,6 +45,10 @@
 	CauseShutdown
 	// CauseQuota: the organisation's quota is used up.
 	CauseQuota
+	// CauseVersionUnknown: nothing tells which software version began the stream that is to be continued.
+	CauseVersionUnknown
+	// CauseVersionGone: no target has the software version that began the stream which is to be continued.
+	CauseVersionGone
 )
 
 var causeNames = [...]string{
@@ -62,6 +66,8 @@
 	CauseKeyReused:        "keyReused",
 	CauseShutdown:         "shutdown",
 	CauseQuota:            "quota",
+	CauseVersionUnknown:   "versionUnknown",
+	CauseVersionGone:      "versionGone",
 }
 
 // String returns the cause's name in logs and metrics.
--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -3,7 +3,8 @@
 // and which outcome is reported to the caller.
 //
 // It guarantees that a request is dispatched to each target at most once, that a
-// non-idempotent request is never dispatched again once it may have run, and that
+// non-idempotent request is never dispatched again once it may have run, that a stream is continued only at
+// the software version that began it, and that
 // OutcomeNotRun is reported only if no attempt can have run. The last guarantee requires
 // valid events: one that is invalid in the current phase ends the request, and the
 // outcome then ignores an attempt that still runs or was answered, so that it may be
@@ -16,6 +17,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 )
 
 const (
@@ -50,6 +52,8 @@
 	// ResumeElsewhere is set if a broken stream is continued at another target.
 	// Such a stream may be dispatched again although part of it was delivered.
 	ResumeElsewhere bool
+	// Continuation is the stream that the caller takes up, if it takes one up.
+	Continuation sworigin.Continuation
 }
 
 // Lifecycle is the state of one request. It is not safe for concurrent use.
@@ -69,6 +73,8 @@
 	mayHaveRun bool
 	// resumes counts the resumptions of the current attempt.
 	resumes int
+	// continuation is the stream that the next attempt continues. Once it has an origin, that does not change.
+	continuation sworigin.Continuation
 }
 
 // New returns the lifecycle of a request and its first command.
@@ -76,7 +82,7 @@
 	if rules.Attempts == 0 {
 		rules.Attempts = MaxAttempts
 	}
-	l := &Lifecycle{rules: rules}
+	l := &Lifecycle{rules: rules, continuation: rules.Continuation}
 	if rules.NonIdempotent && !rules.Unclaimed {
 		l.phase = phaseClaiming
 		return l, Claim{}
@@ -105,7 +111,7 @@
 		}
 	case Granted:
 		if l.phase == phaseAwaitingGrant {
-			return l.dispatch(e.Target)
+			return l.dispatch(e)
 		}
 	case Rejected:
 		if l.phase == phaseAwaitingGrant {
@@ -126,24 +132,42 @@
 // MayHaveRun reports whether a target may have run the request.
 func (l *Lifecycle) MayHaveRun() bool { return l.mayHaveRun }
 
+// Continued returns the origin of the stream that the request continues, as far as it is known.
+func (l *Lifecycle) Continued() sworigin.Origin { return l.continuation.Origin }
+
 // requestGrant starts the next attempt with a grant request.
 func (l *Lifecycle) requestGrant() Command {
 	l.phase = phaseAwaitingGrant
 	l.attempt++
-	return RequestGrant{Attempt: l.attempt, Exclude: slices.Clone(l.tried)}
+	return RequestGrant{Attempt: l.attempt, Exclude: slices.Clone(l.tried), Continuation: l.continuation}
 }
 
 // dispatch dispatches the request to the granted target. If the target was tried
 // before, or a non-idempotent request may have run, it ends the request instead,
-// although the owner sent a grant.
-func (l *Lifecycle) dispatch(target swid.TargetID) Command {
-	if slices.Contains(l.tried, target) || (l.rules.NonIdempotent && l.mayHaveRun) {
+// although the owner sent a grant. It asks for another target if the granted one cannot continue the
+// request's stream.
+func (l *Lifecycle) dispatch(e Granted) Command {
+	if slices.Contains(l.tried, e.Target) || (l.rules.NonIdempotent && l.mayHaveRun) {
 		return l.end(CauseTargetFailed, 0)
 	}
+	c := &l.continuation
+	if c.Continues && !c.Origin.Known() {
+		c.Origin = e.Continued
+	}
+	switch {
+	case c.Continues && !c.Origin.Known():
+		return l.end(CauseVersionUnknown, 0)
+	case c.Continues && c.Origin != e.Origin:
+		l.tried = append(l.tried, e.Target)
+		if l.attempt < maxGrantRequests {
+			return l.requestGrant()
+		}
+		return l.end(CauseVersionGone, 0)
+	}
 	l.phase = phaseRunning
-	l.tried = append(l.tried, target)
+	l.tried = append(l.tried, e.Target)
 	l.resumes = 0
-	return Dispatch{Attempt: l.attempt, Target: target}
+	return Dispatch{Attempt: l.attempt, Target: e.Target}
 }
 
 // attemptEnded resumes, retries or ends the request after an attempt.
@@ -151,6 +175,9 @@
 	if !e.Unsent {
 		l.sent++
 	}
+	if e.Began && !l.continuation.Continues {
+		l.continuation = sworigin.Continuation{Continues: true, Origin: e.Origin}
+	}
 	switch e.Result {
 	case swcell.ResultAnswered, swcell.ResultRejected:
 		l.phase = phaseEnded
@@ -213,6 +240,10 @@
 		return CauseRetryBudget
 	case swcell.ReasonQuota:
 		return CauseQuota
+	case swcell.ReasonVersionUnknown:
+		return CauseVersionUnknown
+	case swcell.ReasonVersionGone:
+		return CauseVersionGone
 	default:
 		return CauseOverload
 	}
--- a/internal/core/swlife/swlife_test.go
+++ b/internal/core/swlife/swlife_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 )
 
 // events lists inputs of every kind except Granted, which drawEvent draws separately.
@@ -41,6 +42,11 @@
 			Attempts:        swid.Attempt(rapid.IntRange(0, 3).Draw(t, "attempts")),
 			ResumeElsewhere: !nonIdempotent && rapid.Bool().Draw(t, "resumeElsewhere"),
 		}
+		var stream continued
+		if rules.ResumeElsewhere && rapid.Bool().Draw(t, "continues") {
+			stream = continued{continues: true, origin: drawOrigin(t, "takenUp")}
+			rules.Continuation = sworigin.Continuation{Continues: true, Stream: 1, Origin: stream.origin}
+		}
 		life, command := New(rules)
 		var dispatched []swid.TargetID
 		mayHaveRun, ended, sent := false, 0, swid.Attempt(0)
@@ -74,7 +80,9 @@
 					t.Fatalf("sent to %d targets, at most %d are allowed", sent, rules.Attempts)
 				}
 			}
+			stream.record(command, e)
 			command = life.Step(e)
+			stream.check(t, command)
 		}
 		if ended != 1 {
 			t.Fatalf("request ended %d times", ended)
@@ -85,11 +93,53 @@
 func drawEvent(t *rapid.T, awaitingGrant bool) Event {
 	if awaitingGrant && rapid.IntRange(0, 3).Draw(t, "grant") > 0 {
 		target := rapid.SampledFrom([]swid.TargetID{"a", "b", "c"}).Draw(t, "target")
-		return Granted{Target: target}
+		return Granted{Target: target, Origin: drawOrigin(t, "targetOrigin"), Continued: drawOrigin(t, "continuedOrigin")}
+	}
+	if !awaitingGrant && rapid.IntRange(0, 3).Draw(t, "begin") == 0 {
+		// The stream breaks after its first event.
+		return AttemptEnded{Result: swcell.ResultBroken, Delivered: true, Began: true, Origin: drawOrigin(t, "begunOrigin")}
 	}
 	return rapid.SampledFrom(events).Draw(t, "event")
 }
 
+// drawOrigin draws an origin of one of two versions, or one that is not known.
+func drawOrigin(t *rapid.T, label string) sworigin.Origin {
+	return rapid.SampledFrom([]sworigin.Origin{{}, {Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}).Draw(t, label)
+}
+
+// continued tracks the origin of a request's stream.
+type continued struct {
+	continues bool
+	origin    sworigin.Origin
+	// granted is the origin of the granted target, and resolved that of the stream by the owner.
+	granted, resolved sworigin.Origin
+}
+
+// check checks that a stream is dispatched at its origin only.
+func (c *continued) check(t *rapid.T, command Command) {
+	if _, dispatch := command.(Dispatch); !dispatch || !c.continues {
+		return
+	}
+	if !c.origin.Known() {
+		c.origin = c.resolved
+	}
+	if !c.origin.Known() || c.granted != c.origin {
+		t.Fatalf("a stream of %v continues at %v", c.origin, c.granted)
+	}
+}
+
+// record records an event.
+func (c *continued) record(command Command, e Event) {
+	switch e := e.(type) {
+	case Granted:
+		c.granted, c.resolved = e.Origin, e.Continued
+	case AttemptEnded:
+		if _, dispatched := command.(Dispatch); dispatched && e.Began && !c.continues {
+			c.continues, c.origin = true, e.Origin
+		}
+	}
+}
+
 // mayHaveRunAfter reports whether a target may have run the request if a command is
 // answered by the given event.
 func mayHaveRunAfter(c Command, e Event) bool {
@@ -117,14 +167,14 @@
 		events        []Event
 		want          End
 	}{
-		{"answered", false, []Event{Granted{"a"}, AttemptEnded{Result: swcell.ResultAnswered}}, End{Outcome: OutcomeAnswered}},
+		{"answered", false, []Event{Granted{Target: "a"}, AttemptEnded{Result: swcell.ResultAnswered}}, End{Outcome: OutcomeAnswered}},
 		{"given up", false, []Event{Rejected{swcell.ReasonOverload, 500}}, End{OutcomeNotRun, CauseOverload, 500}},
-		{"repeated elsewhere", false, []Event{Granted{"a"}, broken, Granted{"b"}, AttemptEnded{Result: swcell.ResultAnswered}}, End{Outcome: OutcomeAnswered}},
-		{"not repeated", true, []Event{Claimed{}, Granted{"a"}, broken}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
-		{"refused, then run", true, []Event{Claimed{}, Granted{"a"}, AttemptEnded{Result: swcell.ResultNotStarted}, Granted{"b"}, broken}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+		{"repeated elsewhere", false, []Event{Granted{Target: "a"}, broken, Granted{Target: "b"}, AttemptEnded{Result: swcell.ResultAnswered}}, End{Outcome: OutcomeAnswered}},
+		{"not repeated", true, []Event{Claimed{}, Granted{Target: "a"}, broken}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+		{"refused, then run", true, []Event{Claimed{}, Granted{Target: "a"}, AttemptEnded{Result: swcell.ResultNotStarted}, Granted{Target: "b"}, broken}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
 		{"claim unavailable", true, []Event{ClaimFailed{Cause: CauseClaimUnavailable}}, End{Outcome: OutcomeNotRun, Cause: CauseClaimUnavailable}},
 		{"repeated key", true, []Event{ClaimFailed{Cause: CauseClaimHeld, MayHaveRun: true}}, End{Outcome: OutcomeUnknown, Cause: CauseClaimHeld}},
-		{"broken after delivery", false, []Event{Granted{"a"}, AttemptEnded{Result: swcell.ResultBroken, Delivered: true}}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+		{"broken after delivery", false, []Event{Granted{Target: "a"}, AttemptEnded{Result: swcell.ResultBroken, Delivered: true}}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -26,7 +26,7 @@
 // exceeds its organisation's quota, or if it is infeasible.
 func (c *Cell[P, O]) admit(r *request) {
 	idle, ok := c.idle(r)
-	if !ok {
+	if !ok && !r.awaitsOrigin() {
 		c.reject(r, swcell.ReasonNoTarget, c.retryAfter(minRetryAfter))
 		return
 	}
@@ -34,6 +34,10 @@
 		c.reject(r, swcell.ReasonQuota, c.retryAfter(wait))
 		return
 	}
+	if !ok {
+		c.waiting = append(c.waiting, r)
+		return
+	}
 	work := c.work(r, idle.uncached)
 	c.sizes.forTier(r.grantRequest.Tier).work.add(work)
 	rank := c.rank(r, work, float64(c.now)+idle.first)
@@ -202,6 +206,7 @@
 func (c *Cell[P, O]) tick() {
 	c.updateTypical()
 	c.endLostRuns()
+	c.reviewOrigins()
 	c.review()
 }
 
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -6,6 +6,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
@@ -23,6 +24,8 @@
 	// charged is what the organisation's quota was charged.
 	charged float64
 
+	// origin is that of the stream which the request continues, once it is known.
+	origin sworigin.Origin
 	// prompt identifies the parts of the prompt.
 	prompt swsuspect.Prompt
 	// apart is set while the content is to run apart, see swsuspect.Register.RunsApart, and suspects
@@ -72,6 +75,8 @@
 	// orphanedAt is when the death of the holder was recorded, or 0 before.
 	orphanedAt swclock.Millis
 	prompt     swsuspect.Prompt
+	// origin is that of the stream which the run continues, if it continues one.
+	origin sworigin.Origin
 	// apart is set if the content runs apart, and suspects has the parts for which the request does.
 	apart    bool
 	suspects []swsuspect.SuspectPart
@@ -111,11 +116,15 @@
 		c.reject(r, swcell.ReasonSuspect, wait)
 		return
 	}
+	if reason := c.resolveOrigin(r); reason != 0 {
+		c.rejectWithoutOrigin(r, reason)
+		return
+	}
 	c.admit(r)
 }
 
 func (c *Cell[P, O]) newRequest(e swcell.GrantRequest) *request {
-	r := &request{grantRequest: e, requestedAt: c.now, prefixes: prefixesOf(e.Parts), prompt: promptOf(&e)}
+	r := &request{grantRequest: e, requestedAt: c.now, prefixes: prefixesOf(e.Parts), prompt: promptOf(&e), origin: e.Continuation.Origin}
 	if e.PromptTokens > 0 {
 		r.output = c.sizes.expectedOutput(&e)
 	}
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -28,7 +28,7 @@
 	o := c.offer(r, t)
 	started := &run{
 		grantRequest: r.grantRequest, prefixes: r.prefixes, target: t, grantedAt: c.now, output: r.output, charged: r.charged, expected: o.expected,
-		prompt: r.prompt, apart: r.apart, suspects: r.suspects,
+		prompt: r.prompt, origin: r.origin, apart: r.apart, suspects: r.suspects,
 	}
 	if !t.plain() {
 		started.soloPrefill = o.expected.wait == 0
@@ -54,6 +54,7 @@
 	return swcell.Grant{
 		Key: r.grantRequest.Key, Attempt: r.grantRequest.Attempt, Target: r.target.conf.ID,
 		FirstToken: swclock.Millis(r.expected.first), Total: swclock.Millis(r.expected.total),
+		Origin: r.origin,
 	}
 }
 
@@ -86,9 +87,11 @@
 		return
 	}
 	c.observeStatement(r, e.Statement)
+	c.cfg.Origins.Add(e.Begun, c.now)
 	if e.Produced <= r.produced {
 		return
 	}
+	r.target.vouchForVersion(r)
 	before := r.produced
 	r.produced = e.Produced
 	r.target.heardOf(r, c.now)
@@ -124,6 +127,7 @@
 	c.endRun(r)
 	switch e.Result {
 	case swcell.ResultAnswered:
+		t.vouchForVersion(r)
 		c.recordAnswer(r)
 		t.breaks.Answered(r.grantedAt)
 		t.heardOf(r, c.now)
@@ -137,6 +141,7 @@
 		}
 		c.recordBreak(r)
 		t.recordNoAnswer(c.now)
+		t.doubtVersion(c.now)
 	case swcell.ResultNoAnswer:
 		c.recordSilentRun(r)
 		t.recordNoAnswer(c.now)
@@ -147,6 +152,9 @@
 		holder := r.grantRequest.Key.Holder
 		t.unreachable[holder] = max(t.unreachable[holder], c.now+unreachableTime)
 		t.recordNoAnswer(c.now)
+		if !e.Statement.Heard {
+			t.doubtVersion(c.now)
+		}
 	}
 }
 
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -28,6 +28,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 )
@@ -60,6 +61,12 @@
 	// those of the targets' configuration and reachability.
 	changes, listing uint64
 	lastSupply       cachedSupply
+	// awaitsOrigins is set if a waiting request may have to wait until the origin of its stream is known.
+	awaitsOrigins bool
+	// mixed is the result of isMixed at an instant and for a listing.
+	mixed        bool
+	mixedAt      swclock.Millis
+	mixedListing uint64
 	// meanWork is the mean work of the granted requests.
 	meanWork swcost.Average
 }
@@ -94,6 +101,14 @@
 	OnRateLimit func(swid.TargetID, swid.RequestRate)
 	// OnLeaving is called when an answer of a target first says that it is leaving. It must not block.
 	OnLeaving func(swid.TargetID)
+	// Service is the service of the cell.
+	Service swid.ServiceID
+	// Origins records which software version began each stream. Nil gives the cell a register of its own.
+	Origins *sworigin.Register
+	// ListCurrent reports whether the list of targets is that of the platform. Nil means that it is.
+	ListCurrent func() bool
+	// OnOriginWanted is called while a request waits for the origin of its stream. It must not block.
+	OnOriginWanted func()
 	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
 	// Nil means that none does.
 	OthersSchedule func() bool
@@ -168,6 +183,15 @@
 	if c.OnLeaving == nil {
 		c.OnLeaving = func(swid.TargetID) {}
 	}
+	if c.Origins == nil {
+		c.Origins = sworigin.NewRegister(historySize)
+	}
+	if c.ListCurrent == nil {
+		c.ListCurrent = func() bool { return true }
+	}
+	if c.OnOriginWanted == nil {
+		c.OnOriginWanted = func() {}
+	}
 	if c.OthersSchedule == nil {
 		c.OthersSchedule = func() bool { return false }
 	}
@@ -196,6 +220,9 @@
 	c.now = max(c.now, now)
 	c.actions = actions
 	c.apply(e)
+	if c.awaitsOrigins {
+		c.reviewOrigins()
+	}
 	c.dispatch()
 	actions = c.actions
 	c.actions = nil
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -85,6 +85,8 @@
 	// runChanges counts the changes of runs.
 	runChanges uint64
 	unvouched  cachedUnvouched
+	// doubtedAt is when there was a sign that the target had ended, or 0 if none is left.
+	doubtedAt swclock.Millis
 	// heardAt is when the target last answered or produced output.
 	heardAt swclock.Millis
 	// silent holds the latest runs that ended without an answer while the target was not known
@@ -269,7 +271,7 @@
 		t.unanswered = 0
 		t.breaks.Restarted()
 		t.rates = rates{}
-		t.restartedAt, t.leaving = c.now, false
+		t.restartedAt, t.leaving, t.doubtedAt = c.now, false, 0
 		clear(t.unreachable)
 		c.reviewSilentRuns(t)
 		for _, r := range t.runs {
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -57,8 +58,10 @@
 	held   *heldRequest
 	number swid.Attempt
 	target swid.TargetID
-	// version is the software version of the target.
-	version swid.SoftwareVersion
+	// origin is that of the streams that the target begins, and born identifies its start, as they were listed
+	// when the attempt began.
+	origin sworigin.Origin
+	born   int64
 	// owners holds the owner that granted the attempt and each host that the running
 	// attempt was reported to since.
 	owners []swid.HostID
@@ -123,10 +126,33 @@
 	a.ended = e.holder.config.Clock.Now()
 	a.result = ended.Result
 	ended.Delivered = a.begun
+	ended.Began, ended.Origin = a.events > 0, a.certainOrigin()
 	a.held.reachedTarget = a.held.reachedTarget || !ended.Unsent
 	return ended
 }
 
+// certainOrigin returns the origin of a stream that the attempt began. It is not known if the target has
+// been listed with another start and another version since, as either one may have written the stream.
+func (a *attempt) certainOrigin() sworigin.Origin {
+	target, listed := a.held.holder.config.Targets.Target(a.target)
+	if listed && target.Born != a.born && target.Origin != a.origin {
+		return sworigin.Origin{}
+	}
+	return a.origin
+}
+
+// recordBegun records that the stream of the request has begun, and returns it.
+func (a *attempt) recordBegun() sworigin.Begun {
+	r := a.held.request
+	now := a.held.holder.config.Clock.Now()
+	b := sworigin.Begun{Stream: r.Stream, Origin: a.certainOrigin(), Retention: r.ContinuableUntil - now}
+	if b.Stream == 0 || !b.Origin.Known() || a.held.holder.config.Origins == nil {
+		return sworigin.Begun{}
+	}
+	a.held.holder.config.Origins.Add(b, now)
+	return b
+}
+
 // attemptContext returns a context that ends at the deadline or when the caller
 // disconnects. The context of a non-idempotent request without EndsAtDeadline ends
 // nonIdempotentGrace after the deadline and does not depend on the caller's connection,
@@ -147,7 +173,7 @@
 
 func (a *attempt) exchange(ctx context.Context) swlife.AttemptEnded {
 	target, listed := a.held.holder.config.Targets.Target(a.target)
-	a.version = target.Version
+	a.origin, a.born = target.Origin, target.Born
 	if !listed || a.events == 0 && (!target.Accepting || a.isClosed()) {
 		return swlife.AttemptEnded{Result: swcell.ResultNotStarted, Unsent: true}
 	}
@@ -264,6 +290,10 @@
 
 // recordChunk updates the counters of the attempt and reports its progress to its owners when due.
 func (a *attempt) recordChunk(chunk swtarget.Chunk) {
+	var begun sworigin.Begun
+	if a.events == 0 && chunk.Events > 0 && !a.held.grantRequest.Continuation.Continues {
+		begun = a.recordBegun()
+	}
 	a.events += chunk.Events
 	if chunk.LastEventID != "" {
 		a.lastEventID = chunk.LastEventID
@@ -277,9 +307,9 @@
 	defer e.mu.Unlock()
 	e.running.produced = a.produced
 	early := e.holder.config.ReportEarly && (a.reportedTokens == 0 || a.reportedTokens < secondReportTokens && a.produced >= secondReportTokens)
-	if early || a.produced-a.reportedTokens >= progressTokens {
+	if early || a.produced-a.reportedTokens >= progressTokens || begun.Stream != 0 {
 		a.reportedTokens = a.produced
-		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced, Statement: a.statement}
+		m := swmsg.Progress{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: a.number, Produced: a.produced, Statement: a.statement, Begun: begun}
 		for _, owner := range e.running.owners {
 			e.holder.config.Sender.Send(owner, m)
 		}
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -274,6 +274,8 @@
 		OrgTier:        r.OrgTier,
 		Scope:          r.Scope,
 		Charge:         r.Charge,
+		Resumable:      r.ResumeElsewhere,
+		Continuation:   e.grantRequest.Continuation,
 	}
 }
 
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -7,6 +7,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
@@ -50,9 +51,13 @@
 	Attempts swid.Attempt
 	// ResumeElsewhere allows a broken stream to continue at another target.
 	ResumeElsewhere bool
-	// BegunBy is the caller's attempt that brought the first event of the stream that Call.LastEventID
-	// continues; empty if the caller does not say it.
-	BegunBy swid.RequestID
+	// Stream identifies the stream that the request may begin, if it may be continued by a later request; 0
+	// if not.
+	Stream sworigin.Stream
+	// ContinuableUntil is the instant until which the caller may continue Stream.
+	ContinuableUntil swclock.Millis
+	// Continuation is the stream that the caller takes up after the event Call.LastEventID, if it takes one up.
+	Continuation sworigin.Continuation
 	// NotResumable marks a request whose broken stream the same target cannot
 	// resume: the target would run the request again from the start.
 	NotResumable bool
@@ -85,6 +90,7 @@
 		Unclaimed:       r.IdempotencyKey == "",
 		Attempts:        r.Attempts,
 		ResumeElsewhere: r.ResumeElsewhere,
+		Continuation:    r.Continuation,
 	}
 }
 
@@ -108,8 +114,10 @@
 	Target swid.TargetID // of the last attempt; empty if there was none
 	// TargetVersion is the software version of Target.
 	TargetVersion swid.SoftwareVersion
-	Attempts      swid.Attempt
-	Timing        Timing
+	// Continued is the origin of the stream that the request continued, as far as it was found out.
+	Continued sworigin.Origin
+	Attempts  swid.Attempt
+	Timing    Timing
 	// InTime is true if the whole answer was delivered by the deadline.
 	InTime bool
 	// Begun is true if the delivery of a target's answer to the caller began, so that an error can no longer be sent as a status.
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -11,6 +11,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -28,7 +29,9 @@
 
 // serve executes the commands of the request's state machine until its end.
 func (e *heldRequest) serve(ctx context.Context) Report {
-	life, command := swlife.New(e.request.rules())
+	rules := e.request.rules()
+	rules.Continuation.Origin = e.knownOrigin()
+	life, command := swlife.New(rules)
 	last := attempt{lastEventID: e.request.Call.LastEventID}
 	var report Report
 	claimed := false
@@ -56,6 +59,10 @@
 			return report
 		}
 		command = life.Step(event)
+		if granted, isGranted := event.(swlife.Granted); isGranted {
+			e.declineUnlessDispatched(granted, command)
+		}
+		report.Continued = life.Continued()
 		if _, resumes := command.(swlife.Resume); !resumes {
 			last.reportDone()
 		}
@@ -63,6 +70,34 @@
 	}
 }
 
+// knownOrigin returns the origin of the stream that the caller takes up, if this host knows it.
+func (e *heldRequest) knownOrigin() sworigin.Origin {
+	if e.holder.config.Origins == nil || !e.request.Continuation.Continues {
+		return sworigin.Origin{}
+	}
+	origin, known := e.holder.config.Origins.Find(e.request.Continuation.Stream, e.holder.config.Clock.Now())
+	if !known {
+		return sworigin.Origin{}
+	}
+	return origin
+}
+
+// declineUnlessDispatched cancels a grant at its owner if the next command does not use it.
+func (e *heldRequest) declineUnlessDispatched(granted swlife.Granted, next swlife.Command) {
+	if _, dispatched := next.(swlife.Dispatch); dispatched {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.granted = false
+	m := e.withdrawMessage()
+	e.holder.config.Sender.Send(e.requestedOwner, m)
+	e.holder.config.Log.Info().
+		Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).Uint32("attempt", uint32(m.Attempt)).
+		Str("target", string(granted.Target)).Str("targetVersion", string(granted.Origin.Version)).Str("owner", string(e.requestedOwner)).
+		Str("continuedVersion", string(granted.Continued.Version)).Msg("grant declined")
+}
+
 // logStep logs the rejection of a request, by its owner or by the retry budget, and an
 // attempt with a result other than ResultAnswered.
 func (e *heldRequest) logStep(event swlife.Event, last *attempt) {
@@ -80,7 +115,7 @@
 		e.holder.config.Log.Info().
 			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).
 			Str("content", e.request.Fingerprint.String()).Uint32("attempt", uint32(last.number)).
-			Str("target", string(last.target)).Str("targetVersion", string(last.version)).Str("owner", string(e.lastOwner())).Str("result", v.Result.String()).
+			Str("target", string(last.target)).Str("targetVersion", string(last.origin.Version)).Str("owner", string(e.lastOwner())).Str("result", v.Result.String()).
 			Int("status", last.status).Str("cause", v.Cause.String()).Bool("unsent", v.Unsent).Bool("delivered", v.Delivered).AnErr("error", last.err).
 			Array("parts", loggedParts(e.request.Parts)).Int64("firstMillis", int64(last.firstToken)).Int64("producedTokens", int64(last.produced)).
 			Int64("attemptMillis", int64(last.ended-last.dispatched)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
@@ -121,7 +156,7 @@
 
 // finish completes the report and, if the request was claimed, records the outcome of the claim.
 func (e *heldRequest) finish(report *Report, last *attempt, claimed bool) {
-	report.Begun, report.TargetVersion = last.begun, last.version
+	report.Begun, report.TargetVersion = last.begun, last.origin.Version
 	report.Timing.FirstToken = last.firstDelivery
 	report.Timing.Total = e.sinceAccepted()
 	report.Timing.ExpectedFirstToken = e.estimate.firstToken
@@ -241,7 +276,8 @@
 		if e.holder.config.OnGranted != nil && !e.reachedTarget {
 			e.holder.config.OnGranted(e.request)
 		}
-		return swlife.Granted{Target: a.grant.Target}
+		target, _ := e.holder.config.Targets.Target(a.grant.Target) // one that is not listed has no origin
+		return swlife.Granted{Target: a.grant.Target, Origin: target.Origin, Continued: a.grant.Origin}
 	}
 	return swlife.Rejected{Reason: a.reject.Reason, RetryAfter: a.reject.RetryAfter}
 }
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
@@ -83,6 +84,8 @@
 	// Closed, if not nil, returns what a target has said that keeps this host from sending requests to
 	// it, and whether it has.
 	Closed func(target swid.TargetID, now swclock.Millis) (swlimit.Statement, bool)
+	// Origins, if not nil, records the origins of the streams that begin here, and has those of others.
+	Origins *sworigin.Register
 	// ReportEarly sends owners a progress report at the first output of each
 	// attempt and another after secondReportTokens, so that they can estimate a
 	// target's speed before it completes its first requests.
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
@@ -47,6 +48,8 @@
 	// nextOwner the owner.
 	doubted   []swid.HostID
 	nextOwner swid.HostID
+	// versions has the software versions of the targets that do not have v1.
+	versions map[swid.TargetID]swid.SoftwareVersion
 	// calls lists the requests that the targets received.
 	calls []swtarget.Request
 }
@@ -106,7 +109,18 @@
 }
 
 func (f *fixture) Target(id swid.TargetID) (swpool.Target, bool) {
-	return swpool.Target{Adapter: scriptedAdapter{f, id}, Accepting: true}, true
+	return swpool.Target{Adapter: scriptedAdapter{f, id}, Accepting: true, Origin: f.originOf(id)}, true
+}
+
+// originOf returns the origin of the streams that a target begins, at version v1 unless another one is set.
+func (f *fixture) originOf(id swid.TargetID) sworigin.Origin {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version, set := f.versions[id]
+	if !set {
+		version = "v1"
+	}
+	return sworigin.Origin{Service: "s", Version: version}
 }
 
 type scriptedAdapter struct {
@@ -473,6 +487,81 @@
 	}
 }
 
+// TestContinuedVersion guards against streams that are continued at another software version than the one that
+// began them, whatever the owner grants.
+func TestContinuedVersion(t *testing.T) {
+	v1, v2 := sworigin.Origin{Service: "s", Version: "v1"}, sworigin.Origin{Service: "s", Version: "v2"}
+	begun := []script{{chunks: []string{"1"}, end: errBroken, lastEventID: "e1"}}
+	rest := []script{{chunks: []string{"2"}, end: io.EOF}}
+	tests := []struct {
+		name string
+		// takesUp is set if the caller takes the stream up, and recorded what this host knows of it.
+		takesUp  bool
+		recorded sworigin.Origin
+		// granted are the targets that the owner grants, a and c of v1, b of v2, and resolved what it knows of
+		// the stream.
+		granted  []swid.TargetID
+		resolved sworigin.Origin
+		outcome  swlife.Outcome
+		cause    swlife.Cause
+		// declined are the targets whose grants are cancelled.
+		declined []swid.TargetID
+	}{
+		{name: "broken, continued at the version", granted: []swid.TargetID{"a", "b", "c"}, outcome: swlife.OutcomeAnswered, declined: []swid.TargetID{"b"}},
+		{name: "taken up, known to this host", takesUp: true, recorded: v1, granted: []swid.TargetID{"b", "c"}, outcome: swlife.OutcomeAnswered, declined: []swid.TargetID{"b"}},
+		{name: "taken up, known to the owner", takesUp: true, resolved: v1, granted: []swid.TargetID{"c"}, outcome: swlife.OutcomeAnswered},
+		{name: "taken up, the owner grants another version", takesUp: true, resolved: v2, granted: []swid.TargetID{"c", "b"}, outcome: swlife.OutcomeAnswered, declined: []swid.TargetID{"c"}},
+		{name: "taken up, known to nobody", takesUp: true, granted: []swid.TargetID{"c"}, outcome: swlife.OutcomeNotRun, cause: swlife.CauseVersionUnknown, declined: []swid.TargetID{"c"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			register := sworigin.NewRegister(10)
+			f := newFixtureWithConfig(map[swid.TargetID][]script{"a": begun, "b": rest, "c": rest}, func(c *Config) { c.Origins = register })
+			f.versions = map[swid.TargetID]swid.SoftwareVersion{"b": "v2"}
+			r := f.request(true, false)
+			r.ResumeElsewhere, r.Attempts, r.Stream, r.ContinuableUntil = true, 3, sworigin.StreamOf("new"), swclock.Hour
+			if tt.takesUp {
+				r.Continuation = sworigin.Continuation{Continues: true, Stream: sworigin.StreamOf("first")}
+				r.Call.LastEventID = "e1"
+			}
+			if tt.recorded.Known() {
+				register.Add(sworigin.Begun{Stream: sworigin.StreamOf("first"), Origin: tt.recorded, Retention: swclock.Minute}, 0)
+			}
+			reports, _ := f.serve(r)
+			var declined []swid.TargetID
+			var latest swid.TargetID
+			for _, target := range tt.granted {
+				for s := range f.sent {
+					if m, isRequest := s.message.(swmsg.GrantRequest); isRequest {
+						f.holder.Receive(swlink.Peer{Host: "owner"}, swmsg.Grant{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Target: target, Origin: tt.resolved})
+						latest = target
+						break
+					}
+					if _, cancelled := s.message.(swmsg.Withdraw); cancelled {
+						declined = append(declined, latest)
+					}
+				}
+			}
+			report := <-reports
+			close(f.sent)
+			for s := range f.sent {
+				if _, cancelled := s.message.(swmsg.Withdraw); cancelled {
+					declined = append(declined, latest)
+				}
+			}
+			if report.End.Outcome != tt.outcome || report.End.Cause != tt.cause {
+				t.Errorf("ended %s, %s, want %s, %s", report.End.Outcome, report.End.Cause, tt.outcome, tt.cause)
+			}
+			if !slices.Equal(declined, tt.declined) {
+				t.Errorf("declined %v, want %v", declined, tt.declined)
+			}
+			if origin, known := register.Find(sworigin.StreamOf("new"), 0); known == tt.takesUp || known && origin != v1 {
+				t.Errorf("the request's own stream is recorded %t with %v", known, origin)
+			}
+		})
+	}
+}
+
 // TestEndWaiting checks that EndWaiting ends a request that waits for a grant, and
 // that a later request still runs to its end.
 func TestEndWaiting(t *testing.T) {
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -7,6 +7,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
@@ -31,6 +32,10 @@
 			h.log.Info().Str("target", string(t)).Str("cell", string(cell)).Msg("target is leaving, it is granted no more requests")
 		},
 		OthersSchedule: func() bool { return h.view.scheduledByEachHost(cell) },
+		Service:        swelect.Service(cell),
+		Origins:        h.origins,
+		ListCurrent:    h.storeReachable,
+		OnOriginWanted: h.originKeeper.Wake,
 	}
 	if h.view.chargedByOwner(cell) {
 		config.Ledger = h.ledger
@@ -52,6 +57,7 @@
 		}
 		h.ledger.Configure(h.quotasOf(item.Value))
 		h.gate.Configure(table)
+		h.updateServing()
 		h.log.Info().
 			Uint64("configVersion", uint64(item.Value.Version)).Uint64("revision", uint64(item.Revision)).
 			Int("routes", len(item.Value.Routes)).Int("organisations", len(item.Value.Organisations)).
@@ -97,6 +103,7 @@
 		return listed
 	}, h.clock.Now())
 	h.closed.Retain(h.view.bornOf, h.clock.Now())
+	h.updateServing()
 	h.configure()
 }
 
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -8,6 +8,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
@@ -45,6 +46,7 @@
 	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete)}
 	if complete {
 		m.Amounts = amountsOf(h.meter.All(h.clock.Now()))
+		m.Streams = h.origins.Recent(swcodec.MaxBegunStreams, h.clock.Now())
 	} else {
 		m.Amounts = amountsOf(h.meter.Unreported())
 	}
@@ -148,5 +150,8 @@
 	h.ledger.Register(process, registration.Age, registration.Complete, amounts, h.clock.Now())
 	h.receiveStrikes(from, registration.Strikes)
 	h.receiveRateLimits(from, registration.RateLimits)
+	for _, b := range registration.Streams {
+		h.origins.Add(b, h.clock.Now())
+	}
 	h.replyScheduling(from, &registration)
 }
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -113,7 +113,7 @@
 	componentsCtx, stop := context.WithCancel(runCtx)
 	tasks := pool.New().WithErrors().WithContext(componentsCtx)
 	tasks.Go(h.network.Run)
-	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.keepEntry} {
+	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.originKeeper.Run, h.keepEntry} {
 		tasks.Go(func(ctx context.Context) error {
 			run(ctx)
 			return nil
@@ -174,6 +174,7 @@
 			h.self = swlink.Peer{Host: h.settings.Host, Incarnation: incarnation}
 			h.log.Info().Uint64("incarnation", uint64(incarnation)).Int64("sinceStartMillis", int64(h.clock.Now())).Msg("registered")
 			h.loadRefusals(ctx)
+			h.loadOrigins(ctx)
 			return nil
 		}
 		if ctx.Err() != nil {
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -19,7 +19,7 @@
 // requests of plain services scheduled. Each host schedules its own, which saves a message to the
 // owner and back, unless something has to be counted over all hosts.
 func (h *Host) wantedScheduling(now swclock.Millis) swmsg.Scheduling {
-	if h.strikes.Active(now) || h.limitsPlainTargets() || now < swclock.Millis(h.adoptedUntil.Load()) {
+	if h.strikes.Active(now) || h.limitsPlainTargets() || h.mixesPlainVersions(now) || now < swclock.Millis(h.adoptedUntil.Load()) {
 		return swmsg.SchedulingShared
 	}
 	return swmsg.SchedulingEach
@@ -30,6 +30,7 @@
 	now := h.clock.Now()
 	if m.Complete && m.Age >= minChangeAge {
 		h.refusalKeeper.Wake() // this host may have become the owner
+		h.originKeeper.Wake()
 	}
 	if m.Complete && m.Scheduling == swmsg.SchedulingShared {
 		h.adoptedUntil.Store(int64(now + adoptionTime))
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -27,7 +27,6 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
-	"github.com/sassafraswing/sassafraswing/internal/store/swrefusal"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -52,9 +51,9 @@
 	catalogs fakeSource[*swcatalog.Catalog]
 	targets  fakeSource[swcatalog.Target]
 	hosts    fakeSource[swcatalog.Host]
-	// values are the hosts' own objects.
-	values fakeSource[[]byte]
-	// era counts the calls of setBack. calls counts those for values.
+	// values and streams are the hosts' own objects.
+	values, streams fakeSource[[]byte]
+	// era counts the calls of setBack. calls counts those for values and streams.
 	era   swobject.Era
 	calls int
 }
@@ -65,18 +64,22 @@
 	s.targets = fakeSource[swcatalog.Target]{store: s, items: make(map[string]swwatch.Item[swcatalog.Target])}
 	s.hosts = fakeSource[swcatalog.Host]{store: s, items: make(map[string]swwatch.Item[swcatalog.Host])}
 	s.values = fakeSource[[]byte]{store: s, items: make(map[string]swwatch.Item[[]byte])}
+	s.streams = fakeSource[[]byte]{store: s, items: make(map[string]swwatch.Item[[]byte])}
 	return s
 }
 
-// fakeObjects implements swrefusal.Objects.
-type fakeObjects struct{ store *fakeStore }
+// fakeObjects has objects of one kind. It implements swobject.Objects.
+type fakeObjects struct {
+	store  *fakeStore
+	values *fakeSource[[]byte]
+}
 
-// Get implements swrefusal.Objects.
+// Get implements swobject.Objects.
 func (o fakeObjects) Get(_ context.Context, key string) (swobject.Object, error) {
 	o.store.mu.Lock()
 	defer o.store.mu.Unlock()
 	o.store.calls++
-	item, found := o.store.values.items[key]
+	item, found := o.values.items[key]
 	switch {
 	case o.store.unavailable:
 		return swobject.Object{}, swobject.ErrUnavailable
@@ -86,7 +89,7 @@
 	return swobject.Object{Key: key, Version: swobject.Version(item.Revision), Value: item.Value}, nil
 }
 
-// Put implements swrefusal.Objects.
+// Put implements swobject.Objects.
 func (o fakeObjects) Put(_ context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error) {
 	o.store.mu.Lock()
 	defer o.store.mu.Unlock()
@@ -94,14 +97,30 @@
 	switch {
 	case o.store.unavailable:
 		return 0, swobject.ErrUnavailable
-	case o.store.values.items[key].Revision != swwatch.Revision(expected):
+	case o.values.items[key].Revision != swwatch.Revision(expected):
 		return 0, swobject.ErrConflict
 	}
-	o.store.values.write(key, value)
+	o.values.write(key, value)
 	return swobject.Version(o.store.revision), nil
 }
 
-// Era implements swrefusal.Objects.
+// List implements swobject.Objects.
+func (o fakeObjects) List(context.Context) ([]swobject.Object, error) {
+	time.Sleep(storeLatency)
+	o.store.mu.Lock()
+	defer o.store.mu.Unlock()
+	o.store.calls++
+	if o.store.unavailable {
+		return nil, swobject.ErrUnavailable
+	}
+	var listed []swobject.Object
+	for key, item := range o.values.items {
+		listed = append(listed, swobject.Object{Key: key, Version: swobject.Version(item.Revision), Value: item.Value})
+	}
+	return listed, nil
+}
+
+// Era implements swobject.Objects.
 func (o fakeObjects) Era() swobject.Era {
 	o.store.mu.Lock()
 	defer o.store.mu.Unlock()
@@ -138,6 +157,7 @@
 	s.targets.restore(&earlier.targets)
 	s.hosts.restore(&earlier.hosts)
 	s.values.restore(&earlier.values)
+	s.streams.restore(&earlier.streams)
 	s.era++
 	s.catalogs.rewrite(catalogs)
 	s.targets.rewrite(targets)
@@ -155,6 +175,7 @@
 	c.targets.restore(&s.targets)
 	c.hosts.restore(&s.hosts)
 	c.values.restore(&s.values)
+	c.streams.restore(&s.streams)
 	return c
 }
 
@@ -309,7 +330,13 @@
 func (p fakePlatform) Targets() swwatch.Source[swcatalog.Target] { return &p.deployment.store.targets }
 func (p fakePlatform) Hosts() swwatch.Source[swcatalog.Host]     { return &p.deployment.store.hosts }
 
-func (p fakePlatform) Objects() swrefusal.Objects { return fakeObjects{p.deployment.store} }
+func (p fakePlatform) Objects() swobject.Objects {
+	return fakeObjects{p.deployment.store, &p.deployment.store.values}
+}
+
+func (p fakePlatform) Streams() swobject.Objects {
+	return fakeObjects{p.deployment.store, &p.deployment.store.streams}
+}
 
 func (p fakePlatform) Register(_ context.Context, h swcatalog.Host) (swid.Incarnation, error) {
 	s := p.deployment.store
--- a/internal/node/swfleet/streamversions_test.go
+++ b/internal/node/swfleet/streamversions_test.go
@@ -225,19 +225,28 @@
 	return f
 }
 
-// setVersion gives each second engine a version.
+// setVersion gives each second engine a version before the fleet starts.
 func (f *versionedFleet) setVersion(version swid.SoftwareVersion) {
-	for i, e := range f.engines {
-		if i%2 == 0 {
-			continue
-		}
-		e.mu.Lock()
+	for _, e := range f.everySecond() {
 		e.version = version
-		e.mu.Unlock()
 		e.list(func(t *swcatalog.Target) { t.Version = version })
 	}
 }
 
+// replaceSome restarts each second engine with another version.
+func (f *versionedFleet) replaceSome(version swid.SoftwareVersion) {
+	for _, e := range f.everySecond() {
+		e.crash(version, 0)
+	}
+}
+
+func (f *versionedFleet) everySecond() (engines []*versionedEngine) {
+	for i := 1; i < len(f.engines); i += 2 {
+		engines = append(engines, f.engines[i])
+	}
+	return engines
+}
+
 // serving returns the number of engines that serve at a version.
 func (f *versionedFleet) serving(version swid.SoftwareVersion) (n int) {
 	for _, e := range f.engines {
@@ -408,7 +417,7 @@
 		{name: "undisturbed", next: same},
 		{name: "one version", uniform: true, next: same},
 		{name: "no name of the first try", next: same, refused: true, run: func(f *versionedFleet) { f.nameless = true }},
-		{name: "a second version appears", uniform: true, next: same, run: repeat(1, 6*time.Second, func(f *versionedFleet) { f.setVersion("v1.1") })},
+		{name: "a second version appears", uniform: true, next: same, run: repeat(1, 6*time.Second, func(f *versionedFleet) { f.replaceSome("v1.1") })},
 		{name: "a version goes", next: same, run: repeat(1, 6*time.Second, func(f *versionedFleet) {
 			for _, e := range f.engines {
 				if e.serves("v1.1") {
@@ -424,7 +433,7 @@
 		{name: "one version, all hosts restart", uniform: true, next: same, run: repeat(3, 5*time.Second, func(f *versionedFleet) { f.restartAll() })},
 		{name: "a second version appears, all hosts restart", uniform: true, next: same, run: func(f *versionedFleet) {
 			time.Sleep(5 * time.Second)
-			f.setVersion("v1.1")
+			f.replaceSome("v1.1")
 			repeat(3, 2*time.Second, func(f *versionedFleet) { f.restartAll() })(f)
 		}},
 		{name: "hosts cut in two", next: same, run: repeat(2, 3*time.Second, func(f *versionedFleet) { f.cutInTwo(6 * time.Second) })},
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
@@ -31,6 +32,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/sworiginlog"
 	"github.com/sassafraswing/sassafraswing/internal/store/swrefusal"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
@@ -46,7 +48,9 @@
 	// Hosts returns the source of the hosts that registered themselves in the store.
 	Hosts() swwatch.Source[swcatalog.Host]
 	// Objects returns the objects in which the hosts keep what has to outlast them.
-	Objects() swrefusal.Objects
+	Objects() swobject.Objects
+	// Streams returns the objects in which the hosts keep the origins of streams.
+	Streams() swobject.Objects
 	// Register writes this host's entry to the store and returns the incarnation of
 	// this process, which is higher than that of any earlier process of the host. After
 	// an error the entry may or may not have been written.
@@ -96,6 +100,10 @@
 	parts *swsuspect.Parts
 	// limits has the rate limits that targets named in answers to this host's requests.
 	limits *swlimit.Limiter
+	// origins records which software version began each stream.
+	origins *sworigin.Register
+	// originKeeper keeps origins in the store. It is nil until the host is registered.
+	originKeeper *sworiginlog.Keeper
 	// closed has the targets that take no new requests from this host.
 	closed *swlimit.Closed
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
@@ -144,7 +152,8 @@
 	h := &Host{
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
-		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), closed: swlimit.NewClosed(), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
+		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), closed: swlimit.NewClosed(),
+		origins: sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
@@ -215,6 +224,7 @@
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
 		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement,
+		Origins: h.origins,
 	})
 	h.owner = swowner.New(swowner.Config{
 		Host: h.self.Host, Clock: h.clock, Sender: h.exchange, Router: h.router, Members: h.view, Watcher: noWatcher{},
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -46,6 +46,8 @@
 		Exclude:        m.Exclude,
 		NonIdempotent:  m.NonIdempotent,
 		Strikes:        m.Strikes,
+		Resumable:      m.Resumable,
+		Continuation:   m.Continuation,
 	}
 }
 
@@ -100,6 +102,7 @@
 		Slots:      t.Slots,
 		KVTokens:   t.KVTokens,
 		Born:       t.Born,
+		Version:    t.Version,
 	}
 	if t.Draining {
 		target.State = swcell.TargetDraining
--- a/internal/owner/swowner/input.go
+++ b/internal/owner/swowner/input.go
@@ -73,7 +73,7 @@
 	case swmsg.InFlight:
 		r.handleInFlight(in.from, m)
 	case swmsg.Progress:
-		r.step(swcell.Progress{Key: requestKey(in.from, m.Seq), Attempt: m.Attempt, Produced: m.Produced, Statement: m.Statement})
+		r.step(swcell.Progress{Key: requestKey(in.from, m.Seq), Attempt: m.Attempt, Produced: m.Produced, Statement: m.Statement, Begun: m.Begun})
 	case swmsg.Withdraw:
 		r.cancelAttempt(requestKey(in.from, m.Seq), m.Attempt)
 	case swmsg.Done:
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -342,7 +342,7 @@
 	case swcell.Grant:
 		g := openGrant{holder: a.Key.Holder, message: swmsg.Grant{
 			Cell: r.id, Seq: a.Key.Seq, Attempt: a.Attempt, Target: a.Target, Epoch: r.epoch,
-			FirstToken: a.FirstToken, Total: a.Total,
+			FirstToken: a.FirstToken, Total: a.Total, Origin: a.Origin,
 		}}
 		r.grants[a.Key] = g
 		r.sendGrant(g)
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -6,6 +6,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
@@ -54,6 +55,16 @@
 	return swid.Tier(c.inRange("tier", value, 0, swid.MaxTiers-1))
 }
 
+// origin returns the zero value for one that is absent.
+func origin(c *checker, w *swpb.Origin) sworigin.Origin {
+	if w == nil {
+		return sworigin.Origin{}
+	}
+	return sworigin.Origin{
+		Service: swid.ServiceID(c.requiredText("service", w.GetService())), Version: swid.SoftwareVersion(c.optionalText("version", w.GetVersion())),
+	}
+}
+
 func statement(c *checker, w *swpb.RateLimit) swlimit.Statement {
 	if w == nil {
 		return swlimit.Statement{}
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
@@ -88,9 +89,42 @@
 		ExpectedTokens: tokens(c, "expectedTokens", w.GetExpectedTokens()),
 		Charge:         nonNegative(c, "charge", w.GetCharge()),
 		Abandon:        duration(c, "abandonMillis", w.GetAbandonMillis()),
+		Resumable:      w.GetResumable(), Continuation: decodeContinuation(c, w.GetContinuation()),
 	}
 }
 
+func decodeContinuation(c *checker, w *swpb.Continuation) sworigin.Continuation {
+	if w == nil {
+		return sworigin.Continuation{}
+	}
+	return sworigin.Continuation{Continues: true, Stream: sworigin.Stream(w.GetStream()), Origin: origin(c, w.GetOrigin())}
+}
+
+// decodeBegun decodes the stream that an attempt has begun, if it has.
+func decodeBegun(c *checker, w *swpb.BegunStreams) sworigin.Begun {
+	c.listLength("begun", len(w.GetStreams()), 1)
+	if c.err != nil || len(w.GetStreams()) == 0 {
+		return sworigin.Begun{}
+	}
+	return decodeBegunStreams(c, []*swpb.BegunStreams{w})[0]
+}
+
+func decodeBegunStreams(c *checker, encoded []*swpb.BegunStreams) []sworigin.Begun {
+	var streams []sworigin.Begun
+	for _, w := range encoded {
+		c.listLength("begun", len(streams)+len(w.GetStreams()), MaxBegunStreams)
+		c.check("origin", w.GetOrigin() != nil)
+		retention := duration(c, "retentionMillis", w.GetRetentionMillis())
+		if c.err != nil {
+			return nil
+		}
+		for _, s := range w.GetStreams() {
+			streams = append(streams, sworigin.Begun{Stream: sworigin.Stream(s), Origin: origin(c, w.GetOrigin()), Retention: retention})
+		}
+	}
+	return streams
+}
+
 func decodePromptParts(c *checker, w *swpb.Ask) []swcell.Part {
 	ids, sizes := w.GetParts(), w.GetPartTokens()
 	if len(ids) == 0 && len(sizes) == 0 {
@@ -133,7 +167,7 @@
 	})
 	return swmsg.Registration{
 		Complete: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: duration(c, "ageMillis", w.GetAgeMillis()),
-		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()),
+		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()), Streams: decodeBegunStreams(c, w.GetBegun()),
 		RateLimits: convert(w.GetRateLimits(), func(l *swpb.TargetRateLimit) swmsg.RateLimit {
 			return swmsg.RateLimit{
 				Target: target(c, l.GetTarget()), PerSecond: requestRate(c, l.GetPerSecond()), Age: duration(c, "ageMillis", l.GetAgeMillis()),
@@ -152,6 +186,7 @@
 		Target: target(c, w.GetTarget()), Epoch: swid.Epoch(w.GetEpoch()),
 		FirstToken: duration(c, "firstTokenMillis", w.GetFirstTokenMillis()),
 		Total:      duration(c, "totalMillis", w.GetTotalMillis()),
+		Origin:     origin(c, w.GetOrigin()),
 	}
 }
 
@@ -172,7 +207,7 @@
 func decodeReject(c *checker, w *swpb.GiveUp) swmsg.Reject {
 	return swmsg.Reject{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
-		Reason:     swcell.RejectReason(c.inRange("reason", w.GetReason(), uint32(swcell.ReasonDeadline), uint32(swcell.ReasonQuota))),
+		Reason:     swcell.RejectReason(c.inRange("reason", w.GetReason(), uint32(swcell.ReasonDeadline), uint32(swcell.ReasonVersionGone))),
 		RetryAfter: duration(c, "retryAfterMillis", w.GetRetryAfterMillis()), Epoch: swid.Epoch(w.GetEpoch()),
 	}
 }
@@ -209,6 +244,7 @@
 	return swmsg.Progress{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
 		Produced: tokens(c, "produced", w.GetProduced()), Statement: statement(c, w.GetRateLimit()),
+		Begun: decodeBegun(c, w.GetBegun()),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -6,6 +6,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
@@ -79,9 +80,54 @@
 		Charge: m.Charge, AbandonMillis: int64(m.Abandon), OrgTier: uint32(m.OrgTier), Scope: uint32(m.Scope),
 		Parts:      convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
 		PartTokens: convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
+		Resumable:  m.Resumable, Continuation: encodeContinuation(m.Continuation),
 	}
 }
 
+// encodeContinuation returns nil unless a stream is continued.
+func encodeContinuation(c sworigin.Continuation) *swpb.Continuation {
+	if !c.Continues {
+		return nil
+	}
+	return &swpb.Continuation{Stream: uint64(c.Stream), Origin: encodeOrigin(c.Origin)}
+}
+
+// encodeOrigin returns nil if the origin is not known.
+func encodeOrigin(o sworigin.Origin) *swpb.Origin {
+	if !o.Known() {
+		return nil
+	}
+	return &swpb.Origin{Service: string(o.Service), Version: string(o.Version)}
+}
+
+// encodeBegun returns nil if no stream has begun whose origin is known.
+func encodeBegun(b sworigin.Begun) *swpb.BegunStreams {
+	if b.Stream == 0 || !b.Origin.Known() {
+		return nil
+	}
+	return &swpb.BegunStreams{Origin: encodeOrigin(b.Origin), Streams: []uint64{uint64(b.Stream)}, RetentionMillis: int64(b.Retention)}
+}
+
+// encodeBegunStreams encodes the streams of each origin together, with the longest retention.
+func encodeBegunStreams(streams []sworigin.Begun) []*swpb.BegunStreams {
+	var encoded []*swpb.BegunStreams
+	byOrigin := make(map[sworigin.Origin]*swpb.BegunStreams)
+	for _, b := range streams {
+		if !b.Origin.Known() {
+			continue
+		}
+		w := byOrigin[b.Origin]
+		if w == nil {
+			w = &swpb.BegunStreams{Origin: encodeOrigin(b.Origin)}
+			byOrigin[b.Origin] = w
+			encoded = append(encoded, w)
+		}
+		w.Streams = append(w.Streams, uint64(b.Stream))
+		w.RetentionMillis = max(w.RetentionMillis, int64(b.Retention))
+	}
+	return encoded
+}
+
 func encodeRegistration(m swmsg.Registration) *swpb.Attach {
 	amounts := convert(m.Amounts, func(a swmsg.Amount) *swpb.Amount {
 		return &swpb.Amount{Org: string(a.Org), AgeMillis: int64(a.Age), Value: a.Value}
@@ -94,7 +140,7 @@
 	})
 	return &swpb.Attach{
 		Fresh: m.Complete, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age),
-		Strikes: strikes, Scheduling: uint32(m.Scheduling),
+		Strikes: strikes, Scheduling: uint32(m.Scheduling), Begun: encodeBegunStreams(m.Streams),
 		RateLimits: convert(m.RateLimits, func(l swmsg.RateLimit) *swpb.TargetRateLimit {
 			return &swpb.TargetRateLimit{Target: string(l.Target), PerSecond: float64(l.PerSecond), AgeMillis: int64(l.Age)}
 		}),
@@ -104,7 +150,7 @@
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
 	return &swpb.Grant{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target), Epoch: uint64(m.Epoch),
-		FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total),
+		FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total), Origin: encodeOrigin(m.Origin),
 	}
 }
 
@@ -156,7 +202,7 @@
 func encodeProgress(m swmsg.Progress) *swpb.Progress {
 	return &swpb.Progress{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Produced: int64(m.Produced),
-		RateLimit: encodeStatement(m.Statement),
+		RateLimit: encodeStatement(m.Statement), Begun: encodeBegun(m.Begun),
 	}
 }
 
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -29,6 +29,8 @@
 	MaxStrikes = 256
 	// MaxRateLimits bounds the rate limits of one registration.
 	MaxRateLimits = 4096
+	// MaxBegunStreams bounds the streams of one registration.
+	MaxBegunStreams = 1024
 	// MaxExclude bounds the excluded targets of one grant request.
 	MaxExclude = 256
 	// MaxMemberUpdates bounds the membership updates of one heartbeat.
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,6 +15,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
@@ -45,6 +47,31 @@
 				Pause: swclock.Millis(rapid.Int64Range(0, 1e6).Draw(t, "pause"))}))
 		}
 		return
+	case sworigin.Continuation:
+		if rapid.Bool().Draw(t, "continues") {
+			v.Set(reflect.ValueOf(sworigin.Continuation{Continues: true, Stream: sworigin.Stream(rapid.Uint64().Draw(t, "stream")), Origin: drawOrigin(t)}))
+		}
+		return
+	case sworigin.Origin:
+		if rapid.Bool().Draw(t, "known") {
+			v.Set(reflect.ValueOf(drawOrigin(t)))
+		}
+		return
+	case sworigin.Begun:
+		if rapid.Bool().Draw(t, "begun") {
+			v.Set(reflect.ValueOf(drawBegun(t)))
+		}
+		return
+	case []sworigin.Begun:
+		// Streams of one origin are sent together, with one time.
+		begun := drawBegun(t)
+		var streams []sworigin.Begun
+		for range rapid.IntRange(0, 4).Draw(t, "streams") {
+			begun.Stream = sworigin.Stream(rapid.Uint64Min(1).Draw(t, "stream"))
+			streams = append(streams, begun)
+		}
+		v.Set(reflect.ValueOf(streams))
+		return
 	case swid.RequestRate:
 		v.SetFloat(rapid.Float64Range(0, 1e6).Draw(t, "rate"))
 		return
@@ -84,6 +111,18 @@
 	}
 }
 
+func drawOrigin(t *rapid.T) sworigin.Origin {
+	return sworigin.Origin{
+		Service: swid.ServiceID(rapid.StringN(1, 20, -1).Draw(t, "service")), Version: swid.SoftwareVersion(rapid.StringN(0, 20, -1).Draw(t, "version")),
+	}
+}
+
+func drawBegun(t *rapid.T) sworigin.Begun {
+	return sworigin.Begun{
+		Stream: sworigin.Stream(rapid.Uint64Min(1).Draw(t, "stream")), Origin: drawOrigin(t), Retention: swclock.Millis(rapid.Int64Range(0, 1e6).Draw(t, "retention")),
+	}
+}
+
 func TestRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var b Batch
@@ -135,6 +174,7 @@
 		{"rate that is no number", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(math.NaN())}}, "perSecond"},
 		{"limit without target", swmsg.Registration{RateLimits: []swmsg.RateLimit{{PerSecond: 1}}}, "target"},
 		{"many limits", swmsg.Registration{RateLimits: make([]swmsg.RateLimit, MaxRateLimits+1)}, "rateLimits"},
+		{"many streams", swmsg.Registration{Streams: slices.Repeat([]sworigin.Begun{{Stream: 1, Origin: sworigin.Origin{Service: "s"}}}, MaxBegunStreams+1)}, "begun"},
 		{"no host", swmsg.Hello{}, "host"},
 		{"no state", swmsg.Heartbeat{Updates: []swmsg.MemberUpdate{{Host: "h"}}}, "state"},
 		{"many parts", swmsg.ConfigRequest{Parts: make([][]byte, MaxDocumentParts+1)}, "parts"},
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -6,6 +6,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 )
 
 // Message is one message between two entry hosts. The link identifies the sender.
@@ -99,6 +100,10 @@
 	// Abandon is the time left until the caller abandons the request if there is no output;
 	// 0 if the caller waits until the deadline.
 	Abandon swclock.Millis
+	// Resumable marks a stream that may be continued at another target.
+	Resumable bool
+	// Continuation says whether the attempt continues a stream, and which.
+	Continuation sworigin.Continuation
 }
 
 // Registration registers the sender with the owner to which it sends its grant requests, and reports
@@ -119,6 +124,8 @@
 	// RateLimits are those of targets that the sender schedules for its own requests only: all that
 	// it knows if Complete is set.
 	RateLimits []RateLimit
+	// Streams are the latest that began at the sender, if Complete is set.
+	Streams []sworigin.Begun
 	// Scheduling is the sender's, so that the owner can tell the sender if that is to change.
 	Scheduling Scheduling
 }
@@ -187,6 +194,8 @@
 	Produced swid.Tokens
 	// Statement is what the answer says of the requests that its target takes.
 	Statement swlimit.Statement
+	// Begun is the stream that the attempt has begun since the report before, if it has.
+	Begun sworigin.Begun
 }
 
 // Withdraw cancels a grant request or an unused grant.
@@ -222,6 +231,8 @@
 	// FirstToken and Total are the expected times from dispatch to the first token and to the end.
 	FirstToken swclock.Millis
 	Total      swclock.Millis
+	// Origin is that of the stream which the attempt continues, if it continues one.
+	Origin sworigin.Origin
 }
 
 // Reject rejects a grant request.
--- a/internal/store/swobject/swobject.go
+++ b/internal/store/swobject/swobject.go
@@ -63,6 +63,20 @@
 	State   HostState
 }
 
+// Objects is the part of the platform's object API that keepers of what has to outlast processes use.
+// Implementations are safe for concurrent use.
+type Objects interface {
+	// Get returns an object, or ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// Put writes a value, which must be JSON, if the object still has the expected version, and returns the new
+	// version, or 0 if the answer does not tell it. If expected is 0, the object must not exist.
+	Put(ctx context.Context, key string, value []byte, expected Version) (Version, error)
+	// List returns all objects.
+	List(ctx context.Context) ([]Object, error)
+	// Era returns the era of the store's latest answer.
+	Era() Era
+}
+
 // Store is the platform's object API. Implementations are safe for concurrent use.
 type Store interface {
 	// Get returns an object, or ErrNotFound.
--- a/internal/store/swrefusal/swrefusal.go
+++ b/internal/store/swrefusal/swrefusal.go
@@ -17,17 +17,6 @@
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
-// Objects is the part of the platform's object API that a Keeper uses.
-type Objects interface {
-	// Get returns an object, or swobject.ErrNotFound.
-	Get(ctx context.Context, key string) (swobject.Object, error)
-	// Put writes a value if the object still has the expected version, and returns the new
-	// version. If expected is 0, the object must not exist.
-	Put(ctx context.Context, key string, value []byte, expected swobject.Version) (swobject.Version, error)
-	// Era returns the era of the store's latest answer.
-	Era() swobject.Era
-}
-
 // Key is the key of the object.
 const Key = "refusedContents"
 
@@ -57,7 +46,7 @@
 
 // Config holds the settings and dependencies of a Keeper.
 type Config struct {
-	Objects  Objects
+	Objects  swobject.Objects
 	Register *swsuspect.Register
 	Parts    *swsuspect.Parts
 	Clock    swclock.Clock
--- a/internal/store/swrefusal/swrefusal_test.go
+++ b/internal/store/swrefusal/swrefusal_test.go
@@ -12,7 +12,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
-// store is an object store with one object. It implements Objects.
+// store is an object store with one object. It implements swobject.Objects.
 type store struct {
 	object  swobject.Object
 	era     swobject.Era
@@ -56,6 +56,10 @@
 	return s.version, nil
 }
 
+func (s *store) List(context.Context) ([]swobject.Object, error) {
+	return []swobject.Object{s.object}, nil
+}
+
 func (s *store) Era() swobject.Era { return s.era }
 
 func (s *store) copy() { s.copied = s.object }
--- a/internal/target/swpool/swpool.go
+++ b/internal/target/swpool/swpool.go
@@ -6,6 +6,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
@@ -60,12 +61,16 @@
 	// Accepting is set unless the target is draining.
 	Accepting bool
 	// Born identifies one start of the target; 0 if unknown.
-	Born    int64
-	Version swid.SoftwareVersion
+	Born int64
+	// Origin is that of the streams that the target begins.
+	Origin sworigin.Origin
 }
 
 // Target returns a target of the current document, and whether the document lists it.
 func (p *Pool) Target(id swid.TargetID) (Target, bool) {
 	e, listed := (*p.entries.Load())[id]
-	return Target{Adapter: e.adapter, Accepting: !e.target.Draining, Born: e.target.Born, Version: e.target.Version}, listed
+	return Target{
+		Adapter: e.adapter, Accepting: !e.target.Draining, Born: e.target.Born,
+		Origin: sworigin.Origin{Service: e.target.Service, Version: e.target.Version},
+	}, listed
 }
