Let streams that break late be continued

Callers saw streams end that broke longer after their start than they wait for a first event (2 to 4.8 s): the next grant request said that the caller had abandoned the request, as the time was counted from the start, and the owner rejected it at once. It also said that the answer was late already.

The time is counted from the latest output now, and there is no objective once the caller has the first part. TestContinuedLate failed before: abandoned after 1 ms instead of 4000.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -278,7 +278,7 @@
 		ID: c.ID, Seq: seq, Service: service, Cell: swid.NewCellID(service, g.config.Region),
 		Tier: route.Tier, OrgTier: defaultOrgTier, Deadline: deadline(now, c.Deadline, route.Timeout),
 		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, ExpectedTokens: c.ExpectedTokens, Parts: c.Parts, Scope: promptScope(route.Name, c.Model),
-		Attempts: swid.Attempt(route.Attempts), EndsAtDeadline: true, NotResumable: true,
+		AbandonAfter: route.AbandonAfter, Attempts: swid.Attempt(route.Attempts), EndsAtDeadline: true, NotResumable: true,
 		Call: swtarget.Request{
 			Method: c.Method, Host: c.Host, Path: c.Target, Header: c.Header, Body: body,
 			Stream: route.Kind == swcatalog.KindStream,
@@ -294,9 +294,6 @@
 	if route.Objective > 0 {
 		r.Objective = now + route.Objective
 	}
-	if route.AbandonAfter > 0 {
-		r.Abandon = now + route.AbandonAfter
-	}
 	switch {
 	case route.Kind == swcatalog.KindIdempotent:
 		r.RetryFailures = true
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -306,6 +306,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running.produced = a.produced
+	if e.request.Call.Stream && a.status < http.StatusMultipleChoices {
+		e.outputAt = e.holder.config.Clock.Now()
+	}
 	early := e.holder.config.ReportEarly && (a.reportedTokens == 0 || a.reportedTokens < secondReportTokens && a.produced >= secondReportTokens)
 	if early || a.produced-a.reportedTokens >= progressTokens || begun.Stream != 0 {
 		a.reportedTokens = a.produced
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -48,6 +48,8 @@
 	// replies has capacity for one reply. A reply clears waiting unless it is a
 	// redirect or an acknowledgement.
 	replies chan ownerReply
+	// outputAt is when the latest output arrived that is streamed to the caller, or 0.
+	outputAt swclock.Millis
 	// running is nil unless an attempt is dispatched.
 	running *runningAttempt
 	// acknowledged is true if requestedOwner replied to the last grant request, even
@@ -267,8 +269,8 @@
 		Exclude:        e.grantRequest.Exclude,
 		NonIdempotent:  r.NonIdempotent,
 		Strikes:        e.strikes,
-		Abandon:        e.timeUntil(r.Abandon),
-		Objective:      e.timeUntil(r.Objective),
+		Abandon:        e.timeUntilAbandoned(),
+		Objective:      e.timeUntilObjective(),
 		Parts:          r.Parts,
 		ExpectedTokens: r.ExpectedTokens,
 		OrgTier:        r.OrgTier,
@@ -279,6 +281,24 @@
 	}
 }
 
+// timeUntilAbandoned returns the time after which the caller abandons the request if there is no output until
+// then, or 0 if it waits until the deadline. The caller holds e.mu.
+func (e *heldRequest) timeUntilAbandoned() swclock.Millis {
+	if e.request.AbandonAfter == 0 {
+		return 0
+	}
+	return e.timeUntil(max(e.accepted, e.outputAt) + e.request.AbandonAfter)
+}
+
+// timeUntilObjective returns the time until the first part of the answer is late, or 0 if there is no objective
+// or the caller has the first part. The caller holds e.mu.
+func (e *heldRequest) timeUntilObjective() swclock.Millis {
+	if e.outputAt > 0 {
+		return 0
+	}
+	return e.timeUntil(e.request.Objective)
+}
+
 // timeUntil returns the remaining time until an instant, at least 1 ms, or 0 if the instant is not set.
 func (e *heldRequest) timeUntil(instant swclock.Millis) swclock.Millis {
 	if instant == 0 {
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -35,9 +35,9 @@
 	OrgTier swid.Tier
 	// ExpectedTokens is the caller's estimate of the output; 0 if the caller gives none.
 	ExpectedTokens swid.Tokens
-	// Abandon is the instant at which the caller abandons the request if there is
-	// no output; 0 if the caller waits until the deadline.
-	Abandon swclock.Millis
+	// AbandonAfter is the time without output after which the caller abandons the request; 0 if the caller
+	// waits until the deadline.
+	AbandonAfter swclock.Millis
 	// Charge is the amount that the request counts against its organisation's quota.
 	Charge int64
 	// Objective is the instant by which the first part of the answer should arrive; 0 if there is none.
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -487,6 +487,33 @@
 	}
 }
 
+// TestContinuedLate guards against streams that break late and are not continued, because they are taken for
+// ones without output that their callers have abandoned.
+func TestContinuedLate(t *testing.T) {
+	clock := &swclock.Manual{}
+	clock.Advance(swclock.Second)
+	broken := script{chunks: []string{"1"}, wait: make(chan struct{}), end: errBroken, lastEventID: "e1"}
+	f := newFixtureWithConfig(map[swid.TargetID][]script{"a": {broken}, "b": {{chunks: []string{"2"}, end: io.EOF}}}, func(c *Config) { c.Clock = clock })
+	r := f.request(true, false)
+	r.ResumeElsewhere, r.Attempts, r.AbandonAfter, r.Objective = true, 2, 4*swclock.Second, 2*swclock.Second
+	reports, _ := f.serve(r)
+	grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+	if grantRequest.Abandon != 4*swclock.Second || grantRequest.Objective != swclock.Second {
+		t.Errorf("a new stream is abandoned after %d ms and late after %d, want 4000 and 1000", grantRequest.Abandon, grantRequest.Objective)
+	}
+	f.grant("owner", grantRequest, "a")
+	clock.Advance(10 * swclock.Second) // the events of the stream, of which the last one comes now
+	close(broken.wait)
+	grantRequest, _ = expect[swmsg.GrantRequest](t, f)
+	if grantRequest.Abandon != 4*swclock.Second || grantRequest.Objective != 0 {
+		t.Errorf("a stream that has just broken is abandoned after %d ms and late after %d, want 4000 and 0", grantRequest.Abandon, grantRequest.Objective)
+	}
+	f.grant("owner", grantRequest, "b")
+	if report := <-reports; report.End.Outcome != swlife.OutcomeAnswered {
+		t.Errorf("report is %+v", report)
+	}
+}
+
 // TestContinuedVersion guards against streams that are continued at another software version than the one that
 // began them, whatever the owner grants.
 func TestContinuedVersion(t *testing.T) {
