--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -125,6 +125,12 @@
 	c.observeRun(r, e)
 	c.observeStatement(r, e.Statement)
 	c.endRun(r)
+	wasProbing, sinceHeard := t.probing(), t.sinceHeard(c.now)
+	defer func() {
+		if t.probing() != wasProbing {
+			c.cfg.OnProbing(ProbingChange{Target: t.conf.ID, Probing: t.probing(), Holder: r.grantRequest.Key.Holder, SinceHeard: sinceHeard})
+		}
+	}()
 	switch e.Result {
 	case swcell.ResultAnswered:
 		t.vouchForVersion(r)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -99,6 +99,8 @@
 	Limits *swlimit.Limiter
 	// OnRateLimit is called when the rate limit of a target changes, 0 if it ends. It must not block.
 	OnRateLimit func(swid.TargetID, swid.RequestRate)
+	// OnProbing is called when a target comes to be probed, or no longer is. It must not block.
+	OnProbing func(ProbingChange)
 	// OnLeaving is called when an answer of a target first says that it is leaving. It must not block.
 	OnLeaving func(swid.TargetID)
 	// Service is the service of the cell.
@@ -124,6 +126,16 @@
 	return swsuspect.NewParts(historySize, swsuspect.PartLimits{VerifyAfter: verificationDelay, Retention: strikeLifetime})
 }
 
+// ProbingChange is a change of whether a target is probed.
+type ProbingChange struct {
+	Target  swid.TargetID
+	Probing bool
+	// Holder is the host whose attempt caused the change.
+	Holder swid.HostID
+	// SinceHeard is the time since anything was last heard of the target by any host, or -1 if nothing was.
+	SinceHeard swclock.Millis
+}
+
 // StrikeChange is a change of the strikes of content: of the suspected crashes of targets that
 // ran it.
 type StrikeChange struct {
@@ -180,6 +192,9 @@
 	if c.OnRateLimit == nil {
 		c.OnRateLimit = func(swid.TargetID, swid.RequestRate) {}
 	}
+	if c.OnProbing == nil {
+		c.OnProbing = func(ProbingChange) {}
+	}
 	if c.OnLeaving == nil {
 		c.OnLeaving = func(swid.TargetID) {}
 	}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -121,6 +121,14 @@
 // request at a time as a probe.
 func (t *target) probing() bool { return t.unanswered >= unansweredLimit }
 
+// sinceHeard returns the time since the target last answered or produced output, or -1 if it never did.
+func (t *target) sinceHeard(now swclock.Millis) swclock.Millis {
+	if t.heardAt == 0 {
+		return -1
+	}
+	return now - t.heardAt
+}
+
 // freeSlots returns the number of requests that may be granted now, which is 1 at most if the
 // target has a rate limit.
 func (t *target) freeSlots(now swclock.Millis) int {
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -28,6 +28,10 @@
 		Limits:       h.limits,
 		OnRateLimit:  func(t swid.TargetID, limit swid.RequestRate) { h.rateLimitChanged(cell, t, limit) },
 		OnStrikes:    func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
+		OnProbing: func(p swvalue.ProbingChange) {
+			h.log.Info().Str("target", string(p.Target)).Str("cell", string(cell)).Bool("probing", p.Probing).Str("holder", string(p.Holder)).
+				Int64("sinceHeardMillis", int64(p.SinceHeard)).Msg("probing of a target changed")
+		},
 		OnLeaving: func(t swid.TargetID) {
 			h.log.Info().Str("target", string(t)).Str("cell", string(cell)).Msg("target is leaving, it is granted no more requests")
 		},
