--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -64,6 +64,8 @@
 	requestsPerHost float64
 	// adapter, if not nil, returns the adapter of a target for one process of a host.
 	adapter func(swid.TargetID) swtarget.Adapter
+	// hostAdapter, if not nil, returns the adapter of a target for one process of the host with a number.
+	hostAdapter func(host int, id swid.TargetID) swtarget.Adapter
 	// answered counts the answers of each second since the start.
 	mu       sync.Mutex
 	started  time.Time
@@ -142,7 +144,7 @@
 		},
 	}
 	factory := func(*swsettings.Settings, swclock.Clock, zerolog.Logger) (Platform, error) {
-		return simulatedPlatform{fakePlatform{h.fleet.deployment}, h.fleet}, nil
+		return simulatedPlatform{fakePlatform{h.fleet.deployment}, h.fleet, h.number}, nil
 	}
 	host, err := New(settings, factory, zerolog.Nop())
 	if err != nil {
@@ -228,9 +230,14 @@
 type simulatedPlatform struct {
 	fakePlatform
 	fleet *simulatedFleet
+	// host is the number of the host.
+	host int
 }
 
 func (p simulatedPlatform) TargetAdapter(id swid.TargetID, address string, eventTokens swid.Tokens) swtarget.Adapter {
+	if p.fleet.hostAdapter != nil {
+		return p.fleet.hostAdapter(p.host, id)
+	}
 	if p.fleet.adapter != nil {
 		return p.fleet.adapter(id)
 	}
