Take an answer for complete only if its adapter says so

Cause: the holder compared the error of an answer with errors.Is(err, io.EOF), and the error of a broken answer may wrap io.EOF. Such an answer was delivered as complete, and its request reported as answered. Adapters that read bodies of known length return io.ErrUnexpectedEOF, so it was not seen in the field; the first adapter whose connection ends with io.EOF had it.

Change: the error has to be io.EOF itself.

Result: TestOutcomes, broken by the end of the connection, failed before and passes; the tests of the package pass.

--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -239,7 +239,7 @@
 	streamed := a.held.request.Call.Stream && a.status < 300
 	for {
 		chunk, err := response.Next()
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF { // an *swtarget.Error may wrap one
 			return a.finishAnswer(response, streamed)
 		}
 		if err != nil {
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -224,6 +224,9 @@
 	f.holder.Receive(swlink.Peer{Host: from}, swmsg.Grant{Cell: request.Cell, Seq: request.Seq, Attempt: request.Attempt, Target: target})
 }
 
+// errEnded is the error of a connection that ended in the middle of an answer.
+var errEnded = &swtarget.Error{Failure: swtarget.FailureBroken, Err: io.EOF}
+
 var errBroken = &swtarget.Error{Failure: swtarget.FailureBroken, Err: errors.New("connection reset")}
 
 // TestGrantOfAnotherHost checks that the holder uses only a grant of the host that
@@ -628,6 +631,7 @@
 		{"stream resumed", true, false, map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: errBroken}, {chunks: []string{"y"}, end: io.EOF}}}, []swid.TargetID{"a"}, swlife.OutcomeAnswered, "xy"},
 		{"stream not resumable", true, false, map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: errBroken}, notStarted}}, []swid.TargetID{"a"}, swlife.OutcomeUnknown, "x"},
 		{"non-idempotent refused then elsewhere", false, true, map[swid.TargetID][]script{"a": {notStarted}, "b": {whole}}, []swid.TargetID{"a", "b"}, swlife.OutcomeAnswered, "xy"},
+		{"broken by the end of the connection", false, true, map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: errEnded}}}, []swid.TargetID{"a"}, swlife.OutcomeUnknown, ""},
 		{"non-idempotent broken", false, true, map[swid.TargetID][]script{"a": {{end: errBroken}}}, []swid.TargetID{"a"}, swlife.OutcomeUnknown, ""},
 		{"granted twice to one target", false, false, map[swid.TargetID][]script{"a": {notStarted}}, []swid.TargetID{"a", "a"}, swlife.OutcomeNotRun, ""},
 	}
