--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -417,6 +417,9 @@
 		Int64("firstMillis", int64(report.Timing.FirstToken)).
 		Int64("objectiveMillis", int64(route.Objective)).
 		Int64("totalMillis", int64(report.Timing.Total))
+	if report.Carrier != "" {
+		e = e.Str("carrier", string(report.Carrier))
+	}
 	if r.Continuation.Continues {
 		e = e.Str("resumeAfter", truncate(r.Call.LastEventID)).Str("begunBy", truncate(string(c.BegunBy))).
 			Str("continuedVersion", string(report.Continued.Version))
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -86,6 +86,9 @@
 	Resumable bool
 	// Continuation says whether the attempt continues a stream, and which.
 	Continuation sworigin.Continuation
+	// Carry is set if the holder reaches no target of the cell itself, so that another host has to carry the
+	// request.
+	Carry bool
 }
 
 // Part is a part of a prompt that other prompts may share. A target that has
@@ -115,6 +118,8 @@
 	Elapsed swclock.Millis
 	// Produced counts the output tokens received so far.
 	Produced swid.Tokens
+	// Carrier is the host that carries the request; empty if there is none.
+	Carrier swid.HostID
 }
 
 // Progress reports the output of a running attempt, so that slow targets are
@@ -184,6 +189,10 @@
 	Total swclock.Millis
 	// Statement is what the answer says of the requests that its target takes, if there was one.
 	Statement swlimit.Statement
+	// PathLost is set if the holder reaches no target of the cell, so that the result says nothing of the target.
+	PathLost bool
+	// CarrierLost is set if the host that was to carry the request could not be reached, or was lost.
+	CarrierLost bool
 }
 
 // LoadReport contains a target's own report of its load.
@@ -262,6 +271,12 @@
 	Reachable bool
 }
 
+// TargetHeard reports that a target answered a host outside of an attempt.
+type TargetHeard struct {
+	Target swid.TargetID
+	Host   swid.HostID
+}
+
 // HolderDied reports that a holder's process died. Its waiting requests are
 // removed, and its runs keep their slots until the target's load reports no longer
 // show them or Config.LostRunTimeout ends them.
@@ -283,6 +298,7 @@
 func (CacheReport) event()        {}
 func (Configure) event()          {}
 func (TargetReachability) event() {}
+func (TargetHeard) event()        {}
 func (HolderDied) event()         {}
 func (Tick) event()               {}
 
@@ -299,6 +315,8 @@
 	Total      swclock.Millis
 	// Origin is that of the stream which the attempt continues, if it continues one.
 	Origin sworigin.Origin
+	// Carrier is the host that is to carry the request to the target; empty if the holder sends it itself.
+	Carrier swid.HostID
 }
 
 // RejectReason says why a request was rejected.
--- /dev/null
+++ b/internal/core/swreach/directory.go
@@ -0,0 +1,198 @@
+package swreach
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+)
+
+const (
+	// presenceTime is how long after its latest report a host may carry requests: several times the interval of
+	// reports.
+	presenceTime = 2 * swclock.Second
+	// maxCarried bounds the requests that one host carries at a time, so that it goes on to serve its own
+	// callers.
+	maxCarried = 64
+	// choices is the number of hosts among which the one is chosen that carries the fewest requests. It bounds the
+	// links of a host whose requests are carried.
+	choices = 2
+	// avoidTime is how long a host that could not be reached by another one carries no requests of that one.
+	avoidTime = 2 * swclock.Second
+)
+
+// Report is what a host reports of itself.
+type Report struct {
+	Zone swid.ZoneID
+	// Carries is set if the host can carry requests of others, and have its own carried.
+	Carries bool
+	// Cut are the services of which the host reaches no target.
+	Cut []swid.ServiceID
+}
+
+// Directory has the hosts that may carry requests of others. It is safe for concurrent use.
+type Directory struct {
+	mu    sync.Mutex
+	hosts map[swid.HostID]*entry
+	// version grows with each change of the hosts or their zones.
+	version uint64
+	ranked  map[swid.HostID]ranking
+	avoided map[pair]swclock.Millis
+	// forgotAt is when the hosts were last looked through for ones that do not report any more.
+	forgotAt swclock.Millis
+}
+
+type entry struct {
+	Report
+	seenAt  swclock.Millis
+	carried int
+}
+
+// pair is a host whose requests are carried, and one that carries them.
+type pair struct{ holder, carrier swid.HostID }
+
+// ranking has the hosts in the order in which they are chosen to carry the requests of one.
+type ranking struct {
+	version uint64
+	hosts   []swid.HostID
+}
+
+// NewDirectory returns a directory without hosts.
+func NewDirectory() *Directory {
+	return &Directory{hosts: make(map[swid.HostID]*entry), ranked: make(map[swid.HostID]ranking), avoided: make(map[pair]swclock.Millis)}
+}
+
+// Update records the report of a host.
+func (d *Directory) Update(host swid.HostID, r Report, now swclock.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forget(now)
+	e := d.hosts[host]
+	if e == nil || e.Zone != r.Zone {
+		d.version++
+	}
+	if e == nil {
+		e = &entry{}
+		d.hosts[host] = e
+	}
+	e.Report, e.seenAt = r, now
+}
+
+// forget deletes the hosts that have not reported for a long time. d.mu must be held.
+func (d *Directory) forget(now swclock.Millis) {
+	if now-d.forgotAt < swclock.Minute {
+		return
+	}
+	d.forgotAt = now
+	for host, e := range d.hosts {
+		if now-e.seenAt > swclock.Minute {
+			delete(d.hosts, host)
+			delete(d.ranked, host)
+			d.version++
+		}
+	}
+}
+
+// CutServices returns the services of which a host that is present reported to reach no target, sorted.
+func (d *Directory) CutServices(now swclock.Millis) []swid.ServiceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var cut []swid.ServiceID
+	for _, e := range d.hosts {
+		if now-e.seenAt <= presenceTime {
+			cut = append(cut, e.Cut...)
+		}
+	}
+	slices.Sort(cut)
+	return slices.Compact(cut)
+}
+
+// Remove removes a host, whose link was lost or which is leaving.
+func (d *Directory) Remove(host swid.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.hosts[host]; e != nil {
+		e.seenAt = -presenceTime
+	}
+}
+
+// Avoid records that a host could not reach one that was to carry its request.
+func (d *Directory) Avoid(holder, carrier swid.HostID, now swclock.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for p, until := range d.avoided {
+		if until <= now {
+			delete(d.avoided, p)
+		}
+	}
+	d.avoided[pair{holder, carrier}] = now + avoidTime
+}
+
+// Pick returns the host that is to carry a request of a holder to a service, of those that reach the target. It
+// returns false if there is none.
+func (d *Directory) Pick(holder swid.HostID, service swid.ServiceID, now swclock.Millis, reaches func(swid.HostID) bool) (swid.HostID, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if own := d.hosts[holder]; own == nil || !own.Carries {
+		return "", false
+	}
+	var picked swid.HostID
+	fewest, found := 0, 0
+	for _, host := range d.rank(holder) {
+		e := d.hosts[host]
+		if !e.Carries || now-e.seenAt > presenceTime || e.carried >= maxCarried || slices.Contains(e.Cut, service) ||
+			now < d.avoided[pair{holder, host}] || !reaches(host) {
+			continue
+		}
+		if found == 0 || e.carried < fewest {
+			picked, fewest = host, e.carried
+		}
+		if found++; found == choices {
+			break
+		}
+	}
+	return picked, found > 0
+}
+
+// rank returns the other hosts in the order in which they are chosen for a holder: those of its zone
+// first. d.mu must be held.
+func (d *Directory) rank(holder swid.HostID) []swid.HostID {
+	if r, known := d.ranked[holder]; known && r.version == d.version {
+		return r.hosts
+	}
+	hosts := make([]swid.HostID, 0, len(d.hosts))
+	for host := range d.hosts {
+		if host != holder {
+			hosts = append(hosts, host)
+		}
+	}
+	own := d.hosts[holder]
+	slices.SortFunc(hosts, func(a, b swid.HostID) int {
+		if near := d.hosts[a].Zone == own.Zone; near != (d.hosts[b].Zone == own.Zone) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(swelect.Score(swid.CellID(holder), b), swelect.Score(swid.CellID(holder), a)), cmp.Compare(a, b))
+	})
+	d.ranked[holder] = ranking{d.version, hosts}
+	return hosts
+}
+
+// Began records that a host begins to carry a request, and Ended that it no longer does.
+func (d *Directory) Began(carrier swid.HostID) { d.count(carrier, 1) }
+
+// Ended records that a host no longer carries a request.
+func (d *Directory) Ended(carrier swid.HostID) { d.count(carrier, -1) }
+
+func (d *Directory) count(carrier swid.HostID, change int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.hosts[carrier]; e != nil {
+		e.carried = max(e.carried+change, 0)
+	}
+}
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -179,7 +179,10 @@
 
 // mayRun reports whether the request may be granted the target, now or once it has a free slot.
 func (c *Cell[P, O]) mayRun(r *request, t *target) bool {
-	if !t.active() || !c.fitsOrigin(r, t) || slices.Contains(r.grantRequest.Exclude, t.conf.ID) || !t.reachableFrom(r.grantRequest.Key.Holder, c.now) {
+	if !c.isEligible(r, t) {
+		return false
+	}
+	if _, ok := c.senderFor(r, t); !ok {
 		return false
 	}
 	// A non-idempotent request is not used as a probe unless all active targets that it
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -26,6 +26,10 @@
 
 	// origin is that of the stream which the request continues, once it is known.
 	origin sworigin.Origin
+	// unreached is the result of needsCarrier at an instant and a number of changes.
+	unreached    bool
+	reachAt      swclock.Millis
+	reachChanges uint64
 	// prompt identifies the parts of the prompt.
 	prompt swsuspect.Prompt
 	// apart is set while the content is to run apart, see swsuspect.Register.RunsApart, and suspects
@@ -77,6 +81,8 @@
 	prompt     swsuspect.Prompt
 	// origin is that of the stream which the run continues, if it continues one.
 	origin sworigin.Origin
+	// carrier is the host that carries the request; empty if there is none.
+	carrier swid.HostID
 	// apart is set if the content runs apart, and suspects has the parts for which the request does.
 	apart    bool
 	suspects []swsuspect.SuspectPart
@@ -173,7 +179,7 @@
 		// The target takes no new work until a configuration lists it.
 		t = c.addTarget(swcell.Target{ID: e.Target})
 	}
-	r := c.start(c.newRequest(e.GrantRequest), t)
+	r := c.start(c.newRequest(e.GrantRequest), t, e.Carrier)
 	r.grantedAt = c.now - e.Elapsed
 	if e.Produced > 0 {
 		r.produced, r.firstOutputAt = e.Produced, c.now
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 )
 
@@ -16,19 +17,23 @@
 )
 
 func (c *Cell[P, O]) grant(r *request, o *Offer) {
+	sender, _ := c.senderFor(r, o.target) // bestOffer found one at this instant
+	if sender == r.grantRequest.Key.Holder {
+		sender = ""
+	}
 	c.remove(slices.Index(c.waiting, r))
 	c.cfg.Limits.Take(o.target.conf.ID, c.now)
 	c.meanWork.Add(c.work(r, o.expected.uncached))
-	c.emit(c.start(r, o.target).grant())
+	c.emit(c.start(r, o.target, sender).grant())
 }
 
 // start records an attempt as running on a target, and its prompt as the last of
-// those that the target has to process.
-func (c *Cell[P, O]) start(r *request, t *target) *run {
+// those that the target has to process. carrier is empty if the holder sends the request itself.
+func (c *Cell[P, O]) start(r *request, t *target, carrier swid.HostID) *run {
 	o := c.offer(r, t)
 	started := &run{
 		grantRequest: r.grantRequest, prefixes: r.prefixes, target: t, grantedAt: c.now, output: r.output, charged: r.charged, expected: o.expected,
-		prompt: r.prompt, origin: r.origin, apart: r.apart, suspects: r.suspects,
+		prompt: r.prompt, origin: r.origin, carrier: carrier, apart: r.apart, suspects: r.suspects,
 	}
 	if !t.plain() {
 		started.soloPrefill = o.expected.wait == 0
@@ -42,6 +47,9 @@
 		started.prefillEnd = t.prefillFreeAt
 		t.cache.add(r.prefixes)
 	}
+	if carrier != "" {
+		c.cfg.Carriers.Began(carrier)
+	}
 	c.running[started.id()] = started
 	t.add(started)
 	c.recordApart(started)
@@ -54,7 +62,7 @@
 	return swcell.Grant{
 		Key: r.grantRequest.Key, Attempt: r.grantRequest.Attempt, Target: r.target.conf.ID,
 		FirstToken: swclock.Millis(r.expected.first), Total: swclock.Millis(r.expected.total),
-		Origin: r.origin,
+		Origin: r.origin, Carrier: r.carrier,
 	}
 }
 
@@ -68,6 +76,9 @@
 
 func (c *Cell[P, O]) endRun(r *run) {
 	delete(c.running, r.id())
+	if r.carrier != "" {
+		c.cfg.Carriers.Ended(r.carrier)
+	}
 	r.target.remove(r, c.now)
 	if r.apart {
 		delete(c.apart, r.grantRequest.Fingerprint)
@@ -125,6 +136,9 @@
 	c.observeRun(r, e)
 	c.observeStatement(r, e.Statement)
 	c.endRun(r)
+	if e.CarrierLost && r.carrier != "" {
+		c.cfg.Carriers.Avoid(r.grantRequest.Key.Holder, r.carrier, c.now)
+	}
 	wasProbing, sinceHeard := t.probing(), t.sinceHeard(c.now)
 	defer func() {
 		if t.probing() != wasProbing {
@@ -145,20 +159,26 @@
 		if e.FirstToken > 0 && e.Total-e.FirstToken >= soundTime {
 			c.recordSound(r)
 		}
-		c.recordBreak(r)
-		t.recordNoAnswer(c.now)
+		if !e.PathLost {
+			c.recordBreak(r)
+		}
+		c.recordAttemptFailed(r, e.PathLost)
 		t.doubtVersion(c.now)
 	case swcell.ResultNoAnswer:
 		c.recordSilentRun(r)
-		t.recordNoAnswer(c.now)
+		c.recordAttemptFailed(r, e.PathLost || e.CarrierLost)
 	case swcell.ResultCancelled:
 		c.recordSilentRun(r)
 	case swcell.ResultNotStarted:
 		c.uncharge(&r.grantRequest, r.charged)
-		holder := r.grantRequest.Key.Holder
-		t.unreachable[holder] = max(t.unreachable[holder], c.now+unreachableTime)
-		t.recordNoAnswer(c.now)
-		if !e.Statement.Heard {
+		switch {
+		case e.CarrierLost, e.PathLost:
+		case e.Statement.Heard:
+			t.reach.close(r.sender(), c.now+unreachableTime)
+			t.recordNoAnswer(1, c.now)
+		default:
+			t.reach.lost(r.sender(), c.now)
+			c.recordAttemptFailed(r, e.PathLost)
 			t.doubtVersion(c.now)
 		}
 	}
@@ -173,8 +193,7 @@
 		c.changed(r.target)
 	}
 	if s.Pause > 0 {
-		t, holder := r.target, r.grantRequest.Key.Holder
-		t.unreachable[holder] = max(t.unreachable[holder], c.now+min(s.Pause, swlimit.MaxPause))
+		r.target.reach.close(r.sender(), c.now+min(s.Pause, swlimit.MaxPause))
 	}
 	if c.cfg.Limits.Observe(r.target.conf.ID, s, r.grantedAt, c.now) {
 		c.cfg.OnRateLimit(r.target.conf.ID, s.PerSecond)
--- a/internal/core/swvalue/suspects.go
+++ b/internal/core/swvalue/suspects.go
@@ -185,6 +185,8 @@
 // answer before that did not end with the target, unless it has been started anew meanwhile.
 func (t *target) heardOf(r *run, now swclock.Millis) {
 	t.heardAt = now
+	t.unanswered = 0
+	t.reach.heard(r.sender(), now)
 	t.silent = slices.DeleteFunc(t.silent, func(s silentRun) bool { return r.grantedAt <= s.ended+minRestartTime })
 }
 
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -111,6 +111,8 @@
 	ListCurrent func() bool
 	// OnOriginWanted is called while a request waits for the origin of its stream. It must not block.
 	OnOriginWanted func()
+	// Carriers picks the hosts that carry requests. Nil means that none is carried.
+	Carriers Carriers
 	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
 	// Nil means that none does.
 	OthersSchedule func() bool
@@ -201,6 +203,9 @@
 	if c.Origins == nil {
 		c.Origins = sworigin.NewRegister(historySize)
 	}
+	if c.Carriers == nil {
+		c.Carriers = noCarriers{}
+	}
 	if c.ListCurrent == nil {
 		c.ListCurrent = func() bool { return true }
 	}
@@ -263,6 +268,8 @@
 		c.configure(e)
 	case swcell.TargetReachability:
 		c.handleTargetReachability(e)
+	case swcell.TargetHeard:
+		c.handleTargetHeard(e)
 	case swcell.HolderDied:
 		c.handleHolderDied(e)
 	case swcell.Tick:
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -19,9 +19,6 @@
 	// minBackoff and maxBackoff bound the time until the next probe.
 	minBackoff = 250 * swclock.Millis(1)
 	maxBackoff = 2 * swclock.Second
-	// unreachableTime is how long a holder that could not connect to a target is not granted
-	// that target again.
-	unreachableTime = 500 * swclock.Millis(1)
 )
 
 const (
@@ -92,15 +89,15 @@
 	// silent holds the latest runs that ended without an answer while the target was not known
 	// to have ended, the oldest first.
 	silent []silentRun
-	// unreachable maps the holders that could not connect, or that the target turned away for a
-	// while, to the instant until which each is not granted the target.
-	unreachable map[swid.HostID]swclock.Millis
+	// reach is what is known of the paths from hosts to the target, and which of them the target turned away for a
+	// while.
+	reach reachability
 }
 
 func newTarget(conf swcell.Target, limits *swlimit.Limiter) *target {
 	return &target{
 		conf: conf, limits: limits, reachable: true, cache: newCache(conf.KVTokens),
-		unreachable: make(map[swid.HostID]swclock.Millis),
+		reach: newReachability(),
 	}
 }
 
@@ -167,11 +164,6 @@
 	return t.conf.KVTokens == 0 || len(t.runs) == 0 || t.tokens+n <= t.conf.KVTokens
 }
 
-// reachableFrom reports whether a holder may be granted the target.
-func (t *target) reachableFrom(holder swid.HostID, now swclock.Millis) bool {
-	return now >= t.unreachable[holder]
-}
-
 func (t *target) add(r *run) {
 	t.runs = append(t.runs, r)
 	t.runChanges++
@@ -222,9 +214,10 @@
 	t.faultRate.Add(1)
 }
 
-// recordNoAnswer records that an attempt got no answer.
-func (t *target) recordNoAnswer(now swclock.Millis) {
-	t.unanswered++
+// recordNoAnswer records that an attempt got no answer. hosts is the number of hosts whose attempts got none since
+// the target was last heard from.
+func (t *target) recordNoAnswer(hosts int, now swclock.Millis) {
+	t.unanswered = max(t.unanswered+1, hosts)
 	t.faultRate.Add(1)
 	if t.probing() {
 		t.nextProbeAt = now + min(maxBackoff, minBackoff<<min(t.unanswered-unansweredLimit, 6))
@@ -280,7 +273,7 @@
 		t.breaks.Restarted()
 		t.rates = rates{}
 		t.restartedAt, t.leaving, t.doubtedAt = c.now, false, 0
-		clear(t.unreachable)
+		t.reach = newReachability()
 		c.reviewSilentRuns(t)
 		for _, r := range t.runs {
 			c.recordSilentRun(r)
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -58,6 +58,8 @@
 	held   *heldRequest
 	number swid.Attempt
 	target swid.TargetID
+	// carrier is the host that carries the request; empty if this host sends it itself.
+	carrier swid.HostID
 	// origin is that of the streams that the target begins, and born identifies its start, as they were listed
 	// when the attempt began.
 	origin sworigin.Origin
@@ -114,7 +116,7 @@
 		a.owners = []swid.HostID{e.requestedOwner}
 	}
 	e.running = &runningAttempt{
-		attempt: a.number, target: a.target, started: a.dispatched,
+		attempt: a.number, target: a.target, carrier: a.carrier, started: a.dispatched,
 		produced: a.produced, owners: a.owners, cancel: cancel,
 	}
 	e.mu.Unlock()
@@ -190,7 +192,12 @@
 	call.IdempotencyKey = a.held.request.IdempotencyKey
 	call.FirstOutputTimeout = a.firstOutputTimeout()
 	call.ReceivedEvents = a.events
-	response, err := target.Adapter.Start(ctx, call)
+	call.ExpectedFirst = a.expectedFirst()
+	adapter := target.Adapter
+	if a.carrier != "" {
+		adapter = a.held.holder.config.Carry(a.carrier, a.held.request.Cell, a.target)
+	}
+	response, err := adapter.Start(ctx, call)
 	if err != nil {
 		return a.classifyError(ctx, err)
 	}
@@ -201,8 +208,8 @@
 // isClosed reports whether the target has said that it takes no requests from this host. The owner that
 // granted it gets to know why.
 func (a *attempt) isClosed() bool {
-	if a.held.holder.config.Closed == nil {
-		return false
+	if a.held.holder.config.Closed == nil || a.carrier != "" {
+		return false // what a target wants of a carrier is known there
 	}
 	statement, closed := a.held.holder.config.Closed(a.target, a.held.holder.config.Clock.Now())
 	if closed {
@@ -225,11 +232,15 @@
 	if r.FirstOutputTimeout > 0 {
 		return r.FirstOutputTimeout
 	}
-	expected := a.held.estimate.total
-	if r.Call.Stream {
-		expected = a.held.estimate.firstToken
+	return max(minFirstOutputTimeout, min(a.expectedFirst()*firstOutputTimeoutFactor+firstOutputTimeoutMargin, a.held.remaining()/2))
+}
+
+// expectedFirst returns the owner's estimate of the time to the first part of the target's answer.
+func (a *attempt) expectedFirst() swclock.Millis {
+	if a.held.request.Call.Stream {
+		return a.held.estimate.firstToken
 	}
-	return max(minFirstOutputTimeout, min(expected*firstOutputTimeoutFactor+firstOutputTimeoutMargin, a.held.remaining()/2))
+	return a.held.estimate.total
 }
 
 // receive reads the answer to its end.
@@ -262,6 +273,9 @@
 	if s.Heard {
 		a.statement = s
 	}
+	if a.carrier != "" {
+		s.Pause = 0 // the target wants it of the carrier
+	}
 	if s.Heard && a.held.holder.config.OnStatement != nil {
 		a.held.holder.config.OnStatement(a.held.request, a.target, s, a.dispatched)
 	}
@@ -420,8 +434,16 @@
 		FirstToken:   a.firstToken,
 		Total:        a.ended - a.dispatched,
 		Statement:    a.statement,
+		PathLost:     a.carrier == "" && a.result != swcell.ResultAnswered && e.isCut(),
+		CarrierLost:  a.carrierLost(),
 	}
 	for _, owner := range a.owners {
 		e.holder.config.Sender.Send(owner, m)
 	}
 }
+
+// carrierLost reports whether the attempt failed because the carrier could not be reached, or was lost.
+func (a *attempt) carrierLost() bool {
+	var failure *swtarget.Error
+	return errors.As(a.err, &failure) && failure.CarrierLost
+}
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -32,8 +32,10 @@
 	request  *Request
 	sink     Sink
 	accepted swclock.Millis
-	// estimate is the owner's estimate in the last grant.
+	// estimate is the owner's estimate in the last grant, and carrier the host that is to carry the request; empty if
+	// this host sends it itself.
 	estimate durationEstimate
+	carrier  swid.HostID
 
 	mu sync.Mutex
 	// waiting is true while the current attempt waits for the owner's decision.
@@ -89,6 +91,7 @@
 type runningAttempt struct {
 	attempt  swid.Attempt
 	target   swid.TargetID
+	carrier  swid.HostID
 	started  swclock.Millis
 	produced swid.Tokens
 	// owners holds the owner that granted the attempt and each host that the running
@@ -278,9 +281,15 @@
 		Charge:         r.Charge,
 		Resumable:      r.ResumeElsewhere,
 		Continuation:   e.grantRequest.Continuation,
+		Carry:          e.isCut(),
 	}
 }
 
+// isCut reports whether this host reaches no target of the request's service.
+func (e *heldRequest) isCut() bool {
+	return e.holder.config.Cut != nil && e.holder.config.Cut(e.request.Service)
+}
+
 // timeUntilAbandoned returns the time after which the caller abandons the request if there is no output until
 // then, or 0 if it waits until the deadline. The caller holds e.mu.
 func (e *heldRequest) timeUntilAbandoned() swclock.Millis {
@@ -323,5 +332,6 @@
 		Target:       e.running.target,
 		Elapsed:      e.holder.config.Clock.Now() - e.running.started,
 		Produced:     e.running.produced,
+		Carrier:      e.running.carrier,
 	}
 }
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -114,6 +114,8 @@
 	Target swid.TargetID // of the last attempt; empty if there was none
 	// TargetVersion is the software version of Target.
 	TargetVersion swid.SoftwareVersion
+	// Carrier is the host that carried the last attempt; empty if this host sent it itself.
+	Carrier swid.HostID
 	// Continued is the origin of the stream that the request continued, as far as it was found out.
 	Continued sworigin.Origin
 	Attempts  swid.Attempt
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -47,7 +47,7 @@
 		case swlife.Dispatch:
 			report.Attempts, report.Target = c.Attempt, c.Target
 			last = attempt{
-				held: e, number: c.Attempt, target: c.Target,
+				held: e, number: c.Attempt, target: c.Target, carrier: e.carrier,
 				begun: last.begun, firstDelivery: last.firstDelivery, lastEventID: last.lastEventID,
 			}
 			event = last.run(ctx)
@@ -115,7 +115,7 @@
 		e.holder.config.Log.Info().
 			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).
 			Str("content", e.request.Fingerprint.String()).Uint32("attempt", uint32(last.number)).
-			Str("target", string(last.target)).Str("targetVersion", string(last.origin.Version)).Str("owner", string(e.lastOwner())).Str("result", v.Result.String()).
+			Str("target", string(last.target)).Str("targetVersion", string(last.origin.Version)).Str("carrier", string(last.carrier)).Str("owner", string(e.lastOwner())).Str("result", v.Result.String()).
 			Int("status", last.status).Str("cause", v.Cause.String()).Bool("unsent", v.Unsent).Bool("delivered", v.Delivered).AnErr("error", last.err).
 			Array("parts", loggedParts(e.request.Parts)).Int64("firstMillis", int64(last.firstToken)).Int64("producedTokens", int64(last.produced)).
 			Int64("attemptMillis", int64(last.ended-last.dispatched)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
@@ -156,7 +156,7 @@
 
 // finish completes the report and, if the request was claimed, records the outcome of the claim.
 func (e *heldRequest) finish(report *Report, last *attempt, claimed bool) {
-	report.Begun, report.TargetVersion = last.begun, last.origin.Version
+	report.Begun, report.TargetVersion, report.Carrier = last.begun, last.origin.Version, last.carrier
 	report.Timing.FirstToken = last.firstDelivery
 	report.Timing.Total = e.sinceAccepted()
 	report.Timing.ExpectedFirstToken = e.estimate.firstToken
@@ -273,6 +273,7 @@
 func (e *heldRequest) acceptDecision(a ownerReply) swlife.Event {
 	if a.grant != nil {
 		e.estimate = durationEstimate{firstToken: a.grant.FirstToken, total: a.grant.Total}
+		e.carrier = a.grant.Carrier
 		if e.holder.config.OnGranted != nil && !e.reachedTarget {
 			e.holder.config.OnGranted(e.request)
 		}
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -22,6 +22,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swclaim"
 	"github.com/sassafraswing/sassafraswing/internal/target/swpool"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
 // Router selects the host that grant requests are sent to.
@@ -84,6 +85,10 @@
 	// Closed, if not nil, returns what a target has said that keeps this host from sending requests to
 	// it, and whether it has.
 	Closed func(target swid.TargetID, now swclock.Millis) (swlimit.Statement, bool)
+	// Cut, if not nil, reports whether this host reaches no target of a service.
+	Cut func(service swid.ServiceID) bool
+	// Carry, if not nil, returns the adapter that has requests sent to a target by another host, the carrier.
+	Carry func(carrier swid.HostID, cell swid.CellID, target swid.TargetID) swtarget.Adapter
 	// Origins, if not nil, records the origins of the streams that begin here, and has those of others.
 	Origins *sworigin.Register
 	// ReportEarly sends owners a progress report at the first output of each
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -469,6 +469,86 @@
 	}
 }
 
+// TestCarried checks that an attempt for which the owner named a carrier is sent by it, and what the owner learns of
+// its end.
+func TestCarried(t *testing.T) {
+	lost := &swtarget.Error{Failure: swtarget.FailureStalled, CarrierLost: true, Err: errors.New("carrier lost")}
+	unreached := &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: errors.New("no link")}
+	paused := &swtarget.Error{
+		Failure: swtarget.FailureNotStarted, Unsent: true, Statement: swlimit.Statement{Heard: true, Pause: 500}, Err: errors.New("paused"),
+	}
+	tests := []struct {
+		name          string
+		script        script
+		nonIdempotent bool
+		want          swmsg.Done
+		outcome       swlife.Outcome
+	}{
+		{"answered", script{chunks: []string{"x"}, end: io.EOF}, true, swmsg.Done{Result: swcell.ResultAnswered}, swlife.OutcomeAnswered},
+		{"lost before its answer", script{startErr: lost}, true, swmsg.Done{Result: swcell.ResultNoAnswer, CarrierLost: true}, swlife.OutcomeUnknown},
+		{"lost during its answer", script{chunks: []string{"x"}, end: lost}, true, swmsg.Done{Result: swcell.ResultNoAnswer, CarrierLost: true}, swlife.OutcomeUnknown},
+		{"never reached", script{startErr: unreached}, true, swmsg.Done{Result: swcell.ResultNotStarted, CarrierLost: true}, swlife.OutcomeNotRun},
+		{"asked to pause", script{startErr: paused}, true, swmsg.Done{Result: swcell.ResultNotStarted}, swlife.OutcomeNotRun},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			var statements []swlimit.Statement
+			f := newFixture(map[swid.TargetID][]script{"carrier/a": {e.script}})
+			f.holder.config.Cut = func(swid.ServiceID) bool { return true }
+			f.holder.config.Carry = func(carrier swid.HostID, _ swid.CellID, target swid.TargetID) swtarget.Adapter {
+				return scriptedAdapter{f, swid.TargetID(carrier) + "/" + target}
+			}
+			f.holder.config.OnStatement = func(_ *Request, _ swid.TargetID, s swlimit.Statement, _ swclock.Millis) {
+				statements = append(statements, s)
+			}
+			r := f.request(false, e.nonIdempotent)
+			r.Attempts = 1
+			reports, _ := f.serve(r)
+			request, _ := expect[swmsg.GrantRequest](t, f)
+			if !request.Carry {
+				t.Error("the owner is not told that this host reaches no target")
+			}
+			f.holder.Receive(swlink.Peer{Host: "owner"}, swmsg.Grant{
+				Cell: request.Cell, Seq: request.Seq, Attempt: request.Attempt, Target: "a", Carrier: "carrier",
+			})
+			done, _ := expect[swmsg.Done](t, f)
+			if done.Result != e.want.Result || done.CarrierLost != e.want.CarrierLost || done.PathLost {
+				t.Errorf("the owner got result %v, carrier lost %t, path lost %t, want %v, %t and false",
+					done.Result, done.CarrierLost, done.PathLost, e.want.Result, e.want.CarrierLost)
+			}
+			if e.outcome == swlife.OutcomeNotRun {
+				request, _ = expect[swmsg.GrantRequest](t, f)
+				f.grant("owner", request, "a") // the target that it was granted before ends the request
+			}
+			if report := <-reports; report.Carrier != "carrier" || report.End.Outcome != e.outcome {
+				t.Errorf("report is %+v, want outcome %v by way of the carrier", report, e.outcome)
+			}
+			for _, s := range statements {
+				if s.Pause > 0 {
+					t.Error("what a target wants of the carrier is taken for a wish to this host")
+				}
+			}
+		})
+	}
+}
+
+// TestPathLost checks that an owner learns which failures say nothing of the target.
+func TestPathLost(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		f := newFixture(map[swid.TargetID][]script{"a": {{startErr: errBroken}}})
+		f.holder.config.Cut = func(swid.ServiceID) bool { return cut }
+		r := f.request(false, false)
+		r.Attempts = 1
+		reports, _ := f.serve(r)
+		request, _ := expect[swmsg.GrantRequest](t, f)
+		f.grant("owner", request, "a")
+		if done, _ := expect[swmsg.Done](t, f); done.PathLost != cut {
+			t.Errorf("path lost is %t for a host that is cut off: %t", done.PathLost, cut)
+		}
+		<-reports
+	}
+}
+
 // TestResumeElsewhere checks that a broken stream continues at another target after
 // the last event that the caller received.
 func TestResumeElsewhere(t *testing.T) {
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -40,6 +40,7 @@
 		Origins:        h.origins,
 		ListCurrent:    h.storeReachable,
 		OnOriginWanted: h.originKeeper.Wake,
+		Carriers:       h.carriers,
 	}
 	if h.view.chargedByOwner(cell) {
 		config.Ledger = h.ledger
@@ -49,7 +50,7 @@
 
 // adapter returns the adapter that sends requests to a target.
 func (h *Host) adapter(t swdoc.Target, _ swdoc.ServiceKind) swtarget.Adapter {
-	return h.platform.TargetAdapter(t.ID, t.URL, h.view.eventTokens(t.Service))
+	return &pathAdapter{Adapter: h.platform.TargetAdapter(h.view.platformTarget(&t)), target: t.ID, paths: h.paths}
 }
 
 // catalogChanged applies a configuration if its version is higher than the current one.
@@ -108,6 +109,7 @@
 	}, h.clock.Now())
 	h.closed.Retain(h.view.bornOf, h.clock.Now())
 	h.updateServing()
+	h.paths.Configure(h.view.activeTargets())
 	h.configure()
 }
 
@@ -188,6 +190,7 @@
 	} else {
 		h.owner.LinkDown(peer)
 	}
+	h.carriers.Remove(peer.Host)
 	if peer.Host == h.router.currentOwner() {
 		h.needsCompleteRegistration.Store(true)
 	}
--- a/internal/node/swfleet/limits.go
+++ b/internal/node/swfleet/limits.go
@@ -22,7 +22,7 @@
 // takes.
 func (h *Host) recordStatement(r *swholder.Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis) {
 	if s.Leaving || s.Pause > 0 {
-		h.recordClosed(r, target, s)
+		h.recordClosed(r.ID, r.Cell, target, s)
 	}
 	if !h.limits.Observe(target, s, sent, h.clock.Now()) {
 		return
@@ -35,10 +35,10 @@
 }
 
 // recordClosed records that a target takes no new requests from this host.
-func (h *Host) recordClosed(r *swholder.Request, target swid.TargetID, s swlimit.Statement) {
+func (h *Host) recordClosed(request swid.RequestID, cell swid.CellID, target swid.TargetID, s swlimit.Statement) {
 	born, _ := h.view.bornOf(target)
 	if h.closed.Observe(target, born, s, h.clock.Now()) {
-		h.log.Info().Str("target", string(target)).Str("cell", string(r.Cell)).Str("requestId", string(r.ID)).
+		h.log.Info().Str("target", string(target)).Str("cell", string(cell)).Str("requestId", string(request)).
 			Bool("leaving", s.Leaving).Int64("pauseMillis", int64(s.Pause)).Msg("target takes no requests from this host")
 	}
 }
--- a/internal/node/swfleet/partitionedhosts_test.go
+++ b/internal/node/swfleet/partitionedhosts_test.go
@@ -26,6 +26,8 @@
 	minCutShare        = 2.0 / 3
 	maxCutFailures     = 10
 	cutFailureInterval = 50
+	// usualSize is the number of hosts for which there are seven slots at each target.
+	usualSize = 15
 	// cutSpan is how long the hosts are partitioned, and cutSettled the time from which first tries count.
 	cutSpan    = 10 * time.Second
 	cutSettled = 3 * time.Second
@@ -193,6 +195,21 @@
 	return a, nil
 }
 
+// Probe implements swtarget.Prober.
+func (l *linkedTarget) Probe(ctx context.Context) error {
+	mode, _ := l.partition.mode(l.host)
+	switch mode {
+	case 0:
+		time.Sleep(2 * networkDelay)
+		return nil
+	case cutReset, cutRefuse:
+		return errConnection
+	default:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+}
+
 // linkedAnswer is an answer that arrives over the link of a host. It implements swtarget.Answer.
 type linkedAnswer struct {
 	ctx    context.Context
@@ -307,6 +324,7 @@
 	c.Version++
 	f.deployment.store.catalogs.put("main", &c)
 	for id := range f.deployment.targets {
+		f.deployment.store.targets.update(string(id), func(t *swcatalog.Target) { t.Slots = t.Slots * max(size, usualSize) / usualSize })
 		f.targets[id] = &sharedTarget{
 			plain: strings.HasPrefix(string(id), "plain"), runs: make(map[swid.RequestID]int), ended: make(map[swid.RequestID]time.Time),
 		}
@@ -524,16 +542,33 @@
 	}
 }
 
-// load sends requests to random hosts until ctx ends: as many as the targets have room for.
+// hostOrder returns all hosts one after the other in a random order, again and again.
+type hostOrder struct {
+	hosts []*simulatedHost
+	order []int
+}
+
+func (o *hostOrder) next() *simulatedHost {
+	if len(o.order) == 0 {
+		o.order = rand.Perm(len(o.hosts))
+	}
+	h := o.hosts[o.order[0]]
+	o.order = o.order[1:]
+	return h
+}
+
+// load sends requests to the hosts until ctx ends, as many for each host whatever their number: the targets have
+// room for all.
 func (f *partitionedFleet) load(ctx context.Context, paths []string, callers *sync.WaitGroup) {
 	for _, path := range paths {
 		callers.Go(func() {
+			order := hostOrder{hosts: f.hosts}
 			var calls sync.WaitGroup
 			defer calls.Wait()
 			for ctx.Err() == nil {
-				h := f.hosts[rand.IntN(len(f.hosts))]
+				h := order.next()
 				calls.Go(func() { f.try(context.Background(), h, path) })
-				time.Sleep(50 * time.Millisecond)
+				time.Sleep(50 * time.Millisecond * usualSize / time.Duration(max(len(f.hosts), usualSize)))
 			}
 		})
 	}
--- /dev/null
+++ b/internal/node/swfleet/paths.go
@@ -0,0 +1,248 @@
+package swfleet
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+const (
+	// probeInterval is the time between two looks whether targets can be reached again, and probesAtOnce the number of
+	// targets that are asked each time.
+	probeInterval = 500 * swclock.Millis(1)
+	probesAtOnce  = 2
+	// probeTimeout is how long a target may take to answer a probe.
+	probeTimeout = 400 * swclock.Millis(1)
+)
+
+// errPathLost is the context cause of an exchange that is ended because this host reaches no target of the service.
+var errPathLost = errors.New("the host reaches no target of the service")
+
+// pathAdapter records what the exchanges with a target show of the path to it. It implements swtarget.Adapter.
+type pathAdapter struct {
+	swtarget.Adapter
+	target swid.TargetID
+	paths  *swreach.Paths
+}
+
+// Start implements swtarget.Adapter.
+func (p *pathAdapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var abort func()
+	if r.FirstOutputTimeout > 0 { // the request may be sent to another target
+		abort = func() { cancel(errPathLost) }
+	}
+	exchange := p.paths.Begin(p.target, r.ExpectedFirst, abort)
+	answer, err := p.Adapter.Start(ctx, r)
+	if err != nil {
+		err = p.end(ctx, exchange, err)
+		cancel(nil)
+		return nil, err
+	}
+	exchange.Heard()
+	return &pathAnswer{Answer: answer, adapter: p, exchange: exchange, ctx: ctx, cancel: cancel}, nil
+}
+
+// end records the end of an exchange, and returns its error: nil for a complete answer.
+func (p *pathAdapter) end(ctx context.Context, exchange *swreach.Exchange, err error) error {
+	var failure *swtarget.Error
+	switch {
+	case errors.Is(context.Cause(ctx), errPathLost):
+		exchange.End(swreach.EndingBroken)
+		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errPathLost}
+	case err == nil || err == io.EOF || ctx.Err() != nil:
+		exchange.End(swreach.EndingSound)
+	case errors.As(err, &failure) && (failure.Statement.Heard || failure.Failure == swtarget.FailureWrongRequest):
+		exchange.Heard()
+		exchange.End(swreach.EndingSound)
+	case errors.As(err, &failure) && failure.Failure == swtarget.FailureNotStarted:
+		exchange.End(swreach.EndingUnconnected)
+	default:
+		exchange.End(swreach.EndingBroken)
+	}
+	return err
+}
+
+// probe looks whether the target can be reached, and records what it finds.
+func (p *pathAdapter) probe(ctx context.Context) error {
+	prober, canProbe := p.Adapter.(swtarget.Prober)
+	if !canProbe {
+		p.paths.Heard(p.target) // the next request shows it
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	if err := prober.Probe(ctx); err != nil {
+		p.paths.Failed(p.target)
+		return err
+	}
+	p.paths.Heard(p.target)
+	return nil
+}
+
+// pathAnswer is an answer whose parts show that the path works. It implements swtarget.Answer.
+type pathAnswer struct {
+	swtarget.Answer
+	adapter  *pathAdapter
+	exchange *swreach.Exchange
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	once     sync.Once
+}
+
+// Next implements swtarget.Answer.
+func (a *pathAnswer) Next() (swtarget.Chunk, error) {
+	chunk, err := a.Answer.Next()
+	if err == nil {
+		a.exchange.Heard()
+		return chunk, nil
+	}
+	a.once.Do(func() { err = a.adapter.end(a.ctx, a.exchange, err) })
+	return chunk, err
+}
+
+// Close implements swtarget.Answer.
+func (a *pathAnswer) Close() error {
+	a.once.Do(func() { a.exchange.End(swreach.EndingSound) })
+	err := a.Answer.Close()
+	a.cancel(nil)
+	return err
+}
+
+// pathProber looks for targets that this host can reach again, while it reaches none of a service.
+type pathProber struct {
+	host *Host
+	wake chan struct{}
+
+	mu sync.Mutex
+	// reached has the targets that answered probes since takeReached was last called.
+	reached []swid.TargetID
+	// changes has the changes that run has not handled yet, one for each service.
+	changes map[swid.ServiceID]bool
+	// reviewing is set while a call of Review is scheduled.
+	reviewing bool
+}
+
+func newPathProber(h *Host) *pathProber {
+	return &pathProber{host: h, wake: make(chan struct{}, 1), changes: make(map[swid.ServiceID]bool)}
+}
+
+// changed records that this host reaches no target of a service, or again reaches one. It does not block.
+func (p *pathProber) changed(service swid.ServiceID, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changes[service] = cut
+	p.suspected()
+}
+
+// doubted has the paths reviewed once it is certain that an exchange is overdue. It does not block.
+func (p *pathProber) doubted() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reviewing {
+		return
+	}
+	p.reviewing = true
+	time.AfterFunc((swreach.ConfirmAfter + 1).Duration(), func() {
+		p.mu.Lock()
+		p.reviewing = false
+		p.mu.Unlock()
+		p.host.paths.Review()
+	})
+}
+
+// suspected has targets probed, as this host may reach none of a service. It does not block.
+func (p *pathProber) suspected() {
+	select {
+	case p.wake <- struct{}{}:
+	default: // already woken
+	}
+}
+
+// run handles changes, and probes targets while this host may reach none of a service, until ctx ends.
+func (p *pathProber) run(ctx context.Context) {
+	for {
+		var due <-chan time.Time
+		if len(p.host.paths.ToProbe()) > 0 {
+			due = time.After(probeInterval.Duration())
+		}
+		select {
+		case <-p.wake:
+			p.handleChanges()
+		case <-due:
+		case <-ctx.Done():
+			return
+		}
+		p.probe(ctx)
+	}
+}
+
+// handleChanges logs the changes, reports them to the owner and has the waiting requests scheduled by the host that
+// schedules them now.
+func (p *pathProber) handleChanges() {
+	p.mu.Lock()
+	changes := p.changes
+	p.changes = make(map[swid.ServiceID]bool)
+	p.mu.Unlock()
+	if len(changes) == 0 {
+		return
+	}
+	for service, cut := range changes {
+		p.host.log.Info().Str("service", string(service)).Bool("cut", cut).Msg("reach of targets changed")
+	}
+	p.host.requestRegistration()
+	p.host.holder.Reroute()
+}
+
+// probe asks the targets whose paths have not been looked at for the longest time.
+func (p *pathProber) probe(ctx context.Context) {
+	var probes conc.WaitGroup
+	started := 0
+	for _, id := range p.host.paths.ToProbe() {
+		target, listed := p.host.pool.Target(id)
+		adapter, known := target.Adapter.(*pathAdapter)
+		if !listed || !known {
+			continue
+		}
+		probes.Go(func() {
+			if err := adapter.probe(ctx); err == nil { // a failure is recorded
+				p.addReached(id)
+			}
+		})
+		if started++; started == probesAtOnce {
+			break
+		}
+	}
+	probes.Wait()
+	if started > 0 && len(p.host.paths.CutServices()) == 0 {
+		p.host.requestRegistration()
+	}
+}
+
+// addReached records that a target answered a probe.
+func (p *pathProber) addReached(id swid.TargetID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.reached) < swcodec.MaxReached {
+		p.reached = append(p.reached, id)
+	}
+}
+
+// takeReached returns the targets that answered probes since the last call.
+func (p *pathProber) takeReached() []swid.TargetID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reached := p.reached
+	p.reached = nil
+	return reached
+}
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -43,7 +43,7 @@
 // whole window, the recent strikes and all rate limits that this host knows; any other has only
 // what was not yet reported to an owner.
 func (h *Host) registerWithOwner(owner swid.HostID, complete bool) {
-	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete)}
+	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete), Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached()}
 	if complete {
 		m.Amounts = amountsOf(h.meter.All(h.clock.Now()))
 		m.Streams = h.origins.Recent(swcodec.MaxBegunStreams, h.clock.Now())
@@ -91,6 +91,7 @@
 		case <-ctx.Done():
 			return
 		}
+		h.paths.Review()
 		h.refreshOwner()
 		h.registerWithOwner(h.router.currentOwner(), h.needsCompleteRegistration.Load())
 		h.logShareChange()
@@ -127,6 +128,7 @@
 	if _, leaving := m.(swmsg.Leaving); leaving {
 		h.log.Info().Str("peer", string(from.Host)).Uint64("incarnation", uint64(from.Incarnation)).Msg("host is leaving")
 		h.router.SetLeaving(from.Host, true)
+		h.carriers.Remove(from.Host)
 		h.refreshOwner()
 		return
 	}
@@ -148,6 +150,10 @@
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
 	h.ledger.Register(process, registration.Age, registration.Complete, amounts, h.clock.Now())
+	h.updateCarrier(from.Host, registration.Cut)
+	for _, target := range registration.Reached {
+		h.owner.TargetHeard(target, from.Host)
+	}
 	h.receiveStrikes(from, registration.Strikes)
 	h.receiveRateLimits(from, registration.RateLimits)
 	for _, b := range registration.Streams {
--- a/internal/node/swfleet/router.go
+++ b/internal/node/swfleet/router.go
@@ -4,7 +4,9 @@
 	"slices"
 	"sync"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -21,6 +23,9 @@
 	// shared cells. It stands for all of them.
 	sharedCell swid.CellID
 	view       *view
+	// paths has the services of which this host reaches no target: their requests are scheduled by the common owner, who
+	// knows which hosts can carry them.
+	paths *swreach.Paths
 	// onOwnerChange is called with mu held when the owner of the shared cells
 	// changes. skipped is the reason for which the previous owner is skipped, if it
 	// is. onOwnerChange must not block or call the router.
@@ -33,13 +38,13 @@
 	selfLeaving bool
 }
 
-func newRouter(hosts *swnode.HostRouter, self swid.HostID, region swid.RegionID, v *view, onOwnerChange func(before, owner swid.HostID, skipped swnode.SkipReason)) *router {
-	return &router{HostRouter: hosts, self: self, sharedCell: swid.NewCellID("engines", region), view: v, onOwnerChange: onOwnerChange}
+func newRouter(hosts *swnode.HostRouter, self swid.HostID, region swid.RegionID, v *view, paths *swreach.Paths, onOwnerChange func(before, owner swid.HostID, skipped swnode.SkipReason)) *router {
+	return &router{HostRouter: hosts, self: self, sharedCell: swid.NewCellID("engines", region), view: v, paths: paths, onOwnerChange: onOwnerChange}
 }
 
 // Owner implements swholder.Router.
 func (r *router) Owner(cell swid.CellID) (host swid.HostID, noRedirect bool) {
-	if r.view.scheduledByEachHost(cell) {
+	if r.view.scheduledByEachHost(cell) && !r.paths.Cut(swelect.Service(cell)) {
 		return r.self, false
 	}
 	return r.sharedOwner()
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -113,7 +113,7 @@
 	componentsCtx, stop := context.WithCancel(runCtx)
 	tasks := pool.New().WithErrors().WithContext(componentsCtx)
 	tasks.Go(h.network.Run)
-	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.originKeeper.Run, h.keepEntry} {
+	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.originKeeper.Run, h.pathProber.run, h.keepEntry} {
 		tasks.Go(func(ctx context.Context) error {
 			run(ctx)
 			return nil
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -35,8 +35,13 @@
 	if m.Complete && m.Scheduling == swmsg.SchedulingShared {
 		h.adoptedUntil.Store(int64(now + adoptionTime))
 	}
-	if wanted := h.wantedScheduling(now); m.Scheduling != 0 && m.Scheduling != wanted {
-		h.exchange.Send(from.Host, swmsg.SharedCells{Scheduling: wanted})
+	wanted := h.wantedScheduling(now)
+	var check []swid.ServiceID
+	if len(m.Cut) == 0 {
+		check = h.carriers.CutServices(now)
+	}
+	if m.Scheduling != 0 && (m.Scheduling != wanted || len(check) > 0) {
+		h.exchange.Send(from.Host, swmsg.SharedCells{Scheduling: wanted, CheckReach: check})
 	}
 }
 
@@ -50,6 +55,7 @@
 // is locked: a host that becomes its own owner registers with itself. An order that finds another
 // one unread is dropped, as the next registration is answered again.
 func (h *Host) receiveScheduling(from swlink.Peer, m swmsg.SharedCells) {
+	h.paths.Suspect(m.CheckReach)
 	select {
 	case h.schedulingOrders <- schedulingOrder{from.Host, m.Scheduling}:
 	default:
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -234,14 +234,14 @@
 	host int
 }
 
-func (p simulatedPlatform) TargetAdapter(id swid.TargetID, address string, eventTokens swid.Tokens) swtarget.Adapter {
+func (p simulatedPlatform) TargetAdapter(t Target) swtarget.Adapter {
 	if p.fleet.hostAdapter != nil {
-		return p.fleet.hostAdapter(p.host, id)
+		return p.fleet.hostAdapter(p.host, t.ID)
 	}
 	if p.fleet.adapter != nil {
-		return p.fleet.adapter(id)
+		return p.fleet.adapter(t.ID)
 	}
-	return lateCounter{p.fakePlatform.TargetAdapter(id, address, eventTokens), p.fleet}
+	return lateCounter{p.fakePlatform.TargetAdapter(t), p.fleet}
 }
 
 // discardSink discards an answer. It implements swholder.Sink.
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -204,6 +204,15 @@
 	s.write(name, value)
 }
 
+// update changes an object.
+func (s *fakeSource[T]) update(name string, change func(*T)) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	value := s.items[name].Value
+	change(&value)
+	s.write(name, value)
+}
+
 // write stores an object and records the change. The store's mu must be held.
 func (s *fakeSource[T]) write(name string, value T) {
 	s.store.revision++
@@ -363,9 +372,7 @@
 	return nil
 }
 
-func (p fakePlatform) TargetAdapter(id swid.TargetID, _ string, _ swid.Tokens) swtarget.Adapter {
-	return p.deployment.targets[id]
-}
+func (p fakePlatform) TargetAdapter(t Target) swtarget.Adapter { return p.deployment.targets[t.ID] }
 
 func (fakePlatform) ReadinessHandler(ready func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/swfleet/streamversions_test.go
+++ b/internal/node/swfleet/streamversions_test.go
@@ -89,12 +89,7 @@
 
 // list changes the engine's entry in the store.
 func (v *versionedEngine) list(change func(*swcatalog.Target)) {
-	targets := &v.fleet.deployment.store.targets
-	targets.store.mu.Lock()
-	defer targets.store.mu.Unlock()
-	t := targets.items[string(v.id)].Value
-	change(&t)
-	targets.write(string(v.id), t)
+	v.fleet.deployment.store.targets.update(string(v.id), change)
 }
 
 // serves reports whether the engine takes requests at a version.
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -23,12 +23,14 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
+	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcarry"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
@@ -62,9 +64,19 @@
 	CallerHandler(gate *swgate.Gate, leaving func() bool) http.Handler
 	// ReadinessHandler returns the handler of the platform's readiness checks.
 	ReadinessHandler(ready func() bool) http.Handler
-	// TargetAdapter returns the adapter of one target, whose streams carry eventTokens
-	// tokens in each event.
-	TargetAdapter(id swid.TargetID, address string, eventTokens swid.Tokens) swtarget.Adapter
+	// TargetAdapter returns the adapter of one target.
+	TargetAdapter(t Target) swtarget.Adapter
+}
+
+// Target is what a Platform needs to know of a target to send requests to it.
+type Target struct {
+	ID      swid.TargetID
+	Address string
+	// EventTokens is the number of tokens in each event of the target's streams.
+	EventTokens swid.Tokens
+	// Engine is set for model engines, and HealthPath is the path of the health checks of other targets.
+	Engine     bool
+	HealthPath string
 }
 
 // Factory creates the Platform that the settings name.
@@ -106,6 +118,13 @@
 	originKeeper *sworiginlog.Keeper
 	// closed has the targets that take no new requests from this host.
 	closed *swlimit.Closed
+	// paths records which targets this host reaches, pathProber looks for those that it does not, and carriers
+	// has the hosts that carry requests of others.
+	paths      *swreach.Paths
+	pathProber *pathProber
+	carriers   *swreach.Directory
+	// carrying carries requests of other hosts.
+	carrying *swcarry.Server
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -155,6 +174,10 @@
 		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), closed: swlimit.NewClosed(),
 		origins: sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
+	h.pathProber = newPathProber(h)
+	h.paths = swreach.NewPaths(h.clock, swreach.Hooks{Changed: h.pathProber.changed, Doubted: h.pathProber.doubted, Suspected: h.pathProber.suspected})
+	h.carriers = swreach.NewDirectory()
+	h.carrying = swcarry.NewServer(swcarry.Config{Adapter: h.carryingAdapter, OnStatement: h.recordCarriedStatement, Clock: h.clock, Log: log})
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
 	if err != nil {
@@ -215,16 +238,16 @@
 	h.exchange = swexchange.New(h.self)
 	h.network = swlink.New(swlink.Config{
 		Self: h.self, Address: h.settings.Peer.Address, ProbeInterval: h.settings.Peer.Heartbeat,
-		KeepAlive: linkKeepAlive,
+		KeepAlive: linkKeepAlive, ServeStream: func(peer swlink.Peer, stream net.Conn) { h.carrying.Serve(peer.Host, stream) },
 	}, h.clock, h.view.resolve, h.exchange, append(h.linkOptions, swlink.WithoutTLS(), swlink.WithLogger(h.log))...)
-	h.router = newRouter(swnode.NewRouter(h.self.Host, h.settings.Region, h.network, h.clock, h.log), h.self.Host, h.settings.Region, h.view, h.ownerChanged)
+	h.router = newRouter(swnode.NewRouter(h.self.Host, h.settings.Region, h.network, h.clock, h.log), h.self.Host, h.settings.Region, h.view, h.paths, h.ownerChanged)
 	h.pool = swpool.New(h.adapter)
 	h.holder = swholder.New(swholder.Config{
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Clock: h.clock, Sender: h.exchange, Router: h.router,
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
 		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement,
-		Origins: h.origins,
+		Origins: h.origins, Cut: h.paths.Cut, Carry: h.carriedAdapter,
 	})
 	h.owner = swowner.New(swowner.Config{
 		Host: h.self.Host, Clock: h.clock, Sender: h.exchange, Router: h.router, Members: h.view, Watcher: noWatcher{},
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -31,6 +31,8 @@
 	// drained has the targets that were draining when they were last listed.
 	drained map[swid.TargetID]drainedTarget
 	members []swmember.Member
+	// zonesOfHosts has the availability zone of each member.
+	zonesOfHosts map[swid.HostID]swid.ZoneID
 	// plainShared is set while the owner of the shared cells schedules plain services too.
 	plainShared bool
 }
@@ -96,6 +98,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.members = members
+	v.zonesOfHosts = make(map[swid.HostID]swid.ZoneID, len(members))
+	for _, m := range members {
+		v.zonesOfHosts[m.Host] = m.Zone
+	}
 }
 
 // Members implements swmember.Source.
@@ -277,18 +283,43 @@
 	return target
 }
 
-// eventTokens returns the number of tokens in each event of a service's streams, or 0
-// if it is not set.
-func (v *view) eventTokens(service swid.ServiceID) swid.Tokens {
+// platformTarget returns what the Platform needs to know of a target.
+func (v *view) platformTarget(t *swdoc.Target) Target {
+	target := Target{ID: t.ID, Address: t.URL}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.table == nil {
-		return 0
+		return target
+	}
+	s, known := v.table.Service(t.Service)
+	if !known {
+		return target
+	}
+	target.HealthPath = s.HealthPath
+	if s.Engine != nil {
+		target.Engine, target.EventTokens = true, s.Engine.EventTokens
 	}
-	if s, known := v.table.Service(service); known && s.Engine != nil {
-		return s.Engine.EventTokens
+	return target
+}
+
+// activeTargets returns the services of the targets that are not draining.
+func (v *view) activeTargets() map[swid.TargetID]swid.ServiceID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	active := make(map[swid.TargetID]swid.ServiceID, len(v.targets))
+	for _, t := range v.targets {
+		if !t.Draining {
+			active[t.ID] = t.Service
+		}
 	}
-	return 0
+	return active
+}
+
+// zoneOf returns the availability zone of a host, or "" if it is not listed.
+func (v *view) zoneOf(host swid.HostID) swid.ZoneID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.zonesOfHosts[host]
 }
 
 // zones returns the distinct zones of the targets. v.mu must be held.
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -48,6 +48,7 @@
 		Strikes:        m.Strikes,
 		Resumable:      m.Resumable,
 		Continuation:   m.Continuation,
+		Carry:          m.Carry,
 	}
 }
 
@@ -63,6 +64,8 @@
 		FirstToken:   m.FirstToken,
 		Total:        m.Total,
 		Statement:    m.Statement,
+		PathLost:     m.PathLost,
+		CarrierLost:  m.CarrierLost,
 	}
 }
 
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -226,13 +226,14 @@
 	r.confirmGrant(key)
 	r.idleSince = busy
 	r.grants[key] = openGrant{holder: from.Host, message: swmsg.Grant{
-		Cell: r.id, Seq: m.GrantRequest.Seq, Attempt: m.GrantRequest.Attempt, Target: m.Target, Epoch: r.epoch,
+		Cell: r.id, Seq: m.GrantRequest.Seq, Attempt: m.GrantRequest.Attempt, Target: m.Target, Epoch: r.epoch, Carrier: m.Carrier,
 	}}
 	r.step(swcell.InFlight{
 		GrantRequest: convertGrantRequest(key, m.GrantRequest, r.config.Clock.Now()),
 		Target:       m.Target,
 		Elapsed:      m.Elapsed,
 		Produced:     m.Produced,
+		Carrier:      m.Carrier,
 	})
 }
 
@@ -342,7 +343,7 @@
 	case swcell.Grant:
 		g := openGrant{holder: a.Key.Holder, message: swmsg.Grant{
 			Cell: r.id, Seq: a.Key.Seq, Attempt: a.Attempt, Target: a.Target, Epoch: r.epoch,
-			FirstToken: a.FirstToken, Total: a.Total, Origin: a.Origin,
+			FirstToken: a.FirstToken, Total: a.Total, Origin: a.Origin, Carrier: a.Carrier,
 		}}
 		r.grants[a.Key] = g
 		r.sendGrant(g)
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -179,6 +179,11 @@
 	o.broadcast(holderDiedInput{swcell.HolderDied{Holder: peer.Host, Incarnation: peer.Incarnation}})
 }
 
+// TargetHeard reports to every cell that a target answered a host outside of an attempt.
+func (o *Owner) TargetHeard(target swid.TargetID, host swid.HostID) {
+	o.broadcast(eventInput{swcell.TargetHeard{Target: target, Host: host}})
+}
+
 // LinkUp requests a holder's open work for every cell that this host should own.
 func (o *Owner) LinkUp(peer swlink.Peer) { o.broadcast(linkUpInput{peer}) }
 
--- /dev/null
+++ b/internal/peer/swcarry/client.go
@@ -0,0 +1,126 @@
+package swcarry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// openTimeout bounds the time to open a stream to a carrier, to which there may be no link yet.
+const openTimeout = 500 * swclock.Millis(1)
+
+// Opener opens streams to other hosts.
+type Opener interface {
+	OpenStream(ctx context.Context, host swid.HostID) (net.Conn, error)
+}
+
+// Adapter runs requests on a target by way of a carrier. It implements swtarget.Adapter.
+type Adapter struct {
+	Opener  Opener
+	Carrier swid.HostID
+	Target  swid.TargetID
+	Cell    swid.CellID
+}
+
+// Start implements swtarget.Adapter.
+func (a *Adapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
+	openCtx, cancel := context.WithTimeout(ctx, openTimeout.Duration())
+	stream, err := a.Opener.OpenStream(openCtx, a.Carrier)
+	cancel()
+	if err != nil {
+		return nil, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: errors.Wrap(err, "reach carrier")}
+	}
+	// The end of the stream ends the request at the carrier.
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), stop: stop}
+	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell, Request: r})); err != nil {
+		_ = c.Close() // the error of the write is the one to return
+		return nil, lost(err)
+	}
+	if err := c.readAnswer(); err != nil {
+		_ = c.Close() // the error of the answer is the one to return
+		return nil, err
+	}
+	return c, nil
+}
+
+// carriedAnswer is an answer that a carrier sends on. It implements swtarget.Answer.
+type carriedAnswer struct {
+	stream    net.Conn
+	reader    *bufio.Reader
+	stop      func() bool
+	status    int
+	header    http.Header
+	statement swlimit.Statement
+	usage     swtarget.Usage
+}
+
+// readAnswer reads the header of the answer.
+func (c *carriedAnswer) readAnswer() error {
+	var reply swpb.CarriedReply
+	if err := readFrame(c.reader, &reply); err != nil {
+		return lost(err)
+	}
+	if end := reply.GetEnd(); end != nil {
+		if err := decodeEnd(end); err != nil {
+			return err
+		}
+		return lost(errFrame) // an end without an answer
+	}
+	answer := reply.GetAnswer()
+	if answer == nil {
+		return lost(errFrame)
+	}
+	statement, err := swcodec.DecodeStatement(answer.GetRateLimit())
+	if err != nil {
+		return lost(err)
+	}
+	c.status, c.header, c.statement = int(answer.GetStatus()), decodeHeader(answer.GetHeader()), statement
+	return nil
+}
+
+func (c *carriedAnswer) Status() int                  { return c.status }
+func (c *carriedAnswer) Header() http.Header          { return c.header }
+func (c *carriedAnswer) Statement() swlimit.Statement { return c.statement }
+func (c *carriedAnswer) Usage() swtarget.Usage        { return c.usage }
+
+// Next implements swtarget.Answer.
+func (c *carriedAnswer) Next() (swtarget.Chunk, error) {
+	var reply swpb.CarriedReply
+	if err := readFrame(c.reader, &reply); err != nil {
+		return swtarget.Chunk{}, lost(err)
+	}
+	if end := reply.GetEnd(); end != nil {
+		c.usage = swtarget.Usage{
+			PromptTokens: swid.Tokens(end.GetPromptTokens()), OutputTokens: swid.Tokens(end.GetOutputTokens()), CachedTokens: swid.Tokens(end.GetCachedTokens()),
+		}
+		if err := decodeEnd(end); err != nil {
+			return swtarget.Chunk{}, err
+		}
+		return swtarget.Chunk{}, io.EOF
+	}
+	chunk := reply.GetChunk()
+	if chunk == nil {
+		return swtarget.Chunk{}, lost(errFrame)
+	}
+	return swtarget.Chunk{
+		Data: chunk.GetData(), Tokens: swid.Tokens(chunk.GetTokens()), Events: int(chunk.GetEvents()), LastEventID: chunk.GetLastEventId(),
+	}, nil
+}
+
+// Close implements swtarget.Answer.
+func (c *carriedAnswer) Close() error {
+	c.stop()
+	return c.stream.Close()
+}
--- /dev/null
+++ b/internal/peer/swcarry/server.go
@@ -0,0 +1,142 @@
+package swcarry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+const (
+	// requestTimeout bounds the time in which a holder sends its request.
+	requestTimeout = 5 * swclock.Second
+	// maxCarried bounds the requests that are carried at a time. Owners stay below it.
+	maxCarried = 256
+	// maxRemaining bounds the time of a request whose holder sets no limit.
+	maxRemaining = swclock.Hour
+)
+
+// errBusy means that a host carries too many requests.
+var errBusy = errors.New("the host carries too many requests")
+
+// Config holds the settings and dependencies of a Server.
+type Config struct {
+	// Adapter returns the adapter that sends a request from this host, or the error for which it sends none. It may
+	// look first whether the target can be reached.
+	Adapter func(ctx context.Context, r *Request) (swtarget.Adapter, error)
+	// OnStatement is called with what an answer says of the requests that its target takes. sent is when the request
+	// was sent.
+	OnStatement func(r *Request, s swlimit.Statement, sent swclock.Millis)
+	Clock       swclock.Clock
+	Log         zerolog.Logger
+}
+
+// Server carries requests of other hosts.
+type Server struct {
+	config  Config
+	carried atomic.Int64
+}
+
+// NewServer returns a server that carries nothing.
+func NewServer(config Config) *Server { return &Server{config: config} }
+
+// Carried returns the number of requests that are carried now.
+func (s *Server) Carried() int { return int(s.carried.Load()) }
+
+// Serve carries the request that a holder sends on a stream, and closes the stream.
+func (s *Server) Serve(holder swid.HostID, stream net.Conn) {
+	defer func() { _ = stream.Close() }() // the holder notices the end of the stream in any case
+	reader := bufio.NewReader(stream)
+	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout.Duration())); err != nil {
+		return // the stream has ended
+	}
+	var wire swpb.CarriedRequest
+	if err := readFrame(reader, &wire); err != nil {
+		s.config.Log.Info().Str("holder", string(holder)).Err(err).Msg("carried request not received")
+		return
+	}
+	if err := stream.SetReadDeadline(time.Time{}); err != nil {
+		return // the stream has ended
+	}
+	r := decodeRequest(&wire)
+	if r.Remaining == 0 {
+		r.Remaining = maxRemaining
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), r.Remaining.Duration())
+	defer cancel()
+	go func() {
+		// The holder sends nothing more: what is read is the end of the stream, which ends the request.
+		_, _ = reader.ReadByte()
+		cancel()
+	}()
+	began := s.config.Clock.Now()
+	usage, err := s.run(ctx, &r, stream)
+	s.config.Log.Info().
+		Str("requestId", string(r.ID)).Str("holder", string(holder)).Str("cell", string(r.Cell)).Str("target", string(r.Target)).
+		Uint32("attempt", uint32(r.Attempt)).Int64("attemptMillis", int64(s.config.Clock.Now()-began)).AnErr("error", err).Msg("request carried")
+	if err := writeFrame(stream, encodeEnd(err, usage)); err != nil {
+		s.config.Log.Info().Str("requestId", string(r.ID)).Str("holder", string(holder)).Err(err).Msg("end of a carried request not sent")
+	}
+}
+
+// run sends the request to its target and the answer to the holder.
+func (s *Server) run(ctx context.Context, r *Request, stream net.Conn) (swtarget.Usage, error) {
+	if s.carried.Add(1) > maxCarried {
+		s.carried.Add(-1)
+		return swtarget.Usage{}, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errBusy}
+	}
+	defer s.carried.Add(-1)
+	began := s.config.Clock.Now()
+	adapter, err := s.config.Adapter(ctx, r)
+	if err != nil {
+		return swtarget.Usage{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return swtarget.Usage{}, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: err}
+	}
+	sent := s.config.Clock.Now()
+	r.Remaining = max(r.Remaining-(sent-began), 1)
+	answer, err := adapter.Start(ctx, r.Request)
+	if err != nil {
+		var failed *swtarget.Error
+		if errors.As(err, &failed) && failed.Statement.Heard {
+			s.config.OnStatement(r, failed.Statement, sent)
+		}
+		return swtarget.Usage{}, err
+	}
+	defer func() { _ = answer.Close() }() // the result is known
+	if answer.Statement().Heard {
+		s.config.OnStatement(r, answer.Statement(), sent)
+	}
+	if err := writeFrame(stream, &swpb.CarriedReply{Kind: &swpb.CarriedReply_Answer{Answer: &swpb.CarriedAnswer{
+		Status: uint32(answer.Status()), Header: encodeHeader(answer.Header()), RateLimit: swcodec.EncodeStatement(answer.Statement()),
+	}}}); err != nil {
+		return swtarget.Usage{}, err
+	}
+	for {
+		chunk, err := answer.Next()
+		if err == io.EOF { // an *swtarget.Error may wrap one
+			return answer.Usage(), nil
+		}
+		if err != nil {
+			return answer.Usage(), err
+		}
+		if err := writeFrame(stream, &swpb.CarriedReply{Kind: &swpb.CarriedReply_Chunk{Chunk: &swpb.CarriedChunk{
+			Data: chunk.Data, Tokens: int64(chunk.Tokens), Events: int64(chunk.Events), LastEventId: chunk.LastEventID,
+		}}}); err != nil {
+			return answer.Usage(), err
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/swcarry/swcarry.go
@@ -0,0 +1,154 @@
+// Package swcarry carries requests of hosts that reach no target themselves. The holder of such a request
+// sends it to another host, the carrier, on a further stream of the link between them; the carrier
+// sends it to the target and the answer back. The holder keeps the request and decides on its outcome, as if it had sent
+// it itself: a carrier sends each request once, ends it when the stream ends, and knows nothing of what
+// follows.
+package swcarry
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+const (
+	// maxFrameBytes bounds one frame: the largest answer that is not streamed, and the fields around it.
+	maxFrameBytes = 17 << 20
+	// maxWriteBytes is the size of the pieces in which frames are written, so that the messages of the link are
+	// sent between them.
+	maxWriteBytes = 16 << 10
+)
+
+// errFrame means that a frame is malformed or too large.
+var errFrame = errors.New("malformed frame of a carried request")
+
+// writeFrame writes a message, preceded by its length as a varint.
+func writeFrame(w io.Writer, m proto.Message) error {
+	size := proto.Size(m)
+	if size > maxFrameBytes {
+		return errors.Wrapf(errFrame, "%d bytes", size)
+	}
+	frame := binary.AppendUvarint(make([]byte, 0, size+binary.MaxVarintLen64), uint64(size))
+	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, m)
+	if err != nil {
+		return errors.Wrap(err, "encode frame")
+	}
+	for len(frame) > 0 {
+		n, err := w.Write(frame[:min(len(frame), maxWriteBytes)])
+		if err != nil {
+			return err
+		}
+		frame = frame[n:]
+	}
+	return nil
+}
+
+// readFrame reads a message. It returns io.EOF only if the stream ends between two frames.
+func readFrame(r *bufio.Reader, m proto.Message) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > maxFrameBytes {
+		return errors.Wrapf(errFrame, "%d bytes", size)
+	}
+	frame := make([]byte, size)
+	if _, err := io.ReadFull(r, frame); err != nil {
+		return errors.Wrap(io.ErrUnexpectedEOF, err.Error())
+	}
+	if err := proto.Unmarshal(frame, m); err != nil {
+		return errors.Wrap(errFrame, err.Error())
+	}
+	return nil
+}
+
+// Request is a request that is carried.
+type Request struct {
+	Target swid.TargetID
+	// Cell is that of the target, for the log.
+	Cell swid.CellID
+	swtarget.Request
+}
+
+func encodeRequest(r *Request) *swpb.CarriedRequest {
+	return &swpb.CarriedRequest{
+		Target: string(r.Target), Id: string(r.ID), Cell: string(r.Cell), Attempt: uint32(r.Attempt), Org: string(r.Org),
+		Method: r.Method, Path: r.Path, Host: r.Host, Header: encodeHeader(r.Header), ContentType: r.ContentType, Body: r.Body,
+		Stream: r.Stream, IdempotencyKey: r.IdempotencyKey, FirstOutputTimeoutMillis: int64(r.FirstOutputTimeout),
+		ExpectedFirstMillis: int64(r.ExpectedFirst), RemainingMillis: int64(r.Remaining),
+		ReceivedEvents: int64(r.ReceivedEvents), LastEventId: r.LastEventID,
+	}
+}
+
+func decodeRequest(w *swpb.CarriedRequest) Request {
+	return Request{Target: swid.TargetID(w.GetTarget()), Cell: swid.CellID(w.GetCell()), Request: swtarget.Request{
+		ID: swid.RequestID(w.GetId()), Attempt: swid.Attempt(w.GetAttempt()), Org: swid.OrgID(w.GetOrg()),
+		Method: w.GetMethod(), Path: w.GetPath(), Host: w.GetHost(), Header: decodeHeader(w.GetHeader()), ContentType: w.GetContentType(),
+		Body: w.GetBody(), Stream: w.GetStream(), IdempotencyKey: w.GetIdempotencyKey(),
+		FirstOutputTimeout: swclock.Millis(max(w.GetFirstOutputTimeoutMillis(), 0)), ExpectedFirst: swclock.Millis(max(w.GetExpectedFirstMillis(), 0)),
+		Remaining: swclock.Millis(max(w.GetRemainingMillis(), 0)), ReceivedEvents: int(w.GetReceivedEvents()), LastEventID: w.GetLastEventId(),
+	}}
+}
+
+func encodeHeader(h http.Header) []*swpb.HeaderField {
+	fields := make([]*swpb.HeaderField, 0, len(h))
+	for name, values := range h {
+		fields = append(fields, &swpb.HeaderField{Name: name, Values: values})
+	}
+	return fields
+}
+
+func decodeHeader(fields []*swpb.HeaderField) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h[f.GetName()] = f.GetValues()
+	}
+	return h
+}
+
+// encodeEnd encodes the end of an answer, or of a request without one. A nil error stands for a complete
+// answer.
+func encodeEnd(err error, usage swtarget.Usage) *swpb.CarriedReply {
+	end := &swpb.CarriedEnd{
+		PromptTokens: int64(usage.PromptTokens), OutputTokens: int64(usage.OutputTokens), CachedTokens: int64(usage.CachedTokens),
+	}
+	if err != nil {
+		failed := &swtarget.Error{Failure: swtarget.FailureBroken, Err: err}
+		errors.As(err, &failed)
+		end.Failure, end.Unsent, end.Error = uint32(failed.Failure), failed.Unsent, failed.Error()
+		end.RateLimit = swcodec.EncodeStatement(failed.Statement)
+	}
+	return &swpb.CarriedReply{Kind: &swpb.CarriedReply_End{End: end}}
+}
+
+// decodeEnd returns nil for a complete answer.
+func decodeEnd(w *swpb.CarriedEnd) error {
+	if w.GetFailure() == 0 {
+		return nil
+	}
+	statement, err := swcodec.DecodeStatement(w.GetRateLimit())
+	if err != nil {
+		return lost(err)
+	}
+	failure := swtarget.Failure(w.GetFailure())
+	if failure > swtarget.FailureStalled {
+		failure = swtarget.FailureBroken // of a later build
+	}
+	return &swtarget.Error{Failure: failure, Unsent: w.GetUnsent(), Statement: statement, Err: errors.New(w.GetError())}
+}
+
+// lost returns the error of a request whose carrier was lost after it may have got it. It does not wrap err, as
+// io.EOF would stand for a complete answer.
+func lost(err error) *swtarget.Error {
+	return &swtarget.Error{Failure: swtarget.FailureStalled, CarrierLost: true, Err: errors.Errorf("carrier lost: %v", err)}
+}
--- /dev/null
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -0,0 +1,403 @@
+package swcarry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// fakeTarget is a target that answers in parts. It implements swtarget.Adapter.
+type fakeTarget struct {
+	chunks []string
+	// pause is the time before each part.
+	pause time.Duration
+	// startErr and endErr, if not nil, end the request instead of an answer, and the answer.
+	startErr, endErr error
+	statement        swlimit.Statement
+
+	mu       sync.Mutex
+	requests []swtarget.Request
+	// left counts the requests that ended before their answer was complete.
+	left int
+}
+
+func (f *fakeTarget) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
+	f.mu.Lock()
+	f.requests = append(f.requests, r)
+	f.mu.Unlock()
+	if f.startErr != nil {
+		return nil, f.startErr
+	}
+	return &fakeAnswer{target: f, ctx: ctx}, nil
+}
+
+func (f *fakeTarget) counts() (requests, left int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.requests), f.left
+}
+
+type fakeAnswer struct {
+	target *fakeTarget
+	ctx    context.Context
+	sent   int
+}
+
+func (*fakeAnswer) Status() int { return 203 }
+func (*fakeAnswer) Header() http.Header {
+	return http.Header{"X-A": {"1", "2"}, "X-B": {""}}
+}
+func (a *fakeAnswer) Statement() swlimit.Statement { return a.target.statement }
+func (*fakeAnswer) Usage() swtarget.Usage {
+	return swtarget.Usage{PromptTokens: 5, OutputTokens: 6, CachedTokens: 7}
+}
+
+func (a *fakeAnswer) Next() (swtarget.Chunk, error) {
+	select {
+	case <-time.After(a.target.pause):
+	case <-a.ctx.Done():
+		a.target.mu.Lock()
+		a.target.left++
+		a.target.mu.Unlock()
+		return swtarget.Chunk{}, &swtarget.Error{Failure: swtarget.FailureBroken, Err: a.ctx.Err()}
+	}
+	if a.sent == len(a.target.chunks) {
+		if a.target.endErr != nil {
+			return swtarget.Chunk{}, a.target.endErr
+		}
+		return swtarget.Chunk{}, io.EOF
+	}
+	a.sent++
+	return swtarget.Chunk{Data: []byte(a.target.chunks[a.sent-1]), Tokens: 2, Events: 1, LastEventID: "e" + a.target.chunks[a.sent-1]}, nil
+}
+
+func (*fakeAnswer) Close() error { return nil }
+
+// carrier is a host that carries requests, and the streams to it. It implements Opener.
+type carrier struct {
+	*Server
+	target     *fakeTarget
+	adapterErr error
+	openErr    error
+	tasks      sync.WaitGroup
+
+	mu         sync.Mutex
+	carried    []Request
+	statements []swlimit.Statement
+	// ends has the carrier's ends of the streams.
+	ends []net.Conn
+}
+
+func newCarrier(target *fakeTarget) *carrier {
+	c := &carrier{target: target}
+	c.Server = NewServer(Config{
+		Adapter: func(_ context.Context, r *Request) (swtarget.Adapter, error) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.carried = append(c.carried, *r)
+			return c.target, c.adapterErr
+		},
+		OnStatement: func(_ *Request, s swlimit.Statement, _ swclock.Millis) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.statements = append(c.statements, s)
+		},
+		Clock: swclock.NewSystem(),
+		Log:   zerolog.Nop(),
+	})
+	return c
+}
+
+func (c *carrier) OpenStream(_ context.Context, host swid.HostID) (net.Conn, error) {
+	if c.openErr != nil {
+		return nil, c.openErr
+	}
+	own, other := net.Pipe()
+	c.mu.Lock()
+	c.ends = append(c.ends, other)
+	c.mu.Unlock()
+	c.tasks.Go(func() { c.Serve("holder", other) })
+	return own, nil
+}
+
+// kill ends all streams, as the end of the carrier does.
+func (c *carrier) kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.ends {
+		_ = e.Close()
+	}
+}
+
+func (c *carrier) adapter() *Adapter {
+	return &Adapter{Opener: c, Carrier: "carrier", Target: "t", Cell: "cell"}
+}
+
+func testRequest() swtarget.Request {
+	return swtarget.Request{
+		ID: "r", Attempt: 2, Org: "o", Method: http.MethodPost, Path: "/p?q=1", Host: "h", Header: http.Header{"X-C": {"3"}},
+		ContentType: "text/x", Body: []byte("\x00body\xff"), Stream: true, IdempotencyKey: "k", FirstOutputTimeout: 700,
+		ExpectedFirst: 90, Remaining: 9000, ReceivedEvents: 3, LastEventID: "l",
+	}
+}
+
+// receive reads an answer to its end.
+func receive(a swtarget.Answer) (body string, events int, lastEventID string, err error) {
+	for {
+		chunk, err := a.Next()
+		if err == io.EOF {
+			return body, events, lastEventID, nil
+		}
+		if err != nil {
+			return body, events, lastEventID, err
+		}
+		body += string(chunk.Data)
+		events += chunk.Events
+		lastEventID = chunk.LastEventID
+	}
+}
+
+// TestCarry checks that a request and its answer pass the carrier unchanged, and that the request is sent once.
+func TestCarry(t *testing.T) {
+	large := strings.Repeat("x", 3*maxWriteBytes)
+	c := newCarrier(&fakeTarget{chunks: []string{"a", large, "", "b"}, statement: swlimit.Statement{Heard: true, PerSecond: 4}})
+	sent := testRequest()
+	answer, err := c.adapter().Start(t.Context(), sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if answer.Status() != 203 || !reflect.DeepEqual(answer.Header(), (&fakeAnswer{}).Header()) || answer.Statement() != c.target.statement {
+		t.Errorf("answer %d, %v, %v", answer.Status(), answer.Header(), answer.Statement())
+	}
+	body, events, lastEventID, err := receive(answer)
+	if err != nil || body != "a"+large+"b" || events != 4 || lastEventID != "eb" {
+		t.Errorf("received %d bytes, %d events, last %q, error %v", len(body), events, lastEventID, err)
+	}
+	if got := answer.Usage(); got != (&fakeAnswer{}).Usage() {
+		t.Errorf("usage %v", got)
+	}
+	if err := answer.Close(); err != nil {
+		t.Error(err)
+	}
+	c.tasks.Wait()
+	if requests, left := c.target.counts(); requests != 1 || left != 0 {
+		t.Fatalf("the target got %d requests, %d were left, want 1 and 0", requests, left)
+	}
+	got := c.target.requests[0]
+	if got.Remaining > sent.Remaining || got.Remaining < sent.Remaining-swclock.Second {
+		t.Errorf("the time that remains is %d ms, want about %d", got.Remaining, sent.Remaining)
+	}
+	got.Remaining = sent.Remaining
+	if !reflect.DeepEqual(got, sent) {
+		t.Errorf("the target got %+v, want %+v", got, sent)
+	}
+	if c.carried[0].Target != "t" || c.carried[0].Cell != "cell" || len(c.statements) != 1 || c.Carried() != 0 {
+		t.Errorf("carried %v, statements %v, %d at the end", c.carried[0], c.statements, c.Carried())
+	}
+}
+
+// TestFailures checks what a holder learns of requests that fail.
+func TestFailures(t *testing.T) {
+	statement := swlimit.Statement{Heard: true, Leaving: true}
+	rejected := &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Statement: statement, Err: errors.New("full")}
+	broken := &swtarget.Error{Failure: swtarget.FailureBroken, Err: io.ErrUnexpectedEOF}
+	tests := []struct {
+		name    string
+		prepare func(c *carrier)
+		want    swtarget.Error
+	}{
+		{"no link", func(c *carrier) { c.openErr = errors.New("no link") },
+			swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true}},
+		{"not sent by the carrier", func(c *carrier) { c.adapterErr = rejected },
+			swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Statement: statement}},
+		{"not taken by the target", func(c *carrier) { c.target.startErr = rejected },
+			swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Statement: statement}},
+		{"broken by the target", func(c *carrier) { c.target.startErr = broken }, swtarget.Error{Failure: swtarget.FailureBroken}},
+		{"of an unknown kind", func(c *carrier) { c.target.startErr = errors.New("other") }, swtarget.Error{Failure: swtarget.FailureBroken}},
+		{"truncated", func(c *carrier) { c.target.endErr = broken }, swtarget.Error{Failure: swtarget.FailureBroken}},
+		{"carrier killed", func(c *carrier) {
+			c.target.pause = 50 * time.Millisecond
+			time.AfterFunc(75*time.Millisecond, c.kill)
+		}, swtarget.Error{Failure: swtarget.FailureStalled, CarrierLost: true}},
+		{"carrier busy", func(c *carrier) { c.Server.carried.Store(maxCarried) }, swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true}},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCarrier(&fakeTarget{chunks: []string{"a", "b"}})
+				e.prepare(c)
+				answer, err := c.adapter().Start(t.Context(), testRequest())
+				if err == nil {
+					_, _, _, err = receive(answer)
+					_ = answer.Close()
+				}
+				failure, ok := err.(*swtarget.Error)
+				if !ok {
+					t.Fatalf("error %v, want a *swtarget.Error", err)
+				}
+				if got := (swtarget.Error{Failure: failure.Failure, Unsent: failure.Unsent, CarrierLost: failure.CarrierLost, Statement: failure.Statement}); got != e.want {
+					t.Errorf("failed with %+v, want %+v", got, e.want)
+				}
+				c.tasks.Wait()
+				if requests, _ := c.target.counts(); requests > 1 {
+					t.Errorf("the target got %d requests", requests)
+				}
+			})
+		})
+	}
+}
+
+// TestCancel checks that the request ends at the target when its holder gives it up, ends or runs out of time.
+func TestCancel(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(cancel context.CancelFunc, a swtarget.Answer)
+		// remaining is the time that remains at the start.
+		remaining swclock.Millis
+	}{
+		{"the holder gives it up", func(cancel context.CancelFunc, _ swtarget.Answer) { cancel() }, 0},
+		{"the holder closes the answer", func(_ context.CancelFunc, a swtarget.Answer) { _ = a.Close() }, 0},
+		{"the deadline passes", func(context.CancelFunc, swtarget.Answer) { time.Sleep(500 * time.Millisecond) }, 500},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCarrier(&fakeTarget{chunks: []string{"a"}, pause: time.Hour})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				r := testRequest()
+				r.Remaining = e.remaining
+				answer, err := c.adapter().Start(ctx, r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				e.end(cancel, answer)
+				synctest.Wait()
+				if _, left := c.target.counts(); left != 1 {
+					t.Error("the request goes on at the target")
+				}
+				_ = answer.Close() // ended before in some cases
+				c.tasks.Wait()
+			})
+		})
+	}
+}
+
+// TestEarlyLeave checks that a request is not sent whose holder left while the carrier looked whether it reaches the
+// target.
+func TestEarlyLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &fakeTarget{}
+		server := NewServer(Config{
+			Adapter: func(ctx context.Context, _ *Request) (swtarget.Adapter, error) {
+				<-ctx.Done()
+				return target, nil
+			},
+			Clock: swclock.NewSystem(), Log: zerolog.Nop(),
+		})
+		own, other := net.Pipe()
+		var tasks sync.WaitGroup
+		tasks.Go(func() { server.Serve("holder", other) })
+		if err := writeFrame(own, encodeRequest(&Request{Target: "t", Request: testRequest()})); err != nil {
+			t.Fatal(err)
+		}
+		_ = own.Close()
+		tasks.Wait()
+		if requests, _ := target.counts(); requests > 0 {
+			t.Error("a request was sent after its holder had left")
+		}
+	})
+}
+
+// TestMalformedFrames checks that malformed frames end a request on both sides.
+func TestMalformedFrames(t *testing.T) {
+	frame := func(m proto.Message) []byte {
+		var b bytes.Buffer
+		if err := writeFrame(&b, m); err != nil {
+			t.Fatal(err)
+		}
+		return b.Bytes()
+	}
+	tests := []struct {
+		name string
+		data []byte
+	}{
+		{"empty", nil},
+		{"short", []byte{5, 1}},
+		{"too large", []byte{0xff, 0xff, 0xff, 0xff, 0x7f}},
+		{"no message", []byte{2, 0xff, 0xff}},
+		{"no kind", frame(&swpb.CarriedReply{})},
+		{"an end without an answer", frame(encodeEnd(nil, swtarget.Usage{}))},
+		{"a chunk without an answer", frame(&swpb.CarriedReply{Kind: &swpb.CarriedReply_Chunk{Chunk: &swpb.CarriedChunk{}}})},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			own, other := net.Pipe()
+			go func() {
+				if err := readFrame(bufio.NewReader(other), &swpb.CarriedRequest{}); err != nil {
+					t.Error(err)
+				}
+				_, _ = other.Write(e.data) // the holder may have closed it
+				_ = other.Close()
+			}()
+			_, err := (&Adapter{Opener: pipe{own}}).Start(t.Context(), testRequest())
+			failure, ok := err.(*swtarget.Error)
+			if !ok || !failure.CarrierLost || failure.Unsent {
+				t.Errorf("error %#v, want a lost carrier that may have sent the request", err)
+			}
+			c := newCarrier(&fakeTarget{})
+			holder, stream := net.Pipe()
+			c.tasks.Go(func() { c.Serve("holder", stream) })
+			_, _ = holder.Write(e.data) // the carrier may have closed it
+			_ = holder.Close()
+			c.tasks.Wait()
+			if c.Carried() != 0 {
+				t.Error("a request is carried for ever")
+			}
+		})
+	}
+}
+
+// pipe is an Opener that returns one stream.
+type pipe struct{ stream net.Conn }
+
+func (p pipe) OpenStream(context.Context, swid.HostID) (net.Conn, error) { return p.stream, nil }
+
+// FuzzReadFrame checks that no input makes readFrame panic or allocate more than a frame may have.
+func FuzzReadFrame(f *testing.F) {
+	var b bytes.Buffer
+	if err := writeFrame(&b, encodeRequest(&Request{Target: "t", Request: testRequest()})); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var request swpb.CarriedRequest
+		if err := readFrame(bufio.NewReader(bytes.NewReader(data)), &request); err == nil {
+			decodeRequest(&request)
+		}
+		var reply swpb.CarriedReply
+		if err := readFrame(bufio.NewReader(bytes.NewReader(data)), &reply); err == nil && reply.GetEnd() != nil {
+			_ = decodeEnd(reply.GetEnd()) // any result is fine
+		}
+	})
+}
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -55,6 +55,15 @@
 	return swid.Tier(c.inRange("tier", value, 0, swid.MaxTiers-1))
 }
 
+// services checks the length of a list of services.
+func services(c *checker, field string, names []string) []swid.ServiceID {
+	c.listLength(field, len(names), MaxServices)
+	if c.err != nil {
+		return nil
+	}
+	return convert(names, func(s string) swid.ServiceID { return swid.ServiceID(c.requiredText(field, s)) })
+}
+
 // origin returns the zero value for one that is absent.
 func origin(c *checker, w *swpb.Origin) sworigin.Origin {
 	if w == nil {
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -89,7 +89,7 @@
 		ExpectedTokens: tokens(c, "expectedTokens", w.GetExpectedTokens()),
 		Charge:         nonNegative(c, "charge", w.GetCharge()),
 		Abandon:        duration(c, "abandonMillis", w.GetAbandonMillis()),
-		Resumable:      w.GetResumable(), Continuation: decodeContinuation(c, w.GetContinuation()),
+		Resumable:      w.GetResumable(), Continuation: decodeContinuation(c, w.GetContinuation()), Carry: w.GetCarry(),
 	}
 }
 
@@ -149,6 +149,7 @@
 func decodeRegistration(c *checker, w *swpb.Attach) swmsg.Registration {
 	c.listLength("amounts", len(w.GetAmounts()), MaxAmounts)
 	c.listLength("strikes", len(w.GetStrikes()), MaxStrikes)
+	c.listLength("reached", len(w.GetReached()), MaxReached)
 	c.listLength("rateLimits", len(w.GetRateLimits()), MaxRateLimits)
 	if c.err != nil {
 		return swmsg.Registration{}
@@ -168,6 +169,8 @@
 	return swmsg.Registration{
 		Complete: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: duration(c, "ageMillis", w.GetAgeMillis()),
 		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()), Streams: decodeBegunStreams(c, w.GetBegun()),
+		Cut:     services(c, "cut", w.GetCut()),
+		Reached: convert(w.GetReached(), func(t string) swid.TargetID { return target(c, t) }),
 		RateLimits: convert(w.GetRateLimits(), func(l *swpb.TargetRateLimit) swmsg.RateLimit {
 			return swmsg.RateLimit{
 				Target: target(c, l.GetTarget()), PerSecond: requestRate(c, l.GetPerSecond()), Age: duration(c, "ageMillis", l.GetAgeMillis()),
@@ -177,7 +180,7 @@
 }
 
 func decodeSharedCells(c *checker, w *swpb.SharedCells) swmsg.SharedCells {
-	return swmsg.SharedCells{Scheduling: scheduling(c, w.GetScheduling())}
+	return swmsg.SharedCells{Scheduling: scheduling(c, w.GetScheduling()), CheckReach: services(c, "checkReach", w.GetCheckReach())}
 }
 
 func decodeGrant(c *checker, w *swpb.Grant) swmsg.Grant {
@@ -187,6 +190,7 @@
 		FirstToken: duration(c, "firstTokenMillis", w.GetFirstTokenMillis()),
 		Total:      duration(c, "totalMillis", w.GetTotalMillis()),
 		Origin:     origin(c, w.GetOrigin()),
+		Carrier:    swid.HostID(c.optionalText("carrier", w.GetCarrier())),
 	}
 }
 
@@ -200,7 +204,7 @@
 		CachedTokens: tokens(c, "cachedTokens", w.GetCachedTokens()),
 		FirstToken:   duration(c, "firstTokenMillis", w.GetFirstTokenMillis()),
 		Total:        duration(c, "totalMillis", w.GetTotalMillis()),
-		Statement:    statement(c, w.GetRateLimit()),
+		Statement:    statement(c, w.GetRateLimit()), PathLost: w.GetPathLost(), CarrierLost: w.GetCarrierLost(),
 	}
 }
 
@@ -237,6 +241,7 @@
 	return swmsg.InFlight{
 		GrantRequest: decodeGrantRequest(c, w.GetAsk()), Target: target(c, w.GetTarget()),
 		Elapsed: duration(c, "elapsedMillis", w.GetElapsedMillis()), Produced: tokens(c, "produced", w.GetProduced()),
+		Carrier: swid.HostID(c.optionalText("carrier", w.GetCarrier())),
 	}
 }
 
@@ -255,7 +260,7 @@
 func decodeHello(c *checker, w *swpb.Hello) swmsg.Hello {
 	return swmsg.Hello{
 		Host:        swid.HostID(c.requiredText("host", w.GetHost())),
-		Incarnation: swid.Incarnation(w.GetIncarnation()), Refused: w.GetCrossed(), Number: w.GetNumber(),
+		Incarnation: swid.Incarnation(w.GetIncarnation()), Refused: w.GetCrossed(), Number: w.GetNumber(), Carries: w.GetCarries(),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -35,7 +35,7 @@
 	case swmsg.Leaving:
 		return &swpb.Message{Kind: &swpb.Message_Leaving{Leaving: &swpb.Leaving{}}}, nil
 	case swmsg.SharedCells:
-		s := &swpb.SharedCells{Scheduling: uint32(m.Scheduling)}
+		s := &swpb.SharedCells{Scheduling: uint32(m.Scheduling), CheckReach: encodeServices(m.CheckReach)}
 		return &swpb.Message{Kind: &swpb.Message_SharedCells{SharedCells: s}}, nil
 	case swmsg.Queued:
 		q := &swpb.Queued{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
@@ -54,7 +54,7 @@
 func encodeSystem(m swmsg.Message) (*swpb.Message, error) {
 	switch m := m.(type) {
 	case swmsg.Hello:
-		h := &swpb.Hello{Host: string(m.Host), Incarnation: uint64(m.Incarnation), Crossed: m.Refused, Number: m.Number}
+		h := &swpb.Hello{Host: string(m.Host), Incarnation: uint64(m.Incarnation), Crossed: m.Refused, Number: m.Number, Carries: m.Carries}
 		return &swpb.Message{Kind: &swpb.Message_Hello{Hello: h}}, nil
 	case swmsg.Heartbeat:
 		return &swpb.Message{Kind: &swpb.Message_Heartbeat{Heartbeat: encodeHeartbeat(m)}}, nil
@@ -80,10 +80,14 @@
 		Charge: m.Charge, AbandonMillis: int64(m.Abandon), OrgTier: uint32(m.OrgTier), Scope: uint32(m.Scope),
 		Parts:      convert(m.Parts, func(p swcell.Part) uint64 { return uint64(p.ID) }),
 		PartTokens: convert(m.Parts, func(p swcell.Part) int64 { return int64(p.Tokens) }),
-		Resumable:  m.Resumable, Continuation: encodeContinuation(m.Continuation),
+		Resumable:  m.Resumable, Continuation: encodeContinuation(m.Continuation), Carry: m.Carry,
 	}
 }
 
+func encodeServices(services []swid.ServiceID) []string {
+	return convert(services, func(s swid.ServiceID) string { return string(s) })
+}
+
 // encodeContinuation returns nil unless a stream is continued.
 func encodeContinuation(c sworigin.Continuation) *swpb.Continuation {
 	if !c.Continues {
@@ -141,6 +145,8 @@
 	return &swpb.Attach{
 		Fresh: m.Complete, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age),
 		Strikes: strikes, Scheduling: uint32(m.Scheduling), Begun: encodeBegunStreams(m.Streams),
+		Cut:     encodeServices(m.Cut),
+		Reached: convert(m.Reached, func(t swid.TargetID) string { return string(t) }),
 		RateLimits: convert(m.RateLimits, func(l swmsg.RateLimit) *swpb.TargetRateLimit {
 			return &swpb.TargetRateLimit{Target: string(l.Target), PerSecond: float64(l.PerSecond), AgeMillis: int64(l.Age)}
 		}),
@@ -150,7 +156,7 @@
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
 	return &swpb.Grant{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target), Epoch: uint64(m.Epoch),
-		FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total), Origin: encodeOrigin(m.Origin),
+		FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total), Origin: encodeOrigin(m.Origin), Carrier: string(m.Carrier),
 	}
 }
 
@@ -159,12 +165,12 @@
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target),
 		Result: uint32(m.Result), PromptTokens: int64(m.PromptTokens), OutputTokens: int64(m.OutputTokens),
 		CachedTokens: int64(m.CachedTokens), FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total),
-		RateLimit: encodeStatement(m.Statement),
+		RateLimit: EncodeStatement(m.Statement), PathLost: m.PathLost, CarrierLost: m.CarrierLost,
 	}
 }
 
-// encodeStatement returns nil if there was no answer.
-func encodeStatement(s swlimit.Statement) *swpb.RateLimit {
+// EncodeStatement returns nil if there was no answer.
+func EncodeStatement(s swlimit.Statement) *swpb.RateLimit {
 	if !s.Heard {
 		return nil
 	}
@@ -196,13 +202,14 @@
 func encodeInFlight(m swmsg.InFlight) *swpb.InFlight {
 	return &swpb.InFlight{
 		Ask: encodeGrantRequest(m.GrantRequest), Target: string(m.Target), ElapsedMillis: int64(m.Elapsed), Produced: int64(m.Produced),
+		Carrier: string(m.Carrier),
 	}
 }
 
 func encodeProgress(m swmsg.Progress) *swpb.Progress {
 	return &swpb.Progress{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Produced: int64(m.Produced),
-		RateLimit: encodeStatement(m.Statement), Begun: encodeBegun(m.Begun),
+		RateLimit: EncodeStatement(m.Statement), Begun: encodeBegun(m.Begun),
 	}
 }
 
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 )
@@ -31,6 +32,10 @@
 	MaxRateLimits = 4096
 	// MaxBegunStreams bounds the streams of one registration.
 	MaxBegunStreams = 1024
+	// MaxServices bounds the services in a list of one message.
+	MaxServices = 4096
+	// MaxReached bounds the targets of one registration that the sender can reach again.
+	MaxReached = 256
 	// MaxExclude bounds the excluded targets of one grant request.
 	MaxExclude = 256
 	// MaxMemberUpdates bounds the membership updates of one heartbeat.
@@ -118,3 +123,10 @@
 	}
 	return b, nil
 }
+
+// DecodeStatement decodes what an answer says of the requests that its target takes; nil stands for no answer.
+func DecodeStatement(w *swpb.RateLimit) (swlimit.Statement, error) {
+	c := &checker{message: "rateLimit"}
+	s := statement(c, w)
+	return s, c.err
+}
--- a/internal/peer/swlink/config.go
+++ b/internal/peer/swlink/config.go
@@ -34,6 +34,8 @@
 	// loggedDelay is the delay of this process's own timer from which it is logged: it explains late
 	// answers of this host, and answers of others that it reads late.
 	loggedDelay = 150 * swclock.Millis(1)
+	// streamBacklog is the number of further streams of a link that may wait to be accepted.
+	streamBacklog = 16
 	// batchBytes is the size in bytes from which a batch is written without adding further messages.
 	batchBytes = 32 << 10
 )
@@ -69,6 +71,9 @@
 	// KeepAlive configures TCP keep-alive, which ends a broken link even if
 	// nothing is sent on it. The zero value leaves keep-alive off.
 	KeepAlive net.KeepAliveConfig
+	// ServeStream, if not nil, serves a further stream that a peer opened on the link, in a goroutine of its
+	// own. It closes the stream. Peers learn that this host accepts streams when the link comes up.
+	ServeStream func(peer Peer, stream net.Conn)
 	// BatchDelay is how long the first message of a batch waits for others; 0 sends at once.
 	BatchDelay swclock.Millis
 }
--- a/internal/peer/swlink/conn.go
+++ b/internal/peer/swlink/conn.go
@@ -79,4 +79,6 @@
 	linksDown    atomic.Uint64
 	peerTimeouts atomic.Uint64
 	dialsFailed  atomic.Uint64
+	streamsIn    atomic.Uint64
+	streamsOut   atomic.Uint64
 }
--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -106,7 +106,7 @@
 		return nil, errDialRefused
 	}
 	l.remote, l.dialled = r, true
-	l.id, l.helloNumber = Peer{Host: hello.Host, Incarnation: hello.Incarnation}, hello.Number
+	l.id, l.helloNumber, l.carries = Peer{Host: hello.Host, Incarnation: hello.Incarnation}, hello.Number, hello.Carries
 	return l, nil
 }
 
@@ -146,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.id, l.helloNumber = Peer{Host: hello.Host, Incarnation: hello.Incarnation}, hello.Number
+	l.id, l.helloNumber, l.carries = Peer{Host: hello.Host, Incarnation: hello.Incarnation}, hello.Number, hello.Carries
 	l.remote = n.remote(hello.Host)
 	if l.remote == nil {
 		return nil, errRefused
@@ -223,7 +223,9 @@
 
 // writeHello sends this host's Hello.
 func (n *Network) writeHello(stream net.Conn, number uint64, refused bool) error {
-	hello := swmsg.Hello{Host: n.config.Self.Host, Incarnation: n.config.Self.Incarnation, Refused: refused, Number: number}
+	hello := swmsg.Hello{
+		Host: n.config.Self.Host, Incarnation: n.config.Self.Incarnation, Refused: refused, Number: number, Carries: n.config.ServeStream != nil,
+	}
 	payload, err := swcodec.Append(nil, swcodec.Batch{Messages: []swmsg.Message{hello}})
 	if err != nil {
 		return err
@@ -243,7 +245,7 @@
 func (n *Network) sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive = false
-	c.AcceptBacklog = 1
+	c.AcceptBacklog = streamBacklog
 	c.ConnectionWriteTimeout = (2 * n.config.ProbeTimeout).Duration()
 	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = time.Duration(max(n.config.ProbeTimeout, swclock.Second)) * time.Millisecond
--- a/internal/peer/swlink/link.go
+++ b/internal/peer/swlink/link.go
@@ -29,7 +29,9 @@
 	id      Peer
 	// helloNumber is the number of the peer's Hello.
 	helloNumber uint64
-	dialled     bool
+	// carries is set if the peer accepts further streams.
+	carries bool
+	dialled bool
 	// startedAt is when the stream of the handshake was opened.
 	startedAt swclock.Millis
 	session   *yamux.Session
@@ -63,6 +65,9 @@
 func (l *link) run() {
 	var tasks conc.WaitGroup
 	tasks.Go(func() { l.fail(l.write()) })
+	if l.carries && l.network.config.ServeStream != nil {
+		tasks.Go(l.acceptStreams)
+	}
 	graceful := l.read()
 	tasks.Wait()
 	if graceful && !l.dialled {
@@ -72,6 +77,18 @@
 	close(l.done)
 }
 
+// acceptStreams serves the further streams that the peer opens until the link ends.
+func (l *link) acceptStreams() {
+	for {
+		stream, err := l.session.AcceptStream()
+		if err != nil {
+			return // the session is closed
+		}
+		l.network.stats.streamsIn.Add(1)
+		l.network.tasks.Go(func() { l.network.config.ServeStream(l.id, stream) })
+	}
+}
+
 // awaitClose waits for the dialling side, which started the graceful shutdown, to
 // close the connection. If this side closed it first, the dialling side could not
 // distinguish the graceful end from a broken connection.
@@ -199,6 +216,11 @@
 		l.prober.restartTimeout(now)
 		l.shutdownAt = now
 	}
+	if l.carries && l.session.NumStreams() > 1 {
+		// Nobody else would notice that the peer of the further streams does not answer.
+		l.lastMessageAt = now
+		l.prober.requested = l.prober.requested || now-l.prober.sentAt >= l.prober.interval
+	}
 	timedOut := l.prober.timedOut(now, l.heardAt) || l.shuttingDown && now-l.shutdownAt > l.prober.timeout
 	flushDue := l.prober.probeDue(now) || l.prober.replyDue(now, l.network.config.ReplyDelay)
 	idle := l.dialled && now-l.lastMessageAt > l.network.config.IdleTimeout
--- a/internal/peer/swlink/metrics.go
+++ b/internal/peer/swlink/metrics.go
@@ -43,6 +43,8 @@
 		counter("links_up_total", "Links established.", &s.linksUp),
 		counter("links_down_total", "Links lost.", &s.linksDown),
 		counter("links_silent_total", "Links closed because a probe stayed unanswered.", &s.peerTimeouts),
+		counter("streams_opened_total", "Streams opened to have requests carried by other hosts.", &s.streamsOut),
+		counter("streams_accepted_total", "Streams accepted to carry requests of other hosts.", &s.streamsIn),
 		counter("dials_failed_total", "Dials that ended without a link.", &s.dialsFailed),
 	}
 }
--- a/internal/peer/swlink/network.go
+++ b/internal/peer/swlink/network.go
@@ -110,6 +110,49 @@
 	}
 }
 
+// Errors of OpenStream.
+var (
+	// ErrNoLink means that there is no link to the host.
+	ErrNoLink = errors.New("there is no link to the host")
+	// ErrNoStreams means that the host accepts no streams, because it runs an earlier build.
+	ErrNoStreams = errors.New("the host accepts no further streams")
+)
+
+// OpenStream opens a further stream on the link to a host. If there is no link, it dials and waits for one until
+// ctx ends. The stream ends with the link.
+func (n *Network) OpenStream(ctx context.Context, to swid.HostID) (net.Conn, error) {
+	r := n.remote(to)
+	if r == nil {
+		return nil, ErrNoLink
+	}
+	l, err := r.awaitLink(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if !l.carries {
+		return nil, ErrNoStreams
+	}
+	stream, err := l.session.OpenStream()
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	n.stats.streamsOut.Add(1)
+	return stream, nil
+}
+
+// AcceptsStreams reports whether there is a link to a host that accepts further streams.
+func (n *Network) AcceptsStreams(host swid.HostID) bool {
+	n.mu.Lock()
+	r := n.remotes[host]
+	n.mu.Unlock()
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.link != nil && r.link.carries
+}
+
 // Connected implements Sender.
 func (n *Network) Connected(to swid.HostID) bool {
 	n.mu.Lock()
--- a/internal/peer/swlink/remote.go
+++ b/internal/peer/swlink/remote.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swring"
@@ -48,6 +50,9 @@
 	// failures counts consecutive failed dials. No dial starts before retryAt.
 	failures int
 	retryAt  swclock.Millis
+	// linkUp is closed when there is a link, and replaced when there is none any more. It is nil while nobody
+	// waits for a link.
+	linkUp chan struct{}
 }
 
 func newRemote(n *Network, host swid.HostID) *remote {
@@ -85,6 +90,40 @@
 	return true
 }
 
+// awaitLink returns the link. If there is none, it dials and waits for one until ctx ends.
+func (r *remote) awaitLink(ctx context.Context) (*link, error) {
+	for {
+		r.ensureDial()
+		r.mu.Lock()
+		l := r.link
+		if l == nil && r.linkUp == nil {
+			r.linkUp = make(chan struct{})
+		}
+		up := r.linkUp
+		waits := r.dial != dialNone || r.pendingInbound > 0
+		r.mu.Unlock()
+		switch {
+		case l != nil:
+			return l, nil
+		case !waits:
+			return nil, ErrNoLink // the latest dial failed a moment ago
+		}
+		select {
+		case <-up:
+		case <-ctx.Done():
+			return nil, errors.Wrap(ErrNoLink, ctx.Err().Error())
+		}
+	}
+}
+
+// notifyLink wakes those that wait for a link, or for the end of a dial; r.mu is held.
+func (r *remote) notifyLink() {
+	if r.linkUp != nil {
+		close(r.linkUp)
+		r.linkUp = nil
+	}
+}
+
 // connected reports whether there is a link.
 func (r *remote) connected() bool {
 	r.mu.Lock()
@@ -178,6 +217,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pendingInbound--
+	r.notifyLink()
 	r.redial(false)
 }
 
@@ -216,6 +256,7 @@
 	}
 	old = r.link
 	r.link = l
+	r.notifyLink()
 	r.failures = 0
 	r.retryAt = 0
 	r.silent = false
@@ -263,6 +304,7 @@
 	}
 	r.dial = dialNone
 	r.cancelDial = nil
+	r.notifyLink()
 	delay := min(maxRetryDelay, minRetryDelay<<min(r.failures, 10))
 	r.failures++
 	r.retryAt = r.network.clock.Now() + delay/2 + swclock.Millis(rand.Int64N(int64(delay/2)+1))
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -23,6 +23,9 @@
 	// Number grows with each Hello of a process, so that the receiver can refuse the outdated
 	// Hello of an abandoned dial.
 	Number uint64
+	// Carries is set if the sender accepts further streams on the link, on which it carries requests of the
+	// receiver.
+	Carries bool
 }
 
 // MemberState is the state that one host has recorded for another.
@@ -104,6 +107,9 @@
 	Resumable bool
 	// Continuation says whether the attempt continues a stream, and which.
 	Continuation sworigin.Continuation
+	// Carry is set if the sender reaches no target of the cell itself, so that another host has to carry the
+	// request.
+	Carry bool
 }
 
 // Registration registers the sender with the owner to which it sends its grant requests, and reports
@@ -126,6 +132,10 @@
 	RateLimits []RateLimit
 	// Streams are the latest that began at the sender, if Complete is set.
 	Streams []sworigin.Begun
+	// Cut are the services of which the sender reaches no target.
+	Cut []swid.ServiceID
+	// Reached are targets that the sender could not reach before, and can now.
+	Reached []swid.TargetID
 	// Scheduling is the sender's, so that the owner can tell the sender if that is to change.
 	Scheduling Scheduling
 }
@@ -159,7 +169,12 @@
 
 // SharedCells tells a host that registered with the sender where to have its requests of plain
 // services scheduled.
-type SharedCells struct{ Scheduling Scheduling }
+type SharedCells struct {
+	Scheduling Scheduling
+	// CheckReach are services of which another host reaches no target. The receiver looks whether it does, unless it
+	// has heard from one a moment ago.
+	CheckReach []swid.ServiceID
+}
 
 // Leaving announces that the sender's process is about to stop and no longer owns any cell.
 type Leaving struct{}
@@ -184,6 +199,8 @@
 	Target       swid.TargetID
 	Elapsed      swclock.Millis
 	Produced     swid.Tokens
+	// Carrier is the host that carries the request; empty if there is none.
+	Carrier swid.HostID
 }
 
 // Progress reports the output that a running attempt has produced.
@@ -219,6 +236,10 @@
 	Total        swclock.Millis
 	// Statement is what the answer says of the requests that its target takes, if there was one.
 	Statement swlimit.Statement
+	// PathLost is set if the sender reaches no target of the cell, so that the result says nothing of the target.
+	PathLost bool
+	// CarrierLost is set if the host that was to carry the request could not be reached, or was lost.
+	CarrierLost bool
 }
 
 // Grant permits the holder to dispatch one attempt to one target.
@@ -233,6 +254,8 @@
 	Total      swclock.Millis
 	// Origin is that of the stream which the attempt continues, if it continues one.
 	Origin sworigin.Origin
+	// Carrier is the host that is to carry the request to the target; empty if the holder sends it itself.
+	Carrier swid.HostID
 }
 
 // Reject rejects a grant request.
--- a/internal/target/swconn/swconn_test.go
+++ b/internal/target/swconn/swconn_test.go
@@ -401,3 +401,37 @@
 		t.Errorf("body %q, error %v, framed %t", body, err, response.Framed)
 	}
 }
+
+// TestProbe checks that a probe opens a connection of its own, and tells whether the peer answers.
+func TestProbe(t *testing.T) {
+	tests := []struct {
+		name   string
+		handle func(p *peer, c net.Conn, r *bufio.Reader)
+		want   bool
+	}{
+		{"answers", echo, true},
+		{"answers with an error", func(p *peer, c net.Conn, r *bufio.Reader) {
+			p.read(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		}, true},
+		{"closes", func(_ *peer, c net.Conn, _ *bufio.Reader) { _ = c.Close() }, false},
+		{"is silent", func(*peer, net.Conn, *bufio.Reader) {}, false},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			p := startPeer(t, e.handle)
+			pool := New(Config{Address: p.listener.Addr().String(), Clock: swclock.NewSystem(), DialTimeout: swclock.Second, MaxIdleTime: swclock.Minute})
+			for range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				err := pool.Probe(ctx, Request{Method: http.MethodGet, Target: "/", Host: "h"})
+				cancel()
+				if (err == nil) != e.want {
+					t.Errorf("probe of a peer that %s: %v", e.name, err)
+				}
+			}
+			if connections, _ := p.counts(); connections != 2 {
+				t.Errorf("%d connections for 2 probes", connections)
+			}
+		})
+	}
+}
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -34,6 +34,8 @@
 	// FirstOutputTimeout is the maximum wait for the first part of the answer; 0 sets none.
 	// If the adapter has its own limit, the shorter of the two applies.
 	FirstOutputTimeout swclock.Millis
+	// ExpectedFirst is the expected time to the first part of the answer; 0 if it is not known.
+	ExpectedFirst swclock.Millis
 	// Remaining is the time until the answer is worth nothing to its caller; 0 means no limit.
 	Remaining swclock.Millis
 	// ReceivedEvents is the number of events that the holder already has. If it is
@@ -88,6 +90,12 @@
 	Start(ctx context.Context, r Request) (Answer, error)
 }
 
+// Prober is implemented by adapters that can find out whether their target can be reached.
+type Prober interface {
+	// Probe returns nil if the target answers on a new connection.
+	Probe(ctx context.Context) error
+}
+
 // Failure classifies errors by what they mean for the request.
 type Failure uint8
 
@@ -119,7 +127,9 @@
 	Unsent bool
 	// Statement is what the answer says of the requests that the target takes, if there was an answer.
 	Statement swlimit.Statement
-	Err       error
+	// CarrierLost means that the host that was to carry the request could not be reached, or was lost.
+	CarrierLost bool
+	Err         error
 }
 
 // Error implements error.
