Count a strike once at the owner that made it itself

All hosts still had their requests of plain services scheduled by the owner 40 s after the last crash.

It counted the strike in its register, and once more when its own registration reported the strike to it. Runs of one crash count once if they overlap, but a run that ends in the millisecond in which it began overlaps nothing. So a single crash was taken for several, and content with a second crash was refused, which keeps the scheduling at the owner for ten minutes.

Change: a host does not count the strikes of its own registration, which its register has. The test plays the first crash at the owner and at another host, rather than at a random one, and also checks that one crash changes nothing.

--- a/internal/node/swfleet/crashingcontent_test.go
+++ b/internal/node/swfleet/crashingcontent_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -235,7 +236,12 @@
 
 // sendCall sends one request to a random host that is up, and counts its end.
 func (f *simulatedFleet) sendCall(ctx context.Context, call *swgate.Call, sink swholder.Sink, o *outcomes) {
-	host := f.hosts[rand.IntN(len(f.hosts))].current.Load()
+	f.sendCallTo(ctx, f.hosts[rand.IntN(len(f.hosts))], call, sink, o)
+}
+
+// sendCallTo sends one request to a host if that is up, and counts its end.
+func (f *simulatedFleet) sendCallTo(ctx context.Context, to *simulatedHost, call *swgate.Call, sink swholder.Sink, o *outcomes) {
+	host := to.current.Load()
 	if host == nil {
 		return
 	}
@@ -375,33 +381,59 @@
 // TestSharedScheduling checks that the owner schedules plain services for all hosts while it counts
 // strikes against content, and each host its own before and after.
 func TestSharedScheduling(t *testing.T) {
-	clearPools()
-	synctest.Test(t, func(t *testing.T) {
-		defer clearPools()
-		log := &crashLog{}
-		f := newCrashableFleet(t, 15, log)
-		f.startAll()
-		f.observe(3)
-		check := func(when string, want bool) {
-			t.Helper()
-			for _, h := range f.hosts {
-				if got := h.current.Load().view.scheduling() == swmsg.SchedulingShared; got != want {
-					t.Errorf("%s: host %d has its requests scheduled by the owner: %t", when, h.number, got)
-				}
+	tests := []struct {
+		name string
+		// ownCrash is set if the first crash is at the owner, rather than at another host.
+		ownCrash bool
+	}{
+		{"crashes at other hosts", false},
+		{"first crash at the owner", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clearPools()
+			synctest.Test(t, func(t *testing.T) {
+				defer clearPools()
+				testSharedScheduling(t, tt.ownCrash)
+			})
+		})
+	}
+}
+
+func testSharedScheduling(t *testing.T, ownCrash bool) {
+	log := &crashLog{}
+	f := newCrashableFleet(t, 15, log)
+	f.startAll()
+	f.observe(3)
+	check := func(when string, want bool) {
+		t.Helper()
+		for _, h := range f.hosts {
+			if got := h.current.Load().view.scheduling() == swmsg.SchedulingShared; got != want {
+				t.Errorf("%s: host %d has its requests scheduled by the owner: %t", when, h.number, got)
 			}
 		}
-		check("before", false)
-		var crashing outcomes
-		for len(log.arrivals) < 2 {
-			f.send(context.Background(), "/plain/x", crashingBody, &crashing)
-			time.Sleep(crashingInterval)
+	}
+	check("before", false)
+	owner := f.owner()
+	others := slices.DeleteFunc(slices.Clone(f.hosts), func(h *simulatedHost) bool { return h == owner })
+	first := others[0]
+	if ownCrash {
+		first = owner
+	}
+	var crashing outcomes
+	crash := func(at *simulatedHost) {
+		for before := len(log.arrivals); len(log.arrivals) == before; time.Sleep(crashingInterval) {
+			f.sendCallTo(context.Background(), at, newCall("/plain/x", crashingBody), discardSink{}, &crashing)
 		}
-		time.Sleep(2 * time.Second)
-		check("after two crashes", true)
-		log.setHarmless(true)
-		f.send(context.Background(), "/plain/x", crashingBody, &crashing)
-		time.Sleep(40 * time.Second)
-		check("long after the last crash", false)
-		f.killAll()
-	})
+	}
+	crash(first)
+	check("after one crash", false)
+	crash(others[1])
+	time.Sleep(2 * time.Second)
+	check("after two crashes", true)
+	log.setHarmless(true)
+	f.send(context.Background(), "/plain/x", crashingBody, &crashing)
+	time.Sleep(40 * time.Second)
+	check("long after the last crash", false)
+	f.killAll()
 }
--- a/internal/node/swfleet/strikes.go
+++ b/internal/node/swfleet/strikes.go
@@ -88,8 +88,11 @@
 		Msg("verdict on a part changed")
 }
 
-// receiveStrikes counts the strikes of a registration.
+// receiveStrikes counts the strikes of a registration. Those of this host's own registration are counted already.
 func (h *Host) receiveStrikes(from swlink.Peer, strikes []swmsg.Strike) {
+	if from.Host == h.self.Host {
+		return
+	}
 	now := h.clock.Now()
 	for _, s := range strikes {
 		counted := h.strikes.Strike(s.Content, swsuspect.Crash{
