Grant brittle targets no more than they can take after a change of owner (LIMIT)

One that has to turn more than N requests away in a second for want of room ends, and may let fewer wait. In one such time they may end 2 + a tenth of their number times.

What was seen: 7 and 17 ends within 1.2 s after all of 15 hosts were restarted. The header was read nowhere.

Cause: an owner grants a target its slots less what it knows to run there. After it took over from one that died, or after all hosts were restarted, targets still run requests whose holders are gone, which nobody reports. Class: knowledge of an owner that dies with it and was taken for complete by the next one. A holder that changes its owner is the same case, as are attempts that were cancelled or got no answer.

Change: what an answer says is decoded and kept by each host, and reaches the owner with the registrations; a new owner asks all targets once, on new connections. For 15 s after a sign that a target may run more than is known, a brittle one is granted as many requests as it has accepted since and, beyond them, as many as it may reject, half of them while two owners may grant. A rejection counts for 1.25 s. Targets that do not say that they are brittle are granted as before. Plain services are scheduled by the owner until it has asked: a host that schedules for itself knows nothing of the others' requests.

Ruled out by traces of runs that failed on the way: the rejections came neither from late reports nor from two owners, but from a cell that the new owner had had before for its own requests, in which nothing was in doubt (now each registration of a holder is a sign), and from a round of questions before any target was known (now it waits for them).

--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -286,6 +286,13 @@
 	Incarnation swid.Incarnation
 }
 
+// HolderJoined reports that a holder has its requests scheduled by this owner from now on. What it runs is reported
+// after that.
+type HolderJoined struct{ Holder swid.HostID }
+
+// HolderLeft reports that a holder has its requests scheduled by another owner from now on.
+type HolderLeft struct{ Holder swid.HostID }
+
 // Tick lets time pass; the owner sends one at least every TickInterval.
 type Tick struct{}
 
@@ -300,6 +307,8 @@
 func (TargetReachability) event() {}
 func (TargetHeard) event()        {}
 func (HolderDied) event()         {}
+func (HolderJoined) event()       {}
+func (HolderLeft) event()         {}
 func (Tick) event()               {}
 
 // Action is an output of Cell.Step.
--- a/internal/core/swlimit/swlimit.go
+++ b/internal/core/swlimit/swlimit.go
@@ -35,6 +35,10 @@
 	Leaving bool
 	// Pause is the time for which the target takes no requests from the host that got the answer.
 	Pause swclock.Millis
+	// Brittle is set if the target ends when it has to reject more than MaxRejections requests in a second for lack of
+	// room.
+	Brittle       bool
+	MaxRejections int
 }
 
 // Limit is the limit of one target.
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		speed += c.speed(t)
-		if t.freeSlots(c.now) > 0 {
+		if c.freeSlots(t) > 0 {
 			soonest = 0
 			continue
 		}
@@ -295,5 +295,5 @@
 }
 
 func (c *Cell[P, O]) anyFreeSlot() bool {
-	return slices.ContainsFunc(c.targets, func(t *target) bool { return t.freeSlots(c.now) > 0 })
+	return slices.ContainsFunc(c.targets, func(t *target) bool { return c.freeSlots(t) > 0 })
 }
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -83,7 +83,7 @@
 		if c.now < r.offerAllAt && t.changedAt <= r.declinedAt {
 			continue
 		}
-		if t.freeSlots(c.now) <= 0 || !t.fitsMemory(tokens(&r.grantRequest)) || !c.mayRun(r, t) || !c.mayShare(r, t) {
+		if c.freeSlots(t) <= 0 || !t.fitsMemory(tokens(&r.grantRequest)) || !c.mayRun(r, t) || !c.mayShare(r, t) {
 			continue
 		}
 		o := c.offer(r, t)
@@ -145,7 +145,7 @@
 	}
 	r.busyShare, r.busyShareUntil, r.busyShareListing = 0, c.now+c.outlookAge(), c.listing
 	for _, t := range c.targets {
-		if t.freeSlots(c.now) > 0 || t.probing() || len(t.runs) == 0 && !t.limited() || !c.mayRun(r, t) {
+		if c.freeSlots(t) > 0 || t.probing() || len(t.runs) == 0 && !t.limited() || !c.mayRun(r, t) {
 			continue
 		}
 		o := c.offer(r, t)
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -83,6 +83,8 @@
 	origin sworigin.Origin
 	// carrier is the host that carries the request; empty if there is none.
 	carrier swid.HostID
+	// elsewhere is set once another owner schedules the holder's requests, and grants what this run leaves free.
+	elsewhere bool
 	// apart is set if the content runs apart, and suspects has the parts for which the request does.
 	apart    bool
 	suspects []swsuspect.SuspectPart
@@ -168,7 +170,8 @@
 // of an attempt that is already recorded changes nothing.
 func (c *Cell[P, O]) handleInFlight(e swcell.InFlight) {
 	id := runKey{e.GrantRequest.Key, e.GrantRequest.Attempt}
-	if c.running[id] != nil {
+	if known := c.running[id]; known != nil {
+		known.elsewhere = false
 		return
 	}
 	if i := c.indexOf(e.GrantRequest.Key); i >= 0 && c.waiting[i].grantRequest.Attempt <= e.GrantRequest.Attempt {
@@ -194,6 +197,7 @@
 	for k, r := range c.running {
 		if died(k.key) && r.orphanedAt == 0 {
 			r.orphanedAt = max(c.now, 1)
+			r.target.occupancy.doubt(c.now)
 		}
 	}
 }
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -165,9 +165,11 @@
 		c.recordAttemptFailed(r, e.PathLost)
 		t.doubtVersion(c.now)
 	case swcell.ResultNoAnswer:
+		t.occupancy.doubt(c.now)
 		c.recordSilentRun(r)
 		c.recordAttemptFailed(r, e.PathLost || e.CarrierLost)
 	case swcell.ResultCancelled:
+		t.occupancy.doubt(c.now)
 		c.recordSilentRun(r)
 	case swcell.ResultNotStarted:
 		c.uncharge(&r.grantRequest, r.charged)
@@ -175,6 +177,7 @@
 		case e.CarrierLost, e.PathLost:
 		case e.Statement.Heard:
 			t.reach.close(r.sender(), c.now+unreachableTime)
+			t.occupancy.recordRejection(c.now)
 			t.recordNoAnswer(1, c.now)
 		default:
 			t.reach.lost(r.sender(), c.now)
@@ -195,6 +198,9 @@
 	if s.Pause > 0 {
 		r.target.reach.close(r.sender(), c.now+min(s.Pause, swlimit.MaxPause))
 	}
+	if c.cfg.Brittle.Observe(r.target.conf.ID, s, r.grantedAt, c.now) {
+		c.cfg.OnBrittle(r.target.conf.ID, s)
+	}
 	if c.cfg.Limits.Observe(r.target.conf.ID, s, r.grantedAt, c.now) {
 		c.cfg.OnRateLimit(r.target.conf.ID, s.PerSecond)
 		c.changed(r.target)
@@ -260,6 +266,7 @@
 			}
 			if c.now > end {
 				c.endRun(r)
+				t.occupancy.doubt(c.now)
 			}
 		}
 	}
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -50,6 +50,8 @@
 	// waiting holds at most one attempt of each request, in order of arrival.
 	waiting []*request
 	running map[runKey]*run
+	// handoverAt is when a holder last came from another owner or went to one; 0 for never.
+	handoverAt swclock.Millis
 	// apart holds the run of each content that runs apart, see swsuspect.Register.RunsApart.
 	apart map[swid.Fingerprint]*run
 	tried triedParts
@@ -97,6 +99,11 @@
 	OnPartChange func(swid.TargetID, swsuspect.PartChange)
 	// Limits holds the rate limits that targets name. Nil gives the cell a limiter of its own.
 	Limits *swlimit.Limiter
+	// Brittle has the targets that end when they have to reject too many requests, as their answers say. Nil means
+	// that there are none.
+	Brittle *swlimit.Brittle
+	// OnBrittle is called when an answer changed how many requests its target may have to reject.
+	OnBrittle func(swid.TargetID, swlimit.Statement)
 	// OnRateLimit is called when the rate limit of a target changes, 0 if it ends. It must not block.
 	OnRateLimit func(swid.TargetID, swid.RequestRate)
 	// OnProbing is called when a target comes to be probed, or no longer is. It must not block.
@@ -191,6 +198,12 @@
 	if c.Limits == nil {
 		c.Limits = swlimit.New()
 	}
+	if c.Brittle == nil {
+		c.Brittle = swlimit.NewBrittle()
+	}
+	if c.OnBrittle == nil {
+		c.OnBrittle = func(swid.TargetID, swlimit.Statement) {}
+	}
 	if c.OnRateLimit == nil {
 		c.OnRateLimit = func(swid.TargetID, swid.RequestRate) {}
 	}
@@ -272,6 +285,10 @@
 		c.handleTargetHeard(e)
 	case swcell.HolderDied:
 		c.handleHolderDied(e)
+	case swcell.HolderJoined:
+		c.recordHandover()
+	case swcell.HolderLeft:
+		c.handleHolderLeft(e)
 	case swcell.Tick:
 		c.tick()
 	}
@@ -300,7 +317,7 @@
 		s.Tiers[c.tierIndex(r.grantRequest.Tier)].Running++
 	}
 	for _, t := range c.targets {
-		s.Targets = append(s.Targets, t.status(c.now))
+		s.Targets = append(s.Targets, c.status(t))
 	}
 	return s
 }
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -88,16 +88,17 @@
 	heardAt swclock.Millis
 	// silent holds the latest runs that ended without an answer while the target was not known
 	// to have ended, the oldest first.
-	silent []silentRun
+	silent    []silentRun
+	occupancy occupancy
 	// reach is what is known of the paths from hosts to the target, and which of them the target turned away for a
 	// while.
 	reach reachability
 }
 
-func newTarget(conf swcell.Target, limits *swlimit.Limiter) *target {
+func newTarget(conf swcell.Target, limits *swlimit.Limiter, now swclock.Millis) *target {
 	return &target{
 		conf: conf, limits: limits, reachable: true, cache: newCache(conf.KVTokens),
-		reach: newReachability(),
+		reach: newReachability(), occupancy: occupancy{doubtedAt: max(now, 1)},
 	}
 }
 
@@ -126,16 +127,20 @@
 	return now - t.heardAt
 }
 
-// freeSlots returns the number of requests that may be granted now, which is 1 at most if the
-// target has a rate limit.
-func (t *target) freeSlots(now swclock.Millis) int {
+// freeSlots returns the number of requests that a target may be granted now, which is 1 at most if it
+// has a rate limit.
+func (c *Cell[P, O]) freeSlots(t *target) int {
 	if !t.active() {
 		return 0
 	}
-	if free := t.unlimitedSlots(now); free < 1 || !t.limited() {
+	free := t.unlimitedSlots(c.now)
+	if n, restricted := c.acceptable(t); restricted {
+		free = min(free, n)
+	}
+	if free < 1 || !t.limited() {
 		return free
 	}
-	if t.limits.Wait(t.conf.ID, now) > 0 {
+	if t.limits.Wait(t.conf.ID, c.now) > 0 {
 		return 0
 	}
 	return 1
@@ -224,9 +229,9 @@
 	}
 }
 
-func (t *target) status(now swclock.Millis) swcell.TargetStatus {
+func (c *Cell[P, O]) status(t *target) swcell.TargetStatus {
 	s := swcell.TargetStatus{
-		ID: t.conf.ID, State: t.conf.State, Running: len(t.runs), Slots: len(t.runs) + max(t.freeSlots(now), 0),
+		ID: t.conf.ID, State: t.conf.State, Running: len(t.runs), Slots: len(t.runs) + max(c.freeSlots(t), 0),
 		PrefillTime: t.rates.prefill.Value(), DecodeTime: t.rates.decode.Value(), ServiceTime: t.rates.service.Value(),
 	}
 	switch {
@@ -286,7 +291,7 @@
 
 // addTarget adds a target, which takes no new work until it is marked as listed.
 func (c *Cell[P, O]) addTarget(conf swcell.Target) *target {
-	t := newTarget(conf, c.cfg.Limits)
+	t := newTarget(conf, c.cfg.Limits, c.now)
 	c.byID[conf.ID] = t
 	i, _ := slices.BinarySearchFunc(c.targets, conf.ID, func(t *target, id swid.TargetID) int {
 		return strings.Compare(string(t.conf.ID), string(id))
--- a/internal/node/swfleet/carry.go
+++ b/internal/node/swfleet/carry.go
@@ -49,7 +49,7 @@
 	if s.Leaving || s.Pause > 0 {
 		h.recordClosed(r.ID, r.Cell, r.Target, s)
 	}
-	h.limits.Observe(r.Target, s, sent, h.clock.Now())
+	h.observeStatement(r.Target, s, sent)
 }
 
 // updateCarrier records that a host is present, and of which services it reaches no target.
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -27,6 +27,8 @@
 		OnPartChange: func(t swid.TargetID, c swsuspect.PartChange) { h.partChanged(cell, t, c) },
 		Limits:       h.limits,
 		OnRateLimit:  func(t swid.TargetID, limit swid.RequestRate) { h.rateLimitChanged(cell, t, limit) },
+		Brittle:      h.brittle,
+		OnBrittle:    h.rejectionsRestricted,
 		OnStrikes:    func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
 		OnProbing: func(p swvalue.ProbingChange) {
 			h.log.Info().Str("target", string(p.Target)).Str("cell", string(cell)).Bool("probing", p.Probing).Str("holder", string(p.Holder)).
@@ -50,7 +52,7 @@
 
 // adapter returns the adapter that sends requests to a target.
 func (h *Host) adapter(t swdoc.Target, _ swdoc.ServiceKind) swtarget.Adapter {
-	return &pathAdapter{Adapter: h.platform.TargetAdapter(h.view.platformTarget(&t)), target: t.ID, paths: h.paths}
+	return &pathAdapter{Adapter: h.platform.TargetAdapter(h.view.platformTarget(&t)), target: t.ID, host: h}
 }
 
 // catalogChanged applies a configuration if its version is higher than the current one.
@@ -103,10 +105,12 @@
 	}
 	h.log.Info().Int("targets", len(items)).Int("draining", draining).Strs("versions", versionsOf(items)).
 		Uint64("revision", uint64(latest(items))).Msg("targets changed")
-	h.limits.Retain(func(id swid.TargetID) bool {
+	listed := func(id swid.TargetID) bool {
 		_, listed := h.view.bornOf(id)
 		return listed
-	}, h.clock.Now())
+	}
+	h.limits.Retain(listed, h.clock.Now())
+	h.brittle.Retain(listed, h.clock.Now())
 	h.closed.Retain(h.view.bornOf, h.clock.Now())
 	h.updateServing()
 	h.paths.Configure(h.view.activeTargets())
@@ -144,6 +148,7 @@
 	h.metrics.Configure(d)
 	h.pool.Configure(d)
 	h.owner.Configure(d)
+	h.pathProber.configured()
 }
 
 // hostsChanged applies a new list of hosts. It passes their number to the retry
--- a/internal/node/swfleet/partitionedhosts_test.go
+++ b/internal/node/swfleet/partitionedhosts_test.go
@@ -196,17 +196,17 @@
 }
 
 // Probe implements swtarget.Prober.
-func (l *linkedTarget) Probe(ctx context.Context) error {
+func (l *linkedTarget) Probe(ctx context.Context) (swlimit.Statement, error) {
 	mode, _ := l.partition.mode(l.host)
 	switch mode {
 	case 0:
 		time.Sleep(2 * networkDelay)
-		return nil
+		return swlimit.Statement{Heard: true}, nil
 	case cutReset, cutRefuse:
-		return errConnection
+		return swlimit.Statement{}, errConnection
 	default:
 		<-ctx.Done()
-		return ctx.Err()
+		return swlimit.Statement{}, ctx.Err()
 	}
 }
 
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -32,7 +33,7 @@
 type pathAdapter struct {
 	swtarget.Adapter
 	target swid.TargetID
-	paths  *swreach.Paths
+	host   *Host
 }
 
 // Start implements swtarget.Adapter.
@@ -42,7 +43,7 @@
 	if r.FirstOutputTimeout > 0 { // the request may be sent to another target
 		abort = func() { cancel(errPathLost) }
 	}
-	exchange := p.paths.Begin(p.target, r.ExpectedFirst, abort)
+	exchange := p.host.paths.Begin(p.target, r.ExpectedFirst, abort)
 	answer, err := p.Adapter.Start(ctx, r)
 	if err != nil {
 		err = p.end(ctx, exchange, err)
@@ -77,16 +78,19 @@
 func (p *pathAdapter) probe(ctx context.Context) error {
 	prober, canProbe := p.Adapter.(swtarget.Prober)
 	if !canProbe {
-		p.paths.Heard(p.target) // the next request shows it
+		p.host.paths.Heard(p.target) // the next request shows it
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
-	if err := prober.Probe(ctx); err != nil {
-		p.paths.Failed(p.target)
+	sent := p.host.clock.Now()
+	statement, err := prober.Probe(ctx)
+	if err != nil {
+		p.host.paths.Failed(p.target)
 		return err
 	}
-	p.paths.Heard(p.target)
+	p.host.paths.Heard(p.target)
+	p.host.observeStatement(p.target, statement, sent)
 	return nil
 }
 
@@ -131,6 +135,12 @@
 	changes map[swid.ServiceID]bool
 	// reviewing is set while a call of Review is scheduled.
 	reviewing bool
+	// asking is set while all targets are to be asked what they say of the requests that they take, and askedAt is when
+	// they were last; 0 for never.
+	asking  bool
+	askedAt swclock.Millis
+	// asked is set once the first round in which they were asked has ended.
+	asked bool
 }
 
 func newPathProber(h *Host) *pathProber {
@@ -169,6 +179,79 @@
 	}
 }
 
+// askInterval is the least time between two rounds in which all targets are asked, and asksAtOnce the number of those
+// that are asked at a time.
+const (
+	askInterval = 5 * swclock.Second
+	asksAtOnce  = 32
+)
+
+// askAll has all targets asked what they say of the requests that they take, unless they were a moment ago: this host
+// has become the owner, and its predecessor's knowledge is lost if all hosts were restarted. It does not block.
+func (p *pathProber) askAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.host.clock.Now()
+	if p.askedAt > 0 && now-p.askedAt < askInterval {
+		return
+	}
+	p.asking, p.askedAt = true, max(now, 1)
+	p.suspected()
+}
+
+// configured has the targets asked if that was wanted before there were any. It does not block.
+func (p *pathProber) configured() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asking {
+		p.suspected()
+	}
+}
+
+// hasAsked reports whether a round in which all targets were asked has ended.
+func (p *pathProber) hasAsked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
+
+// ask asks all targets, if that is wanted.
+func (p *pathProber) ask(ctx context.Context) {
+	p.mu.Lock()
+	asking := p.asking
+	p.mu.Unlock()
+	adapters := p.adapters()
+	if !asking || len(adapters) == 0 {
+		return // configured has this called again once there are targets
+	}
+	asks := pool.New().WithMaxGoroutines(asksAtOnce)
+	for _, a := range adapters {
+		asks.Go(func() { _ = a.probe(ctx) }) // a failure is recorded
+	}
+	asks.Wait()
+	p.mu.Lock()
+	p.asking, p.asked = false, true
+	p.mu.Unlock()
+	p.host.log.Info().Int("targets", len(adapters)).Int("brittle", len(p.host.brittle.Targets())).Msg("targets asked for limits")
+}
+
+// adapters returns the adapters of all targets that are known and are not leaving.
+func (p *pathProber) adapters() []*pathAdapter {
+	var adapters []*pathAdapter
+	for id := range p.host.view.activeTargets() {
+		if a, known := p.adapter(id); known {
+			adapters = append(adapters, a)
+		}
+	}
+	return adapters
+}
+
+func (p *pathProber) adapter(id swid.TargetID) (*pathAdapter, bool) {
+	target, listed := p.host.pool.Target(id)
+	a, known := target.Adapter.(*pathAdapter)
+	return a, listed && known
+}
+
 // run handles changes, and probes targets while this host may reach none of a service, until ctx ends.
 func (p *pathProber) run(ctx context.Context) {
 	for {
@@ -179,6 +262,7 @@
 		select {
 		case <-p.wake:
 			p.handleChanges()
+			p.ask(ctx)
 		case <-due:
 		case <-ctx.Done():
 			return
@@ -209,9 +293,8 @@
 	var probes conc.WaitGroup
 	started := 0
 	for _, id := range p.host.paths.ToProbe() {
-		target, listed := p.host.pool.Target(id)
-		adapter, known := target.Adapter.(*pathAdapter)
-		if !listed || !known {
+		adapter, known := p.adapter(id)
+		if !known {
 			continue
 		}
 		probes.Go(func() {
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -143,8 +143,12 @@
 	process := swquota.Process{Host: from.Host, Incarnation: from.Incarnation}
 	if registration.Leaving {
 		h.ledger.Deregister(process)
+		h.owner.HolderLeft(from.Host)
 		return
 	}
+	if registration.Complete {
+		h.owner.HolderJoined(from.Host)
+	}
 	amounts := make([]swquota.Amount, len(registration.Amounts))
 	for i, v := range registration.Amounts {
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -15,11 +15,14 @@
 // chosen its first one.
 const minChangeAge = 2 * swclock.Second
 
+// youngAge is the age of a process below which its predecessor may have ended together with all other hosts'.
+const youngAge = 10 * swclock.Second
+
 // wantedScheduling returns where the hosts that are registered with this one are to have their
 // requests of plain services scheduled. Each host schedules its own, which saves a message to the
-// owner and back, unless something has to be counted over all hosts.
+// owner and back, unless something has to be counted over all hosts, or may have to as far as this host knows.
 func (h *Host) wantedScheduling(now swclock.Millis) swmsg.Scheduling {
-	if h.strikes.Active(now) || h.limitsPlainTargets() || h.mixesPlainVersions(now) || now < swclock.Millis(h.adoptedUntil.Load()) {
+	if !h.pathProber.hasAsked() || h.strikes.Active(now) || h.limitsPlainTargets() || h.mixesPlainVersions(now) || now < swclock.Millis(h.adoptedUntil.Load()) {
 		return swmsg.SchedulingShared
 	}
 	return swmsg.SchedulingEach
@@ -28,11 +31,14 @@
 // replyScheduling tells a host that registered with this one if its scheduling is to change.
 func (h *Host) replyScheduling(from swlink.Peer, m *swmsg.Registration) {
 	now := h.clock.Now()
+	if m.Complete && (m.Age >= minChangeAge || now-h.started < youngAge) {
+		h.pathProber.askAll()
+	}
 	if m.Complete && m.Age >= minChangeAge {
 		h.refusalKeeper.Wake() // this host may have become the owner
 		h.originKeeper.Wake()
 	}
-	if m.Complete && m.Scheduling == swmsg.SchedulingShared {
+	if m.Complete && m.Age >= minChangeAge && m.Scheduling == swmsg.SchedulingShared {
 		h.adoptedUntil.Store(int64(now + adoptionTime))
 	}
 	wanted := h.wantedScheduling(now)
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -112,6 +112,8 @@
 	parts *swsuspect.Parts
 	// limits has the rate limits that targets named in answers to this host's requests.
 	limits *swlimit.Limiter
+	// brittle has the targets that end when they have to reject too many requests.
+	brittle *swlimit.Brittle
 	// origins records which software version began each stream.
 	origins *sworigin.Register
 	// originKeeper keeps origins in the store. It is nil until the host is registered.
@@ -171,7 +173,7 @@
 	h := &Host{
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
-		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), closed: swlimit.NewClosed(),
+		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), brittle: swlimit.NewBrittle(), closed: swlimit.NewClosed(),
 		origins: sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.pathProber = newPathProber(h)
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -33,12 +33,13 @@
 	members []swmember.Member
 	// zonesOfHosts has the availability zone of each member.
 	zonesOfHosts map[swid.HostID]swid.ZoneID
-	// plainShared is set while the owner of the shared cells schedules plain services too.
+	// plainShared is set while the owner of the shared cells schedules plain services too, and until an owner has told
+	// this process otherwise: something may have to be counted over all hosts.
 	plainShared bool
 }
 
 func newView(s *swsettings.Settings) *view {
-	return &view{settings: s, drained: make(map[swid.TargetID]drainedTarget)}
+	return &view{settings: s, drained: make(map[swid.TargetID]drainedTarget), plainShared: true}
 }
 
 // setTable makes t the current table of the configuration if t has a higher version
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -179,6 +179,16 @@
 	o.broadcast(holderDiedInput{swcell.HolderDied{Holder: peer.Host, Incarnation: peer.Incarnation}})
 }
 
+// HolderJoined reports to every cell that a holder has its requests scheduled by this owner.
+func (o *Owner) HolderJoined(holder swid.HostID) {
+	o.broadcast(eventInput{swcell.HolderJoined{Holder: holder}})
+}
+
+// HolderLeft reports to every cell that a holder has its requests scheduled by another owner.
+func (o *Owner) HolderLeft(holder swid.HostID) {
+	o.broadcast(eventInput{swcell.HolderLeft{Holder: holder}})
+}
+
 // TargetHeard reports to every cell that a target answered a host outside of an attempt.
 func (o *Owner) TargetHeard(target swid.TargetID, host swid.HostID) {
 	o.broadcast(eventInput{swcell.TargetHeard{Target: target, Host: host}})
--- a/internal/peer/swcodec/checker.go
+++ b/internal/peer/swcodec/checker.go
@@ -80,9 +80,15 @@
 	}
 	return swlimit.Statement{
 		Heard: true, PerSecond: requestRate(c, w.GetPerSecond()), Leaving: w.GetLeaving(), Pause: duration(c, "pauseMillis", w.GetPauseMillis()),
+		Brittle: w.GetBrittle(), MaxRejections: maxRejections(c, w.GetMaxRejections()),
 	}
 }
 
+func maxRejections(c *checker, value int64) int {
+	c.check("maxRejections", value >= 0)
+	return int(value)
+}
+
 // requestRate checks that a rate is a finite number and not negative.
 func requestRate(c *checker, perSecond float64) swid.RequestRate {
 	c.check("perSecond", perSecond >= 0 && !math.IsInf(perSecond, 0))
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -174,6 +174,7 @@
 		RateLimits: convert(w.GetRateLimits(), func(l *swpb.TargetRateLimit) swmsg.RateLimit {
 			return swmsg.RateLimit{
 				Target: target(c, l.GetTarget()), PerSecond: requestRate(c, l.GetPerSecond()), Age: duration(c, "ageMillis", l.GetAgeMillis()),
+				Brittle: l.GetBrittle(), MaxRejections: maxRejections(c, l.GetMaxRejections()),
 			}
 		}),
 	}
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -148,7 +148,10 @@
 		Cut:     encodeServices(m.Cut),
 		Reached: convert(m.Reached, func(t swid.TargetID) string { return string(t) }),
 		RateLimits: convert(m.RateLimits, func(l swmsg.RateLimit) *swpb.TargetRateLimit {
-			return &swpb.TargetRateLimit{Target: string(l.Target), PerSecond: float64(l.PerSecond), AgeMillis: int64(l.Age)}
+			return &swpb.TargetRateLimit{
+				Target: string(l.Target), PerSecond: float64(l.PerSecond), AgeMillis: int64(l.Age),
+				Brittle: l.Brittle, MaxRejections: int64(l.MaxRejections),
+			}
 		}),
 	}
 }
@@ -174,7 +177,10 @@
 	if !s.Heard {
 		return nil
 	}
-	return &swpb.RateLimit{PerSecond: float64(s.PerSecond), Leaving: s.Leaving, PauseMillis: int64(s.Pause)}
+	return &swpb.RateLimit{
+		PerSecond: float64(s.PerSecond), Leaving: s.Leaving, PauseMillis: int64(s.Pause),
+		Brittle: s.Brittle, MaxRejections: int64(s.MaxRejections),
+	}
 }
 
 func encodeReject(m swmsg.Reject) *swpb.GiveUp {
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -44,7 +44,8 @@
 	case swlimit.Statement:
 		if rapid.Bool().Draw(t, "heard") {
 			v.Set(reflect.ValueOf(swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(rapid.Float64Range(0, 1e6).Draw(t, "rate")), Leaving: rapid.Bool().Draw(t, "leaving"),
-				Pause: swclock.Millis(rapid.Int64Range(0, 1e6).Draw(t, "pause"))}))
+				Pause:   swclock.Millis(rapid.Int64Range(0, 1e6).Draw(t, "pause")),
+				Brittle: rapid.Bool().Draw(t, "brittle"), MaxRejections: rapid.IntRange(0, 1e6).Draw(t, "maxRejections")}))
 		}
 		return
 	case sworigin.Continuation:
@@ -98,7 +99,7 @@
 		v.SetString(rapid.StringN(1, 20, -1).Draw(t, "text"))
 	case reflect.Bool:
 		v.SetBool(rapid.Bool().Draw(t, "flag"))
-	case reflect.Int64:
+	case reflect.Int, reflect.Int64:
 		v.SetInt(rapid.Int64Min(0).Draw(t, "number"))
 	case reflect.Uint8:
 		v.SetUint(uint64(rapid.Uint8().Draw(t, "number")))
@@ -172,6 +173,7 @@
 		{"unknown scheduling", swmsg.SharedCells{Scheduling: swmsg.SchedulingShared + 1}, "scheduling"},
 		{"negative rate", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, PerSecond: -1}}, "perSecond"},
 		{"rate that is no number", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(math.NaN())}}, "perSecond"},
+		{"negative rejections", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, MaxRejections: -1}}, "maxRejections"},
 		{"limit without target", swmsg.Registration{RateLimits: []swmsg.RateLimit{{PerSecond: 1}}}, "target"},
 		{"many limits", swmsg.Registration{RateLimits: make([]swmsg.RateLimit, MaxRateLimits+1)}, "rateLimits"},
 		{"many streams", swmsg.Registration{Streams: slices.Repeat([]sworigin.Begun{{Stream: 1, Origin: sworigin.Origin{Service: "s"}}}, MaxBegunStreams+1)}, "begun"},
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -149,11 +149,15 @@
 	EndedAge   swclock.Millis
 }
 
-// RateLimit is the rate limit of a target, which an answer named Age ago.
+// RateLimit is what an answer said Age ago of the requests that a target takes.
 type RateLimit struct {
-	Target    swid.TargetID
+	Target swid.TargetID
+	// PerSecond is the rate limit, or 0 if there is none.
 	PerSecond swid.RequestRate
-	Age       swclock.Millis
+	// Brittle is set if the target ends when it has to reject more than MaxRejections requests in a second.
+	Brittle       bool
+	MaxRejections int
+	Age           swclock.Millis
 }
 
 // Scheduling is where a host's requests of plain services are scheduled.
--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -76,24 +76,25 @@
 	}, nil
 }
 
-// Probe sends a request on a new connection, which it closes. It returns nil if there is an answer, whatever it
-// says. If the request has no Target, it only opens the connection.
-func (p *Pool) Probe(ctx context.Context, r Request) error {
+// Probe sends a request on a new connection, which it closes. It returns the header of the answer, if there is one. If
+// the request has no Target, it only opens the connection.
+func (p *Pool) Probe(ctx context.Context, r Request) (http.Header, error) {
 	c, err := p.dial(ctx)
 	if err != nil {
-		return contextCauseOr(ctx, err)
+		return nil, contextCauseOr(ctx, err)
 	}
 	defer c.discard()
 	if r.Target == "" {
-		return nil
+		return nil, nil
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
 	defer stop()
 	c.send(r)
-	if _, err := c.receive(r); err != nil {
-		return contextCauseOr(ctx, err)
+	response, err := c.receive(r)
+	if err != nil {
+		return nil, contextCauseOr(ctx, err)
 	}
-	return nil
+	return response.Header, nil
 }
 
 // contextCauseOr returns the cause of the end of ctx, or err if ctx has not ended.
--- a/internal/target/swconn/swconn_test.go
+++ b/internal/target/swconn/swconn_test.go
@@ -423,7 +423,7 @@
 			pool := New(Config{Address: p.listener.Addr().String(), Clock: swclock.NewSystem(), DialTimeout: swclock.Second, MaxIdleTime: swclock.Minute})
 			for range 2 {
 				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-				err := pool.Probe(ctx, Request{Method: http.MethodGet, Target: "/", Host: "h"})
+				_, err := pool.Probe(ctx, Request{Method: http.MethodGet, Target: "/", Host: "h"})
 				cancel()
 				if (err == nil) != e.want {
 					t.Errorf("probe of a peer that %s: %v", e.name, err)
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -92,8 +92,9 @@
 
 // Prober is implemented by adapters that can find out whether their target can be reached.
 type Prober interface {
-	// Probe returns nil if the target answers on a new connection.
-	Probe(ctx context.Context) error
+	// Probe returns what the target says of the requests that it takes, and no error if it answers on a new
+	// connection.
+	Probe(ctx context.Context) (swlimit.Statement, error)
 }
 
 // Failure classifies errors by what they mean for the request.
