Test that sound targets may fall silent for a second

The test lets one target, half or all of those of a service fall silent for a second, four times, under requests that may run once and that may be repeated. A host asks silent targets on new connections, and takes itself for cut off only while it hears from none.

--- a/internal/node/swfleet/partitionedhosts_test.go
+++ b/internal/node/swfleet/partitionedhosts_test.go
@@ -96,6 +96,8 @@
 // sharedTarget is a target that all hosts reach through links of their own.
 type sharedTarget struct {
 	plain bool
+	// silence has the mode cutHang for all hosts while the target is silent.
+	silence *partition
 
 	mu sync.Mutex
 	// runs counts the runs of each request, ended is when the latest of them ended, and running counts those that
@@ -130,9 +132,19 @@
 	idle []time.Time
 }
 
+// mode returns how the connections of the host behave, and channels that are closed at the next change.
+func (l *linkedTarget) mode() (mode cutMode, link, target <-chan struct{}) {
+	mode, link = l.partition.mode(l.host)
+	silent, target := l.silence.mode(0)
+	if mode == 0 {
+		mode = silent
+	}
+	return mode, link, target
+}
+
 // connect takes an idle connection, or opens one. It returns an error if that is refused.
 func (l *linkedTarget) connect(ctx context.Context) error {
-	mode, _ := l.partition.mode(l.host)
+	mode, _, _ := l.mode()
 	l.mu.Lock()
 	for len(l.idle) > 0 && mode != cutReset && mode != cutLost {
 		last := l.idle[len(l.idle)-1]
@@ -197,16 +209,21 @@
 
 // Probe implements swtarget.Prober.
 func (l *linkedTarget) Probe(ctx context.Context) (swlimit.Statement, error) {
-	mode, _ := l.partition.mode(l.host)
-	switch mode {
-	case 0:
-		time.Sleep(2 * networkDelay)
-		return swlimit.Statement{Heard: true}, nil
-	case cutReset, cutRefuse:
-		return swlimit.Statement{}, errConnection
-	default:
-		<-ctx.Done()
-		return swlimit.Statement{}, ctx.Err()
+	for {
+		mode, link, target := l.mode()
+		switch mode {
+		case 0:
+			time.Sleep(2 * networkDelay)
+			return swlimit.Statement{Heard: true}, nil
+		case cutReset, cutRefuse:
+			return swlimit.Statement{}, errConnection
+		}
+		select {
+		case <-link:
+		case <-target:
+		case <-ctx.Done():
+			return swlimit.Statement{}, ctx.Err()
+		}
 	}
 }
 
@@ -224,7 +241,7 @@
 
 // muted reports whether nothing arrives.
 func (a *linkedAnswer) muted() bool {
-	mode, _ := a.link.partition.mode(a.link.host)
+	mode, _, _ := a.link.mode()
 	return mode == cutHang || mode == cutLost
 }
 
@@ -236,7 +253,7 @@
 		stalled = time.After(time.Until(a.limit))
 	}
 	for {
-		mode, changed := a.link.partition.mode(a.link.host)
+		mode, link, target := a.link.mode()
 		arriving := done
 		if mode == cutHang || mode == cutLost {
 			arriving = nil
@@ -250,7 +267,8 @@
 		select {
 		case <-arriving:
 			return nil
-		case <-changed:
+		case <-link:
+		case <-target:
 		case <-stalled:
 			return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errConnection}
 		case <-givenUp:
@@ -326,7 +344,7 @@
 	for id := range f.deployment.targets {
 		f.deployment.store.targets.update(string(id), func(t *swcatalog.Target) { t.Slots = t.Slots * max(size, usualSize) / usualSize })
 		f.targets[id] = &sharedTarget{
-			plain: strings.HasPrefix(string(id), "plain"), runs: make(map[swid.RequestID]int), ended: make(map[swid.RequestID]time.Time),
+			plain: strings.HasPrefix(string(id), "plain"), silence: newPartition(), runs: make(map[swid.RequestID]int), ended: make(map[swid.RequestID]time.Time),
 		}
 	}
 	f.hostAdapter = func(host int, id swid.TargetID) swtarget.Adapter {
--- /dev/null
+++ b/internal/node/swfleet/silenttargets_test.go
@@ -0,0 +1,83 @@
+package swfleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// silentSpan is how long a sound target may fall silent.
+	silentSpan = time.Second
+	// minServedInSilence is the share of the requests that has to be answered while sound targets fall silent.
+	minServedInSilence = 0.95
+)
+
+// silence lets targets fall silent for silentSpan, to all hosts.
+func (f *partitionedFleet) silence(targets []*sharedTarget) {
+	for _, t := range targets {
+		t.silence.set(cutHang, 0)
+	}
+	time.Sleep(silentSpan)
+	for _, t := range targets {
+		t.silence.set(0)
+	}
+}
+
+// TestSilentTargets guards against requests that are ended, or not served, because sound targets fall silent for a second.
+func TestSilentTargets(t *testing.T) {
+	cases := []struct {
+		name string
+		// share is the share of the targets of the service that fall silent together.
+		share float64
+	}{{"one target", 0}, {"half of the targets", 0.5}, {"all targets", 1}}
+	services := []struct {
+		name, prefix string
+		paths        []string
+	}{{"engines", "model", []string{"/model/x", "/stream/x"}}, {"plain", "plain", []string{"/plain/x", "/once/x"}}}
+	for _, size := range sizesOf(15) {
+		for _, s := range services {
+			for _, c := range cases {
+				t.Run(fmt.Sprint(size, " hosts, ", s.name, ", ", c.name), func(t *testing.T) {
+					clearPools()
+					synctest.Test(t, func(t *testing.T) {
+						defer clearPools()
+						f := newPartitionedFleet(t, size)
+						f.startAll()
+						f.observe(4)
+						ctx, stop := context.WithTimeout(context.Background(), 16*time.Second)
+						defer stop()
+						var callers sync.WaitGroup
+						f.load(ctx, s.paths, &callers)
+						time.Sleep(2 * time.Second)
+						f.setCounting(true)
+						for range 4 {
+							var targets []*sharedTarget
+							for id, target := range f.targets {
+								if strings.HasPrefix(string(id), s.prefix) {
+									targets = append(targets, target)
+								}
+							}
+							rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+							f.silence(targets[:max(int(c.share*float64(len(targets))), 1)])
+							time.Sleep(2 * time.Second)
+						}
+						f.setCounting(false)
+						<-ctx.Done()
+						callers.Wait()
+						f.killAll()
+						t.Logf("%d of %d served", f.sound.served, f.sound.sent)
+						if float64(f.sound.served) < minServedInSilence*float64(f.sound.sent) {
+							t.Errorf("%d of %d requests were served", f.sound.served, f.sound.sent)
+						}
+					})
+				})
+			}
+		}
+	}
+}
