--- a/internal/store/swrefusal/swrefusal_test.go
+++ b/internal/store/swrefusal/swrefusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -331,3 +332,35 @@
 		t.Error(err)
 	}
 }
+
+// TestStoredFormat checks that refusals are read by this build and the released one, whichever wrote them.
+func TestStoredFormat(t *testing.T) {
+	tests := []struct {
+		name   string
+		stored refusals
+		want   string
+	}{
+		{"nothing", refusals{}, `{"contents":[]}`},
+		{"contents and parts", refusals{
+			contents: []swsuspect.Content{{Fingerprint: 0x1f2e, Remaining: 4 * swclock.Second}},
+			parts: []swsuspect.PartCrashes{
+				{Parts: []swid.PrefixHash{0xa1, 0xb2}, Scope: 0x7, Apart: true, Count: 2, Needed: 3, Remaining: swclock.Minute},
+				{Parts: []swid.PrefixHash{0xc3}, Scope: 0x8, Count: 1, Needed: 1, Remaining: swclock.Second},
+			},
+		}, `{"contents":[{"content":"0000000000001f2e","remainingMillis":4000}],"parts":[` +
+			`{"parts":["a1","b2"],"scope":"7","apart":true,"count":2,"needed":3,"remainingMillis":60000},` +
+			`{"parts":["c3"],"scope":"8","count":1,"needed":1,"remainingMillis":1000}]}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			value, err := encode(&tt.stored)
+			if err != nil || string(value) != tt.want {
+				t.Errorf("encoded %s, %v, want %s", value, err, tt.want)
+			}
+			decoded, err := decode([]byte(tt.want))
+			if err != nil || !reflect.DeepEqual(decoded, tt.stored) {
+				t.Errorf("decoded %+v, %v, want %+v", decoded, err, tt.stored)
+			}
+		})
+	}
+}
