--- a/internal/peer/swlink/harness_test.go
+++ b/internal/peer/swlink/harness_test.go
@@ -124,6 +124,12 @@
 
 // start runs a node until the test ends or calls stop.
 func start(t testing.TB, d *directory, host swid.HostID, cfg Config, options ...Option) *node {
+	t.Helper()
+	return startWithClock(t, d, host, swclock.NewSystem(), cfg, options...)
+}
+
+// startWithClock is start with a clock of the test.
+func startWithClock(t testing.TB, d *directory, host swid.HostID, clock swclock.Clock, cfg Config, options ...Option) *node {
 	t.Helper()
 	n := &node{t: t, id: Peer{Host: host, Incarnation: 1}}
 	if cfg.Self.Incarnation > 0 {
@@ -141,7 +147,7 @@
 		return l
 	})
 	options = append([]Option{WithoutTLS(), wrap}, options...)
-	n.Network = New(cfg, swclock.NewSystem(), d.resolve, n, options...)
+	n.Network = New(cfg, clock, d.resolve, n, options...)
 	if err := n.Listen(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/swlink/swlink_test.go
+++ b/internal/peer/swlink/swlink_test.go
@@ -156,9 +156,12 @@
 	}
 }
 
+// TestUnreachableHost checks that a host is not dialled again within half of the delay after a failed dial, and is
+// after the whole of it.
 func TestUnreachableHost(t *testing.T) {
 	var d directory
-	a := start(t, &d, "a", Config{})
+	clock := &swclock.Manual{}
+	a := startWithClock(t, &d, "a", clock, Config{})
 	gone := &node{id: Peer{Host: "gone"}}
 	if !a.send(gone, 1) {
 		t.Fatal("the first message was refused")
@@ -167,7 +170,14 @@
 	if a.send(gone, 2) {
 		t.Error("a message was queued right after a failed dial")
 	}
-	eventually(t, "next dial", func() bool { return a.send(gone, 3) })
+	clock.Advance(minRetryDelay/2 - 1)
+	if a.send(gone, 3) {
+		t.Error("a message was queued before the delay after a failed dial")
+	}
+	clock.Advance(minRetryDelay/2 + 1)
+	if !a.send(gone, 4) {
+		t.Error("a message was refused after the delay after a failed dial")
+	}
 }
 
 func TestIdleLinkCloses(t *testing.T) {
