--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -28,8 +28,8 @@
 // Router selects the host that grant requests are sent to.
 type Router interface {
 	// Owner returns the host to send grant requests to. noRedirect is true if this
-	// host cannot use a better-ranked host: the receiver must then not redirect the
-	// grant request to that host.
+	// host passes over a better-ranked host that it cannot use, or not yet: the receiver must then not
+	// redirect the grant request to that host.
 	Owner(cell swid.CellID) (host swid.HostID, noRedirect bool)
 	// Doubt records that a host did not acknowledge a grant request in time.
 	Doubt(host swid.HostID)
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -118,12 +118,15 @@
 
 // Owner implements swholder.Router and swowner.Router. It returns the best-ranked
 // available host, or this host if no better-ranked one is available. noRedirect is set if
-// better-ranked hosts were skipped and all of them are known to be unavailable: the returned
+// better-ranked hosts were passed over and none of them may only be busy: the returned
 // host must then not redirect the grant request to one of them.
 func (r *HostRouter) Owner(cell swid.CellID) (host swid.HostID, noRedirect bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	choice := r.tracker(cell).Choose(r.availability)
+	choice := r.tracker(cell).Choose(r.availability, r.clock.Now())
+	if choice.Passed != "" {
+		r.log.Info().Str("cell", string(cell)).Str("owner", string(choice.Host)).Str("peer", string(choice.Passed)).Msg("owner kept")
+	}
 	return choice.Host, choice.NoRedirect
 }
 
--- a/internal/owner/swowner/swowner.go
+++ b/internal/owner/swowner/swowner.go
@@ -23,7 +23,8 @@
 // Router determines which host should own a cell, from this host's view of the members.
 type Router interface {
 	// Owner returns the best-ranked available host: one that is reachable, responsive and not leaving.
-	// noRedirect reports that all better-ranked hosts are known to be unavailable.
+	// While links come back after a cut it may return the one that was used before.
+	// noRedirect reports that better-ranked hosts are passed over, none of which may only be busy.
 	Owner(cell swid.CellID) (host swid.HostID, noRedirect bool)
 	// Doubt makes this host look for a sign of life of a host that may have fallen silent. Owner skips
 	// that host if it is overdue.
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -81,8 +81,8 @@
 	Fingerprint   swid.Fingerprint
 	Exclude       []swid.TargetID
 	NonIdempotent bool
-	// NoRedirect forbids the receiver to answer with a Redirect. The holder sets it if the hosts that
-	// should own the cell rather than the receiver are unavailable to the holder.
+	// NoRedirect forbids the receiver to answer with a Redirect. The holder sets it if it cannot use the hosts that
+	// should own the cell rather than the receiver, or not yet.
 	NoRedirect bool
 	// Strikes counts the request's earlier attempts that broke: the connection failed or the
 	// answer was invalid before it was complete. Each is a suspected crash caused by the request.
