Divide the slots of brittle targets among owners (LIMIT)

Cause: the owners on both sides of a cut between hosts granted all slots of a target that ends when it has to reject too many requests. Each owner now grants the slots of its own host and of the hosts registered with it; while all are registered with one, these are all slots. What a target has accepted is recorded when a run ends, also while the target is full.

--- a/internal/core/swquota/swquota.go
+++ b/internal/core/swquota/swquota.go
@@ -181,6 +181,17 @@
 	return l.admittedShare(now), l.countRegistered(now)
 }
 
+// Registered returns the hosts registered with this owner.
+func (l *Ledger) Registered(now swclock.Millis) map[swid.HostID]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	registered := make(map[swid.HostID]bool, l.countRegistered(now))
+	for host := range l.lastRegistration {
+		registered[host] = true
+	}
+	return registered
+}
+
 // countRegistered drops expired registrations and returns the number of hosts
 // registered with this owner. The caller must hold l.mu.
 func (l *Ledger) countRegistered(now swclock.Millis) int {
--- a/internal/core/swvalue/brittle.go
+++ b/internal/core/swvalue/brittle.go
@@ -25,8 +25,8 @@
 type occupancy struct {
 	// doubtedAt is when there was last a sign that the target may do so; 0 for never.
 	doubtedAt swclock.Millis
-	// accepted is the largest number of requests of this cell that the target has had at once since. As what else it runs
-	// only ends, it has room for as many.
+	// accepted is the largest number of requests of this cell that the target had at once since, when one of them ended.
+	// As what else it runs only ends, it has room for as many.
 	accepted int
 	// rejections has the instants of the latest rejections for lack of room.
 	rejections []swclock.Millis
@@ -35,6 +35,11 @@
 // doubt records a sign that the target may run more than is known.
 func (o *occupancy) doubt(now swclock.Millis) { o.doubtedAt, o.accepted = max(now, 1), 0 }
 
+// doubted reports whether the target may run more than is known.
+func (o *occupancy) doubted(now swclock.Millis) bool {
+	return o.doubtedAt > 0 && now-o.doubtedAt < occupancyTime
+}
+
 // recordRejection records that the target rejected a request for lack of room.
 func (o *occupancy) recordRejection(now swclock.Millis) {
 	o.doubt(now)
@@ -59,37 +64,57 @@
 	}
 }
 
-// acceptable returns how many more requests a target may be granted now, if it is brittle and it is not certain what it
-// runs: as many as it has had before, and beyond them as many as it may reject in a second, half of them while
-// another owner may grant it too.
+// acceptable returns how many more requests a target may be granted now, if it is brittle and other owners may grant it
+// too, or it is not certain what it runs. In the former case it is what is left of the slots that are this owner's. In
+// the latter it is as many as the target has had before, and beyond them as many as it may reject in a second, half of
+// them while another owner may grant it too.
 func (c *Cell[P, O]) acceptable(t *target) (n int, restricted bool) {
-	if t.occupancy.doubtedAt == 0 || c.now-t.occupancy.doubtedAt >= occupancyTime {
-		return 0, false
-	}
 	maxRejections, brittle := c.cfg.Brittle.MaxRejections(t.conf.ID)
 	if !brittle {
 		return 0, false
 	}
-	accepted, granted := 0, 0
+	granted, accepted := t.ownRuns(c.now)
+	n = c.cfg.Grantable(t.conf.ID, t.conf.Slots) - granted
+	if !t.occupancy.doubted(c.now) {
+		return max(n, 0), true
+	}
+	return max(min(n, max(t.occupancy.accepted, accepted)+c.rejectable(t, maxRejections)-granted), 0), true
+}
+
+// recordAccepted records how many requests of this cell a target has at once, before one of them ends.
+func (c *Cell[P, O]) recordAccepted(t *target) {
+	if _, brittle := c.cfg.Brittle.MaxRejections(t.conf.ID); !brittle || !t.occupancy.doubted(c.now) {
+		return
+	}
+	_, accepted := t.ownRuns(c.now)
+	t.occupancy.accepted = max(t.occupancy.accepted, accepted)
+}
+
+// ownRuns returns the number of runs that this owner schedules, and of those among them that the target has accepted.
+func (t *target) ownRuns(now swclock.Millis) (granted, accepted int) {
 	for _, r := range t.runs {
 		if r.elsewhere {
 			continue
 		}
 		granted++
-		if r.firstOutputAt > 0 || c.now-r.grantedAt >= acceptTime {
+		if r.firstOutputAt > 0 || now-r.grantedAt >= acceptTime {
 			accepted++
 		}
 	}
-	t.occupancy.accepted = max(t.occupancy.accepted, accepted)
-	rejectable := maxRejections
+	return granted, accepted
+}
+
+// rejectable returns how many requests a brittle target may have to reject now.
+func (c *Cell[P, O]) rejectable(t *target, maxRejections int) int {
+	n := maxRejections
 	if c.handoverAt > 0 && c.now-c.handoverAt < occupancyTime {
-		rejectable /= 2
+		n /= 2
 	}
-	rejectable = max(rejectable, minAcceptable)
+	n = max(n, minAcceptable)
 	for _, at := range t.occupancy.rejections {
 		if c.now-at < rejectionSpan {
-			rejectable--
+			n--
 		}
 	}
-	return max(t.occupancy.accepted+max(rejectable, 0)-granted, 0), true
+	return max(n, 0)
 }
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -79,6 +79,7 @@
 	if r.carrier != "" {
 		c.cfg.Carriers.Ended(r.carrier)
 	}
+	c.recordAccepted(r.target)
 	r.target.remove(r, c.now)
 	if r.apart {
 		delete(c.apart, r.grantRequest.Fingerprint)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -104,6 +104,9 @@
 	Brittle *swlimit.Brittle
 	// OnBrittle is called when an answer changed how many requests its target may have to reject.
 	OnBrittle func(swid.TargetID, swlimit.Statement)
+	// Grantable returns how many of the slots of a brittle target this cell may grant while other owners may grant the
+	// rest. Nil means all.
+	Grantable func(target swid.TargetID, slots int) int
 	// OnRateLimit is called when the rate limit of a target changes, 0 if it ends. It must not block.
 	OnRateLimit func(swid.TargetID, swid.RequestRate)
 	// OnProbing is called when a target comes to be probed, or no longer is. It must not block.
@@ -204,6 +207,9 @@
 	if c.OnBrittle == nil {
 		c.OnBrittle = func(swid.TargetID, swlimit.Statement) {}
 	}
+	if c.Grantable == nil {
+		c.Grantable = func(_ swid.TargetID, slots int) int { return slots }
+	}
 	if c.OnRateLimit == nil {
 		c.OnRateLimit = func(swid.TargetID, swid.RequestRate) {}
 	}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -134,6 +134,9 @@
 		return 0
 	}
 	free := t.unlimitedSlots(c.now)
+	if free < 1 {
+		return free
+	}
 	if n, restricted := c.acceptable(t); restricted {
 		free = min(free, n)
 	}
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -29,6 +29,7 @@
 		OnRateLimit:  func(t swid.TargetID, limit swid.RequestRate) { h.rateLimitChanged(cell, t, limit) },
 		Brittle:      h.brittle,
 		OnBrittle:    h.rejectionsRestricted,
+		Grantable:    h.grantableSlots,
 		OnStrikes:    func(c swvalue.StrikeChange) { h.strikesChanged(cell, c) },
 		OnProbing: func(p swvalue.ProbingChange) {
 			h.log.Info().Str("target", string(p.Target)).Str("cell", string(cell)).Bool("probing", p.Probing).Str("holder", string(p.Holder)).
@@ -158,6 +159,7 @@
 	h.router.SetMembers(h.view.Members())
 	h.retries.setHostCount(len(items))
 	h.ledger.SetHosts(len(items))
+	h.slotShares.setHosts(h.view.Members())
 	h.log.Info().Int("hosts", len(items)).Uint64("revision", uint64(latest(items))).Msg("hosts changed")
 	h.refreshOwner()
 }
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -114,6 +114,8 @@
 	limits *swlimit.Limiter
 	// brittle has the targets that end when they have to reject too many requests.
 	brittle *swlimit.Brittle
+	// slotShares divides the slots of brittle targets among the owners.
+	slotShares slotShares
 	// origins records which software version began each stream.
 	origins *sworigin.Register
 	// originKeeper keeps origins in the store. It is nil until the host is registered.
