--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -48,6 +48,7 @@
 		return
 	}
 	c.waiting = append(c.waiting, r)
+	c.queued.insert(ranked{r, idle, work, rank})
 }
 
 // charge charges the first attempt of a request to its organisation's quota; later
@@ -74,21 +75,56 @@
 	rank    float64
 }
 
-// queue returns the waiting requests that at least one target may run, the highest rank first.
-func (c *Cell[P, O]) queue() []ranked { return c.rankAll(c.waiting) }
+// queued is the order of the waiting requests as of an instant. Requests that have come since are inserted.
+type queued struct {
+	// entries has the requests that at least one target may run, the highest rank first.
+	entries []ranked
+	// until is when the order is computed anew, and listing the value of Cell.listing for which it was computed.
+	until   swclock.Millis
+	listing uint64
+}
+
+// ranksPerSecond bounds how often the ranks of waiting requests are computed, whatever their number.
+const ranksPerSecond = 50_000
 
-// rankAll returns those of the given requests that at least one target may run, the highest
-// rank first.
-func (c *Cell[P, O]) rankAll(requests []*request) []ranked {
-	queue := make([]ranked, 0, len(requests))
-	for _, r := range requests {
+// queue returns the waiting requests that at least one target may run, the highest rank first. If many requests
+// wait, the ranks may be some milliseconds old.
+func (c *Cell[P, O]) queue() []ranked {
+	q := &c.queued
+	if c.now < q.until && q.listing == c.listing {
+		return q.entries
+	}
+	q.entries = q.entries[:0]
+	for _, r := range c.waiting {
 		if idle, ok := c.idle(r); ok {
 			work := c.work(r, idle.uncached)
-			queue = append(queue, ranked{r, idle, work, c.rank(r, work, float64(c.now)+idle.first)})
+			q.entries = append(q.entries, ranked{r, idle, work, c.rank(r, work, float64(c.now)+idle.first)})
+		}
+	}
+	slices.SortStableFunc(q.entries, compareRanks)
+	q.until, q.listing = c.now+swclock.Millis(len(c.waiting))*swclock.Second/ranksPerSecond, c.listing
+	return q.entries
+}
+
+// compareRanks orders requests by rank, the highest first.
+func compareRanks(a, b ranked) int { return cmp.Compare(b.rank, a.rank) }
+
+// insert adds a request behind those of its rank.
+func (q *queued) insert(r ranked) {
+	i, _ := slices.BinarySearchFunc(q.entries, r.rank, func(e ranked, rank float64) int {
+		if e.rank >= rank {
+			return -1
 		}
+		return 1
+	})
+	q.entries = slices.Insert(q.entries, i, r)
+}
+
+// remove removes a request that no longer waits.
+func (q *queued) remove(r *request) {
+	if i := slices.IndexFunc(q.entries, func(e ranked) bool { return e.request == r }); i >= 0 {
+		q.entries = slices.Delete(q.entries, i, i+1)
 	}
-	slices.SortStableFunc(queue, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	return queue
 }
 
 // infeasible reports whether a request is to be rejected because it has waited for
@@ -213,20 +249,20 @@
 // review rejects the waiting requests that are infeasible, and those that no target may
 // run at present if they were requested noTargetTimeout ago or earlier.
 func (c *Cell[P, O]) review() {
-	queue := c.queue()
-	for i := 0; i < len(queue); {
-		q := queue[i]
-		wait, infeasible := c.infeasible(q.request, q.idle, queue)
+	c.queued.until = 0 // the typical rates may have changed
+	c.queue()
+	for i := 0; i < len(c.queued.entries); {
+		q := c.queued.entries[i]
+		wait, infeasible := c.infeasible(q.request, q.idle, c.queued.entries)
 		if !infeasible {
 			i++
 			continue
 		}
 		// A rejected request no longer delays the ones behind it.
-		queue = slices.Delete(queue, i, i+1)
 		c.remove(slices.Index(c.waiting, q.request))
 		c.reject(q.request, swcell.ReasonOverload, c.retryAfter(swclock.Millis(wait)))
 	}
-	if len(queue) == len(c.waiting) {
+	if len(c.queued.entries) == len(c.waiting) {
 		return
 	}
 	for _, r := range slices.Clone(c.waiting) {
@@ -261,39 +297,55 @@
 // dispatch grants waiting requests, the highest rank first, as long as targets have
 // free slots. A request keeps waiting if a target that is busy now is expected to answer
 // it better. It is offered the targets that have changed since it last declined, and all
-// targets again after reviewInterval. A request whose content was refused since it arrived is
+// targets again after outlookAge. A request whose content was refused since it arrived is
 // rejected.
 func (c *Cell[P, O]) dispatch() {
-	if len(c.waiting) == 0 || !c.anyFreeSlot() {
+	if len(c.waiting) == 0 {
+		return
+	}
+	open, latest := c.openTargets()
+	if len(open) == 0 {
 		return
 	}
-	due := slices.DeleteFunc(slices.Clone(c.waiting), func(r *request) bool { return !r.dueAfter(c.changes, c.now) })
-	for _, q := range c.rankAll(due) {
-		if !c.anyFreeSlot() {
-			return
+	c.queue()
+	for i := 0; i < len(c.queued.entries) && len(open) > 0; {
+		r := c.queued.entries[i].request
+		if !r.dueAfter(latest, c.now) {
+			i++
+			continue
 		}
-		r := q.request
 		if wait, refused := c.refused(r); refused {
 			c.remove(slices.Index(c.waiting, r))
 			c.reject(r, swcell.ReasonSuspect, wait)
 			continue
 		}
-		if o, ok := c.bestOffer(r); ok && !c.shouldWait(r, &o) {
+		if o, ok := c.bestOffer(r, open); ok && !c.shouldWait(r, &o) {
 			c.grant(r, &o)
+			open, latest = c.openTargets()
 			continue
 		}
 		if c.now >= r.offerAllAt {
-			r.offerAllAt = c.now + reviewInterval
+			r.offerAllAt = c.now + c.outlookAge()
 		}
 		r.declinedAt = c.changes
+		i++
 	}
 }
 
-// dueAfter reports whether a request has not declined all targets as they are now.
-func (r *request) dueAfter(changes uint64, now swclock.Millis) bool {
-	return r.declinedAt < changes || now >= r.offerAllAt
+// openTargets returns the targets with free slots, and the value of Cell.changes when one of them last changed.
+func (c *Cell[P, O]) openTargets() (open []*target, latest uint64) {
+	open = c.open[:0]
+	for _, t := range c.targets {
+		if c.freeSlots(t) > 0 {
+			open, latest = append(open, t), max(latest, t.changedAt)
+		}
+	}
+	c.open = open
+	return open, latest
 }
 
-func (c *Cell[P, O]) anyFreeSlot() bool {
-	return slices.ContainsFunc(c.targets, func(t *target) bool { return c.freeSlots(t) > 0 })
+// dueAfter reports whether a request has not declined all targets as they are now, of which one last changed
+// at a value of Cell.changes.
+func (r *request) dueAfter(latest uint64, now swclock.Millis) bool {
+	return r.declinedAt < latest || now >= r.offerAllAt
 }
--- a/internal/core/swvalue/load_size_test.go
+++ b/internal/core/swvalue/load_size_test.go
@@ -21,10 +21,23 @@
 	return p.Fastest.Cost(o)
 }
 
+// countingOrder is ByWorth, and counts the ranks that it computes.
+type countingOrder struct {
+	ByWorth
+	ranked *int
+}
+
+// Rank implements Order.
+func (o countingOrder) Rank(c *Candidate) float64 {
+	*o.ranked++
+	return o.ByWorth.Rank(c)
+}
+
 // crowdedCell is a cell in which requests wait although slow targets have free slots.
 type crowdedCell struct {
-	cell     *Cell[countingPlacement, ByWorth]
+	cell     *Cell[countingPlacement, countingOrder]
 	compared int
+	ranked   int
 	now      swclock.Millis
 	seq      swid.Seq
 	grants   []swcell.Grant
@@ -38,7 +51,7 @@
 // newCrowdedCell fills the fast half of the targets, and then adds waiting requests.
 func newCrowdedCell(waiting int) *crowdedCell {
 	c := &crowdedCell{now: 1}
-	c.cell = New(Config{Seed: 1}, countingPlacement{compared: &c.compared}, ByWorth{})
+	c.cell = New(Config{Seed: 1}, countingPlacement{compared: &c.compared}, countingOrder{ranked: &c.ranked})
 	conf := swcell.Configure{}
 	for i := range crowdedTargets {
 		conf.Targets = append(conf.Targets, swcell.Target{
@@ -116,6 +129,68 @@
 	}
 }
 
+// TestRanksOfACrowdedCell guards against an owner that ranks all waiting requests at each message, and so gets slower the more
+// requests wait.
+func TestRanksOfACrowdedCell(t *testing.T) {
+	for _, waiting := range []int{50, 200, 800} {
+		t.Run(fmt.Sprint(waiting, " requests wait"), func(t *testing.T) {
+			c := newCrowdedCell(waiting)
+			c.ranked = 0
+			const messages = 300
+			began := c.now
+			for range messages / 3 {
+				c.now++
+				c.progress()
+				c.end()
+				c.request()
+			}
+			// A request is ranked a few times when it comes.
+			limit := messages/3*4 + ranksPerSecond*int(c.now-began)/int(swclock.Second) + waiting
+			if c.ranked > limit {
+				t.Errorf("%d ranks for %d messages, want at most %d", c.ranked, messages, limit)
+			}
+		})
+	}
+}
+
+// BenchmarkBusyCell has a number of requests wait that come from many hosts and name the parts of their prompts.
+func BenchmarkBusyCell(b *testing.B) {
+	for _, waiting := range []int{0, 50, 450, 1000} {
+		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
+			c := newCrowdedCell(0)
+			c.fill(waiting)
+			b.ResetTimer()
+			for i := range b.N {
+				c.now += swclock.Millis(i % 2)
+				c.progress()
+				c.end()
+				c.fill(waiting)
+				if i%100 == 0 {
+					c.step(swcell.Tick{})
+				}
+			}
+		})
+	}
+}
+
+// fill adds requests until a number of them wait and half of the slots are taken, or one is rejected.
+func (c *crowdedCell) fill(waiting int) {
+	for before := -1; (len(c.cell.waiting) < waiting || len(c.grants) < crowdedTargets*crowdedSlots/2) && c.held() > before; {
+		before = c.held()
+		c.seq++
+		n := swid.PrefixHash(c.seq)
+		c.step(swcell.GrantRequest{
+			Key: swcell.Key{Holder: swid.HostID(fmt.Sprint("h", n%100)), Incarnation: 1, Seq: c.seq}, Attempt: 1,
+			PromptTokens: 2000, OutputTokens: 400, ExpectedTokens: 200, Fingerprint: swid.Fingerprint(n),
+			Deadline: c.now + 15*swclock.Second, Objective: c.now + 2*swclock.Second, Abandon: c.now + 4*swclock.Second,
+			Parts: []swcell.Part{{ID: n % 20, Tokens: 500}, {ID: 1000 + n%300, Tokens: 1000}, {ID: 100_000 + n, Tokens: 500}},
+		})
+	}
+}
+
+// held returns the number of requests that wait or run.
+func (c *crowdedCell) held() int { return len(c.cell.waiting) + len(c.grants) }
+
 func BenchmarkCrowdedCell(b *testing.B) {
 	for _, waiting := range []int{50, 200, 800} {
 		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -49,15 +49,23 @@
 
 // rank returns the rank of a request whose first output comes at the instant first.
 func (c *Cell[P, O]) rank(r *request, work, first float64) float64 {
-	candidate := Candidate{
+	c.candidate = Candidate{
 		Value: c.valueAt(r, first), Work: work, MeanWork: c.sizes.forTier(r.grantRequest.Tier).work.value, Waited: c.now - r.requestedAt,
 		Precedence: math.Pow(precedenceStep, -float64(r.grantRequest.OrgTier)),
 	}
-	return c.order.Rank(&candidate)
+	return c.order.Rank(&c.candidate)
 }
 
-// valueAt returns what an answer is worth whose first output comes at the instant first.
+// continuedShare is what an answer that goes on is worth, as a share of its value: if it is never finished, its caller
+// loses half of the value besides.
+const continuedShare = 1.5
+
+// valueAt returns what an answer is worth whose first output comes at the instant first. One that goes on is not late: its
+// caller has had the first output.
 func (c *Cell[P, O]) valueAt(r *request, first float64) float64 {
+	if r.grantRequest.Continuation.Continues {
+		return r.value * continuedShare
+	}
 	if r.grantRequest.Objective > 0 && first > float64(r.grantRequest.Objective) {
 		return r.value * c.cfg.LateShare
 	}
@@ -78,7 +86,8 @@
 const outlooksPerSecond = 2000
 
 // outlookAge returns the age up to which comparisons of all targets for a waiting request are
-// used: reviewInterval, or longer if many requests wait.
+// used, and how long a request that declined all targets is offered only those that have changed: reviewInterval, or
+// longer if many requests wait.
 func (c *Cell[P, O]) outlookAge() swclock.Millis {
 	return max(reviewInterval, swclock.Millis(len(c.waiting))*swclock.Second/outlooksPerSecond)
 }
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -70,25 +70,25 @@
 // Cost implements Placement.
 func (Random) Cost(o *Offer) float64 { return o.Random }
 
-// bestOffer returns the offer of least cost for a request, and false if no target that
-// may run it has a free slot and the memory for it. Until offerAllAt it considers only the
+// bestOffer returns the offer of least cost for a request among the targets with free slots, and false if none that
+// may run it has the memory for it. Until offerAllAt it considers only the
 // targets that have changed since the request declined the others.
-func (c *Cell[P, O]) bestOffer(r *request) (Offer, bool) {
+func (c *Cell[P, O]) bestOffer(r *request, open []*target) (Offer, bool) {
 	var found Offer
 	if c.runsElsewhere(r) {
 		return found, false
 	}
 	lowest := math.Inf(1)
-	for _, t := range c.targets {
+	for _, t := range open {
 		if c.now < r.offerAllAt && t.changedAt <= r.declinedAt {
 			continue
 		}
-		if c.freeSlots(t) <= 0 || !t.fitsMemory(tokens(&r.grantRequest)) || !c.mayRun(r, t) || !c.mayShare(r, t) {
+		if !t.fitsMemory(tokens(&r.grantRequest)) || !c.mayRun(r, t) || !c.mayShare(r, t) {
 			continue
 		}
-		o := c.offer(r, t)
-		if cost := c.placement.Cost(&o); cost < lowest {
-			lowest, found = cost, o
+		c.compared = c.offer(r, t)
+		if cost := c.placement.Cost(&c.compared); cost < lowest {
+			lowest, found = cost, c.compared
 		}
 	}
 	return found, found.target != nil
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -144,7 +144,11 @@
 	return slices.IndexFunc(c.waiting, func(r *request) bool { return r.grantRequest.Key == k })
 }
 
-func (c *Cell[P, O]) remove(i int) { c.waiting = slices.Delete(c.waiting, i, i+1) }
+// remove removes a waiting request by its index.
+func (c *Cell[P, O]) remove(i int) {
+	c.queued.remove(c.waiting[i])
+	c.waiting = slices.Delete(c.waiting, i, i+1)
+}
 
 func (c *Cell[P, O]) reject(r *request, reason swcell.RejectReason, after swclock.Millis) {
 	c.uncharge(&r.grantRequest, r.charged)
@@ -194,6 +198,7 @@
 func (c *Cell[P, O]) handleHolderDied(e swcell.HolderDied) {
 	died := func(k swcell.Key) bool { return k.Holder == e.Holder && k.Incarnation <= e.Incarnation }
 	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool { return died(r.grantRequest.Key) })
+	c.queued.entries = slices.DeleteFunc(c.queued.entries, func(q ranked) bool { return died(q.request.grantRequest.Key) })
 	for k, r := range c.running {
 		if died(k.key) && r.orphanedAt == 0 {
 			r.orphanedAt = max(c.now, 1)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -49,7 +49,13 @@
 	inflow       inflow
 	// waiting holds at most one attempt of each request, in order of arrival.
 	waiting []*request
-	running map[runKey]*run
+	queued  queued
+	// open is where openTargets builds its result. compared and candidate are what the placement and the order were
+	// last given: variables of their own would be allocated for each call.
+	open      []*target
+	compared  Offer
+	candidate Candidate
+	running   map[runKey]*run
 	// handoverAt is when a holder last came from another owner or went to one; 0 for never.
 	handoverAt swclock.Millis
 	// apart holds the run of each content that runs apart, see swsuspect.Register.RunsApart.
