--- a/internal/config/swcatalog/swcatalog_test.go
+++ b/internal/config/swcatalog/swcatalog_test.go
@@ -1,6 +1,7 @@
 package swcatalog
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -58,3 +59,39 @@
 		}
 	}
 }
+
+// TestJoinedServices checks which services have streams of each other after a change of the routes.
+func TestJoinedServices(t *testing.T) {
+	route := func(prefix string, services ...swid.ServiceID) Route {
+		r := Route{Name: prefix, Host: "h", Prefix: prefix, Kind: KindStream, Resumable: true}
+		for _, s := range services {
+			r.Shares = append(r.Shares, Share{Service: s, Weight: 1})
+		}
+		return r
+	}
+	plain := route("/x/", "b")
+	plain.Resumable = false
+	tests := []struct {
+		name        string
+		former, new []Route
+		want        [][]swid.ServiceID
+	}{
+		{"unchanged", []Route{route("/x/", "a"), route("/", "b")}, []Route{route("/", "b"), route("/x/", "a")}, nil},
+		{"moved", []Route{route("/x/", "a")}, []Route{route("/x/", "b")}, [][]swid.ServiceID{{"a", "b"}}},
+		{"split", []Route{route("/x/", "a")}, []Route{route("/x/", "a", "b")}, [][]swid.ServiceID{{"a", "b"}}},
+		{"no longer split", []Route{route("/x/", "a", "b")}, []Route{route("/x/", "b")}, [][]swid.ServiceID{{"a", "b"}}},
+		{"not resumable", []Route{route("/x/", "a")}, []Route{plain}, nil},
+		{"another host", []Route{{Host: "g", Prefix: "/x/", Shares: []Share{{Service: "a"}}}}, []Route{route("/x/", "b")}, nil},
+		{"added below another", []Route{route("/", "a")}, []Route{route("/", "a"), route("/x/", "b")}, [][]swid.ServiceID{{"a", "b"}}},
+		{"removed above another", []Route{route("/", "a"), route("/x/", "b")}, []Route{route("/", "a")}, [][]swid.ServiceID{{"a", "b"}}},
+		{"new paths", nil, []Route{route("/x/", "b")}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := NewTable(&Catalog{Routes: tt.new}).JoinedServices(NewTable(&Catalog{Routes: tt.former}))
+			if !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/config/swcatalog/table.go
+++ b/internal/config/swcatalog/table.go
@@ -58,6 +58,61 @@
 	return nil, false
 }
 
+// JoinedServices returns the groups of services whose streams may be continued at each other because t replaces a former
+// table: for each resumable route, its own services and those that ran the requests for its paths before.
+func (t *Table) JoinedServices(former *Table) [][]swid.ServiceID {
+	var joined [][]swid.ServiceID
+	join := func(r, before *Route) {
+		services := r.services()
+		for _, s := range before.services() {
+			if !slices.Contains(services, s) {
+				services = append(services, s)
+			}
+		}
+		if !r.Resumable || len(services) == min(len(r.Shares), len(before.Shares)) {
+			return
+		}
+		slices.Sort(services)
+		if !slices.ContainsFunc(joined, func(other []swid.ServiceID) bool { return slices.Equal(other, services) }) {
+			joined = append(joined, services)
+		}
+	}
+	own, formerOwn := t.routesByPaths(), former.routesByPaths()
+	for p, r := range own {
+		before, found := formerOwn[p]
+		if !found {
+			before, found = former.Route(p.host, p.prefix)
+		}
+		if found {
+			join(r, before)
+		}
+	}
+	// A route that is gone leaves its paths to one with a shorter prefix.
+	for p, before := range formerOwn {
+		if own[p] != nil {
+			continue
+		}
+		if r, found := t.Route(p.host, p.prefix); found {
+			join(r, before)
+		}
+	}
+	return joined
+}
+
+// routePaths are the paths of a route.
+type routePaths struct{ host, prefix string }
+
+func (t *Table) routesByPaths() map[routePaths]*Route {
+	routes := make(map[routePaths]*Route, len(t.catalog.Routes))
+	for i := range t.catalog.Routes {
+		r := &t.catalog.Routes[i]
+		if p := (routePaths{r.Host, r.Prefix}); routes[p] == nil {
+			routes[p] = r
+		}
+	}
+	return routes
+}
+
 // normaliseHost removes the port and converts the name to lower case, the form of Route.Host.
 func normaliseHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
@@ -94,3 +149,12 @@
 	}
 	return r.Shares[len(r.Shares)-1].Service
 }
+
+// services returns the services that receive the route's requests.
+func (r *Route) services() []swid.ServiceID {
+	services := make([]swid.ServiceID, len(r.Shares))
+	for i, s := range r.Shares {
+		services[i] = s.Service
+	}
+	return services
+}
--- a/internal/core/sworigin/register.go
+++ b/internal/core/sworigin/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -21,7 +22,7 @@
 const (
 	// VerdictUnknown means that nothing tells which version began the stream.
 	VerdictUnknown Verdict = iota
-	// VerdictPending means that the stored streams have not been read since the question came up.
+	// VerdictPending means that the store has not been read since the question came up.
 	VerdictPending
 	// VerdictKnown means that the origin is known.
 	VerdictKnown
@@ -43,8 +44,9 @@
 	unsaved []Begun
 	// serving maps each service to the origins that a stream may have which is continued there.
 	serving map[swid.ServiceID]map[Origin]served
-	// versionsLoaded is set once the stored versions have been read.
-	versionsLoaded bool
+	// confirmedAt is the latest instant as of which serving has all origins that the store knows of, and
+	// unconfirmedAt when the latest question came up that needs a later one.
+	confirmedAt, unconfirmedAt swclock.Millis
 	// loadedAt is the start of the latest complete reading of the stored streams, and wantedAt that of the latest
 	// question for one that is not known.
 	loadedAt, wantedAt swclock.Millis
@@ -69,7 +71,7 @@
 func NewRegister(capacity int) *Register {
 	return &Register{
 		capacity: capacity, streams: make(map[Stream]record), serving: make(map[swid.ServiceID]map[Origin]served),
-		loadedAt: -1, wantedAt: -1,
+		confirmedAt: -1, unconfirmedAt: -1, loadedAt: -1, wantedAt: -1,
 	}
 }
 
@@ -128,8 +130,9 @@
 }
 
 // Resolve returns the origin of a stream that is to be continued at a service. askedAt is when the question
-// came up. current is set if the list of targets is that of the store.
-func (r *Register) Resolve(service swid.ServiceID, s Stream, askedAt, now swclock.Millis, current bool) (Origin, Verdict) {
+// came up. A single origin that is known of the service is the stream's only if the store has confirmed since
+// then that there is no other: a host that was out of step for a while may lack those that came meanwhile.
+func (r *Register) Resolve(service swid.ServiceID, s Stream, askedAt, now swclock.Millis) (Origin, Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if found, known := r.streams[s]; known && found.until > now {
@@ -139,21 +142,47 @@
 		return found.origin, VerdictKnown
 	}
 	possible := r.possible(service, now)
+	confirmed := r.confirmedAt >= askedAt
 	switch {
-	case r.versionsLoaded && current && len(possible) == 1:
+	case len(possible) <= 1 && !confirmed:
+		r.unconfirmedAt = max(r.unconfirmedAt, askedAt)
+		return Origin{}, VerdictPending
+	case len(possible) == 1:
 		return possible[0], VerdictKnown
-	case s == 0 && r.versionsLoaded, r.loadedAt >= askedAt, !current:
+	case len(possible) == 0, s == 0, r.loadedAt >= askedAt:
 		return Origin{}, VerdictUnknown
 	}
 	r.wantedAt = max(r.wantedAt, askedAt)
 	return Origin{}, VerdictPending
 }
 
-// Wanted reports whether the stored streams are to be read, because one was asked for that is not known.
-func (r *Register) Wanted() bool {
+// Wanted reports what is to be read from the store, because a stream was asked for that is not known:
+// a confirmation of the origins of each service, and the stored streams.
+func (r *Register) Wanted(now swclock.Millis) (confirmation, streams bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.wantedAt > r.loadedAt
+	confirmation = r.unconfirmedAt > r.confirmedAt
+	// What is confirmed may turn out to be one of several origins.
+	streams = r.wantedAt > r.loadedAt || r.unconfirmedAt > r.loadedAt && r.anyMixed(now)
+	return confirmation, streams
+}
+
+// anyMixed reports whether the streams of any service may have different origins. r.mu must be held.
+func (r *Register) anyMixed(now swclock.Millis) bool {
+	for service := range r.serving {
+		if r.mixed(service, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Confirm records that all origins which the store knew of at an instant have been passed to SetServing and
+// LoadVersions.
+func (r *Register) Confirm(at swclock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmedAt = max(r.confirmedAt, at)
 }
 
 // Load adds stored streams, of a reading that began at an instant.
@@ -166,8 +195,9 @@
 	r.loadedAt = max(r.loadedAt, startedAt)
 }
 
-// SetServing replaces the origins that each service's streams may have now.
-func (r *Register) SetServing(current map[swid.ServiceID][]Origin, now swclock.Millis) {
+// SetServing replaces the origins that each service's streams may have now, and reports whether there is one
+// that was not known.
+func (r *Register) SetServing(current map[swid.ServiceID][]Origin, now swclock.Millis) (added bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, origins := range r.serving {
@@ -177,11 +207,13 @@
 			}
 		}
 	}
+	before := r.changes
 	for service, origins := range current {
 		for _, o := range origins {
 			r.serve(service, o, served{now: true}, now)
 		}
 	}
+	return r.changes != before
 }
 
 // LoadVersions adds the stored origins of each service.
@@ -193,7 +225,29 @@
 			r.serve(service, o, served{until: now + MaxRetention}, now)
 		}
 	}
-	r.versionsLoaded = true
+}
+
+// Join records that streams which any of the services began may from now on be continued at any other, as a route
+// was moved from one to another.
+func (r *Register) Join(services []swid.ServiceID, now swclock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, from := range services {
+		for o, s := range maps.Clone(r.serving[from]) {
+			until := s.until
+			if s.now {
+				until = now + MaxRetention
+			}
+			if until <= now {
+				continue
+			}
+			for _, to := range services {
+				if known, found := r.serving[to][o]; !found || !known.now && known.until < until {
+					r.serve(to, o, served{until: until}, now)
+				}
+			}
+		}
+	}
 }
 
 // serve records an origin of a service. What makes the service a mixed one makes the streams known so far
@@ -208,13 +262,13 @@
 	if known && before.now {
 		return
 	}
-	wasMixed := r.mixed(o.Service, now)
+	wasMixed := r.mixed(service, now)
 	origins[o] = s
 	if !known {
 		r.changes++
 	}
-	if !wasMixed && r.mixed(o.Service, now) {
-		r.unsave(o.Service, now)
+	if !wasMixed && r.mixed(service, now) {
+		r.unsave(service, now)
 	}
 }
 
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -26,7 +26,7 @@
 // exceeds its organisation's quota, or if it is infeasible.
 func (c *Cell[P, O]) admit(r *request) {
 	idle, ok := c.idle(r)
-	if !ok && !r.awaitsOrigin() {
+	if !ok && !r.awaitsOrigin() && !c.awaitsVersion(r) {
 		c.reject(r, swcell.ReasonNoTarget, c.retryAfter(minRetryAfter))
 		return
 	}
--- a/internal/core/swvalue/origin.go
+++ b/internal/core/swvalue/origin.go
@@ -11,7 +11,7 @@
 const (
 	// originTimeout is how long a request waits at most until it is found out which software version began the
 	// stream that it continues.
-	originTimeout = 500 * swclock.Millis(1)
+	originTimeout = swclock.Second
 	// versionDoubtTime is how long after a sign that a target has ended its software version is in doubt, unless
 	// it is listed as started anew or shows that it still is the same process: an engine may be back under its
 	// id at another version before it is listed as such.
@@ -26,11 +26,12 @@
 		return 0
 	}
 	if !r.origin.Known() {
-		origin, verdict := c.cfg.Origins.Resolve(c.cfg.Service, continuation.Stream, r.requestedAt, c.now, c.cfg.ListCurrent())
+		origin, verdict := c.cfg.Origins.Resolve(c.cfg.Service, continuation.Stream, r.requestedAt, c.now)
+		r.originPending = verdict == sworigin.VerdictPending
 		switch {
 		case verdict == sworigin.VerdictKnown:
 			r.origin = origin
-		case verdict == sworigin.VerdictPending && c.now-r.requestedAt < originTimeout:
+		case r.originPending && c.now-r.requestedAt < originTimeout && c.cfg.StoreReachable():
 			c.awaitsOrigins = true
 			c.cfg.OnOriginWanted()
 			return 0
@@ -64,6 +65,15 @@
 	}
 }
 
+// awaitsVersion reports whether the request may run on a target once it is certain which version that has.
+func (c *Cell[P, O]) awaitsVersion(r *request) bool {
+	return c.isMixed() && slices.ContainsFunc(c.targets, func(t *target) bool {
+		continues := r.grantRequest.Continuation.Continues
+		fits := continues && c.originOf(t) == r.origin || !continues && r.grantRequest.Resumable
+		return fits && t.active() && t.versionInDoubt(c.now) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID)
+	})
+}
+
 // isMixed reports whether the cell's service may have streams of several software versions.
 func (c *Cell[P, O]) isMixed() bool {
 	if c.mixedAt != c.now || c.mixedListing != c.listing {
@@ -87,10 +97,10 @@
 	}
 }
 
-// rejectWithoutOrigin rejects a request that cannot be continued.
+// rejectWithoutOrigin rejects a request that cannot be continued, or not before the store has been read.
 func (c *Cell[P, O]) rejectWithoutOrigin(r *request, reason swcell.RejectReason) {
 	wait := swclock.Millis(0)
-	if reason == swcell.ReasonVersionUnknown && !c.cfg.ListCurrent() {
+	if reason == swcell.ReasonVersionUnknown && r.originPending {
 		wait = c.retryAfter(minRetryAfter)
 	}
 	c.reject(r, reason, wait)
--- /dev/null
+++ b/internal/core/swvalue/origin_test.go
@@ -0,0 +1,107 @@
+package swvalue
+
+import (
+	"testing"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
+)
+
+// TestContinuesAfterDoubt guards against the rejection of streams that may go on a moment later: all targets of their version
+// have just broken off other streams, and one of them shows that it did not end.
+func TestContinuesAfterDoubt(t *testing.T) {
+	first, second := sworigin.Origin{Service: "s", Version: "v1"}, sworigin.Origin{Service: "s", Version: "v2"}
+	for _, continues := range []bool{true, false} {
+		register := sworigin.NewRegister(100)
+		register.SetServing(map[swid.ServiceID][]sworigin.Origin{"s": {first, second}}, 0)
+		b := &harness{cell: New(Config{Service: "s", Origins: register}, Fastest{}, ByWorth{}), now: 1000}
+		b.step(swcell.Configure{Targets: []swcell.Target{
+			{ID: "a", State: swcell.TargetActive, Slots: 2, Version: first.Version},
+			{ID: "b", State: swcell.TargetActive, Slots: 2, Version: first.Version},
+			{ID: "c", State: swcell.TargetActive, Slots: 2, Version: second.Version},
+		}})
+		run := func(exclude ...swid.TargetID) swcell.Grant {
+			g, granted := grantOf(b.step(b.newGrantRequest(func(r *swcell.GrantRequest) { r.Resumable, r.Exclude = true, exclude })))
+			if !granted {
+				t.Fatal("a stream was not granted")
+			}
+			return g
+		}
+		broken := []swcell.Grant{run("b", "c"), run("a", "c")}
+		going := run("a", "c")
+		b.now += 50
+		b.step(swcell.Progress{Key: going.Key, Attempt: going.Attempt, Produced: 5})
+		b.now += 50
+		for _, g := range broken {
+			b.step(swcell.Done{Key: g.Key, Attempt: g.Attempt, Target: g.Target, Result: swcell.ResultBroken})
+		}
+		b.now += 10
+		request := b.newGrantRequest(func(r *swcell.GrantRequest) {
+			r.Resumable, r.Exclude = true, []swid.TargetID{"c"}
+			if continues {
+				r.Exclude, r.Continuation = nil, sworigin.Continuation{Continues: true, Stream: 7, Origin: first}
+			}
+		})
+		for _, a := range b.step(request) {
+			t.Errorf("continues: %t: %#v while the version of all targets is in doubt", continues, a)
+		}
+		b.now += 50
+		if g, granted := grantOf(b.step(swcell.Progress{Key: going.Key, Attempt: going.Attempt, Produced: 10})); !granted || g.Target != "b" {
+			t.Errorf("continues: %t: granted %t at %q, want b, which works on an earlier run", continues, granted, g.Target)
+		}
+	}
+}
+
+// TestContinuationPrecedes guards against streams that are taken up and rank behind new ones, as their own objective has
+// passed or the new ones are as valuable: their callers have had the first output.
+func TestContinuationPrecedes(t *testing.T) {
+	first := sworigin.Origin{Service: "s", Version: "v1"}
+	tests := []struct {
+		name            string
+		continues, late bool
+		// wantNew is set if the new request is to be granted first.
+		wantNew bool
+	}{
+		{"late", true, true, false},
+		{"in time, after the new one", true, false, false},
+		{"late, but no continuation", false, true, true},
+		{"no continuation, after the new one", false, false, true},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			register := sworigin.NewRegister(100)
+			register.SetServing(map[swid.ServiceID][]sworigin.Origin{"s": {first}}, 0)
+			b := &harness{cell: New(Config{Service: "s", Origins: register}, Fastest{}, ByWorth{}), now: 1000}
+			b.step(swcell.Configure{Targets: []swcell.Target{{ID: "a", State: swcell.TargetActive, Slots: 1, Version: first.Version}}})
+			running, _ := grantOf(b.step(b.newGrantRequest(nil)))
+			send := func(continues, late bool) swcell.Key {
+				request := b.newGrantRequest(func(r *swcell.GrantRequest) {
+					r.Objective = b.now + 9000
+					if late {
+						r.Objective = b.now + 10
+					}
+					if continues {
+						r.Continuation = sworigin.Continuation{Continues: true, Stream: 7, Origin: first}
+					}
+				})
+				b.step(request)
+				return request.Key
+			}
+			var taken, fresh swcell.Key
+			if e.late {
+				taken = send(e.continues, true)
+				b.now += 100
+				fresh = send(false, false)
+			} else {
+				fresh = send(false, false)
+				b.now += 100
+				taken = send(e.continues, false)
+			}
+			g, granted := grantOf(b.end(running, swcell.ResultAnswered))
+			if got := g.Key == fresh; !granted || got != e.wantNew {
+				t.Errorf("granted %t to request %d, of %d (taken up) and %d (new)", granted, g.Key.Seq, taken.Seq, fresh.Seq)
+			}
+		})
+	}
+}
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -26,6 +26,8 @@
 
 	// origin is that of the stream which the request continues, once it is known.
 	origin sworigin.Origin
+	// originPending is set while the store has not been read for the origin.
+	originPending bool
 	// unreached is the result of needsCarrier at an instant and a number of changes.
 	unreached    bool
 	reachAt      swclock.Millis
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -123,8 +123,8 @@
 	Service swid.ServiceID
 	// Origins records which software version began each stream. Nil gives the cell a register of its own.
 	Origins *sworigin.Register
-	// ListCurrent reports whether the list of targets is that of the platform. Nil means that it is.
-	ListCurrent func() bool
+	// StoreReachable reports whether the store can be asked for the origins of streams. Nil means that it can.
+	StoreReachable func() bool
 	// OnOriginWanted is called while a request waits for the origin of its stream. It must not block.
 	OnOriginWanted func()
 	// Carriers picks the hosts that carry requests. Nil means that none is carried.
@@ -231,8 +231,8 @@
 	if c.Carriers == nil {
 		c.Carriers = noCarriers{}
 	}
-	if c.ListCurrent == nil {
-		c.ListCurrent = func() bool { return true }
+	if c.StoreReachable == nil {
+		c.StoreReachable = func() bool { return true }
 	}
 	if c.OnOriginWanted == nil {
 		c.OnOriginWanted = func() {}
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -143,12 +143,14 @@
 	return a.origin
 }
 
-// expectedStart returns the start of the target that the attempt is for, or 0 for any. Where streams may have several
-// origins, one that may be continued is not sent to another start than the listed one: that may have another version.
+// expectedStart returns the start of the target that the attempt is for, or 0 for any. A stream that is continued, and
+// where streams may have several origins also one that may be, is not sent to another start than the listed one: that
+// may have another version.
 func (a *attempt) expectedStart() int64 {
 	r, c := a.held.request, &a.held.holder.config
-	continuable := r.Stream != 0 || r.Continuation.Continues || r.ResumeElsewhere
-	if !continuable || c.Origins == nil || !c.Origins.Mixed(a.origin.Service, c.Clock.Now()) {
+	continued := r.Continuation.Continues || a.lastEventID != ""
+	continuable := r.Stream != 0 || r.ResumeElsewhere
+	if c.Origins == nil || !continued && (!continuable || !c.Origins.Mixed(a.origin.Service, c.Clock.Now())) {
 		return 0
 	}
 	return a.born
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -41,7 +41,7 @@
 		OthersSchedule: func() bool { return h.view.scheduledByEachHost(cell) },
 		Service:        swelect.Service(cell),
 		Origins:        h.origins,
-		ListCurrent:    h.storeReachable,
+		StoreReachable: h.storeReachable,
 		OnOriginWanted: h.originKeeper.Wake,
 		Carriers:       h.carriers,
 	}
@@ -59,10 +59,13 @@
 // catalogChanged applies a configuration if its version is higher than the current one.
 func (h *Host) catalogChanged(items []swwatch.Item[*swcatalog.Catalog]) {
 	for _, item := range items {
-		table := swcatalog.NewTable(item.Value)
+		table, former := swcatalog.NewTable(item.Value), h.view.currentTable()
 		if !h.view.setTable(table) {
 			continue
 		}
+		if former != nil {
+			h.joinOrigins(table.JoinedServices(former))
+		}
 		h.ledger.Configure(h.quotasOf(item.Value))
 		h.gate.Configure(table)
 		h.updateServing()
--- a/internal/node/swfleet/origins.go
+++ b/internal/node/swfleet/origins.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
@@ -13,14 +15,36 @@
 // loadOrigins reads which software versions have served, before the first request.
 func (h *Host) loadOrigins(ctx context.Context) {
 	h.originKeeper = sworiginlog.New(sworiginlog.Config{
-		Objects: h.platform.Streams(), Register: h.origins, Clock: h.clock, Owner: h.isOwner, Reachable: h.storeReachable, Log: h.log,
+		Objects: h.platform.Streams(), Register: h.origins, Clock: h.clock, Owner: h.isOwner, Reachable: h.storeReachable,
+		Refresh: h.refreshLists, ReregisterWithin: h.settings.Fleet.ReregisterWithin, Log: h.log,
 	})
 	h.originKeeper.Step(ctx)
 }
 
 // updateServing passes on which origins the streams of each service may have from now on.
 func (h *Host) updateServing() {
-	h.origins.SetServing(h.view.continuable(), h.clock.Now())
+	if h.origins.SetServing(h.view.continuable(), h.clock.Now()) {
+		h.originKeeper.Wake()
+	}
+}
+
+// joinOrigins records that streams of each group of services may be continued at any service of the group, since routes were
+// moved between them.
+func (h *Host) joinOrigins(groups [][]swid.ServiceID) {
+	for _, services := range groups {
+		h.origins.Join(services, h.clock.Now())
+		h.log.Info().Interface("services", services).Uint64("configVersion", uint64(h.view.currentTable().Catalog().Version)).
+			Msg("streams of services may be continued at each other")
+		h.originKeeper.Wake()
+	}
+}
+
+// refreshLists reads the configuration and the targets, from which updateServing takes the origins.
+func (h *Host) refreshLists(ctx context.Context) error {
+	refreshing := pool.New().WithErrors().WithFirstError().WithContext(ctx)
+	refreshing.Go(h.catalogs.Refresh)
+	refreshing.Go(h.targets.Refresh)
+	return refreshing.Wait()
 }
 
 // mixesPlainVersions reports whether streams of a plain service may have several origins, so that they have to
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -80,6 +80,7 @@
 	fleet     *simulatedFleet
 	number    int
 	processor *processor
+	store     *storePath
 	// current is nil while the host is down.
 	current atomic.Pointer[Host]
 	stop    context.CancelFunc
@@ -107,7 +108,7 @@
 func (f *simulatedFleet) addHosts(size int) {
 	for i := range size {
 		f.hosts = append(f.hosts, &simulatedHost{
-			fleet: f, number: i, processor: &processor{share: shareOf(i), freeAt: time.Now()},
+			fleet: f, number: i, processor: &processor{share: shareOf(i), freeAt: time.Now()}, store: newStorePath(),
 		})
 	}
 }
@@ -426,3 +427,47 @@
 		}
 	}
 }
+
+// TestHealedCut guards against hosts that own the shared cells for a moment after a cut between hosts, because links to
+// them come back before those to better-ranked ones.
+func TestHealedCut(t *testing.T) {
+	const (
+		// cutSpan is long enough for 300 hosts to find the owner of either side.
+		cutSpan  = 20 * time.Second
+		interval = 20 * time.Millisecond
+		settled  = 4 * time.Second
+	)
+	for _, size := range sizesOf(15, 100) {
+		t.Run(fmt.Sprint(size, " hosts"), func(t *testing.T) {
+			clearPools()
+			synctest.Test(t, func(t *testing.T) {
+				defer clearPools()
+				f := newSimulatedFleet(t, size)
+				f.startAll()
+				f.observe(6)
+				f.cutInTwo(cutSpan)
+				former := f.owners()
+				later := make(map[swid.HostID]bool)
+				for range settled / interval {
+					time.Sleep(interval)
+					for owner := range f.owners() {
+						if _, owned := former[owner]; !owned {
+							later[owner] = true
+						}
+					}
+				}
+				t.Logf("%d owners when the cut ends, %d others after", len(former), len(later))
+				if len(former) != 2 {
+					t.Errorf("%d owners during the cut, want one on either side", len(former))
+				}
+				if len(later) > 0 {
+					t.Errorf("%d further hosts owned the shared cells after the cut", len(later))
+				}
+				if owners := f.owners(); len(owners) != 1 {
+					t.Errorf("%d owners %v after the cut, want 1", len(owners), settled)
+				}
+				f.killAll()
+			})
+		})
+	}
+}
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -56,6 +56,8 @@
 	// era counts the calls of setBack. calls counts those for values and streams.
 	era   swobject.Era
 	calls int
+	// kept is what keepCopy kept.
+	kept keptCopy
 }
 
 func newFakeStore() *fakeStore {
@@ -452,6 +454,13 @@
 	return slices.ContainsFunc(r.lines, func(l map[string]any) bool { return l["message"] == message })
 }
 
+// hasRequest reports whether the end of a request was logged.
+func (r *logRecorder) hasRequest(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.lines, func(l map[string]any) bool { return l["requestId"] == id })
+}
+
 // testHost is a running host.
 type testHost struct {
 	fleet    *Host
@@ -651,6 +660,11 @@
 // sendRequest sends a request and returns the status and body of the answer. Without
 // an answer it returns status 0 and the error's text.
 func (d *deployment) sendRequest(h *testHost, path, id, key string) (int, string) {
+	return d.sendRequestWith(d.client, h, path, id, key)
+}
+
+// sendRequestWith is like sendRequest, with the connections of a client.
+func (d *deployment) sendRequestWith(client *http.Client, h *testHost, path, id, key string) (int, string) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+h.settings.Caller.Address+path, strings.NewReader("body of "+id))
 	if err != nil {
 		d.t.Error(err)
@@ -658,7 +672,7 @@
 	}
 	request.Header.Set("Id", id)
 	request.Header.Set("Key", key)
-	response, err := d.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/internal/node/swfleet/streamversions_test.go
+++ b/internal/node/swfleet/streamversions_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,7 +35,7 @@
 	longStreamEvents = 18
 	// engineCrashInterval is the mean time between two crashes of engines.
 	engineCrashInterval = 1200 * time.Millisecond
-	// streamInterval is the time between two new streams.
+	// streamInterval is the usual time between two new streams.
 	streamInterval = 25 * time.Millisecond
 	// streamTries bounds the tries of a client at one stream.
 	streamTries = 4
@@ -201,25 +202,36 @@
 	resumedAnywhere beginnings
 	// nameless is set if clients do not say which try began their stream.
 	nameless bool
+	// retryPause is the pause of clients after their first try, which doubles with each further one.
+	retryPause time.Duration
+	// byID has the engines.
+	byID map[swid.TargetID]*versionedEngine
+	// streamInterval is the time between two new streams.
+	streamInterval time.Duration
+	// pick, if not nil, returns the host for a try that takes a stream up, or for the first one.
+	pick func(resumes bool) *simulatedHost
+	// outOfStep is a host of which nothing is expected.
+	outOfStep atomic.Pointer[simulatedHost]
 }
 
 func newVersionedFleet(t *testing.T, size int) *versionedFleet {
-	f := &versionedFleet{simulatedFleet: newMixedFleet(t, size)}
+	f := &versionedFleet{simulatedFleet: newMixedFleet(t, size), retryPause: 20 * time.Millisecond, streamInterval: streamInterval}
 	c := *f.deployment.store.catalogs.items["main"].Value
 	stream := c.Routes[0]
 	stream.Name, stream.Prefix, stream.Kind, stream.Resumable = "resumable", "/resumable/", swcatalog.KindStream, true
 	c.Routes = append(c.Routes, stream)
 	c.Version++
 	f.deployment.store.catalogs.put("main", &c)
-	byID := make(map[swid.TargetID]*versionedEngine)
+	f.byID = make(map[swid.TargetID]*versionedEngine)
 	for i := range 8 {
 		e := &versionedEngine{id: swid.TargetID(fmt.Sprint("model-", i)), fleet: f.simulatedFleet, version: "v1", born: 1, crashed: make(chan struct{})}
-		f.engines = append(f.engines, e)
-		byID[e.id] = e
+		f.addEngine(e)
 		e.list(func(t *swcatalog.Target) { t.Version = e.version })
 	}
 	f.adapter = func(id swid.TargetID) swtarget.Adapter {
-		if e := byID[id]; e != nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if e := f.byID[id]; e != nil {
 			return e
 		}
 		return f.deployment.targets[id]
@@ -227,6 +239,13 @@
 	return f
 }
 
+func (f *versionedFleet) addEngine(e *versionedEngine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines = append(f.engines, e)
+	f.byID[e.id] = e
+}
+
 // setVersion gives each second engine a version before the fleet starts.
 func (f *versionedFleet) setVersion(version swid.SoftwareVersion) {
 	for _, e := range f.everySecond() {
@@ -251,7 +270,10 @@
 
 // serving returns the number of engines that serve at a version.
 func (f *versionedFleet) serving(version swid.SoftwareVersion) (n int) {
-	for _, e := range f.engines {
+	f.mu.Lock()
+	engines := slices.Clone(f.engines)
+	f.mu.Unlock()
+	for _, e := range engines {
 		if e.serves(version) {
 			n++
 		}
@@ -267,7 +289,7 @@
 		if f.try(ctx, s, leaves) || ctx.Err() != nil || time.Now().After(leaves) {
 			break
 		}
-		time.Sleep(time.Duration(20<<try) * time.Millisecond)
+		time.Sleep(f.retryPause << try)
 	}
 	if ctx.Err() != nil {
 		return
@@ -291,6 +313,12 @@
 // try sends one try at a random host that is up, and reports whether the stream has been completed.
 func (f *versionedFleet) try(ctx context.Context, s *versionedStream, leaves time.Time) (completed bool) {
 	h := f.hosts[rand.IntN(len(f.hosts))]
+	if f.pick != nil {
+		s.mu.Lock()
+		resumes := s.last > 0
+		s.mu.Unlock()
+		h = f.pick(resumes)
+	}
 	host := h.current.Load()
 	if host == nil {
 		return false
@@ -307,7 +335,7 @@
 			call.BegunBy = s.begunBy
 		}
 	}
-	settled := time.Since(startedAt) > stableTime
+	settled := time.Since(startedAt) > stableTime && f.outOfStep.Load() != h
 	if before > 0 {
 		settled = settled && f.serving(s.versions[0]) >= 2
 	}
@@ -405,6 +433,12 @@
 			}
 		}
 	}
+	awayStore := func(f *versionedFleet) {
+		f.deployment.store.setUnavailable(true)
+		f.restartSome(1)
+		time.Sleep(5 * time.Second)
+		f.deployment.store.setUnavailable(false)
+	}
 	cases := []struct {
 		name string
 		// uniform is set if all engines have one version at first.
@@ -417,6 +451,8 @@
 		run           func(f *versionedFleet)
 		// refused is set if streams cannot be taken up, as nothing tells which version began them.
 		refused bool
+		// streamInterval is the time between two new streams; 0 stands for that of all cases.
+		streamInterval time.Duration
 	}{
 		{name: "undisturbed", next: same},
 		{name: "one version", uniform: true, next: same},
@@ -442,12 +478,8 @@
 			repeat(3, 2*time.Second, func(f *versionedFleet) { f.restartAll() })(f)
 		}},
 		{name: "hosts cut in two", next: same, run: repeat(2, 3*time.Second, func(f *versionedFleet) { f.cutInTwo(6 * time.Second) })},
-		{name: "store away", next: same, run: repeat(2, 3*time.Second, func(f *versionedFleet) {
-			f.deployment.store.setUnavailable(true)
-			f.restartSome(1)
-			time.Sleep(5 * time.Second)
-			f.deployment.store.setUnavailable(false)
-		})},
+		{name: "store away", next: same, run: repeat(2, 3*time.Second, awayStore)},
+		{name: "store away, three quarters of the load", next: same, streamInterval: streamInterval * 4 / 3, run: repeat(2, 3*time.Second, awayStore)},
 		{name: "store set back", next: same, run: func(f *versionedFleet) {
 			earlier := f.deployment.store.copy()
 			repeat(3, 4*time.Second, func(f *versionedFleet) {
@@ -464,6 +496,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					defer clearPools()
 					f := newVersionedFleet(t, size)
+					f.streamInterval = cmp.Or(c.streamInterval, streamInterval)
 					if !c.uniform {
 						f.setVersion("v1.1")
 					}
@@ -473,14 +506,7 @@
 					defer stop()
 					var senders sync.WaitGroup
 					senders.Go(func() { f.crashEngines(ctx, cmp.Or(c.crashInterval, engineCrashInterval), c.next, c.listedAfter) })
-					senders.Go(func() {
-						var streams sync.WaitGroup
-						defer streams.Wait()
-						for ctx.Err() == nil {
-							streams.Go(func() { f.stream(ctx) })
-							time.Sleep(streamInterval)
-						}
-					})
+					senders.Go(func() { f.sendStreams(ctx) })
 					if c.run != nil {
 						c.run(f)
 					}
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -120,6 +120,53 @@
 	}
 }
 
+// TestPlannedStopUnderLoad guards against requests that a stopping host has read and that end without an answer, on
+// connections that callers keep and on new ones.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	const callers = 24
+	d := newDeployment(t, 3)
+	leaving := d.waitForSingleOwner()
+	for _, h := range d.hosts {
+		if h != leaving {
+			leaving = h // a host that owns nothing
+			break
+		}
+	}
+	var mu sync.Mutex
+	unanswered := make(map[string]string)
+	var sent sync.WaitGroup
+	for c := range callers {
+		sent.Go(func() {
+			client := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: c%2 == 1}}
+			defer client.CloseIdleConnections()
+			for i := 0; ; i++ {
+				id := fmt.Sprint("stop-", c, "-", i)
+				path := []string{"/model/x", "/plain/x"}[i%2]
+				status, body := d.sendRequestWith(client, leaving, path, id, "key")
+				if status == 0 {
+					mu.Lock()
+					unanswered[id] = body
+					mu.Unlock()
+					return // the host has gone
+				}
+				if status == http.StatusOK && body != "answer to "+id {
+					t.Errorf("request %s was answered %q", id, body)
+				}
+			}
+		})
+	}
+	d.waitUntil("requests run", func() bool { return len(d.runs()) > callers })
+	leaving.stop()
+	sent.Wait()
+	<-leaving.ended
+	runs := d.runs()
+	for id, err := range unanswered {
+		if runs[swid.RequestID(id)] > 0 || leaving.log.hasRequest(id) {
+			t.Errorf("request %s, which the host had read, ended with %s", id, err)
+		}
+	}
+}
+
 // TestHostReturns checks that a host whose process ended starts again with the next incarnation.
 func TestHostReturns(t *testing.T) {
 	d := newDeployment(t, 2)
--- a/internal/store/sworiginlog/codec.go
+++ b/internal/store/sworiginlog/codec.go
@@ -9,11 +9,22 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
 
-// storedVersions is the value of the object versionsKey: the origins that the streams of each service may have.
+// versions has the origins that the streams of each service may have.
+type versions struct {
+	services map[swid.ServiceID][]sworigin.Origin
+	// complete is set if these are all of an era of the store. What an earlier build wrote does not say so.
+	complete bool
+	era      swobject.Era
+}
+
+// storedVersions is the value of the object versionsKey.
 type storedVersions struct {
 	Services []storedService `json:"services"`
+	// Era is missing if not all services may be known.
+	Era *uint64 `json:"era,omitempty"`
 }
 
 type storedService struct {
@@ -40,9 +51,13 @@
 	Streams string `json:"streams"`
 }
 
-func encodeVersions(versions map[swid.ServiceID][]sworigin.Origin) ([]byte, error) {
-	stored := storedVersions{Services: make([]storedService, 0, len(versions))}
-	for service, origins := range versions {
+func encodeVersions(v versions) ([]byte, error) {
+	stored := storedVersions{Services: make([]storedService, 0, len(v.services))}
+	if v.complete {
+		era := uint64(v.era)
+		stored.Era = &era
+	}
+	for service, origins := range v.services {
 		s := storedService{Service: string(service)}
 		for _, o := range origins {
 			s.Origins = append(s.Origins, storedOrigin{Service: string(o.Service), Version: string(o.Version)})
@@ -53,18 +68,21 @@
 	return value, errors.Wrap(err, "encode versions")
 }
 
-func decodeVersions(value []byte) (map[swid.ServiceID][]sworigin.Origin, error) {
+func decodeVersions(value []byte) (versions, error) {
 	var stored storedVersions
 	if err := json.Unmarshal(value, &stored); err != nil {
-		return nil, errors.Wrap(err, "decode versions")
+		return versions{}, errors.Wrap(err, "decode versions")
+	}
+	v := versions{services: make(map[swid.ServiceID][]sworigin.Origin, len(stored.Services))}
+	if stored.Era != nil {
+		v.era, v.complete = swobject.Era(*stored.Era), true
 	}
-	versions := make(map[swid.ServiceID][]sworigin.Origin, len(stored.Services))
 	for _, s := range stored.Services {
 		for _, o := range s.Origins {
-			versions[swid.ServiceID(s.Service)] = append(versions[swid.ServiceID(s.Service)], o.origin())
+			v.services[swid.ServiceID(s.Service)] = append(v.services[swid.ServiceID(s.Service)], o.origin())
 		}
 	}
-	return versions, nil
+	return v, nil
 }
 
 func (o storedOrigin) origin() sworigin.Origin {
--- a/internal/store/sworiginlog/sworiginlog.go
+++ b/internal/store/sworiginlog/sworiginlog.go
@@ -16,9 +16,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
-	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 )
@@ -57,7 +57,11 @@
 	Owner func() bool
 	// Reachable reports whether the store can be reached. No call is made while it cannot.
 	Reachable func() bool
-	Log       zerolog.Logger
+	// Refresh reads from the store which versions serve, and passes them to the register. Nil does nothing.
+	Refresh func(context.Context) error
+	// ReregisterWithin is the time after the store was set back within which targets are listed again.
+	ReregisterWithin swclock.Millis
+	Log              zerolog.Logger
 }
 
 // Keeper loads the origins of streams into a register, and saves those that the register has of an owner.
@@ -68,7 +72,12 @@
 	// versionsRead is set while versionsVersion and stored are those of the object versionsKey.
 	versionsRead    bool
 	versionsVersion swobject.Version
-	stored          map[swid.ServiceID][]sworigin.Origin
+	stored          versions
+	// completeFrom is when stored and the lists of targets have all versions, although the store may have been set
+	// back. It is meaningless until eraChecked is set for the present era.
+	completeFrom swclock.Millis
+	eraChecked   bool
+	confirmedAt  swclock.Millis
 	// checked is the register's number of changes when stored was last compared with its versions.
 	checked uint64
 	// listed is set while slots has the version of each object of the ring, and sequence the highest sequence.
@@ -83,10 +92,14 @@
 
 // New returns a Keeper that has loaded nothing.
 func New(config Config) *Keeper {
-	return &Keeper{config: config, listedAt: -loadInterval, savedAt: -saveInterval, wake: make(chan struct{}, 1)}
+	if config.Refresh == nil {
+		config.Refresh = func(context.Context) error { return nil }
+	}
+	return &Keeper{config: config, confirmedAt: -loadInterval, listedAt: -loadInterval, savedAt: -saveInterval, wake: make(chan struct{}, 1)}
 }
 
-// Wake makes Run look soon, because a stream is asked for that is not known, or this host has become an owner.
+// Wake makes Run look soon, because a stream is asked for that is not known, a version has begun to serve, or this
+// host has become an owner.
 func (k *Keeper) Wake() {
 	select {
 	case k.wake <- struct{}{}:
@@ -97,11 +110,7 @@
 // Run loads and saves until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for {
-		interval := idleInterval
-		if k.owner || k.config.Register.Wanted() {
-			interval = saveInterval
-		}
-		timer := time.NewTimer(interval.Duration())
+		timer := time.NewTimer(k.interval().Duration())
 		select {
 		case <-timer.C:
 		case <-k.wake:
@@ -114,6 +123,19 @@
 	}
 }
 
+// interval returns the time until the next look.
+func (k *Keeper) interval() swclock.Millis {
+	confirmation, streams := k.config.Register.Wanted(k.config.Clock.Now())
+	switch {
+	case confirmation || streams:
+		return loadInterval
+	case k.owner:
+		return saveInterval
+	default:
+		return idleInterval
+	}
+}
+
 // Step loads what is due, and saves what the register has and the store lacks.
 func (k *Keeper) Step(ctx context.Context) {
 	now := k.config.Clock.Now()
@@ -123,7 +145,7 @@
 	}
 	k.owner = owner
 	if era := k.config.Objects.Era(); era != k.era {
-		k.era, k.versionsRead, k.listed = era, false, false
+		k.era, k.versionsRead, k.listed, k.eraChecked = era, false, false, false
 		k.config.Register.Unsave(now)
 	}
 	if now < k.nextCallAt || !k.config.Reachable() {
@@ -135,8 +157,13 @@
 	if owner && k.versionsDiffer(now) && !k.saveVersions(ctx, now) {
 		return
 	}
+	confirmation, _ := k.config.Register.Wanted(now)
+	if confirmation && now >= k.completeFrom && now-k.confirmedAt >= loadInterval && !k.confirm(ctx) {
+		return
+	}
+	_, streams := k.config.Register.Wanted(now)
 	unsaved := owner && now-k.savedAt >= saveInterval && len(k.config.Register.Unsaved(1)) > 0
-	if now-k.listedAt >= loadInterval && (k.config.Register.Wanted() || unsaved && !k.listed) {
+	if now-k.listedAt >= loadInterval && (streams || unsaved && !k.listed) {
 		k.load(ctx)
 	}
 	if unsaved && k.listed {
@@ -144,6 +171,28 @@
 	}
 }
 
+// confirm reads again which versions serve and have served, and reports whether it could.
+func (k *Keeper) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	startedAt := k.config.Clock.Now()
+	k.confirmedAt = startedAt
+	var refreshing conc.WaitGroup
+	var err error
+	refreshing.Go(func() { err = k.config.Refresh(ctx) })
+	loaded := k.loadVersions(ctx)
+	refreshing.Wait()
+	if err != nil {
+		return k.failed(err, "origins not confirmed")
+	}
+	if !loaded || startedAt < k.completeFrom || k.config.Objects.Era() != k.era {
+		return false // what was read may lack versions
+	}
+	k.config.Register.Confirm(startedAt)
+	k.config.Log.Info().Uint64("version", uint64(k.versionsVersion)).Int64("tookMillis", int64(k.config.Clock.Now()-startedAt)).Msg("origins confirmed")
+	return true
+}
+
 // loadVersions reads the versions, and reports whether it could.
 func (k *Keeper) loadVersions(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
@@ -152,22 +201,59 @@
 	if err != nil && !errors.Is(err, swobject.ErrNotFound) {
 		return k.failed(err, "versions not loaded")
 	}
-	stored := make(map[swid.ServiceID][]sworigin.Origin)
+	var stored versions
 	if err == nil {
 		if stored, err = decodeVersions(object.Value); err != nil {
 			k.config.Log.Warn().Err(err).Uint64("version", uint64(object.Version)).Msg("stored versions cannot be read, they are replaced")
 		}
 	}
-	k.config.Register.LoadVersions(stored, k.config.Clock.Now())
+	now := k.config.Clock.Now()
+	unchanged := k.versionsRead && k.versionsVersion == object.Version
+	if k.stored.complete && !stored.complete {
+		k.eraChecked = false // versions may have been lost
+	}
+	if !unchanged || !k.owner {
+		// An owner knows until when its own versions may have streams: reading them must not prolong that.
+		k.config.Register.LoadVersions(stored.services, now)
+	}
+	if !k.eraChecked {
+		k.checkEra(stored, now)
+	}
+	if !unchanged {
+		k.config.Log.Info().Int("services", len(stored.services)).Uint64("version", uint64(object.Version)).Bool("owner", k.owner).Msg("software versions loaded")
+	}
 	k.stored, k.versionsVersion, k.versionsRead, k.checked = stored, object.Version, true, 0
-	k.config.Log.Info().Int("services", len(stored)).Uint64("version", uint64(object.Version)).Bool("owner", k.owner).Msg("software versions loaded")
 	return true
 }
 
+// checkEra finds out from when on the stored versions and the list of targets have all versions. If they were not stored
+// in the present era, those that came shortly before the store was set back may be missing until their targets
+// are listed again.
+func (k *Keeper) checkEra(stored versions, now swclock.Millis) {
+	k.eraChecked = true
+	if stored.complete && stored.era == k.era {
+		k.completeFrom = now
+		return
+	}
+	k.completeFrom = now + k.config.ReregisterWithin
+	k.config.Log.Info().Uint64("era", uint64(k.era)).Bool("complete", stored.complete).Uint64("storedEra", uint64(stored.era)).
+		Int64("waitMillis", int64(k.config.ReregisterWithin)).Msg("software versions may be missing")
+}
+
+// current returns the register's versions as they are to be stored, and its number of changes.
+func (k *Keeper) current(now swclock.Millis) (current versions, changes uint64) {
+	current.services, changes = k.config.Register.Versions(now)
+	if now >= k.completeFrom {
+		current.era, current.complete = k.era, true
+	}
+	return current, changes
+}
+
 // versionsDiffer reports whether the register's versions differ from the stored ones.
 func (k *Keeper) versionsDiffer(now swclock.Millis) bool {
-	versions, changes := k.config.Register.Versions(now)
-	if changes == k.checked || reflect.DeepEqual(versions, k.stored) {
+	current, changes := k.current(now)
+	marked := !current.complete || current.era == k.stored.era && k.stored.complete
+	if marked && (changes == k.checked || reflect.DeepEqual(current.services, k.stored.services)) {
 		k.checked = changes
 		return false
 	}
@@ -178,16 +264,16 @@
 func (k *Keeper) saveVersions(ctx context.Context, now swclock.Millis) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	versions, changes := k.config.Register.Versions(now)
-	value, err := encodeVersions(versions)
+	current, changes := k.current(now)
+	value, err := encodeVersions(current)
 	if err != nil {
 		return k.failed(err, "versions not saved")
 	}
 	version, err := k.config.Objects.Put(ctx, versionsKey, value, k.versionsVersion)
 	switch {
 	case err == nil:
-		k.versionsVersion, k.stored, k.checked, k.versionsRead = version, versions, changes, version != 0
-		k.config.Log.Info().Int("services", len(versions)).Int("bytes", len(value)).Uint64("version", uint64(version)).Msg("software versions saved")
+		k.versionsVersion, k.stored, k.checked, k.versionsRead = version, current, changes, version != 0
+		k.config.Log.Info().Int("services", len(current.services)).Int("bytes", len(value)).Uint64("version", uint64(version)).Msg("software versions saved")
 		return true
 	case errors.Is(err, swobject.ErrConflict):
 		k.versionsRead = false // another owner saved its own
--- a/internal/store/sworiginlog/sworiginlog_test.go
+++ b/internal/store/sworiginlog/sworiginlog_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -71,14 +73,27 @@
 	register *sworigin.Register
 	keeper   *Keeper
 	owner    bool
+	// refresh is called when the lists are read, which fails with refreshError.
+	refresh      func()
+	refreshError error
 }
 
+// reregister is the time within which targets are listed again after the store was set back.
+const reregister = 2 * swclock.Second
+
 func newHost(s *store) *host {
 	h := &host{clock: &swclock.Manual{}, register: sworigin.NewRegister(1 << 16), owner: true}
 	h.clock.Advance(swclock.Second)
 	h.keeper = New(Config{
 		Objects: s, Register: h.register, Clock: h.clock, Owner: func() bool { return h.owner },
 		Reachable: func() bool { return true }, Log: zerolog.Nop(),
+		ReregisterWithin: reregister,
+		Refresh: func(context.Context) error {
+			if h.refresh != nil {
+				h.refresh()
+			}
+			return h.refreshError
+		},
 	})
 	return h
 }
@@ -108,7 +123,7 @@
 func (h *host) resolve(stream sworigin.Stream) (sworigin.Origin, sworigin.Verdict) {
 	askedAt := h.clock.Now()
 	for range 10 {
-		origin, verdict := h.register.Resolve("s", stream, askedAt, h.clock.Now(), true)
+		origin, verdict := h.register.Resolve("s", stream, askedAt, h.clock.Now())
 		if verdict != sworigin.VerdictPending {
 			return origin, verdict
 		}
@@ -189,6 +204,10 @@
 // continued after all processes have ended.
 func TestOneVersion(t *testing.T) {
 	s := &store{objects: make(map[string]swobject.Object)}
+	earlier := newHost(s)
+	earlier.serve(first)
+	earlier.run(2 * reregister)
+	s.calls = 0
 	h := newHost(s)
 	h.serve(first)
 	for i := range sworigin.Stream(100) {
@@ -206,6 +225,137 @@
 	}
 }
 
+// TestConfirmation guards against a version taken for the only one although the store knows of another, or may have lost it
+// when it was set back.
+func TestConfirmation(t *testing.T) {
+	tests := []struct {
+		name string
+		// happens is what happens while only the first version is listed at the host that is asked.
+		happens func(s *store, h, other *host)
+		// after is the time until the question.
+		after swclock.Millis
+		want  sworigin.Verdict
+	}{
+		{"one version", func(*store, *host, *host) {}, 0, sworigin.VerdictKnown},
+		{"another version joined", func(_ *store, h, _ *host) {
+			h.refresh = func() { h.serve(first, second) }
+		}, 0, sworigin.VerdictUnknown},
+		{"another version joined and left", func(_ *store, _, other *host) {
+			other.serve(first, second)
+			other.run(swclock.Second)
+			other.serve(first)
+		}, 0, sworigin.VerdictUnknown},
+		{"the list cannot be read", func(_ *store, h, _ *host) { h.refreshError = swobject.ErrUnavailable }, 0, sworigin.VerdictPending},
+		{"the versions cannot be read", func(s *store, _, _ *host) { s.down = true }, 0, sworigin.VerdictPending},
+		{"the store is set back while it is read", func(s *store, h, _ *host) {
+			h.refresh = func() { s.era = 1 }
+		}, 0, sworigin.VerdictPending},
+		{"the store was set back", func(s *store, _, _ *host) { s.era++ }, 0, sworigin.VerdictPending},
+		{"the store was set back a while ago", func(s *store, _, _ *host) { s.era++ }, reregister, sworigin.VerdictKnown},
+		{"the stored versions are gone", func(s *store, _, _ *host) { delete(s.objects, versionsKey) }, 0, sworigin.VerdictPending},
+		{"the stored versions are gone, with those of a version that left", func(s *store, _, other *host) {
+			other.serve(first, second)
+			other.run(swclock.Second)
+			other.serve(first)
+			delete(s.objects, versionsKey)
+		}, 0, sworigin.VerdictPending},
+		{"the stored versions cannot be decoded", replaceVersions("{"), 0, sworigin.VerdictPending},
+		{"the stored versions are empty", replaceVersions("{}"), 0, sworigin.VerdictPending},
+		{"the stored versions are null", replaceVersions("null"), 0, sworigin.VerdictPending},
+		{"replaced by an earlier build", replaceVersions(earlierVersions), 0, sworigin.VerdictPending},
+		{"the stored versions have been gone for a while", func(s *store, h, _ *host) {
+			delete(s.objects, versionsKey)
+			h.register.Resolve("s", 5, h.clock.Now(), h.clock.Now())
+		}, reregister, sworigin.VerdictKnown},
+		{"written by an earlier build", func(s *store, h, other *host) {
+			replaceVersions(earlierVersions)(s, h, other)
+			*h = *newHost(s)
+			h.serve(first)
+		}, 0, sworigin.VerdictPending},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &store{objects: make(map[string]swobject.Object)}
+			other := newHost(s)
+			other.serve(first)
+			other.run(2 * reregister)
+			h := newHost(s)
+			h.owner = false
+			h.serve(first)
+			h.run(swclock.Second)
+			tt.happens(s, h, other)
+			h.run(saveInterval)
+			h.clock.Advance(tt.after)
+			askedAt := h.clock.Now()
+			var origin sworigin.Origin
+			verdict := sworigin.VerdictPending
+			for range 4 {
+				if origin, verdict = h.register.Resolve("s", 7, askedAt, h.clock.Now()); verdict != sworigin.VerdictPending {
+					break
+				}
+				h.run(saveInterval)
+			}
+			if verdict != tt.want || verdict == sworigin.VerdictKnown && origin != first {
+				t.Errorf("verdict %d, origin %v, want %d", verdict, origin, tt.want)
+			}
+		})
+	}
+}
+
+// replaceVersions returns a function that replaces the stored versions.
+func replaceVersions(value string) func(s *store, h, other *host) {
+	return func(s *store, _, _ *host) {
+		s.version++
+		s.objects[versionsKey] = swobject.Object{Key: versionsKey, Version: s.version, Value: []byte(value)}
+	}
+}
+
+// TestVersionLapses guards against a version that has gone and is kept for as long as streams of another service are asked for.
+func TestVersionLapses(t *testing.T) {
+	s := &store{objects: make(map[string]swobject.Object)}
+	h := newHost(s)
+	h.serve(first, second)
+	h.run(2 * reregister)
+	h.serve(second)
+	for i := range int(sworigin.MaxRetention/swclock.Second) + 5 {
+		h.register.Resolve("other", sworigin.Stream(i+1), h.clock.Now(), h.clock.Now())
+		h.run(swclock.Second)
+	}
+	stored, err := decodeVersions(s.objects[versionsKey].Value)
+	if want := []sworigin.Origin{second}; err != nil || !reflect.DeepEqual(stored.services["s"], want) {
+		t.Errorf("stored %v, %v, want %v", stored.services, err, want)
+	}
+}
+
+// earlierVersions is what a build before stores of eras writes.
+const earlierVersions = `{"services":[{"service":"s","origins":[{"service":"s","version":"v1"}]}]}`
+
+// TestStoredFormat checks that stored versions are read by this build and the one before, whichever wrote them.
+func TestStoredFormat(t *testing.T) {
+	services := map[swid.ServiceID][]sworigin.Origin{"s": {first}}
+	tests := []struct {
+		name   string
+		stored versions
+		want   string
+	}{
+		{"all of an era", versions{services: services, complete: true, era: 4}, strings.TrimSuffix(earlierVersions, "}") + `,"era":4}`},
+		{"all of the first era", versions{services: services, complete: true}, strings.TrimSuffix(earlierVersions, "}") + `,"era":0}`},
+		{"not all", versions{services: services}, earlierVersions},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			value, err := encodeVersions(tt.stored)
+			if err != nil || string(value) != tt.want {
+				t.Errorf("encoded %s, %v, want %s", value, err, tt.want)
+			}
+			decoded, err := decodeVersions([]byte(tt.want))
+			if err != nil || !reflect.DeepEqual(decoded, tt.stored) {
+				t.Errorf("decoded %v, %v, want %v", decoded, err, tt.stored)
+			}
+		})
+	}
+}
+
 // TestBounded checks that the objects stay within their size and number while many streams begin, and that the ring
 // holds all that can be continued.
 func TestBounded(t *testing.T) {
--- a/internal/store/swwatch/follower.go
+++ b/internal/store/swwatch/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,9 +57,11 @@
 type Follower[T any] struct {
 	config Config
 	source Source[T]
-	state  *State[T]
-	// changed is called from Run's goroutine with all objects, sorted by name.
+	// changed is called with all objects, sorted by name, by one goroutine at a time.
 	changed func([]Item[T])
+	// mu guards state and lastOutage, and is held while changed runs.
+	mu    sync.Mutex
+	state *State[T]
 	// confirmed is the time since boot as of which the held objects last matched
 	// the store, or 0 before the first listing.
 	confirmed atomic.Int64
@@ -78,6 +81,16 @@
 // held objects, or 0 if it never did.
 func (f *Follower[T]) ConfirmedAt() swclock.Millis { return swclock.Millis(f.confirmed.Load()) }
 
+// Refresh lists the objects. After it returns without an error, all changes that the store had when it was called have
+// been passed to the function of NewFollower.
+func (f *Follower[T]) Refresh(ctx context.Context) error {
+	err := f.list(ctx)
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		f.config.Health.recordFailure(f.config.Kind, err)
+	}
+	return err
+}
+
 // Run lists and watches the objects until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	listed := false
@@ -99,7 +112,8 @@
 		case err == nil:
 			listed = true
 		case errors.Is(err, ErrHistoryGone):
-			f.config.Log.Info().Str("kind", f.config.Kind).Uint64("asOf", uint64(f.state.AsOf())).Msg("store history gone, listing again")
+			after, _ := f.position()
+			f.config.Log.Info().Str("kind", f.config.Kind).Uint64("asOf", uint64(after)).Msg("store history gone, listing again")
 			listed = false
 		default:
 			// A failed watch may have missed changes that the next watch would
@@ -119,6 +133,8 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.recordAnswer(listing.Era)
 	if f.state.List(listing, f.config.Clock.Now()) {
 		f.changed(f.state.Items())
@@ -129,29 +145,25 @@
 
 // watch waits for changes once and returns the wait of the next watch.
 func (f *Follower[T]) watch(ctx context.Context, wait swclock.Millis) (swclock.Millis, error) {
-	if at, due := f.state.NextExpiry(); due {
-		wait = min(wait, max(at-f.config.Clock.Now(), 1))
+	after, expiry := f.position()
+	if expiry > 0 {
+		wait = min(wait, expiry)
 	}
 	reachable, cancelReachable := f.config.Health.whileReachable(ctx)
 	defer cancelReachable()
 	watching, cancel := context.WithTimeout(reachable, (wait + answerMargin).Duration())
 	defer cancel()
 	sent := f.config.Boot.SinceBoot()
-	changes, err := f.source.Watch(watching, f.state.AsOf(), wait)
-	if err != nil && f.config.Health.Era() > f.state.Era() {
-		return wait, ErrHistoryGone // the call was ended for that
-	}
+	changes, err := f.source.Watch(watching, after, wait)
 	if err != nil {
+		if f.isOutdated() {
+			return wait, ErrHistoryGone // the call was ended for that
+		}
 		return wait, err
 	}
-	f.recordAnswer(changes.Era)
-	if changes.Era != f.state.Era() {
-		return wait, ErrHistoryGone // changes before the revision may be missing
-	}
-	now := f.config.Clock.Now()
-	changed := f.state.Apply(changes, now)
-	if f.state.Expire(now) || changed {
-		f.changed(f.state.Items())
+	applied, err := f.apply(changes, after)
+	if err != nil || !applied {
+		return wait, err
 	}
 	if len(changes.Changes) > 0 {
 		f.confirm(sent)
@@ -168,14 +180,56 @@
 	return f.config.Wait, nil
 }
 
+// position returns the revision after which to watch, and the time until Expire is due next, or 0 if it is not.
+func (f *Follower[T]) position() (after Revision, expiry swclock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at, due := f.state.NextExpiry(); due {
+		expiry = max(at-f.config.Clock.Now(), 1)
+	}
+	return f.state.AsOf(), expiry
+}
+
+// isOutdated reports whether the store was set back since the objects were listed.
+func (f *Follower[T]) isOutdated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Health.Era() > f.state.Era()
+}
+
+// apply applies the changes after a revision. It applies none if the objects were listed meanwhile, as of a later
+// revision: a change that came before then must not replace what came after it.
+func (f *Follower[T]) apply(changes Changes[T], after Revision) (applied bool, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recordAnswer(changes.Era)
+	if changes.Era != f.state.Era() {
+		return false, ErrHistoryGone // changes before the revision may be missing
+	}
+	if f.state.AsOf() != after {
+		return false, nil
+	}
+	now := f.config.Clock.Now()
+	changed := f.state.Apply(changes, now)
+	if f.state.Expire(now) || changed {
+		f.changed(f.state.Items())
+	}
+	return true, nil
+}
+
 // confirm records that the held objects matched the store at an instant.
 func (f *Follower[T]) confirm(at swclock.Millis) {
-	f.confirmed.Store(max(f.confirmed.Load(), int64(at), 1))
+	for {
+		known := f.confirmed.Load()
+		if known >= max(int64(at), 1) || f.confirmed.CompareAndSwap(known, max(int64(at), 1)) {
+			return
+		}
+	}
 }
 
 // recordAnswer records that the store answered. After an outage in which the
 // store may have dropped objects, it starts the grace period for missing objects,
-// which may reappear.
+// which may reappear. f.mu must be held.
 func (f *Follower[T]) recordAnswer(era swobject.Era) {
 	o := f.config.Health.recordSuccess(f.config.Kind, era)
 	if o.Number == f.lastOutage {
