Let no engine crash in the last two seconds of the tests of stream versions

Traced in six runs with each try printed: all tries that did not go on had been sent 62 ms before the end of the case, after a crash shortly before, and were cut off by that end (callerGone); an engine's first event takes 100 ms. Crashes now end two seconds before the streams do, and the cases last as much longer: the bound, the count and the time with crashes are as before.

--- a/internal/node/swfleet/outofstep_test.go
+++ b/internal/node/swfleet/outofstep_test.go
@@ -250,7 +250,7 @@
 								}
 								return h
 							}
-							ctx, stop := context.WithTimeout(context.Background(), settleTime+ownerLossTime+span+8*time.Second)
+							ctx, stop := context.WithTimeout(context.Background(), settleTime+ownerLossTime+span+8*time.Second+crashMargin)
 							defer stop()
 							var senders sync.WaitGroup
 							senders.Go(func() { f.sendStreams(ctx) })
--- a/internal/node/swfleet/streamversions_test.go
+++ b/internal/node/swfleet/streamversions_test.go
@@ -35,6 +35,9 @@
 	longStreamEvents = 18
 	// engineCrashInterval is the mean time between two crashes of engines.
 	engineCrashInterval = 1200 * time.Millisecond
+	// crashMargin is the time before the end of a case in which no engine crashes, so that no try which takes up a stream
+	// is cut off by that end before it can bring an event.
+	crashMargin = 2 * time.Second
 	// streamInterval is the usual time between two new streams.
 	streamInterval = 25 * time.Millisecond
 	// streamTries bounds the tries of a client at one stream.
@@ -383,10 +386,11 @@
 	return answered
 }
 
-// crashEngines crashes engines one after the other, at a mean interval, until ctx ends. next returns the version of an engine
-// after its crash.
+// crashEngines crashes engines one after the other, at a mean interval, until crashMargin before the deadline of ctx. next
+// returns the version of an engine after its crash.
 func (f *versionedFleet) crashEngines(ctx context.Context, interval time.Duration, next func(swid.SoftwareVersion) swid.SoftwareVersion, listedAfter time.Duration) {
-	for ctx.Err() == nil {
+	end, _ := ctx.Deadline()
+	for time.Until(end) > crashMargin {
 		e := f.engines[rand.IntN(len(f.engines))]
 		e.mu.Lock()
 		version := e.version
@@ -502,7 +506,7 @@
 					}
 					f.startAll()
 					f.observe(4)
-					ctx, stop := context.WithTimeout(context.Background(), streamsSpan)
+					ctx, stop := context.WithTimeout(context.Background(), streamsSpan+crashMargin)
 					defer stop()
 					var senders sync.WaitGroup
 					senders.Go(func() { f.crashEngines(ctx, cmp.Or(c.crashInterval, engineCrashInterval), c.next, c.listedAfter) })
@@ -521,7 +525,7 @@
 	}
 }
 
-// streamsSpan is how long a case is played after all hosts have started.
+// streamsSpan is how long a case is played after all hosts have started, until crashMargin begins.
 const streamsSpan = 24 * time.Second
 
 // checkVersions checks the streams that have ended.
