--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -53,13 +53,17 @@
 
 // charge charges the first attempt of a request to its organisation's quota; later
 // attempts are not charged. If the part of the quota that the request's tier may use is
-// used up, charge returns false and the time after which to retry.
+// used up, charge returns false and the time after which to retry. A stream that goes on may
+// use all of it: its caller has had the first output.
 func (c *Cell[P, O]) charge(r *request) (swclock.Millis, bool) {
 	if c.cfg.Ledger == nil || r.grantRequest.Attempt > 1 {
 		return 0, true
 	}
 	amount := float64(r.grantRequest.Charge)
 	reserve := quotaReserve * float64(c.tierIndex(r.grantRequest.Tier))
+	if r.grantRequest.Continuation.Continues {
+		reserve = 0
+	}
 	wait, ok := c.cfg.Ledger.Take(processOf(&r.grantRequest), r.grantRequest.Org, amount, reserve, c.now)
 	if ok {
 		r.charged = amount
--- a/internal/core/swvalue/origin_test.go
+++ b/internal/core/swvalue/origin_test.go
@@ -4,8 +4,10 @@
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
+	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 )
 
 // TestContinuesAfterDoubt guards against the rejection of streams that may go on a moment later: all targets of their version
@@ -105,3 +107,46 @@
 		})
 	}
 }
+
+// TestContinuationUsesReserve guards against streams that are taken up and rejected for quota while requests of higher tiers
+// would still be admitted.
+func TestContinuationUsesReserve(t *testing.T) {
+	const rate, window = 1000, 8 * swclock.Second
+	first := sworigin.Origin{Service: "s", Version: "v1"}
+	tests := []struct {
+		name      string
+		continues bool
+		tier      swid.Tier
+		// used is the share of the quota that is used up.
+		used     float64
+		admitted bool
+	}{
+		{"new, lower tier, within its part", false, 2, 0.7, true},
+		{"new, lower tier, beyond its part", false, 2, 0.85, false},
+		{"continued, lower tier, beyond its part", true, 2, 0.85, true},
+		{"new, highest tier", false, 0, 0.85, true},
+		{"continued, beyond the quota", true, 2, 1, false},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			ledger := swquota.New(window)
+			ledger.Configure(map[swid.OrgID]swquota.Limit{"o": {Rate: rate, Burst: rate}})
+			register := sworigin.NewRegister(100)
+			register.SetServing(map[swid.ServiceID][]sworigin.Origin{"s": {first}}, 0)
+			b := &harness{cell: New(Config{Service: "s", Origins: register, Ledger: ledger}, Fastest{}, ByWorth{}), now: 10_000}
+			b.step(swcell.Configure{Targets: []swcell.Target{{ID: "a", State: swcell.TargetActive, Slots: 1, Version: first.Version}}})
+			if _, ok := ledger.Take(swquota.Process{Host: "other", Incarnation: 1}, "o", e.used*rate, 0, b.now); !ok {
+				t.Fatal("the use before was refused")
+			}
+			_, granted := grantOf(b.step(b.newGrantRequest(func(r *swcell.GrantRequest) {
+				r.Org, r.Tier, r.Charge = "o", e.tier, rate/20
+				if e.continues {
+					r.Continuation = sworigin.Continuation{Continues: true, Stream: 7, Origin: first}
+				}
+			})))
+			if granted != e.admitted {
+				t.Errorf("admitted: %t, want %t", granted, e.admitted)
+			}
+		})
+	}
+}
