Confirm the copies of hosts by what the owner of the shared cells holds

A host now asks its owner with each registration, and the owner answers with the era, the latest change of each kind that it holds and the age of its confirmation. Who holds all of that is confirmed as of the question less that age, whoever stood still in between. A host's watches may then wait 30 s; they are ended when nobody has confirmed the configuration for 2.5 s, or when the owner has held a change for a second that the host lacks, as its own connection may be silent. An owner confirms each second. Hosts of the build before are not asked, and do not ask.

Ruled out: relaying the objects themselves, as the owner's link would carry each change to all hosts.

--- a/internal/node/swfleet/outofstep_test.go
+++ b/internal/node/swfleet/outofstep_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,8 @@
 
 // storePath is the way from one host to the store.
 type storePath struct {
+	// calls counts the calls of the store.
+	calls atomic.Int64
 	mu    sync.Mutex
 	fault storeFault
 	// changed is closed when fault changes, and then replaced.
@@ -79,6 +82,7 @@
 // call makes a call of the store.
 func call[R any](ctx context.Context, p *storePath, do func(context.Context) (R, error)) (R, error) {
 	var none R
+	p.calls.Add(1)
 	if err := p.pass(ctx); err != nil {
 		return none, err
 	}
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -43,7 +43,10 @@
 // whole window, the recent strikes and all rate limits that this host knows; any other has only
 // what was not yet reported to an owner.
 func (h *Host) registerWithOwner(owner swid.HostID, complete bool) {
-	m := swmsg.Registration{Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete), Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached()}
+	m := swmsg.Registration{
+		Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete),
+		Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached(), StoreQuestion: h.askStoreState(owner),
+	}
 	if complete {
 		m.Amounts = amountsOf(h.meter.All(h.clock.Now()))
 		m.Streams = h.origins.Recent(swcodec.MaxBegunStreams, h.clock.Now())
@@ -118,7 +121,7 @@
 }
 
 // registrationReceiver receives the registrations and leave notices of other hosts, and the
-// owner's decision on scheduling.
+// owner's decision on scheduling and what it holds of the store.
 // It implements swexchange.Receiver.
 type registrationReceiver struct{ host *Host }
 
@@ -136,6 +139,10 @@
 		h.receiveScheduling(from, scheduling)
 		return
 	}
+	if state, ok := m.(swmsg.StoreState); ok {
+		h.receiveStoreState(state)
+		return
+	}
 	registration, ok := m.(swmsg.Registration)
 	if !ok {
 		return
@@ -164,4 +171,5 @@
 		h.origins.Add(b, h.clock.Now())
 	}
 	h.replyScheduling(from, &registration)
+	h.replyStoreState(from, registration.StoreQuestion)
 }
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -62,6 +62,8 @@
 	hosts      []*simulatedHost
 	// requestsPerHost is the mean number of requests a second that each host accepts by itself.
 	requestsPerHost float64
+	// revokeWithin is the time within which removed keys are to be denied; 0 sets no limit.
+	revokeWithin swclock.Millis
 	// adapter, if not nil, returns the adapter of a target for one process of a host.
 	adapter func(swid.TargetID) swtarget.Adapter
 	// hostAdapter, if not nil, returns the adapter of a target for one process of the host with a number.
@@ -139,7 +141,7 @@
 		Peer:     swsettings.Peer{Address: h.address(), Heartbeat: 400},
 		Operator: swsettings.Operator{},
 		Fleet: &swsettings.Fleet{
-			ApplyWithin: 2 * swclock.Second, TargetHeartbeat: swclock.Second, ReregisterWithin: 2 * swclock.Second,
+			ApplyWithin: 2 * swclock.Second, RevokeWithin: h.fleet.revokeWithin, TargetHeartbeat: swclock.Second, ReregisterWithin: 2 * swclock.Second,
 			QuotaWindow: 8 * swclock.Second, RetryWindow: 10 * swclock.Second, RetryRatio: 0.1, RetryReserve: 32,
 			ProcessorShare: h.processor.share, Cores: 1, LinkMegabits: 100,
 		},
@@ -152,6 +154,7 @@
 		t.Error(err)
 		return
 	}
+	host.boot = virtualBoot{}
 	host.linkOptions = []swlink.Option{swlink.WithTransport(memoryTransport{h.fleet.network, h.address(), h.processor})}
 	if err := host.register(ctx); err != nil {
 		return // ctx ended
@@ -167,6 +170,12 @@
 	}
 }
 
+// virtualBoot is the time since the start of a host, in virtual time.
+type virtualBoot struct{}
+
+// SinceBoot implements swclock.Boot.
+func (virtualBoot) SinceBoot() swclock.Millis { return swclock.Millis(time.Now().UnixMilli()) }
+
 // accept serves callers until ctx ends.
 func (h *simulatedHost) accept(ctx context.Context) {
 	if h.fleet.requestsPerHost == 0 {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -89,7 +89,9 @@
 	reloadable atomic.Pointer[swsettings.Fleet]
 	log        zerolog.Logger
 	clock      *swclock.System
-	platform   Platform
+	// boot is clock; tests replace it.
+	boot     swclock.Boot
+	platform Platform
 	// self has no incarnation until the host is registered in the store.
 	self swlink.Peer
 	// started is when the process began to record the quota usage of its requests.
@@ -144,6 +146,8 @@
 	catalogs *swwatch.Follower[*swcatalog.Catalog]
 	targets  *swwatch.Follower[swcatalog.Target]
 	hosts    *swwatch.Follower[swcatalog.Host]
+	// storeQuestions has the questions for what the owner holds of the store.
+	storeQuestions storeQuestions
 	// health tracks whether the store can be reached; nil until the host is assembled.
 	health atomic.Pointer[swwatch.Health]
 	// loggedHostCount is the number of hosts registered with this one when it was
@@ -178,6 +182,7 @@
 		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), brittle: swlimit.NewBrittle(), closed: swlimit.NewClosed(),
 		origins: sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
+	h.boot = h.clock
 	h.pathProber = newPathProber(h)
 	h.paths = swreach.NewPaths(h.clock, swreach.Hooks{Changed: h.pathProber.changed, Doubted: h.pathProber.doubted, Suspected: h.pathProber.suspected})
 	h.carriers = swreach.NewDirectory()
@@ -212,6 +217,13 @@
 	// time within which a removed key must be refused.
 	catalogWait            = 3 * swclock.Second
 	catalogWaitAfterChange = 700 * swclock.Millis(1)
+	// catalogAskedWait is that time at an owner, which confirms the configuration to the hosts that are registered
+	// with it. If nobody has confirmed it for catalogConfirmWithin, a host asks the store.
+	catalogAskedWait     = swclock.Second
+	catalogConfirmWithin = 2500 * swclock.Millis(1)
+	// peerWait is the longest time that a watch waits for a change while the owner confirms what the host holds. It is the
+	// longest that the platform's protocol allows.
+	peerWait = 30 * swclock.Second
 	// targetWait and hostWait are the longest times that watches of targets and hosts
 	// wait for a change. They are longer than catalogWait because nothing depends on the
 	// age of the latest confirmation of targets and hosts. If the store is unresponsive,
@@ -222,10 +234,11 @@
 	// missedHeartbeats is the number of missed heartbeats after which the platform's
 	// protocol drops a target's entry.
 	missedHeartbeats = 3
-	// changePause is the pause between a change and the next watch of the configuration
-	// or the targets. The pause saves calls when changes come in quick succession. It is
-	// a tenth of the time within which a change must be in force.
-	changePause = 200 * swclock.Millis(1)
+	// catalogChangePause and targetChangePause are the pauses between a change and the next watch of the
+	// configuration and the targets. They save calls when changes come in quick succession, as they do when many
+	// targets start or leave, and are a tenth of the time within which a change must be in force.
+	catalogChangePause = 200 * swclock.Millis(1)
+	targetChangePause  = 200 * swclock.Millis(1)
 	// hostChangePause is the same pause for changes of hosts. It is longer, because a
 	// restart of many hosts changes only their incarnations, which this host also
 	// receives over its links to them.
@@ -258,7 +271,7 @@
 		Observer: h.metrics, Log: h.log, NewCore: h.newCore, Acknowledge: true, Local: h.view.scheduledByEachHost, VerificationTimeout: verificationTimeout,
 	})
 	h.gate = swgate.New(swgate.Config{
-		Region: h.settings.Region, Holder: h.holder, Clock: h.clock, Boot: h.clock,
+		Region: h.settings.Region, Holder: h.holder, Clock: h.clock, Boot: h.boot,
 		ConfirmedAt: func() swclock.Millis { return h.catalogs.ConfirmedAt() },
 		OnForwarded: h.retries.countRequest, Log: h.log, OnResult: h.gauges.countDenial,
 	}, boundsOf(h.reloadable.Load()))
@@ -272,18 +285,19 @@
 	health := swwatch.NewHealth(h.clock, h.log)
 	h.health.Store(health)
 	config := func(kind string, wait swclock.Millis) swwatch.Config {
-		return swwatch.Config{Kind: kind, Wait: wait, Clock: h.clock, Boot: h.clock, Health: health, Log: h.log}
+		return swwatch.Config{Kind: kind, Wait: wait, PeerWait: peerWait, Clock: h.clock, Boot: h.boot, Health: health, Log: h.log}
 	}
-	catalogs := config("configuration", catalogWait)
+	catalogs := config(kindCatalogs, catalogWait)
 	catalogs.WaitAfterChange = catalogWaitAfterChange
-	catalogs.ChangePause = changePause
+	catalogs.AskedWait, catalogs.ConfirmWithin = catalogAskedWait, catalogConfirmWithin
+	catalogs.ChangePause = catalogChangePause
 	h.catalogs = swwatch.NewFollower(catalogs, h.platform.Catalogs(), h.catalogChanged)
-	targets := config("targets", targetWait)
-	targets.ChangePause = changePause
+	targets := config(kindTargets, targetWait)
+	targets.ChangePause = targetChangePause
 	targets.MissingGrace = h.settings.Fleet.ReregisterWithin
 	targets.RenewalTimeout = missedHeartbeats * h.settings.Fleet.TargetHeartbeat
 	h.targets = swwatch.NewFollower(targets, h.platform.Targets(), h.targetsChanged)
-	hosts := config("hosts", hostWait)
+	hosts := config(kindHosts, hostWait)
 	hosts.ChangePause = hostChangePause
 	hosts.MissingGrace = h.settings.Fleet.ReregisterWithin
 	h.hosts = swwatch.NewFollower(hosts, h.platform.Hosts(), h.hostsChanged)
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -8,6 +8,8 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
 
 // decode converts a message from its protobuf form and checks its fields.
@@ -37,6 +39,8 @@
 		return swmsg.Leaving{}, nil
 	case *swpb.Message_SharedCells:
 		return checked("sharedCells", k.SharedCells, decodeSharedCells)
+	case *swpb.Message_StoreState:
+		return checked("storeState", k.StoreState, decodeStoreState)
 	case *swpb.Message_Queued:
 		return checked("queued", k.Queued, decodeQueued)
 	case *swpb.Message_Recover:
@@ -169,8 +173,9 @@
 	return swmsg.Registration{
 		Complete: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: duration(c, "ageMillis", w.GetAgeMillis()),
 		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()), Streams: decodeBegunStreams(c, w.GetBegun()),
-		Cut:     services(c, "cut", w.GetCut()),
-		Reached: convert(w.GetReached(), func(t string) swid.TargetID { return target(c, t) }),
+		Cut:           services(c, "cut", w.GetCut()),
+		Reached:       convert(w.GetReached(), func(t string) swid.TargetID { return target(c, t) }),
+		StoreQuestion: w.GetStoreQuestion(),
 		RateLimits: convert(w.GetRateLimits(), func(l *swpb.TargetRateLimit) swmsg.RateLimit {
 			return swmsg.RateLimit{
 				Target: target(c, l.GetTarget()), PerSecond: requestRate(c, l.GetPerSecond()), Age: duration(c, "ageMillis", l.GetAgeMillis()),
@@ -184,6 +189,19 @@
 	return swmsg.SharedCells{Scheduling: scheduling(c, w.GetScheduling()), CheckReach: services(c, "checkReach", w.GetCheckReach())}
 }
 
+func decodeStoreState(c *checker, w *swpb.StoreState) swmsg.StoreState {
+	c.listLength("kinds", len(w.GetKinds()), MaxStoreKinds)
+	if c.err != nil {
+		return swmsg.StoreState{}
+	}
+	return swmsg.StoreState{Question: w.GetQuestion(), Era: swobject.Era(w.GetEra()), Kinds: convert(w.GetKinds(), func(k *swpb.StoreKind) swmsg.StoreKind {
+		return swmsg.StoreKind{
+			Kind: c.requiredText("kind", k.GetKind()), Latest: swwatch.Revision(k.GetLatest()),
+			ConfirmedAge: duration(c, "confirmedAgeMillis", k.GetConfirmedAgeMillis()),
+		}
+	})}
+}
+
 func decodeGrant(c *checker, w *swpb.Grant) swmsg.Grant {
 	return swmsg.Grant{
 		Cell: cell(c, w.GetCell()), Seq: swid.Seq(w.GetSeq()), Attempt: swid.Attempt(w.GetAttempt()),
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -37,6 +37,8 @@
 	case swmsg.SharedCells:
 		s := &swpb.SharedCells{Scheduling: uint32(m.Scheduling), CheckReach: encodeServices(m.CheckReach)}
 		return &swpb.Message{Kind: &swpb.Message_SharedCells{SharedCells: s}}, nil
+	case swmsg.StoreState:
+		return &swpb.Message{Kind: &swpb.Message_StoreState{StoreState: encodeStoreState(m)}}, nil
 	case swmsg.Queued:
 		q := &swpb.Queued{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
 		return &swpb.Message{Kind: &swpb.Message_Queued{Queued: q}}, nil
@@ -145,8 +147,9 @@
 	return &swpb.Attach{
 		Fresh: m.Complete, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age),
 		Strikes: strikes, Scheduling: uint32(m.Scheduling), Begun: encodeBegunStreams(m.Streams),
-		Cut:     encodeServices(m.Cut),
-		Reached: convert(m.Reached, func(t swid.TargetID) string { return string(t) }),
+		Cut:           encodeServices(m.Cut),
+		Reached:       convert(m.Reached, func(t swid.TargetID) string { return string(t) }),
+		StoreQuestion: m.StoreQuestion,
 		RateLimits: convert(m.RateLimits, func(l swmsg.RateLimit) *swpb.TargetRateLimit {
 			return &swpb.TargetRateLimit{
 				Target: string(l.Target), PerSecond: float64(l.PerSecond), AgeMillis: int64(l.Age),
@@ -156,6 +159,12 @@
 	}
 }
 
+func encodeStoreState(m swmsg.StoreState) *swpb.StoreState {
+	return &swpb.StoreState{Question: m.Question, Era: uint64(m.Era), Kinds: convert(m.Kinds, func(k swmsg.StoreKind) *swpb.StoreKind {
+		return &swpb.StoreKind{Kind: k.Kind, Latest: uint64(k.Latest), ConfirmedAgeMillis: int64(k.ConfirmedAge)}
+	})}
+}
+
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
 	return &swpb.Grant{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target), Epoch: uint64(m.Epoch),
--- a/internal/peer/swcodec/golden_test.go
+++ b/internal/peer/swcodec/golden_test.go
@@ -72,7 +72,7 @@
 }
 
 // newKinds is the number of kinds of message that the released build does not have.
-const newKinds = 0
+const newKinds = 1
 
 func kindOf(m swmsg.Message) string { return reflect.TypeOf(m).Name() }
 
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -36,6 +36,8 @@
 	MaxServices = 4096
 	// MaxReached bounds the targets of one registration that the sender can reach again.
 	MaxReached = 256
+	// MaxStoreKinds bounds the kinds of objects in one state of the store.
+	MaxStoreKinds = 16
 	// MaxExclude bounds the excluded targets of one grant request.
 	MaxExclude = 256
 	// MaxMemberUpdates bounds the membership updates of one heartbeat.
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -23,7 +23,7 @@
 // samples holds one message of each kind. Tests that need random messages fill in the fields.
 var samples = []swmsg.Message{
 	swmsg.Hello{}, swmsg.Heartbeat{}, swmsg.GrantRequest{}, swmsg.InFlight{}, swmsg.Progress{}, swmsg.Withdraw{}, swmsg.Done{},
-	swmsg.Grant{}, swmsg.Reject{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Registration{}, swmsg.SharedCells{}, swmsg.Leaving{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
+	swmsg.Grant{}, swmsg.Reject{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Registration{}, swmsg.SharedCells{}, swmsg.StoreState{}, swmsg.Leaving{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
 }
 
 // fill sets every field of a value at random by reflection, so that fields added later are covered.
@@ -170,6 +170,8 @@
 		{"bad inner ask", swmsg.InFlight{Target: "e"}, "cell"},
 		{"many strikes", swmsg.Registration{Strikes: make([]swmsg.Strike, MaxStrikes+1)}, "strikes"},
 		{"strike without target", swmsg.Registration{Strikes: []swmsg.Strike{{Content: 1}}}, "target"},
+		{"many kinds of the store", swmsg.StoreState{Kinds: make([]swmsg.StoreKind, MaxStoreKinds+1)}, "kinds"},
+		{"kind of the store without a name", swmsg.StoreState{Kinds: make([]swmsg.StoreKind, 1)}, "kind"},
 		{"unknown scheduling", swmsg.SharedCells{Scheduling: swmsg.SchedulingShared + 1}, "scheduling"},
 		{"negative rate", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, PerSecond: -1}}, "perSecond"},
 		{"rate that is no number", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(math.NaN())}}, "perSecond"},
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -7,6 +7,8 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
+	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
 
 // Message is one message between two entry hosts. The link identifies the sender.
@@ -138,6 +140,27 @@
 	Reached []swid.TargetID
 	// Scheduling is the sender's, so that the owner can tell the sender if that is to change.
 	Scheduling Scheduling
+	// StoreQuestion is the number of the StoreState that the sender asks for; 0 asks for none.
+	StoreQuestion uint64
+}
+
+// StoreState tells a host that registered with the sender what the sender holds of the store's objects, so that the
+// host need not ask the store whether its own copies are current.
+type StoreState struct {
+	// Question is that of the registration.
+	Question uint64
+	Era      swobject.Era
+	Kinds    []StoreKind
+}
+
+// StoreKind is what a host holds of the objects of one kind.
+type StoreKind struct {
+	// Kind is the name of the kind, as in the log.
+	Kind string
+	// Latest is the revision of the latest change.
+	Latest swwatch.Revision
+	// ConfirmedAge is how long before the question arrived the store confirmed the objects.
+	ConfirmedAge swclock.Millis
 }
 
 // Strike is a crash of a target that ran content.
@@ -326,6 +349,7 @@
 func (Registration) message()   {}
 func (Leaving) message()        {}
 func (SharedCells) message()    {}
+func (StoreState) message()     {}
 func (Queued) message()         {}
 func (Grant) message()          {}
 func (Reject) message()         {}
--- a/internal/store/swwatch/follower.go
+++ b/internal/store/swwatch/follower.go
@@ -37,6 +37,11 @@
 	// where ConfirmedAt must be recent: an answer with a change confirms the objects
 	// only as of the start of its call.
 	WaitAfterChange swclock.Millis
+	// PeerWait, if not 0, is the longest time that a watch waits while other hosts confirm the objects, and AskedWait
+	// while other hosts ask this one for that.
+	PeerWait, AskedWait swclock.Millis
+	// ConfirmWithin, if not 0, ends a watch with a longer wait than Wait when the objects have not been confirmed for so long.
+	ConfirmWithin swclock.Millis
 	// ChangePause is the pause between a change and the next watch, so that changes in
 	// quick succession are fetched with few calls.
 	ChangePause swclock.Millis
@@ -67,6 +72,12 @@
 	confirmed atomic.Int64
 	// lastOutage is the number of the latest outage that recordAnswer handled.
 	lastOutage uint64
+	// latest is the revision of the latest change of the held objects, or a later one before the next change.
+	latest Revision
+	// peer is what other hosts said of the objects.
+	peer peerState
+	// renew ends a watch that waits, with its reason.
+	renew chan renewal
 }
 
 // NewFollower returns a follower that makes no call before Run.
@@ -74,7 +85,9 @@
 	if config.WaitAfterChange == 0 {
 		config.WaitAfterChange = config.Wait
 	}
-	return &Follower[T]{config: config, source: source, state: NewState[T](config.MissingGrace, config.RenewalTimeout), changed: changed}
+	return &Follower[T]{
+		config: config, source: source, state: NewState[T](config.MissingGrace, config.RenewalTimeout), changed: changed, renew: make(chan renewal, 1),
+	}
 }
 
 // ConfirmedAt returns the time since boot as of which the store last confirmed the
@@ -136,7 +149,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordAnswer(listing.Era)
+	first := f.state.AsOf() == 0
 	if f.state.List(listing, f.config.Clock.Now()) {
+		f.recordListed(listing, first)
 		f.changed(f.state.Items())
 	}
 	f.confirm(sent)
@@ -153,9 +168,13 @@
 	defer cancelReachable()
 	watching, cancel := context.WithTimeout(reachable, (wait + answerMargin).Duration())
 	defer cancel()
+	renewed := f.endWhenRenewed(watching, cancel, wait)
 	sent := f.config.Boot.SinceBoot()
 	changes, err := f.source.Watch(watching, after, wait)
 	if err != nil {
+		if renewed.Load() && ctx.Err() == nil {
+			return renewalWait, nil
+		}
 		if f.isOutdated() {
 			return wait, ErrHistoryGone // the call was ended for that
 		}
@@ -172,12 +191,12 @@
 	}
 	if f.config.Boot.SinceBoot() < sent+wait {
 		f.confirm(sent) // the watch ended early
-		return f.config.Wait, nil
+		return f.nextWait(), nil
 	}
 	// The store answers a watch without a change at the end of the wait, so the
 	// answer confirms the objects as of that time.
 	f.confirm(sent + wait)
-	return f.config.Wait, nil
+	return f.nextWait(), nil
 }
 
 // position returns the revision after which to watch, and the time until Expire is due next, or 0 if it is not.
@@ -210,6 +229,7 @@
 		return false, nil
 	}
 	now := f.config.Clock.Now()
+	f.recordChanges(changes)
 	changed := f.state.Apply(changes, now)
 	if f.state.Expire(now) || changed {
 		f.changed(f.state.Items())
--- /dev/null
+++ b/internal/store/swwatch/peer_test.go
@@ -0,0 +1,171 @@
+package swwatch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// virtualBoot is the time since boot in a bubble of synctest.
+type virtualBoot struct{}
+
+// SinceBoot implements swclock.Boot.
+func (virtualBoot) SinceBoot() swclock.Millis { return swclock.Millis(time.Now().UnixMilli()) }
+
+// quietSource is a source without changes. While it is silent, calls are not answered.
+type quietSource struct {
+	mu      sync.Mutex
+	silent  bool
+	watches int
+}
+
+func (q *quietSource) List(ctx context.Context) (Listing[string], error) {
+	if q.answers() {
+		return Listing[string]{Items: []Item[string]{item("a", 5)}, AsOf: 8, Era: 2}, nil
+	}
+	<-ctx.Done()
+	return Listing[string]{}, ctx.Err()
+}
+
+func (q *quietSource) Watch(ctx context.Context, after Revision, wait swclock.Millis) (Changes[string], error) {
+	q.mu.Lock()
+	q.watches++
+	q.mu.Unlock()
+	select {
+	case <-time.After(wait.Duration()):
+		if q.answers() {
+			return Changes[string]{AsOf: after, Era: 2}, nil
+		}
+		<-ctx.Done()
+	case <-ctx.Done():
+	}
+	return Changes[string]{}, ctx.Err()
+}
+
+func (q *quietSource) answers() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.silent
+}
+
+// TestPeerConfirms checks when a host that hears from another one each half second what that holds asks the store itself, and
+// how old its confirmation becomes.
+func TestPeerConfirms(t *testing.T) {
+	const (
+		interval, span = 500 * time.Millisecond, 20 * time.Second
+		// from is when the other host is heard first, and silentFrom when a silent store falls silent.
+		from, silentFrom = 4 * time.Second, 8 * time.Second
+	)
+	same := func(now swclock.Millis) Held { return Held{Era: 2, Latest: 5, ConfirmedAt: now - 300} }
+	tests := []struct {
+		name string
+		// peer returns what the other host holds; nil if it is not heard. until is when it is last heard, if not 0.
+		peer  func(now swclock.Millis) Held
+		until time.Duration
+		// asked is set if the other host asks this one instead.
+		asked, silent bool
+		// watches are allowed, and the confirmation may be so old once the other host has been heard.
+		minWatches, maxWatches int
+		maxAge                 swclock.Millis
+		unreachable            bool
+	}{
+		{name: "nobody is heard", minWatches: 6, maxWatches: 8, maxAge: 3100},
+		{name: "another host holds the same", peer: same, maxWatches: 4, maxAge: 900},
+		{name: "it holds less", peer: func(now swclock.Millis) Held { return Held{Era: 2, Latest: 3, ConfirmedAt: now - 300} }, maxWatches: 4, maxAge: 900},
+		{name: "it holds more", peer: func(now swclock.Millis) Held { return Held{Era: 2, Latest: 9, ConfirmedAt: now} }, minWatches: 7, maxWatches: 24, maxAge: 3100},
+		{name: "it is of an earlier era", peer: func(now swclock.Millis) Held { return Held{Era: 1, Latest: 5, ConfirmedAt: now} }, minWatches: 6, maxWatches: 8, maxAge: 3100},
+		{name: "it is of a later era", peer: func(now swclock.Millis) Held { return Held{Era: 3, Latest: 5, ConfirmedAt: now} }, minWatches: 7, maxWatches: 24, maxAge: 3100},
+		{name: "its confirmation grows old", peer: func(swclock.Millis) Held { return Held{Era: 2, Latest: 5, ConfirmedAt: 1} }, minWatches: 6, maxWatches: 14, maxAge: 3700},
+		{name: "it falls silent", peer: same, until: 10 * time.Second, minWatches: 6, maxWatches: 9, maxAge: 3700},
+		{name: "it asks", asked: true, minWatches: 15, maxWatches: 20, maxAge: 1100},
+		{name: "it holds the same, and the store is silent here", peer: same, silent: true, maxWatches: 4, maxAge: 900},
+		{name: "it holds more, and the store is silent here", peer: func(now swclock.Millis) Held {
+			if now > 9000 {
+				return Held{Era: 2, Latest: 9, ConfirmedAt: now}
+			}
+			return same(now)
+		}, silent: true, maxWatches: 20, maxAge: 30_000, unreachable: true},
+		{name: "the store is silent here, and nobody is heard", silent: true, maxWatches: 8, maxAge: 30_000, unreachable: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := &quietSource{}
+				clock := swclock.NewSystem()
+				start := virtualBoot{}.SinceBoot()
+				f := NewFollower(Config{
+					Kind: "things", Wait: 3000, WaitAfterChange: 700, PeerWait: swclock.Minute, AskedWait: 1000, ConfirmWithin: 2500,
+					Clock: clock, Boot: virtualBoot{}, Health: NewHealth(clock, zerolog.Nop()), Log: zerolog.Nop(),
+				}, source, func([]Item[string]) {})
+				ctx, stop := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					f.Run(ctx)
+				}()
+				var oldest swclock.Millis
+				for passed := time.Duration(0); passed < span; passed += interval {
+					now := virtualBoot{}.SinceBoot()
+					if tt.silent && passed == silentFrom {
+						source.mu.Lock()
+						source.silent = true
+						source.mu.Unlock()
+					}
+					if passed >= from+time.Second {
+						oldest = max(oldest, now-f.ConfirmedAt())
+					}
+					heard := passed >= from && (tt.until == 0 || passed < tt.until)
+					if heard && tt.asked {
+						if held, ok := f.Held(); !ok || held.Latest != 5 || held.Era != 2 {
+							t.Errorf("holds %+v, %t", held, ok)
+						}
+					} else if heard && tt.peer != nil {
+						held := tt.peer(now - start)
+						held.ConfirmedAt += start
+						f.ObservePeer(held)
+					}
+					time.Sleep(interval)
+				}
+				unreachable := f.config.Health.Unreachable()
+				stop()
+				<-ended
+				if source.watches < tt.minWatches || source.watches > tt.maxWatches {
+					t.Errorf("%d watches, want %d to %d", source.watches, tt.minWatches, tt.maxWatches)
+				}
+				if oldest > tt.maxAge {
+					t.Errorf("the confirmation became %d ms old, want %d at most", oldest, tt.maxAge)
+				}
+				if unreachable != tt.unreachable {
+					t.Errorf("the store is taken for unreachable: %t", unreachable)
+				}
+			})
+		})
+	}
+}
+
+// TestHeldWithoutStore checks that a host which cannot reach the store, or has not listed, confirms nothing to others.
+func TestHeldWithoutStore(t *testing.T) {
+	clock := &swclock.Manual{}
+	clock.Advance(1000)
+	health := NewHealth(clock, zerolog.Nop())
+	f := NewFollower(Config{Kind: "things", Wait: 100, Clock: clock, Boot: clock, Health: health, Log: zerolog.Nop()}, &quietSource{}, func([]Item[string]) {})
+	if held, ok := f.Held(); ok {
+		t.Errorf("holds %+v before it has listed", held)
+	}
+	if err := f.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if held, ok := f.Held(); !ok || held != (Held{Era: 2, Latest: 5, ConfirmedAt: 1000}) {
+		t.Errorf("holds %+v, %t", held, ok)
+	}
+	health.recordFailure("things", errNoAnswer)
+	if held, ok := f.Held(); ok {
+		t.Errorf("holds %+v while the store is unreachable", held)
+	}
+}
