Watch targets again half a second after a change

A quarter of the shortest bound for a change is enough: the owner and a request's host both decline targets that leave, and their answers say so too.

--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -236,9 +236,9 @@
 	missedHeartbeats = 3
 	// catalogChangePause and targetChangePause are the pauses between a change and the next watch of the
 	// configuration and the targets. They save calls when changes come in quick succession, as they do when many
-	// targets start or leave, and are a tenth of the time within which a change must be in force.
+	// targets start or leave, and are a tenth and a quarter of the time within which a change must be in force.
 	catalogChangePause = 200 * swclock.Millis(1)
-	targetChangePause  = 200 * swclock.Millis(1)
+	targetChangePause  = 500 * swclock.Millis(1)
 	// hostChangePause is the same pause for changes of hosts. It is longer, because a
 	// restart of many hosts changes only their incarnations, which this host also
 	// receives over its links to them.
