Count answers of the store to the owner for the length of an outage

A host whose copies the owner confirms makes no call for up to 30 s, so that a watch that was cut off looked like the end of an outage of that length, and targets that had gone were held for 2 s more. TestWatchCutAfterConfirmation failed before.

--- a/internal/store/swwatch/health.go
+++ b/internal/store/swwatch/health.go
@@ -36,7 +36,7 @@
 	retryInterval    swclock.Millis
 	// nextTry is when the next call may be made while the store is unreachable.
 	nextTry swclock.Millis
-	// answeredAt is when the store last answered a call of any kind.
+	// answeredAt is when the store last answered a call of any kind, of this host or of another one that told it so.
 	answeredAt swclock.Millis
 	// outage is the latest outage that ended.
 	outage Outage
@@ -166,6 +166,13 @@
 	return h.outage
 }
 
+// recordAnswerToPeer records that the store answered another host some time ago.
+func (h *Health) recordAnswerToPeer(age swclock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answeredAt = max(h.answeredAt, h.clock.Now()-age)
+}
+
 // signalChange wakes the goroutines that wait for changed. The caller holds h.mu.
 func (h *Health) signalChange() {
 	close(h.changed)
--- a/internal/store/swwatch/peer.go
+++ b/internal/store/swwatch/peer.go
@@ -84,6 +84,7 @@
 		}
 		f.peer.confirmedAt, f.peer.behindSince = now, 0
 		f.confirm(held.ConfirmedAt)
+		f.config.Health.recordAnswerToPeer(now - held.ConfirmedAt)
 	case f.peer.behindSince == 0:
 		f.peer.behindSince = now
 	case now-f.peer.behindSince >= behindTimeout:
--- a/internal/store/swwatch/peer_test.go
+++ b/internal/store/swwatch/peer_test.go
@@ -169,3 +169,30 @@
 		t.Errorf("holds %+v while the store is unreachable", held)
 	}
 }
+
+// TestWatchCutAfterConfirmation guards against targets that are held after they have gone, because the watch of a host that was
+// long confirmed by another one is cut off: that is no outage of the store in which it may have dropped them.
+func TestWatchCutAfterConfirmation(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		clock := &swclock.Manual{}
+		clock.Advance(1000)
+		health := NewHealth(clock, zerolog.Nop())
+		f := NewFollower(Config{
+			Kind: "things", Wait: 100, MissingGrace: 2000, RenewalTimeout: 3600, Clock: clock, Boot: clock, Health: health, Log: zerolog.Nop(),
+		}, &quietSource{}, func([]Item[string]) {})
+		if err := f.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if clock.Advance(20_000); confirmed {
+			f.ObservePeer(Held{Era: 2, Latest: 5, ConfirmedAt: clock.Now() - 300})
+		}
+		health.recordFailure("things", errNoAnswer)
+		f.mu.Lock()
+		f.recordAnswer(2)
+		dropped := f.state.Apply(Changes[string]{Changes: []Change[string]{removed("a")}, AsOf: 9, Era: 2}, clock.Now())
+		f.mu.Unlock()
+		if dropped != confirmed {
+			t.Errorf("confirmed: %t; the target is dropped at once: %t", confirmed, dropped)
+		}
+	}
+}
