End a watch only for one change that is lacking for a second

A host that polls the store a moment after its owner lacked some change at each answer while targets start, and ended its watch each second for it. TestBehind: "always a moment later" failed before.

--- a/internal/store/swwatch/peer.go
+++ b/internal/store/swwatch/peer.go
@@ -13,7 +13,7 @@
 	// peerTimeout is the time after which another host that says nothing more of the objects no longer counts, and
 	// one that asks nothing more.
 	peerTimeout = 1200 * swclock.Millis(1)
-	// behindTimeout is how long a host may hold changes that this one lacks, before this one ends its watch: its
+	// behindTimeout is how long another host may hold a change that this one lacks, before this one ends its watch: its
 	// connection to the store may have fallen silent.
 	behindTimeout = swclock.Second
 	// renewalWait is the wait of the watch that follows one that was ended: it shows soon whether the store answers.
@@ -34,8 +34,10 @@
 type peerState struct {
 	// confirmedAt is when another host last confirmed the objects.
 	confirmedAt swclock.Millis
-	// behindSince is since when another host holds changes that this one lacks; 0 if none does.
-	behindSince swclock.Millis
+	// lacked is the latest change that another host holds and this one lacks, and lackedSince since when; 0 if there
+	// is none.
+	lacked      Revision
+	lackedSince swclock.Millis
 	// askedAt is when another host last asked for Held.
 	askedAt swclock.Millis
 }
@@ -82,13 +84,13 @@
 			f.config.Log.Info().Str("kind", f.config.Kind).Uint64("asOf", uint64(asOf)).Uint64("latest", uint64(held.Latest)).
 				Int64("confirmedAgeMillis", int64(now-held.ConfirmedAt)).Msg("copy confirmed by the owner")
 		}
-		f.peer.confirmedAt, f.peer.behindSince = now, 0
+		f.peer.confirmedAt, f.peer.lackedSince = now, 0
 		f.confirm(held.ConfirmedAt)
 		f.config.Health.recordAnswerToPeer(now - held.ConfirmedAt)
-	case f.peer.behindSince == 0:
-		f.peer.behindSince = now
-	case now-f.peer.behindSince >= behindTimeout:
-		f.peer.behindSince = 0
+	case f.peer.lackedSince == 0, held.Era == era && asOf >= f.peer.lacked:
+		f.peer.lacked, f.peer.lackedSince = held.Latest, now
+	case now-f.peer.lackedSince >= behindTimeout:
+		f.peer.lackedSince = 0
 		f.requestRenewal(renewBehind)
 	}
 }
--- a/internal/store/swwatch/peer_test.go
+++ b/internal/store/swwatch/peer_test.go
@@ -149,6 +149,57 @@
 	}
 }
 
+// listSource lists one object as of a revision.
+type listSource struct {
+	quietSource
+	asOf Revision
+}
+
+func (l *listSource) List(context.Context) (Listing[string], error) {
+	return Listing[string]{Items: []Item[string]{item("a", 5)}, AsOf: l.asOf, Era: 2}, nil
+}
+
+// TestBehind checks when a host ends its watch because another one holds more: not while it only follows the same changes
+// a moment later.
+func TestBehind(t *testing.T) {
+	type step struct {
+		// asOf is what this host has listed by then, and latest what the other one holds.
+		asOf, latest Revision
+	}
+	tests := []struct {
+		name  string
+		steps []step // each half a second after the one before
+		want  bool
+	}{
+		{"never behind", []step{{10, 5}, {10, 9}, {10, 10}, {10, 10}}, false},
+		{"one change lacking for a second", []step{{10, 11}, {10, 11}, {10, 11}}, true},
+		{"one change lacking, and then others", []step{{10, 11}, {10, 12}, {10, 13}}, true},
+		{"always a moment later", []step{{10, 11}, {11, 12}, {12, 13}, {13, 14}, {14, 15}}, false},
+		{"catches up in time", []step{{10, 11}, {10, 11}, {11, 11}, {11, 12}, {12, 12}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &swclock.Manual{}
+			clock.Advance(1000)
+			source := &listSource{}
+			f := NewFollower(Config{
+				Kind: "things", Wait: 100, Clock: clock, Boot: clock, Health: NewHealth(clock, zerolog.Nop()), Log: zerolog.Nop(),
+			}, source, func([]Item[string]) {})
+			for _, s := range tt.steps {
+				source.asOf = s.asOf
+				if err := f.Refresh(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				f.ObservePeer(Held{Era: 2, Latest: s.latest, ConfirmedAt: clock.Now()})
+				clock.Advance(500)
+			}
+			if renewed := len(f.renew) > 0; renewed != tt.want {
+				t.Errorf("the watch is ended: %t, want %t", renewed, tt.want)
+			}
+		})
+	}
+}
+
 // TestHeldWithoutStore checks that a host which cannot reach the store, or has not listed, confirms nothing to others.
 func TestHeldWithoutStore(t *testing.T) {
 	clock := &swclock.Manual{}
