--- a/internal/core/swcell/snapshot.go
+++ b/internal/core/swcell/snapshot.go
@@ -33,10 +33,23 @@
 	ServiceTime float64
 }
 
+// Effort counts what a cell has computed since it was created. It is counted in package swvalue only.
+type Effort struct {
+	// Ranks counts the ranks of requests, Comparisons the looks at a target for a request, and Visits the waiting requests that
+	// were looked at to find one of them or the work ahead of one.
+	Ranks, Comparisons, Visits uint64
+}
+
+// Since returns the effort since an earlier one of the same cell.
+func (e Effort) Since(earlier Effort) Effort {
+	return Effort{Ranks: e.Ranks - earlier.Ranks, Comparisons: e.Comparisons - earlier.Comparisons, Visits: e.Visits - earlier.Visits}
+}
+
 // Snapshot describes a cell for operators.
 type Snapshot struct {
 	Tiers   []TierStatus
 	Targets []TargetStatus
+	Effort  Effort
 	// RetriesLeft is the rest of the retry budget.
 	RetriesLeft float64
 	// Violations counts the broken invariants since the cell was created.
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -167,6 +167,7 @@
 func (c *Cell[P, O]) expectedWait(rank float64, r *request, queue []ranked) float64 {
 	ahead := 0.0
 	for _, q := range queue {
+		c.effort.Visits++
 		if q.rank < rank {
 			break
 		}
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -53,6 +53,7 @@
 		Value: c.valueAt(r, first), Work: work, MeanWork: c.sizes.forTier(r.grantRequest.Tier).work.value, Waited: c.now - r.requestedAt,
 		Precedence: math.Pow(precedenceStep, -float64(r.grantRequest.OrgTier)),
 	}
+	c.effort.Ranks++
 	return c.order.Rank(&c.candidate)
 }
 
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -179,6 +179,7 @@
 
 // mayRun reports whether the request may be granted the target, now or once it has a free slot.
 func (c *Cell[P, O]) mayRun(r *request, t *target) bool {
+	c.effort.Comparisons++
 	if !c.isEligible(r, t) {
 		return false
 	}
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -143,7 +143,10 @@
 }
 
 func (c *Cell[P, O]) indexOf(k swcell.Key) int {
-	return slices.IndexFunc(c.waiting, func(r *request) bool { return r.grantRequest.Key == k })
+	return slices.IndexFunc(c.waiting, func(r *request) bool {
+		c.effort.Visits++
+		return r.grantRequest.Key == k
+	})
 }
 
 // remove removes a waiting request by its index.
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -77,6 +77,7 @@
 	mixedListing uint64
 	// meanWork is the mean work of the granted requests.
 	meanWork swcost.Average
+	effort   swcell.Effort
 }
 
 // Config holds a cell's settings; zero fields get the defaults.
@@ -319,9 +320,12 @@
 
 func (c *Cell[P, O]) emit(a swcell.Action) { c.actions = append(c.actions, a) }
 
+// Effort returns what the cell has computed.
+func (c *Cell[P, O]) Effort() swcell.Effort { return c.effort }
+
 // Snapshot returns the cell's current state.
 func (c *Cell[P, O]) Snapshot() swcell.Snapshot {
-	s := swcell.Snapshot{Tiers: make([]swcell.TierStatus, len(c.cfg.TierValues))}
+	s := swcell.Snapshot{Tiers: make([]swcell.TierStatus, len(c.cfg.TierValues)), Effort: c.effort}
 	for _, r := range c.waiting {
 		s.Tiers[c.tierIndex(r.grantRequest.Tier)].Waiting++
 	}
--- a/internal/owner/swowner/input.go
+++ b/internal/owner/swowner/input.go
@@ -23,13 +23,22 @@
 	count int
 	// longestWait is the longest time that an input waited in the ring.
 	longestWait swclock.Millis
+	// busy is the time that the runner took for inputs and ticks, and longestStep the longest time for one of them.
+	busy, longestStep swclock.Millis
 }
 
-func (l *inputLoad) add(wait swclock.Millis) {
+// addInput counts an input that waited in the ring.
+func (l *inputLoad) addInput(wait swclock.Millis) {
 	l.count++
 	l.longestWait = max(l.longestWait, wait)
 }
 
+// addStep adds the time that an input or a tick took.
+func (l *inputLoad) addStep(took swclock.Millis) {
+	l.busy += took
+	l.longestStep = max(l.longestStep, took)
+}
+
 // eventInput carries an event for the core.
 type eventInput struct{ event swcell.Event }
 
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -50,8 +50,9 @@
 	actions []swcell.Action
 	// lastStatusAt is when the cell's state was last logged.
 	lastStatusAt swclock.Millis
-	// load sums up the inputs since lastStatusAt.
-	load inputLoad
+	// load sums up the inputs since lastStatusAt, and effort is that of the core at that time.
+	load   inputLoad
+	effort swcell.Effort
 	// nextTickAt is when the core next receives a Tick.
 	nextTickAt swclock.Millis
 	// grants holds each grant from its action until its Done or Withdraw, so that a repeated grant
@@ -119,14 +120,18 @@
 		case d := <-r.documents.Items():
 			r.apply(ctx, d)
 		case in := <-r.inputs.Items():
-			r.load.add(r.config.Clock.Now() - in.queuedAt)
+			began := r.config.Clock.Now()
+			r.load.addInput(began - in.queuedAt)
 			in.apply(r)
+			r.load.addStep(r.config.Clock.Now() - began)
 			if interval := r.tickInterval(); r.config.Clock.Now()+interval < r.nextTickAt {
 				timer.Reset(interval.Duration())
 				r.nextTickAt = r.config.Clock.Now() + interval
 			}
 		case <-timer.C:
+			began := r.config.Clock.Now()
 			r.tick()
+			r.load.addStep(r.config.Clock.Now() - began)
 			if r.releasable() && retire() {
 				r.config.Log.Info().Str("cell", string(r.id)).Msg("cell released")
 				return
@@ -305,6 +310,8 @@
 	load := r.load
 	r.load = inputLoad{}
 	s := r.core.Snapshot()
+	effort := s.Effort.Since(r.effort)
+	r.effort = s.Effort
 	waiting, running := zerolog.Arr(), zerolog.Arr()
 	for _, t := range s.Tiers {
 		waiting.Int(t.Waiting)
@@ -316,6 +323,8 @@
 	}
 	r.config.Log.Info().Str("cell", string(r.id)).Uint64("epoch", uint64(r.epoch)).
 		Int("inputs", load.count).Int64("longestInputMillis", int64(load.longestWait)).
+		Int64("busyMillis", int64(load.busy)).Int64("longestStepMillis", int64(load.longestStep)).
+		Uint64("ranks", effort.Ranks).Uint64("comparisons", effort.Comparisons).Uint64("visits", effort.Visits).
 		Array("waiting", waiting).Array("running", running).Dict("targets", targets).Msg("cell status")
 }
 
