--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -48,7 +48,11 @@
 	if h.view.chargedByOwner(cell) {
 		config.Ledger = h.ledger
 	}
-	return swvalue.New(config, swvalue.Fastest{}, swvalue.ByWorth{})
+	core := swvalue.New(config, swvalue.Fastest{}, swvalue.ByWorth{})
+	if h.wrapCore != nil {
+		return h.wrapCore(core)
+	}
+	return core
 }
 
 // adapter returns the adapter that sends requests to a target.
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -22,6 +22,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -68,6 +69,10 @@
 	adapter func(swid.TargetID) swtarget.Adapter
 	// hostAdapter, if not nil, returns the adapter of a target for one process of the host with a number.
 	hostAdapter func(host int, id swid.TargetID) swtarget.Adapter
+	// chargeCores is set if the decisions of the cells take processor time.
+	chargeCores bool
+	// deadline is what callers say of how long they wait; 0 if they do not.
+	deadline swclock.Millis
 	// answered counts the answers of each second since the start.
 	mu       sync.Mutex
 	started  time.Time
@@ -155,6 +160,11 @@
 		return
 	}
 	host.boot = virtualBoot{}
+	if h.fleet.chargeCores {
+		host.wrapCore = func(c swowner.Core) swowner.Core {
+			return &chargedCore{Core: c, processor: h.processor, ended: ctx.Done()}
+		}
+	}
 	host.linkOptions = []swlink.Option{swlink.WithTransport(memoryTransport{h.fleet.network, h.address(), h.processor})}
 	if err := host.register(ctx); err != nil {
 		return // ctx ended
@@ -208,7 +218,7 @@
 	ctx = context.WithValue(ctx, leavesAt{}, time.Now().Add(patience))
 	call := &swgate.Call{
 		ID: id, Method: http.MethodPost, Host: "h", Target: "/model/x", Path: "/model/x", Key: "key",
-		PromptTokens: 100, OutputTokens: 10, ExpectedTokens: 5,
+		PromptTokens: 100, OutputTokens: 10, ExpectedTokens: 5, Deadline: f.deadline,
 		ReadBody: func(swcatalog.Limits) ([]byte, error) { return nil, nil },
 	}
 	result := host.gate.Serve(ctx, call, discardSink{})
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -135,8 +135,9 @@
 	refusalKeeper *swrefusal.Keeper
 	view          *view
 	exchange      *swexchange.Exchange
-	// linkOptions are further options of network; tests set them.
+	// linkOptions are further options of network, and wrapCore, if not nil, wraps each cell's core; tests set them.
 	linkOptions []swlink.Option
+	wrapCore    func(swowner.Core) swowner.Core
 	network     *swlink.Network
 	router      *router
 	pool        *swpool.Pool
