Keep what waiting requests know of the targets when one target changes

The outlooks are now used until their time is over. Only requests that no target may run are looked at again after a change, 20,000 a second at most. TestOutlooksOfACrowdedCell failed with 632,400, 2,522,350 and 10,052,399 comparisons for 100 signs of targets while 50, 200 and 800 requests wait; at most 50,000, 80,000 and 200,000 are wanted.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -83,9 +83,8 @@
 type queued struct {
 	// entries has the requests that at least one target may run, the highest rank first.
 	entries []ranked
-	// until is when the order is computed anew, and listing the value of Cell.listing for which it was computed.
-	until   swclock.Millis
-	listing uint64
+	// until is when the order is computed anew.
+	until swclock.Millis
 }
 
 // ranksPerSecond bounds how often the ranks of waiting requests are computed, whatever their number.
@@ -95,7 +94,7 @@
 // wait, the ranks may be some milliseconds old.
 func (c *Cell[P, O]) queue() []ranked {
 	q := &c.queued
-	if c.now < q.until && q.listing == c.listing {
+	if c.now < q.until {
 		return q.entries
 	}
 	q.entries = q.entries[:0]
@@ -106,7 +105,7 @@
 		}
 	}
 	slices.SortStableFunc(q.entries, compareRanks)
-	q.until, q.listing = c.now+swclock.Millis(len(c.waiting))*swclock.Second/ranksPerSecond, c.listing
+	q.until = c.now + swclock.Millis(len(c.waiting))*swclock.Second/ranksPerSecond
 	return q.entries
 }
 
--- a/internal/core/swvalue/load_size_test.go
+++ b/internal/core/swvalue/load_size_test.go
@@ -153,6 +153,27 @@
 	}
 }
 
+// TestOutlooksOfACrowdedCell guards against an owner that compares all waiting requests with all targets whenever something is
+// learned of one target.
+func TestOutlooksOfACrowdedCell(t *testing.T) {
+	for _, waiting := range []int{50, 200, 800} {
+		t.Run(fmt.Sprint(waiting, " requests wait"), func(t *testing.T) {
+			c := newCrowdedCell(0)
+			c.fill(waiting)
+			before, began := c.cell.effort, c.now
+			for i := range 100 {
+				c.now++
+				c.step(swcell.TargetHeard{Target: c.cell.targets[i%len(c.cell.targets)].conf.ID, Host: "h1"})
+			}
+			// Each request is compared with all targets once, and outlooksPerSecond are twice: idle and busy ones.
+			outlooks := 2 * (waiting + outlooksPerSecond*int(c.now-began)/int(swclock.Second))
+			if got, limit := c.cell.effort.Since(before).Comparisons, uint64(outlooks*crowdedTargets); got > limit {
+				t.Errorf("%d comparisons, want at most %d", got, limit)
+			}
+		})
+	}
+}
+
 // BenchmarkBusyCell has a number of requests wait that come from many hosts and name the parts of their prompts.
 func BenchmarkBusyCell(b *testing.B) {
 	for _, waiting := range []int{0, 50, 450, 1000} {
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -73,15 +73,22 @@
 	return r.value
 }
 
-// idle returns the result of bestIdle, which may be as old as outlookAge.
+// idle returns the result of bestIdle, which may be as old as outlookAge. If no target may run the request, the targets are
+// looked at again soon after one has changed.
 func (c *Cell[P, O]) idle(r *request) (best estimate, ok bool) {
-	if c.now >= r.idleUntil || r.idleListing != c.listing {
+	changed := !r.idleFound && r.idleListing != c.listing && c.now >= r.idleAgainAt
+	if c.now >= r.idleUntil || changed {
 		r.idleBest, r.idleFound = c.bestIdle(r)
 		r.idleUntil, r.idleListing = c.now+c.outlookAge(), c.listing
+		r.idleAgainAt = c.now + swclock.Millis(len(c.waiting))*swclock.Second/looksPerSecond
 	}
 	return r.idleBest, r.idleFound
 }
 
+// looksPerSecond bounds how often the targets are looked at for waiting requests that none may run: more often than for others, as
+// a target that may run a request is found at a glance.
+const looksPerSecond = 10 * outlooksPerSecond
+
 // outlooksPerSecond bounds how often the targets are compared for waiting requests, whatever
 // their number. Each comparison takes time in proportion to the number of targets.
 const outlooksPerSecond = 2000
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -140,10 +140,10 @@
 // keep on a target that is busy now, after the wait for a free slot. The result may be as old as
 // outlookAge.
 func (c *Cell[P, O]) busyShare(r *request) float64 {
-	if c.now < r.busyShareUntil && r.busyShareListing == c.listing {
+	if c.now < r.busyShareUntil {
 		return r.busyShare
 	}
-	r.busyShare, r.busyShareUntil, r.busyShareListing = 0, c.now+c.outlookAge(), c.listing
+	r.busyShare, r.busyShareUntil = 0, c.now+c.outlookAge()
 	for _, t := range c.targets {
 		if c.freeSlots(t) > 0 || t.probing() || len(t.runs) == 0 && !t.limited() || !c.mayRun(r, t) {
 			continue
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -44,15 +44,16 @@
 	// offerAllAt when it is offered all of them again.
 	declinedAt uint64
 	offerAllAt swclock.Millis
-	// idleBest and idleFound are the result of bestIdle, busyShare that of busyShare. Each is used
-	// until an instant, and while Cell.listing is the same.
-	idleBest         estimate
-	idleFound        bool
-	idleUntil        swclock.Millis
-	idleListing      uint64
-	busyShare        float64
-	busyShareUntil   swclock.Millis
-	busyShareListing uint64
+	// idleBest and idleFound are the result of bestIdle, which is used until an instant. If there is no target, it is used until
+	// Cell.listing changes, but until idleAgainAt at least.
+	idleBest    estimate
+	idleFound   bool
+	idleUntil   swclock.Millis
+	idleListing uint64
+	idleAgainAt swclock.Millis
+	// busyShare is the result of busyShare, which is used until an instant.
+	busyShare      float64
+	busyShareUntil swclock.Millis
 }
 
 // runKey identifies one attempt.
