Review waiting requests in time that does not grow with their square

The sums are now computed once for a review, and each request finds its place by binary search; rejected requests are removed together. TestBacklog compares the sums with plain ones.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
+	"sort"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -42,8 +44,8 @@
 	c.sizes.forTier(r.grantRequest.Tier).work.add(work)
 	rank := c.rank(r, work, float64(c.now)+idle.first)
 	c.inflow.add(rank, work, c.now)
-	queue := c.queue()
-	if wait, infeasible := c.infeasible(r, idle, queue); infeasible {
+	c.queue()
+	if wait, infeasible := c.infeasible(r, idle, c.workAhead); infeasible {
 		c.reject(r, swcell.ReasonOverload, c.retryAfter(swclock.Millis(wait)))
 		return
 	}
@@ -113,14 +115,11 @@
 func compareRanks(a, b ranked) int { return cmp.Compare(b.rank, a.rank) }
 
 // insert adds a request behind those of its rank.
-func (q *queued) insert(r ranked) {
-	i, _ := slices.BinarySearchFunc(q.entries, r.rank, func(e ranked, rank float64) int {
-		if e.rank >= rank {
-			return -1
-		}
-		return 1
-	})
-	q.entries = slices.Insert(q.entries, i, r)
+func (q *queued) insert(r ranked) { q.entries = slices.Insert(q.entries, q.end(r.rank), r) }
+
+// end returns the number of requests of at least a rank.
+func (q *queued) end(rank float64) int {
+	return sort.Search(len(q.entries), func(i int) bool { return q.entries[i].rank < rank })
 }
 
 // remove removes a request that no longer waits.
@@ -134,14 +133,16 @@
 // more than maxWaitShare of the time that it had on arrival, because its answer cannot
 // be expected before its deadline, or because its first output cannot be expected before
 // its caller abandons it. infeasible also returns the expected time until the request is
-// granted a target.
-func (c *Cell[P, O]) infeasible(r *request, idle estimate, queue []ranked) (wait float64, infeasible bool) {
+// granted a target. ahead returns the work of the other waiting requests of at least a rank.
+func (c *Cell[P, O]) infeasible(r *request, idle estimate, ahead func(rank float64) float64) (wait float64, infeasible bool) {
 	work := c.work(r, idle.uncached)
-	wait = c.expectedWait(c.rank(r, work, float64(c.now)+idle.first), r, queue)
+	rank := c.rank(r, work, float64(c.now)+idle.first)
+	wait = c.expectedWait(rank, ahead(rank))
 	first := float64(c.now) + wait + idle.first
 	if r.grantRequest.Objective > 0 && first > float64(r.grantRequest.Objective) {
 		// The answer will be late and worth less, so the request ranks lower.
-		wait = c.expectedWait(c.rank(r, work, first), r, queue)
+		rank = c.rank(r, work, first)
+		wait = c.expectedWait(rank, ahead(rank))
 	}
 	latestFirst := r.grantRequest.Deadline
 	if r.grantRequest.Abandon > 0 {
@@ -160,20 +161,20 @@
 // waiting until then is not expected to decrease.
 const maxWaitShare = 0.3
 
+// workAhead returns the work of the waiting requests of at least a rank.
+func (c *Cell[P, O]) workAhead(rank float64) (work float64) {
+	entries := c.queued.entries[:c.queued.end(rank)]
+	c.effort.Visits += uint64(len(entries))
+	for i := range entries {
+		work += entries[i].work
+	}
+	return work
+}
+
 // expectedWait estimates the time until a request of a rank is granted a target:
 // until a slot is free, and the targets have processed the waiting work of at least
-// this rank and the work of higher rank that arrives meanwhile.
-func (c *Cell[P, O]) expectedWait(rank float64, r *request, queue []ranked) float64 {
-	ahead := 0.0
-	for _, q := range queue {
-		c.effort.Visits++
-		if q.rank < rank {
-			break
-		}
-		if q.request != r {
-			ahead += q.work
-		}
-	}
+// this rank, which is ahead, and the work of higher rank that arrives meanwhile.
+func (c *Cell[P, O]) expectedWait(rank, ahead float64) float64 {
 	speed, soonest := c.supply()
 	if soonest == 0 && ahead == 0 {
 		return 0
@@ -255,26 +256,66 @@
 func (c *Cell[P, O]) review() {
 	c.queued.until = 0 // the typical rates may have changed
 	c.queue()
-	for i := 0; i < len(c.queued.entries); {
-		q := c.queued.entries[i]
-		wait, infeasible := c.infeasible(q.request, q.idle, c.queued.entries)
-		if !infeasible {
-			i++
-			continue
+	b := newBacklog(&c.queued)
+	for i := range c.queued.entries {
+		q := &c.queued.entries[i]
+		ahead := func(rank float64) float64 {
+			c.effort.Visits += uint64(bits.Len(uint(len(c.queued.entries))))
+			return b.ahead(i, rank)
+		}
+		wait, infeasible := c.infeasible(q.request, q.idle, ahead)
+		b.reviewed(q.work, infeasible)
+		if infeasible {
+			q.request.rejected = true
+			c.reject(q.request, swcell.ReasonOverload, c.retryAfter(swclock.Millis(wait)))
 		}
-		// A rejected request no longer delays the ones behind it.
-		c.remove(slices.Index(c.waiting, q.request))
-		c.reject(q.request, swcell.ReasonOverload, c.retryAfter(swclock.Millis(wait)))
 	}
+	c.queued.entries = slices.DeleteFunc(c.queued.entries, func(q ranked) bool { return q.request.rejected })
+	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool { return r.rejected })
 	if len(c.queued.entries) == len(c.waiting) {
 		return
 	}
-	for _, r := range slices.Clone(c.waiting) {
+	for _, r := range c.waiting {
 		if _, ok := c.idle(r); !ok && c.now-r.requestedAt >= noTargetTimeout {
-			c.remove(slices.Index(c.waiting, r))
+			r.rejected = true
 			c.reject(r, swcell.ReasonNoTarget, c.retryAfter(minRetryAfter))
 		}
 	}
+	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool { return r.rejected })
+}
+
+// backlog is the work of the waiting requests during a review, which goes from the highest rank to the lowest.
+type backlog struct {
+	queued *queued
+	// sums[i] is the work of the first i requests, and kept[i] that of those among them that were not rejected.
+	sums, kept []float64
+}
+
+func newBacklog(q *queued) *backlog {
+	b := &backlog{queued: q, sums: make([]float64, 1, len(q.entries)+1), kept: make([]float64, 1, len(q.entries)+1)}
+	for i := range q.entries {
+		b.sums = append(b.sums, b.sums[i]+q.entries[i].work)
+	}
+	return b
+}
+
+// ahead returns the work of the requests of at least a rank without those that were rejected and the one with an index, which is
+// the next to be reviewed: a rejected request does not delay the ones behind it.
+func (b *backlog) ahead(index int, rank float64) float64 {
+	end := b.queued.end(rank)
+	if end <= index {
+		return b.kept[end]
+	}
+	return b.kept[index] + (b.sums[end] - b.sums[index+1])
+}
+
+// reviewed records the result for the next request.
+func (b *backlog) reviewed(work float64, rejected bool) {
+	kept := b.kept[len(b.kept)-1]
+	if !rejected {
+		kept += work
+	}
+	b.kept = append(b.kept, kept)
 }
 
 // shortOutputShare is the share of its expected output after which a request may
--- a/internal/core/swvalue/load_size_test.go
+++ b/internal/core/swvalue/load_size_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/bits"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
@@ -174,6 +176,56 @@
 	}
 }
 
+// TestReviewOfACrowdedCell guards against an owner whose review of the waiting requests takes time in proportion to the square of
+// their number.
+func TestReviewOfACrowdedCell(t *testing.T) {
+	for _, waiting := range []int{50, 200, 800} {
+		t.Run(fmt.Sprint(waiting, " requests wait"), func(t *testing.T) {
+			c := newCrowdedCell(0)
+			c.fill(waiting)
+			waits := len(c.cell.waiting)
+			if waits < waiting*9/10 {
+				t.Fatalf("%d requests wait, want about %d", waits, waiting)
+			}
+			before := c.cell.effort
+			c.now += reviewInterval
+			c.step(swcell.Tick{})
+			// Each request looks for its place among the others twice.
+			limit := uint64(waits * 2 * (bits.Len(uint(waits)) + 1))
+			if got := c.cell.effort.Since(before).Visits; got > limit {
+				t.Errorf("%d visits, want at most %d", got, limit)
+			}
+		})
+	}
+}
+
+// TestBacklog compares the work ahead of each reviewed request with its sum.
+func TestBacklog(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		var q queued
+		for range random.IntN(30) {
+			q.insert(ranked{rank: float64(random.IntN(8)), work: float64(1 + random.IntN(100))})
+		}
+		b, rejected := newBacklog(&q), make([]bool, len(q.entries))
+		for i, e := range q.entries {
+			for rank := -1.0; rank <= 9; rank++ {
+				want := 0.0
+				for j, other := range q.entries {
+					if j != i && other.rank >= rank && !rejected[j] {
+						want += other.work
+					}
+				}
+				if got := b.ahead(i, rank); got != want {
+					t.Fatalf("work ahead of request %d at rank %v is %v, want %v of %+v", i, rank, got, want, q.entries)
+				}
+			}
+			rejected[i] = random.IntN(3) == 0
+			b.reviewed(e.work, rejected[i])
+		}
+	}
+}
+
 // BenchmarkBusyCell has a number of requests wait that come from many hosts and name the parts of their prompts.
 func BenchmarkBusyCell(b *testing.B) {
 	for _, waiting := range []int{0, 50, 450, 1000} {
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -40,6 +40,8 @@
 	suspects []swsuspect.SuspectPart
 	// vouched is set while all parts of the prompt are known to be harmless, see swsuspect.Parts.Vouched.
 	vouched bool
+	// rejected is set once a review has rejected the request.
+	rejected bool
 	// declinedAt is the value of Cell.changes when the request last declined the free targets, and
 	// offerAllAt when it is offered all of them again.
 	declinedAt uint64
