Find waiting requests by their keys and their order

Waiting requests are found by key in a map, and in the two orders by binary search. TestRepeatsOfACrowdedCell failed with 1,325, 20,300 and 321,200 visits for the two messages on each of 50, 200 and 800 waiting requests, two visits a request wanted.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -37,7 +37,7 @@
 		return
 	}
 	if !ok {
-		c.waiting = append(c.waiting, r)
+		c.add(r)
 		return
 	}
 	work := c.work(r, idle.uncached)
@@ -49,7 +49,7 @@
 		c.reject(r, swcell.ReasonOverload, c.retryAfter(swclock.Millis(wait)))
 		return
 	}
-	c.waiting = append(c.waiting, r)
+	c.add(r)
 	c.queued.insert(ranked{r, idle, work, rank})
 }
 
@@ -103,7 +103,8 @@
 	for _, r := range c.waiting {
 		if idle, ok := c.idle(r); ok {
 			work := c.work(r, idle.uncached)
-			q.entries = append(q.entries, ranked{r, idle, work, c.rank(r, work, float64(c.now)+idle.first)})
+			r.rank = c.rank(r, work, float64(c.now)+idle.first)
+			q.entries = append(q.entries, ranked{r, idle, work, r.rank})
 		}
 	}
 	slices.SortStableFunc(q.entries, compareRanks)
@@ -114,17 +115,24 @@
 // compareRanks orders requests by rank, the highest first.
 func compareRanks(a, b ranked) int { return cmp.Compare(b.rank, a.rank) }
 
-// insert adds a request behind those of its rank.
-func (q *queued) insert(r ranked) { q.entries = slices.Insert(q.entries, q.end(r.rank), r) }
+// insert adds a request, which came after all others, behind those of its rank.
+func (q *queued) insert(r ranked) {
+	r.request.rank = r.rank
+	q.entries = slices.Insert(q.entries, q.end(r.rank), r)
+}
 
 // end returns the number of requests of at least a rank.
 func (q *queued) end(rank float64) int {
 	return sort.Search(len(q.entries), func(i int) bool { return q.entries[i].rank < rank })
 }
 
-// remove removes a request that no longer waits.
+// remove removes a request that no longer waits. Those of the same rank are in order of arrival.
 func (q *queued) remove(r *request) {
-	if i := slices.IndexFunc(q.entries, func(e ranked) bool { return e.request == r }); i >= 0 {
+	i := sort.Search(len(q.entries), func(i int) bool {
+		e := &q.entries[i]
+		return e.rank < r.rank || e.rank == r.rank && e.request.arrival >= r.arrival
+	})
+	if i < len(q.entries) && q.entries[i].request == r {
 		q.entries = slices.Delete(q.entries, i, i+1)
 	}
 }
@@ -271,7 +279,7 @@
 		}
 	}
 	c.queued.entries = slices.DeleteFunc(c.queued.entries, func(q ranked) bool { return q.request.rejected })
-	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool { return r.rejected })
+	c.removeAll(func(r *request) bool { return r.rejected })
 	if len(c.queued.entries) == len(c.waiting) {
 		return
 	}
@@ -281,7 +289,7 @@
 			c.reject(r, swcell.ReasonNoTarget, c.retryAfter(minRetryAfter))
 		}
 	}
-	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool { return r.rejected })
+	c.removeAll(func(r *request) bool { return r.rejected })
 }
 
 // backlog is the work of the waiting requests during a review, which goes from the highest rank to the lowest.
@@ -360,7 +368,7 @@
 			continue
 		}
 		if wait, refused := c.refused(r); refused {
-			c.remove(slices.Index(c.waiting, r))
+			c.remove(r)
 			c.reject(r, swcell.ReasonSuspect, wait)
 			continue
 		}
--- a/internal/core/swvalue/load_size_test.go
+++ b/internal/core/swvalue/load_size_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
@@ -205,7 +206,7 @@
 	for range 200 {
 		var q queued
 		for range random.IntN(30) {
-			q.insert(ranked{rank: float64(random.IntN(8)), work: float64(1 + random.IntN(100))})
+			q.insert(ranked{request: &request{}, rank: float64(random.IntN(8)), work: float64(1 + random.IntN(100))})
 		}
 		b, rejected := newBacklog(&q), make([]bool, len(q.entries))
 		for i, e := range q.entries {
@@ -226,6 +227,53 @@
 	}
 }
 
+// TestQueued checks that requests are removed whatever others have their rank.
+func TestQueued(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		var q queued
+		var requests []*request
+		for i := range random.IntN(30) {
+			r := &request{arrival: uint64(i)}
+			requests = append(requests, r)
+			q.insert(ranked{request: r, rank: float64(random.IntN(4))})
+		}
+		random.Shuffle(len(requests), func(i, j int) { requests[i], requests[j] = requests[j], requests[i] })
+		for i, r := range requests {
+			q.remove(r)
+			q.remove(r) // which does not wait any more
+			if slices.ContainsFunc(q.entries, func(e ranked) bool { return e.request == r }) || len(q.entries) != len(requests)-i-1 {
+				t.Fatalf("%d requests are left of %d after %d were removed", len(q.entries), len(requests), i+1)
+			}
+		}
+	}
+}
+
+// TestRepeatsOfACrowdedCell guards against an owner that searches all waiting requests at each message on one of them: holders
+// repeat those of requests that wait.
+func TestRepeatsOfACrowdedCell(t *testing.T) {
+	for _, waiting := range []int{50, 200, 800} {
+		t.Run(fmt.Sprint(waiting, " requests wait"), func(t *testing.T) {
+			c := newCrowdedCell(0)
+			c.fill(waiting)
+			repeated := make([]swcell.GrantRequest, len(c.cell.waiting))
+			for i, r := range c.cell.waiting {
+				repeated[i] = r.grantRequest
+			}
+			before := c.cell.effort
+			for _, r := range repeated {
+				c.step(r)
+			}
+			for _, r := range repeated {
+				c.step(swcell.Withdraw{Key: r.Key, Attempt: r.Attempt})
+			}
+			if got, limit := c.cell.effort.Since(before).Visits, uint64(2*len(repeated)); got > limit || len(c.cell.waiting) > 0 {
+				t.Errorf("%d visits for %d messages, want at most %d; %d requests wait", got, 2*len(repeated), limit, len(c.cell.waiting))
+			}
+		})
+	}
+}
+
 // BenchmarkBusyCell has a number of requests wait that come from many hosts and name the parts of their prompts.
 func BenchmarkBusyCell(b *testing.B) {
 	for _, waiting := range []int{0, 50, 450, 1000} {
--- a/internal/core/swvalue/origin.go
+++ b/internal/core/swvalue/origin.go
@@ -112,7 +112,7 @@
 	c.awaitsOrigins = false
 	for _, r := range slices.Clone(c.waiting) {
 		if reason := c.resolveOrigin(r); reason != 0 {
-			c.remove(slices.Index(c.waiting, r))
+			c.remove(r)
 			c.rejectWithoutOrigin(r, reason)
 		}
 	}
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -40,6 +41,9 @@
 	suspects []swsuspect.SuspectPart
 	// vouched is set while all parts of the prompt are known to be harmless, see swsuspect.Parts.Vouched.
 	vouched bool
+	// arrival numbers the requests in the order in which they came to wait, and rank is the one in queued.
+	arrival uint64
+	rank    float64
 	// rejected is set once a review has rejected the request.
 	rejected bool
 	// declinedAt is the value of Cell.changes when the request last declined the free targets, and
@@ -117,11 +121,11 @@
 	if c.decided.covers(e.Key, e.Attempt) {
 		return
 	}
-	if i := c.indexOf(e.Key); i >= 0 {
-		if e.Attempt <= c.waiting[i].grantRequest.Attempt {
+	if earlier := c.waitingByKey[e.Key]; earlier != nil {
+		if e.Attempt <= earlier.grantRequest.Attempt {
 			return
 		}
-		c.remove(i)
+		c.remove(earlier)
 	}
 	c.cfg.Strikes.Report(e.Fingerprint, int(e.Strikes), c.now)
 	r := c.newRequest(e)
@@ -145,17 +149,31 @@
 	return r
 }
 
-func (c *Cell[P, O]) indexOf(k swcell.Key) int {
-	return slices.IndexFunc(c.waiting, func(r *request) bool {
-		c.effort.Visits++
-		return r.grantRequest.Key == k
-	})
+// add adds a request to those that wait.
+func (c *Cell[P, O]) add(r *request) {
+	c.arrivals++
+	r.arrival = c.arrivals
+	c.waiting = append(c.waiting, r)
+	c.waitingByKey[r.grantRequest.Key] = r
 }
 
-// remove removes a waiting request by its index.
-func (c *Cell[P, O]) remove(i int) {
-	c.queued.remove(c.waiting[i])
+// remove removes a waiting request.
+func (c *Cell[P, O]) remove(r *request) {
+	c.queued.remove(r)
+	i := sort.Search(len(c.waiting), func(i int) bool { return c.waiting[i].arrival >= r.arrival })
 	c.waiting = slices.Delete(c.waiting, i, i+1)
+	delete(c.waitingByKey, r.grantRequest.Key)
+}
+
+// removeAll removes the waiting requests for which a function returns true, but not from queued.
+func (c *Cell[P, O]) removeAll(removed func(*request) bool) {
+	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool {
+		if !removed(r) {
+			return false
+		}
+		delete(c.waitingByKey, r.grantRequest.Key)
+		return true
+	})
 }
 
 func (c *Cell[P, O]) reject(r *request, reason swcell.RejectReason, after swclock.Millis) {
@@ -166,9 +184,9 @@
 
 // handleWithdraw cancels a waiting request or a grant that was not used.
 func (c *Cell[P, O]) handleWithdraw(e swcell.Withdraw) {
-	if i := c.indexOf(e.Key); i >= 0 && c.waiting[i].grantRequest.Attempt == e.Attempt {
-		c.uncharge(&c.waiting[i].grantRequest, c.waiting[i].charged)
-		c.remove(i)
+	if r := c.waitingByKey[e.Key]; r != nil && r.grantRequest.Attempt == e.Attempt {
+		c.uncharge(&r.grantRequest, r.charged)
+		c.remove(r)
 	}
 	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
 		c.uncharge(&r.grantRequest, r.charged)
@@ -186,8 +204,8 @@
 		known.elsewhere = false
 		return
 	}
-	if i := c.indexOf(e.GrantRequest.Key); i >= 0 && c.waiting[i].grantRequest.Attempt <= e.GrantRequest.Attempt {
-		c.remove(i)
+	if r := c.waitingByKey[e.GrantRequest.Key]; r != nil && r.grantRequest.Attempt <= e.GrantRequest.Attempt {
+		c.remove(r)
 	}
 	t := c.byID[e.Target]
 	if t == nil {
@@ -205,7 +223,7 @@
 // runs as orphaned.
 func (c *Cell[P, O]) handleHolderDied(e swcell.HolderDied) {
 	died := func(k swcell.Key) bool { return k.Holder == e.Holder && k.Incarnation <= e.Incarnation }
-	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool { return died(r.grantRequest.Key) })
+	c.removeAll(func(r *request) bool { return died(r.grantRequest.Key) })
 	c.queued.entries = slices.DeleteFunc(c.queued.entries, func(q ranked) bool { return died(q.request.grantRequest.Key) })
 	for k, r := range c.running {
 		if died(k.key) && r.orphanedAt == 0 {
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -21,7 +21,7 @@
 	if sender == r.grantRequest.Key.Holder {
 		sender = ""
 	}
-	c.remove(slices.Index(c.waiting, r))
+	c.remove(r)
 	c.cfg.Limits.Take(o.target.conf.ID, c.now)
 	c.meanWork.Add(c.work(r, o.expected.uncached))
 	c.emit(c.start(r, o.target, sender).grant())
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -47,9 +47,11 @@
 	typicalSlots int
 	sizes        sizes
 	inflow       inflow
-	// waiting holds at most one attempt of each request, in order of arrival.
-	waiting []*request
-	queued  queued
+	// waiting holds at most one attempt of each request, in order of arrival, and waitingByKey the same by request.
+	waiting      []*request
+	waitingByKey map[swcell.Key]*request
+	arrivals     uint64
+	queued       queued
 	// open is where openTargets builds its result. compared and candidate are what the placement and the order were
 	// last given: variables of their own would be allocated for each call.
 	open      []*target
@@ -253,7 +255,7 @@
 		order:     order,
 		byID:      make(map[swid.TargetID]*target),
 		typical:   priors, typicalSlots: 1,
-		running: make(map[runKey]*run),
+		waitingByKey: make(map[swcell.Key]*request), running: make(map[runKey]*run),
 		apart:   make(map[swid.Fingerprint]*run),
 		decided: newHistory(historySize),
 		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
