Charge attempts that follow one that did not run (QUOTA)

Cause: the owner returns the charge of an attempt that did not run, and charges first attempts only. A request that is granted a target which its holder knows to be leaving, or which rejects it, ran uncharged at the next one.

An attempt after one whose charge was returned is charged as the first one is. TestQuotaOfRepeatedAttempts failed with 30 requests at an instant where the quota is for 10, in all three cases.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -53,12 +53,12 @@
 	c.queued.insert(ranked{r, idle, work, rank})
 }
 
-// charge charges the first attempt of a request to its organisation's quota; later
-// attempts are not charged. If the part of the quota that the request's tier may use is
+// charge charges a request to its organisation's quota: the first attempt, and each one after an attempt that did not
+// run. If the part of the quota that the request's tier may use is
 // used up, charge returns false and the time after which to retry. A stream that goes on may
 // use all of it: its caller has had the first output.
 func (c *Cell[P, O]) charge(r *request) (swclock.Millis, bool) {
-	if c.cfg.Ledger == nil || r.grantRequest.Attempt > 1 {
+	if uncharged := c.uncharged.take(r.grantRequest.Key); c.cfg.Ledger == nil || r.grantRequest.Attempt > 1 && !uncharged {
 		return 0, true
 	}
 	amount := float64(r.grantRequest.Charge)
--- a/internal/core/swvalue/history.go
+++ b/internal/core/swvalue/history.go
@@ -36,3 +36,22 @@
 // forget removes a request whose grant was not used, so that the holder can
 // request a grant for the same attempt again.
 func (h history) forget(k swcell.Key) { h.attempts.Remove(k) }
+
+// unchargedRequests holds the latest requests whose first charge was returned because their attempt did not run, so that the next
+// attempt is charged.
+type unchargedRequests struct {
+	keys *lru.LRU[swcell.Key, struct{}]
+}
+
+func newUnchargedRequests(size int) unchargedRequests {
+	keys, err := lru.NewLRU[swcell.Key, struct{}](size, nil)
+	if err != nil {
+		panic(err) // only a size that is not positive fails
+	}
+	return unchargedRequests{keys}
+}
+
+func (u unchargedRequests) add(k swcell.Key) { u.keys.Add(k, struct{}{}) }
+
+// take removes a request, and reports whether it was there.
+func (u unchargedRequests) take(k swcell.Key) bool { return u.keys.Remove(k) }
--- a/internal/core/swvalue/origin_test.go
+++ b/internal/core/swvalue/origin_test.go
@@ -1,11 +1,13 @@
 package swvalue
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 )
@@ -150,3 +152,49 @@
 		})
 	}
 }
+
+// TestQuotaOfRepeatedAttempts guards against requests that are not charged to the quota because their first attempt did not run.
+func TestQuotaOfRepeatedAttempts(t *testing.T) {
+	const rate, charge = 1000, 100
+	tests := []struct {
+		name string
+		// end ends the first attempt.
+		end func(g swcell.Grant) swcell.Event
+	}{
+		{"rejected by the target", func(g swcell.Grant) swcell.Event {
+			return swcell.Done{Key: g.Key, Attempt: g.Attempt, Target: g.Target, Result: swcell.ResultNotStarted, Statement: swlimit.Statement{Heard: true}}
+		}},
+		{"the target is not listed by the holder", func(g swcell.Grant) swcell.Event {
+			return swcell.Done{Key: g.Key, Attempt: g.Attempt, Target: g.Target, Result: swcell.ResultNotStarted}
+		}},
+		{"declined by the holder", func(g swcell.Grant) swcell.Event { return swcell.Withdraw{Key: g.Key, Attempt: g.Attempt} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ledger := swquota.New(8 * swclock.Second)
+			ledger.Configure(map[swid.OrgID]swquota.Limit{"o": {Rate: rate, Burst: rate}})
+			b := &harness{cell: New(Config{Service: "s", Ledger: ledger}, Fastest{}, ByWorth{}), now: 10_000}
+			var targets []swcell.Target
+			for i := range 60 {
+				targets = append(targets, swcell.Target{ID: swid.TargetID(fmt.Sprint("t", i)), State: swcell.TargetActive, Slots: 100})
+			}
+			b.step(swcell.Configure{Targets: targets})
+			ran := 0
+			for range 30 {
+				r := b.newGrantRequest(func(r *swcell.GrantRequest) { r.Org, r.Charge = "o", charge })
+				first, granted := grantOf(b.step(r))
+				if !granted {
+					break
+				}
+				b.step(tt.end(first))
+				r.Attempt, r.Exclude = 2, []swid.TargetID{first.Target}
+				if _, granted := grantOf(b.step(r)); granted {
+					ran++
+				}
+			}
+			if want := rate / charge; ran != want {
+				t.Errorf("%d requests ran at an instant, the quota is for %d", ran, want)
+			}
+		})
+	}
+}
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -189,7 +189,7 @@
 		c.remove(r)
 	}
 	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
-		c.uncharge(&r.grantRequest, r.charged)
+		c.unchargeRun(r)
 		c.endRun(r)
 		c.decided.forget(e.Key)
 	}
@@ -238,6 +238,14 @@
 	return swquota.Process{Host: a.Key.Holder, Incarnation: a.Key.Incarnation}
 }
 
+// unchargeRun gives the charge of a run that has not run back. The next attempt of the request is charged.
+func (c *Cell[P, O]) unchargeRun(r *run) {
+	c.uncharge(&r.grantRequest, r.charged)
+	if r.charged > 0 {
+		c.uncharged.add(r.grantRequest.Key)
+	}
+}
+
 // uncharge gives the charge of a request back to its organisation's quota, because the
 // request did not run.
 func (c *Cell[P, O]) uncharge(a *swcell.GrantRequest, amount float64) {
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -173,7 +173,7 @@
 		t.occupancy.doubt(c.now)
 		c.recordSilentRun(r)
 	case swcell.ResultNotStarted:
-		c.uncharge(&r.grantRequest, r.charged)
+		c.unchargeRun(r)
 		switch {
 		case e.CarrierLost, e.PathLost:
 		case e.Statement.Heard:
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -64,9 +64,10 @@
 	apart map[swid.Fingerprint]*run
 	tried triedParts
 	// decided holds the latest attempt of each request that was granted or rejected.
-	decided history
-	random  *rand.Rand
-	actions []swcell.Action
+	decided   history
+	uncharged unchargedRequests
+	random    *rand.Rand
+	actions   []swcell.Action
 	// changes counts the changes by which a target may take requests that declined it, listing
 	// those of the targets' configuration and reachability.
 	changes, listing uint64
@@ -257,8 +258,8 @@
 		typical:   priors, typicalSlots: 1,
 		waitingByKey: make(map[swcell.Key]*request), running: make(map[runKey]*run),
 		apart:   make(map[swid.Fingerprint]*run),
-		decided: newHistory(historySize),
-		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
+		decided: newHistory(historySize), uncharged: newUnchargedRequests(historySize),
+		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
