--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -24,6 +24,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swlog"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
 
@@ -252,23 +253,13 @@
 	}
 	g.config.Log.Info().
 		Str("requestId", string(c.ID)).Str("denial", d.String()).
-		Str("callerHost", truncate(c.Host)).Str("path", truncate(c.Path)).
+		Str("callerHost", swlog.Truncate(c.Host)).Str("path", swlog.Truncate(c.Path)).
 		Uint64("configVersion", uint64(version)).Int64("configAgeMillis", int64(g.configAge())).
 		Int64("retryAfterMillis", int64(retryAfter)).
 		Msg("request denied")
 	return Result{Denial: d, RetryAfter: retryAfter}
 }
 
-// maxLoggedBytes limits the length of a caller's value in a log line, in bytes.
-const maxLoggedBytes = 160
-
-func truncate(s string) string {
-	if len(s) <= maxLoggedBytes {
-		return s
-	}
-	return s[:maxLoggedBytes]
-}
-
 // newRequest builds the request that is passed to the holder.
 func (g *Gate) newRequest(c *Call, route *swcatalog.Route, org *swcatalog.Organisation, body []byte) *swholder.Request {
 	now := g.config.Clock.Now()
@@ -421,7 +412,7 @@
 		e = e.Str("carrier", string(report.Carrier))
 	}
 	if r.Continuation.Continues {
-		e = e.Str("resumeAfter", truncate(r.Call.LastEventID)).Str("begunBy", truncate(string(c.BegunBy))).
+		e = e.Str("resumeAfter", swlog.Truncate(r.Call.LastEventID)).Str("begunBy", swlog.Truncate(string(c.BegunBy))).
 			Str("continuedVersion", string(report.Continued.Version))
 	}
 	if report.End.Outcome != swlife.OutcomeAnswered {
--- a/internal/operator/swlog/swlog.go
+++ b/internal/operator/swlog/swlog.go
@@ -30,6 +30,12 @@
 // serves some hundred requests per second.
 const DefaultLimit = 256 << 10
 
+// maxValueBytes bounds a value of another party in a log line.
+const maxValueBytes = 160
+
+// Truncate returns a value of another party as it is written to a log line: its first 160 bytes.
+func Truncate(value string) string { return value[:min(len(value), maxValueBytes)] }
+
 // maxSpareBytes is the capacity of the largest buffer that is kept for reuse.
 const maxSpareBytes = 16 << 10
 
