--- a/internal/core/swlimit/deal.go
+++ b/internal/core/swlimit/deal.go
@@ -30,11 +30,20 @@
 	if len(d.hosts) == 0 {
 		return slots
 	}
-	n := uint64(len(d.hosts))
-	first := xxhash.Sum64String(string(target)) % n
+	n := len(d.hosts)
+	first := int(xxhash.Sum64String(string(target)) % uint64(n))
+	// Each host has one slot of each full round, and some have one of the rest.
+	rounds, rest := max(slots, 0)/n, max(slots, 0)%n
 	dealt := 0
-	for i := range uint64(max(slots, 0)) {
-		if member(d.hosts[(first+i)%n]) {
+	for i := range n {
+		if i >= rest && rounds == 0 {
+			break
+		}
+		if !member(d.hosts[(first+i)%n]) {
+			continue
+		}
+		dealt += rounds
+		if i < rest {
 			dealt++
 		}
 	}
--- a/internal/core/swlimit/deal_test.go
+++ b/internal/core/swlimit/deal_test.go
@@ -58,3 +58,17 @@
 		}
 	}
 }
+
+// TestDealOfManySlots guards against work that grows with the slots that a target says it has.
+func TestDealOfManySlots(t *testing.T) {
+	const slots = 1 << 24
+	hosts := []swid.HostID{"a", "b", "c"}
+	looks := 0
+	got := NewDeal(hosts).Slots("t", slots, func(h swid.HostID) bool {
+		looks++
+		return h != "b"
+	})
+	if looks > len(hosts) || got < slots/3*2 || got > slots/3*2+2 {
+		t.Errorf("%d slots after %d looks at %d hosts, want two thirds of %d", got, looks, len(hosts), slots)
+	}
+}
