Send no request on a connection that has carried one with its id (REFUSED, TWICE)

Report of other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and clients were told "not run" for a request that ran. Answers are told apart by the request's id, so that a copy is skipped for any other request: with 503, 429 and 421, whole or cut in two packets, that was so before. A request with the id of the refused one took the copy for its own answer.

This system sends a request to a target once. But a caller may use an id twice, and then the second request may come to the same host, target and connection. A connection now carries each id once, and 512 requests at most, so that what it has to remember is bounded (4 KB).

--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -54,7 +54,7 @@
 // sends nothing if ctx has ended. Until the response is closed, the end of ctx aborts reads and writes on the
 // connection. The returned error is always an *Error.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
-	c, err := p.acquire(ctx, r.Check)
+	c, err := p.acquire(ctx, r.Key, r.Check)
 	if err != nil {
 		if c != nil {
 			c.discard()
@@ -66,6 +66,9 @@
 		return nil, &Error{Err: cause}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
+	if r.Key != 0 {
+		c.keys = append(c.keys, r.Key)
+	}
 	w := c.send(r)
 	answer, err := c.receive(r)
 	if err != nil {
@@ -248,7 +251,8 @@
 func (r *Response) Close() {
 	notCancelled := r.stop()
 	c := r.conn
-	reusable := notCancelled && r.bodyComplete && r.Framed && !r.answer.Close && r.written.finished() && c.reader.Buffered() == 0
+	reusable := notCancelled && r.bodyComplete && r.Framed && !r.answer.Close && r.written.finished() && c.reader.Buffered() == 0 &&
+		len(c.keys) < maxKeys
 	if !reusable {
 		c.discard()
 		return
--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	// maxAnswersRead bounds the answers that are read to find the one to a request,
 	// counting informational answers and answers to other requests.
 	maxAnswersRead = 4
+	// maxKeys bounds the requests with a key that a connection carries.
+	maxKeys = 1 << 9
 	// maxProcessBytes bounds the body of an answer that tells the process of the peer.
 	maxProcessBytes = 64 << 10
 	// maxWrongAnswerBytes bounds the body of an answer to another request. A longer body is not
@@ -80,6 +83,9 @@
 	Body   []byte
 	// AcceptsHeader reports whether an answer's header belongs to the request; nil accepts any.
 	AcceptsHeader func(http.Header) bool
+	// Key, if not 0, identifies the request to AcceptsHeader. A request does not use a connection that has carried another one
+	// of its key, to which a second answer may still come.
+	Key uint64
 	// Check, if not nil, is made before the request is sent.
 	Check *Check
 }
@@ -125,6 +131,8 @@
 	// maxIdleTime is how long the connection may stay idle.
 	maxIdleTime swclock.Millis
 	idleSince   swclock.Millis
+	// keys has the key of each request that the connection has carried.
+	keys []uint64
 	// asked is set once the peer was asked for its process, and process is its answer; 0 if it did not say.
 	asked   bool
 	process int64
@@ -150,9 +158,10 @@
 	}
 }
 
-// acquire returns a healthy idle connection, or dials a new one. It makes the check on it, if there is one.
-func (p *Pool) acquire(ctx context.Context, check *Check) (*conn, error) {
-	for c := p.pop(); c != nil; c = p.pop() {
+// acquire returns a healthy idle connection that has not carried a request of the key, or dials a new one. It makes the check on
+// it, if there is one.
+func (p *Pool) acquire(ctx context.Context, key uint64, check *Check) (*conn, error) {
+	for c := p.pop(key); c != nil; c = p.pop(key) {
 		if p.config.Clock.Now()-c.idleSince < c.maxIdleTime && c.isHealthy() {
 			err := c.verify(ctx, check)
 			if err == nil || errors.Is(err, ErrOtherProcess) || ctx.Err() != nil {
@@ -201,20 +210,22 @@
 }
 
 // pop removes and returns the most recently used idle connection, which is the least likely to be
-// stale. It returns nil if there is none.
-func (p *Pool) pop() *conn {
+// stale, of those that have not carried a request of the key. It returns nil if there is none.
+func (p *Pool) pop(key uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.carried(key) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
+// carried reports whether the connection has carried a request of the key.
+func (c *conn) carried(key uint64) bool { return key != 0 && slices.Contains(c.keys, key) }
+
 // release returns a connection to the pool after a completed exchange. If the pool is full, it
 // closes the least recently used idle connection.
 func (p *Pool) release(c *conn) {
--- a/internal/target/swconn/swconn_test.go
+++ b/internal/target/swconn/swconn_test.go
@@ -129,6 +129,33 @@
 	}
 }
 
+// TestKey checks that a connection carries one request of each key, and maxKeys requests at most.
+func TestKey(t *testing.T) {
+	p := startPeer(t, echo)
+	pool := newPool(p)
+	send := func(key uint64) {
+		t.Helper()
+		r := request(fmt.Sprint(key), "")
+		r.Key = key
+		if body, err := exchange(pool, r); err != nil || body != fmt.Sprint(key) {
+			t.Fatalf("request %d: body %q, error %v", key, body, err)
+		}
+	}
+	for key := range uint64(maxKeys) {
+		send(key + 1)
+	}
+	if connections, _ := p.counts(); connections != 1 {
+		t.Errorf("%d connections for %d requests, want 1", connections, maxKeys)
+	}
+	for i := range 3 {
+		send(1)
+		send(2)
+		if connections, _ := p.counts(); connections != i+2 {
+			t.Errorf("%d connections after %d more requests of each of two keys, want %d", connections, i+1, i+2)
+		}
+	}
+}
+
 // TestEndedRequestIsNotSent guards against work for callers that have left.
 func TestEndedRequestIsNotSent(t *testing.T) {
 	p := startPeer(t, echo)
