--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,9 @@
 // errClosed reports a target that has said that it takes no requests from this host.
 var errClosed = errors.New("the target takes no requests from this host")
 
+// errNotContinued reports an answer that cannot be a part of the one that the caller has part of.
+var errNotContinued = errors.New("the answer does not continue the one that the caller has part of")
+
 // errAnswerTooLarge reports an answer that exceeds maxAnswerBytes.
 var errAnswerTooLarge = errors.New("target's answer exceeds the size limit")
 
@@ -73,8 +77,10 @@
 	ended      swclock.Millis
 	// events counts the data events received from the stream, over all runs.
 	events int
-	// begun is true if delivery of an answer to the caller began, in this or an earlier attempt.
-	begun bool
+	// begun is true if delivery of an answer to the caller began, in this or an earlier attempt, and delivered
+	// describes that answer.
+	begun     bool
+	delivered answerKind
 	// firstToken is the time from dispatch to the first chunk; firstDelivery is the
 	// time from accepting the request to its first delivery. Each is 0 until then.
 	firstToken    swclock.Millis
@@ -102,6 +108,22 @@
 	doneReported bool
 }
 
+// answerKind is what an answer has in common with those that may continue it.
+type answerKind struct {
+	status    int
+	mediaType string
+}
+
+// kind returns the kind of the answer that the attempt receives.
+func (a *attempt) kind() answerKind {
+	contentType := a.header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	if err != nil {
+		mediaType = contentType
+	}
+	return answerKind{a.status, mediaType}
+}
+
 // run dispatches the request, or resumes its stream, and forwards the answer to the caller.
 func (a *attempt) run(ctx context.Context) swlife.AttemptEnded {
 	e := a.held
@@ -261,10 +283,18 @@
 func (a *attempt) receive(ctx context.Context, response swtarget.Answer) swlife.AttemptEnded {
 	a.status, a.header = response.Status(), response.Header()
 	a.recordStatement(response.Statement())
+	// A stream whose events have no ids ends with a marker of its own.
+	continues, events := a.begun && a.lastEventID != "", a.events
+	if a.begun && a.kind() != a.delivered {
+		return a.notContinued()
+	}
 	streamed := a.held.request.Call.Stream && a.status < 300
 	for {
 		chunk, err := response.Next()
 		if err == io.EOF { // an *swtarget.Error may wrap one
+			if continues && a.events == events {
+				return a.notContinued()
+			}
 			return a.finishAnswer(response, streamed)
 		}
 		if err != nil {
@@ -282,6 +312,13 @@
 	}
 }
 
+// notContinued ends an attempt whose answer is no part of the one that the caller has part of: it is of another kind, or ends without
+// an event. Whether the caller has the last event is not known then, and the end must not look like that of the stream.
+func (a *attempt) notContinued() swlife.AttemptEnded {
+	a.err = errNotContinued
+	return swlife.AttemptEnded{Result: swcell.ResultFailed}
+}
+
 // recordStatement records what an answer says of the requests that the target takes.
 func (a *attempt) recordStatement(s swlimit.Statement) {
 	if s.Heard {
@@ -349,7 +386,7 @@
 
 func (a *attempt) deliver(data []byte) error {
 	if !a.begun {
-		a.begun = true
+		a.begun, a.delivered = true, a.kind()
 		a.firstDelivery = max(1, a.held.sinceAccepted())
 		if err := a.held.sink.Begin(a.status, a.header); err != nil {
 			return err
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -48,7 +48,7 @@
 			report.Attempts, report.Target = c.Attempt, c.Target
 			last = attempt{
 				held: e, number: c.Attempt, target: c.Target, carrier: e.carrier,
-				begun: last.begun, firstDelivery: last.firstDelivery, lastEventID: last.lastEventID,
+				begun: last.begun, delivered: last.delivered, firstDelivery: last.firstDelivery, lastEventID: last.lastEventID,
 			}
 			event = last.run(ctx)
 		case swlife.Resume:
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -1,7 +1,9 @@
 package swholder
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -64,8 +66,9 @@
 	hang bool
 	// wait blocks the answer until it is closed; nil does not block.
 	wait chan struct{}
-	// status is the status of the answer; 0 means 200.
-	status int
+	// status is the status of the answer; 0 means 200. mediaType is that of the answer; empty means text/plain.
+	status    int
+	mediaType string
 	// limit is what the answer says of the requests that its target takes.
 	limit swlimit.Statement
 	// lastEventID is the ID of the last event in each chunk.
@@ -147,8 +150,10 @@
 	next   int
 }
 
-func (a *scriptedAnswer) Status() int                  { return max(a.script.status, http.StatusOK) }
-func (a *scriptedAnswer) Header() http.Header          { return swtarget.MediaType("text/plain") }
+func (a *scriptedAnswer) Status() int { return max(a.script.status, http.StatusOK) }
+func (a *scriptedAnswer) Header() http.Header {
+	return swtarget.MediaType(cmp.Or(a.script.mediaType, "text/plain"))
+}
 func (a *scriptedAnswer) Statement() swlimit.Statement { return a.script.limit }
 func (a *scriptedAnswer) Usage() swtarget.Usage        { return swtarget.Usage{} }
 func (a *scriptedAnswer) Close() error                 { return nil }
@@ -570,6 +575,49 @@
 	}
 }
 
+// TestNotContinued guards against an answer that is no part of a stream which broke off, and is delivered in its middle or taken for
+// its end.
+func TestNotContinued(t *testing.T) {
+	begun := script{chunks: []string{"1", "2"}, end: errBroken, lastEventID: "e2"}
+	tests := []struct {
+		name   string
+		answer script
+	}{
+		{"not found, with text", script{status: http.StatusNotFound, chunks: []string{"not here"}, end: io.EOF}},
+		{"no content", script{status: http.StatusNoContent, end: io.EOF}},
+		{"found elsewhere", script{status: http.StatusFound, end: io.EOF}},
+		{"a failure", script{status: http.StatusInternalServerError, chunks: []string{"failed"}, end: io.EOF}},
+		{"another media type", script{mediaType: "application/json", chunks: []string{"{}"}, end: io.EOF, lastEventID: "e3"}},
+		{"no event", script{end: io.EOF}},
+	}
+	for _, tt := range tests {
+		for _, attempts := range []swid.Attempt{2, 3} {
+			t.Run(fmt.Sprint(tt.name, ", attempts: ", attempts), func(t *testing.T) {
+				rest := script{chunks: []string{"3"}, end: io.EOF, lastEventID: "e3", mediaType: "text/plain; charset=utf-8"}
+				f := newFixture(map[swid.TargetID][]script{"a": {begun}, "b": {tt.answer}, "c": {rest}})
+				r := f.request(true, false)
+				r.ResumeElsewhere, r.RetryFailures, r.Attempts = true, true, attempts
+				reports, out := f.serve(r)
+				for _, target := range []swid.TargetID{"a", "b", "c"}[:attempts] {
+					grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+					f.grant("owner", grantRequest, target)
+				}
+				report := <-reports
+				wantOutcome, wantData := swlife.OutcomeUnknown, "12"
+				if attempts == 3 {
+					wantOutcome, wantData = swlife.OutcomeAnswered, "123"
+				}
+				if report.End.Outcome != wantOutcome || string(out.data) != wantData || !report.Begun {
+					t.Errorf("report is %+v, delivered %q, want outcome %v and %q", report, out.data, wantOutcome, wantData)
+				}
+				if after := f.calls[len(f.calls)-1].LastEventID; after != "e2" {
+					t.Errorf("the last try continues after event %q, want e2", after)
+				}
+			})
+		}
+	}
+}
+
 // TestContinuedLate guards against streams that break late and are not continued, because they are taken for
 // ones without output that their callers have abandoned.
 func TestContinuedLate(t *testing.T) {
