--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -436,6 +436,8 @@
 		return swlife.AttemptEnded{Result: swcell.ResultNoAnswer}
 	case swtarget.FailureStalled:
 		return swlife.AttemptEnded{Result: swcell.ResultNoAnswer, Resumable: a.resumable()}
+	case swtarget.FailureNotContinued:
+		return swlife.AttemptEnded{Result: swcell.ResultFailed}
 	default:
 		return swlife.AttemptEnded{Result: swcell.ResultBroken, Resumable: a.resumable()}
 	}
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -589,6 +589,7 @@
 		{"a failure", script{status: http.StatusInternalServerError, chunks: []string{"failed"}, end: io.EOF}},
 		{"another media type", script{mediaType: "application/json", chunks: []string{"{}"}, end: io.EOF, lastEventID: "e3"}},
 		{"no event", script{end: io.EOF}},
+		{"an event that does not follow", script{end: &swtarget.Error{Failure: swtarget.FailureNotContinued, Err: errors.New("event 1")}}},
 	}
 	for _, tt := range tests {
 		for _, attempts := range []swid.Attempt{2, 3} {
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -63,7 +63,8 @@
 		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errPathLost}
 	case err == nil || err == io.EOF || ctx.Err() != nil:
 		exchange.End(swreach.EndingSound)
-	case errors.As(err, &failure) && (failure.Statement.Heard || failure.OtherStart || failure.Failure == swtarget.FailureWrongRequest):
+	case errors.As(err, &failure) && (failure.Statement.Heard || failure.OtherStart ||
+		failure.Failure == swtarget.FailureWrongRequest || failure.Failure == swtarget.FailureNotContinued):
 		exchange.Heard()
 		exchange.End(swreach.EndingSound)
 	case errors.As(err, &failure) && failure.Failure == swtarget.FailureNotStarted:
--- a/internal/peer/swcarry/swcarry.go
+++ b/internal/peer/swcarry/swcarry.go
@@ -142,7 +142,7 @@
 		return lost(err)
 	}
 	failure := swtarget.Failure(w.GetFailure())
-	if failure > swtarget.FailureStalled {
+	if failure > swtarget.FailureNotContinued {
 		failure = swtarget.FailureBroken // of a later build
 	}
 	return &swtarget.Error{Failure: failure, Unsent: w.GetUnsent(), Statement: statement, Err: errors.New(w.GetError())}
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -113,6 +113,8 @@
 	FailureWrongRequest
 	// FailureStalled means that the target made no progress within the time allowed; the request may have run.
 	FailureStalled
+	// FailureNotContinued means that what the target sent does not follow Request.LastEventID; the request may have run.
+	FailureNotContinued
 )
 
 // MediaType returns the header of an answer of which only the media type is forwarded.
