--- a/internal/core/swlife/event.go
+++ b/internal/core/swlife/event.go
@@ -56,6 +56,8 @@
 	// Delivered is set if delivery of an answer to the caller began, in this attempt or
 	// an earlier one.
 	Delivered bool
+	// Unplaced is set if no event that was delivered has an id, after which another target could continue the stream.
+	Unplaced bool
 	// Resumable is set if the target may be able to resume the stream.
 	Resumable bool
 	// Began is set if this host received the first event of the stream in this attempt, and Origin is its
--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -206,7 +206,7 @@
 // retry requests a grant for another target if the request can safely be repeated
 // and the caller cannot receive parts of two answers.
 func (l *Lifecycle) retry(e AttemptEnded) Command {
-	repeatable := (!e.Delivered || l.rules.ResumeElsewhere) && (!l.rules.NonIdempotent || !l.mayHaveRun)
+	repeatable := (!e.Delivered || l.rules.ResumeElsewhere && !e.Unplaced) && (!l.rules.NonIdempotent || !l.mayHaveRun)
 	if repeatable && l.sent < l.rules.Attempts && l.attempt < maxGrantRequests {
 		return l.requestGrant()
 	}
--- a/internal/core/swlife/swlife_test.go
+++ b/internal/core/swlife/swlife_test.go
@@ -26,6 +26,7 @@
 	AttemptEnded{Result: swcell.ResultBroken},
 	AttemptEnded{Result: swcell.ResultBroken, Resumable: true, Delivered: true},
 	AttemptEnded{Result: swcell.ResultBroken, Delivered: true},
+	AttemptEnded{Result: swcell.ResultBroken, Delivered: true, Unplaced: true},
 	AttemptEnded{Result: swcell.ResultCancelled, Cause: CausePreempted},
 	AttemptEnded{Result: swcell.ResultCancelled, Cause: CauseCallerGone},
 	AttemptEnded{Result: swcell.ResultRejected},
@@ -49,7 +50,7 @@
 		}
 		life, command := New(rules)
 		var dispatched []swid.TargetID
-		mayHaveRun, ended, sent := false, 0, swid.Attempt(0)
+		mayHaveRun, unplaced, ended, sent := false, false, 0, swid.Attempt(0)
 		for range 40 {
 			switch c := command.(type) {
 			case Dispatch:
@@ -59,6 +60,9 @@
 				if nonIdempotent && mayHaveRun {
 					t.Fatalf("non-idempotent request dispatched again after it may have run")
 				}
+				if unplaced {
+					t.Fatalf("a stream is begun anew after part of it was delivered")
+				}
 				dispatched = append(dispatched, c.Target)
 			case End:
 				ended++
@@ -76,6 +80,9 @@
 				if a, isEnd := e.(AttemptEnded); isEnd && !a.Unsent {
 					sent++
 				}
+				if a, isEnd := e.(AttemptEnded); isEnd && a.Unplaced {
+					unplaced = true
+				}
 				if rules.Attempts > 0 && sent > rules.Attempts {
 					t.Fatalf("sent to %d targets, at most %d are allowed", sent, rules.Attempts)
 				}
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -149,7 +149,7 @@
 	e.mu.Unlock()
 	a.ended = e.holder.config.Clock.Now()
 	a.result = ended.Result
-	ended.Delivered = a.begun
+	ended.Delivered, ended.Unplaced = a.begun, a.begun && a.lastEventID == ""
 	ended.Began, ended.Origin = a.events > 0, a.certainOrigin()
 	a.held.reachedTarget = a.held.reachedTarget || !ended.Unsent
 	return ended
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -619,6 +619,20 @@
 	}
 }
 
+// TestStreamWithoutIDs guards against a stream whose events have no ids and which is begun anew at another target, after part of it
+// was delivered.
+func TestStreamWithoutIDs(t *testing.T) {
+	f := newFixture(map[swid.TargetID][]script{"a": {{chunks: []string{"1", "2"}, end: errBroken}}, "b": {{chunks: []string{"1", "2", "3"}, end: io.EOF}}})
+	r := f.request(true, false)
+	r.ResumeElsewhere, r.Attempts = true, 2
+	reports, out := f.serve(r)
+	grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+	f.grant("owner", grantRequest, "a")
+	if report := <-reports; report.End.Outcome != swlife.OutcomeUnknown || string(out.data) != "12" || len(f.calls) != 1 {
+		t.Errorf("report is %+v, delivered %q in %d tries", report, out.data, len(f.calls))
+	}
+}
+
 // TestContinuedLate guards against streams that break late and are not continued, because they are taken for
 // ones without output that their callers have abandoned.
 func TestContinuedLate(t *testing.T) {
