--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -47,6 +47,9 @@
 		Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete),
 		Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached(), StoreQuestion: h.askStoreState(owner),
 	}
+	if after, era, wanted := h.targets.Wanted(); wanted {
+		m.TargetsAfter, m.TargetsEra = after, era
+	}
 	if complete {
 		m.Amounts = amountsOf(h.meter.All(h.clock.Now()))
 		m.Streams = h.origins.Recent(swcodec.MaxBegunStreams, h.clock.Now())
@@ -140,7 +143,11 @@
 		return
 	}
 	if state, ok := m.(swmsg.StoreState); ok {
-		h.receiveStoreState(state)
+		h.receiveStoreState(from, state)
+		return
+	}
+	if list, ok := m.(swmsg.TargetList); ok {
+		h.receiveTargets(list)
 		return
 	}
 	registration, ok := m.(swmsg.Registration)
@@ -172,4 +179,5 @@
 	}
 	h.replyScheduling(from, &registration)
 	h.replyStoreState(from, registration.StoreQuestion)
+	h.sendTargets(from.Host, registration.TargetsAfter, registration.TargetsEra)
 }
--- a/internal/node/swfleet/storestate.go
+++ b/internal/node/swfleet/storestate.go
@@ -4,10 +4,13 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
+	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
 
@@ -72,7 +75,8 @@
 	return map[string]peerFollower{kindCatalogs: h.catalogs, kindTargets: h.targets, kindHosts: h.hosts}
 }
 
-// replyStoreState tells a host what this one holds of the store, if it asks for that and this host reaches the store.
+// replyStoreState tells a host what this one holds of the store, if it asks for that and this host reaches the store. Otherwise it
+// asks the host for what that holds.
 func (h *Host) replyStoreState(from swlink.Peer, question uint64) {
 	if question == 0 || from.Host == h.self.Host {
 		return
@@ -80,7 +84,11 @@
 	state := swmsg.StoreState{Question: question}
 	for _, kind := range []string{kindCatalogs, kindTargets, kindHosts} {
 		held, ok := h.followers()[kind].Held()
-		if !ok || len(state.Kinds) > 0 && held.Era != state.Era {
+		if !ok {
+			h.askTargets(from, question)
+			return
+		}
+		if len(state.Kinds) > 0 && held.Era != state.Era {
 			return // the store was set back, and not all kinds have been listed again
 		}
 		state.Era = held.Era
@@ -91,13 +99,57 @@
 	h.exchange.Send(from.Host, state)
 }
 
+const (
+	// targetsAskedInterval is the least time between two hosts that an owner asks for targets.
+	targetsAskedInterval = 250 * swclock.Millis(1)
+	// targetListsPerSecond bounds the lists of targets that a host sends to others, whatever their number.
+	targetListsPerSecond = 32
+)
+
+// askTargets asks a host that has registered for the targets that it holds, if this host cannot read them. An owner with an old list
+// grants targets that are leaving, which look free, and none that have come since.
+func (h *Host) askTargets(from swlink.Peer, question uint64) {
+	after, era, wanted := h.targets.Wanted()
+	now, last := int64(h.boot.SinceBoot()), h.targetsAskedAt.Load()
+	if !wanted || now-last < int64(targetsAskedInterval) || !h.targetsAskedAt.CompareAndSwap(last, now) {
+		return
+	}
+	h.exchange.Send(from.Host, swmsg.StoreState{Question: question, Era: era, TargetsAfter: after})
+}
+
+// sendTargets sends the targets to a host that asks for them, if this host holds later ones.
+func (h *Host) sendTargets(to swid.HostID, after swwatch.Revision, era swobject.Era) {
+	if after == 0 || to == h.self.Host {
+		return
+	}
+	listing, later := h.targets.ListSince(after, era)
+	if !later || len(listing.Items) > swcodec.MaxListedTargets || !h.targetLists.Allow() {
+		return
+	}
+	m := swmsg.TargetList{Era: era, AsOf: listing.AsOf, Targets: make([]swmsg.ListedTarget, len(listing.Items))}
+	for i, item := range listing.Items {
+		m.Targets[i] = swmsg.ListedTarget{Target: item.Value, Revision: item.Revision}
+	}
+	h.exchange.Send(to, m)
+}
+
+// receiveTargets takes the targets that another host holds.
+func (h *Host) receiveTargets(m swmsg.TargetList) {
+	listing := swwatch.Listing[swcatalog.Target]{Era: m.Era, AsOf: m.AsOf, Items: make([]swwatch.Item[swcatalog.Target], len(m.Targets))}
+	for i, t := range m.Targets {
+		listing.Items[i] = swwatch.Item[swcatalog.Target]{Name: string(t.ID), Revision: t.Revision, Value: t.Target}
+	}
+	h.targets.ListFromPeer(listing)
+}
+
 // receiveStoreState compares what the owner holds with this host's copies. The question came to the owner after it was asked, so
 // that the owner's copy was confirmed no earlier than its age before that.
-func (h *Host) receiveStoreState(m swmsg.StoreState) {
+func (h *Host) receiveStoreState(from swlink.Peer, m swmsg.StoreState) {
 	askedAt, known := h.storeQuestions.askedAt(m.Question)
 	if !known {
 		return
 	}
+	h.sendTargets(from.Host, m.TargetsAfter, m.Era)
 	followers := h.followers()
 	for _, k := range m.Kinds {
 		if f := followers[k.Kind]; f != nil {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
@@ -149,6 +150,10 @@
 	hosts    *swwatch.Follower[swcatalog.Host]
 	// storeQuestions has the questions for what the owner holds of the store.
 	storeQuestions storeQuestions
+	// targetsAskedAt is the time since boot when this host last asked another one for the targets.
+	targetsAskedAt atomic.Int64
+	// targetLists bounds the lists of targets that this host sends to others.
+	targetLists *rate.Limiter
 	// health tracks whether the store can be reached; nil until the host is assembled.
 	health atomic.Pointer[swwatch.Health]
 	// loggedHostCount is the number of hosts registered with this one when it was
@@ -181,7 +186,8 @@
 		settings: settings, log: log, clock: swclock.NewSystem(),
 		registry: prometheus.NewRegistry(), ledger: swquota.New(settings.Fleet.QuotaWindow), view: newView(settings),
 		strikes: swvalue.NewStrikes(), parts: swvalue.NewParts(), limits: swlimit.New(), brittle: swlimit.NewBrittle(), closed: swlimit.NewClosed(),
-		origins: sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
+		targetLists: rate.NewLimiter(targetListsPerSecond, targetListsPerSecond),
+		origins:     sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.boot = h.clock
 	h.pathProber = newPathProber(h)
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
@@ -41,6 +42,8 @@
 		return checked("sharedCells", k.SharedCells, decodeSharedCells)
 	case *swpb.Message_StoreState:
 		return checked("storeState", k.StoreState, decodeStoreState)
+	case *swpb.Message_TargetList:
+		return checked("targetList", k.TargetList, decodeTargetList)
 	case *swpb.Message_Queued:
 		return checked("queued", k.Queued, decodeQueued)
 	case *swpb.Message_Recover:
@@ -175,7 +178,7 @@
 		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()), Streams: decodeBegunStreams(c, w.GetBegun()),
 		Cut:           services(c, "cut", w.GetCut()),
 		Reached:       convert(w.GetReached(), func(t string) swid.TargetID { return target(c, t) }),
-		StoreQuestion: w.GetStoreQuestion(),
+		StoreQuestion: w.GetStoreQuestion(), TargetsAfter: swwatch.Revision(w.GetTargetsAfter()), TargetsEra: swobject.Era(w.GetTargetsEra()),
 		RateLimits: convert(w.GetRateLimits(), func(l *swpb.TargetRateLimit) swmsg.RateLimit {
 			return swmsg.RateLimit{
 				Target: target(c, l.GetTarget()), PerSecond: requestRate(c, l.GetPerSecond()), Age: duration(c, "ageMillis", l.GetAgeMillis()),
@@ -194,11 +197,30 @@
 	if c.err != nil {
 		return swmsg.StoreState{}
 	}
-	return swmsg.StoreState{Question: w.GetQuestion(), Era: swobject.Era(w.GetEra()), Kinds: convert(w.GetKinds(), func(k *swpb.StoreKind) swmsg.StoreKind {
+	kinds := convert(w.GetKinds(), func(k *swpb.StoreKind) swmsg.StoreKind {
 		return swmsg.StoreKind{
 			Kind: c.requiredText("kind", k.GetKind()), Latest: swwatch.Revision(k.GetLatest()),
 			ConfirmedAge: duration(c, "confirmedAgeMillis", k.GetConfirmedAgeMillis()),
 		}
+	})
+	return swmsg.StoreState{
+		Question: w.GetQuestion(), Era: swobject.Era(w.GetEra()), TargetsAfter: swwatch.Revision(w.GetTargetsAfter()), Kinds: kinds,
+	}
+}
+
+func decodeTargetList(c *checker, w *swpb.TargetList) swmsg.TargetList {
+	c.listLength("targets", len(w.GetTargets()), MaxListedTargets)
+	if c.err != nil {
+		return swmsg.TargetList{}
+	}
+	return swmsg.TargetList{Era: swobject.Era(w.GetEra()), AsOf: swwatch.Revision(w.GetAsOf()), Targets: convert(w.GetTargets(), func(t *swpb.ListedTarget) swmsg.ListedTarget {
+		return swmsg.ListedTarget{Revision: swwatch.Revision(t.GetRevision()), Target: swcatalog.Target{
+			ID: target(c, t.GetTarget()), Service: swid.ServiceID(c.requiredText("service", t.GetService())),
+			Zone: swid.ZoneID(c.optionalText("zone", t.GetZone())), Address: c.requiredText("address", t.GetAddress()),
+			Slots: int(nonNegative(c, "slots", t.GetSlots())), Draining: t.GetDraining(), Born: t.GetBorn(),
+			Version:         swid.SoftwareVersion(c.optionalText("version", t.GetVersion())),
+			WarmupRemaining: duration(c, "warmupMillis", t.GetWarmupMillis()),
+		}}
 	})}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -39,6 +39,8 @@
 		return &swpb.Message{Kind: &swpb.Message_SharedCells{SharedCells: s}}, nil
 	case swmsg.StoreState:
 		return &swpb.Message{Kind: &swpb.Message_StoreState{StoreState: encodeStoreState(m)}}, nil
+	case swmsg.TargetList:
+		return &swpb.Message{Kind: &swpb.Message_TargetList{TargetList: encodeTargetList(m)}}, nil
 	case swmsg.Queued:
 		q := &swpb.Queued{Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt)}
 		return &swpb.Message{Kind: &swpb.Message_Queued{Queued: q}}, nil
@@ -149,7 +151,7 @@
 		Strikes: strikes, Scheduling: uint32(m.Scheduling), Begun: encodeBegunStreams(m.Streams),
 		Cut:           encodeServices(m.Cut),
 		Reached:       convert(m.Reached, func(t swid.TargetID) string { return string(t) }),
-		StoreQuestion: m.StoreQuestion,
+		StoreQuestion: m.StoreQuestion, TargetsAfter: uint64(m.TargetsAfter), TargetsEra: uint64(m.TargetsEra),
 		RateLimits: convert(m.RateLimits, func(l swmsg.RateLimit) *swpb.TargetRateLimit {
 			return &swpb.TargetRateLimit{
 				Target: string(l.Target), PerSecond: float64(l.PerSecond), AgeMillis: int64(l.Age),
@@ -160,11 +162,20 @@
 }
 
 func encodeStoreState(m swmsg.StoreState) *swpb.StoreState {
-	return &swpb.StoreState{Question: m.Question, Era: uint64(m.Era), Kinds: convert(m.Kinds, func(k swmsg.StoreKind) *swpb.StoreKind {
+	return &swpb.StoreState{Question: m.Question, Era: uint64(m.Era), TargetsAfter: uint64(m.TargetsAfter), Kinds: convert(m.Kinds, func(k swmsg.StoreKind) *swpb.StoreKind {
 		return &swpb.StoreKind{Kind: k.Kind, Latest: uint64(k.Latest), ConfirmedAgeMillis: int64(k.ConfirmedAge)}
 	})}
 }
 
+func encodeTargetList(m swmsg.TargetList) *swpb.TargetList {
+	return &swpb.TargetList{Era: uint64(m.Era), AsOf: uint64(m.AsOf), Targets: convert(m.Targets, func(t swmsg.ListedTarget) *swpb.ListedTarget {
+		return &swpb.ListedTarget{
+			Target: string(t.ID), Revision: uint64(t.Revision), Service: string(t.Service), Zone: string(t.Zone), Address: t.Address,
+			Slots: int64(t.Slots), Draining: t.Draining, Born: t.Born, Version: string(t.Version), WarmupMillis: int64(t.WarmupRemaining),
+		}
+	})}
+}
+
 func encodeGrant(m swmsg.Grant) *swpb.Grant {
 	return &swpb.Grant{
 		Cell: string(m.Cell), Seq: uint64(m.Seq), Attempt: uint32(m.Attempt), Target: string(m.Target), Epoch: uint64(m.Epoch),
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -38,6 +38,8 @@
 	MaxReached = 256
 	// MaxStoreKinds bounds the kinds of objects in one state of the store.
 	MaxStoreKinds = 16
+	// MaxListedTargets bounds the targets in a list.
+	MaxListedTargets = 4096
 	// MaxExclude bounds the excluded targets of one grant request.
 	MaxExclude = 256
 	// MaxMemberUpdates bounds the membership updates of one heartbeat.
--- a/internal/peer/swcodec/swcodec_test.go
+++ b/internal/peer/swcodec/swcodec_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -23,7 +24,7 @@
 // samples holds one message of each kind. Tests that need random messages fill in the fields.
 var samples = []swmsg.Message{
 	swmsg.Hello{}, swmsg.Heartbeat{}, swmsg.GrantRequest{}, swmsg.InFlight{}, swmsg.Progress{}, swmsg.Withdraw{}, swmsg.Done{},
-	swmsg.Grant{}, swmsg.Reject{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Registration{}, swmsg.SharedCells{}, swmsg.StoreState{}, swmsg.Leaving{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
+	swmsg.Grant{}, swmsg.Reject{}, swmsg.Preempt{}, swmsg.Redirect{}, swmsg.Registration{}, swmsg.SharedCells{}, swmsg.StoreState{}, swmsg.TargetList{}, swmsg.Leaving{}, swmsg.Queued{}, swmsg.Recover{}, swmsg.ConfigRequest{}, swmsg.ConfigDocument{},
 }
 
 // fill sets every field of a value at random by reflection, so that fields added later are covered.
@@ -172,6 +173,9 @@
 		{"strike without target", swmsg.Registration{Strikes: []swmsg.Strike{{Content: 1}}}, "target"},
 		{"many kinds of the store", swmsg.StoreState{Kinds: make([]swmsg.StoreKind, MaxStoreKinds+1)}, "kinds"},
 		{"kind of the store without a name", swmsg.StoreState{Kinds: make([]swmsg.StoreKind, 1)}, "kind"},
+		{"many targets", swmsg.TargetList{Targets: make([]swmsg.ListedTarget, MaxListedTargets+1)}, "targets"},
+		{"listed target without a service", swmsg.TargetList{Targets: []swmsg.ListedTarget{{Target: swcatalog.Target{ID: "e", Address: "a", Slots: 1}}}}, "service"},
+		{"listed target with negative slots", swmsg.TargetList{Targets: []swmsg.ListedTarget{{Target: swcatalog.Target{ID: "e", Service: "s", Address: "a", Slots: -1}}}}, "slots"},
 		{"unknown scheduling", swmsg.SharedCells{Scheduling: swmsg.SchedulingShared + 1}, "scheduling"},
 		{"negative rate", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, PerSecond: -1}}, "perSecond"},
 		{"rate that is no number", swmsg.Progress{Cell: "c", Statement: swlimit.Statement{Heard: true, PerSecond: swid.RequestRate(math.NaN())}}, "perSecond"},
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -2,6 +2,7 @@
 package swmsg
 
 import (
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -142,6 +143,10 @@
 	Scheduling Scheduling
 	// StoreQuestion is the number of the StoreState that the sender asks for; 0 asks for none.
 	StoreQuestion uint64
+	// TargetsAfter asks for a TargetList if there is a later one of TargetsEra than as of this revision: the sender cannot read the
+	// store. 0 asks for none.
+	TargetsAfter swwatch.Revision
+	TargetsEra   swobject.Era
 }
 
 // StoreState tells a host that registered with the sender what the sender holds of the store's objects, so that the
@@ -151,6 +156,22 @@
 	Question uint64
 	Era      swobject.Era
 	Kinds    []StoreKind
+	// TargetsAfter asks for a TargetList if there is a later one of Era than as of this revision: the sender cannot read the store.
+	// 0 asks for none.
+	TargetsAfter swwatch.Revision
+}
+
+// TargetList has the targets that its sender holds of the store, for a host that asks for them.
+type TargetList struct {
+	Era     swobject.Era
+	AsOf    swwatch.Revision
+	Targets []ListedTarget
+}
+
+// ListedTarget is a target with the revision of its entry.
+type ListedTarget struct {
+	swcatalog.Target
+	Revision swwatch.Revision
 }
 
 // StoreKind is what a host holds of the objects of one kind.
@@ -350,6 +371,7 @@
 func (Leaving) message()        {}
 func (SharedCells) message()    {}
 func (StoreState) message()     {}
+func (TargetList) message()     {}
 func (Queued) message()         {}
 func (Grant) message()          {}
 func (Reject) message()         {}
--- a/internal/store/swwatch/follower.go
+++ b/internal/store/swwatch/follower.go
@@ -72,6 +72,8 @@
 	confirmed atomic.Int64
 	// lastOutage is the number of the latest outage that recordAnswer handled.
 	lastOutage uint64
+	// held is nil before the first listing.
+	held atomic.Pointer[position]
 	// latest is the revision of the latest change of the held objects, or a later one before the next change.
 	latest Revision
 	// peer is what other hosts said of the objects.
@@ -154,6 +156,7 @@
 		f.recordListed(listing, first)
 		f.changed(f.state.Items())
 	}
+	f.recordHeld()
 	f.confirm(sent)
 	return nil
 }
@@ -231,6 +234,7 @@
 	now := f.config.Clock.Now()
 	f.recordChanges(changes)
 	changed := f.state.Apply(changes, now)
+	f.recordHeld()
 	if f.state.Expire(now) || changed {
 		f.changed(f.state.Items())
 	}
--- a/internal/store/swwatch/peer.go
+++ b/internal/store/swwatch/peer.go
@@ -95,6 +95,53 @@
 	}
 }
 
+// position is as of what the objects are held.
+type position struct {
+	asOf Revision
+	era  swobject.Era
+}
+
+// Wanted returns the revision and the era as of which this host holds the objects, and false unless it wants those of another host:
+// it has listed them, and cannot reach the store. It may be called while the objects change.
+func (f *Follower[T]) Wanted() (Revision, swobject.Era, bool) {
+	held := f.held.Load()
+	if held == nil || !f.config.Health.Unreachable() {
+		return 0, 0, false
+	}
+	return held.asOf, held.era, true
+}
+
+// recordHeld records as of what the objects are held. f.mu must be held.
+func (f *Follower[T]) recordHeld() { f.held.Store(&position{f.state.AsOf(), f.state.Era()}) }
+
+// ListSince returns the objects for another host that holds those of a revision, and false unless this host holds a later change.
+func (f *Follower[T]) ListSince(after Revision, era swobject.Era) (Listing[T], bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state.AsOf() == 0 || f.state.Era() != era || f.latest <= after {
+		return Listing[T]{}, false
+	}
+	return Listing[T]{Items: f.state.Items(), AsOf: f.state.AsOf(), Era: era}, true
+}
+
+// ListFromPeer takes the objects that another host holds, and reports whether it did: while the store cannot be reached, and if the
+// other host holds them as of a later revision. They are not confirmed by that.
+func (f *Follower[T]) ListFromPeer(l Listing[T]) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asOf := f.state.AsOf()
+	if asOf == 0 || l.Era != f.state.Era() || l.AsOf <= asOf || !f.config.Health.Unreachable() {
+		return false
+	}
+	f.config.Log.Info().Str("kind", f.config.Kind).Uint64("before", uint64(asOf)).Uint64("asOf", uint64(l.AsOf)).Msg("objects taken from another host")
+	if f.state.List(l, f.config.Clock.Now()) {
+		f.recordListed(l, false)
+		f.changed(f.state.Items())
+	}
+	f.recordHeld()
+	return true
+}
+
 // recordListed records the latest change of a listing that changed the held objects. f.mu must be held.
 func (f *Follower[T]) recordListed(l Listing[T], first bool) {
 	if !first {
--- a/internal/store/swwatch/peer_test.go
+++ b/internal/store/swwatch/peer_test.go
@@ -48,12 +48,82 @@
 	return Changes[string]{}, ctx.Err()
 }
 
+func (q *quietSource) setSilent(silent bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.silent = silent
+}
+
 func (q *quietSource) answers() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return !q.silent
 }
 
+// TestListFromPeer checks which objects of another host are taken: later ones of the same era, while the store cannot be reached; and
+// that the store's own follow.
+func TestListFromPeer(t *testing.T) {
+	later := Listing[string]{Items: []Item[string]{item("a", 5), item("b", 9)}, AsOf: 10, Era: 2}
+	tests := []struct {
+		name   string
+		silent bool
+		change func(l *Listing[string])
+		taken  bool
+	}{
+		{"later ones", true, func(*Listing[string]) {}, true},
+		{"one is gone", true, func(l *Listing[string]) { l.Items = l.Items[1:] }, true},
+		{"the store is reached", false, func(*Listing[string]) {}, false},
+		{"as of the same revision", true, func(l *Listing[string]) { l.AsOf = 8 }, false},
+		{"of an earlier era", true, func(l *Listing[string]) { l.Era = 1 }, false},
+		{"of a later era", true, func(l *Listing[string]) { l.Era = 3 }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := &quietSource{}
+				clock := swclock.NewSystem()
+				var names []string
+				f := NewFollower(Config{
+					Kind: "things", Wait: 3000, Clock: clock, Boot: virtualBoot{}, Health: NewHealth(clock, zerolog.Nop()), Log: zerolog.Nop(),
+				}, source, func(items []Item[string]) {
+					names = nil
+					for _, i := range items {
+						names = append(names, i.Name)
+					}
+				})
+				ctx, stop := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					f.Run(ctx)
+				}()
+				time.Sleep(time.Second)
+				source.setSilent(tt.silent)
+				time.Sleep(5 * time.Second)
+				if asOf, era, wanted := f.Wanted(); wanted != tt.silent || wanted && (asOf != 8 || era != 2) {
+					t.Errorf("wants objects after %d of era %d: %t", asOf, era, wanted)
+				}
+				l := later
+				tt.change(&l)
+				if taken := f.ListFromPeer(l); taken != tt.taken {
+					t.Errorf("taken: %t", taken)
+				}
+				if tt.taken && len(names) != len(l.Items) {
+					t.Errorf("holds %v", names)
+				}
+				if listing, has := f.ListSince(8, 2); has != tt.taken || has && len(listing.Items) != len(l.Items) {
+					t.Errorf("has %+v for other hosts: %t", listing, has)
+				}
+				if confirmed := (virtualBoot{}).SinceBoot() - f.ConfirmedAt(); tt.silent && confirmed < 4000 {
+					t.Errorf("confirmed %d ms ago by the list of another host", confirmed)
+				}
+				stop()
+				<-ended
+			})
+		})
+	}
+}
+
 // TestPeerConfirms checks when a host that hears from another one each half second what that holds asks the store itself, and
 // how old its confirmation becomes.
 func TestPeerConfirms(t *testing.T) {
@@ -113,9 +183,7 @@
 				for passed := time.Duration(0); passed < span; passed += interval {
 					now := virtualBoot{}.SinceBoot()
 					if tt.silent && passed == silentFrom {
-						source.mu.Lock()
-						source.silent = true
-						source.mu.Unlock()
+						source.setSilent(true)
 					}
 					if passed >= from+time.Second {
 						oldest = max(oldest, now-f.ConfirmedAt())
