--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -34,7 +34,7 @@
 // scenario runs a case and reports whether the rule was broken.
 type scenario func(d *deployment) (broken bool, err error)
 
-var scenarios = map[string]scenario{"inplace": inPlace}
+var scenarios = map[string]scenario{"inplace": inPlace, "setback": setBack}
 
 func main() { os.Exit(run()) }
 
