Review: entries of removed hosts take the quotas of those that are left (RECOVER)

Three hosts that are each replaced twelve times serve 33 of 200 requests within their tenant's quota after the final fault, all before it. Entries of hosts that are gone stay in the store, and an owner admits of each quota only the share of listed hosts that are registered.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,12 +29,14 @@
 	log     *record
 	trouble bool
 	folder  string
+	// started counts the hosts that were ever started.
+	started int
 }
 
 // scenario runs a case and reports whether the rule was broken.
 type scenario func(d *deployment) (broken bool, err error)
 
-var scenarios = map[string]scenario{"inplace": inPlace, "setback": setBack}
+var scenarios = map[string]scenario{"inplace": inPlace, "replaced": replaced}
 
 func main() { os.Exit(run()) }
 
@@ -88,15 +90,8 @@
 			h.kill()
 		}
 	}()
-	for i := range hosts {
-		h, err := newHost("host-"+strconv.Itoa(i+1), "127.0.1."+strconv.Itoa(i+1), d.folder, d.store.address)
-		if err != nil {
-			return false, err
-		}
-		d.hosts = append(d.hosts, h)
-		if err := h.start(); err != nil {
-			return false, err
-		}
+	if err := d.replaceAll(hosts); err != nil {
+		return false, err
 	}
 	broken, err = play(d)
 	d.log.add("case", "broken", strconv.FormatBool(broken))
