--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -14,12 +14,11 @@
 
 // call is a request of a client, with all its attempts.
 type call struct {
-	path     string
-	method   string
-	deadline time.Duration
-	stream   bool
-	tokens   string
-	parts    string
+	path   string
+	method string
+	stream bool
+	tokens string
+	parts  string
 }
 
 // attempt is what a client saw of one attempt.
@@ -62,7 +61,7 @@
 		r.Header.Set(names.Parts, c.parts+","+a.id[:8]+":500")
 	}
 	if begunBy != "" {
-		r.Header.Set(names.Resumes, begunBy)
+		r.Header.Set(names.TakesUp, begunBy)
 		r.Header.Set(names.LastEvent, strconv.Itoa(after))
 	}
 	log.add("client", "request", a.id, "host", h.name, "path", c.path, "resumes", begunBy, "after", strconv.Itoa(after), "does", "sends")
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -20,11 +20,16 @@
 }
 
 type metadata struct {
-	Name       string   `json:"name"`
-	Revision   uint64   `json:"revision"`
-	Created    uint64   `json:"created"`
-	Finalizers []string `json:"finalizers"`
-	Deleting   bool     `json:"deleting"`
+	Name     string
+	Revision uint64
+	Created  uint64
+}
+
+// MarshalJSON implements json.Marshaler.
+func (m metadata) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"name": m.Name, "revision": m.Revision, "created": m.Created, names.Holders: []string{}, "deleting": false,
+	})
 }
 
 // event is a change of an object, with the revision at which it happened.
@@ -44,21 +49,10 @@
 	history []event
 }
 
-func (s storeState) clone() storeState {
-	c := s
-	c.objects = make(map[string]object, len(s.objects))
-	for k, o := range s.objects {
-		c.objects[k] = o
-	}
-	c.history = slices.Clone(s.history)
-	return c
-}
-
-// store is a stand-in for the platform's object store. It is linearizable and loses nothing unless it is set back.
+// store is a stand-in for the platform's object store. It is linearizable and loses nothing.
 type store struct {
 	mu      sync.Mutex
 	state   storeState
-	era     uint64
 	changed chan struct{}
 	down    bool
 	server  *http.Server
@@ -112,7 +106,7 @@
 	}
 	s.state.revision++
 	if !found {
-		o.Metadata = metadata{Name: name, Created: s.state.revision, Finalizers: []string{}}
+		o.Metadata = metadata{Name: name, Created: s.state.revision}
 	}
 	o.Metadata.Revision, o.Specification = s.state.revision, specification
 	s.state.objects[key] = o
@@ -120,13 +114,7 @@
 	return o
 }
 
-// remove removes an object.
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.removeLocked(kind, name)
-}
-
+// removeLocked removes an object. s.mu must be held.
 func (s *store) removeLocked(kind, name string) {
 	o, found := s.state.objects[kind+"/"+name]
 	if !found {
@@ -144,37 +132,16 @@
 	s.changed = make(chan struct{})
 }
 
-// copyState returns a copy of what the store holds.
-func (s *store) copyState() storeState {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.clone()
-}
-
-// setBack replaces what the store holds by an earlier copy of it.
-func (s *store) setBack(earlier storeState) {
-	s.mu.Lock()
-	s.state = earlier.clone()
-	s.era++
-	close(s.changed)
-	s.changed = make(chan struct{})
-	s.mu.Unlock()
-	s.conns.reset()
-}
-
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
 	s.mu.Lock()
-	down, era := s.down, s.era
+	down := s.down
 	s.mu.Unlock()
 	rest, found := strings.CutPrefix(r.URL.Path, names.ObjectsPath)
 	if down || !found {
 		panic(http.ErrAbortHandler)
 	}
-	if era > 0 {
-		w.Header().Set(names.Era, strconv.FormatUint(era, 10))
-	}
 	w.Header().Set("Content-Type", "application/json")
 	kind, name, _ := strings.Cut(rest, "/")
 	switch {
