--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -19,6 +19,8 @@
 	stream bool
 	tokens string
 	parts  string
+	// header has further fields, which are forwarded.
+	header map[string]string
 }
 
 // attempt is what a client saw of one attempt.
@@ -55,6 +57,9 @@
 	r.Header.Set(names.RequestID, a.id)
 	r.Header.Set("Authorization", names.KeyScheme+siteKey)
 	r.Header.Set(names.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	for name, value := range c.header {
+		r.Header.Set(name, value)
+	}
 	if c.stream {
 		r.Header.Set(names.Model, "m")
 		r.Header.Set(names.Tokens, c.tokens)
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -24,6 +24,8 @@
 	Work time.Duration
 	// Register is how long after its start the engine first writes its entry.
 	Register time.Duration
+	// Header has further fields of the engine's answers.
+	Header map[string]string
 }
 
 // engine is a stand-in for an engine or a plain service. It runs from its start to its crash.
@@ -44,8 +46,17 @@
 	runs map[string]int
 }
 
-// startEngine starts an engine at an address, which may be "127.0.0.1:0".
+// startEngine starts an engine at an address, which may be "127.0.0.1:0", and has it register.
 func startEngine(s engineSettings, address string, st *store, log *record) (*engine, error) {
+	e, err := newEngine(s, address, st, log)
+	if err == nil {
+		go e.register()
+	}
+	return e, err
+}
+
+// newEngine starts an engine that does not register by itself.
+func newEngine(s engineSettings, address string, st *store, log *record) (*engine, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -57,7 +68,6 @@
 	e.server = &http.Server{Handler: e, ConnState: e.conns.track}
 	log.add("engine", "id", e.ID, "address", e.address, "version", e.Version, "does", "starts")
 	go func() { _ = e.server.Serve(l) }()
-	go e.register()
 	return e, nil
 }
 
@@ -119,6 +129,9 @@
 		return
 	}
 	defer e.end()
+	for name, value := range e.Header {
+		w.Header().Set(name, value)
+	}
 	w.Header().Set(names.Stamp, "stamp."+e.ID+"."+e.Version)
 	if e.handle != nil {
 		e.handle(w, r)
@@ -144,9 +157,17 @@
 	}
 	e.running++
 	e.runs[id]++
+	e.log.add("engine", "id", e.ID, "request", id, "does", "runs")
 	return true
 }
 
+// hasRun reports whether the engine has run a request.
+func (e *engine) hasRun(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id] > 0
+}
+
 func (e *engine) end() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -159,7 +180,7 @@
 	if last, err := strconv.Atoi(strings.TrimSpace(r.Header.Get(names.LastEvent))); err == nil {
 		first = last + 1
 	}
-	e.log.add("engine", "id", e.ID, "version", e.Version, "request", id, "from", strconv.Itoa(first), "does", "runs")
+	e.log.add("engine", "id", e.ID, "version", e.Version, "request", id, "from", strconv.Itoa(first), "does", "streams")
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	for i := first; i <= e.Events; i++ {
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -17,11 +17,11 @@
 
 // host is a process of the project's daemon.
 type host struct {
-	name, address, ready, settings string
-	command                        *exec.Cmd
-	run                            []string
-	logs                           *os.File
-	ended                          chan struct{}
+	name, address, ready, settings, store string
+	command                               *exec.Cmd
+	run                                   []string
+	logs                                  *os.File
+	ended                                 chan struct{}
 }
 
 // bounds are the figures of a small deployment that the template of the settings asks for.
@@ -95,7 +95,7 @@
 	for k, v := range bounds {
 		values[k] = v
 	}
-	h := &host{name: name, settings: filepath.Join(folder, name+".yaml")}
+	h := &host{name: name, store: storeAddress, settings: filepath.Join(folder, name+".yaml")}
 	ports := make([]string, 4)
 	for i := range ports {
 		if ports[i], err = freeAddress(ip); err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -36,7 +36,7 @@
 // scenario runs a case and reports whether the rule was broken.
 type scenario func(d *deployment) (broken bool, err error)
 
-var scenarios = map[string]scenario{"inplace": inPlace, "replaced": replaced}
+var scenarios = map[string]scenario{"inplace": inPlace, "replaced": replaced, "partitioned": partitioned}
 
 func main() { os.Exit(run()) }
 
@@ -77,9 +77,7 @@
 	} else {
 		fmt.Println(d.folder)
 	}
-	if d.store, err = newStore(); err != nil {
-		return false, err
-	}
+	d.store = newStore()
 	var config any
 	if err := json.Unmarshal(configData, &config); err != nil {
 		return false, err
--- a/review/stand/replaced.go
+++ b/review/stand/replaced.go
@@ -59,7 +59,11 @@
 	d.hosts = nil
 	for range live {
 		d.started++
-		h, err := newHost("host-"+strconv.Itoa(d.started), "127.0.1."+strconv.Itoa(d.started), d.folder, d.store.address)
+		access, err := d.store.access()
+		if err != nil {
+			return err
+		}
+		h, err := newHost("host-"+strconv.Itoa(d.started), "127.0.1."+strconv.Itoa(d.started), d.folder, access)
 		if err != nil {
 			return err
 		}
@@ -82,6 +86,19 @@
 	others       map[int]int
 }
 
+// add counts an attempt.
+func (c *count) add(a attempt) {
+	c.sent++
+	if a.status == 200 && a.complete {
+		c.served++
+		return
+	}
+	if c.others == nil {
+		c.others = make(map[int]int)
+	}
+	c.others[a.status]++
+}
+
 // String implements fmt.Stringer.
 func (c count) String() string {
 	return fmt.Sprintf("%d of %d requests served, others by status %v", c.served, c.sent, c.others)
@@ -90,18 +107,13 @@
 // serve sends eight requests a second, of 7,000 tokens each, to all hosts in turn.
 func (d *deployment) serve(length time.Duration) count {
 	var mu sync.Mutex
-	c := count{others: make(map[int]int)}
+	var c count
 	load(8, length, func(n int) {
 		r := &call{path: "/letter/" + strconv.Itoa(n), method: "POST", stream: true, tokens: "6610,390", parts: "5c1e07a2:60"}
 		a := r.send(d.log, d.hosts[n%len(d.hosts)], 10*time.Second, "", 0)
 		mu.Lock()
 		defer mu.Unlock()
-		c.sent++
-		if a.status == 200 && a.complete {
-			c.served++
-		} else {
-			c.others[a.status]++
-		}
+		c.add(a)
 	}).Wait()
 	return c
 }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net"
@@ -55,21 +56,50 @@
 	state   storeState
 	changed chan struct{}
 	down    bool
-	server  *http.Server
 	conns   connSet
-	address string
+	// seenBy maps the address of an access to how addresses of engines read there, where that differs.
+	seenBy map[string]map[string]string
 }
 
-func newStore() (*store, error) {
-	s := &store{state: storeState{revision: 100, oldest: 100, objects: make(map[string]object)}, changed: make(chan struct{})}
+// newStore returns a store without an access.
+func newStore() *store {
+	return &store{state: storeState{revision: 100, oldest: 100, objects: make(map[string]object)}, changed: make(chan struct{})}
+}
+
+// access opens an access to the store at an address of its own, for one host.
+func (s *store) access() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	s.address = l.Addr().String()
-	s.server = &http.Server{Handler: s, ConnState: s.conns.track}
-	go func() { _ = s.server.Serve(l) }()
-	return s, nil
+	server := &http.Server{Handler: s, ConnState: s.conns.track}
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// setSeenBy sets how addresses of engines read at an access: those of the paths from its host to them.
+func (s *store) setSeenBy(access string, addresses map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seenBy == nil {
+		s.seenBy = make(map[string]map[string]string)
+	}
+	s.seenBy[access] = addresses
+}
+
+// reply sends a response of the store as it reads at the access of a request.
+func (s *store) reply(w http.ResponseWriter, r *http.Request, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	addresses := s.seenBy[r.Host]
+	s.mu.Unlock()
+	for from, to := range addresses {
+		data = bytes.ReplaceAll(data, []byte(strconv.Quote(from)), []byte(strconv.Quote(to)))
+	}
+	reply(w, status, json.RawMessage(data))
 }
 
 // setDown begins or ends an outage, in which connections are reset.
@@ -146,7 +176,7 @@
 	kind, name, _ := strings.Cut(rest, "/")
 	switch {
 	case r.Method == http.MethodGet && name != "":
-		s.serveOne(w, kind, name)
+		s.serveOne(w, r, kind, name)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.serveWatch(w, r, kind)
 	case r.Method == http.MethodGet:
@@ -166,15 +196,15 @@
 	_, _ = w.Write(data)
 }
 
-func (s *store) serveOne(w http.ResponseWriter, kind, name string) {
+func (s *store) serveOne(w http.ResponseWriter, r *http.Request, kind, name string) {
 	s.mu.Lock()
 	o, found := s.state.objects[kind+"/"+name]
 	s.mu.Unlock()
 	if !found {
-		reply(w, http.StatusNotFound, struct{}{})
+		s.reply(w, r, http.StatusNotFound, struct{}{})
 		return
 	}
-	reply(w, http.StatusOK, o)
+	s.reply(w, r, http.StatusOK, o)
 }
 
 // pageItems bounds the items of one page of a list.
@@ -195,7 +225,7 @@
 	if more {
 		items = items[:pageItems]
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "asOf": asOf})
+	s.reply(w, r, http.StatusOK, map[string]any{"items": items, "hasMore": more, "asOf": asOf})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -216,10 +246,10 @@
 		s.mu.Unlock()
 		switch {
 		case gone:
-			reply(w, http.StatusGone, struct{}{})
+			s.reply(w, r, http.StatusGone, struct{}{})
 			return
 		case len(events) > 0 || expired:
-			reply(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+			s.reply(w, r, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
 			return
 		}
 		select {
