Answer the requests that still run at the end of a planned stop

What callers saw: a request that still ran 0.5 s before the end of the shutdown timeout was cut: its connection ended with the process, without an answer, also where the request may not be repeated. A request that came to wait for a grant again after the waiting ones had been ended was cut in the same way.

Cause: leave waited for callers' connections with http.Server.Shutdown, and when its time was over returned; the process then exited. Nothing ended the requests, so that nothing was written.

Change: 0.25 s before leave gives up the connections the holder ends all requests (EndAll): a waiting one as not run, a running one as unknown with the cause shutdown, or not run if nothing of it was sent. A caller that has no part of the answer gets 503 or 502; only a stream that has begun is broken off. What comes to wait or to run later ends at once. leave also waits for the holder itself, which then rejects requests whose bodies are complete only after the waiting ones were ended. A shutdown timeout below 3.5 s is kept now too.

Measured: TestStopAnswersRunningRequests, go test ./internal/node/swfleet -run TestStopAnswers before: "the request to /plain/x was answered with 0, ... context deadline exceeded", the same for /once/x after: 502 for both, ok in 8.1 s. TestEndAll in swholder, with -race: ok.

--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -142,6 +142,7 @@
 		produced: a.produced, owners: a.owners, cancel: cancel,
 	}
 	e.mu.Unlock()
+	e.cancelIfEnding()
 	ended := a.exchange(ctx)
 	e.mu.Lock()
 	a.owners = e.running.owners
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -155,6 +155,18 @@
 	e.replies <- ownerReply{holderCause: cause}
 }
 
+// cancelIfEnding cancels the running attempt, if there is one and the holder ends all requests.
+func (e *heldRequest) cancelIfEnding() {
+	if !e.holder.isEnding() {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running != nil {
+		e.running.cancel(&holderCancelError{cause: swlife.CauseShutdown, retryAfter: retryAfterShutdown})
+	}
+}
+
 // usesGrant reports whether m is a duplicate of the grant that the current attempt uses.
 func (e *heldRequest) usesGrant(owner swid.HostID, m swmsg.Grant) bool {
 	e.mu.Lock()
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -244,6 +244,9 @@
 	defer resend.Stop()
 	deadline := time.NewTimer(e.remaining().Duration())
 	defer deadline.Stop()
+	if e.holder.isEnding() {
+		return e.endWait(swlife.CauseShutdown)
+	}
 	for {
 		select {
 		case a := <-e.replies:
@@ -251,9 +254,7 @@
 			case a.redirect != nil:
 				e.followRedirect(a.redirect)
 			case a.holderCause != swlife.CauseNone:
-				ended := e.cancelGrantRequest(a.holderCause)
-				ended.RetryAfter = retryAfterShutdown
-				return ended
+				return e.endWait(a.holderCause)
 			case a.queued:
 				resend.Reset(e.holder.config.GrantRequestInterval.Duration())
 			default:
@@ -384,6 +385,13 @@
 	return swlife.WaitEnded{Cause: cause}
 }
 
+// endWait is like cancelGrantRequest, for a host that stops: the caller may retry at another one at once.
+func (e *heldRequest) endWait(cause swlife.Cause) swlife.WaitEnded {
+	ended := e.cancelGrantRequest(cause)
+	ended.RetryAfter = retryAfterShutdown
+	return ended
+}
+
 func (e *heldRequest) remaining() swclock.Millis {
 	return max(0, e.request.Deadline-e.holder.config.Clock.Now())
 }
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -111,6 +111,8 @@
 	draining bool
 	// idle is closed once draining is set and requests is empty.
 	idle chan struct{}
+	// ending is set by EndAll.
+	ending bool
 }
 
 // New returns a Holder without requests.
@@ -228,6 +230,29 @@
 	}
 }
 
+// EndAll ends all requests with CauseShutdown, those that run too, because the host stops before they could be answered. A
+// request that comes to wait or to run later ends at once. The outcome is notRun only if no attempt may have run.
+func (h *Holder) EndAll() {
+	h.mu.Lock()
+	h.ending = true
+	all := make([]*heldRequest, 0, len(h.requests))
+	for _, e := range h.requests {
+		all = append(all, e)
+	}
+	h.mu.Unlock()
+	for _, e := range all {
+		e.interruptWait(swlife.CauseShutdown)
+		e.cancelIfEnding()
+	}
+}
+
+// isEnding reports whether EndAll was called.
+func (h *Holder) isEnding() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ending
+}
+
 // closeIfIdle closes h.idle if the Holder drains and holds no requests. The caller holds h.mu.
 func (h *Holder) closeIfIdle() {
 	if !h.draining || len(h.requests) > 0 {
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -756,6 +757,48 @@
 	}
 }
 
+// TestEndAll checks how requests end that wait, run or are granted when the host stops.
+func TestEndAll(t *testing.T) {
+	hanging := script{chunks: []string{"x"}, hang: true}
+	tests := []struct {
+		name                  string
+		stream, nonIdempotent bool
+		granted, endedBefore  bool
+		want                  swlife.Outcome
+		begun                 bool
+	}{
+		{name: "waiting", want: swlife.OutcomeNotRun},
+		{name: "running", granted: true, want: swlife.OutcomeUnknown},
+		{name: "running, non-idempotent", nonIdempotent: true, granted: true, want: swlife.OutcomeUnknown},
+		{name: "stream that has begun", stream: true, granted: true, want: swlife.OutcomeUnknown, begun: true},
+		{name: "sent later", endedBefore: true, want: swlife.OutcomeNotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[swid.TargetID][]script{"a": {hanging}})
+				if tt.endedBefore {
+					f.holder.EndAll()
+				}
+				reports, _ := f.serve(f.request(tt.stream, tt.nonIdempotent))
+				grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+				if tt.granted {
+					f.grant("owner", grantRequest, "a")
+				}
+				synctest.Wait()
+				f.holder.EndAll()
+				r := <-reports
+				if r.End.Outcome != tt.want || r.End.Cause != swlife.CauseShutdown || r.End.RetryAfter == 0 || r.Begun != tt.begun {
+					t.Errorf("report is %+v", r)
+				}
+				if wantStarts := map[bool]int{true: 1}[tt.granted]; f.starts["a"] != wantStarts {
+					t.Errorf("%d attempts, want %d", f.starts["a"], wantStarts)
+				}
+			})
+		})
+	}
+}
+
 // TestOutcomes checks the outcome and the delivered data for scripted answers of targets.
 func TestOutcomes(t *testing.T) {
 	whole := script{chunks: []string{"x", "y"}, end: io.EOF}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -29,8 +29,11 @@
 	// of the shutdown.
 	refuseAfter = 2500 * swclock.Millis(1)
 	// exitMargin is how long before the end of the shutdown timeout the host cuts off
-	// the remaining requests, so that the process exits by itself within the timeout.
+	// the remaining connections, so that the process exits by itself within the timeout.
 	exitMargin = 500 * swclock.Millis(1)
+	// answerMargin is how long before that the holder ends the remaining requests, so that
+	// their callers get an answer.
+	answerMargin = 250 * swclock.Millis(1)
 	// registerTimeout bounds one attempt to register the host in the store.
 	registerTimeout = 1500 * swclock.Millis(1)
 	// registerRetryInterval is the wait after a failed attempt to register.
@@ -132,26 +135,39 @@
 // the platform sends callers to other hosts, and that it is leaving, so that other hosts
 // send their grant requests elsewhere. It denies new requests after refuseAfter and ends
 // the waiting ones after endWaitingAfter. Then leave closes the callers' connections as
-// their requests finish, until exitMargin before the end of the shutdown timeout.
+// their requests finish, until exitMargin before the end of the shutdown timeout. Requests
+// that still run answerMargin before that are ended.
 func (h *Host) leave(componentsCtx context.Context, callers *http.Server) {
 	started := h.clock.Now()
+	exitAt := started + h.settings.ShutdownTimeout - exitMargin
+	endAllAt := exitAt - answerMargin
 	h.leaving.Store(true)
 	h.log.Info().Int("held", h.holder.Held()).Msg("leaving")
 	h.router.leave()
 	h.announceLeaving()
 	h.refreshOwner()
-	sleep(componentsCtx, refuseAfter-(h.clock.Now()-started))
+	sleep(componentsCtx, min(started+refuseAfter, endAllAt)-h.clock.Now())
 	h.gate.StartDraining()
-	sleep(componentsCtx, endWaitingAfter-(h.clock.Now()-started))
+	sleep(componentsCtx, min(started+endWaitingAfter, endAllAt)-h.clock.Now())
 	h.holder.EndWaiting()
-	remaining := h.settings.ShutdownTimeout - exitMargin - (h.clock.Now() - started)
-	shutdownCtx, cancel := context.WithTimeout(componentsCtx, max(remaining, 0).Duration())
+	ending := time.AfterFunc(max(endAllAt-h.clock.Now(), 0).Duration(), h.endAll)
+	defer ending.Stop()
+	shutdownCtx, cancel := context.WithTimeout(componentsCtx, max(exitAt-h.clock.Now(), 0).Duration())
 	defer cancel()
-	if err := callers.Shutdown(shutdownCtx); err != nil {
-		h.log.Warn().Int("held", h.holder.Held()).Msg("shutdown cut requests that were still held")
+	finishing := pool.New().WithErrors()
+	finishing.Go(func() error { return h.holder.Drain(shutdownCtx) })
+	finishing.Go(func() error { return callers.Shutdown(shutdownCtx) })
+	if err := finishing.Wait(); err != nil {
+		h.log.Warn().Err(err).Int("held", h.holder.Held()).Msg("shutdown cut connections of callers")
 	}
 }
 
+// endAll ends the requests that are still held because the shutdown timeout is about to expire.
+func (h *Host) endAll() {
+	h.log.Warn().Int("held", h.holder.Held()).Msg("ending the requests that are still held")
+	h.holder.EndAll()
+}
+
 // ready reports whether the host accepts callers' requests.
 func (h *Host) ready() bool {
 	complete := h.view.complete()
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
@@ -167,6 +168,34 @@
 	}
 }
 
+// TestStopAnswersRunningRequests guards against requests that still run at the end of a planned stop and get no answer.
+func TestStopAnswersRunningRequests(t *testing.T) {
+	d := newDeployment(t, 2)
+	c := *catalogOf(2)
+	plain := c.Routes[1]
+	plain.Timeout = swclock.Minute
+	once := plain
+	once.Name, once.Prefix, once.Kind, once.Attempts = "once", "/once/", swcatalog.KindNonIdempotent, 1
+	c.Routes = append(c.Routes[:1:1], plain, once)
+	d.store.catalogs.put("main", &c)
+	d.targets["plain-1"].duration = time.Minute
+	leaving := d.hosts[0]
+	d.waitUntil("the configuration is in force", func() bool { return leaving.fleet.gate.Table().Catalog().Version == 2 })
+	leaving.settings.ShutdownTimeout = 5 * swclock.Second
+	var callers sync.WaitGroup
+	for i, path := range []string{"/plain/x", "/once/x"} {
+		callers.Go(func() {
+			if status, body := d.sendRequest(leaving, path, fmt.Sprint("stop-", i), "key"); status != http.StatusBadGateway {
+				t.Errorf("the request to %s was answered with %d, %s", path, status, body)
+			}
+		})
+	}
+	d.waitUntil("the requests run", func() bool { return len(d.runs()) == 2 })
+	leaving.stop()
+	callers.Wait()
+	<-leaving.ended
+}
+
 // TestHostReturns checks that a host whose process ended starts again with the next incarnation.
 func TestHostReturns(t *testing.T) {
 	d := newDeployment(t, 2)
