Give no requests to a leaving host to carry

What callers saw: at a host that reaches no target, and whose requests other hosts send, requests that may not be repeated ended as unknown because the host that was to send them was leaving and ended before their answers.

Cause: the owner took a leaving host out of the directory of carriers when that host said that it leaves, but its next registration, half a second later, put it back. An owner that took over afterwards had not been told at all: leave tells the hosts that are linked then.

Change: a report in the directory says whether the host leaves; it may still have its own requests carried. A leaving host tells each host that is linked later.

--- a/internal/core/swreach/directory.go
+++ b/internal/core/swreach/directory.go
@@ -29,6 +29,8 @@
 	Zone swid.ZoneID
 	// Carries is set if the host can carry requests of others, and have its own carried.
 	Carries bool
+	// Leaving is set if the process of the host is about to stop, so that it carries no further requests.
+	Leaving bool
 	// Cut are the services of which the host reaches no target.
 	Cut []swid.ServiceID
 }
@@ -143,7 +145,7 @@
 	fewest, found := 0, 0
 	for _, host := range d.rank(holder) {
 		e := d.hosts[host]
-		if !e.Carries || now-e.seenAt > presenceTime || e.carried >= maxCarried || slices.Contains(e.Cut, service) ||
+		if !e.Carries || e.Leaving || now-e.seenAt > presenceTime || e.carried >= maxCarried || slices.Contains(e.Cut, service) ||
 			now < d.avoided[pair{holder, host}] || !reaches(host) {
 			continue
 		}
--- a/internal/node/swfleet/carry.go
+++ b/internal/node/swfleet/carry.go
@@ -52,9 +52,10 @@
 	h.observeStatement(r.Target, s, sent)
 }
 
-// updateCarrier records that a host is present, and of which services it reaches no target.
+// updateCarrier records that a host is present, whether it leaves, and of which services it reaches no target.
 func (h *Host) updateCarrier(host swid.HostID, cut []swid.ServiceID) {
 	h.carriers.Update(host, swreach.Report{
 		Zone: h.view.zoneOf(host), Carries: host == h.self.Host || h.network.AcceptsStreams(host), Cut: cut,
+		Leaving: h.router.Leaving(host) || host == h.self.Host && h.leaving.Load(),
 	}, h.clock.Now())
 }
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -183,12 +184,16 @@
 // linkUp handles a new link to a peer. It reports the death of the peer's previous
 // process to the cells that this host owns: they remove the waiting requests of that
 // process and mark its runs as orphaned. linkUp also clears the router's mark that
-// the previous process is leaving.
+// the previous process is leaving. If this host is leaving, linkUp tells the peer, which may not have been linked when
+// leave told the others.
 func (h *Host) linkUp(peer swlink.Peer) {
 	if peer.Incarnation > 0 {
 		h.owner.HolderDied(swlink.Peer{Host: peer.Host, Incarnation: peer.Incarnation - 1})
 		h.router.SetLeaving(peer.Host, false)
 	}
+	if h.leaving.Load() {
+		h.exchange.Send(peer.Host, swmsg.Leaving{})
+	}
 	h.owner.LinkUp(peer)
 	h.refreshOwner()
 }
--- /dev/null
+++ b/internal/node/swfleet/leavinghosts_test.go
@@ -0,0 +1,202 @@
+package swfleet
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
+)
+
+// leavingFleet is a fleet whose hosts leave while calls of a plain service, which may not be repeated, run.
+type leavingFleet struct {
+	*simulatedFleet
+
+	mu sync.Mutex
+	// cut has the hosts that reach no target.
+	cut map[int]bool
+	// starts has the calls that reached a target, with the host that sent them.
+	starts []targetStart
+}
+
+// targetStart is a call that reached a target.
+type targetStart struct {
+	id   swid.RequestID
+	host int
+	at   time.Time
+}
+
+// newLeavingFleet returns a fleet whose plain service takes a time for each call.
+func newLeavingFleet(t *testing.T, size int, work time.Duration) *leavingFleet {
+	f := &leavingFleet{simulatedFleet: newMixedFleet(t, size), cut: make(map[int]bool)}
+	c := *f.deployment.store.catalogs.items["main"].Value
+	once := c.Routes[1]
+	once.Name, once.Prefix, once.Kind, once.Attempts = "once", "/once/", swcatalog.KindNonIdempotent, 1
+	c.Routes = append(c.Routes, once)
+	c.Version++
+	f.deployment.store.catalogs.put("main", &c)
+	for id, target := range f.deployment.targets {
+		if strings.HasPrefix(string(id), "plain") {
+			target.duration = work
+		}
+	}
+	f.hostAdapter = func(host int, id swid.TargetID) swtarget.Adapter {
+		return &observedTarget{Adapter: f.deployment.targets[id], fleet: f, host: host}
+	}
+	return f
+}
+
+// observedTarget is a target as one host reaches it. It implements swtarget.Adapter and swtarget.Prober.
+type observedTarget struct {
+	swtarget.Adapter
+	fleet *leavingFleet
+	host  int
+}
+
+// Start implements swtarget.Adapter.
+func (o *observedTarget) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
+	o.fleet.mu.Lock()
+	cut := o.fleet.cut[o.host]
+	if !cut {
+		o.fleet.starts = append(o.fleet.starts, targetStart{r.ID, o.host, time.Now()})
+	}
+	o.fleet.mu.Unlock()
+	if cut {
+		return nil, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errConnection}
+	}
+	return o.Adapter.Start(ctx, r)
+}
+
+// Probe implements swtarget.Prober.
+func (o *observedTarget) Probe(context.Context) (swlimit.Statement, error) {
+	o.fleet.mu.Lock()
+	defer o.fleet.mu.Unlock()
+	if o.fleet.cut[o.host] {
+		return swlimit.Statement{}, errConnection
+	}
+	return swlimit.Statement{Heard: true}, nil
+}
+
+// callOnce sends a call that may not be repeated to a host, and returns how it ended. It is cut if the host's process ends first.
+func (f *leavingFleet) callOnce(h *simulatedHost) (id swid.RequestID, end swlife.End, cut bool) {
+	host := h.current.Load()
+	if host == nil {
+		return "", swlife.End{Outcome: swlife.OutcomeNotRun}, false
+	}
+	call := newCall("/once/x", "")
+	call.Deadline = 0
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-h.ended:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	result := host.gate.Serve(ctx, call, discardSink{})
+	if result.Denial != swgate.DeniedNone {
+		return call.ID, swlife.End{Outcome: swlife.OutcomeNotRun}, false
+	}
+	return call.ID, result.Report.End, ctx.Err() != nil
+}
+
+// cutOff partitions a host from all targets.
+func (f *leavingFleet) cutOff(h *simulatedHost) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[h.number] = true
+}
+
+// startsOf returns the calls that a host sent to targets after an instant.
+func (f *leavingFleet) startsOf(host int, after time.Time) (starts []targetStart) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.starts {
+		if s.host == host && s.at.After(after) {
+			starts = append(starts, s)
+		}
+	}
+	return starts
+}
+
+// TestCarrierLeaves guards against requests that a leaving host is given to carry for others.
+func TestCarrierLeaves(t *testing.T) {
+	const (
+		work     = 5 * time.Second
+		interval = 150 * time.Millisecond
+		// knownWithin is the time in which requests may still be given to a host that leaves.
+		knownWithin = 100 * time.Millisecond
+	)
+	events := []struct {
+		name string
+		// run runs once the carrier has begun to leave.
+		run func(f *leavingFleet)
+	}{
+		{"alone", func(*leavingFleet) {}},
+		{"before the owner", func(f *leavingFleet) {
+			time.Sleep(500 * time.Millisecond)
+			f.owner().leave()
+		}},
+	}
+	for _, e := range events {
+		t.Run(e.name, func(t *testing.T) {
+			clearPools()
+			synctest.Test(t, func(t *testing.T) {
+				defer clearPools()
+				f := newLeavingFleet(t, 5, work)
+				f.startAll()
+				f.observe(4)
+				holder := f.hosts[0]
+				if holder == f.owner() {
+					holder = f.hosts[1]
+				}
+				f.cutOff(holder)
+				ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+				defer stop()
+				var callers sync.WaitGroup
+				var mu sync.Mutex
+				ends := make(map[swlife.End]int)
+				callers.Go(func() {
+					for ctx.Err() == nil {
+						time.Sleep(interval)
+						callers.Go(func() {
+							_, end, _ := f.callOnce(holder)
+							mu.Lock()
+							defer mu.Unlock()
+							ends[end]++
+						})
+					}
+				})
+				time.Sleep(4 * time.Second)
+				var carrier *simulatedHost
+				for _, h := range f.hosts {
+					if h != f.owner() && len(f.startsOf(h.number, time.Time{})) > 0 {
+						carrier = h
+					}
+				}
+				if carrier == nil {
+					t.Fatal("no request is carried")
+				}
+				carrier.leave()
+				began := time.Now()
+				e.run(f)
+				<-ctx.Done()
+				callers.Wait()
+				f.killAll()
+				if late := f.startsOf(carrier.number, began.Add(knownWithin)); len(late) > 0 {
+					t.Errorf("%d requests were given to a carrier that leaves, the last after %v", len(late), late[len(late)-1].at.Sub(began))
+				}
+				t.Log(ends)
+			})
+		})
+	}
+}
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -91,7 +91,9 @@
 	// current is nil while the host is down.
 	current atomic.Pointer[Host]
 	stop    context.CancelFunc
-	ended   chan struct{}
+	// leave begins a planned stop.
+	leave context.CancelFunc
+	ended chan struct{}
 	// startedAt is when the process was last started.
 	startedAt time.Time
 }
@@ -127,18 +129,20 @@
 // start starts the host's process.
 func (h *simulatedHost) start() {
 	ctx, stop := context.WithCancel(context.Background())
-	h.stop, h.ended, h.startedAt = stop, make(chan struct{}), time.Now()
+	leaving, leave := context.WithCancel(context.Background())
+	h.stop, h.leave, h.ended, h.startedAt = stop, leave, make(chan struct{}), time.Now()
 	go func() {
 		defer close(h.ended)
 		h.processor.use(startCost, ctx.Done())
-		h.run(ctx)
+		h.run(ctx, leaving)
 		h.current.Store(nil)
 	}()
 	go h.accept(ctx)
 }
 
-// run runs the host as Host.run does, but without the listeners for callers and operators.
-func (h *simulatedHost) run(ctx context.Context) {
+// run runs the host as Host.run does, but without the listeners for callers and operators, until ctx ends or the host
+// has left after the end of leaving.
+func (h *simulatedHost) run(ctx, leaving context.Context) {
 	t := h.fleet.deployment.t
 	settings := &swsettings.Settings{
 		Host: swid.HostID(fmt.Sprint("host-", h.number)), Zone: "z", Region: "r",
@@ -150,6 +154,7 @@
 			QuotaWindow: 8 * swclock.Second, RetryWindow: 10 * swclock.Second, RetryRatio: 0.1, RetryReserve: 32,
 			ProcessorShare: h.processor.share, Cores: 1, LinkMegabits: 100,
 		},
+		ShutdownTimeout: 8 * swclock.Second,
 	}
 	factory := func(*swsettings.Settings, swclock.Clock, zerolog.Logger) (Platform, error) {
 		return simulatedPlatform{fakePlatform{h.fleet.deployment}, h.fleet, h.number}, nil
@@ -175,7 +180,7 @@
 		return
 	}
 	h.current.Store(host)
-	if err := host.runComponents(context.Background(), ctx, &http.Server{}); err != nil {
+	if err := host.runComponents(leaving, ctx, &http.Server{}); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/node/swnode/router.go
+++ b/internal/node/swnode/router.go
@@ -276,6 +276,13 @@
 	delete(r.leaving, host)
 }
 
+// Leaving reports whether a host's process is about to stop.
+func (r *HostRouter) Leaving(host swid.HostID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving[host]
+}
+
 // ObserveEpoch implements swholder.Router. It records an epoch that was received for a cell.
 func (r *HostRouter) ObserveEpoch(cell swid.CellID, epoch swid.Epoch) {
 	r.mu.Lock()
