Finish the requests that a leaving host carries for others

What callers saw: a host that reaches no target had its requests sent by another one. When that one was stopped as planned, requests that it had sent more than 3.5 s before its end were still at work at their targets; they ended as unknown, at the latest 3.5 s after SIGTERM.

Cause: leave waited for the connections of the host's own callers only. What the host carries has none.

Change: leave also waits for the carried requests, until exitMargin before the end of the shutdown timeout. From refuseAfter on the host rejects further ones as unsent, so that the owner grants another target or carrier. What is cut at the end is unknown at its holder, as before ("carrier killed" in TestFailures of swcarry).

TestDrain and "carrier leaving" in swcarry with -race: ok

--- a/internal/node/swfleet/leavinghosts_test.go
+++ b/internal/node/swfleet/leavinghosts_test.go
@@ -128,7 +128,8 @@
 	return starts
 }
 
-// TestCarrierLeaves guards against requests that a leaving host is given to carry for others.
+// TestCarrierLeaves guards against requests that a leaving host is given to carry for others, and against those that it
+// carries and that end with its process.
 func TestCarrierLeaves(t *testing.T) {
 	const (
 		work     = 5 * time.Second
@@ -195,7 +196,11 @@
 				if late := f.startsOf(carrier.number, began.Add(knownWithin)); len(late) > 0 {
 					t.Errorf("%d requests were given to a carrier that leaves, the last after %v", len(late), late[len(late)-1].at.Sub(began))
 				}
-				t.Log(ends)
+				for end, n := range ends {
+					if end.Outcome != swlife.OutcomeAnswered {
+						t.Errorf("%d requests ended as %v", n, end)
+					}
+				}
 			})
 		})
 	}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -133,21 +133,23 @@
 
 // leave takes the host out of service. The host reports that it is not ready, so that
 // the platform sends callers to other hosts, and that it is leaving, so that other hosts
-// send their grant requests elsewhere. It denies new requests after refuseAfter and ends
-// the waiting ones after endWaitingAfter. Then leave closes the callers' connections as
-// their requests finish, until exitMargin before the end of the shutdown timeout. Requests
-// that still run answerMargin before that are ended.
+// send their grant requests elsewhere. It denies new requests after refuseAfter, those of
+// callers and those that other hosts want carried, and ends the waiting ones after
+// endWaitingAfter. Then leave closes the callers' connections as their requests finish and
+// waits for the requests that it carries, until exitMargin before the end of the shutdown
+// timeout. Requests of callers that still run answerMargin before that are ended.
 func (h *Host) leave(componentsCtx context.Context, callers *http.Server) {
 	started := h.clock.Now()
 	exitAt := started + h.settings.ShutdownTimeout - exitMargin
 	endAllAt := exitAt - answerMargin
 	h.leaving.Store(true)
-	h.log.Info().Int("held", h.holder.Held()).Msg("leaving")
+	h.log.Info().Int("held", h.holder.Held()).Int("carried", h.carrying.Carried()).Msg("leaving")
 	h.router.leave()
 	h.announceLeaving()
 	h.refreshOwner()
 	sleep(componentsCtx, min(started+refuseAfter, endAllAt)-h.clock.Now())
 	h.gate.StartDraining()
+	h.carrying.StopAccepting()
 	sleep(componentsCtx, min(started+endWaitingAfter, endAllAt)-h.clock.Now())
 	h.holder.EndWaiting()
 	ending := time.AfterFunc(max(endAllAt-h.clock.Now(), 0).Duration(), h.endAll)
@@ -156,9 +158,10 @@
 	defer cancel()
 	finishing := pool.New().WithErrors()
 	finishing.Go(func() error { return h.holder.Drain(shutdownCtx) })
+	finishing.Go(func() error { return h.carrying.Drain(shutdownCtx) })
 	finishing.Go(func() error { return callers.Shutdown(shutdownCtx) })
 	if err := finishing.Wait(); err != nil {
-		h.log.Warn().Err(err).Int("held", h.holder.Held()).Msg("shutdown cut connections of callers")
+		h.log.Warn().Err(err).Int("held", h.holder.Held()).Int("carried", h.carrying.Carried()).Msg("shutdown cut connections")
 	}
 }
 
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,9 @@
 // errBusy means that a host carries too many requests.
 var errBusy = errors.New("the host carries too many requests")
 
+// errLeaving means that the process of a host is about to stop.
+var errLeaving = errors.New("the host is leaving")
+
 // Config holds the settings and dependencies of a Server.
 type Config struct {
 	// Adapter returns the adapter that sends a request from this host, or the error for which it sends none. It may
@@ -47,16 +51,78 @@
 type Server struct {
 	config  Config
 	carried atomic.Int64
+
+	mu sync.Mutex
+	// serving counts the calls of Serve.
+	serving  int
+	draining bool
+	// idle is closed once draining is set and serving is 0.
+	idle chan struct{}
 }
 
 // NewServer returns a server that carries nothing.
-func NewServer(config Config) *Server { return &Server{config: config} }
+func NewServer(config Config) *Server { return &Server{config: config, idle: make(chan struct{})} }
 
 // Carried returns the number of requests that are carried now.
 func (s *Server) Carried() int { return int(s.carried.Load()) }
 
+// StopAccepting makes the server send no more requests to targets: it rejects them as unsent.
+func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	s.closeIfIdle()
+}
+
+// Drain rejects further requests and waits until those that are carried have ended, or until ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.StopAccepting()
+	select {
+	case <-s.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// begin counts a call of Serve.
+func (s *Server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving++
+}
+
+// end records the end of a call of Serve.
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving--
+	s.closeIfIdle()
+}
+
+// closeIfIdle closes s.idle if the server drains and carries nothing. s.mu must be held.
+func (s *Server) closeIfIdle() {
+	if !s.draining || s.serving > 0 {
+		return
+	}
+	select {
+	case <-s.idle:
+	default:
+		close(s.idle)
+	}
+}
+
+// isDraining reports whether the server sends no more requests to targets.
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // Serve carries the request that a holder sends on a stream, and closes the stream.
 func (s *Server) Serve(holder swid.HostID, stream net.Conn) {
+	s.begin()
+	defer s.end()
 	defer func() { _ = stream.Close() }() // the holder notices the end of the stream in any case
 	reader := bufio.NewReader(stream)
 	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout.Duration())); err != nil {
@@ -103,6 +169,9 @@
 	if err != nil {
 		return swtarget.Usage{}, err
 	}
+	if s.isDraining() {
+		return swtarget.Usage{}, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errLeaving}
+	}
 	if err := ctx.Err(); err != nil {
 		return swtarget.Usage{}, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: err}
 	}
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -238,6 +238,7 @@
 			c.target.pause = 50 * time.Millisecond
 			time.AfterFunc(75*time.Millisecond, c.kill)
 		}, swtarget.Error{Failure: swtarget.FailureStalled, CarrierLost: true}},
+		{"carrier leaving", func(c *carrier) { c.StopAccepting() }, swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true}},
 		{"carrier busy", func(c *carrier) { c.Server.carried.Store(maxCarried) }, swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true}},
 	}
 	for _, e := range tests {
@@ -302,6 +303,32 @@
 	}
 }
 
+// TestDrain checks that a server that drains finishes what it carries.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCarrier(&fakeTarget{chunks: []string{"a", "b"}, pause: time.Second})
+		answer, err := c.adapter().Start(t.Context(), testRequest())
+		if err != nil {
+			t.Fatal(err)
+		}
+		early, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := c.Drain(early); err == nil {
+			t.Error("drained while a request was carried")
+		}
+		drained := make(chan error, 1)
+		go func() { drained <- c.Drain(t.Context()) }()
+		if body, _, _, err := receive(answer); err != nil || body != "ab" {
+			t.Errorf("received %q, %v", body, err)
+		}
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+		_ = answer.Close() // complete
+		c.tasks.Wait()
+	})
+}
+
 // TestEarlyLeave checks that a request is not sent whose holder left while the carrier looked whether it reaches the
 // target.
 func TestEarlyLeave(t *testing.T) {
