Dispatch no call from a leaving host that outlasts the host

What callers saw: a leaving host takes new requests for 2.5 s.

Cause: the holder did not compare the owner's estimate with the time that the host stays.

Change: leave tells the holder when it is going to end the requests. A granted request that may not be repeated and came after the start of leaving is not dispatched if its answer is expected later. The grant is withdrawn, and the caller gets 503 with a short Retry-After. Requests from before, those that may be repeated and those that can finish are dispatched as before. Log line "request would outlast the host".

--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -257,6 +257,8 @@
 				return e.endWait(a.holderCause)
 			case a.queued:
 				resend.Reset(e.holder.config.GrantRequestInterval.Duration())
+			case a.grant != nil && e.outlastsHost(a.grant):
+				return e.endWait(swlife.CauseShutdown)
 			default:
 				return e.acceptDecision(a)
 			}
@@ -270,6 +272,24 @@
 	}
 }
 
+// outlastsHost reports whether the host is leaving and the answer to the request, which came after the host began to
+// leave and may not be repeated, is expected after the host has ended.
+func (e *heldRequest) outlastsHost(m *swmsg.Grant) bool {
+	l := e.holder.leavingState()
+	if l == nil || !e.request.NonIdempotent || e.accepted < l.since {
+		return false
+	}
+	remaining := l.endsAt - e.holder.config.Clock.Now()
+	if m.Total <= remaining {
+		return false
+	}
+	e.holder.config.Log.Info().
+		Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).Uint32("attempt", uint32(m.Attempt)).
+		Str("target", string(m.Target)).Int64("expectedMillis", int64(m.Total)).Int64("remainingMillis", int64(remaining)).
+		Msg("request would outlast the host")
+	return true
+}
+
 // acceptDecision stores the estimate of a grant and returns the event for the owner's decision.
 func (e *heldRequest) acceptDecision(a ownerReply) swlife.Event {
 	if a.grant != nil {
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -113,6 +113,14 @@
 	idle chan struct{}
 	// ending is set by EndAll.
 	ending bool
+	// leaving is nil until StartLeaving is called.
+	leaving *leaving
+}
+
+// leaving describes a planned stop of the host.
+type leaving struct {
+	// since is when the host began to leave, and endsAt when EndAll is going to be called.
+	since, endsAt swclock.Millis
 }
 
 // New returns a Holder without requests.
@@ -230,6 +238,21 @@
 	}
 }
 
+// StartLeaving records that EndAll is going to be called at an instant. A non-idempotent request that is accepted from now on is not
+// dispatched if its answer is expected later, so that its caller can send it to another host.
+func (h *Holder) StartLeaving(endsAt swclock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = &leaving{since: h.config.Clock.Now(), endsAt: endsAt}
+}
+
+// leavingState returns nil until StartLeaving is called.
+func (h *Holder) leavingState() *leaving {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving
+}
+
 // EndAll ends all requests with CauseShutdown, those that run too, because the host stops before they could be answered. A
 // request that comes to wait or to run later ends at once. The outcome is notRun only if no attempt may have run.
 func (h *Holder) EndAll() {
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -799,6 +800,57 @@
 	}
 }
 
+// TestStartLeaving checks which granted requests a leaving host does not dispatch.
+func TestStartLeaving(t *testing.T) {
+	const endsAfter = 2 * swclock.Second
+	tests := []struct {
+		name                      string
+		sentBefore, nonIdempotent bool
+		total                     swclock.Millis
+		want                      swlife.Outcome
+	}{
+		{name: "sent before", sentBefore: true, nonIdempotent: true, total: 3 * swclock.Second, want: swlife.OutcomeAnswered},
+		{name: "may be repeated", total: 3 * swclock.Second, want: swlife.OutcomeAnswered},
+		{name: "can finish", nonIdempotent: true, total: swclock.Second, want: swlife.OutcomeAnswered},
+		{name: "cannot finish", nonIdempotent: true, total: 3 * swclock.Second, want: swlife.OutcomeNotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[swid.TargetID][]script{"a": {{chunks: []string{"x"}, end: io.EOF}}})
+				leave := func() {
+					time.Sleep(time.Millisecond)
+					f.holder.StartLeaving(f.holder.config.Clock.Now() + endsAfter)
+				}
+				if !tt.sentBefore {
+					leave()
+				}
+				reports, _ := f.serve(f.request(false, tt.nonIdempotent))
+				request, _ := expect[swmsg.GrantRequest](t, f)
+				if tt.sentBefore {
+					leave()
+				}
+				f.holder.Receive(swlink.Peer{Host: "owner"}, swmsg.Grant{
+					Cell: request.Cell, Seq: request.Seq, Attempt: request.Attempt, Target: "a", Total: tt.total,
+				})
+				r := <-reports
+				if r.End.Outcome != tt.want {
+					t.Errorf("ended as %+v, want %v", r.End, tt.want)
+				}
+				if r.End.Outcome != swlife.OutcomeNotRun {
+					return
+				}
+				if m, to := expect[swmsg.Withdraw](t, f); to != "owner" || m.Attempt != request.Attempt {
+					t.Errorf("cancelled %+v at %s", m, to)
+				}
+				if r.End.Cause != swlife.CauseShutdown || r.End.RetryAfter == 0 || f.starts["a"] != 0 {
+					t.Errorf("ended as %+v, %d attempts", r.End, f.starts["a"])
+				}
+			})
+		})
+	}
+}
+
 // TestOutcomes checks the outcome and the delivered data for scripted answers of targets.
 func TestOutcomes(t *testing.T) {
 	whole := script{chunks: []string{"x", "y"}, end: io.EOF}
--- a/internal/node/swfleet/leavinghosts_test.go
+++ b/internal/node/swfleet/leavinghosts_test.go
@@ -128,6 +128,19 @@
 	return starts
 }
 
+// runsOf returns how often a call reached a target.
+func (f *leavingFleet) runsOf(id swid.RequestID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs := 0
+	for _, s := range f.starts {
+		if s.id == id {
+			runs++
+		}
+	}
+	return runs
+}
+
 // TestCarrierLeaves guards against requests that a leaving host is given to carry for others, and against those that it
 // carries and that end with its process.
 func TestCarrierLeaves(t *testing.T) {
@@ -205,3 +218,55 @@
 		})
 	}
 }
+
+// TestCallsOfLeavingHost guards against calls that may not be repeated, are sent to a leaving host and are cut when it ends.
+func TestCallsOfLeavingHost(t *testing.T) {
+	const work = 6 * time.Second
+	tests := []struct {
+		name string
+		// sentAt is the time after the start of leaving.
+		sentAt time.Duration
+		want   swlife.Outcome
+	}{
+		{"sent before", -time.Second, swlife.OutcomeAnswered},
+		{"can finish", time.Second, swlife.OutcomeAnswered},
+		{"cannot finish", 2 * time.Second, swlife.OutcomeNotRun},
+		{"just before new calls are denied", 2400 * time.Millisecond, swlife.OutcomeNotRun},
+		{"denied", 3 * time.Second, swlife.OutcomeNotRun},
+	}
+	clearPools()
+	synctest.Test(t, func(t *testing.T) {
+		defer clearPools()
+		f := newLeavingFleet(t, 5, work)
+		f.startAll()
+		f.observe(4)
+		var callers sync.WaitGroup
+		for range 12 { // the owners learn how long calls take at each target
+			for i := range 8 * len(f.hosts) {
+				callers.Go(func() { f.callOnce(f.hosts[i%len(f.hosts)]) })
+			}
+			callers.Wait()
+		}
+		leaving := f.hosts[0]
+		if leaving == f.owner() {
+			leaving = f.hosts[1]
+		}
+		leavesAt := time.Now().Add(2 * time.Second)
+		for _, tt := range tests {
+			callers.Go(func() {
+				time.Sleep(time.Until(leavesAt.Add(tt.sentAt)))
+				id, end, cut := f.callOnce(leaving)
+				if end.Outcome != tt.want || cut {
+					t.Errorf("%s: ended as %v %v, cut %t, want %v", tt.name, end.Outcome, end.Cause, cut, tt.want)
+				}
+				if runs := f.runsOf(id); end.Outcome == swlife.OutcomeNotRun && runs > 0 {
+					t.Errorf("%s: ran %d times", tt.name, runs)
+				}
+			})
+		}
+		time.Sleep(time.Until(leavesAt))
+		leaving.leave()
+		callers.Wait()
+		f.killAll()
+	})
+}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -133,17 +133,20 @@
 
 // leave takes the host out of service. The host reports that it is not ready, so that
 // the platform sends callers to other hosts, and that it is leaving, so that other hosts
-// send their grant requests elsewhere. It denies new requests after refuseAfter, those of
-// callers and those that other hosts want carried, and ends the waiting ones after
-// endWaitingAfter. Then leave closes the callers' connections as their requests finish and
-// waits for the requests that it carries, until exitMargin before the end of the shutdown
-// timeout. Requests of callers that still run answerMargin before that are ended.
+// send their grant requests elsewhere. From the start it does not dispatch new requests
+// that may not be repeated and are expected to outlast it. It denies new requests after
+// refuseAfter, those of callers and those that other hosts want carried, and ends the
+// waiting ones after endWaitingAfter. Then leave closes the callers' connections as their
+// requests finish and waits for the requests that it carries, until exitMargin before the
+// end of the shutdown timeout. Requests of callers that still run answerMargin before that
+// are ended.
 func (h *Host) leave(componentsCtx context.Context, callers *http.Server) {
 	started := h.clock.Now()
 	exitAt := started + h.settings.ShutdownTimeout - exitMargin
 	endAllAt := exitAt - answerMargin
 	h.leaving.Store(true)
 	h.log.Info().Int("held", h.holder.Held()).Int("carried", h.carrying.Carried()).Msg("leaving")
+	h.holder.StartLeaving(endAllAt)
 	h.router.leave()
 	h.announceLeaving()
 	h.refreshOwner()
