Test callers that try hosts which leave in turn

Calls that may not be repeated go from one host to the next while seven of ten hosts leave, 1.2 s apart, with calls of 0.3, 1.5 and 4 s, also with a host that has its requests carried. None is cut, none runs twice, all are answered.

Measured: go test ./internal/node/swfleet -run TestHostsLeaveInTurn: ok.

--- a/internal/node/swfleet/leavinghosts_test.go
+++ b/internal/node/swfleet/leavinghosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -270,3 +271,65 @@
 		f.killAll()
 	})
 }
+
+// TestHostsLeaveInTurn guards against calls that are cut, or run twice, because callers try one leaving host after the other.
+func TestHostsLeaveInTurn(t *testing.T) {
+	const (
+		size, leaving = 10, 7
+		interval      = 50 * time.Millisecond
+		// between is the time between two hosts that begin to leave.
+		between = 1200 * time.Millisecond
+	)
+	for _, work := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+		for _, cut := range []bool{false, true} {
+			t.Run(fmt.Sprint("calls of ", work, ", cut ", cut), func(t *testing.T) {
+				clearPools()
+				synctest.Test(t, func(t *testing.T) {
+					defer clearPools()
+					f := newLeavingFleet(t, size, work)
+					f.startAll()
+					f.observe(4)
+					if cut {
+						f.cutOff(f.hosts[size-1])
+					}
+					ctx, stop := context.WithTimeout(context.Background(), (leaving+2)*between)
+					defer stop()
+					var callers sync.WaitGroup
+					callers.Go(func() {
+						for n := 0; ctx.Err() == nil; n++ {
+							time.Sleep(max(interval, work/40))
+							callers.Go(func() { f.tryInTurn(n) })
+						}
+					})
+					for _, h := range f.hosts[:leaving] {
+						time.Sleep(between)
+						h.leave()
+					}
+					<-ctx.Done()
+					callers.Wait()
+					f.killAll()
+				})
+			})
+		}
+	}
+}
+
+// tryInTurn sends a call to one host after the other until it is answered, and checks that it ran once.
+func (f *leavingFleet) tryInTurn(first int) {
+	for i := range f.hosts {
+		h := f.hosts[(first+i)%len(f.hosts)]
+		id, end, cut := f.callOnce(h)
+		runs := f.runsOf(id)
+		if cut || end.Outcome == swlife.OutcomeUnknown {
+			f.deployment.t.Errorf("a call to %d ended as %v %v, cut %t", h.number, end.Outcome, end.Cause, cut)
+		}
+		if want := map[bool]int{true: 1}[end.Outcome == swlife.OutcomeAnswered]; runs != want {
+			f.deployment.t.Errorf("a call to %d that ended as %v ran %d times", h.number, end.Outcome, runs)
+		}
+		if end.Outcome != swlife.OutcomeNotRun {
+			return
+		}
+		time.Sleep(end.RetryAfter.Duration())
+	}
+	f.deployment.t.Error("a call was answered by no host")
+}
