--- a/internal/node/swfleet/leavinghosts_test.go
+++ b/internal/node/swfleet/leavinghosts_test.go
@@ -235,41 +235,48 @@
 		{"just before new calls are denied", 2400 * time.Millisecond, swlife.OutcomeNotRun},
 		{"denied", 3 * time.Second, swlife.OutcomeNotRun},
 	}
-	clearPools()
-	synctest.Test(t, func(t *testing.T) {
-		defer clearPools()
-		f := newLeavingFleet(t, 5, work)
-		f.startAll()
-		f.observe(4)
-		var callers sync.WaitGroup
-		for range 12 { // the owners learn how long calls take at each target
-			for i := range 8 * len(f.hosts) {
-				callers.Go(func() { f.callOnce(f.hosts[i%len(f.hosts)]) })
-			}
-			callers.Wait()
-		}
-		leaving := f.hosts[0]
-		if leaving == f.owner() {
-			leaving = f.hosts[1]
-		}
-		leavesAt := time.Now().Add(2 * time.Second)
-		for _, tt := range tests {
-			callers.Go(func() {
-				time.Sleep(time.Until(leavesAt.Add(tt.sentAt)))
-				id, end, cut := f.callOnce(leaving)
-				if end.Outcome != tt.want || cut {
-					t.Errorf("%s: ended as %v %v, cut %t, want %v", tt.name, end.Outcome, end.Cause, cut, tt.want)
+	for _, carried := range []bool{false, true} {
+		t.Run(fmt.Sprint("carried ", carried), func(t *testing.T) {
+			clearPools()
+			synctest.Test(t, func(t *testing.T) {
+				defer clearPools()
+				f := newLeavingFleet(t, 5, work)
+				f.startAll()
+				f.observe(4)
+				leaving := f.hosts[0]
+				if leaving == f.owner() {
+					leaving = f.hosts[1]
+				}
+				if carried {
+					f.cutOff(leaving)
+				}
+				var callers sync.WaitGroup
+				for range 12 { // the owners learn how long calls take at each target
+					for i := range 8 * len(f.hosts) {
+						callers.Go(func() { f.callOnce(f.hosts[i%len(f.hosts)]) })
+					}
+					callers.Wait()
 				}
-				if runs := f.runsOf(id); end.Outcome == swlife.OutcomeNotRun && runs > 0 {
-					t.Errorf("%s: ran %d times", tt.name, runs)
+				leavesAt := time.Now().Add(2 * time.Second)
+				for _, tt := range tests {
+					callers.Go(func() {
+						time.Sleep(time.Until(leavesAt.Add(tt.sentAt)))
+						id, end, cut := f.callOnce(leaving)
+						if end.Outcome != tt.want || cut {
+							t.Errorf("%s: ended as %v %v, cut %t, want %v", tt.name, end.Outcome, end.Cause, cut, tt.want)
+						}
+						if runs := f.runsOf(id); end.Outcome == swlife.OutcomeNotRun && runs > 0 {
+							t.Errorf("%s: ran %d times", tt.name, runs)
+						}
+					})
 				}
+				time.Sleep(time.Until(leavesAt))
+				leaving.leave()
+				callers.Wait()
+				f.killAll()
 			})
-		}
-		time.Sleep(time.Until(leavesAt))
-		leaving.leave()
-		callers.Wait()
-		f.killAll()
-	})
+		})
+	}
 }
 
 // TestHostsLeaveInTurn guards against calls that are cut, or run twice, because callers try one leaving host after the other.
