Log how callers' connections end without an answer

The log could not tell a caller that left from one whose refusal was lost, or that had only shut down its sending side: request denied did not say how much of the body had come, callerGone not how the connection had ended, and errors of writes to callers were dropped.

The new package swconn wraps the connections of both callers' interfaces and records the first sign of their end. Lines: connection of a caller aborted, write to a caller failed (one a connection at most). request denied has bodyBytes, bodyReceivedBytes and the error of the body; attempt failed the error of an answer that could not be passed on.

--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -71,6 +72,7 @@
 		ReadHeaderTimeout: s.settings.HeaderTimeout.Duration(),
 		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout.Duration(),
+		ConnContext:       swconn.ConnContext,
 	}
 }
 
@@ -269,6 +271,7 @@
 // the caller an error.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, request *swholder.Request) {
 	w.Header().Set(headerRequestID, string(request.ID))
+	swconn.SetRequest(r.Context(), request.ID)
 	out := &sink{writer: w, controller: http.NewResponseController(w), timeout: s.settings.WriteTimeout}
 	report := s.holder.Serve(r.Context(), request, out)
 	s.logEnd(request, &report)
@@ -287,6 +290,7 @@
 	if request.Call.Stream {
 		_ = out.Write(append(append([]byte("data: "), problem.body()...), '\n', '\n')) // if this write fails, closing the connection still shows it
 	}
+	swconn.LogAbort(r.Context(), &s.log, request.ID, report.Begun, report.End)
 	panic(http.ErrAbortHandler)
 }
 
--- /dev/null
+++ b/internal/caller/swconn/listener.go
@@ -0,0 +1,167 @@
+// Package swconn handles the connections of callers. It reads the bodies of requests within bounds, refuses requests
+// whose bodies are still arriving so that the caller can read the refusal, and records how connections end.
+package swconn
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+)
+
+// EndKind says how a connection ended, as far as this host noticed.
+type EndKind uint8
+
+// Ways in which connections end.
+const (
+	// EndNone means that no end was noticed.
+	EndNone EndKind = iota
+	// EndOfInput means that the caller sends nothing more. It may still read: only a write can tell.
+	EndOfInput
+	// EndReset means that the connection was reset.
+	EndReset
+	// EndReadFailed means that a read failed for another reason.
+	EndReadFailed
+	// EndWriteFailed means that a write failed, or was not taken in time.
+	EndWriteFailed
+)
+
+var endNames = [...]string{
+	EndNone: "none", EndOfInput: "endOfInput", EndReset: "reset", EndReadFailed: "readFailed", EndWriteFailed: "writeFailed",
+}
+
+// String returns the kind's name in logs.
+func (k EndKind) String() string { return endNames[k] }
+
+// End is the first sign of a connection's end.
+type End struct {
+	Kind EndKind
+	// Err is nil for EndNone.
+	Err error
+}
+
+// listener wraps the connections that it accepts.
+type listener struct {
+	net.Listener
+	log zerolog.Logger
+}
+
+// Observe returns a listener whose connections record how they end. The first write of a connection that fails is
+// logged with the latest request there. The connections' server needs ConnContext.
+func Observe(l net.Listener, log zerolog.Logger) net.Listener {
+	return &listener{Listener: l, log: log}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, log: l.log}, nil
+}
+
+// conn is a connection that records how it ends.
+type conn struct {
+	net.Conn
+	log zerolog.Logger
+	// request is the ID of the latest request, for the log; nil if there was none.
+	request     atomic.Pointer[swid.RequestID]
+	end         atomic.Pointer[End]
+	writeFailed atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	switch {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+		// The server's own doing.
+	case err == io.EOF:
+		c.recordEnd(EndOfInput, err)
+	case errors.Is(err, syscall.ECONNRESET):
+		c.recordEnd(EndReset, err)
+	default:
+		c.recordEnd(EndReadFailed, err)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return n, err
+	}
+	c.recordEnd(EndWriteFailed, err)
+	if !c.writeFailed.Swap(true) {
+		e := c.log.Info()
+		if id := c.request.Load(); id != nil {
+			e = e.Str("requestId", string(*id))
+		}
+		e.Int("bytes", len(p)).Int("writtenBytes", n).Str("connectionEnd", c.end.Load().Kind.String()).Err(err).Msg("write to a caller failed")
+	}
+	return n, err
+}
+
+// halfCloser is a connection whose sending side can be closed by itself.
+type halfCloser interface{ CloseWrite() error }
+
+// CloseWrite implements halfCloser. It does nothing if the connection underneath cannot do it.
+func (c *conn) CloseWrite() error {
+	if h, ok := c.Conn.(halfCloser); ok {
+		return h.CloseWrite()
+	}
+	return nil
+}
+
+func (c *conn) recordEnd(kind EndKind, err error) { c.end.CompareAndSwap(nil, &End{kind, err}) }
+
+type connKey struct{}
+
+// ConnContext is the ConnContext of a server whose listener is one of Observe.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if observed, ok := c.(*conn); ok {
+		return context.WithValue(ctx, connKey{}, observed)
+	}
+	return ctx
+}
+
+// SetRequest names the request that the connection of ctx serves from now on.
+func SetRequest(ctx context.Context, id swid.RequestID) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.request.Store(&id)
+	}
+}
+
+// EndOf returns how the connection of ctx has ended so far.
+func EndOf(ctx context.Context) End {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		if end := c.end.Load(); end != nil {
+			return *end
+		}
+	}
+	return End{}
+}
+
+// LogAbort logs that the connection of ctx is aborted: its request ended without an answer that the caller could read, or
+// within one that has begun.
+func LogAbort(ctx context.Context, log *zerolog.Logger, id swid.RequestID, begun bool, end swlife.End) {
+	connection := EndOf(ctx)
+	log.Info().
+		Str("requestId", string(id)).Bool("begun", begun).Str("outcome", end.Outcome.String()).Str("cause", end.Cause.String()).
+		Str("connectionEnd", connection.Kind.String()).AnErr("error", connection.Err).
+		Msg("connection of a caller aborted")
+}
--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -58,6 +58,10 @@
 	BegunBy swid.RequestID
 	// ReadBody reads the body within the given limits.
 	ReadBody func(swcatalog.Limits) ([]byte, error)
+	// BodyBytes is the length of the body that the caller announced; -1 if it announced none.
+	BodyBytes int64
+	// BodyReceived returns how many bytes of the body were read; nil if that is not known.
+	BodyReceived func() int64
 }
 
 // Denial is the reason why the gate rejected a request instead of passing it to the holder.
@@ -200,9 +204,9 @@
 	table := g.table.Load()
 	switch {
 	case table == nil:
-		return g.deny(c, nil, DeniedUnconfigured, retryAfterUnconfigured)
+		return g.deny(c, nil, Result{Denial: DeniedUnconfigured, RetryAfter: retryAfterUnconfigured})
 	case g.draining.Load():
-		return g.deny(c, table, DeniedDraining, retryAfterDraining)
+		return g.deny(c, table, Result{Denial: DeniedDraining, RetryAfter: retryAfterDraining})
 	}
 	route, found := table.Route(c.Host, c.Path)
 	if !found {
@@ -211,7 +215,7 @@
 	var org *swcatalog.Organisation
 	if !route.Public {
 		if !g.ConfigFresh() {
-			return g.deny(c, table, DeniedStale, retryAfterStale)
+			return g.deny(c, table, Result{Denial: DeniedStale, RetryAfter: retryAfterStale})
 		}
 		var known bool
 		if org, known = table.Organisation(c.Key); !known {
@@ -220,9 +224,7 @@
 	}
 	body, err := c.ReadBody(table.Catalog().Limits)
 	if err != nil {
-		result := g.deny(c, table, DeniedBody, 0)
-		result.BodyError = err
-		return result
+		return g.deny(c, table, Result{Denial: DeniedBody, BodyError: err})
 	}
 	r := g.newRequest(c, route, org, body)
 	g.config.OnForwarded(r.Service)
@@ -236,9 +238,9 @@
 // added since, so the call is denied as stale instead.
 func (g *Gate) denyNotFound(c *Call, table *swcatalog.Table, d Denial) Result {
 	if g.configAge() > g.bounds.Load().ApplyWithin+applyMargin {
-		return g.deny(c, table, DeniedStale, retryAfterStale)
+		return g.deny(c, table, Result{Denial: DeniedStale, RetryAfter: retryAfterStale})
 	}
-	return g.deny(c, table, d, 0)
+	return g.deny(c, table, Result{Denial: d})
 }
 
 // applyMargin is added to ApplyWithin because the store confirms the configuration only
@@ -246,18 +248,23 @@
 // ApplyWithin between two confirmations although the store can be reached.
 const applyMargin = 1500 * swclock.Millis(1)
 
-func (g *Gate) deny(c *Call, table *swcatalog.Table, d Denial, retryAfter swclock.Millis) Result {
+func (g *Gate) deny(c *Call, table *swcatalog.Table, r Result) Result {
 	version := swid.ConfigVersion(0)
 	if table != nil {
 		version = table.Catalog().Version
 	}
+	received := int64(0)
+	if c.BodyReceived != nil {
+		received = c.BodyReceived()
+	}
 	g.config.Log.Info().
-		Str("requestId", string(c.ID)).Str("denial", d.String()).
+		Str("requestId", string(c.ID)).Str("denial", r.Denial.String()).
 		Str("callerHost", swlog.Truncate(c.Host)).Str("path", swlog.Truncate(c.Path)).
 		Uint64("configVersion", uint64(version)).Int64("configAgeMillis", int64(g.configAge())).
-		Int64("retryAfterMillis", int64(retryAfter)).
+		Int64("retryAfterMillis", int64(r.RetryAfter)).
+		Int64("bodyBytes", c.BodyBytes).Int64("bodyReceivedBytes", received).AnErr("error", r.BodyError).
 		Msg("request denied")
-	return Result{Denial: d, RetryAfter: retryAfter}
+	return r
 }
 
 // newRequest builds the request that is passed to the holder.
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -405,6 +405,7 @@
 
 // deliveryFailed returns the end of an attempt whose answer cannot be delivered to the caller.
 func (a *attempt) deliveryFailed(err error) swlife.AttemptEnded {
+	a.err = err
 	if errors.Is(err, errAnswerTooLarge) {
 		return swlife.AttemptEnded{Result: swcell.ResultCancelled, Cause: swlife.CauseTargetFailed}
 	}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
@@ -81,6 +82,7 @@
 	callers := &http.Server{
 		Handler: &c, ReadHeaderTimeout: h.settings.Caller.HeaderTimeout.Duration(),
 		MaxHeaderBytes: h.settings.Caller.MaxHeaderBytes, IdleTimeout: idleTimeout.Duration(),
+		ConnContext: swconn.ConnContext,
 	}
 	readiness := &http.Server{
 		Handler:           h.platform.ReadinessHandler(func() bool { return h.ready() }),
@@ -88,7 +90,7 @@
 	}
 	operators := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout.Duration()}
 	tasks := pool.New().WithErrors().WithContext(runCtx).WithCancelOnError()
-	tasks.Go(newServeTask("callers", callers, listeners.callers))
+	tasks.Go(newServeTask("callers", callers, swconn.Observe(listeners.callers, h.log)))
 	tasks.Go(newServeTask("readiness", readiness, listeners.readiness))
 	tasks.Go(newServeTask("operators", operators, listeners.operators))
 	tasks.Go(func(runCtx context.Context) error {
