Send refusals at once and discard the rest of the body

Callers that still sent a body of more than 256 KiB when the host refused the request (no route, unknown key, leaving, no or stale configuration, body too large or late) got nothing: their write failed, and the refusal was gone with the connection.

Cause: the gate refuses before it reads the body. net/http then reads at most 256 KiB of what is left, without a deadline and before it sends the refusal, waits for half a second and closes the connection with unread data; the kernel resets it, which destroys the refusal. With Connection: close, HTTP/1.0 and Expect: 100-continue it closes at once, whatever the length.

swconn.Body.Refuse sends the refusal at once (full duplex, flush) and reads and discards the rest, bounded by bytes (the configured limit, at least 4 MiB) and time (the body read timeout; one second while the host leaves, so that discarding does not hold the shutdown). Whole bodies keep their connection. Otherwise the host closes its sending side, reads on within bounds and closes; the server does not wait for that. Both callers' interfaces use it, and the 503 before a host is assembled. swcarry: a carrier answers after it has read the whole frame, so its refusals hold; TestFailures now runs each case with 4 MiB too.

--- a/internal/caller/swcaller/errors.go
+++ b/internal/caller/swcaller/errors.go
@@ -117,6 +117,8 @@
 	if !retriable {
 		h.Set(headerShouldRetry, "false")
 	}
+	body := e.body()
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(e.Status)
-	_, _ = w.Write(e.body()) // a write error means that the caller has disconnected
+	_, _ = w.Write(body) // a write error means that the caller has disconnected
 }
--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -5,12 +5,10 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
@@ -42,20 +40,21 @@
 	router   *httprouter.Router
 	// index is nil until the first document is in force.
 	index atomic.Pointer[index]
+	// leaving is set when the HTTP server begins to shut down.
+	leaving atomic.Bool
 }
 
 // New returns a Server for a host of a region.
 func New(settings swsettings.Caller, region swid.RegionID, holder Holder, clock swclock.Clock, log zerolog.Logger) *Server {
 	s := &Server{settings: settings, region: region, holder: holder, clock: clock, log: log, router: httprouter.New()}
-	s.router.POST("/v1/chat/completions", withErrorResponse(s.serveCompletion))
-	s.router.POST("/v1/completions", withErrorResponse(s.serveCompletion))
-	s.router.GET("/v1/models", withErrorResponse(s.models))
+	s.router.POST("/v1/chat/completions", s.withErrorResponse(s.serveCompletion))
+	s.router.POST("/v1/completions", s.withErrorResponse(s.serveCompletion))
+	s.router.GET("/v1/models", s.withErrorResponse(s.models))
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
-		s.router.Handle(method, "/services/:service/*path", withErrorResponse(s.serveCall))
+		s.router.Handle(method, "/services/:service/*path", s.withErrorResponse(s.serveCall))
 	}
-	s.router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		newNotRunError(http.StatusNotFound, "noSuchPath", "there is no "+r.Method+" "+r.URL.Path).write(w, false)
-	})
+	s.router.NotFound = s.newRefusal(http.StatusNotFound)
+	s.router.MethodNotAllowed = s.newRefusal(http.StatusMethodNotAllowed)
 	return s
 }
 
@@ -67,13 +66,15 @@
 
 // HTTP returns an HTTP server with the limits of the settings.
 func (s *Server) HTTP() *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler:           s.router,
 		ReadHeaderTimeout: s.settings.HeaderTimeout.Duration(),
 		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout.Duration(),
 		ConnContext:       swconn.ConnContext,
 	}
+	server.RegisterOnShutdown(func() { s.leaving.Store(true) })
+	return server
 }
 
 // idleTimeout is how long a caller's connection may stay open without a request.
@@ -82,18 +83,36 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
+// newBody returns the body of a request.
+func (s *Server) newBody(w http.ResponseWriter, r *http.Request) *swconn.Body {
+	return swconn.NewBody(w, r, swconn.Bounds{ReadTimeout: s.settings.BodyTimeout, WriteTimeout: s.settings.WriteTimeout, Leaving: s.leaving.Load})
+}
+
+// refuse sends an error as the response to a request that was not passed to the holder.
+func (s *Server) refuse(w http.ResponseWriter, body *swconn.Body, problem *Error) {
+	body.Refuse(&s.log, problem.Request, int64(s.settings.MaxBodyBytes), func() { problem.write(w, false) })
+}
+
+// newRefusal returns a handler for requests whose method and path have none.
+func (s *Server) newRefusal(status int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, s.newBody(w, r), newNotRunError(status, "noSuchPath", "there is no "+r.Method+" "+r.URL.Path))
+	})
+}
+
 // withErrorResponse wraps a handler and sends the error that it returns as the response.
-func withErrorResponse(handle func(http.ResponseWriter, *http.Request, httprouter.Params) *Error) httprouter.Handle {
+func (s *Server) withErrorResponse(handle func(http.ResponseWriter, *http.Request, *swconn.Body, httprouter.Params) *Error) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-		if problem := handle(w, r, params); problem != nil {
-			problem.write(w, false)
+		body := s.newBody(w, r)
+		if problem := handle(w, r, body, params); problem != nil {
+			s.refuse(w, body, problem)
 		}
 	}
 }
 
 // serveCompletion serves a completion request to a model.
-func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, _ httprouter.Params) *Error {
-	a, problem := s.accept(w, r)
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, body *swconn.Body, _ httprouter.Params) *Error {
+	a, problem := s.accept(r, body)
 	if problem != nil {
 		return problem
 	}
@@ -116,8 +135,8 @@
 }
 
 // serveCall serves a call of a plain service.
-func (s *Server) serveCall(w http.ResponseWriter, r *http.Request, params httprouter.Params) *Error {
-	a, problem := s.accept(w, r)
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request, body *swconn.Body, params httprouter.Params) *Error {
+	a, problem := s.accept(r, body)
 	if problem != nil {
 		return problem
 	}
@@ -162,7 +181,7 @@
 }
 
 // accept authenticates a caller and reads the body.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request) (acceptedRequest, *Error) {
+func (s *Server) accept(r *http.Request, body *swconn.Body) (acceptedRequest, *Error) {
 	a := acceptedRequest{index: s.index.Load()}
 	if a.index == nil {
 		e := newNotRunError(http.StatusServiceUnavailable, "noConfiguration", "this host has no configuration yet")
@@ -176,16 +195,12 @@
 	}
 	a.org = org
 	var problem *Error
-	a.body, problem = s.readBody(w, r)
+	a.body, problem = s.readBody(body)
 	return a, problem
 }
 
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Error) {
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout.Duration())); err != nil {
-		return nil, newNotRunError(http.StatusInternalServerError, "internal", "the connection takes no deadline")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.settings.MaxBodyBytes)))
+func (s *Server) readBody(body *swconn.Body) ([]byte, *Error) {
+	data, err := body.ReadAll(int64(s.settings.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, newNotRunError(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body is above "+strconv.Itoa(s.settings.MaxBodyBytes)+" bytes")
@@ -193,10 +208,7 @@
 	if err != nil {
 		return nil, newNotRunError(http.StatusRequestTimeout, "bodyIncomplete", "the body did not arrive whole in time")
 	}
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		return nil, newNotRunError(http.StatusInternalServerError, "internal", "the connection takes no deadline")
-	}
-	return body, nil
+	return data, nil
 }
 
 // newRequest returns a request with the fields that all kinds of requests share.
@@ -322,8 +334,8 @@
 }
 
 // models sends the list of models.
-func (s *Server) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) *Error {
-	a, problem := s.accept(w, r)
+func (s *Server) models(w http.ResponseWriter, r *http.Request, body *swconn.Body, _ httprouter.Params) *Error {
+	a, problem := s.accept(r, body)
 	if problem != nil {
 		return problem
 	}
--- /dev/null
+++ b/internal/caller/swcaller/swcaller_test.go
@@ -0,0 +1,69 @@
+package swcaller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
+	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+// TestRefusalDuringBody guards against refusals that are lost because their connection is closed while the caller still sends the body.
+func TestRefusalDuringBody(t *testing.T) {
+	tests := []struct {
+		name, method, path string
+		document           *swdoc.Document
+		status             int
+	}{
+		{"no configuration", http.MethodPost, "/v1/completions", nil, 503},
+		{"unknown key", http.MethodPost, "/v1/completions", &swdoc.Document{}, 401},
+		{"unknown key of a service's caller", http.MethodPut, "/services/s/x", &swdoc.Document{}, 401},
+		{"no such path", http.MethodPost, "/none", &swdoc.Document{}, 404},
+		{"no such method", http.MethodPost, "/v1/models", &swdoc.Document{}, 405},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := New(swsettings.Caller{BodyTimeout: swclock.Minute, WriteTimeout: swclock.Minute, MaxBodyBytes: 1 << 20}, "r", nil, swclock.NewSystem(), zerolog.Nop())
+			if tt.document != nil {
+				s.Configure(tt.document)
+			}
+			server := httptest.NewServer(s)
+			defer server.Close()
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n", tt.method, tt.path); err != nil {
+				t.Fatal(err)
+			}
+			for range 30 {
+				if _, err := io.WriteString(c, strings.Repeat("x", 30_000)); err != nil {
+					t.Fatalf("write: %v", err)
+				}
+				time.Sleep(30 * time.Millisecond)
+			}
+			if err := c.SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || response.StatusCode != tt.status {
+				t.Fatalf("refusal %+v, error %v", response, err)
+			}
+			if body, err := io.ReadAll(response.Body); err != nil || len(body) == 0 {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
--- a/internal/caller/swconn/body.go
+++ b/internal/caller/swconn/body.go
@@ -2,26 +2,57 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
+const (
+	// minDiscardBytes is the least bound of what is read and discarded of a refused body.
+	minDiscardBytes = 4 << 20
+	// lingerTimeout bounds the pauses of a caller whose connection was closed for sending and is read on.
+	lingerTimeout = 2 * swclock.Second
+	// leavingTimeout bounds the time for which a refused body is read while the host shuts down.
+	leavingTimeout = swclock.Second
+	// leavingInterval is the time between two looks whether the host shuts down.
+	leavingInterval = 250 * swclock.Millis(1)
+)
+
+// Bounds limits the bodies of callers' requests.
+type Bounds struct {
+	// ReadTimeout bounds the time in which a body arrives, and that in which the rest of a refused one is discarded.
+	ReadTimeout swclock.Millis
+	// WriteTimeout bounds the write of a refusal.
+	WriteTimeout swclock.Millis
+	// Leaving reports whether the host is shutting down; nil if that is not known.
+	Leaving func() bool
+}
+
 // Body is the body of a caller's request. It counts what was received of it.
 type Body struct {
 	writer     http.ResponseWriter
 	request    *http.Request
 	controller *http.ResponseController
-	timeout    swclock.Millis
+	bounds     Bounds
 	received   int64
+	// started is true once a part of the body was asked for; whole once all of it was read.
+	started, whole bool
 }
 
-// NewBody returns the body of a request, which has to arrive within timeout from when it is read.
-func NewBody(w http.ResponseWriter, r *http.Request, timeout swclock.Millis) *Body {
-	return &Body{writer: w, request: r, controller: http.NewResponseController(w), timeout: timeout}
+// NewBody returns the body of a request.
+func NewBody(w http.ResponseWriter, r *http.Request, bounds Bounds) *Body {
+	return &Body{
+		writer: w, request: r, controller: http.NewResponseController(w), bounds: bounds,
+		whole: r.Body == nil || r.Body == http.NoBody,
+	}
 }
 
 // Announced returns the length that the caller announced; -1 if it announced none.
@@ -33,10 +64,11 @@
 // ReadAll reads the body, which may have up to limit bytes; 0 sets no limit. The error wraps an *http.MaxBytesError
 // if there are more.
 func (b *Body) ReadAll(limit int64) ([]byte, error) {
-	if b.empty() {
+	if b.whole {
 		return nil, nil
 	}
-	if err := b.controller.SetReadDeadline(time.Now().Add(b.timeout.Duration())); err != nil {
+	b.started = true
+	if err := b.controller.SetReadDeadline(time.Now().Add(b.bounds.ReadTimeout.Duration())); err != nil {
 		return nil, errors.Wrap(err, "set the read deadline of the body")
 	}
 	body := b.request.Body
@@ -48,8 +80,150 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read body")
 	}
+	b.whole = true
 	return data, errors.Wrap(b.controller.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
 }
 
-// empty reports whether there is no body.
-func (b *Body) empty() bool { return b.request.Body == nil || b.request.Body == http.NoBody }
+// Refuse calls write to send a refusal with a Content-Length. If the body has not arrived whole, the refusal is sent at once,
+// and the rest of the body is read and discarded: a connection that is closed while the caller still writes is reset, which
+// can destroy the refusal. limit is the longest body that callers may send; 0 if there is no limit. The connection is kept if
+// the rest arrives in time and has at most limit or minDiscardBytes bytes, whichever is more.
+func (b *Body) Refuse(log *zerolog.Logger, id swid.RequestID, limit int64, write func()) {
+	if b.whole {
+		write()
+		return
+	}
+	limit = max(limit, minDiscardBytes)
+	if b.Announced()-b.received > limit {
+		b.writer.Header().Set("Connection", "close")
+	}
+	// Without full duplex, net/http reads up to 256 KiB of the body before it sends the refusal.
+	err := b.controller.EnableFullDuplex()
+	if errors.Is(err, http.ErrNotSupported) {
+		write() // no connection of HTTP/1
+		return
+	}
+	if err == nil {
+		err = b.controller.SetWriteDeadline(time.Now().Add(b.bounds.WriteTimeout.Duration()))
+	}
+	write()
+	if err == nil {
+		err = b.controller.Flush()
+	}
+	if err == nil {
+		err = b.discard(limit)
+	}
+	if err == nil {
+		return
+	}
+	end := EndOf(b.request.Context())
+	log.Info().
+		Str("requestId", string(id)).Int64("bodyBytes", b.Announced()).Int64("bodyReceivedBytes", b.received).
+		Str("connectionEnd", end.Kind.String()).Err(err).
+		Msg("rest of a refused body not received")
+	b.closeGracefully(limit)
+}
+
+// errRestTooLarge means that the rest of a refused body is longer than what is discarded.
+var errRestTooLarge = errors.New("the rest of the body is too large")
+
+// errNotAsked means that the caller waits to be asked for the body.
+var errNotAsked = errors.New("the body was not asked for")
+
+// discard reads the rest of the body.
+func (b *Body) discard(limit int64) error {
+	if !b.started && strings.EqualFold(b.request.Header.Get("Expect"), "100-continue") {
+		return errNotAsked
+	}
+	timeout := b.bounds.ReadTimeout
+	if b.isLeaving() {
+		timeout = min(timeout, leavingTimeout)
+	}
+	until := time.Now().Add(timeout.Duration())
+	if err := b.controller.SetReadDeadline(until); err != nil {
+		return errors.Wrap(err, "set the read deadline of the rest of the body")
+	}
+	stop := b.hurryWhenLeaving(until)
+	defer stop()
+	n, err := io.CopyN(io.Discard, b.request.Body, limit+1)
+	b.received += n
+	switch {
+	case err == io.EOF:
+		b.whole = true
+		return nil
+	case err == nil:
+		return errRestTooLarge
+	default:
+		return errors.Wrap(err, "discard body")
+	}
+}
+
+func (b *Body) isLeaving() bool { return b.bounds.Leaving != nil && b.bounds.Leaving() }
+
+// hurryWhenLeaving brings the read deadline forward when the host begins to shut down, which waits for requests that are
+// being refused. The function that it returns ends that.
+func (b *Body) hurryWhenLeaving(until time.Time) (stop func()) {
+	if b.bounds.Leaving == nil || b.isLeaving() {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		ticker := time.NewTicker(leavingInterval.Duration())
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				if !b.isLeaving() {
+					continue
+				}
+				if soon := now.Add(leavingTimeout.Duration()); soon.Before(until) {
+					_ = b.controller.SetReadDeadline(soon) // fails only if the connection is closed
+				}
+				return
+			}
+		}
+	})
+	return func() {
+		close(done)
+		tasks.Wait()
+	}
+}
+
+// closeGracefully closes the connection for sending, reads on for as long as the caller sends without long pauses, within
+// ReadTimeout and limit, and closes it. The server does not know the connection any more then, and its shutdown does not wait.
+func (b *Body) closeGracefully(limit int64) {
+	c, _, err := b.controller.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the connection must not serve another request after a part of this one
+	}
+	defer func() { _ = c.Close() }() // the refusal has been sent or is lost
+	if h, ok := c.(halfCloser); ok {
+		if err := h.CloseWrite(); err != nil {
+			return // the connection is closed
+		}
+	}
+	rest := &lingeringReader{conn: c, until: time.Now().Add(b.bounds.ReadTimeout.Duration())}
+	n, _ := io.CopyN(io.Discard, rest, limit) // whatever ends it, the connection is closed
+	b.received += n
+}
+
+// lingeringReader reads a connection until a pause of lingerTimeout, or the instant until.
+type lingeringReader struct {
+	conn  net.Conn
+	until time.Time
+}
+
+// Read implements io.Reader.
+func (r *lingeringReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(lingerTimeout.Duration())
+	if r.until.Before(deadline) {
+		deadline = r.until
+	}
+	if err := r.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return r.conn.Read(p)
+}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
@@ -51,6 +52,8 @@
 // it answers them with 503.
 type callerHandler struct {
 	handler atomic.Pointer[http.Handler]
+	bounds  swconn.Bounds
+	log     zerolog.Logger
 }
 
 // ServeHTTP implements http.Handler.
@@ -59,8 +62,11 @@
 		(*h).ServeHTTP(w, r)
 		return
 	}
-	w.Header().Set("Retry-After", "0.3")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	swconn.NewBody(w, r, c.bounds).Refuse(&c.log, "", 0, func() {
+		w.Header().Set("Retry-After", "0.3")
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
 }
 
 // Run serves callers until ctx ends, and then finishes the requests that the host holds.
@@ -76,7 +82,10 @@
 	if err != nil {
 		return err
 	}
-	var c callerHandler
+	c := callerHandler{
+		bounds: swconn.Bounds{ReadTimeout: h.settings.Caller.BodyTimeout, WriteTimeout: h.settings.Caller.WriteTimeout, Leaving: h.leaving.Load},
+		log:    h.log,
+	}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	callers := &http.Server{
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -1,13 +1,20 @@
 package swfleet
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
@@ -289,3 +296,29 @@
 		t.Fatal("the host did not stop")
 	}
 }
+
+// TestRefusalBeforeAssembly guards against a refusal that is lost because the host, which has just started, closes the
+// connection while the caller still sends the body.
+func TestRefusalBeforeAssembly(t *testing.T) {
+	c := &callerHandler{bounds: swconn.Bounds{ReadTimeout: swclock.Minute, WriteTimeout: swclock.Minute}, log: zerolog.Nop()}
+	server := httptest.NewServer(c)
+	defer server.Close()
+	caller, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	if _, err := io.WriteString(caller, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for range 30 {
+		if _, err := io.WriteString(caller, strings.Repeat("x", 30_000)); err != nil {
+			t.Fatalf("write: %v", err)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("refusal %+v, error %v", response, err)
+	}
+}
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -240,12 +241,15 @@
 		}, swtarget.Error{Failure: swtarget.FailureStalled, CarrierLost: true}},
 		{"carrier busy", func(c *carrier) { c.Server.carried.Store(maxCarried) }, swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true}},
 	}
-	for _, e := range tests {
-		t.Run(e.name, func(t *testing.T) {
+	for i := range 2 * len(tests) {
+		e, size := tests[i/2], []int{6, 4 << 20}[i%2]
+		t.Run(fmt.Sprintf("%s, %d bytes", e.name, size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCarrier(&fakeTarget{chunks: []string{"a", "b"}})
 				e.prepare(c)
-				answer, err := c.adapter().Start(t.Context(), testRequest())
+				r := testRequest()
+				r.Body = make([]byte, size)
+				answer, err := c.adapter().Start(t.Context(), r)
 				if err == nil {
 					_, _, _, err = receive(answer)
 					_ = answer.Close()
