Decide on a request again when its body is complete

Requests were passed on by a decision up to 15 s old: by a route or for a key that was gone, to the former service of a moved route, and after the host had begun to deny requests, so that they could still run at the end of the shutdown and be cut.

Cause: the gate decides before it reads the body, for which a caller has 15 s, and used the route and organisation of that moment. Now one function, admit, serves both moments; the second decision costs two map look-ups and the prefixes of the host's routes.

Before: TestChangeWhileBodyArrives fails 9 of 11 (denial none, want leaving; service plain, want other; ...). After: go test -race -count=1 ./internal/caller/swgate ./platform passes.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -162,7 +162,7 @@
 // Configure puts a configuration into force.
 func (g *Gate) Configure(t *swcatalog.Table) { g.table.Store(t) }
 
-// StartDraining makes the gate deny all later calls.
+// StartDraining makes the gate deny all later calls, and those whose bodies are not complete yet.
 func (g *Gate) StartDraining() { g.draining.Store(true) }
 
 // SetBounds replaces the bounds.
@@ -192,7 +192,8 @@
 	return within == 0 || g.configAge() <= within-revokeMargin
 }
 
-// Serve admits or denies a call and, if it is admitted, has the holder serve it.
+// Serve admits or denies a call and, if it is admitted, has the holder serve it. It decides before it reads the body, and
+// again by what is in force once the body is complete.
 // The context ends when the caller's connection does.
 func (g *Gate) Serve(ctx context.Context, c *Call, sink swholder.Sink) Result {
 	result := g.serve(ctx, c, sink)
@@ -201,46 +202,75 @@
 }
 
 func (g *Gate) serve(ctx context.Context, c *Call, sink swholder.Sink) Result {
-	table := g.table.Load()
+	a := g.admit(c)
+	if a.denied.Denial != DeniedNone {
+		return g.deny(c, a.table, a.denied)
+	}
+	body, err := c.ReadBody(a.table.Catalog().Limits)
+	if err != nil {
+		return g.deny(c, a.table, Result{Denial: DeniedBody, BodyError: err})
+	}
+	// Much may have changed while the body arrived.
+	if a = g.admit(c); a.denied.Denial != DeniedNone {
+		return g.deny(c, a.table, a.denied)
+	}
+	r := g.newRequest(c, a.route, a.org, body)
+	g.config.OnForwarded(r.Service)
+	report := g.config.Holder.Serve(ctx, r, sink)
+	g.logEnd(c, a.table, a.route, r, &report)
+	return Result{Report: report, Stream: r.Call.Stream}
+}
+
+// admission is the decision on a call by the state of the host at one moment.
+type admission struct {
+	// table is nil if no configuration is in force.
+	table *swcatalog.Table
+	// denied is the result of a call that is denied; its Denial is DeniedNone if the call is admitted.
+	denied Result
+	// route is set if the call is admitted; org is nil if the route is public.
+	route *swcatalog.Route
+	org   *swcatalog.Organisation
+}
+
+// admit decides on a call by the configuration in force, without its body.
+func (g *Gate) admit(c *Call) admission {
+	a := admission{table: g.table.Load()}
 	switch {
-	case table == nil:
-		return g.deny(c, nil, Result{Denial: DeniedUnconfigured, RetryAfter: retryAfterUnconfigured})
+	case a.table == nil:
+		a.denied = Result{Denial: DeniedUnconfigured, RetryAfter: retryAfterUnconfigured}
+		return a
 	case g.draining.Load():
-		return g.deny(c, table, Result{Denial: DeniedDraining, RetryAfter: retryAfterDraining})
+		a.denied = Result{Denial: DeniedDraining, RetryAfter: retryAfterDraining}
+		return a
 	}
-	route, found := table.Route(c.Host, c.Path)
+	route, found := a.table.Route(c.Host, c.Path)
 	if !found {
-		return g.denyNotFound(c, table, DeniedNoRoute)
+		a.denied = g.notFound(DeniedNoRoute)
+		return a
 	}
-	var org *swcatalog.Organisation
-	if !route.Public {
-		if !g.ConfigFresh() {
-			return g.deny(c, table, Result{Denial: DeniedStale, RetryAfter: retryAfterStale})
-		}
-		var known bool
-		if org, known = table.Organisation(c.Key); !known {
-			return g.denyNotFound(c, table, DeniedKey)
-		}
+	a.route = route
+	if route.Public {
+		return a
 	}
-	body, err := c.ReadBody(table.Catalog().Limits)
-	if err != nil {
-		return g.deny(c, table, Result{Denial: DeniedBody, BodyError: err})
+	if !g.ConfigFresh() {
+		a.denied = Result{Denial: DeniedStale, RetryAfter: retryAfterStale}
+		return a
 	}
-	r := g.newRequest(c, route, org, body)
-	g.config.OnForwarded(r.Service)
-	report := g.config.Holder.Serve(ctx, r, sink)
-	g.logEnd(c, table, route, r, &report)
-	return Result{Report: report, Stream: r.Call.Stream}
+	var known bool
+	if a.org, known = a.table.Organisation(c.Key); !known {
+		a.denied = g.notFound(DeniedKey)
+	}
+	return a
 }
 
-// denyNotFound denies a call whose route or API key is not in the configuration. If
+// notFound returns the result of a call whose route or API key is not in the configuration. If
 // the configuration may be older than ApplyWithin, the route or key may have been
 // added since, so the call is denied as stale instead.
-func (g *Gate) denyNotFound(c *Call, table *swcatalog.Table, d Denial) Result {
+func (g *Gate) notFound(d Denial) Result {
 	if g.configAge() > g.bounds.Load().ApplyWithin+applyMargin {
-		return g.deny(c, table, Result{Denial: DeniedStale, RetryAfter: retryAfterStale})
+		return Result{Denial: DeniedStale, RetryAfter: retryAfterStale}
 	}
-	return g.deny(c, table, Result{Denial: d})
+	return Result{Denial: d}
 }
 
 // applyMargin is added to ApplyWithin because the store confirms the configuration only
--- a/internal/caller/swgate/swgate_test.go
+++ b/internal/caller/swgate/swgate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -160,6 +161,67 @@
 	}
 }
 
+// TestChangeWhileBodyArrives guards against requests that are passed on by a decision that no longer holds when their body is complete.
+func TestChangeWhileBodyArrives(t *testing.T) {
+	configure := func(change func(c *swcatalog.Catalog)) func(*fixture) {
+		return func(f *fixture) {
+			changed := *catalog
+			changed.Version++
+			changed.Routes = slices.Clone(catalog.Routes)
+			changed.Organisations = slices.Clone(catalog.Organisations)
+			change(&changed)
+			f.gate.Configure(swcatalog.NewTable(&changed))
+		}
+	}
+	tests := []struct {
+		name, path, key string
+		change          func(f *fixture)
+		want            Denial
+		service         swid.ServiceID
+		charge          int64
+	}{
+		{"nothing", "/read/x", "key", func(*fixture) {}, DeniedNone, "plain", 200},
+		{"another version", "/read/x", "key", configure(func(*swcatalog.Catalog) {}), DeniedNone, "plain", 200},
+		{"the host begins to drain", "/read/x", "key", func(f *fixture) { f.gate.StartDraining() }, DeniedDraining, "", 0},
+		{"the route is dropped", "/read/x", "key", configure(func(c *swcatalog.Catalog) { c.Routes = c.Routes[1:4] }), DeniedNoRoute, "", 0},
+		{"the route is moved", "/read/x", "key", configure(func(c *swcatalog.Catalog) {
+			c.Routes[0].Shares = []swcatalog.Share{{Service: "other", Weight: 1}}
+		}), DeniedNone, "other", 200},
+		{"the key is removed", "/read/x", "key", configure(func(c *swcatalog.Catalog) { c.Organisations[0].Keys = nil }), DeniedKey, "", 0},
+		{"the quota counts requests", "/read/x", "key", configure(func(c *swcatalog.Catalog) { c.Organisations[0].Quota.CountsTokens = false }), DeniedNone, "plain", 1},
+		{"the route is not public any more", "/read/open/x", "", configure(func(c *swcatalog.Catalog) { c.Routes[4].Public = false }), DeniedKey, "", 0},
+		{"the route becomes public", "/write/x", "key", configure(func(c *swcatalog.Catalog) { c.Routes[1].Public = true }), DeniedNone, "plain", 0},
+		{"the configuration becomes stale", "/read/x", "key", func(f *fixture) { f.clock.Advance(5000) }, DeniedStale, "", 0},
+		{"the route is dropped, then the store is lost", "/read/x", "key", func(f *fixture) {
+			configure(func(c *swcatalog.Catalog) { c.Routes = nil })(f)
+			f.clock.Advance(4000)
+		}, DeniedStale, "", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture()
+			c := callTo(tt.path, tt.key)
+			c.ReadBody = func(swcatalog.Limits) ([]byte, error) {
+				tt.change(f)
+				return []byte("body"), nil
+			}
+			result := f.gate.Serve(context.Background(), c, nil)
+			if result.Denial != tt.want || len(f.results) != 1 {
+				t.Fatalf("denial %s, want %s; %d results", result.Denial, tt.want, len(f.results))
+			}
+			if tt.want != DeniedNone {
+				if f.lastRequest != nil || f.forwarded != 0 {
+					t.Errorf("the holder received %+v", f.lastRequest)
+				}
+				return
+			}
+			if r := f.lastRequest; r.Service != tt.service || r.Charge != tt.charge {
+				t.Errorf("service %s, charge %d, want %s, %d", r.Service, r.Charge, tt.service, tt.charge)
+			}
+		})
+	}
+}
+
 // TestRequest checks the request that the holder receives for each kind of route.
 func TestRequest(t *testing.T) {
 	tests := []struct {
