--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -174,14 +174,28 @@
 
 // acceptedRequest is an authenticated request with its body.
 type acceptedRequest struct {
-	// index belongs to the document that was in force when the request arrived.
+	// index belongs to the document that was in force when the body was complete.
 	index *index
 	org   *swdoc.Organisation
 	body  []byte
 }
 
-// accept authenticates a caller and reads the body.
+// accept authenticates a caller and reads the body. It authenticates the caller again by the document that is in force then.
 func (s *Server) accept(r *http.Request, body *swconn.Body) (acceptedRequest, *Error) {
+	if _, problem := s.authenticate(r); problem != nil {
+		return acceptedRequest{}, problem
+	}
+	data, problem := s.readBody(body)
+	if problem != nil {
+		return acceptedRequest{}, problem
+	}
+	a, problem := s.authenticate(r)
+	a.body = data
+	return a, problem
+}
+
+// authenticate finds the organisation of a caller in the document in force.
+func (s *Server) authenticate(r *http.Request) (acceptedRequest, *Error) {
 	a := acceptedRequest{index: s.index.Load()}
 	if a.index == nil {
 		e := newNotRunError(http.StatusServiceUnavailable, "noConfiguration", "this host has no configuration yet")
@@ -194,9 +208,7 @@
 		return a, newNotRunError(http.StatusUnauthorized, "unknownApiKey", "the API key is missing or unknown")
 	}
 	a.org = org
-	var problem *Error
-	a.body, problem = s.readBody(body)
-	return a, problem
+	return a, nil
 }
 
 func (s *Server) readBody(body *swconn.Body) ([]byte, *Error) {
--- a/internal/caller/swcaller/swcaller_test.go
+++ b/internal/caller/swcaller/swcaller_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -67,3 +69,54 @@
 		})
 	}
 }
+
+// deadlineRecorder is a response recorder that takes read deadlines.
+type deadlineRecorder struct{ *httptest.ResponseRecorder }
+
+func (deadlineRecorder) SetReadDeadline(time.Time) error { return nil }
+
+// slowBody is a body during whose arrival something happens.
+type slowBody struct {
+	*strings.Reader
+	happens func()
+}
+
+// Read implements io.Reader.
+func (b slowBody) Read(p []byte) (int, error) {
+	b.happens()
+	return b.Reader.Read(p)
+}
+
+// TestChangeWhileBodyArrives guards against requests that are served by a document that is not in force when their body is complete.
+func TestChangeWhileBodyArrives(t *testing.T) {
+	hash := sha256.Sum256([]byte("key"))
+	document := swdoc.Document{
+		Organisations: []swdoc.Organisation{{ID: "o", KeyHashes: []string{hex.EncodeToString(hash[:])}}},
+		Services:      []swdoc.Service{{ID: "m", Kind: swdoc.KindModel}},
+		Tiers:         []swdoc.Tier{{Name: "t", Deadline: 1000}},
+	}
+	withoutKey, withoutService := document, document
+	withoutKey.Organisations, withoutService.Services = nil, nil
+	tests := []struct {
+		name   string
+		change *swdoc.Document
+		code   string
+	}{
+		{"nothing", &document, "noTarget"},
+		{"the key is removed", &withoutKey, "unknownApiKey"},
+		{"the service is removed", &withoutService, "noSuchModel"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(swsettings.Caller{BodyTimeout: swclock.Minute, MaxBodyBytes: 1000}, "r", nil, swclock.NewSystem(), zerolog.Nop())
+			s.Configure(&document)
+			r := httptest.NewRequest(http.MethodPost, "/v1/completions", slowBody{strings.NewReader(`{"model":"m","prompt":"p"}`), func() { s.Configure(tt.change) }})
+			r.Header.Set("Authorization", "Bearer key")
+			w := deadlineRecorder{httptest.NewRecorder()}
+			s.ServeHTTP(w, r)
+			if !strings.Contains(w.Body.String(), `"code":"`+tt.code+`"`) {
+				t.Errorf("response %s, want code %s", w.Body, tt.code)
+			}
+		})
+	}
+}
