Keep idle connections of callers as long as the configuration says

idleTimeoutMs of the configuration was decoded and not used: callers' connections were closed after a constant minute without a request. Now the longer of both counts, by the configuration in force when the connection becomes idle. http.Server reads its IdleTimeout without a lock, so the connection prolongs the read deadline that the server sets after StateIdle.

With the prolonging taken out, TestIdleTimeout fails 1 of 3 (a longer configured time: unexpected EOF). With it go test -race -count=1 ./internal/caller/swconn passes.

--- a/internal/caller/swconn/listener.go
+++ b/internal/caller/swconn/listener.go
@@ -7,13 +7,16 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 )
@@ -52,13 +55,20 @@
 // listener wraps the connections that it accepts.
 type listener struct {
 	net.Listener
-	log zerolog.Logger
+	idleTimeout func() swclock.Millis
+	log         zerolog.Logger
 }
 
 // Observe returns a listener whose connections record how they end. The first write of a connection that fails is
 // logged with the latest request there. The connections' server needs ConnContext.
 func Observe(l net.Listener, log zerolog.Logger) net.Listener {
-	return &listener{Listener: l, log: log}
+	return ObserveIdle(l, nil, log)
+}
+
+// ObserveIdle is Observe for a server with ConnState, whose connections may be idle for the server's own time, or the one that
+// idleTimeout returns when they become idle, whichever is longer.
+func ObserveIdle(l net.Listener, idleTimeout func() swclock.Millis, log zerolog.Logger) net.Listener {
+	return &listener{Listener: l, idleTimeout: idleTimeout, log: log}
 }
 
 // Accept implements net.Listener.
@@ -67,13 +77,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, log: l.log}, nil
+	return &conn{Conn: c, idleTimeout: l.idleTimeout, log: l.log}, nil
 }
 
 // conn is a connection that records how it ends.
 type conn struct {
 	net.Conn
-	log zerolog.Logger
+	// idleTimeout may be nil.
+	idleTimeout func() swclock.Millis
+	log         zerolog.Logger
+	// becameIdle is true from when the connection became idle until its next read deadline is set, which is that of
+	// the idle time.
+	becameIdle atomic.Bool
 	// request is the ID of the latest request, for the log; nil if there was none.
 	request     atomic.Pointer[swid.RequestID]
 	end         atomic.Pointer[End]
@@ -96,6 +111,16 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if c.becameIdle.Swap(false) && c.idleTimeout != nil {
+		if longer := time.Now().Add(c.idleTimeout().Duration()); longer.After(t) {
+			t = longer
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -139,6 +164,13 @@
 	return ctx
 }
 
+// ConnState is the ConnState of a server whose listener is one of ObserveIdle, and whose IdleTimeout is set.
+func ConnState(c net.Conn, state http.ConnState) {
+	if observed, ok := c.(*conn); ok && state == http.StateIdle {
+		observed.becameIdle.Store(true)
+	}
+}
+
 // SetRequest names the request that the connection of ctx serves from now on.
 func SetRequest(ctx context.Context, id swid.RequestID) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
--- a/internal/caller/swconn/swconn_test.go
+++ b/internal/caller/swconn/swconn_test.go
@@ -140,3 +140,51 @@
 		t.Error(err)
 	}
 }
+
+// TestIdleTimeout guards against connections that are closed within the time for which the configuration lets callers reuse them.
+func TestIdleTimeout(t *testing.T) {
+	tests := []struct {
+		name       string
+		configured swclock.Millis
+		kept       bool
+	}{
+		{"no configured time", 0, false},
+		{"a shorter configured time", 1, false},
+		{"a longer configured time", swclock.Hour, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			server.Listener = ObserveIdle(server.Listener, func() swclock.Millis { return tt.configured }, zerolog.Nop())
+			server.Config.ConnState, server.Config.IdleTimeout = ConnState, 200*time.Millisecond
+			server.Start()
+			defer server.Close()
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			reader := bufio.NewReader(c)
+			request := func() {
+				if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := http.ReadResponse(reader, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			request()
+			if tt.kept {
+				time.Sleep(time.Second)
+				request()
+				return
+			}
+			if err := c.SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := reader.ReadByte(); err != io.EOF {
+				t.Errorf("read of an idle connection: %v", err)
+			}
+		})
+	}
+}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -42,9 +42,9 @@
 	// headerTimeout bounds the time to read the header of a request for readiness or
 	// metrics.
 	headerTimeout = 3 * swclock.Second
-	// idleTimeout is how long a caller's connection may stay open without a request. It
-	// is longer than the idle limits that operators configure, so that no caller sends a
-	// request on a connection that is being closed.
+	// idleTimeout is how long a caller's connection may stay open without a request, or as
+	// long as the configuration lets callers reuse it, if that is longer, so that no caller
+	// sends a request on a connection that is being closed.
 	idleTimeout = swclock.Minute
 )
 
@@ -91,7 +91,13 @@
 	callers := &http.Server{
 		Handler: &c, ReadHeaderTimeout: h.settings.Caller.HeaderTimeout.Duration(),
 		MaxHeaderBytes: h.settings.Caller.MaxHeaderBytes, IdleTimeout: idleTimeout.Duration(),
-		ConnContext: swconn.ConnContext,
+		ConnContext: swconn.ConnContext, ConnState: swconn.ConnState,
+	}
+	idle := func() swclock.Millis {
+		if c.handler.Load() == nil || h.gate.Table() == nil {
+			return 0
+		}
+		return h.gate.Table().Catalog().Limits.IdleTimeout
 	}
 	readiness := &http.Server{
 		Handler:           h.platform.ReadinessHandler(func() bool { return h.ready() }),
@@ -99,7 +105,7 @@
 	}
 	operators := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout.Duration()}
 	tasks := pool.New().WithErrors().WithContext(runCtx).WithCancelOnError()
-	tasks.Go(newServeTask("callers", callers, swconn.Observe(listeners.callers, h.log)))
+	tasks.Go(newServeTask("callers", callers, swconn.ObserveIdle(listeners.callers, idle, h.log)))
 	tasks.Go(newServeTask("readiness", readiness, listeners.readiness))
 	tasks.Go(newServeTask("operators", operators, listeners.operators))
 	tasks.Go(func(runCtx context.Context) error {
