--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -10,8 +10,10 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
@@ -43,9 +45,9 @@
 	// headerTimeout bounds the time to read the header of a request for readiness or
 	// metrics.
 	headerTimeout = 3 * swclock.Second
-	// idleTimeout is how long a caller's connection may stay open without a request. It
-	// is longer than the idle limits that operators configure, so that no caller sends a
-	// request on a connection that is being closed.
+	// idleTimeout is how long a caller's connection may stay open without a request, or as
+	// long as the configuration lets callers reuse it, if that is longer, so that no caller
+	// sends a request on a connection that is being closed.
 	idleTimeout = swclock.Minute
 )
 
@@ -53,6 +55,8 @@
 // it answers them with 503.
 type callerHandler struct {
 	handler atomic.Pointer[http.Handler]
+	bounds  swconn.Bounds
+	log     zerolog.Logger
 }
 
 // ServeHTTP implements http.Handler.
@@ -61,8 +65,11 @@
 		(*h).ServeHTTP(w, r)
 		return
 	}
-	w.Header().Set("Retry-After", "0.3")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	swconn.NewBody(w, r, c.bounds).Refuse(&c.log, "", 0, func() {
+		w.Header().Set("Retry-After", "0.3")
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
 }
 
 // Run serves callers until ctx ends, and then finishes the requests that the host holds.
@@ -78,12 +85,22 @@
 	if err != nil {
 		return err
 	}
-	var c callerHandler
+	c := callerHandler{
+		bounds: swconn.Bounds{ReadTimeout: h.settings.Caller.BodyTimeout, WriteTimeout: h.settings.Caller.WriteTimeout, Leaving: h.leaving.Load},
+		log:    h.log,
+	}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	callers := &http.Server{
 		Handler: &c, ReadHeaderTimeout: h.settings.Caller.HeaderTimeout.Duration(),
 		MaxHeaderBytes: h.settings.Caller.MaxHeaderBytes, IdleTimeout: idleTimeout.Duration(),
+		ConnContext: swconn.ConnContext, ConnState: swconn.ConnState,
+	}
+	idle := func() swclock.Millis {
+		if c.handler.Load() == nil || h.gate.Table() == nil {
+			return 0
+		}
+		return h.gate.Table().Catalog().Limits.IdleTimeout
 	}
 	readiness := &http.Server{
 		Handler:           h.platform.ReadinessHandler(func() bool { return h.ready() }),
@@ -91,7 +108,7 @@
 	}
 	operators := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout.Duration()}
 	tasks := pool.New().WithErrors().WithContext(runCtx).WithCancelOnError()
-	tasks.Go(newServeTask("callers", callers, listeners.callers))
+	tasks.Go(newServeTask("callers", callers, swconn.ObserveIdle(listeners.callers, idle, h.log)))
 	tasks.Go(newServeTask("readiness", readiness, listeners.readiness))
 	tasks.Go(newServeTask("operators", operators, listeners.operators))
 	tasks.Go(func(runCtx context.Context) error {
