Bound refusals before a host is assembled by constants

TestStop failed, 3 of 3, since refusals are sent with a write deadline: it came from settings of the other callers' interface, which are zero for hosts whose settings are not parsed from a file, and the refusal timed out at once (write: i/o timeout). The fleet's callers have constants for both bounds, as in platform/.

After: go test -count=10 -run 'TestStop$|TestRefusalBefore' ./internal/node/swfleet passes.

--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -39,6 +39,10 @@
 	registerRetryInterval = 200 * swclock.Millis(1)
 	// entryInterval is the mean time between two looks whether the store was set back.
 	entryInterval = 500 * swclock.Millis(1)
+	// refusalReadTimeout and refusalWriteTimeout bound the exchange with a caller that is
+	// refused because the gate is not assembled yet.
+	refusalReadTimeout  = 15 * swclock.Second
+	refusalWriteTimeout = 5 * swclock.Second
 	// headerTimeout bounds the time to read the header of a request for readiness or
 	// metrics.
 	headerTimeout = 3 * swclock.Second
@@ -83,7 +87,7 @@
 		return err
 	}
 	c := callerHandler{
-		bounds: swconn.Bounds{ReadTimeout: h.settings.Caller.BodyTimeout, WriteTimeout: h.settings.Caller.WriteTimeout, Leaving: h.leaving.Load},
+		bounds: swconn.Bounds{ReadTimeout: refusalReadTimeout, WriteTimeout: refusalWriteTimeout, Leaving: h.leaving.Load},
 		log:    h.log,
 	}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
