Rank streams that go on above new requests

What callers saw: after engines crash in a busy moment, callers and hosts take up the streams that broke. Nearly all of these tries are rejected as overload, most of them within 3 ms, while new streams begin. The caller is left with a first part.

Cause: the owner ranks a request that continues a stream among the new ones, by one and a half of its value. Where requests of a higher tier fill the engines, work of higher rank arrives faster than it is done, so that the expected wait of anything below them is long, and infeasible rejects it when it comes.

Change: a request that continues a stream ranks above all new ones, whatever their tiers, as long as the work of such requests over the last 5 s is under three tenths of what the targets do. Beyond that it ranks as before.

The simulation of loads has engines that crash, streams that are taken up, and a multiple of engines and arrivals for it. TestLoads compares the name of a load now, as a load has a slice; its loads and bounds are unchanged.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -36,6 +36,7 @@
 		c.reject(r, swcell.ReasonQuota, c.retryAfter(wait))
 		return
 	}
+	r.precedes = c.mayPrecede(r)
 	if !ok {
 		c.add(r)
 		return
--- a/internal/core/swvalue/inflow.go
+++ b/internal/core/swvalue/inflow.go
@@ -53,9 +53,30 @@
 	if now <= f.at {
 		return
 	}
-	share := math.Exp(-float64(now-f.at) / float64(inflowWindow))
+	share := decayShare(now - f.at)
 	for i := range f.work {
 		f.work[i] *= share
 	}
 	f.at = now
 }
+
+// decayShare returns the share of arrived work that is left in its average after a time.
+func decayShare(elapsed swclock.Millis) float64 {
+	return math.Exp(-float64(elapsed) / float64(inflowWindow))
+}
+
+// workRate is the work of some arriving requests, as an exponentially decaying sum.
+type workRate struct {
+	work float64
+	at   swclock.Millis
+}
+
+// add records the work of a request that arrived.
+func (w *workRate) add(work float64, now swclock.Millis) {
+	w.work, w.at = w.rate(now)*float64(inflowWindow)+work, now
+}
+
+// rate returns the work that arrives per millisecond.
+func (w *workRate) rate(now swclock.Millis) float64 {
+	return w.work * decayShare(now-w.at) / float64(inflowWindow)
+}
--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -11,6 +11,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 )
 
 // core is the scheduler that the simulation drives: a Cell with any placement and order.
@@ -31,14 +32,19 @@
 	worth, late             float64 // of an answer in time, and of a late one
 	// abandon is how long callers wait for the first output before they leave.
 	abandon swclock.Millis
+	// resumable is set if callers take up streams that broke.
+	resumable bool
 }
 
 var classes = []class{
-	{"letter", 0, 16.8, 6610, 1.2, 382, 1.3, 3800, 1000, 15000, 6.6, 2, 4800},
-	{"nudge", 1, 15.3, 628, 1, 291, 1.3, 2900, 500, 15000, 1.7, 0.51, 4800},
-	{"triage", 2, 21.4, 1800, 1.1, 22, 1.2, 225, 600, 3000, 0.34, 0.1, 4800},
+	{"letter", 0, 16.8, 6610, 1.2, 382, 1.3, 3800, 1000, 15000, 6.6, 2, 4800, false},
+	{"nudge", 1, 15.3, 628, 1, 291, 1.3, 2900, 500, 15000, 1.7, 0.51, 4800, true},
+	{"triage", 2, 21.4, 1800, 1.1, 22, 1.2, 225, 600, 3000, 0.34, 0.1, 4800, false},
 }
 
+// simOrigin is the origin of all streams of a simulation.
+var simOrigin = sworigin.Origin{Service: "s", Version: "v1"}
+
 // simEngine simulates a batching engine. It processes prompts one after the other,
 // which stalls the output of all other requests.
 type simEngine struct {
@@ -46,10 +52,13 @@
 	slowdown float64 // time that work takes, as a multiple of a typical engine's
 	slots    int
 	runs     []*simRun
+	down     bool
+	born     int64
 }
 
 // simRun is a request at an engine.
 type simRun struct {
+	key     swcell.Key
 	request *simRequest
 	// prompt and output are the work left, in ms.
 	prompt, output float64
@@ -74,6 +83,8 @@
 	requestedAt      swclock.Millis
 	firstRequestedAt swclock.Millis
 	deadlineAt       swclock.Millis
+	// begun is set once the stream began, takenUp once it broke after that, and wentOn once it went on.
+	begun, takenUp, wentOn bool
 }
 
 const (
@@ -119,7 +130,6 @@
 	engineList []*simEngine
 	requests   []*simRequest
 	byKey      map[swcell.Key]*simRequest
-	runs       map[swcell.Key]*simRun
 	now        swclock.Millis
 	actions    []swcell.Action
 	retrying   []*simRequest
@@ -132,26 +142,89 @@
 	seconds int
 	// burst multiplies the rate of arrivals in the middle third; 0 means no burst.
 	burst float64
+	// scale multiplies the engines and the arrivals; 0 means 1.
+	scale int
+	// takenUp multiplies the arrivals of resumable requests, which take up streams then; 0 means that they are new.
+	takenUp float64
+	// crashes are the times at which five of nine engines end, for simCrashTime.
+	crashes []swclock.Millis
 }
 
+const simCrashTime = 2 * swclock.Second
+
 var slowdowns = []float64{0.55, 1, 2.8, 0.55, 1, 2.8, 0.55, 1, 2.8}
 
 func newSim(c core, l simLoad) *sim {
 	s := &sim{
 		core: c, engines: make(map[swid.TargetID]*simEngine), byKey: make(map[swcell.Key]*simRequest),
-		runs: make(map[swcell.Key]*simRun),
 	}
-	var conf swcell.Configure
-	for i, slowdown := range slowdowns {
-		e := &simEngine{id: swid.TargetID(fmt.Sprint("e", i)), slowdown: slowdown, slots: 10}
+	for i := range len(slowdowns) * max(l.scale, 1) {
+		e := &simEngine{id: swid.TargetID(fmt.Sprint("e", i)), slowdown: slowdowns[i%len(slowdowns)], slots: 10, born: 1}
 		s.engines[e.id], s.engineList = e, append(s.engineList, e)
-		conf.Targets = append(conf.Targets, swcell.Target{ID: e.id, State: swcell.TargetActive, Slots: e.slots, KVTokens: 672558})
 	}
-	s.step(conf)
+	s.configure()
 	s.drawArrivals(l)
 	return s
 }
 
+// configure lists the engines that are up.
+func (s *sim) configure() {
+	var conf swcell.Configure
+	for _, e := range s.engineList {
+		if !e.down {
+			conf.Targets = append(conf.Targets, swcell.Target{
+				ID: e.id, State: swcell.TargetActive, Slots: e.slots, KVTokens: 672558, Version: simOrigin.Version, Born: e.born,
+			})
+		}
+	}
+	s.step(conf)
+}
+
+// crash ends five of nine engines. Callers take up the streams that they can.
+func (s *sim) crash() {
+	var takenUp []*simRequest
+	for i, e := range s.engineList {
+		if i%9 >= 5 {
+			continue
+		}
+		e.down = true
+		for _, r := range e.runs {
+			s.broke(e, r)
+			if r.first > 0 && r.request.class.resumable && !r.request.takenUp {
+				takenUp = append(takenUp, r.request)
+			} else {
+				r.request.timedOut = true
+			}
+		}
+		e.runs = nil
+	}
+	s.configure()
+	for _, r := range takenUp {
+		r.takenUp, r.first = true, 0
+		s.sendGrantRequest(r)
+	}
+}
+
+// broke ends a run whose engine ended.
+func (s *sim) broke(e *simEngine, r *simRun) {
+	done := swcell.Done{Key: r.key, Attempt: 1, Target: e.id, Result: swcell.ResultNoAnswer}
+	if r.first > 0 {
+		done.Result, done.FirstToken, done.Total = swcell.ResultBroken, max(r.first-r.started, 1), max(s.now-r.started, 2)
+		r.request.outputTokens = max(r.output/simDecode, 1)
+	}
+	s.step(done)
+}
+
+// restart brings the engines back that are down.
+func (s *sim) restart() {
+	for _, e := range s.engineList {
+		if e.down {
+			e.down, e.born = false, e.born+1
+		}
+	}
+	s.configure()
+}
+
 // drawArrivals draws the arrivals of a load at random; equal loads get equal arrivals.
 func (s *sim) drawArrivals(l simLoad) {
 	random := rand.New(rand.NewPCG(11, 7))
@@ -159,7 +232,10 @@
 	for i := range classes {
 		c := &classes[i]
 		for at := 0.0; ; {
-			rate := c.perSecond * l.factor
+			rate := c.perSecond * l.factor * float64(max(l.scale, 1))
+			if l.takenUp > 0 && c.resumable {
+				rate *= l.takenUp
+			}
 			third := float64(l.seconds) * 1000 / 3
 			if l.burst > 0 && at > third && at < 2*third {
 				rate *= l.burst
@@ -169,6 +245,7 @@
 				break
 			}
 			r := &simRequest{class: c, arrived: swclock.Millis(at), outputTokens: min(max(lognormal(c.output, c.outputDeviation), 1), float64(c.limit))}
+			r.takenUp = l.takenUp > 0 && c.resumable
 			prompt := min(max(lognormal(c.prompt, c.promptDeviation), 50), 54000)
 			r.size = prompt + outputWeight*r.outputTokens
 			r.grantRequest = swcell.GrantRequest{
@@ -201,10 +278,9 @@
 func (s *sim) granted(g swcell.Grant) {
 	r, e := s.byKey[g.Key], s.engines[g.Target]
 	run := &simRun{
-		request: r, started: s.now,
+		key: g.Key, request: r, started: s.now,
 		prompt: simOverhead + float64(r.grantRequest.PromptTokens)*simPrefill, output: r.outputTokens * simDecode,
 	}
-	s.runs[g.Key] = run
 	e.runs = append(e.runs, run)
 }
 
@@ -228,6 +304,10 @@
 	r.requestedAt = s.now
 	a := r.grantRequest
 	a.Key.Seq += swid.Seq(r.rejections * 1_000_000)
+	if a.Resumable = r.class.resumable; r.takenUp {
+		a.Key.Seq += 500_000
+		a.Continuation = sworigin.Continuation{Continues: true, Stream: 7, Origin: simOrigin}
+	}
 	a.Attempt = 1
 	a.Deadline = r.deadlineAt
 	a.Objective = s.now + r.class.objective
@@ -240,6 +320,12 @@
 func (s *sim) run(l simLoad) {
 	next := 0
 	for s.now = 0; s.now < swclock.Millis(l.seconds+20)*swclock.Second; s.now += simStep {
+		if slices.Contains(l.crashes, s.now) {
+			s.crash()
+		}
+		if slices.Contains(l.crashes, s.now-simCrashTime) {
+			s.restart()
+		}
 		for ; next < len(s.requests) && s.requests[next].arrived <= s.now; next++ {
 			s.sendGrantRequest(s.requests[next])
 		}
@@ -267,17 +353,18 @@
 	ended := e.step(s.now)
 	for i, r := range runs {
 		if !hadOutput[i] && r.first > 0 {
-			s.step(swcell.Progress{Key: s.keyOf(r), Attempt: 1, Produced: 5})
+			r.request.begun, r.request.wentOn = true, r.request.takenUp
+			s.step(swcell.Progress{Key: r.key, Attempt: 1, Produced: 5})
 		}
 		if done := r.request.outputTokens - r.output/simDecode; !r.reported && r.first > 0 && done >= simSecondReport {
 			r.reported = true
-			s.step(swcell.Progress{Key: s.keyOf(r), Attempt: 1, Produced: swid.Tokens(done)})
+			s.step(swcell.Progress{Key: r.key, Attempt: 1, Produced: swid.Tokens(done)})
 		}
 	}
 	for _, r := range ended {
 		r.request.first, r.request.done = r.first, s.now
 		s.step(swcell.Done{
-			Key: s.keyOf(r), Attempt: 1, Target: e.id, Result: swcell.ResultAnswered,
+			Key: r.key, Attempt: 1, Target: e.id, Result: swcell.ResultAnswered,
 			PromptTokens: r.request.grantRequest.PromptTokens, OutputTokens: swid.Tokens(r.request.outputTokens),
 			FirstToken: max(r.first-r.started, 1), Total: max(s.now-r.started, 2),
 		})
@@ -286,18 +373,9 @@
 		if s.now > r.request.deadlineAt {
 			e.runs = slices.DeleteFunc(e.runs, func(o *simRun) bool { return o == r })
 			r.request.timedOut = true
-			s.step(swcell.Done{Key: s.keyOf(r), Attempt: 1, Target: e.id, Result: swcell.ResultCancelled})
-		}
-	}
-}
-
-func (s *sim) keyOf(run *simRun) swcell.Key {
-	for k, r := range s.runs {
-		if r == run {
-			return k
+			s.step(swcell.Done{Key: r.key, Attempt: 1, Target: e.id, Result: swcell.ResultCancelled})
 		}
 	}
-	return swcell.Key{}
 }
 
 // tally counts the outcomes of one kind of request.
@@ -436,10 +514,10 @@
 }
 
 var (
-	calm     = simLoad{"calm", 0.5, 20, 0}
-	full     = simLoad{"at capacity", 1, 20, 0}
-	overload = simLoad{"half above capacity", 1.5, 20, 0}
-	burst    = simLoad{"a burst to twice the capacity", 0.9, 20, 2.2}
+	calm     = simLoad{name: "calm", factor: 0.5, seconds: 20}
+	full     = simLoad{name: "at capacity", factor: 1, seconds: 20}
+	overload = simLoad{name: "half above capacity", factor: 1.5, seconds: 20}
+	burst    = simLoad{name: "a burst to twice the capacity", factor: 0.9, seconds: 20, burst: 2.2}
 )
 
 // TestLoads simulates loads and checks the outcomes for callers. It compares their
@@ -468,7 +546,7 @@
 					t.Errorf("class %s: answered share of the largest tenth %.2f, of the whole class %.2f", name, large, k.answered())
 				}
 			}
-			if l == calm && all.rejected+all.timeouts > 0 {
+			if l.name == calm.name && all.rejected+all.timeouts > 0 {
 				t.Errorf("%d requests were rejected and %d timed out below capacity", all.rejected, all.timeouts)
 			}
 			// Rejections reach callers early enough for a retry to be in time.
@@ -481,3 +559,64 @@
 		})
 	}
 }
+
+// newResumableSim returns a simulation of a service whose streams are all of one software version.
+func newResumableSim(l simLoad) *sim {
+	register := sworigin.NewRegister(100)
+	register.SetServing(map[swid.ServiceID][]sworigin.Origin{simOrigin.Service: {simOrigin}}, 0)
+	s := newSim(New(Config{Service: simOrigin.Service, Origins: register}, Fastest{}, ByWorth{}), l)
+	s.run(l)
+	return s
+}
+
+// TestContinuationsGoOnInBurst guards against streams that are taken up after a crash in a burst, and are rejected while new ones begin.
+func TestContinuationsGoOnInBurst(t *testing.T) {
+	for _, scale := range []int{1, 9, 20} {
+		t.Run(fmt.Sprint(scale*len(slowdowns), " engines"), func(t *testing.T) {
+			s := newResumableSim(simLoad{
+				factor: 0.9, seconds: 30, burst: 2.2, scale: scale, crashes: []swclock.Millis{12 * swclock.Second, 16 * swclock.Second},
+			})
+			var requests, begun, takenUp, wentOn int
+			for _, r := range s.requests {
+				if !r.class.resumable {
+					continue
+				}
+				requests++
+				if r.begun {
+					begun++
+				}
+				if r.takenUp {
+					takenUp++
+				}
+				if r.wentOn {
+					wentOn++
+				}
+			}
+			t.Logf("%d of %d new streams begun, %d of %d that were taken up went on", begun, requests, wentOn, takenUp)
+			if takenUp < 12 || wentOn*requests < begun*takenUp {
+				t.Errorf("%d of %d streams that were taken up went on, %d of %d new ones begun: want no smaller share of 12 or more",
+					wentOn, takenUp, begun, requests)
+			}
+		})
+	}
+}
+
+// TestContinuationsLeaveRoom guards against new requests of the highest tier that are served less often than streams of a lower one
+// that are taken up without end.
+func TestContinuationsLeaveRoom(t *testing.T) {
+	// The users' rules allow a more urgent kind to be served less often by this.
+	const allowed = 0.05
+	for _, takenUp := range []float64{2, 5, 10, 20} {
+		for _, factor := range []float64{0.6, 1} {
+			t.Run(fmt.Sprintf("load %v, streams taken up %v times as often", factor, takenUp), func(t *testing.T) {
+				s := newResumableSim(simLoad{factor: factor, seconds: 20, takenUp: takenUp})
+				_, kinds := s.tallies()
+				letters, nudges := kinds["letter"].answered(), kinds["nudge"].answered()
+				t.Logf("%.2f of the new requests of the highest tier answered, %.2f of the streams that are taken up", letters, nudges)
+				if letters < nudges-allowed {
+					t.Errorf("%.2f of the new requests of the highest tier answered, %.2f of the streams that are taken up", letters, nudges)
+				}
+			})
+		}
+	}
+}
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
 // Candidate describes a waiting request to an Order.
@@ -14,7 +15,7 @@
 	// MeanWork the mean work of the requests of its tier.
 	Work     float64
 	MeanWork float64
-	// Precedence is the factor by which the organisation's tier changes the rank.
+	// Precedence is the factor by which the organisation's tier, and that a stream goes on, change the rank.
 	Precedence float64
 	// Waited is the time since the grant request.
 	Waited swclock.Millis
@@ -51,12 +52,36 @@
 func (c *Cell[P, O]) rank(r *request, work, first float64) float64 {
 	c.candidate = Candidate{
 		Value: c.valueAt(r, first), Work: work, MeanWork: c.sizes.forTier(r.grantRequest.Tier).work.value, Waited: c.now - r.requestedAt,
-		Precedence: math.Pow(precedenceStep, -float64(r.grantRequest.OrgTier)),
+		Precedence: r.precedence(),
 	}
 	c.effort.Ranks++
 	return c.order.Rank(&c.candidate)
 }
 
+// precedence returns the factor by which the rank of a request changes. One that precedes new requests has at least the factor of
+// the highest tier of organisations.
+func (r *request) precedence() float64 {
+	steps := -float64(r.grantRequest.OrgTier)
+	if r.precedes {
+		steps += swid.MaxTiers
+	}
+	return math.Pow(precedenceStep, steps)
+}
+
+// maxContinuedLoad is the share of the targets' time up to which streams that go on precede new ones, so that they never take all
+// of it.
+const maxContinuedLoad = 0.3
+
+// mayPrecede reports whether a request that comes now precedes new ones: if it continues a stream, and the work of those that have
+// come lately leaves the rest of the targets' time to new ones.
+func (c *Cell[P, O]) mayPrecede(r *request) bool {
+	if !r.grantRequest.Continuation.Continues {
+		return false
+	}
+	speed, _ := c.supply()
+	return c.continued.rate(c.now) < speed*maxContinuedLoad
+}
+
 // continuedShare is what an answer that goes on is worth, as a share of its value: if it is never finished, its caller
 // loses half of the value besides.
 const continuedShare = 1.5
--- a/internal/core/swvalue/origin_test.go
+++ b/internal/core/swvalue/origin_test.go
@@ -66,11 +66,17 @@
 		continues, late bool
 		// wantNew is set if the new request is to be granted first.
 		wantNew bool
+		// lower is set if the stream's tier and that of its organisation are lower than those of the new request.
+		lower bool
+		// pending is set if the origin of the stream becomes known only after both requests came.
+		pending bool
 	}{
-		{"late", true, true, false},
-		{"in time, after the new one", true, false, false},
-		{"late, but no continuation", false, true, true},
-		{"no continuation, after the new one", false, false, true},
+		{"late", true, true, false, false, false},
+		{"in time, after the new one", true, false, false, false, false},
+		{"late, but no continuation", false, true, true, false, false},
+		{"no continuation, after the new one", false, false, true, false, false},
+		{"of lower tiers", true, false, false, true, false},
+		{"of lower tiers, origin not known at first", true, false, false, true, true},
 	}
 	for _, e := range tests {
 		t.Run(e.name, func(t *testing.T) {
@@ -87,6 +93,12 @@
 					}
 					if continues {
 						r.Continuation = sworigin.Continuation{Continues: true, Stream: 7, Origin: first}
+						if e.lower {
+							r.Tier, r.OrgTier = 2, 2
+						}
+						if e.pending {
+							r.Continuation.Origin = sworigin.Origin{}
+						}
 					}
 				})
 				b.step(request)
@@ -102,6 +114,10 @@
 				b.now += 100
 				taken = send(e.continues, false)
 			}
+			if e.pending {
+				register.Confirm(b.now)
+				b.step(swcell.Tick{})
+			}
 			g, granted := grantOf(b.end(running, swcell.ResultAnswered))
 			if got := g.Key == fresh; !granted || got != e.wantNew {
 				t.Errorf("granted %t to request %d, of %d (taken up) and %d (new)", granted, g.Key.Seq, taken.Seq, fresh.Seq)
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -44,6 +44,8 @@
 	// arrival numbers the requests in the order in which they came to wait, and rank is the one in queued.
 	arrival uint64
 	rank    float64
+	// precedes is set if the request continues a stream and ranks above new requests.
+	precedes bool
 	// rejected is set once a review has rejected the request.
 	rejected bool
 	// declinedAt is the value of Cell.changes when the request last declined the free targets, and
@@ -151,6 +153,9 @@
 
 // add adds a request to those that wait.
 func (c *Cell[P, O]) add(r *request) {
+	if r.precedes {
+		c.continued.add(c.work(r, float64(r.grantRequest.PromptTokens)), c.now)
+	}
 	c.arrivals++
 	r.arrival = c.arrivals
 	c.waiting = append(c.waiting, r)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -47,6 +47,8 @@
 	typicalSlots int
 	sizes        sizes
 	inflow       inflow
+	// continued is the work of the streams that go on and precede new requests.
+	continued workRate
 	// waiting holds at most one attempt of each request, in order of arrival, and waitingByKey the same by request.
 	waiting      []*request
 	waitingByKey map[swcell.Key]*request
