Judge streams that go on by what is left of them

What callers saw: streams that are taken up are rejected within 3 ms, with a Retry-After of 0.2 to 0.3 s, while targets have room for them.

Cause: the owner expects a stream that goes on to generate its whole output once more. Where that does not fit into the time to the deadline, or takes up what streams that go on may take ahead of others, the request is rejected or ranks behind new ones. What it generated is also learned as if it was a whole answer, so that whole ones are expected to be too short.

Change: the times that are expected of it, and its part of maxContinuedLoad, count half of the output, as streams break anywhere and the owner does not know where. What it generated is not learned.

The streams that TestContinuationsLeaveRoom takes up generate a part of their outputs, drawn evenly, instead of all: its bound is unchanged.

TestContinuationNeedsTheRest before: "continued, time for most: admitted: false, want true".

--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -245,13 +245,15 @@
 				break
 			}
 			r := &simRequest{class: c, arrived: swclock.Millis(at), outputTokens: min(max(lognormal(c.output, c.outputDeviation), 1), float64(c.limit))}
-			r.takenUp = l.takenUp > 0 && c.resumable
 			prompt := min(max(lognormal(c.prompt, c.promptDeviation), 50), 54000)
 			r.size = prompt + outputWeight*r.outputTokens
 			r.grantRequest = swcell.GrantRequest{
 				Tier: c.tier, Org: "o", PromptTokens: swid.Tokens(prompt), OutputTokens: c.limit,
 				ExpectedTokens: swid.Tokens(max(lognormal(r.outputTokens, 0.5)*1.13, 1)),
 			}
+			if r.takenUp = l.takenUp > 0 && c.resumable; r.takenUp {
+				r.outputTokens *= random.Float64() // it broke anywhere
+			}
 			s.requests = append(s.requests, r)
 		}
 	}
--- a/internal/core/swvalue/model.go
+++ b/internal/core/swvalue/model.go
@@ -90,7 +90,7 @@
 	e := estimate{uncached: max(float64(r.grantRequest.PromptTokens-t.cache.cachedTokens(r.prefixes)), 0)}
 	e.prefill = e.uncached * estimated.prefill
 	e.first = estimated.overhead + e.prefill
-	e.total = e.first + r.output*estimated.decode/(1-min(t.stallShare.Value(), maxStallShare))
+	e.total = e.first + r.remainingOutput()*estimated.decode/(1-min(t.stallShare.Value(), maxStallShare))
 	return e
 }
 
@@ -107,14 +107,20 @@
 	return e
 }
 
-// work returns the share of a typical target's time that a request takes: its
-// prompt occupies the whole target, its output one slot.
+// work returns the share of a typical target's time that a request takes with its whole output. That of a stream which goes on counts
+// too: otherwise such streams would rank above new ones for their size alone.
 func (c *Cell[P, O]) work(r *request, uncached float64) float64 {
+	return c.workFor(r, uncached, r.output)
+}
+
+// workFor returns the share of a typical target's time that a request takes with a number of output tokens: its
+// prompt occupies the whole target, its output one slot.
+func (c *Cell[P, O]) workFor(r *request, uncached, output float64) float64 {
 	slots := float64(c.typicalSlots)
-	if r.grantRequest.PromptTokens == 0 && r.output == 0 {
+	if r.grantRequest.PromptTokens == 0 && output == 0 {
 		return c.typical.service / slots
 	}
-	return uncached*c.typical.prefill + (c.typical.overhead+r.output*c.typical.decode)/slots
+	return uncached*c.typical.prefill + (c.typical.overhead+output*c.typical.decode)/slots
 }
 
 // updateTypical recomputes the mean rates of the active targets.
--- a/internal/core/swvalue/origin_test.go
+++ b/internal/core/swvalue/origin_test.go
@@ -126,6 +126,41 @@
 	}
 }
 
+// TestContinuationNeedsTheRest guards against streams that are taken up and rejected because there is no time for the whole answer.
+func TestContinuationNeedsTheRest(t *testing.T) {
+	first := sworigin.Origin{Service: "s", Version: "v1"}
+	const expected = 2000
+	whole := swclock.Millis(expected * priorDecode * shortOutputShare)
+	tests := []struct {
+		name      string
+		continues bool
+		time      swclock.Millis
+		admitted  bool
+	}{
+		{"new, time for the whole", false, whole + swclock.Second, true},
+		{"new, time for most", false, whole * 3 / 4, false},
+		{"continued, time for most", true, whole * 3 / 4, true},
+		{"continued, time for a tenth", true, whole / 10, false},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			register := sworigin.NewRegister(100)
+			register.SetServing(map[swid.ServiceID][]sworigin.Origin{"s": {first}}, 0)
+			b := &harness{cell: New(Config{Service: "s", Origins: register}, Fastest{}, ByWorth{}), now: 1000}
+			b.step(swcell.Configure{Targets: []swcell.Target{{ID: "a", State: swcell.TargetActive, Slots: 1, Version: first.Version}}})
+			_, granted := grantOf(b.step(b.newGrantRequest(func(r *swcell.GrantRequest) {
+				r.Deadline, r.ExpectedTokens, r.OutputTokens = b.now+e.time, expected, 2*expected
+				if e.continues {
+					r.Continuation = sworigin.Continuation{Continues: true, Stream: 7, Origin: first}
+				}
+			})))
+			if granted != e.admitted {
+				t.Errorf("admitted: %t, want %t", granted, e.admitted)
+			}
+		})
+	}
+}
+
 // TestContinuationUsesReserve guards against streams that are taken up and rejected for quota while requests of higher tiers
 // would still be admitted.
 func TestContinuationUsesReserve(t *testing.T) {
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -20,7 +20,7 @@
 	prefixes []prefix
 	// value is what an answer in time is worth.
 	value float64
-	// output is the number of tokens that the request is expected to generate.
+	// output is the number of tokens that the whole answer is expected to have.
 	output float64
 	// charged is what the organisation's quota was charged.
 	charged float64
@@ -151,10 +151,22 @@
 	return r
 }
 
+// remainingOutputShare is the share of its expected output that a stream which goes on is expected to generate: streams break at any
+// point, and the owner does not know at which.
+const remainingOutputShare = 0.5
+
+// remainingOutput returns the number of tokens that the request is expected to generate if it is granted.
+func (r *request) remainingOutput() float64 {
+	if r.grantRequest.Continuation.Continues {
+		return r.output * remainingOutputShare
+	}
+	return r.output
+}
+
 // add adds a request to those that wait.
 func (c *Cell[P, O]) add(r *request) {
 	if r.precedes {
-		c.continued.add(c.work(r, float64(r.grantRequest.PromptTokens)), c.now)
+		c.continued.add(c.workFor(r, float64(r.grantRequest.PromptTokens), r.remainingOutput()), c.now)
 	}
 	c.arrivals++
 	r.arrival = c.arrivals
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -217,7 +217,7 @@
 		}
 		return
 	}
-	if e.Result == swcell.ResultAnswered {
+	if e.Result == swcell.ResultAnswered && !r.grantRequest.Continuation.Continues {
 		c.sizes.observe(&r.grantRequest, e.OutputTokens)
 	}
 	if r.firstOutputAt == 0 && e.FirstToken > 0 {
