--- a/internal/core/swvalue/origin_test.go
+++ b/internal/core/swvalue/origin_test.go
@@ -66,11 +66,17 @@
 		continues, late bool
 		// wantNew is set if the new request is to be granted first.
 		wantNew bool
+		// lower is set if the stream's tier and that of its organisation are lower than those of the new request.
+		lower bool
+		// pending is set if the origin of the stream becomes known only after both requests came.
+		pending bool
 	}{
-		{"late", true, true, false},
-		{"in time, after the new one", true, false, false},
-		{"late, but no continuation", false, true, true},
-		{"no continuation, after the new one", false, false, true},
+		{"late", true, true, false, false, false},
+		{"in time, after the new one", true, false, false, false, false},
+		{"late, but no continuation", false, true, true, false, false},
+		{"no continuation, after the new one", false, false, true, false, false},
+		{"of lower tiers", true, false, false, true, false},
+		{"of lower tiers, origin not known at first", true, false, false, true, true},
 	}
 	for _, e := range tests {
 		t.Run(e.name, func(t *testing.T) {
@@ -87,6 +93,12 @@
 					}
 					if continues {
 						r.Continuation = sworigin.Continuation{Continues: true, Stream: 7, Origin: first}
+						if e.lower {
+							r.Tier, r.OrgTier = 2, 2
+						}
+						if e.pending {
+							r.Continuation.Origin = sworigin.Origin{}
+						}
 					}
 				})
 				b.step(request)
@@ -102,6 +114,10 @@
 				b.now += 100
 				taken = send(e.continues, false)
 			}
+			if e.pending {
+				register.Confirm(b.now)
+				b.step(swcell.Tick{})
+			}
 			g, granted := grantOf(b.end(running, swcell.ResultAnswered))
 			if got := g.Key == fresh; !granted || got != e.wantNew {
 				t.Errorf("granted %t to request %d, of %d (taken up) and %d (new)", granted, g.Key.Seq, taken.Seq, fresh.Seq)
@@ -110,6 +126,41 @@
 	}
 }
 
+// TestContinuationNeedsTheRest guards against streams that are taken up and rejected because there is no time for the whole answer.
+func TestContinuationNeedsTheRest(t *testing.T) {
+	first := sworigin.Origin{Service: "s", Version: "v1"}
+	const expected = 2000
+	whole := swclock.Millis(expected * priorDecode * shortOutputShare)
+	tests := []struct {
+		name      string
+		continues bool
+		time      swclock.Millis
+		admitted  bool
+	}{
+		{"new, time for the whole", false, whole + swclock.Second, true},
+		{"new, time for most", false, whole * 3 / 4, false},
+		{"continued, time for most", true, whole * 3 / 4, true},
+		{"continued, time for a tenth", true, whole / 10, false},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			register := sworigin.NewRegister(100)
+			register.SetServing(map[swid.ServiceID][]sworigin.Origin{"s": {first}}, 0)
+			b := &harness{cell: New(Config{Service: "s", Origins: register}, Fastest{}, ByWorth{}), now: 1000}
+			b.step(swcell.Configure{Targets: []swcell.Target{{ID: "a", State: swcell.TargetActive, Slots: 1, Version: first.Version}}})
+			_, granted := grantOf(b.step(b.newGrantRequest(func(r *swcell.GrantRequest) {
+				r.Deadline, r.ExpectedTokens, r.OutputTokens = b.now+e.time, expected, 2*expected
+				if e.continues {
+					r.Continuation = sworigin.Continuation{Continues: true, Stream: 7, Origin: first}
+				}
+			})))
+			if granted != e.admitted {
+				t.Errorf("admitted: %t, want %t", granted, e.admitted)
+			}
+		})
+	}
+}
+
 // TestContinuationUsesReserve guards against streams that are taken up and rejected for quota while requests of higher tiers
 // would still be admitted.
 func TestContinuationUsesReserve(t *testing.T) {
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -20,7 +20,7 @@
 	prefixes []prefix
 	// value is what an answer in time is worth.
 	value float64
-	// output is the number of tokens that the request is expected to generate.
+	// output is the number of tokens that the whole answer is expected to have.
 	output float64
 	// charged is what the organisation's quota was charged.
 	charged float64
@@ -44,6 +44,8 @@
 	// arrival numbers the requests in the order in which they came to wait, and rank is the one in queued.
 	arrival uint64
 	rank    float64
+	// precedes is set if the request continues a stream and ranks above new requests.
+	precedes bool
 	// rejected is set once a review has rejected the request.
 	rejected bool
 	// declinedAt is the value of Cell.changes when the request last declined the free targets, and
@@ -149,8 +151,23 @@
 	return r
 }
 
+// remainingOutputShare is the share of its expected output that a stream which goes on is expected to generate: streams break at any
+// point, and the owner does not know at which.
+const remainingOutputShare = 0.5
+
+// remainingOutput returns the number of tokens that the request is expected to generate if it is granted.
+func (r *request) remainingOutput() float64 {
+	if r.grantRequest.Continuation.Continues {
+		return r.output * remainingOutputShare
+	}
+	return r.output
+}
+
 // add adds a request to those that wait.
 func (c *Cell[P, O]) add(r *request) {
+	if r.precedes {
+		c.continued.add(c.workFor(r, float64(r.grantRequest.PromptTokens), r.remainingOutput()), c.now)
+	}
 	c.arrivals++
 	r.arrival = c.arrivals
 	c.waiting = append(c.waiting, r)
