--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -71,7 +71,7 @@
 		ReadHeaderTimeout: s.settings.HeaderTimeout.Duration(),
 		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout.Duration(),
-		ConnContext:       swconn.ConnContext,
+		ConnContext:       swcallerconn.ConnContext,
 	}
 	server.RegisterOnShutdown(func() { s.leaving.Store(true) })
 	return server
@@ -84,12 +84,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
 // newBody returns the body of a request.
-func (s *Server) newBody(w http.ResponseWriter, r *http.Request) *swconn.Body {
-	return swconn.NewBody(w, r, swconn.Bounds{ReadTimeout: s.settings.BodyTimeout, WriteTimeout: s.settings.WriteTimeout, Leaving: s.leaving.Load})
+func (s *Server) newBody(w http.ResponseWriter, r *http.Request) *swcallerconn.Body {
+	return swcallerconn.NewBody(w, r, swcallerconn.Bounds{ReadTimeout: s.settings.BodyTimeout, WriteTimeout: s.settings.WriteTimeout, Leaving: s.leaving.Load})
 }
 
 // refuse sends an error as the response to a request that was not passed to the holder.
-func (s *Server) refuse(w http.ResponseWriter, body *swconn.Body, problem *Error) {
+func (s *Server) refuse(w http.ResponseWriter, body *swcallerconn.Body, problem *Error) {
 	body.Refuse(&s.log, problem.Request, int64(s.settings.MaxBodyBytes), func() { problem.write(w, false) })
 }
 
@@ -101,7 +101,7 @@
 }
 
 // withErrorResponse wraps a handler and sends the error that it returns as the response.
-func (s *Server) withErrorResponse(handle func(http.ResponseWriter, *http.Request, *swconn.Body, httprouter.Params) *Error) httprouter.Handle {
+func (s *Server) withErrorResponse(handle func(http.ResponseWriter, *http.Request, *swcallerconn.Body, httprouter.Params) *Error) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		body := s.newBody(w, r)
 		if problem := handle(w, r, body, params); problem != nil {
@@ -111,7 +111,7 @@
 }
 
 // serveCompletion serves a completion request to a model.
-func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, body *swconn.Body, _ httprouter.Params) *Error {
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, body *swcallerconn.Body, _ httprouter.Params) *Error {
 	a, problem := s.accept(r, body)
 	if problem != nil {
 		return problem
@@ -135,7 +135,7 @@
 }
 
 // serveCall serves a call of a plain service.
-func (s *Server) serveCall(w http.ResponseWriter, r *http.Request, body *swconn.Body, params httprouter.Params) *Error {
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request, body *swcallerconn.Body, params httprouter.Params) *Error {
 	a, problem := s.accept(r, body)
 	if problem != nil {
 		return problem
@@ -181,7 +181,7 @@
 }
 
 // accept authenticates a caller and reads the body. It authenticates the caller again by the document that is in force then.
-func (s *Server) accept(r *http.Request, body *swconn.Body) (acceptedRequest, *Error) {
+func (s *Server) accept(r *http.Request, body *swcallerconn.Body) (acceptedRequest, *Error) {
 	if _, problem := s.authenticate(r); problem != nil {
 		return acceptedRequest{}, problem
 	}
@@ -211,7 +211,7 @@
 	return a, nil
 }
 
-func (s *Server) readBody(body *swconn.Body) ([]byte, *Error) {
+func (s *Server) readBody(body *swcallerconn.Body) ([]byte, *Error) {
 	data, err := body.ReadAll(int64(s.settings.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -295,7 +295,7 @@
 // the caller an error.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, request *swholder.Request) {
 	w.Header().Set(headerRequestID, string(request.ID))
-	swconn.SetRequest(r.Context(), request.ID)
+	swcallerconn.SetRequest(r.Context(), request.ID)
 	out := &sink{writer: w, controller: http.NewResponseController(w), timeout: s.settings.WriteTimeout}
 	report := s.holder.Serve(r.Context(), request, out)
 	s.logEnd(request, &report)
@@ -314,7 +314,7 @@
 	if request.Call.Stream {
 		_ = out.Write(append(append([]byte("data: "), problem.body()...), '\n', '\n')) // if this write fails, closing the connection still shows it
 	}
-	swconn.LogAbort(r.Context(), &s.log, request.ID, report.Begun, report.End)
+	swcallerconn.LogAbort(r.Context(), &s.log, request.ID, report.Begun, report.End)
 	panic(http.ErrAbortHandler)
 }
 
@@ -346,7 +346,7 @@
 }
 
 // models sends the list of models.
-func (s *Server) models(w http.ResponseWriter, r *http.Request, body *swconn.Body, _ httprouter.Params) *Error {
+func (s *Server) models(w http.ResponseWriter, r *http.Request, body *swcallerconn.Body, _ httprouter.Params) *Error {
 	a, problem := s.accept(r, body)
 	if problem != nil {
 		return problem
--- a/internal/caller/swconn/body.go
+++ b/internal/caller/swcallerconn/body.go
@@ -1,4 +1,4 @@
-package swconn
+package swcallerconn
 
 import (
 	"io"
--- a/internal/caller/swconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -1,6 +1,6 @@
-// Package swconn handles the connections of callers. It reads the bodies of requests within bounds, refuses requests
+// Package swcallerconn handles the connections of callers. It reads the bodies of requests within bounds, refuses requests
 // whose bodies are still arriving so that the caller can read the refusal, and records how connections end.
-package swconn
+package swcallerconn
 
 import (
 	"context"
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
@@ -59,7 +59,7 @@
 // it answers them with 503.
 type callerHandler struct {
 	handler atomic.Pointer[http.Handler]
-	bounds  swconn.Bounds
+	bounds  swcallerconn.Bounds
 	log     zerolog.Logger
 }
 
@@ -69,7 +69,7 @@
 		(*h).ServeHTTP(w, r)
 		return
 	}
-	swconn.NewBody(w, r, c.bounds).Refuse(&c.log, "", 0, func() {
+	swcallerconn.NewBody(w, r, c.bounds).Refuse(&c.log, "", 0, func() {
 		w.Header().Set("Retry-After", "0.3")
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -90,7 +90,7 @@
 		return err
 	}
 	c := callerHandler{
-		bounds: swconn.Bounds{ReadTimeout: refusalReadTimeout, WriteTimeout: refusalWriteTimeout, Leaving: h.leaving.Load},
+		bounds: swcallerconn.Bounds{ReadTimeout: refusalReadTimeout, WriteTimeout: refusalWriteTimeout, Leaving: h.leaving.Load},
 		log:    h.log,
 	}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -98,7 +98,7 @@
 	callers := &http.Server{
 		Handler: &c, ReadHeaderTimeout: h.settings.Caller.HeaderTimeout.Duration(),
 		MaxHeaderBytes: h.settings.Caller.MaxHeaderBytes, IdleTimeout: idleTimeout.Duration(),
-		ConnContext: swconn.ConnContext, ConnState: swconn.ConnState,
+		ConnContext: swcallerconn.ConnContext, ConnState: swcallerconn.ConnState,
 	}
 	idle := func() swclock.Millis {
 		if c.handler.Load() == nil || h.gate.Table() == nil {
@@ -112,7 +112,7 @@
 	}
 	operators := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout.Duration()}
 	tasks := pool.New().WithErrors().WithContext(runCtx).WithCancelOnError()
-	tasks.Go(newServeTask("callers", callers, swconn.ObserveIdle(listeners.callers, idle, h.log)))
+	tasks.Go(newServeTask("callers", callers, swcallerconn.ObserveIdle(listeners.callers, idle, h.log)))
 	tasks.Go(newServeTask("readiness", readiness, listeners.readiness))
 	tasks.Go(newServeTask("operators", operators, listeners.operators))
 	tasks.Go(func(runCtx context.Context) error {
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -368,7 +368,7 @@
 // TestRefusalBeforeAssembly guards against a refusal that is lost because the host, which has just started, closes the
 // connection while the caller still sends the body.
 func TestRefusalBeforeAssembly(t *testing.T) {
-	c := &callerHandler{bounds: swconn.Bounds{ReadTimeout: swclock.Minute, WriteTimeout: swclock.Minute}, log: zerolog.Nop()}
+	c := &callerHandler{bounds: swcallerconn.Bounds{ReadTimeout: swclock.Minute, WriteTimeout: swclock.Minute}, log: zerolog.Nop()}
 	server := httptest.NewServer(c)
 	defer server.Close()
 	caller, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -17,7 +17,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/sassafraswing/sassafraswing/internal/caller/swcaller"
-	"github.com/sassafraswing/sassafraswing/internal/caller/swconn"
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swrelay"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
@@ -113,7 +113,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	listener = swconn.Observe(netutil.LimitListener(listener, n.settings.Caller.MaxConnections), n.deps.Log)
+	listener = swcallerconn.Observe(netutil.LimitListener(listener, n.settings.Caller.MaxConnections), n.deps.Log)
 	if n.deps.CallerTLS != nil {
 		listener = tls.NewListener(listener, n.deps.CallerTLS)
 	}
