Wait for the last attempt of a request until its deadline

Cause: the limit for the first output (swgate: half of the time; swholder: derived from the estimate, at most half) leaves time for another target. It was set for each attempt, also for the last one that the route's attempts, or MaxAttempts, allow.

The lifecycle, which counts the attempts that reached a target, now says of a dispatch whether it is the last one. Such an attempt has no limit but the deadline, and is not ended either because the host's path to all targets looks lost (swfleet ends only attempts that may be repeated). If its target has sent nothing by the deadline, its owner is still told so (noAnswer), as that is how frozen targets are noticed; the caller gets 504 instead of 502. Attempts that may be followed by another, and resumptions at the same target, keep their limits.

TestLastAttemptWaits failed before in each of its eight cases ("attempts with a limit: [true], want [false]", "[true true], want [true false]"; cancelled instead of noAnswer at the deadline). TestLifeKeepsItsPromises checks that nothing is dispatched after a last attempt.

--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -147,7 +147,8 @@
 	// ResultBroken means that the stream ended early or the target crashed; the request may have run.
 	ResultBroken
 	// ResultCancelled means that the holder cancelled the attempt, because of a
-	// Preempt action, a caller that left or a deadline that passed.
+	// Preempt action, a caller that left or a deadline that passed. A holder may report a
+	// deadline that passed while the target sent nothing as ResultNoAnswer.
 	ResultCancelled
 	// ResultRejected means that the target answered with an error that the request caused.
 	ResultRejected
--- a/internal/core/swlife/command.go
+++ b/internal/core/swlife/command.go
@@ -25,6 +25,8 @@
 type Dispatch struct {
 	Attempt swid.Attempt
 	Target  swid.TargetID
+	// Last is set if the request is sent to no other target after one that it reaches in this attempt.
+	Last bool
 }
 
 // Resume instructs the holder to resume the broken stream of the current attempt.
--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -167,7 +167,7 @@
 	l.phase = phaseRunning
 	l.tried = append(l.tried, e.Target)
 	l.resumes = 0
-	return Dispatch{Attempt: l.attempt, Target: e.Target}
+	return Dispatch{Attempt: l.attempt, Target: e.Target, Last: !l.allowsAnother(l.sent + 1)}
 }
 
 // attemptEnded resumes, retries or ends the request after an attempt.
@@ -207,7 +207,7 @@
 // and the caller cannot receive parts of two answers.
 func (l *Lifecycle) retry(e AttemptEnded) Command {
 	repeatable := (!e.Delivered || l.rules.ResumeElsewhere && !e.Unplaced) && (!l.rules.NonIdempotent || !l.mayHaveRun)
-	if repeatable && l.sent < l.rules.Attempts && l.attempt < maxGrantRequests {
+	if repeatable && l.allowsAnother(l.sent) {
 		return l.requestGrant()
 	}
 	cause := e.Cause
@@ -217,6 +217,11 @@
 	return l.end(cause, e.RetryAfter)
 }
 
+// allowsAnother reports whether the limits allow another attempt after the current one, if sent attempts have reached a target.
+func (l *Lifecycle) allowsAnother(sent swid.Attempt) bool {
+	return sent < l.rules.Attempts && l.attempt < maxGrantRequests
+}
+
 // end ends the request with the outcome that follows from mayHaveRun.
 func (l *Lifecycle) end(cause Cause, retryAfter swclock.Millis) Command {
 	l.phase = phaseEnded
--- a/internal/core/swlife/swlife_test.go
+++ b/internal/core/swlife/swlife_test.go
@@ -51,6 +51,7 @@
 		life, command := New(rules)
 		var dispatched []swid.TargetID
 		mayHaveRun, unplaced, ended, sent := false, false, 0, swid.Attempt(0)
+		last, reachedLast := false, false
 		for range 40 {
 			switch c := command.(type) {
 			case Dispatch:
@@ -63,7 +64,10 @@
 				if unplaced {
 					t.Fatalf("a stream is begun anew after part of it was delivered")
 				}
-				dispatched = append(dispatched, c.Target)
+				if reachedLast {
+					t.Fatalf("request dispatched again after its last attempt")
+				}
+				dispatched, last = append(dispatched, c.Target), c.Last
 			case End:
 				ended++
 				if c.Outcome == OutcomeNotRun && mayHaveRun {
@@ -79,6 +83,7 @@
 			if _, dispatch := command.(Dispatch); dispatch {
 				if a, isEnd := e.(AttemptEnded); isEnd && !a.Unsent {
 					sent++
+					reachedLast = last
 				}
 				if a, isEnd := e.(AttemptEnded); isEnd && a.Unplaced {
 					unplaced = true
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -62,6 +62,8 @@
 	held   *heldRequest
 	number swid.Attempt
 	target swid.TargetID
+	// last is set if the request is sent to no other target after this one.
+	last bool
 	// carrier is the host that carries the request; empty if this host sends it itself.
 	carrier swid.HostID
 	// origin is that of the streams that the target begins, and born identifies its start, as they were listed
@@ -257,12 +259,12 @@
 // firstOutputTimeout returns the maximum wait for the first part of the target's
 // answer, or 0 for no limit. A limit set in the request takes precedence over the one
 // derived from the owner's estimate, which leaves half of the remaining time for
-// another target, but is at least minFirstOutputTimeout. A non-idempotent request has
-// no limit: the holder could not send the request to another target, and waits for
-// its outcome.
+// another target, but is at least minFirstOutputTimeout. A non-idempotent request and
+// the last attempt have no limit: the holder could not send the request to another
+// target, and waits for its outcome. A stream that the same target may resume keeps its limit.
 func (a *attempt) firstOutputTimeout() swclock.Millis {
 	r := a.held.request
-	if r.NonIdempotent {
+	if r.NonIdempotent || a.last && a.events == 0 {
 		return 0
 	}
 	if r.FirstOutputTimeout > 0 {
@@ -421,7 +423,11 @@
 		a.recordStatement(failure.Statement)
 	}
 	if ctx.Err() != nil {
-		return classifyCancellation(ctx, known && failure.Unsent)
+		ended := classifyCancellation(ctx, known && failure.Unsent)
+		if a.last && ended.Cause == swlife.CauseDeadline && !ended.Unsent && a.firstToken == 0 && !a.held.request.NonIdempotent {
+			ended.Result = swcell.ResultNoAnswer // as the owner has to know of a target that sends nothing
+		}
+		return ended
 	}
 	if !known {
 		return swlife.AttemptEnded{Result: swcell.ResultBroken}
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -66,7 +66,7 @@
 	RetryFailures bool
 	// FirstOutputTimeout is the maximum wait for the first part of a target's answer; 0
 	// derives it from the owner's estimate. It has no effect on a NonIdempotent
-	// request, which cannot be sent to another target.
+	// request and on the last attempt, after which there is no other target.
 	FirstOutputTimeout swclock.Millis
 	// EndsAtDeadline ends the request at the deadline even if it is NonIdempotent
 	// and still runs.
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -47,7 +47,7 @@
 		case swlife.Dispatch:
 			report.Attempts, report.Target = c.Attempt, c.Target
 			last = attempt{
-				held: e, number: c.Attempt, target: c.Target, carrier: e.carrier,
+				held: e, number: c.Attempt, target: c.Target, last: c.Last, carrier: e.carrier,
 				begun: last.begun, delivered: last.delivered, firstDelivery: last.firstDelivery, lastEventID: last.lastEventID,
 			}
 			event = last.run(ctx)
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -474,6 +475,67 @@
 	}
 }
 
+// TestLastAttemptWaits guards against an attempt that is given up to leave time for another one when none may follow.
+func TestLastAttemptWaits(t *testing.T) {
+	const limit = 700 * swclock.Millis(1)
+	unsent := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errors.New("not connected")}}
+	silent := script{startErr: &swtarget.Error{Failure: swtarget.FailureStalled, Err: errors.New("silent")}}
+	answer := script{chunks: []string{"x"}, end: io.EOF}
+	broken := script{chunks: []string{"x"}, end: errBroken, lastEventID: "1"}
+	hang := script{hang: true}
+	tests := []struct {
+		name     string
+		attempts swid.Attempt
+		stream   bool
+		limit    swclock.Millis
+		scripts  []script
+		// limited tells of each attempt whether it has a limit.
+		limited []bool
+		result  swcell.Result
+		cause   swlife.Cause
+	}{
+		{"one attempt", 1, false, limit, []script{answer}, []bool{false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"one attempt of a stream", 1, true, 0, []script{answer}, []bool{false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"two attempts", 2, false, limit, []script{silent, answer}, []bool{true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"two attempts of a stream", 2, true, 0, []script{broken, answer}, []bool{true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"as many as there may be", 0, false, limit, []script{silent, silent, silent, answer}, []bool{true, true, true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"unsent attempts do not count", 2, false, limit, []script{unsent, silent, answer}, []bool{true, true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"silent to the deadline", 1, false, limit, []script{hang}, []bool{false}, swcell.ResultNoAnswer, swlife.CauseDeadline},
+		{"silent to the deadline after another", 2, false, limit, []script{silent, hang}, []bool{true, false}, swcell.ResultNoAnswer, swlife.CauseDeadline},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				scripts := make(map[swid.TargetID][]script)
+				for i, s := range tt.scripts {
+					scripts[swid.TargetID(fmt.Sprint(i))] = []script{s}
+				}
+				f := newFixture(scripts)
+				r := f.request(tt.stream, false)
+				r.Attempts, r.FirstOutputTimeout, r.ResumeElsewhere, r.NotResumable = tt.attempts, tt.limit, tt.stream, true
+				r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+				reports, _ := f.serve(r)
+				var done swmsg.Done
+				for i := range tt.scripts {
+					grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+					f.grant("owner", grantRequest, swid.TargetID(fmt.Sprint(i)))
+					done, _ = expect[swmsg.Done](t, f)
+				}
+				if report := <-reports; report.End.Cause != tt.cause || done.Result != tt.result {
+					t.Errorf("ended with cause %v and result %v, want %v and %v", report.End.Cause, done.Result, tt.cause, tt.result)
+				}
+				var limited []bool
+				for _, call := range f.calls {
+					limited = append(limited, call.FirstOutputTimeout > 0)
+				}
+				if !slices.Equal(limited, tt.limited) {
+					t.Errorf("attempts with a limit: %v, want %v", limited, tt.limited)
+				}
+			})
+		})
+	}
+}
+
 // TestCarried checks that an attempt for which the owner named a carrier is sent by it, and what the owner learns of
 // its end.
 func TestCarried(t *testing.T) {
--- a/internal/node/swfleet/partitionedhosts_test.go
+++ b/internal/node/swfleet/partitionedhosts_test.go
@@ -338,7 +338,9 @@
 	once.Name, once.Prefix, once.Kind, once.Attempts = "once", "/once/", swcatalog.KindNonIdempotent, 1
 	stream := c.Routes[0]
 	stream.Name, stream.Prefix, stream.Kind, stream.Attempts = "stream", "/stream/", swcatalog.KindStream, 1
-	c.Routes = append(c.Routes, once, stream)
+	single := c.Routes[1]
+	single.Name, single.Prefix, single.Attempts = "single", "/single/", 1
+	c.Routes = append(c.Routes, once, stream, single)
 	c.Version++
 	f.deployment.store.catalogs.put("main", &c)
 	for id := range f.deployment.targets {
@@ -433,7 +435,7 @@
 		runs += t.runs[id]
 		t.mu.Unlock()
 	}
-	if once := path == "/once/x" || path == "/stream/x"; once && runs > 1 {
+	if once := path == "/once/x" || path == "/stream/x" || path == "/single/x"; once && runs > 1 {
 		f.deployment.t.Errorf("%s of %s ran %d times", id, path, runs)
 	}
 	if end.Outcome == swlife.OutcomeNotRun && runs > 0 {
--- a/internal/node/swfleet/silenttargets_test.go
+++ b/internal/node/swfleet/silenttargets_test.go
@@ -12,18 +12,19 @@
 )
 
 const (
-	// silentSpan is how long a sound target may fall silent.
-	silentSpan = time.Second
+	// silentSpan is how long a sound target may fall silent, and longSilentSpan more than half of patience.
+	silentSpan     = time.Second
+	longSilentSpan = 1200 * time.Millisecond
 	// minServedInSilence is the share of the requests that has to be answered while sound targets fall silent.
 	minServedInSilence = 0.95
 )
 
-// silence lets targets fall silent for silentSpan, to all hosts.
-func (f *partitionedFleet) silence(targets []*sharedTarget) {
+// silence lets targets fall silent to all hosts.
+func (f *partitionedFleet) silence(targets []*sharedTarget, span time.Duration) {
 	for _, t := range targets {
 		t.silence.set(cutHang, 0)
 	}
-	time.Sleep(silentSpan)
+	time.Sleep(span)
 	for _, t := range targets {
 		t.silence.set(0)
 	}
@@ -39,7 +40,12 @@
 	services := []struct {
 		name, prefix string
 		paths        []string
-	}{{"engines", "model", []string{"/model/x", "/stream/x"}}, {"plain", "plain", []string{"/plain/x", "/once/x"}}}
+		span         time.Duration
+	}{
+		{"engines", "model", []string{"/model/x", "/stream/x"}, silentSpan},
+		{"plain", "plain", []string{"/plain/x", "/once/x"}, silentSpan},
+		{"plain, one attempt", "plain", []string{"/single/x"}, longSilentSpan},
+	}
 	for _, size := range sizesOf(15) {
 		for _, s := range services {
 			for _, c := range cases {
@@ -64,7 +70,7 @@
 								}
 							}
 							rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-							f.silence(targets[:max(int(c.share*float64(len(targets))), 1)])
+							f.silence(targets[:max(int(c.share*float64(len(targets))), 1)], s.span)
 							time.Sleep(2 * time.Second)
 						}
 						f.setCounting(false)
