--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -61,7 +61,9 @@
 // script defines the behaviour of a target for one request.
 type script struct {
 	startErr error
-	chunks   []string
+	// stalls ends the request with startErr only if the holder gives it up.
+	stalls bool
+	chunks []string
 	// end is the error after the last chunk; io.EOF completes the answer.
 	end error
 	// hang blocks after the chunks until the attempt's context ends.
@@ -140,7 +142,7 @@
 	s.fixture.starts[s.target]++
 	next := s.fixture.scripts[s.target][0]
 	s.fixture.scripts[s.target] = s.fixture.scripts[s.target][1:]
-	if next.startErr != nil {
+	if next.startErr != nil && (!next.stalls || r.GiveUp()) {
 		return nil, next.startErr
 	}
 	return &scriptedAnswer{ctx: ctx, script: next}, nil
@@ -476,6 +478,99 @@
 	}
 }
 
+// TestLastAttemptWaits guards against an attempt that is given up to leave time for another one when none may follow.
+func TestLastAttemptWaits(t *testing.T) {
+	const limit = 700 * swclock.Millis(1)
+	unsent := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errors.New("not connected")}}
+	silent := script{startErr: &swtarget.Error{Failure: swtarget.FailureStalled, Err: errors.New("silent")}}
+	answer := script{chunks: []string{"x"}, end: io.EOF}
+	broken := script{chunks: []string{"x"}, end: errBroken, lastEventID: "1"}
+	hang := script{hang: true}
+	tests := []struct {
+		name     string
+		attempts swid.Attempt
+		stream   bool
+		limit    swclock.Millis
+		scripts  []script
+		// limited tells of each attempt whether it has a limit.
+		limited []bool
+		result  swcell.Result
+		cause   swlife.Cause
+	}{
+		{"one attempt", 1, false, limit, []script{answer}, []bool{false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"one attempt of a stream", 1, true, 0, []script{answer}, []bool{false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"two attempts", 2, false, limit, []script{silent, answer}, []bool{true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"two attempts of a stream", 2, true, 0, []script{broken, answer}, []bool{true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"as many as there may be", 0, false, limit, []script{silent, silent, silent, answer}, []bool{true, true, true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"unsent attempts do not count", 2, false, limit, []script{unsent, silent, answer}, []bool{true, true, false}, swcell.ResultAnswered, swlife.CauseNone},
+		{"silent to the deadline", 1, false, limit, []script{hang}, []bool{false}, swcell.ResultNoAnswer, swlife.CauseDeadline},
+		{"silent to the deadline where it is not given up", 2, false, limit, []script{hang}, []bool{true}, swcell.ResultNoAnswer, swlife.CauseDeadline},
+		{"silent to the deadline after another", 2, false, limit, []script{silent, hang}, []bool{true, false}, swcell.ResultNoAnswer, swlife.CauseDeadline},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				scripts := make(map[swid.TargetID][]script)
+				for i, s := range tt.scripts {
+					scripts[swid.TargetID(fmt.Sprint(i))] = []script{s}
+				}
+				f := newFixture(scripts)
+				r := f.request(tt.stream, false)
+				r.Attempts, r.FirstOutputTimeout, r.ResumeElsewhere, r.NotResumable = tt.attempts, tt.limit, tt.stream, true
+				r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+				reports, _ := f.serve(r)
+				var done swmsg.Done
+				for i := range tt.scripts {
+					grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+					f.grant("owner", grantRequest, swid.TargetID(fmt.Sprint(i)))
+					done, _ = expect[swmsg.Done](t, f)
+				}
+				if report := <-reports; report.End.Cause != tt.cause || done.Result != tt.result {
+					t.Errorf("ended with cause %v and result %v, want %v and %v", report.End.Cause, done.Result, tt.cause, tt.result)
+				}
+				var limited []bool
+				for _, call := range f.calls {
+					limited = append(limited, call.FirstOutputTimeout > 0)
+				}
+				if !slices.Equal(limited, tt.limited) {
+					t.Errorf("attempts with a limit: %v, want %v", limited, tt.limited)
+				}
+			})
+		})
+	}
+}
+
+// limitedRetries is a budget of a number of retries. It implements Retries.
+type limitedRetries struct{ left int }
+
+func (l *limitedRetries) Take(swid.ServiceID) bool {
+	if l.left == 0 {
+		return false
+	}
+	l.left--
+	return true
+}
+
+// TestGiveUpTakesRetry guards against an attempt that is given up while the budget allows no other one, and against a retry that is
+// counted twice.
+func TestGiveUpTakesRetry(t *testing.T) {
+	silent := script{startErr: &swtarget.Error{Failure: swtarget.FailureStalled, Err: errors.New("silent")}, stalls: true, chunks: []string{"x"}, end: io.EOF}
+	for _, retries := range []int{0, 1, 2} {
+		f := newFixture(map[swid.TargetID][]script{"a": {silent}, "b": {silent}, "c": {{chunks: []string{"x"}, end: io.EOF}}})
+		budget := &limitedRetries{left: retries}
+		f.holder.config.Retries = budget
+		reports, out := f.serve(f.request(false, false))
+		for _, target := range []swid.TargetID{"a", "b", "c"}[:retries+1] {
+			grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+			f.grant("owner", grantRequest, target)
+		}
+		report := <-reports
+		if report.End.Outcome != swlife.OutcomeAnswered || int(report.Attempts) != retries+1 || string(out.data) != "x" || budget.left != 0 {
+			t.Errorf("with %d retries: report %+v, delivered %q, %d retries left", retries, report, out.data, budget.left)
+		}
+	}
+}
+
 // TestCarried checks that an attempt for which the owner named a carrier is sent by it, and what the owner learns of
 // its end.
 func TestCarried(t *testing.T) {
