Bound the memory for answers that a process holds

A faulty target sent bytes without an end until the connection was closed. Each answer had a bound of its own, 16 MiB, and nothing bounded the sum: with all engines of a service faulty the host ran out of memory, and the requests of its other callers ended with it. Each answer was also held more than once: io.ReadAll copies as it grows, the holder copied what it got, and a carrier held a whole answer and its frame.

One budget a process, swbuffer.Budget, a quarter of fleet.memoryMegabytes. An answer may take what all others leave free, so that answers without an end leave room and each ends by itself. The account of a request is charged by its holder and its adapter and closed when the request ends, whatever its end; a carrier has one of its own. Whole answers are read in pieces of 16 KiB and held in segments, which are not copied as they grow. An answer above its share ends the attempt with "the answer exceeds its share of the memory for answers", result noAnswer: it is no strike against the content, and no sign that the path is broken.

The estimate of the time to the first part of an answer that is not streamed is still taken at its end.

--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -137,6 +137,7 @@
 	f.RetryReserve = o.Optional("retryReserve").Float(defaultRetryReserve, 0, 1e6)
 	f.ProcessorShare = o.Optional("processorShare").Float(0, 0, 1e3)
 	f.Cores = o.Optional("cores").Float(1, 0, 1e3)
+	f.MemoryMegabytes = o.Optional("memoryMegabytes").Float(0, 0, 1e9)
 	f.LinkMegabits = o.Optional("linkMegabits").Float(0, 0, 1e7)
 }
 
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -104,6 +104,8 @@
 	ProcessorShare float64
 	Cores          float64
 	LinkMegabits   float64
+	// MemoryMegabytes is the memory that this process may use, in MB; 0 if it is not known.
+	MemoryMegabytes float64
 }
 
 // Orders configures the orders that hosts send to engines, such as loading a model.
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
@@ -92,7 +93,7 @@
 	lastEventID string
 	// body buffers an answer that is not streamed. complete is true once the whole
 	// answer was received, streamed or not.
-	body     []byte
+	body     *swbuffer.Body
 	complete bool
 	usage    swtarget.Usage
 	// statement is what the answer says of the requests that its target takes, if there was one.
@@ -142,7 +143,11 @@
 		produced: a.produced, owners: a.owners, cancel: cancel,
 	}
 	e.mu.Unlock()
+	a.body = swbuffer.NewBody(e.buffer)
 	ended := a.exchange(ctx)
+	if !a.complete {
+		a.body.Release()
+	}
 	e.mu.Lock()
 	a.owners = e.running.owners
 	e.running = nil
@@ -229,6 +234,7 @@
 	call.ReceivedEvents = a.events
 	call.ExpectedFirst = a.expectedFirst()
 	call.Born = a.expectedStart()
+	call.Buffer = a.held.buffer
 	adapter := target.Adapter
 	if a.carrier != "" {
 		adapter = a.held.holder.config.Carry(a.carrier, a.held.request.Cell, a.target)
@@ -289,9 +295,13 @@
 		return a.notContinued()
 	}
 	streamed := a.held.request.Call.Stream && a.status < 300
+	var whole swtarget.Chunk // what the chunks of an answer that is not streamed count together
 	for {
 		chunk, err := response.Next()
 		if err == io.EOF { // an *swtarget.Error may wrap one
+			if !streamed {
+				a.recordChunk(whole)
+			}
 			if continues && a.events == events {
 				return a.notContinued()
 			}
@@ -300,12 +310,17 @@
 		if err != nil {
 			return a.classifyError(ctx, err)
 		}
-		a.recordChunk(chunk)
 		if streamed {
+			a.recordChunk(chunk)
 			err = a.deliver(chunk.Data)
 		} else {
+			whole.Tokens += chunk.Tokens
+			whole.Events += chunk.Events
 			err = a.bufferBody(chunk.Data)
 		}
+		if errors.Is(err, swbuffer.ErrExceeded) {
+			return a.classifyError(ctx, swtarget.Unheld(err))
+		}
 		if err != nil {
 			return a.deliveryFailed(err)
 		}
@@ -339,11 +354,14 @@
 	a.complete = true
 	a.usage = response.Usage()
 	if a.status >= http.StatusInternalServerError && a.held.request.RetryFailures {
+		if a.held.lastFailure != nil {
+			a.held.lastFailure.body.Release()
+		}
 		a.held.lastFailure = &failureAnswer{status: a.status, header: a.header, body: a.body}
 		return swlife.AttemptEnded{Result: swcell.ResultFailed}
 	}
 	if !streamed || !a.begun {
-		if err := a.deliver(a.body); err != nil {
+		if err := a.deliverBody(); err != nil {
 			return a.deliveryFailed(err)
 		}
 	}
@@ -395,12 +413,24 @@
 	return a.held.sink.Write(data)
 }
 
+// deliverBody sends the buffered answer to the caller.
+func (a *attempt) deliverBody() error {
+	if a.body.Len() == 0 {
+		return a.deliver(nil)
+	}
+	for _, segment := range a.body.Segments() {
+		if err := a.deliver(segment); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (a *attempt) bufferBody(data []byte) error {
-	if len(a.body)+len(data) > maxAnswerBytes {
+	if a.body.Len()+len(data) > maxAnswerBytes {
 		return errAnswerTooLarge
 	}
-	a.body = append(a.body, data...)
-	return nil
+	return a.body.Append(data)
 }
 
 // deliveryFailed returns the end of an attempt whose answer cannot be delivered to the caller.
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
@@ -72,13 +73,15 @@
 	// lastFailure is the latest server error that a target answered with, or nil.
 	// It is set only for a request with RetryFailures.
 	lastFailure *failureAnswer
+	// buffer has what is held of the answers to the request.
+	buffer *swbuffer.Account
 }
 
 // failureAnswer is a server error that a target answered with.
 type failureAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *swbuffer.Body
 }
 
 // durationEstimate is an owner's estimate of an attempt's durations since dispatch.
@@ -107,6 +110,7 @@
 		sink:     sink,
 		accepted: h.config.Clock.Now(),
 		replies:  make(chan ownerReply, 1),
+		buffer:   h.config.Answers.Open(),
 	}
 }
 
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -29,6 +29,7 @@
 
 // serve executes the commands of the request's state machine until its end.
 func (e *heldRequest) serve(ctx context.Context) Report {
+	defer e.buffer.Close()
 	rules := e.request.rules()
 	rules.Continuation.Origin = e.knownOrigin()
 	life, command := swlife.New(rules)
@@ -148,8 +149,10 @@
 	if err := e.sink.Begin(e.lastFailure.status, e.lastFailure.header); err != nil {
 		return swlife.End{Outcome: swlife.OutcomeUnknown, Cause: swlife.CauseCallerGone}
 	}
-	if err := e.sink.Write(e.lastFailure.body); err != nil {
-		return swlife.End{Outcome: swlife.OutcomeUnknown, Cause: swlife.CauseCallerGone}
+	for _, segment := range e.lastFailure.body.Segments() {
+		if err := e.sink.Write(segment); err != nil {
+			return swlife.End{Outcome: swlife.OutcomeUnknown, Cause: swlife.CauseCallerGone}
+		}
 	}
 	return swlife.End{Outcome: swlife.OutcomeAnswered}
 }
@@ -176,7 +179,7 @@
 			Outcome:     swclaim.OutcomeAnswered,
 			Status:      last.status,
 			ContentType: last.header.Get("Content-Type"),
-			Body:        last.body,
+			Body:        last.body.Bytes(),
 		}
 	case outcome == swlife.OutcomeNotRun:
 		return swclaim.Decision{Outcome: swclaim.OutcomeNotRun}
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
@@ -98,6 +99,8 @@
 	// GrantRequestInterval is the interval at which a waiting grant request is repeated; 0 means
 	// defaultGrantRequestInterval.
 	GrantRequestInterval swclock.Millis
+	// Answers is the memory for answers that are held; nil stands for one of swbuffer.DefaultCapacity.
+	Answers *swbuffer.Budget
 }
 
 // Holder holds the requests of one host. Its methods are safe for concurrent use.
@@ -118,6 +121,9 @@
 	if config.GrantRequestInterval == 0 {
 		config.GrantRequestInterval = defaultGrantRequestInterval
 	}
+	if config.Answers == nil {
+		config.Answers = swbuffer.NewBudget(swbuffer.DefaultCapacity)
+	}
 	h := &Holder{
 		config:   config,
 		requests: make(map[swid.Seq]*heldRequest),
--- a/internal/node/swfleet/gauges.go
+++ b/internal/node/swfleet/gauges.go
@@ -30,6 +30,12 @@
 			return float64(hosts)
 		}),
 		gauge("known_targets", "Targets in the list in force.", func() float64 { return float64(h.view.targetCount()) }),
+		gauge("answer_bytes_held", "Bytes of answers that are held to be passed on.", func() float64 { return float64(h.answers.Held()) }),
+		gauge("answer_bytes_limit", "Bytes of answers that may be held.", func() float64 { return float64(h.answers.Capacity()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "sassafraswing", Name: "answers_exceeding_memory_total",
+			Help: "Requests of which an answer was ended because it exceeded its share of the memory for answers.",
+		}, func() float64 { return float64(h.answers.Refused()) }),
 		gauge("known_hosts", "Hosts in the list in force.", func() float64 { return float64(len(h.view.Members())) }),
 	)
 	return g
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
@@ -63,7 +64,7 @@
 		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errPathLost}
 	case err == nil || err == io.EOF || ctx.Err() != nil:
 		exchange.End(swreach.EndingSound)
-	case errors.As(err, &failure) && (failure.Statement.Heard || failure.OtherStart ||
+	case errors.As(err, &failure) && (failure.Statement.Heard || failure.OtherStart || errors.Is(err, swbuffer.ErrExceeded) ||
 		failure.Failure == swtarget.FailureWrongRequest || failure.Failure == swtarget.FailureNotContinued):
 		exchange.Heard()
 		exchange.End(swreach.EndingSound)
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -19,6 +19,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
@@ -132,6 +133,8 @@
 	carriers   *swreach.Directory
 	// carrying carries requests of other hosts.
 	carrying *swcarry.Server
+	// answers is the memory for the answers that this host holds, of its own requests and of those that it carries.
+	answers *swbuffer.Budget
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -193,7 +196,10 @@
 	h.pathProber = newPathProber(h)
 	h.paths = swreach.NewPaths(h.clock, swreach.Hooks{Changed: h.pathProber.changed, Doubted: h.pathProber.doubted, Suspected: h.pathProber.suspected})
 	h.carriers = swreach.NewDirectory()
-	h.carrying = swcarry.NewServer(swcarry.Config{Adapter: h.carryingAdapter, OnStatement: h.recordCarriedStatement, Clock: h.clock, Log: log})
+	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(int64(settings.Fleet.MemoryMegabytes * megabyte)))
+	h.carrying = swcarry.NewServer(swcarry.Config{
+		Adapter: h.carryingAdapter, OnStatement: h.recordCarriedStatement, Answers: h.answers, Clock: h.clock, Log: log,
+	})
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
 	if err != nil {
@@ -207,6 +213,9 @@
 	return h, nil
 }
 
+// megabyte is the unit of the memory in the settings.
+const megabyte = 1e6
+
 const (
 	// ackTimeout is how long an owner may take to acknowledge a grant request: many
 	// times the round trip in a region, and a fraction of the shortest objective.
@@ -271,7 +280,7 @@
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
 		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement,
-		Origins: h.origins, Cut: h.paths.Cut, Carry: h.carriedAdapter,
+		Origins: h.origins, Cut: h.paths.Cut, Carry: h.carriedAdapter, Answers: h.answers,
 	})
 	h.owner = swowner.New(swowner.Config{
 		Host: h.self.Host, Clock: h.clock, Sender: h.exchange, Router: h.router, Members: h.view, Watcher: noWatcher{},
--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
@@ -43,7 +44,7 @@
 	}
 	// The end of the stream ends the request at the carrier.
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), stop: stop}
+	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop}
 	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell, Request: r})); err != nil {
 		_ = c.Close() // the error of the write is the one to return
 		return nil, lost(err)
@@ -57,19 +58,30 @@
 
 // carriedAnswer is an answer that a carrier sends on. It implements swtarget.Answer.
 type carriedAnswer struct {
-	stream    net.Conn
-	reader    *bufio.Reader
-	stop      func() bool
+	stream net.Conn
+	reader *bufio.Reader
+	stop   func() bool
+	// buffer holds the latest message, of held bytes.
+	buffer    *swbuffer.Account
+	held      int
 	status    int
 	header    http.Header
 	statement swlimit.Statement
 	usage     swtarget.Usage
 }
 
+// read reads the next message in place of the latest one.
+func (c *carriedAnswer) read(reply *swpb.CarriedReply) error {
+	c.buffer.Release(c.held)
+	var err error
+	c.held, err = readHeldFrame(c.reader, reply, c.buffer)
+	return err
+}
+
 // readAnswer reads the header of the answer.
 func (c *carriedAnswer) readAnswer() error {
 	var reply swpb.CarriedReply
-	if err := readFrame(c.reader, &reply); err != nil {
+	if err := c.read(&reply); err != nil {
 		return lost(err)
 	}
 	if end := reply.GetEnd(); end != nil {
@@ -98,7 +110,7 @@
 // Next implements swtarget.Answer.
 func (c *carriedAnswer) Next() (swtarget.Chunk, error) {
 	var reply swpb.CarriedReply
-	if err := readFrame(c.reader, &reply); err != nil {
+	if err := c.read(&reply); err != nil {
 		return swtarget.Chunk{}, lost(err)
 	}
 	if end := reply.GetEnd(); end != nil {
@@ -122,5 +134,7 @@
 // Close implements swtarget.Answer.
 func (c *carriedAnswer) Close() error {
 	c.stop()
+	c.buffer.Release(c.held)
+	c.held = 0
 	return c.stream.Close()
 }
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
@@ -39,8 +40,10 @@
 	// OnStatement is called with what an answer says of the requests that its target takes. sent is when the request
 	// was sent.
 	OnStatement func(r *Request, s swlimit.Statement, sent swclock.Millis)
-	Clock       swclock.Clock
-	Log         zerolog.Logger
+	// Answers is the memory for answers that are held; nil sets no bound.
+	Answers *swbuffer.Budget
+	Clock   swclock.Clock
+	Log     zerolog.Logger
 }
 
 // Server carries requests of other hosts.
@@ -98,6 +101,8 @@
 		return swtarget.Usage{}, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errBusy}
 	}
 	defer s.carried.Add(-1)
+	r.Buffer = s.config.Answers.Open()
+	defer r.Buffer.Close()
 	began := s.config.Clock.Now()
 	adapter, err := s.config.Adapter(ctx, r)
 	if err != nil {
@@ -133,10 +138,19 @@
 		if err != nil {
 			return answer.Usage(), err
 		}
-		if err := writeFrame(stream, &swpb.CarriedReply{Kind: &swpb.CarriedReply_Chunk{Chunk: &swpb.CarriedChunk{
-			Data: chunk.Data, Tokens: int64(chunk.Tokens), Events: int64(chunk.Events), LastEventId: chunk.LastEventID,
-		}}}); err != nil {
+		if err := s.writeChunk(r, stream, &chunk); err != nil {
 			return answer.Usage(), err
 		}
 	}
 }
+
+// writeChunk sends a chunk of the answer to the holder. The frame holds its bytes a second time.
+func (s *Server) writeChunk(r *Request, stream net.Conn, chunk *swtarget.Chunk) error {
+	if err := r.Buffer.Reserve(len(chunk.Data)); err != nil {
+		return swtarget.Unheld(err)
+	}
+	defer r.Buffer.Release(len(chunk.Data))
+	return writeFrame(stream, &swpb.CarriedReply{Kind: &swpb.CarriedReply_Chunk{Chunk: &swpb.CarriedChunk{
+		Data: chunk.Data, Tokens: int64(chunk.Tokens), Events: int64(chunk.Events), LastEventId: chunk.LastEventID,
+	}}})
+}
--- a/internal/peer/swcarry/swcarry.go
+++ b/internal/peer/swcarry/swcarry.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
@@ -55,21 +56,35 @@
 
 // readFrame reads a message. It returns io.EOF only if the stream ends between two frames.
 func readFrame(r *bufio.Reader, m proto.Message) error {
-	size, err := binary.ReadUvarint(r)
+	_, err := readHeldFrame(r, m, nil)
+	return err
+}
+
+// readHeldFrame is like readFrame. It returns the size of the message, which the account holds unless there is an error.
+func readHeldFrame(r *bufio.Reader, m proto.Message, buffer *swbuffer.Account) (held int, err error) {
+	announced, err := binary.ReadUvarint(r)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	if size > maxFrameBytes {
-		return errors.Wrapf(errFrame, "%d bytes", size)
+	if announced > maxFrameBytes {
+		return 0, errors.Wrapf(errFrame, "%d bytes", announced)
 	}
+	size := int(announced)
+	// The frame and the message are there at the same time.
+	if err := buffer.Reserve(2 * size); err != nil {
+		return 0, err
+	}
+	defer buffer.Release(size)
 	frame := make([]byte, size)
 	if _, err := io.ReadFull(r, frame); err != nil {
-		return errors.Wrap(io.ErrUnexpectedEOF, err.Error())
+		buffer.Release(size)
+		return 0, errors.Wrap(io.ErrUnexpectedEOF, err.Error())
 	}
 	if err := proto.Unmarshal(frame, m); err != nil {
-		return errors.Wrap(errFrame, err.Error())
+		buffer.Release(size)
+		return 0, errors.Wrap(errFrame, err.Error())
 	}
-	return nil
+	return size, nil
 }
 
 // Request is a request that is carried.
@@ -151,5 +166,8 @@
 // lost returns the error of a request whose carrier was lost after it may have got it. It does not wrap err, as
 // io.EOF would stand for a complete answer.
 func lost(err error) *swtarget.Error {
+	if errors.Is(err, swbuffer.ErrExceeded) {
+		return swtarget.Unheld(err)
+	}
 	return &swtarget.Error{Failure: swtarget.FailureStalled, CarrierLost: true, Err: errors.Errorf("carrier lost: %v", err)}
 }
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
@@ -47,6 +48,9 @@
 	// Born identifies the start of the target that the request is for; 0 for any. An adapter whose target tells
 	// sends the request to no other start of it.
 	Born int64
+	// Buffer has what is held of the request's answers, with the buffers of the adapter; nil sets no bound. It belongs to
+	// whoever starts the request.
+	Buffer *swbuffer.Account
 }
 
 // Chunk is a piece of an answer. Its bytes are valid until the next call to Next.
@@ -111,7 +115,8 @@
 	FailureBroken
 	// FailureWrongRequest means that the answer belongs to another request; this request may have run.
 	FailureWrongRequest
-	// FailureStalled means that the target made no progress within the time allowed; the request may have run.
+	// FailureStalled means that the target made no progress within the time allowed, or that the host could not hold its
+	// answer; the request may have run.
 	FailureStalled
 	// FailureNotContinued means that what the target sent does not follow Request.LastEventID; the request may have run.
 	FailureNotContinued
@@ -140,6 +145,10 @@
 	Err         error
 }
 
+// Unheld returns the error of an attempt whose answer the host cannot hold, because of err. It is no sign that the
+// request's content broke the target.
+func Unheld(err error) *Error { return &Error{Failure: FailureStalled, Err: err} }
+
 // Error implements error.
 func (e *Error) Error() string { return e.Err.Error() }
 
