Bound the lines of the header of an answer

A target's header may have 64 KiB. As many such answers as requests are under way were held besides the budget for answers.

A header has 512 lines at most. Lines are counted as they are read, so that the lines of a body that come in the same read as the end of the header do no harm. Where the parser reports the line that was cut, the error is now the header's.

TestManyFields before: "many short ones: error <nil>, want the header of the answer is too large". After: passes. go test -run ManyFields ./internal/target/swconn

--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -201,9 +201,12 @@
 	request := &http.Request{Method: r.Method}
 	skipped := false
 	for range maxAnswersRead {
-		c.head.limited, c.head.left = true, maxHeadBytes
+		c.head.start()
 		answer, err := http.ReadResponse(c.reader, request)
 		c.head.limited = false
+		if c.head.exceeded {
+			err = ErrHead // the parser may report the line that was cut
+		}
 		if err != nil && skipped {
 			return nil, errors.Wrap(ErrWrongRequest, err.Error())
 		}
--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -25,8 +26,10 @@
 	maxIdleConns = 8
 	// readBufferBytes is the size of a connection's read buffer. A usual header fits into it.
 	readBufferBytes = 4 << 10
-	// maxHeadBytes bounds the bytes that are read to find the end of an answer's header.
+	// maxHeadBytes and maxHeadLines bound what is read to find the end of an answer's header. A field takes much more memory
+	// than the few bytes that it may have.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 512
 	// maxInlineBytes is the largest request that is written before its answer is
 	// read. It fits into an empty socket buffer, so that the write does not block.
 	maxInlineBytes = 4 << 10
@@ -54,7 +57,7 @@
 	errNotReusable  = errors.New("the connection ends with the answer that tells the process of the peer")
 	// ErrStray means that bytes followed the end of an answer.
 	ErrStray = errors.New("bytes follow the end of the answer")
-	// ErrHead means that the header of an answer has no end within maxHeadBytes.
+	// ErrHead means that the header of an answer has no end within maxHeadBytes and maxHeadLines.
 	ErrHead = errors.New("the header of the answer is too large")
 	// ErrOtherProcess means that another process of the peer than the expected one is at the end of the connection.
 	ErrOtherProcess = errors.New("the peer has been started anew")
@@ -191,9 +194,16 @@
 // headLimiter bounds the bytes that are read while the header of an answer is expected.
 type headLimiter struct {
 	reader io.Reader
-	// limited is set while a header is expected, and left is the number of bytes that may be read until its end.
-	limited bool
-	left    int
+	// limited is set while a header is expected. left and leftLines are the bytes and lines that may be read until its end.
+	limited         bool
+	left, leftLines int
+	// exceeded is set if the header has no end within them.
+	exceeded bool
+}
+
+// start begins to limit a header.
+func (l *headLimiter) start() {
+	l.limited, l.left, l.leftLines, l.exceeded = true, maxHeadBytes, maxHeadLines, false
 }
 
 // Read implements io.Reader.
@@ -201,11 +211,13 @@
 	if !l.limited {
 		return l.reader.Read(b)
 	}
-	if l.left == 0 {
+	if l.left == 0 || l.leftLines <= 0 {
+		l.exceeded = true
 		return 0, ErrHead
 	}
 	n, err := l.reader.Read(b[:min(len(b), l.left)])
 	l.left -= n
+	l.leftLines -= bytes.Count(b[:n], []byte("\n")) // those of a body too, if the header ends here
 	return n, err
 }
 
--- a/internal/target/swconn/swconn_test.go
+++ b/internal/target/swconn/swconn_test.go
@@ -333,6 +333,47 @@
 	}
 }
 
+// TestManyFields guards against a header whose fields take many times the memory of its bytes.
+func TestManyFields(t *testing.T) {
+	tests := []struct {
+		name   string
+		fields int
+		body   string
+		want   error
+	}{
+		{"a few", 100, "", nil},
+		{"a few, and a body of lines", 100, strings.Repeat("\n", readBufferBytes), nil},
+		{"many short ones", maxHeadBytes / 10, "", ErrHead},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := startPeer(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+				p.read(r)
+				var answer strings.Builder
+				answer.WriteString("HTTP/1.1 200 OK\r\nId: 1\r\n")
+				for i := range tt.fields {
+					fmt.Fprintf(&answer, "A%d:\r\n", i)
+				}
+				fmt.Fprintf(&answer, "Content-Length: %d\r\n\r\n%s", len(tt.body), tt.body)
+				_, _ = io.WriteString(c, answer.String())
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			response, err := newPool(p).Do(ctx, request("1", ""))
+			if !errors.Is(err, tt.want) {
+				t.Errorf("error %v, want %v", err, tt.want)
+			}
+			if err != nil {
+				return
+			}
+			defer response.Close()
+			if body, err := io.ReadAll(response); err != nil || string(body) != tt.body || len(response.Header) < tt.fields {
+				t.Errorf("%d fields, a body of %d bytes, error %v", len(response.Header), len(body), err)
+			}
+		})
+	}
+}
+
 // TestFailures checks the error of a failed request, and whether it reports the request as sent.
 func TestFailures(t *testing.T) {
 	t.Run("nobody listens", func(t *testing.T) {
