Review: give the hosts their memory

The template of the settings asks for limits.memoryMb, and the stand-in of the platform refuses a template with a field that it does not know.

--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -29,7 +29,7 @@
 	"zone": "zone-a", "region": "region-a", "heartbeatIntervalMs": "1200", "bounds.configApplyMs": "2000", "bounds.revokeMs": "5000",
 	"bounds.quotaWindowS": "8", "bounds.quotaOverage": "0.1", "bounds.quotaSlack": "140000", "bounds.budgetWindowS": "10",
 	"bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "116", "limits.cpuShare": "0.272", "limits.cores": "1",
-	"limits.linkMbps": "700.0", "bounds.graceS": "8", "bounds.revokeFailClosed": "true",
+	"limits.linkMbps": "700.0", "limits.memoryMb": "120", "bounds.graceS": "8", "bounds.revokeFailClosed": "true",
 }
 
 var (
