--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -1,6 +1,7 @@
 package swholder
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"mime"
@@ -316,6 +317,7 @@
 		} else {
 			whole.Tokens += chunk.Tokens
 			whole.Events += chunk.Events
+			whole.LastEventID = cmp.Or(chunk.LastEventID, whole.LastEventID)
 			err = a.bufferBody(chunk.Data)
 		}
 		if errors.Is(err, swbuffer.ErrExceeded) {
