Close a connection after a body that came too late

Callers whose body took longer than the read timeout got 408 on a kept connection, and no answer to their next request there.

A read that fails at its deadline ends the context of the connection (net/http connReader.handleReadErrorLocked), and with it those of all later requests. Refuse discarded the rest of the body and kept the connection; the next request was cancelled as callerGone and its connection aborted. The refusal now announces the close where a read of the body has failed.

--- a/internal/caller/swcallerconn/body.go
+++ b/internal/caller/swcallerconn/body.go
@@ -43,8 +43,8 @@
 	controller *http.ResponseController
 	bounds     Bounds
 	received   int64
-	// started is true once a part of the body was asked for; whole once all of it was read.
-	started, whole bool
+	// started is true once a part of the body was asked for; whole once all of it was read; failed once a read has failed.
+	started, whole, failed bool
 }
 
 // NewBody returns the body of a request.
@@ -78,6 +78,7 @@
 	data, err := io.ReadAll(body)
 	b.received += int64(len(data))
 	if err != nil {
+		b.failed = true
 		return nil, errors.Wrap(err, "read body")
 	}
 	b.whole = true
@@ -87,14 +88,15 @@
 // Refuse calls write to send a refusal with a Content-Length. If the body has not arrived whole, the refusal is sent at once,
 // and the rest of the body is read and discarded: a connection that is closed while the caller still writes is reset, which
 // can destroy the refusal. limit is the longest body that callers may send; 0 if there is no limit. The connection is kept if
-// the rest arrives in time and has at most limit or minDiscardBytes bytes, whichever is more.
+// no read of the body failed before, and the rest arrives in time and has at most limit or minDiscardBytes bytes, whichever is more.
 func (b *Body) Refuse(log *zerolog.Logger, id swid.RequestID, limit int64, write func()) {
 	if b.whole {
 		write()
 		return
 	}
 	limit = max(limit, minDiscardBytes)
-	if b.Announced()-b.received > limit {
+	// net/http ends the contexts of a connection's later requests after a read that failed.
+	if b.failed || b.Announced()-b.received > limit {
 		b.writer.Header().Set("Connection", "close")
 	}
 	// Without full duplex, net/http reads up to 256 KiB of the body before it sends the refusal.
