End a request at its deadline without taking a retry

A request whose target was silent up to the deadline, because the retry budget allowed no other attempt, was answered 502 with cause retryBudget rather than 504. Where a retry had become free by then, the request took it although it could no longer be sent.

The holder reports such an attempt as noAnswer, with the deadline as its cause. The lifecycle took the result for a failure after which another grant may be requested, and the retry comes before the look at the deadline. It now ends the request.

TestDeadlineTakesNoRetry before: "with 0 retries: ended with {Outcome:unknown Cause:retryBudget RetryAfter:0}, 0 retries left"; the run ended before the case with 1 retry. After: passes, with the packages swholder and swlife. go test -race -count=1 ./internal/holder/swholder ./internal/core/swlife

--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -189,6 +189,9 @@
 		return l.retry(e)
 	case swcell.ResultBroken, swcell.ResultNoAnswer:
 		l.mayHaveRun = true
+		if e.Cause == CauseDeadline {
+			return l.end(e.Cause, e.RetryAfter)
+		}
 		if e.Resumable && !l.rules.ResumeElsewhere && l.resumes < MaxResumes {
 			l.resumes++
 			return Resume{Attempt: l.attempt, Target: l.tried[len(l.tried)-1]}
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -571,6 +571,26 @@
 	}
 }
 
+// TestDeadlineTakesNoRetry guards against a request that ends at its deadline and takes a retry from the budget, or ends for want of one.
+func TestDeadlineTakesNoRetry(t *testing.T) {
+	for _, retries := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(map[swid.TargetID][]script{"a": {{hang: true}}})
+			budget := &limitedRetries{left: retries}
+			f.holder.config.Retries = budget
+			r := f.request(false, false)
+			r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+			reports, _ := f.serve(r)
+			grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+			f.grant("owner", grantRequest, "a")
+			report := <-reports
+			if report.End.Cause != swlife.CauseDeadline || report.End.Outcome != swlife.OutcomeUnknown || budget.left != retries {
+				t.Errorf("with %d retries: ended with %+v, %d retries left", retries, report.End, budget.left)
+			}
+		})
+	}
+}
+
 // TestCarried checks that an attempt for which the owner named a carrier is sent by it, and what the owner learns of
 // its end.
 func TestCarried(t *testing.T) {
