Bound the rest of a refused body where the host just begins to leave

A shutdown waited for up to the read timeout of a body that was refused at the moment at which it began.

discard asked whether the host leaves, chose its deadline, and hurryWhenLeaving asked again and did nothing if the host left by then: where it began to leave between the two, neither bounded the read. The answer of the first look now decides both.

Seen as a failure of TestShutdownDuringRefusal, one of two runs with the race detector on a busy machine (context deadline exceeded). The test now covers the moments at which a host may begin to leave; before: "when the rest begins to be read: context deadline exceeded".

--- a/internal/caller/swcallerconn/body.go
+++ b/internal/caller/swcallerconn/body.go
@@ -137,16 +137,18 @@
 	if !b.started && strings.EqualFold(b.request.Header.Get("Expect"), "100-continue") {
 		return errNotAsked
 	}
-	timeout := b.bounds.ReadTimeout
-	if b.isLeaving() {
+	timeout, leaving := b.bounds.ReadTimeout, b.isLeaving()
+	if leaving {
 		timeout = min(timeout, leavingTimeout)
 	}
 	until := time.Now().Add(timeout.Duration())
 	if err := b.controller.SetReadDeadline(until); err != nil {
 		return errors.Wrap(err, "set the read deadline of the rest of the body")
 	}
-	stop := b.hurryWhenLeaving(until)
-	defer stop()
+	if !leaving {
+		stop := b.hurryWhenLeaving(until)
+		defer stop()
+	}
 	n, err := io.CopyN(io.Discard, b.request.Body, limit+1)
 	b.received += n
 	switch {
@@ -165,7 +167,7 @@
 // hurryWhenLeaving brings the read deadline forward when the host begins to shut down, which waits for requests that are
 // being refused. The function that it returns ends that.
 func (b *Body) hurryWhenLeaving(until time.Time) (stop func()) {
-	if b.bounds.Leaving == nil || b.isLeaving() {
+	if b.bounds.Leaving == nil {
 		return func() {}
 	}
 	done := make(chan struct{})
--- a/internal/caller/swcallerconn/swcallerconn_test.go
+++ b/internal/caller/swcallerconn/swcallerconn_test.go
@@ -123,24 +123,38 @@
 
 // TestShutdownDuringRefusal guards against a shutdown that waits for the rest of refused bodies.
 func TestShutdownDuringRefusal(t *testing.T) {
-	var leaving atomic.Bool
-	server, _ := startRefusing(t, Bounds{ReadTimeout: swclock.Hour, WriteTimeout: swclock.Second, Leaving: leaving.Load})
-	c, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nhalf"); err != nil {
-		t.Fatal(err)
-	}
-	if response, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || response.StatusCode != http.StatusNotFound {
-		t.Fatalf("refusal %+v, error %v", response, err)
+	tests := []struct {
+		name string
+		// looks is how often the server asks whether the host leaves before it does.
+		looks int64
+	}{
+		{"before the rest is read", 0},
+		{"when the rest begins to be read", 1},
+		{"while the rest is read", 2},
 	}
-	leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	if err := server.Config.Shutdown(ctx); err != nil {
-		t.Error(err)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var looks atomic.Int64
+			leaving := func() bool { return looks.Add(1) > tt.looks }
+			server, _ := startRefusing(t, Bounds{ReadTimeout: swclock.Hour, WriteTimeout: swclock.Second, Leaving: leaving})
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nhalf"); err != nil {
+				t.Fatal(err)
+			}
+			if response, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || response.StatusCode != http.StatusNotFound {
+				t.Fatalf("refusal %+v, error %v", response, err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			if err := server.Config.Shutdown(ctx); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
 
