Refuse bodies that are incomplete when a host stops taking requests

A caller whose body was still arriving when the host had waited for its requests was cut off at the end of the grace, with neither an answer nor a refusal.

The gate decided again only once the body was complete, for which it waits 15 s at most; the shutdown of callers' connections waits for the handler, and closes the connection 0.5 s before the end of the shutdown timeout. The request was certain to be refused since the gate began to drain. The read of a body now ends with the gate's draining, and the request is denied as leaving.

--- a/internal/caller/swcallerconn/body.go
+++ b/internal/caller/swcallerconn/body.go
@@ -1,6 +1,7 @@
 package swcallerconn
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -34,6 +35,8 @@
 	WriteTimeout swclock.Millis
 	// Leaving reports whether the host is shutting down; nil if that is not known.
 	Leaving func() bool
+	// Draining ends when the host begins to refuse the requests whose bodies are not complete; nil if that is not known.
+	Draining context.Context
 }
 
 // Body is the body of a caller's request. It counts what was received of it.
@@ -62,7 +65,7 @@
 func (b *Body) Received() int64 { return b.received }
 
 // ReadAll reads the body, which may have up to limit bytes; 0 sets no limit. The error wraps an *http.MaxBytesError
-// if there are more.
+// if there are more. The read fails when Bounds.Draining ends.
 func (b *Body) ReadAll(limit int64) ([]byte, error) {
 	if b.whole {
 		return nil, nil
@@ -71,11 +74,13 @@
 	if err := b.controller.SetReadDeadline(time.Now().Add(b.bounds.ReadTimeout.Duration())); err != nil {
 		return nil, errors.Wrap(err, "set the read deadline of the body")
 	}
+	stop := b.interruptWhenDraining()
 	body := b.request.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(b.writer, body, limit)
 	}
 	data, err := io.ReadAll(body)
+	stop()
 	b.received += int64(len(data))
 	if err != nil {
 		b.failed = true
@@ -85,6 +90,23 @@
 	return data, errors.Wrap(b.controller.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
 }
 
+// interruptWhenDraining lets the read deadline pass when Bounds.Draining ends. The function that it returns ends that.
+func (b *Body) interruptWhenDraining() (stop func()) {
+	if b.bounds.Draining == nil {
+		return func() {}
+	}
+	interrupted := make(chan struct{})
+	cancel := context.AfterFunc(b.bounds.Draining, func() {
+		defer close(interrupted)
+		_ = b.controller.SetReadDeadline(time.Now()) // fails only if the connection is closed
+	})
+	return func() {
+		if !cancel() {
+			<-interrupted // it must not change a later deadline
+		}
+	}
+}
+
 // Refuse calls write to send a refusal with a Content-Length. If the body has not arrived whole, the refusal is sent at once,
 // and the rest of the body is read and discarded: a connection that is closed while the caller still writes is reset, which
 // can destroy the refusal. limit is the longest body that callers may send; 0 if there is no limit. The connection is kept if
--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -148,13 +148,15 @@
 	bounds atomic.Pointer[Bounds]
 	// table is nil until the first configuration is in force.
 	table atomic.Pointer[swcatalog.Table]
-	// draining is set by StartDraining.
-	draining atomic.Bool
+	// draining is ended by StartDraining, which calls startDraining.
+	draining      context.Context
+	startDraining context.CancelFunc
 }
 
 // New returns a gate that denies all calls until Configure is called.
 func New(config Config, bounds Bounds) *Gate {
 	g := &Gate{config: config}
+	g.draining, g.startDraining = context.WithCancel(context.Background())
 	g.bounds.Store(&bounds)
 	return g
 }
@@ -163,7 +165,10 @@
 func (g *Gate) Configure(t *swcatalog.Table) { g.table.Store(t) }
 
 // StartDraining makes the gate deny all later calls, and those whose bodies are not complete yet.
-func (g *Gate) StartDraining() { g.draining.Store(true) }
+func (g *Gate) StartDraining() { g.startDraining() }
+
+// Draining returns a context that ends with StartDraining.
+func (g *Gate) Draining() context.Context { return g.draining }
 
 // SetBounds replaces the bounds.
 func (g *Gate) SetBounds(b Bounds) { g.bounds.Store(&b) }
@@ -182,6 +187,9 @@
 	retryAfterDraining = 10 * swclock.Millis(1)
 )
 
+// deniedDraining is the result of a call that is denied during shutdown.
+var deniedDraining = Result{Denial: DeniedDraining, RetryAfter: retryAfterDraining}
+
 // configAge returns the time since the store last confirmed the configuration.
 func (g *Gate) configAge() swclock.Millis { return g.config.Boot.SinceBoot() - g.config.ConfirmedAt() }
 
@@ -208,7 +216,12 @@
 	}
 	body, err := c.ReadBody(a.table.Catalog().Limits)
 	if err != nil {
-		return g.deny(c, a.table, Result{Denial: DeniedBody, BodyError: err})
+		denied := Result{Denial: DeniedBody}
+		if g.draining.Err() != nil {
+			denied = deniedDraining
+		}
+		denied.BodyError = err
+		return g.deny(c, a.table, denied)
 	}
 	// Much may have changed while the body arrived.
 	if a = g.admit(c); a.denied.Denial != DeniedNone {
@@ -239,8 +252,8 @@
 	case a.table == nil:
 		a.denied = Result{Denial: DeniedUnconfigured, RetryAfter: retryAfterUnconfigured}
 		return a
-	case g.draining.Load():
-		a.denied = Result{Denial: DeniedDraining, RetryAfter: retryAfterDraining}
+	case g.draining.Err() != nil:
+		a.denied = deniedDraining
 		return a
 	}
 	route, found := a.table.Route(c.Host, c.Path)
