Refuse incomplete bodies during shutdown at the other callers' interface too

A caller of swcaller whose body was still arriving when the HTTP server began to shut down was waited for until the end of the shutdown, and then cut off.

TestShutdownDuringBody before: 408 after 10 s (BodyTimeout), want 503. After: passes, 1 of 1. go test -race -count=1 ./internal/caller/swcaller

--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -40,13 +40,15 @@
 	router   *httprouter.Router
 	// index is nil until the first document is in force.
 	index atomic.Pointer[index]
-	// leaving is set when the HTTP server begins to shut down.
-	leaving atomic.Bool
+	// leaving ends, by startLeaving, when the HTTP server begins to shut down.
+	leaving      context.Context
+	startLeaving context.CancelFunc
 }
 
 // New returns a Server for a host of a region.
 func New(settings swsettings.Caller, region swid.RegionID, holder Holder, clock swclock.Clock, log zerolog.Logger) *Server {
 	s := &Server{settings: settings, region: region, holder: holder, clock: clock, log: log, router: httprouter.New()}
+	s.leaving, s.startLeaving = context.WithCancel(context.Background())
 	s.router.POST("/v1/chat/completions", s.withErrorResponse(s.serveCompletion))
 	s.router.POST("/v1/completions", s.withErrorResponse(s.serveCompletion))
 	s.router.GET("/v1/models", s.withErrorResponse(s.models))
@@ -73,7 +75,7 @@
 		IdleTimeout:       idleTimeout.Duration(),
 		ConnContext:       swcallerconn.ConnContext,
 	}
-	server.RegisterOnShutdown(func() { s.leaving.Store(true) })
+	server.RegisterOnShutdown(s.startLeaving)
 	return server
 }
 
@@ -85,7 +87,9 @@
 
 // newBody returns the body of a request.
 func (s *Server) newBody(w http.ResponseWriter, r *http.Request) *swcallerconn.Body {
-	return swcallerconn.NewBody(w, r, swcallerconn.Bounds{ReadTimeout: s.settings.BodyTimeout, WriteTimeout: s.settings.WriteTimeout, Leaving: s.leaving.Load})
+	return swcallerconn.NewBody(w, r, swcallerconn.Bounds{
+		ReadTimeout: s.settings.BodyTimeout, WriteTimeout: s.settings.WriteTimeout, Leaving: func() bool { return s.leaving.Err() != nil }, Draining: s.leaving,
+	})
 }
 
 // refuse sends an error as the response to a request that was not passed to the holder.
@@ -217,6 +221,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, newNotRunError(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body is above "+strconv.Itoa(s.settings.MaxBodyBytes)+" bytes")
 	}
+	if err != nil && s.leaving.Err() != nil {
+		return nil, newNotRunError(http.StatusServiceUnavailable, "shuttingDown", "this host is shutting down")
+	}
 	if err != nil {
 		return nil, newNotRunError(http.StatusRequestTimeout, "bodyIncomplete", "the body did not arrive whole in time")
 	}
--- a/internal/caller/swcaller/swcaller_test.go
+++ b/internal/caller/swcaller/swcaller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -70,6 +71,41 @@
 	}
 }
 
+// TestShutdownDuringBody guards against a body that is waited for until the host ends without an answer.
+func TestShutdownDuringBody(t *testing.T) {
+	settings := swsettings.Caller{BodyTimeout: 10 * swclock.Second, WriteTimeout: swclock.Minute, HeaderTimeout: swclock.Minute, MaxBodyBytes: 1 << 20}
+	s := New(settings, "r", nil, swclock.NewSystem(), zerolog.Nop())
+	key := sha256.Sum256([]byte("key"))
+	s.Configure(&swdoc.Document{Organisations: []swdoc.Organisation{{ID: "o", KeyHashes: []string{hex.EncodeToString(key[:])}}}})
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = s.HTTP()
+	server.Start()
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	const head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 1000\r\nExpect: 100-continue\r\n\r\n"
+	if _, err := io.WriteString(c, head+"half"); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(c)
+	if asked, err := http.ReadResponse(reader, nil); err != nil || asked.StatusCode != http.StatusContinue {
+		t.Fatalf("response %+v, error %v", asked, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Config.Shutdown(ctx) }()
+	if response, err := http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("response %+v, error %v", response, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
 // deadlineRecorder is a response recorder that takes read deadlines.
 type deadlineRecorder struct{ *httptest.ResponseRecorder }
 
