Bound the write of an answer that is not streamed as a whole

Since such answers are passed on in pieces of at most 16 KiB, a caller that reads slowly had the write timeout for each piece, 5 s, rather than for the whole: up to 1,024 times as long for 16 MiB, in which the answer takes memory from the budget and the request a slot of its target at the owner. The deadline is now set at the first piece, as it was when the answer was one write. Streams have one for each write.

--- a/internal/caller/swcaller/sink.go
+++ b/internal/caller/swcaller/sink.go
@@ -14,19 +14,27 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	timeout    swclock.Millis
+	// stream is true if a successful answer is streamed.
+	stream bool
+	// bounded is set once the write deadline of an answer that is not streamed is set.
+	bounded bool
 }
 
 // Begin implements swholder.Sink.
 func (s *sink) Begin(status int, header http.Header) error {
 	maps.Copy(s.writer.Header(), header)
+	s.stream = s.stream && status < http.StatusMultipleChoices
 	s.writer.WriteHeader(status)
 	return nil
 }
 
 // Write implements swholder.Sink.
 func (s *sink) Write(data []byte) error {
-	if err := s.controller.SetWriteDeadline(time.Now().Add(s.timeout.Duration())); err != nil {
-		return err
+	if s.stream || !s.bounded {
+		if err := s.controller.SetWriteDeadline(time.Now().Add(s.timeout.Duration())); err != nil {
+			return err
+		}
+		s.bounded = true
 	}
 	if _, err := s.writer.Write(data); err != nil {
 		return err
--- a/internal/caller/swcaller/swcaller_test.go
+++ b/internal/caller/swcaller/swcaller_test.go
@@ -111,6 +111,40 @@
 
 func (deadlineRecorder) SetReadDeadline(time.Time) error { return nil }
 
+// writeRecorder is a response recorder that counts the write deadlines that are set.
+type writeRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines int
+}
+
+// SetWriteDeadline is called by http.ResponseController.
+func (r *writeRecorder) SetWriteDeadline(time.Time) error {
+	r.deadlines++
+	return nil
+}
+
+// TestSlowReader guards against callers that read an answer slowly and keep the host's memory for as many write timeouts as it has pieces.
+func TestSlowReader(t *testing.T) {
+	for _, tt := range []struct {
+		stream            bool
+		status, deadlines int
+	}{{false, 200, 1}, {true, 500, 1}, {true, 200, 3}} {
+		w := &writeRecorder{ResponseRecorder: httptest.NewRecorder()}
+		s := &sink{writer: w, controller: http.NewResponseController(w), timeout: swclock.Second, stream: tt.stream}
+		if err := s.Begin(tt.status, nil); err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			if err := s.Write([]byte("piece")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if w.deadlines != tt.deadlines {
+			t.Errorf("%+v: %d write deadlines for three pieces", tt, w.deadlines)
+		}
+	}
+}
+
 // slowBody is a body during whose arrival something happens.
 type slowBody struct {
 	*strings.Reader
