End a begun stream on a lost path at its last attempt too

A stream in its last attempt, or while the retry budget is used up, that had begun when the host lost its path to the target stayed open without a word until its deadline, where its caller could have taken it up at another host.

The path adapter ends exchanges on lost paths only where FirstOutputTimeout is set, which last attempts no longer have, and where GiveUp allows it, which asks the retry budget. Neither says anything of a stream that has begun: its caller may take it up whatever the budget says. GiveUp now allows the end of a stream that has begun without keeping a retry, and keeps none at a last attempt; a silent last attempt still waits. Non-idempotent requests have no GiveUp, as they may not be ended.

TestStreamOnLostPath before: fails for "last attempt, silent", "last attempt, begun" and "no retry allowed, begun". After: passes, with the package. The path adapter's own condition has no test; a cut in the middle of a stream was not tried in a simulated fleet. go test -race -count=1 ./internal/holder/swholder

--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -85,6 +86,8 @@
 	// describes that answer.
 	begun     bool
 	delivered answerKind
+	// streaming is set once this attempt has delivered a part of a stream.
+	streaming atomic.Bool
 	// firstToken is the time from dispatch to the first chunk; firstDelivery is the
 	// time from accepting the request to its first delivery. Each is 0 until then.
 	firstToken    swclock.Millis
@@ -235,8 +238,8 @@
 	call.Attempt = a.number
 	call.IdempotencyKey = a.held.request.IdempotencyKey
 	call.FirstOutputTimeout = a.firstOutputTimeout()
-	if a.events == 0 {
-		call.GiveUp = a.held.keepRetry
+	if a.events == 0 && !a.held.request.NonIdempotent {
+		call.GiveUp = a.mayGiveUp
 	}
 	call.ReceivedEvents = a.events
 	call.ExpectedFirst = a.expectedFirst()
@@ -254,6 +257,12 @@
 	return a.receive(ctx, response)
 }
 
+// mayGiveUp reports whether the attempt may be ended early. A stream that has begun may always: its caller can take it up.
+// Otherwise a retry is kept for the next attempt.
+func (a *attempt) mayGiveUp() bool {
+	return a.streaming.Load() || !a.last && a.held.keepRetry()
+}
+
 // isClosed reports whether the target has said that it takes no requests from this host. The owner that
 // granted it gets to know why.
 func (a *attempt) isClosed() bool {
@@ -320,6 +329,7 @@
 		if streamed {
 			a.recordChunk(chunk)
 			err = a.deliver(chunk.Data)
+			a.streaming.Store(true)
 		} else {
 			whole.Tokens += chunk.Tokens
 			whole.Events += chunk.Events
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -571,6 +571,42 @@
 	}
 }
 
+// TestStreamOnLostPath guards against a stream that has begun and is not ended where its path is lost, so that its caller cannot take it up.
+func TestStreamOnLostPath(t *testing.T) {
+	tests := []struct {
+		name     string
+		attempts swid.Attempt
+		chunks   []string
+		retries  int
+		givesUp  bool
+	}{
+		{"last attempt, silent", 1, nil, 1, false},
+		{"last attempt, begun", 1, []string{"x"}, 1, true},
+		{"no retry allowed, silent", 2, nil, 0, false},
+		{"no retry allowed, begun", 2, []string{"x"}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[swid.TargetID][]script{"a": {{chunks: tt.chunks, hang: true, lastEventID: "1"}}})
+				budget := &limitedRetries{left: tt.retries}
+				f.holder.config.Retries = budget
+				r := f.request(true, false)
+				r.Attempts, r.ResumeElsewhere, r.NotResumable = tt.attempts, true, true
+				r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+				reports, _ := f.serve(r)
+				grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+				f.grant("owner", grantRequest, "a")
+				synctest.Wait()
+				if giveUp := f.calls[0].GiveUp; giveUp == nil || giveUp() != tt.givesUp || budget.left != tt.retries {
+					t.Errorf("not given up as wanted, %d retries left", budget.left)
+				}
+				<-reports
+			})
+		})
+	}
+}
+
 // TestDeadlineTakesNoRetry guards against a request that ends at its deadline and takes a retry from the budget, or ends for want of one.
 func TestDeadlineTakesNoRetry(t *testing.T) {
 	for _, retries := range []int{0, 1} {
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -41,7 +41,7 @@
 func (p *pathAdapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var abort func()
-	if r.FirstOutputTimeout > 0 { // the request may be sent to another target
+	if r.FirstOutputTimeout > 0 || r.GiveUp != nil { // the request may be sent to another target, or its stream be taken up
 		abort = func() {
 			if r.GiveUp == nil || r.GiveUp() {
 				cancel(errPathLost)
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -35,8 +35,8 @@
 	// FirstOutputTimeout is the maximum wait for the first part of the answer; 0 sets none.
 	// If the adapter has its own limit, the shorter of the two applies.
 	FirstOutputTimeout swclock.Millis
-	// GiveUp, if not nil, reports whether an attempt without output may be ended after FirstOutputTimeout, or because the
-	// path to the target is lost, so that the request can be sent to another target. It does not block. Hosts that
+	// GiveUp, if not nil, reports whether an attempt may be ended after FirstOutputTimeout without output, or because the
+	// path to the target is lost, so that the request can be sent to another target or its stream be taken up. It does not block. Hosts that
 	// carry the request do not ask.
 	GiveUp func() bool
 	// ExpectedFirst is the expected time to the first part of the answer; 0 if it is not known.
