Do not take a target for silent that got a request shortly before its deadline

Attempts that end at their deadline without output are reported as noAnswer, which counts against the target: several of them, from two hosts or from one while no other has heard from it, have it probed only. A request that waited long for its grant may be sent a moment before its deadline; where requests queue, sound targets got such marks from many hosts.

An attempt is now reported so only if the target had the time after which it would have been given up, were the attempt not the last one; else as cancelled, as it was before last attempts waited.

TestLateAttempt before: "ended with {Outcome:unknown Cause:deadline RetryAfter:0} and result noAnswer, want cancelled" (100 ms left of a limit of 700). After: passes. The effect on a fleet was not measured. Also passed on this code: TestPartitionedHosts, TestStop*, TestLeavingTargets, TestCarrierLeaves, TestCallsOf*, TestSilentTargets of swfleet, once each. go test -race -count=1 ./internal/holder/swholder

--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -77,6 +77,8 @@
 	// attempt was reported to since.
 	owners []swid.HostID
 
+	// patience is the time without output after which the target counts as silent in the latest run.
+	patience swclock.Millis
 	// dispatched is when the first run started; ended is when the latest run ended.
 	dispatched swclock.Millis
 	ended      swclock.Millis
@@ -237,6 +239,7 @@
 	call.ID = a.held.request.ID
 	call.Attempt = a.number
 	call.IdempotencyKey = a.held.request.IdempotencyKey
+	a.patience = a.silenceLimit()
 	call.FirstOutputTimeout = a.firstOutputTimeout()
 	if a.events == 0 && !a.held.request.NonIdempotent {
 		call.GiveUp = a.mayGiveUp
@@ -287,8 +290,13 @@
 	if r.NonIdempotent || a.last && a.events == 0 {
 		return 0
 	}
-	if r.FirstOutputTimeout > 0 {
-		return r.FirstOutputTimeout
+	return a.patience
+}
+
+// silenceLimit returns the time without output after which a target counts as silent, from now on.
+func (a *attempt) silenceLimit() swclock.Millis {
+	if limit := a.held.request.FirstOutputTimeout; limit > 0 {
+		return limit
 	}
 	return max(minFirstOutputTimeout, min(a.expectedFirst()*firstOutputTimeoutFactor+firstOutputTimeoutMargin, a.held.remaining()/2))
 }
@@ -471,7 +479,8 @@
 	}
 	if ctx.Err() != nil {
 		ended := classifyCancellation(ctx, known && failure.Unsent)
-		if ended.Cause == swlife.CauseDeadline && !ended.Unsent && a.firstToken == 0 && !a.held.request.NonIdempotent {
+		silent := a.firstToken == 0 && a.held.holder.config.Clock.Now()-a.dispatched >= a.patience
+		if ended.Cause == swlife.CauseDeadline && !ended.Unsent && silent && !a.held.request.NonIdempotent {
 			ended.Result = swcell.ResultNoAnswer // as the owner has to know of a target that sends nothing
 		}
 		return ended
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -571,6 +571,29 @@
 	}
 }
 
+// TestLateAttempt guards against a target that is taken for silent because a request was sent to it shortly before its deadline.
+func TestLateAttempt(t *testing.T) {
+	const limit = 700 * swclock.Millis(1)
+	for remaining, want := range map[swclock.Millis]swcell.Result{100: swcell.ResultCancelled, limit: swcell.ResultNoAnswer} {
+		t.Run(fmt.Sprint(remaining), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[swid.TargetID][]script{"a": {{hang: true}}})
+				r := f.request(false, false)
+				r.Attempts, r.FirstOutputTimeout = 1, limit
+				r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+				reports, _ := f.serve(r)
+				grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+				time.Sleep((10*swclock.Second - remaining).Duration())
+				f.grant("owner", grantRequest, "a")
+				report := <-reports
+				if done, _ := expect[swmsg.Done](t, f); done.Result != want || report.End.Cause != swlife.CauseDeadline {
+					t.Errorf("ended with %+v and result %v, want %v", report.End, done.Result, want)
+				}
+			})
+		})
+	}
+}
+
 // TestStreamOnLostPath guards against a stream that has begun and is not ended where its path is lost, so that its caller cannot take it up.
 func TestStreamOnLostPath(t *testing.T) {
 	tests := []struct {
