--- a/internal/caller/swcallerconn/body.go
+++ b/internal/caller/swcallerconn/body.go
@@ -1,6 +1,7 @@
 package swcallerconn
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -34,6 +35,8 @@
 	WriteTimeout swclock.Millis
 	// Leaving reports whether the host is shutting down; nil if that is not known.
 	Leaving func() bool
+	// Draining ends when the host begins to refuse the requests whose bodies are not complete; nil if that is not known.
+	Draining context.Context
 }
 
 // Body is the body of a caller's request. It counts what was received of it.
@@ -43,8 +46,8 @@
 	controller *http.ResponseController
 	bounds     Bounds
 	received   int64
-	// started is true once a part of the body was asked for; whole once all of it was read.
-	started, whole bool
+	// started is true once a part of the body was asked for; whole once all of it was read; failed once a read has failed.
+	started, whole, failed bool
 }
 
 // NewBody returns the body of a request.
@@ -62,7 +65,7 @@
 func (b *Body) Received() int64 { return b.received }
 
 // ReadAll reads the body, which may have up to limit bytes; 0 sets no limit. The error wraps an *http.MaxBytesError
-// if there are more.
+// if there are more. The read fails when Bounds.Draining ends.
 func (b *Body) ReadAll(limit int64) ([]byte, error) {
 	if b.whole {
 		return nil, nil
@@ -71,30 +74,51 @@
 	if err := b.controller.SetReadDeadline(time.Now().Add(b.bounds.ReadTimeout.Duration())); err != nil {
 		return nil, errors.Wrap(err, "set the read deadline of the body")
 	}
+	stop := b.interruptWhenDraining()
 	body := b.request.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(b.writer, body, limit)
 	}
 	data, err := io.ReadAll(body)
+	stop()
 	b.received += int64(len(data))
 	if err != nil {
+		b.failed = true
 		return nil, errors.Wrap(err, "read body")
 	}
 	b.whole = true
 	return data, errors.Wrap(b.controller.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
 }
 
+// interruptWhenDraining lets the read deadline pass when Bounds.Draining ends. The function that it returns ends that.
+func (b *Body) interruptWhenDraining() (stop func()) {
+	if b.bounds.Draining == nil {
+		return func() {}
+	}
+	interrupted := make(chan struct{})
+	cancel := context.AfterFunc(b.bounds.Draining, func() {
+		defer close(interrupted)
+		_ = b.controller.SetReadDeadline(time.Now()) // fails only if the connection is closed
+	})
+	return func() {
+		if !cancel() {
+			<-interrupted // it must not change a later deadline
+		}
+	}
+}
+
 // Refuse calls write to send a refusal with a Content-Length. If the body has not arrived whole, the refusal is sent at once,
 // and the rest of the body is read and discarded: a connection that is closed while the caller still writes is reset, which
 // can destroy the refusal. limit is the longest body that callers may send; 0 if there is no limit. The connection is kept if
-// the rest arrives in time and has at most limit or minDiscardBytes bytes, whichever is more.
+// no read of the body failed before, and the rest arrives in time and has at most limit or minDiscardBytes bytes, whichever is more.
 func (b *Body) Refuse(log *zerolog.Logger, id swid.RequestID, limit int64, write func()) {
 	if b.whole {
 		write()
 		return
 	}
 	limit = max(limit, minDiscardBytes)
-	if b.Announced()-b.received > limit {
+	// net/http ends the contexts of a connection's later requests after a read that failed.
+	if b.failed || b.Announced()-b.received > limit {
 		b.writer.Header().Set("Connection", "close")
 	}
 	// Without full duplex, net/http reads up to 256 KiB of the body before it sends the refusal.
@@ -135,16 +159,18 @@
 	if !b.started && strings.EqualFold(b.request.Header.Get("Expect"), "100-continue") {
 		return errNotAsked
 	}
-	timeout := b.bounds.ReadTimeout
-	if b.isLeaving() {
+	timeout, leaving := b.bounds.ReadTimeout, b.isLeaving()
+	if leaving {
 		timeout = min(timeout, leavingTimeout)
 	}
 	until := time.Now().Add(timeout.Duration())
 	if err := b.controller.SetReadDeadline(until); err != nil {
 		return errors.Wrap(err, "set the read deadline of the rest of the body")
 	}
-	stop := b.hurryWhenLeaving(until)
-	defer stop()
+	if !leaving {
+		stop := b.hurryWhenLeaving(until)
+		defer stop()
+	}
 	n, err := io.CopyN(io.Discard, b.request.Body, limit+1)
 	b.received += n
 	switch {
@@ -163,7 +189,7 @@
 // hurryWhenLeaving brings the read deadline forward when the host begins to shut down, which waits for requests that are
 // being refused. The function that it returns ends that.
 func (b *Body) hurryWhenLeaving(until time.Time) (stop func()) {
-	if b.bounds.Leaving == nil || b.isLeaving() {
+	if b.bounds.Leaving == nil {
 		return func() {}
 	}
 	done := make(chan struct{})
--- a/internal/caller/swcallerconn/swcallerconn_test.go
+++ b/internal/caller/swcallerconn/swcallerconn_test.go
@@ -28,6 +28,9 @@
 	log := zerolog.Nop()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requests.Add(1)
+		if r.Context().Err() != nil {
+			panic(http.ErrAbortHandler) // as for a request whose caller is gone
+		}
 		body, status := NewBody(w, r, bounds), http.StatusNotFound
 		if r.URL.Path == "/read" {
 			if _, err := body.ReadAll(testBodyLimit); err != nil {
@@ -70,7 +73,7 @@
 		{"sends the body unasked", "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n" + length, 30, long, 404, true},
 		{"malformed chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n", 1, "zz\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", 404, true},
 		{"larger than what is discarded", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n", 30, strings.Repeat("x", 5_000_000), 404, true},
-		{"late", "POST /read HTTP/1.1\r\nHost: h\r\n" + length, 100, long, 408, false},
+		{"late", "POST /read HTTP/1.1\r\nHost: h\r\n" + length, 100, long, 408, true},
 		{"late, chunked", "POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n", 100, strings.Repeat(chunk, 30) + "0\r\n\r\n", 408, true},
 	}
 	for _, tt := range tests {
@@ -120,24 +123,38 @@
 
 // TestShutdownDuringRefusal guards against a shutdown that waits for the rest of refused bodies.
 func TestShutdownDuringRefusal(t *testing.T) {
-	var leaving atomic.Bool
-	server, _ := startRefusing(t, Bounds{ReadTimeout: swclock.Hour, WriteTimeout: swclock.Second, Leaving: leaving.Load})
-	c, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nhalf"); err != nil {
-		t.Fatal(err)
-	}
-	if response, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || response.StatusCode != http.StatusNotFound {
-		t.Fatalf("refusal %+v, error %v", response, err)
+	tests := []struct {
+		name string
+		// looks is how often the server asks whether the host leaves before it does.
+		looks int64
+	}{
+		{"before the rest is read", 0},
+		{"when the rest begins to be read", 1},
+		{"while the rest is read", 2},
 	}
-	leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	if err := server.Config.Shutdown(ctx); err != nil {
-		t.Error(err)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var looks atomic.Int64
+			leaving := func() bool { return looks.Add(1) > tt.looks }
+			server, _ := startRefusing(t, Bounds{ReadTimeout: swclock.Hour, WriteTimeout: swclock.Second, Leaving: leaving})
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nhalf"); err != nil {
+				t.Fatal(err)
+			}
+			if response, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || response.StatusCode != http.StatusNotFound {
+				t.Fatalf("refusal %+v, error %v", response, err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			if err := server.Config.Shutdown(ctx); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
 
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -76,6 +77,8 @@
 	// attempt was reported to since.
 	owners []swid.HostID
 
+	// patience is the time without output after which the target counts as silent in the latest run.
+	patience swclock.Millis
 	// dispatched is when the first run started; ended is when the latest run ended.
 	dispatched swclock.Millis
 	ended      swclock.Millis
@@ -85,6 +88,8 @@
 	// describes that answer.
 	begun     bool
 	delivered answerKind
+	// streaming is set once this attempt has delivered a part of a stream.
+	streaming atomic.Bool
 	// firstToken is the time from dispatch to the first chunk; firstDelivery is the
 	// time from accepting the request to its first delivery. Each is 0 until then.
 	firstToken    swclock.Millis
@@ -234,9 +239,10 @@
 	call.ID = a.held.request.ID
 	call.Attempt = a.number
 	call.IdempotencyKey = a.held.request.IdempotencyKey
+	a.patience = a.silenceLimit()
 	call.FirstOutputTimeout = a.firstOutputTimeout()
-	if a.events == 0 {
-		call.GiveUp = a.held.keepRetry
+	if a.events == 0 && !a.held.request.NonIdempotent {
+		call.GiveUp = a.mayGiveUp
 	}
 	call.ReceivedEvents = a.events
 	call.ExpectedFirst = a.expectedFirst()
@@ -254,6 +260,12 @@
 	return a.receive(ctx, response)
 }
 
+// mayGiveUp reports whether the attempt may be ended early. A stream that has begun may always: its caller can take it up.
+// Otherwise a retry is kept for the next attempt.
+func (a *attempt) mayGiveUp() bool {
+	return a.streaming.Load() || !a.last && a.held.keepRetry()
+}
+
 // isClosed reports whether the target has said that it takes no requests from this host. The owner that
 // granted it gets to know why.
 func (a *attempt) isClosed() bool {
@@ -278,8 +290,13 @@
 	if r.NonIdempotent || a.last && a.events == 0 {
 		return 0
 	}
-	if r.FirstOutputTimeout > 0 {
-		return r.FirstOutputTimeout
+	return a.patience
+}
+
+// silenceLimit returns the time without output after which a target counts as silent, from now on.
+func (a *attempt) silenceLimit() swclock.Millis {
+	if limit := a.held.request.FirstOutputTimeout; limit > 0 {
+		return limit
 	}
 	return max(minFirstOutputTimeout, min(a.expectedFirst()*firstOutputTimeoutFactor+firstOutputTimeoutMargin, a.held.remaining()/2))
 }
@@ -320,6 +337,7 @@
 		if streamed {
 			a.recordChunk(chunk)
 			err = a.deliver(chunk.Data)
+			a.streaming.Store(true)
 		} else {
 			whole.Tokens += chunk.Tokens
 			whole.Events += chunk.Events
@@ -461,7 +479,8 @@
 	}
 	if ctx.Err() != nil {
 		ended := classifyCancellation(ctx, known && failure.Unsent)
-		if ended.Cause == swlife.CauseDeadline && !ended.Unsent && a.firstToken == 0 && !a.held.request.NonIdempotent {
+		silent := a.firstToken == 0 && a.held.holder.config.Clock.Now()-a.dispatched >= a.patience
+		if ended.Cause == swlife.CauseDeadline && !ended.Unsent && silent && !a.held.request.NonIdempotent {
 			ended.Result = swcell.ResultNoAnswer // as the owner has to know of a target that sends nothing
 		}
 		return ended
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -571,6 +571,85 @@
 	}
 }
 
+// TestLateAttempt guards against a target that is taken for silent because a request was sent to it shortly before its deadline.
+func TestLateAttempt(t *testing.T) {
+	const limit = 700 * swclock.Millis(1)
+	for remaining, want := range map[swclock.Millis]swcell.Result{100: swcell.ResultCancelled, limit: swcell.ResultNoAnswer} {
+		t.Run(fmt.Sprint(remaining), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[swid.TargetID][]script{"a": {{hang: true}}})
+				r := f.request(false, false)
+				r.Attempts, r.FirstOutputTimeout = 1, limit
+				r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+				reports, _ := f.serve(r)
+				grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+				time.Sleep((10*swclock.Second - remaining).Duration())
+				f.grant("owner", grantRequest, "a")
+				report := <-reports
+				if done, _ := expect[swmsg.Done](t, f); done.Result != want || report.End.Cause != swlife.CauseDeadline {
+					t.Errorf("ended with %+v and result %v, want %v", report.End, done.Result, want)
+				}
+			})
+		})
+	}
+}
+
+// TestStreamOnLostPath guards against a stream that has begun and is not ended where its path is lost, so that its caller cannot take it up.
+func TestStreamOnLostPath(t *testing.T) {
+	tests := []struct {
+		name     string
+		attempts swid.Attempt
+		chunks   []string
+		retries  int
+		givesUp  bool
+	}{
+		{"last attempt, silent", 1, nil, 1, false},
+		{"last attempt, begun", 1, []string{"x"}, 1, true},
+		{"no retry allowed, silent", 2, nil, 0, false},
+		{"no retry allowed, begun", 2, []string{"x"}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[swid.TargetID][]script{"a": {{chunks: tt.chunks, hang: true, lastEventID: "1"}}})
+				budget := &limitedRetries{left: tt.retries}
+				f.holder.config.Retries = budget
+				r := f.request(true, false)
+				r.Attempts, r.ResumeElsewhere, r.NotResumable = tt.attempts, true, true
+				r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+				reports, _ := f.serve(r)
+				grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+				f.grant("owner", grantRequest, "a")
+				synctest.Wait()
+				if giveUp := f.calls[0].GiveUp; giveUp == nil || giveUp() != tt.givesUp || budget.left != tt.retries {
+					t.Errorf("not given up as wanted, %d retries left", budget.left)
+				}
+				<-reports
+			})
+		})
+	}
+}
+
+// TestDeadlineTakesNoRetry guards against a request that ends at its deadline and takes a retry from the budget, or ends for want of one.
+func TestDeadlineTakesNoRetry(t *testing.T) {
+	for _, retries := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(map[swid.TargetID][]script{"a": {{hang: true}}})
+			budget := &limitedRetries{left: retries}
+			f.holder.config.Retries = budget
+			r := f.request(false, false)
+			r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+			reports, _ := f.serve(r)
+			grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+			f.grant("owner", grantRequest, "a")
+			report := <-reports
+			if report.End.Cause != swlife.CauseDeadline || report.End.Outcome != swlife.OutcomeUnknown || budget.left != retries {
+				t.Errorf("with %d retries: ended with %+v, %d retries left", retries, report.End, budget.left)
+			}
+		})
+	}
+}
+
 // TestCarried checks that an attempt for which the owner named a carrier is sent by it, and what the owner learns of
 // its end.
 func TestCarried(t *testing.T) {
