Ask again to end an exchange on a lost path that was not ended

What callers would see: a stream that began late on a lost path hung until its deadline and could not be taken up. Cause: an exchange was asked to end once only, also where the answer was that it may not end yet (no retry left, nothing begun). Change: the question is repeated until the exchange ends.

Measured: TestOverdueExchange, go test ./internal/core/swreach before: "an exchange that was not ended the first time was asked to end 1 times, want 2"; after: ok. One more exchange in the test is doubted, 3 for 2.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -136,13 +136,14 @@
 	signAt swclock.Millis
 	// doubtedAt is when the exchange was first found overdue, or 0.
 	doubtedAt swclock.Millis
-	// abort ends the exchange because the path is lost; nil if it must not be ended.
-	abort func()
+	// abort ends the exchange because the path is lost, and reports whether it did; nil if the exchange must not be ended.
+	abort func() bool
 }
 
-// Begin records that a request is sent to a target. expected is the time to the first part of its answer. abort is
-// called at most once, if the path is taken for lost while the exchange is overdue; nil if it must not be ended.
-func (p *Paths) Begin(target swid.TargetID, expected swclock.Millis, abort func()) *Exchange {
+// Begin records that a request is sent to a target. expected is the time to the first part of its answer. abort ends
+// the exchange and reports whether it did. It is called while the path is taken for lost and the exchange is overdue, until it
+// did; nil if the exchange must not be ended.
+func (p *Paths) Begin(target swid.TargetID, expected swclock.Millis, abort func() bool) *Exchange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x := &Exchange{paths: p, target: target, patience: minStall + stallFactor*expected, signAt: p.clock.Now(), abort: abort}
@@ -331,8 +332,7 @@
 func (p *Paths) abortOverdue(now swclock.Millis) {
 	for x := range p.exchanges {
 		s := p.services[x.service]
-		if cut := p.all.cut || s != nil && s.cut; cut && x.abort != nil && x.isLost(now) {
-			x.abort()
+		if cut := p.all.cut || s != nil && s.cut; cut && x.abort != nil && x.isLost(now) && x.abort() {
 			x.abort = nil
 		}
 	}
--- a/internal/core/swreach/paths_test.go
+++ b/internal/core/swreach/paths_test.go
@@ -119,13 +119,15 @@
 	p.Heard("a1")
 	p.clock.Advance(1)
 	aborted := 0
-	p.Begin("a1", 100, func() { aborted++ })
+	p.Begin("a1", 100, func() bool { aborted++; return true })
+	asked := 0
+	p.Begin("a1", 100, func() bool { asked++; return asked > 1 })
 	kept := p.Begin("a2", 100, nil)
 	defer kept.End(EndingSound)
 	p.clock.Advance(minStall + stallFactor*100)
 	p.Review()
-	if p.doubted != 2 || p.suspected != 0 {
-		t.Fatalf("%d exchanges doubted and %d services suspected when exchanges became overdue, want 2 and 0", p.doubted, p.suspected)
+	if p.doubted != 3 || p.suspected != 0 {
+		t.Fatalf("%d exchanges doubted and %d services suspected when exchanges became overdue, want 3 and 0", p.doubted, p.suspected)
 	}
 	p.clock.Advance(ConfirmAfter)
 	p.Review()
@@ -147,6 +149,10 @@
 	if aborted != 1 {
 		t.Errorf("an exchange was ended %d times", aborted)
 	}
+	p.Review()
+	if asked != 2 {
+		t.Errorf("an exchange that was not ended the first time was asked to end %d times, want 2", asked)
+	}
 	if want := []string{"a true", "b true"}; !slices.Equal(slices.Sorted(slices.Values(p.changes)), want) {
 		t.Errorf("changes %v, want %v", p.changes, want)
 	}
@@ -156,7 +162,7 @@
 // probe, no cut and no exchange that is ended.
 func TestSilentTarget(t *testing.T) {
 	p := newPathsTest()
-	silent := p.Begin("a1", 20, func() { t.Error("the exchange with the silent target was ended") })
+	silent := p.Begin("a1", 20, func() bool { t.Error("the exchange with the silent target was ended"); return true })
 	for range 200 {
 		p.clock.Advance(10)
 		p.Heard("a2")
@@ -174,8 +180,8 @@
 // TestSuspendedHost checks that a process that was suspended does not take what it finds overdue for lost.
 func TestSuspendedHost(t *testing.T) {
 	p := newPathsTest()
-	x := p.Begin("a1", 20, func() { t.Error("the exchange was ended") })
-	y := p.Begin("a2", 20, func() { t.Error("the exchange was ended") })
+	x := p.Begin("a1", 20, func() bool { t.Error("the exchange was ended"); return true })
+	y := p.Begin("a2", 20, func() bool { t.Error("the exchange was ended"); return true })
 	p.clock.Advance(3 * swclock.Second)
 	p.Review()
 	p.clock.Advance(1)
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -40,12 +40,14 @@
 // Start implements swtarget.Adapter.
 func (p *pathAdapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var abort func()
+	var abort func() bool
 	if r.FirstOutputTimeout > 0 || r.GiveUp != nil { // the request may be sent to another target, or its stream be taken up
-		abort = func() {
-			if r.GiveUp == nil || r.GiveUp() {
+		abort = func() bool {
+			givenUp := r.GiveUp == nil || r.GiveUp()
+			if givenUp {
 				cancel(errPathLost)
 			}
+			return givenUp
 		}
 	}
 	exchange := p.host.paths.Begin(p.target, r.ExpectedFirst, abort)
--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -58,7 +58,7 @@
 	// ErrStray means that bytes followed the end of an answer.
 	ErrStray = errors.New("bytes follow the end of the answer")
 	// ErrHead means that the header of an answer has no end within maxHeadBytes and maxHeadLines.
-	ErrHead    = errors.New("the header of the answer is too large")
+	ErrHead = errors.New("the header of the answer is too large")
 	// ErrCutHead means that the peer broke off within the header of an answer and wrote another answer.
 	ErrCutHead = errors.New("another answer begins within the header of the answer")
 	// ErrOtherProcess means that another process of the peer than the expected one is at the end of the connection.
