Tell a call that was answered from one that was cut, in the test of leaving hosts

The check was wrong: it looked whether the host had ended after the call had returned, and a host ends as soon as its last call has. Replaced by one as strict: whether a part of the answer came after the host had ended; calls that are not answered are checked as before.

--- a/internal/node/swfleet/leavinghosts_test.go
+++ b/internal/node/swfleet/leavinghosts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -103,11 +104,33 @@
 		case <-ctx.Done():
 		}
 	}()
-	result := host.gate.Serve(ctx, call, discardSink{})
-	if result.Denial != swgate.DeniedNone {
+	sink := &endingSink{ctx: ctx}
+	result := host.gate.Serve(ctx, call, sink)
+	end = result.Report.End
+	switch {
+	case result.Denial != swgate.DeniedNone:
 		return call.ID, swlife.End{Outcome: swlife.OutcomeNotRun}, false
+	case end.Outcome == swlife.OutcomeAnswered:
+		return call.ID, end, sink.late // the host may end as soon as the call has
+	default:
+		return call.ID, end, ctx.Err() != nil
 	}
-	return call.ID, result.Report.End, ctx.Err() != nil
+}
+
+// endingSink takes an answer from a host whose context is ctx.
+type endingSink struct {
+	ctx context.Context
+	// late is set if a part of the answer came after the host had ended.
+	late bool
+}
+
+// Begin implements swholder.Sink.
+func (s *endingSink) Begin(int, http.Header) error { return s.Write(nil) }
+
+// Write implements swholder.Sink.
+func (s *endingSink) Write([]byte) error {
+	s.late = s.late || s.ctx.Err() != nil
+	return nil
 }
 
 // cutOff partitions a host from all targets.
