Log who ended an answer, for how long its target was silent and since when the configuration holds

attempt failed and request ended have endedBy (target, host or caller) and silentMillis, request ended of a request without an answer has sinceChangeMillis, and sassafraswing_answers_aborted_total counts the answers that ended after they had begun, by cause and ender.

A keep-alive that got no answer counts as ended by the host; one at a carrier is passed on as text, and counts as ended by the target.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -146,8 +146,9 @@
 type Gate struct {
 	config Config
 	bounds atomic.Pointer[Bounds]
-	// table is nil until the first configuration is in force.
-	table atomic.Pointer[swcatalog.Table]
+	// table is nil until the first configuration is in force, and changedAt is when the latest one came into force.
+	table     atomic.Pointer[swcatalog.Table]
+	changedAt atomic.Int64
 	// draining is ended by StartDraining, which calls startDraining.
 	draining      context.Context
 	startDraining context.CancelFunc
@@ -162,7 +163,15 @@
 }
 
 // Configure puts a configuration into force.
-func (g *Gate) Configure(t *swcatalog.Table) { g.table.Store(t) }
+func (g *Gate) Configure(t *swcatalog.Table) {
+	g.table.Store(t)
+	g.changedAt.Store(int64(g.config.Clock.Now()))
+}
+
+// sinceChange returns the time since the configuration last changed.
+func (g *Gate) sinceChange() swclock.Millis {
+	return g.config.Clock.Now() - swclock.Millis(g.changedAt.Load())
+}
 
 // StartDraining makes the gate deny all later calls, and those whose bodies are not complete yet.
 func (g *Gate) StartDraining() { g.startDraining() }
@@ -466,7 +475,9 @@
 			Str("continuedVersion", string(report.Continued.Version))
 	}
 	if report.End.Outcome != swlife.OutcomeAnswered {
-		e = e.Str("cause", report.End.Cause.String()).Int64("retryAfterMillis", int64(report.End.RetryAfter))
+		e = e.Str("cause", report.End.Cause.String()).Int64("retryAfterMillis", int64(report.End.RetryAfter)).
+			Bool("begun", report.Begun).Str("endedBy", report.EndedBy.String()).Int64("silentMillis", int64(report.Silence)).
+			Int64("sinceChangeMillis", int64(g.sinceChange()))
 	}
 	e.Msg("request ended")
 }
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -82,6 +83,10 @@
 	// dispatched is when the first run started; ended is when the latest run ended.
 	dispatched swclock.Millis
 	ended      swclock.Millis
+	// outputAt is when the latest output arrived, over all runs; 0 if there was none.
+	outputAt swclock.Millis
+	// ender is who ended the latest run.
+	ender Ender
 	// events counts the data events received from the stream, over all runs.
 	events int
 	// begun is true if delivery of an answer to the caller began, in this or an earlier attempt, and delivered
@@ -117,6 +122,39 @@
 	doneReported bool
 }
 
+// Ender is who ended an attempt.
+type Ender uint8
+
+// Enders of attempts.
+const (
+	// EndedByNobody means that there was no attempt.
+	EndedByNobody Ender = iota
+	// EndedByTarget means that the target answered, or that its connection broke.
+	EndedByTarget
+	// EndedByHost means that the host ended the attempt: it took too long, or its path or connection was taken for lost.
+	EndedByHost
+	// EndedByCaller means that the caller left, or did not take the answer.
+	EndedByCaller
+)
+
+var enderNames = [...]string{EndedByNobody: "nobody", EndedByTarget: "target", EndedByHost: "host", EndedByCaller: "caller"}
+
+// String returns the name in logs and metrics.
+func (e Ender) String() string { return enderNames[e] }
+
+// endedBy returns who ended the attempt.
+func (a *attempt) endedBy(e swlife.AttemptEnded) Ender {
+	var failure *swtarget.Error
+	switch {
+	case e.Cause == swlife.CauseCallerGone:
+		return EndedByCaller
+	case e.Cause != swlife.CauseNone, errors.As(a.err, &failure) && failure.Failure == swtarget.FailureStalled, errors.Is(a.err, syscall.ETIMEDOUT):
+		return EndedByHost
+	default:
+		return EndedByTarget
+	}
+}
+
 // answerKind is what an answer has in common with those that may continue it.
 type answerKind struct {
 	status    int
@@ -165,10 +203,14 @@
 	a.result = ended.Result
 	ended.Delivered, ended.Unplaced = a.begun, a.begun && a.lastEventID == ""
 	ended.Began, ended.Origin = a.events > 0, a.certainOrigin()
+	a.ender = a.endedBy(ended)
 	a.held.reachedTarget = a.held.reachedTarget || !ended.Unsent
 	return ended
 }
 
+// silence returns the time from the latest output, or from the dispatch if there was none, to the end of the latest run.
+func (a *attempt) silence() swclock.Millis { return a.ended - max(a.dispatched, a.outputAt) }
+
 // certainOrigin returns the origin of a stream that the attempt began. It is not known if the target has
 // been listed with another start and another version since, as either one may have written the stream.
 func (a *attempt) certainOrigin() sworigin.Origin {
@@ -411,12 +453,13 @@
 		a.firstToken = max(1, a.held.holder.config.Clock.Now()-a.dispatched)
 	}
 	a.produced += chunk.Tokens
+	a.outputAt = a.held.holder.config.Clock.Now()
 	e := a.held
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running.produced = a.produced
 	if e.request.Call.Stream && a.status < http.StatusMultipleChoices {
-		e.outputAt = e.holder.config.Clock.Now()
+		e.outputAt = a.outputAt
 	}
 	early := e.holder.config.ReportEarly && (a.reportedTokens == 0 || a.reportedTokens < secondReportTokens && a.produced >= secondReportTokens)
 	if early || a.produced-a.reportedTokens >= progressTokens || begun.Stream != 0 {
--- a/internal/holder/swholder/request.go
+++ b/internal/holder/swholder/request.go
@@ -123,7 +123,10 @@
 	// InTime is true if the whole answer was delivered by the deadline.
 	InTime bool
 	// Begun is true if the delivery of a target's answer to the caller began, so that an error can no longer be sent as a status.
-	Begun        bool
+	Begun bool
+	// EndedBy says who ended the last attempt, and Silence is the time from the last output to its end.
+	EndedBy      Ender
+	Silence      swclock.Millis
 	PromptTokens swid.Tokens
 	OutputTokens swid.Tokens
 	CachedTokens swid.Tokens
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -117,7 +117,8 @@
 			Str("requestId", string(e.request.ID)).Uint64("seq", uint64(e.request.Seq)).
 			Str("content", e.request.Fingerprint.String()).Uint32("attempt", uint32(last.number)).
 			Str("target", string(last.target)).Str("targetVersion", string(last.origin.Version)).Str("carrier", string(last.carrier)).Str("owner", string(e.lastOwner())).Str("result", v.Result.String()).
-			Int("status", last.status).Str("cause", v.Cause.String()).Bool("unsent", v.Unsent).Bool("delivered", v.Delivered).AnErr("error", last.err).
+			Int("status", last.status).Str("cause", v.Cause.String()).Bool("unsent", v.Unsent).Bool("delivered", v.Delivered).
+			Str("endedBy", last.ender.String()).Int64("silentMillis", int64(last.silence())).AnErr("error", last.err).
 			Array("parts", loggedParts(e.request.Parts)).Int64("firstMillis", int64(last.firstToken)).Int64("producedTokens", int64(last.produced)).
 			Int64("attemptMillis", int64(last.ended-last.dispatched)).Int64("sinceAcceptedMillis", int64(e.sinceAccepted())).
 			Msg("attempt failed")
@@ -160,6 +161,7 @@
 // finish completes the report and, if the request was claimed, records the outcome of the claim.
 func (e *heldRequest) finish(report *Report, last *attempt, claimed bool) {
 	report.Begun, report.TargetVersion, report.Carrier = last.begun, last.origin.Version, last.carrier
+	report.EndedBy, report.Silence = last.ender, last.silence()
 	report.Timing.FirstToken = last.firstDelivery
 	report.Timing.Total = e.sinceAccepted()
 	report.Timing.ExpectedFirstToken = e.estimate.firstToken
--- a/internal/node/swfleet/gauges.go
+++ b/internal/node/swfleet/gauges.go
@@ -5,22 +5,27 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 )
 
 // gauges exports the state of a host as gauges, and counts the requests that the host
 // answers without a target.
 type gauges struct {
 	denials *prometheus.CounterVec
+	// aborted counts the answers that ended after they had begun.
+	aborted *prometheus.CounterVec
 }
 
 func newGauges(h *Host) *gauges {
 	g := &gauges{denials: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "sassafraswing", Name: "denials_total", Help: "Requests that were answered without a target, by reason.",
-	}, []string{"reason"})}
+	}, []string{"reason"}), aborted: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "sassafraswing", Name: "answers_aborted_total", Help: "Answers that ended after a part was sent to the caller, by cause and by who ended them.",
+	}, []string{"cause", "ended_by"})}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "sassafraswing", Name: name, Help: help}, value)
 	}
-	h.registry.MustRegister(g.denials,
+	h.registry.MustRegister(g.denials, g.aborted,
 		gauge("configuration_version", "Version of the configuration in force; 0 if there is none.", h.configurationVersion),
 		gauge("configuration_age_seconds", "Time since the store last confirmed the configuration.", h.configurationAge),
 		gauge("store_reached", "1 if the last call of the store was answered, and 0 otherwise.", h.storeReached),
@@ -41,10 +46,14 @@
 	return g
 }
 
-// countDenial counts a denied call under the reason for its denial. It ignores admitted calls.
-func (g *gauges) countDenial(r *swgate.Result) {
-	if r.Denial != swgate.DeniedNone {
+// countResult counts a call that was denied, or whose answer was aborted. It ignores all others.
+func (g *gauges) countResult(r *swgate.Result) {
+	end := r.Report.End
+	switch {
+	case r.Denial != swgate.DeniedNone:
 		g.denials.WithLabelValues(r.Denial.String()).Inc()
+	case r.Report.Begun && end.Outcome != swlife.OutcomeAnswered:
+		g.aborted.WithLabelValues(end.Cause.String(), r.Report.EndedBy.String()).Inc()
 	}
 }
 
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -289,7 +289,7 @@
 	h.gate = swgate.New(swgate.Config{
 		Region: h.settings.Region, Holder: h.holder, Clock: h.clock, Boot: h.boot,
 		ConfirmedAt: func() swclock.Millis { return h.catalogs.ConfirmedAt() },
-		OnForwarded: h.retries.countRequest, Log: h.log, OnResult: h.gauges.countDenial,
+		OnForwarded: h.retries.countRequest, Log: h.log, OnResult: h.gauges.countResult,
 	}, boundsOf(h.reloadable.Load()))
 	h.exchange.OnLinkUp(h.linkUp)
 	h.exchange.Connect(h.network, h.linkDown, h.holder, h.owner, registrationReceiver{h})
