Show that hosts cut streams at targets that fall silent for a moment (LOST)

A host that hears nothing from a service takes its paths for lost after some 0.7 s, and ends the streams that run there, at their last attempt and without a retry too. If the targets are silent to all hosts, the streams cannot go on anywhere: they are cut although their targets go on a moment later and their callers wait.

TestSilenceCutsNoStream plays streams of 2 s at 15 hosts while targets fall silent for 1.2 s or 2 s, five times.

--- a/internal/node/swfleet/partitionedhosts_test.go
+++ b/internal/node/swfleet/partitionedhosts_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -187,6 +188,10 @@
 		return nil, err
 	}
 	a := &linkedAnswer{ctx: ctx, link: l, id: r.ID, events: streamEvents, limit: time.Now().Add(r.FirstOutputTimeout.Duration())}
+	if r.Path == "/long/x" {
+		sent, _ := strconv.Atoi(r.LastEventID) // empty for a new stream
+		a.events, a.numbered = longStream-sent, true
+	}
 	a.giveUp = r.GiveUp
 	if r.FirstOutputTimeout == 0 {
 		a.limit = time.Time{}
@@ -236,6 +241,8 @@
 	link   *linkedTarget
 	id     swid.RequestID
 	events int
+	// numbered is set if the events have their numbers as ids, of longStream.
+	numbered bool
 	// limit is when the host stops to wait for the first output, if giveUp allows it.
 	limit  time.Time
 	giveUp func() bool
@@ -315,7 +322,11 @@
 		}
 	}
 	a.events--
-	return swtarget.Chunk{Data: []byte(string(a.id) + "\n"), Tokens: eventTokens, Events: 1}, nil
+	chunk := swtarget.Chunk{Data: []byte(string(a.id) + "\n"), Tokens: eventTokens, Events: 1}
+	if a.numbered {
+		chunk.LastEventID = strconv.Itoa(longStream - a.events)
+	}
+	return chunk, nil
 }
 
 // partitionedFleet is a fleet whose hosts may be partitioned from the targets.
--- a/internal/node/swfleet/silenttargets_test.go
+++ b/internal/node/swfleet/silenttargets_test.go
@@ -4,11 +4,17 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 )
 
 const (
@@ -90,3 +96,137 @@
 		}
 	}
 }
+
+const (
+	// longStreamPatience is how long callers wait for the streams of TestSilenceCutsNoStream, which take some 2 s.
+	longStreamPatience = 8 * time.Second
+	longStream         = 40
+)
+
+// longStreams counts the ends of streams.
+type longStreams struct {
+	mu sync.Mutex
+	// whole streams were delivered whole, refused ones have not run, cut ones ended after they had begun, and lost ones ended
+	// without an answer although they may have run.
+	whole, refused, cut, lost int
+	// longest is the longest time from the begin of a stream to its end.
+	longest time.Duration
+}
+
+// addLongStreams adds a route to streams that may go on at another target, each of longStream events.
+func (f *partitionedFleet) addLongStreams() {
+	c := *f.deployment.store.catalogs.items["main"].Value
+	r := c.Routes[0]
+	r.Name, r.Prefix, r.Kind, r.Resumable, r.Attempts = "long", "/long/", swcatalog.KindStream, true, 2
+	c.Routes = append(slices.Clone(c.Routes), r)
+	c.Version++
+	f.deployment.store.catalogs.put("main", &c)
+}
+
+// stream sends a request for a long stream to a host, and counts its end.
+func (f *partitionedFleet) stream(h *simulatedHost, s *longStreams) {
+	host := h.current.Load()
+	call := newCall("/long/x", uniqueBody())
+	call.Deadline = swclock.FromDuration(longStreamPatience)
+	sink := &checkedSink{f: f, id: call.ID}
+	began := time.Now()
+	result := host.gate.Serve(f.deployment.t.Context(), call, sink)
+	end := result.Report.End
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case end.Outcome == swlife.OutcomeAnswered:
+		if string(sink.data) != strings.Repeat(string(call.ID)+"\n", longStream) {
+			f.deployment.t.Errorf("the stream %s has %d bytes", call.ID, len(sink.data))
+		}
+		s.whole++
+	case result.Report.Begun:
+		s.cut++
+		f.deployment.t.Logf("cut after %v: %s, %d attempts, ended by %s after a silence of %d ms", time.Since(began), end.Cause, result.Report.Attempts,
+			result.Report.EndedBy, result.Report.Silence)
+	case end.Outcome == swlife.OutcomeNotRun:
+		s.refused++
+	default:
+		s.lost++
+	}
+	s.longest = max(s.longest, time.Since(began))
+}
+
+// TestSilenceCutsNoStream guards against streams that are ended because sound targets fall silent for a moment.
+func TestSilenceCutsNoStream(t *testing.T) {
+	cases := []struct {
+		name string
+		// targets is the number of targets of the service, and silent the number of those that fall silent together.
+		targets, silent int
+		span            time.Duration
+		// during runs at the begin of each silence; it may be nil.
+		during func(f *partitionedFleet)
+	}{
+		{"two of eight", 8, 2, longSilentSpan, nil},
+		{"all but one", 8, 7, longSilentSpan, nil},
+		{"all", 8, 8, longSilentSpan, nil},
+		{"all, 2 s", 8, 8, 2 * time.Second, nil},
+		{"both", 2, 2, longSilentSpan, nil},
+		{"the only one", 1, 1, longSilentSpan, nil},
+		{"all, configuration changes", 8, 8, longSilentSpan, func(f *partitionedFleet) {
+			c := *f.deployment.store.catalogs.items["main"].Value
+			c.Version++
+			f.deployment.store.catalogs.put("main", &c)
+		}},
+		{"all, a target of another service leaves", 8, 8, longSilentSpan, func(f *partitionedFleet) {
+			f.deployment.store.targets.update("plain-1", func(t *swcatalog.Target) { t.Draining = !t.Draining })
+		}},
+	}
+	for _, size := range sizesOf(15) {
+		for _, c := range cases {
+			t.Run(fmt.Sprint(size, " hosts, ", c.name), func(t *testing.T) {
+				clearPools()
+				synctest.Test(t, func(t *testing.T) {
+					defer clearPools()
+					f := newPartitionedFleet(t, size)
+					f.addLongStreams()
+					var engines []*sharedTarget
+					for i := range 8 {
+						id := fmt.Sprint("model-", i)
+						if i >= c.targets {
+							f.deployment.store.targets.remove(id)
+							continue
+						}
+						f.deployment.store.targets.update(id, func(t *swcatalog.Target) { t.Slots *= 8 / c.targets })
+						engines = append(engines, f.targets[swid.TargetID(id)])
+					}
+					f.startAll()
+					f.observe(4)
+					var s longStreams
+					var callers sync.WaitGroup
+					ctx, stop := context.WithCancel(context.Background())
+					callers.Go(func() {
+						order := hostOrder{hosts: f.hosts}
+						for ctx.Err() == nil {
+							h := order.next()
+							callers.Go(func() { f.stream(h, &s) })
+							time.Sleep(100 * time.Millisecond * usualSize / time.Duration(max(size, usualSize)))
+						}
+					})
+					time.Sleep(4 * time.Second)
+					for range 5 {
+						rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+						if c.during != nil {
+							c.during(f)
+						}
+						f.silence(engines[:c.silent], c.span)
+						time.Sleep(3 * time.Second)
+					}
+					stop()
+					callers.Wait()
+					f.killAll()
+					sent := s.whole + s.refused + s.cut + s.lost
+					t.Logf("%d of %d streams whole, %d refused, %d cut, %d lost, the longest %v", s.whole, sent, s.refused, s.cut, s.lost, s.longest)
+					if s.cut > 0 || s.lost > 0 || float64(s.whole) < minServedInSilence*float64(sent) {
+						t.Errorf("of %d streams %d were cut, %d lost and %d refused", sent, s.cut, s.lost, s.refused)
+					}
+				})
+			})
+		}
+	}
+}
