End requests for a lost path only once another host reaches their target (LOST)

What callers saw: begun streams were cut, and calls ended with 502, because sound targets fell silent for a second, beside a change of the configuration as at any other time.

Cause: a host that heard nothing from a service, and from two targets that it probed, took its own paths for lost. One host cannot tell a lost path from a target that is silent to all. A begun stream was ended at its last attempt too, and went on nowhere: no host reached the targets, and the retry budget was soon used up.

Now what runs at a target is ended only if another host reaches that target and this one, looking once more, still does not. While a host is cut off, it asks two others about the targets of its overdue exchanges, by a carried request without a path. Without proof the exchange goes on to its deadline. That the host is cut off is found as before, so new requests are carried as before.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -53,6 +53,10 @@
 	// heardAt is when something was last heard from the target, and failedAt when it last could not be connected to;
 	// 0 for never.
 	heardAt, failedAt swclock.Millis
+	// elsewhereAt is when another host was last known to reach the target, since heardAt; 0 if none was.
+	elsewhereAt swclock.Millis
+	// lost is set if a look that began after elsewhereAt has failed: the path is lost, and the target is not merely silent.
+	lost bool
 }
 
 // scope is a set of targets of which none may be reached.
@@ -141,7 +145,7 @@
 }
 
 // Begin records that a request is sent to a target. expected is the time to the first part of its answer. abort ends
-// the exchange and reports whether it did. It is called while the path is taken for lost and the exchange is overdue, until it
+// the exchange and reports whether it did. It is called while the path to the target is lost and the exchange is overdue, until it
 // did; nil if the exchange must not be ended.
 func (p *Paths) Begin(target swid.TargetID, expected swclock.Millis, abort func() bool) *Exchange {
 	p.mu.Lock()
@@ -232,20 +236,44 @@
 	p.heard(target, p.clock.Now())
 }
 
-// Failed records that a target could not be connected to, or did not answer a probe, outside of an exchange.
-func (p *Paths) Failed(target swid.TargetID) {
+// Failed records that a target could not be connected to, or did not answer a probe, outside of an exchange. began is when
+// that was tried.
+func (p *Paths) Failed(target swid.TargetID, began swclock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if t := p.targets[target]; t != nil && t.elsewhereAt > 0 && began >= t.elsewhereAt {
+		t.lost = true
+	}
 	p.failed(target, p.clock.Now())
 }
 
+// HeardElsewhere records that another host reaches a target. If this one still does not, its path is lost.
+func (p *Paths) HeardElsewhere(target swid.TargetID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.targets[target]; t != nil {
+		t.elsewhereAt, t.lost = max(p.clock.Now(), 1), false
+	}
+}
+
+// SinceHeard returns the time since the target was last heard from, and false if it never was.
+func (p *Paths) SinceHeard(target swid.TargetID) (since swclock.Millis, heard bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[target]
+	if t == nil || t.heardAt == 0 {
+		return 0, false
+	}
+	return p.clock.Now() - t.heardAt, true
+}
+
 // heard records a sign from a target. p.mu must be held.
 func (p *Paths) heard(target swid.TargetID, now swclock.Millis) {
 	known := p.targets[target]
 	if known == nil {
 		return
 	}
-	known.heardAt = max(now, 1)
+	known.heardAt, known.elsewhereAt, known.lost = max(now, 1), 0, false
 	s := p.scope(known.service)
 	changed := p.all.cut || s.cut
 	p.all.heardAt, p.all.cut = known.heardAt, false
@@ -327,17 +355,36 @@
 	p.abortOverdue(now)
 }
 
-// abortOverdue ends the overdue exchanges at targets that are not reached, where that is allowed. p.mu must be
+// abortOverdue ends the overdue exchanges at targets to which the path is lost, where that is allowed. p.mu must be
 // held.
 func (p *Paths) abortOverdue(now swclock.Millis) {
 	for x := range p.exchanges {
-		s := p.services[x.service]
-		if cut := p.all.cut || s != nil && s.cut; cut && x.abort != nil && x.isLost(now) && x.abort() {
+		if t := p.targets[x.target]; t != nil && t.lost && t.elsewhereAt >= x.signAt && x.abort != nil && x.isLost(now) && x.abort() {
 			x.abort = nil
 		}
 	}
 }
 
+// ToConfirm returns the targets of overdue exchanges that may be ended if the path to their target is lost: no target of
+// the service is reached, which may as well mean that they are silent to all hosts. They are sorted by the time for which nothing was
+// heard from them, the longest first.
+func (p *Paths) ToConfirm() []swid.TargetID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var targets []swid.TargetID
+	for x := range p.exchanges {
+		t, s := p.targets[x.target], p.services[x.service]
+		if t != nil && s != nil && (p.all.cut || s.cut) && x.abort != nil && x.isLost(now) && !slices.Contains(targets, x.target) {
+			targets = append(targets, x.target)
+		}
+	}
+	slices.SortFunc(targets, func(a, b swid.TargetID) int {
+		return cmp.Or(cmp.Compare(p.targets[a].heardAt, p.targets[b].heardAt), strings.Compare(string(a), string(b)))
+	})
+	return targets
+}
+
 // notify reports the services for which Cut returns something else than before. p.mu must be held.
 func (p *Paths) notify() {
 	for service, s := range p.services {
--- a/internal/node/swfleet/carry.go
+++ b/internal/node/swfleet/carry.go
@@ -21,9 +21,26 @@
 
 // carriedAdapter returns the adapter that has requests sent to a target by another host.
 func (h *Host) carriedAdapter(carrier swid.HostID, cell swid.CellID, target swid.TargetID) swtarget.Adapter {
+	h.pathProber.noteCarrier(carrier)
 	return &swcarry.Adapter{Opener: h.network, Carrier: carrier, Target: target, Cell: cell}
 }
 
+// freshTime is how long a sign from a target answers the question of another host whether this one reaches it. The other one has
+// heard nothing for longer.
+const freshTime = 200 * swclock.Millis(1)
+
+// probeForPeer looks for another host whether this one reaches a target.
+func (h *Host) probeForPeer(ctx context.Context, target swid.TargetID) error {
+	if since, heard := h.paths.SinceHeard(target); heard && since <= freshTime {
+		return nil
+	}
+	adapter, known := h.pathProber.adapter(target)
+	if !known {
+		return errNotListed
+	}
+	return adapter.probe(ctx)
+}
+
 // carryingAdapter returns the adapter that sends a request of another host to its target. It looks first whether the
 // target can be reached, unless it was heard from a moment ago.
 func (h *Host) carryingAdapter(ctx context.Context, r *swcarry.Request) (swtarget.Adapter, error) {
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -1,8 +1,11 @@
 package swfleet
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +17,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swcarry"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -94,7 +98,7 @@
 	sent := p.host.clock.Now()
 	statement, err := prober.Probe(ctx)
 	if err != nil {
-		p.host.paths.Failed(p.target)
+		p.host.paths.Failed(p.target, sent)
 		return err
 	}
 	p.host.paths.Heard(p.target)
@@ -149,6 +153,9 @@
 	askedAt swclock.Millis
 	// asked is set once the first round in which they were asked has ended.
 	asked bool
+	// confirming is set while the loss of paths is being confirmed, and carrier is the host that was last to carry a request.
+	confirming bool
+	carrier    swid.HostID
 }
 
 func newPathProber(h *Host) *pathProber {
@@ -262,7 +269,12 @@
 
 // run handles changes, and probes targets while this host may reach none of a service, until ctx ends.
 func (p *pathProber) run(ctx context.Context) {
+	var confirmation conc.WaitGroup
+	defer confirmation.Wait()
 	for {
+		if p.startConfirming() {
+			confirmation.Go(func() { p.confirm(ctx) })
+		}
 		var due <-chan time.Time
 		if len(p.host.paths.ToProbe()) > 0 {
 			due = time.After(probeInterval.Duration())
@@ -320,6 +332,105 @@
 	}
 }
 
+const (
+	// confirmedAtOnce is the number of targets to which the loss of the path is confirmed at a time, and peersAsked the number of
+	// hosts that are asked about each. confirmTimeout bounds the time for their answers: one may have to be connected to, and to probe.
+	confirmedAtOnce = 4
+	peersAsked      = 2
+	confirmTimeout  = probeTimeout + 200*swclock.Millis(1)
+)
+
+// startConfirming reports whether confirm is to be called.
+func (p *pathProber) startConfirming() bool {
+	if len(p.host.paths.ToConfirm()) == 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	start := !p.confirming
+	p.confirming = true
+	return start
+}
+
+// confirm finds out whether the paths to targets are lost that this host does not hear from, or the targets are silent to all hosts: it
+// asks other hosts whether they reach them, and if one does, looks once more itself. Only then are exchanges there ended.
+func (p *pathProber) confirm(ctx context.Context) {
+	var confirmations conc.WaitGroup
+	targets := p.host.paths.ToConfirm()
+	for _, id := range targets[:min(len(targets), confirmedAtOnce)] {
+		confirmations.Go(func() { p.confirmTarget(ctx, id) })
+	}
+	confirmations.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.confirming = false
+}
+
+func (p *pathProber) confirmTarget(ctx context.Context, id swid.TargetID) {
+	adapter, known := p.adapter(id)
+	if !known {
+		return
+	}
+	peers := p.peersToAsk()
+	asked, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
+	defer cancel()
+	reached := make(chan swid.HostID, len(peers))
+	var asks conc.WaitGroup
+	for _, peer := range peers {
+		asks.Go(func() {
+			carrier := swcarry.Adapter{Opener: p.host.network, Carrier: peer, Target: id}
+			if err := carrier.Probe(asked); err == nil { // after an error, the path is not confirmed to be lost
+				reached <- peer
+				cancel()
+			}
+		})
+	}
+	asks.Wait()
+	by := swid.HostID("")
+	select {
+	case by = <-reached:
+		p.host.paths.HeardElsewhere(id)
+	default:
+	}
+	err := adapter.probe(ctx)
+	p.host.log.Info().Str("target", string(id)).Int("asked", len(peers)).Str("reachedBy", string(by)).AnErr("error", err).
+		Bool("lost", by != "" && err != nil).Msg("path to a target looked at")
+}
+
+// noteCarrier records the host that is to carry a request.
+func (p *pathProber) noteCarrier(carrier swid.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carrier = carrier
+}
+
+// peersToAsk returns hosts that may reach targets: the one that last carried a request for this host, then others to which there is
+// a link, then any.
+func (p *pathProber) peersToAsk() []swid.HostID {
+	members := p.host.view.Members()
+	p.mu.Lock()
+	carrier := p.carrier
+	p.mu.Unlock()
+	peers := make([]swid.HostID, 0, len(members))
+	for _, i := range rand.Perm(len(members)) {
+		if host := members[i].Host; host != p.host.self.Host {
+			peers = append(peers, host)
+		}
+	}
+	rank := func(host swid.HostID) int {
+		switch {
+		case host == carrier:
+			return 0
+		case p.host.network.AcceptsStreams(host):
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(peers, func(a, b swid.HostID) int { return cmp.Compare(rank(a), rank(b)) })
+	return peers[:min(len(peers), peersAsked)]
+}
+
 // addReached records that a target answered a probe.
 func (p *pathProber) addReached(id swid.TargetID) {
 	p.mu.Lock()
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -198,7 +198,7 @@
 	h.carriers = swreach.NewDirectory()
 	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(int64(settings.Fleet.MemoryMegabytes * megabyte)))
 	h.carrying = swcarry.NewServer(swcarry.Config{
-		Adapter: h.carryingAdapter, OnStatement: h.recordCarriedStatement, Answers: h.answers, Clock: h.clock, Log: log,
+		Adapter: h.carryingAdapter, Probe: h.probeForPeer, OnStatement: h.recordCarriedStatement, Answers: h.answers, Clock: h.clock, Log: log,
 	})
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -56,6 +57,30 @@
 	return c, nil
 }
 
+// Probe asks the carrier whether it reaches the target, until ctx ends. An error says nothing of the target unless the carrier
+// looked: one of an earlier build does not.
+func (a *Adapter) Probe(ctx context.Context) error {
+	stream, err := a.Opener.OpenStream(ctx, a.Carrier)
+	if err != nil {
+		return errors.Wrap(err, "reach carrier")
+	}
+	defer func() { _ = stream.Close() }()                                              // the answer is known, or does not matter any more
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) }) // fails only on a closed stream
+	defer stop()
+	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell})); err != nil {
+		return errors.Wrap(err, "ask carrier")
+	}
+	var reply swpb.CarriedReply
+	if err := readFrame(bufio.NewReader(stream), &reply); err != nil {
+		return errors.Wrap(err, "answer of the carrier")
+	}
+	end := reply.GetEnd()
+	if end == nil {
+		return errFrame
+	}
+	return decodeEnd(end)
+}
+
 // carriedAnswer is an answer that a carrier sends on. It implements swtarget.Answer.
 type carriedAnswer struct {
 	stream net.Conn
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -43,6 +43,8 @@
 	// Adapter returns the adapter that sends a request from this host, or the error for which it sends none. It may
 	// look first whether the target can be reached.
 	Adapter func(ctx context.Context, r *Request) (swtarget.Adapter, error)
+	// Probe looks whether this host reaches a target, and returns an error if it does not.
+	Probe func(ctx context.Context, target swid.TargetID) error
 	// OnStatement is called with what an answer says of the requests that its target takes. sent is when the request
 	// was sent.
 	OnStatement func(r *Request, s swlimit.Statement, sent swclock.Millis)
@@ -154,6 +156,10 @@
 		cancel()
 		close(left)
 	}()
+	if r.Path == "" {
+		s.answerProbe(ctx, &r, stream)
+		return
+	}
 	began := s.config.Clock.Now()
 	usage, err := s.run(ctx, &r, stream)
 	s.config.Log.Info().
@@ -172,6 +178,15 @@
 	}
 }
 
+// answerProbe tells the holder whether this host reaches the target.
+func (s *Server) answerProbe(ctx context.Context, r *Request, stream net.Conn) {
+	err := s.config.Probe(ctx, r.Target)
+	if err != nil {
+		err = &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: err}
+	}
+	_ = writeFrame(stream, encodeEnd(err, swtarget.Usage{})) // without an answer, the holder concludes nothing
+}
+
 // run sends the request to its target and the answer to the holder.
 func (s *Server) run(ctx context.Context, r *Request, stream net.Conn) (swtarget.Usage, error) {
 	if s.carried.Add(1) > maxCarried {
--- a/internal/peer/swcarry/swcarry.go
+++ b/internal/peer/swcarry/swcarry.go
@@ -87,7 +87,7 @@
 	return size, nil
 }
 
-// Request is a request that is carried.
+// Request is a request that is carried. One without a Path is not sent: it asks whether the carrier reaches the target.
 type Request struct {
 	Target swid.TargetID
 	// Cell is that of the target, for the log.
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -99,7 +100,10 @@
 	target     *fakeTarget
 	adapterErr error
 	openErr    error
-	tasks      sync.WaitGroup
+	// probed has the targets that the carrier looked for, which is what probeErr says of them.
+	probed   []swid.TargetID
+	probeErr error
+	tasks    sync.WaitGroup
 
 	mu         sync.Mutex
 	carried    []Request
@@ -117,6 +121,12 @@
 			c.carried = append(c.carried, *r)
 			return c.target, c.adapterErr
 		},
+		Probe: func(_ context.Context, target swid.TargetID) error {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.probed = append(c.probed, target)
+			return c.probeErr
+		},
 		OnStatement: func(_ *Request, s swlimit.Statement, _ swclock.Millis) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -414,6 +424,45 @@
 	}
 }
 
+// TestProbe checks what a holder learns of whether a carrier reaches a target, for which nothing is sent to the target.
+func TestProbe(t *testing.T) {
+	tests := []struct {
+		name              string
+		openErr, probeErr error
+		reached           bool
+	}{
+		{"reached", nil, nil, true},
+		{"not reached", nil, errors.New("no answer"), false},
+		{"carrier lost", errors.New("no link"), nil, false},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			c := newCarrier(&fakeTarget{})
+			c.openErr, c.probeErr = e.openErr, e.probeErr
+			err := (&Adapter{Opener: c, Carrier: "carrier", Target: "t"}).Probe(t.Context())
+			c.tasks.Wait()
+			if (err == nil) != e.reached {
+				t.Errorf("error %v, want one: %t", err, !e.reached)
+			}
+			if len(c.carried) > 0 || e.openErr == nil && !slices.Equal(c.probed, []swid.TargetID{"t"}) {
+				t.Errorf("%d requests carried and targets %v probed, want no request and t", len(c.carried), c.probed)
+			}
+		})
+	}
+}
+
+// TestProbeWithoutAnswer guards against a holder that waits for longer than it wants for a carrier that does not answer.
+func TestProbeWithoutAnswer(t *testing.T) {
+	own, other := net.Pipe()
+	defer func() { _ = other.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, other) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if err := (&Adapter{Opener: pipe{own}, Target: "t"}).Probe(ctx); err == nil {
+		t.Error("a target counts as reached without an answer")
+	}
+}
+
 // TestCutStreams guards against a request or an answer that is cut at some byte between two hosts and is taken for whole.
 func TestCutStreams(t *testing.T) {
 	var request bytes.Buffer
