--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -143,9 +143,9 @@
 	process int64
 }
 
-// keepAlive detects connections whose peer is unresponsive. TCP sends a probe
-// after each idle second and closes the connection after two unanswered probes.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+// keepAlive detects connections whose peer is unresponsive. TCP sends the first probe after an idle second and closes
+// the connection an interval after the last one, even if the peer has only missed the time between the first and the last.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // New returns an empty pool.
 func New(config Config) *Pool {
