End a cancelled request 0.2 s after its end at a silent carrier (LOST)

A request that another host carries, and whose deadline passes or whose caller leaves, waits for the carrier to say how it ended there: only that tells whether the target has got it. Cause: closing a yamux stream does not end a read on it until the other side has closed it too, or the time of a closed stream (1 s) is over. At a carrier that is silent the request ended up to 1 s after its deadline, or when its link was lost.

Now the carrier has 0.2 s to say it.

TestCancelAtSilentCarrier: on a stream whose reads go on after Close, the request ended with the stream, 59 s after its deadline; now after 0.2 s.

--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -22,6 +22,9 @@
 // openTimeout bounds the time to open a stream to a carrier, to which there may be no link yet.
 const openTimeout = 500 * swclock.Millis(1)
 
+// cancelTimeout bounds the time in which a carrier says how a request ended that its holder has cancelled.
+const cancelTimeout = 200 * swclock.Millis(1)
+
 // Opener opens streams to other hosts.
 type Opener interface {
 	OpenStream(ctx context.Context, host swid.HostID) (net.Conn, error)
@@ -43,8 +46,7 @@
 	if err != nil {
 		return nil, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: errors.Wrap(err, "reach carrier")}
 	}
-	// The end of the stream ends the request at the carrier.
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	stop := context.AfterFunc(ctx, func() { abort(stream, time.Now().Add(cancelTimeout.Duration())) })
 	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop}
 	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell, Request: r})); err != nil {
 		_ = c.Close() // the error of the write is the one to return
@@ -57,6 +59,12 @@
 	return c, nil
 }
 
+// abort ends a request at the carrier. Reads go on until the carrier has said how the request ended there, or until the deadline.
+func abort(stream net.Conn, deadline time.Time) {
+	_ = stream.SetReadDeadline(deadline) // fails only on a closed stream
+	_ = stream.Close()                   // likewise
+}
+
 // Probe asks the carrier whether it reaches the target, until ctx ends. An error says nothing of the target unless the carrier
 // looked: one of an earlier build does not.
 func (a *Adapter) Probe(ctx context.Context) error {
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -317,6 +317,27 @@
 	}
 }
 
+// lingeringStream is a stream on which reads go on after Close until the peer ends its side, as those of yamux do.
+type lingeringStream struct{ net.Conn }
+
+func (lingeringStream) Close() error { return nil }
+
+// TestCancelAtSilentCarrier guards against a request that has ended at its holder, but waits for a carrier that is silent.
+func TestCancelAtSilentCarrier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own, other := net.Pipe()
+		defer func() { _, _ = own.Close(), other.Close() }() // not checked
+		go func() { _, _ = io.Copy(io.Discard, other) }()    // ends with the stream
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		time.AfterFunc(time.Minute, func() { _ = other.Close() })
+		if _, err := (&Adapter{Opener: pipe{lingeringStream{own}}}).Start(ctx, testRequest()); err == nil || time.Since(began) != time.Second+cancelTimeout.Duration() {
+			t.Errorf("error %v after %v", err, time.Since(began))
+		}
+	})
+}
+
 // TestDrain checks that a server that drains finishes what it carries, until the holder has the end.
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
