Let carried requests outlast the link of a carrier that was silent (LOST)

A host that reaches no target of a service has its requests carried by another host. If the two heard nothing of each other for 0.6 s, as the carrier stood still or packets between them were lost, its callers saw begun streams cut, and calls that may not be repeated end with an unknown outcome, although target and carrier had gone on with them.

Cause: a link whose probe is not answered for 600 ms is replaced, which is right for its messages, as both sides repeat what is open. But it took the streams of carried requests with it, and so did the Hello of the new link at the other side. Ruled out: keep-alive, which does not run on a link whose probes are under way.

Now the connection of a link that fell silent is kept for the streams that are open, at both sides, while the messages go over the new one. Pings of yamux end it once the peer has answered none for 3 s, which leaves TCP time to send its data again after a silence of 2 s. What may be sent to another target, and of whose answer nothing has come, ends with the link as before, so it waits no longer for a carrier that is gone. A carrier without power is noticed by streams that have begun after some 3.7 s instead of 0.7 s.

In the simulated network, a connection that was cut lost what was written meanwhile and went on with what came later, which TCP does not do. As connections live on after a cut now, it sends the packets again.

TestStreamOutlastsLink and TestLinkLost fail without the change.

--- a/internal/node/swfleet/memorynetwork_test.go
+++ b/internal/node/swfleet/memorynetwork_test.go
@@ -19,6 +19,9 @@
 
 const networkDelay = 500 * time.Microsecond
 
+// resendInterval is the time between two tries to deliver a packet of a connection that is cut.
+const resendInterval = 100 * time.Millisecond
+
 // processor is the part of a core that one host has. It does the host's work in order of arrival.
 type processor struct {
 	share float64
@@ -200,6 +203,9 @@
 			case <-time.After(time.Until(p.arrivesAt)):
 			case <-c.in.closed:
 			}
+			if !c.awaitPath() {
+				return 0, io.EOF
+			}
 			c.processor.use(packetCost, c.in.closed)
 			c.unread = p.data
 		case <-c.in.closed:
@@ -211,12 +217,22 @@
 	return n, nil
 }
 
+// awaitPath waits while packets to this end are lost: the other end sends them again, and none is left out. It returns false if the
+// connection is closed first.
+func (c *memoryConn) awaitPath() bool {
+	for c.network.isCut(c.to, c.from) {
+		select {
+		case <-time.After(resendInterval):
+		case <-c.in.closed:
+			return false
+		}
+	}
+	return true
+}
+
 // Write implements net.Conn.
 func (c *memoryConn) Write(b []byte) (int, error) {
 	c.processor.use(packetCost, c.out.closed)
-	if c.network.isCut(c.from, c.to) {
-		return len(b), nil
-	}
 	select {
 	case c.out.packets <- packet{append([]byte(nil), b...), time.Now().Add(networkDelay)}:
 		return len(b), nil
--- a/internal/node/swfleet/partitionedhosts_test.go
+++ b/internal/node/swfleet/partitionedhosts_test.go
@@ -730,3 +730,59 @@
 	}
 	return n
 }
+
+// TestSilenceCutsNoCarriedStream guards against streams of partitioned hosts that are cut because the hosts that carry them fall silent for a
+// moment.
+func TestSilenceCutsNoCarriedStream(t *testing.T) {
+	cases := []struct {
+		name string
+		// silent reports whether the links to a host are cut, by its number.
+		silent func(number int) bool
+	}{
+		{"all hosts", func(int) bool { return true }},
+		{"every other host", func(number int) bool { return number%2 == 0 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clearPools()
+			synctest.Test(t, func(t *testing.T) {
+				defer clearPools()
+				f := newPartitionedFleet(t, 15)
+				f.addLongStreams()
+				f.startAll()
+				f.observe(4)
+				partitioned := f.numbers(5, true)
+				f.partition.set(cutReset, partitioned...)
+				time.Sleep(time.Second)
+				silent := make(map[string]bool)
+				for i, h := range f.hosts {
+					silent[h.address()] = c.silent(i)
+				}
+				cut := func(from, to string) bool { return silent[from] || silent[to] }
+				var s longStreams
+				var callers sync.WaitGroup
+				ctx, stop := context.WithCancel(context.Background())
+				callers.Go(func() {
+					for i := 0; ctx.Err() == nil; i++ {
+						h := f.hosts[partitioned[i%len(partitioned)]]
+						callers.Go(func() { f.stream(h, &s) })
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+				for range 5 {
+					time.Sleep(3 * time.Second)
+					f.network.cut.Store(&cut)
+					time.Sleep(longSilentSpan)
+					f.network.cut.Store(nil)
+				}
+				stop()
+				callers.Wait()
+				f.killAll()
+				t.Logf("%d streams whole, %d refused, %d cut, %d lost, the longest %v", s.whole, s.refused, s.cut, s.lost, s.longest)
+				if s.cut > 0 || s.whole == 0 {
+					t.Errorf("%d streams were cut, %d whole", s.cut, s.whole)
+				}
+			})
+		})
+	}
+}
--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +17,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
 )
@@ -25,7 +28,7 @@
 // cancelTimeout bounds the time in which a carrier says how a request ended that its holder has cancelled.
 const cancelTimeout = 200 * swclock.Millis(1)
 
-// Opener opens streams to other hosts.
+// Opener opens streams to other hosts. A stream may implement swlink.LinkObserver.
 type Opener interface {
 	OpenStream(ctx context.Context, host swid.HostID) (net.Conn, error)
 }
@@ -47,7 +50,10 @@
 		return nil, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: errors.Wrap(err, "reach carrier")}
 	}
 	stop := context.AfterFunc(ctx, func() { abort(stream, time.Now().Add(cancelTimeout.Duration())) })
-	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop}
+	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop, closed: make(chan struct{})}
+	if observer, ok := stream.(swlink.LinkObserver); ok && r.GiveUp != nil {
+		go c.giveUp(observer.LinkLost(), r.GiveUp)
+	}
 	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell, Request: r})); err != nil {
 		_ = c.Close() // the error of the write is the one to return
 		return nil, lost(err)
@@ -101,6 +107,21 @@
 	header    http.Header
 	statement swlimit.Statement
 	usage     swtarget.Usage
+	// begun is set once a part of the answer has arrived, and closed is closed by Close.
+	begun     atomic.Bool
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// giveUp ends the request when the link to the carrier is lost, if no part of the answer has arrived and the attempt may be ended.
+func (c *carriedAnswer) giveUp(linkLost <-chan struct{}, allowed func() bool) {
+	select {
+	case <-linkLost:
+		if !c.begun.Load() && allowed() {
+			abort(c.stream, time.Unix(1, 0))
+		}
+	case <-c.closed:
+	}
 }
 
 // read reads the next message in place of the latest one.
@@ -159,6 +180,7 @@
 	if chunk == nil {
 		return swtarget.Chunk{}, lost(errFrame)
 	}
+	c.begun.Store(true)
 	return swtarget.Chunk{
 		Data: chunk.GetData(), Tokens: swid.Tokens(chunk.GetTokens()), Events: int(chunk.GetEvents()), LastEventID: chunk.GetLastEventId(),
 	}, nil
@@ -167,6 +189,7 @@
 // Close implements swtarget.Answer.
 func (c *carriedAnswer) Close() error {
 	c.stop()
+	c.closeOnce.Do(func() { close(c.closed) })
 	c.buffer.Release(c.held)
 	c.held = 0
 	return c.stream.Close()
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -110,8 +110,18 @@
 	statements []swlimit.Statement
 	// ends has the carrier's ends of the streams.
 	ends []net.Conn
+	// linkLost, if not nil, is closed when the link to the carrier is lost while streams go on.
+	linkLost chan struct{}
 }
 
+// observedStream implements swlink.LinkObserver.
+type observedStream struct {
+	net.Conn
+	linkLost chan struct{}
+}
+
+func (s observedStream) LinkLost() <-chan struct{} { return s.linkLost }
+
 func newCarrier(target *fakeTarget) *carrier {
 	c := &carrier{target: target}
 	c.Server = NewServer(Config{
@@ -147,6 +157,9 @@
 	c.ends = append(c.ends, other)
 	c.mu.Unlock()
 	c.tasks.Go(func() { c.Serve("holder", other) })
+	if c.linkLost != nil {
+		return observedStream{own, c.linkLost}, nil
+	}
 	return own, nil
 }
 
@@ -338,6 +351,52 @@
 	})
 }
 
+// TestLinkLost guards against answers that are cut, and requests that end as unknown, because their carrier was silent for a moment. A request
+// that may be sent to another target does not wait for its first output.
+func TestLinkLost(t *testing.T) {
+	yes, no := func() bool { return true }, func() bool { return false }
+	tests := []struct {
+		name   string
+		giveUp func() bool
+		// after is when the link is lost. The parts of the answer come after 1 s and 2 s.
+		after time.Duration
+		ends  bool
+	}{
+		{"may not be repeated", nil, 500 * time.Millisecond, false},
+		{"may be sent to another target", yes, 500 * time.Millisecond, true},
+		{"its last attempt", no, 500 * time.Millisecond, false},
+		{"begun", yes, 1500 * time.Millisecond, false},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCarrier(&fakeTarget{chunks: []string{"a", "b"}, pause: time.Second})
+				c.linkLost = make(chan struct{})
+				time.AfterFunc(e.after, func() { close(c.linkLost) })
+				began := time.Now()
+				r := testRequest()
+				r.GiveUp = e.giveUp
+				answer, err := c.adapter().Start(t.Context(), r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, _, _, err := receive(answer)
+				var failure *swtarget.Error
+				switch {
+				case !e.ends && (err != nil || body != "ab"):
+					t.Errorf("answer %q, error %v", body, err)
+				case e.ends && (!errors.As(err, &failure) || !failure.CarrierLost || body != "" || time.Since(began) != e.after):
+					t.Errorf("answer %q, error %v after %v", body, err, time.Since(began))
+				}
+				if err := answer.Close(); err != nil {
+					t.Error(err)
+				}
+				c.tasks.Wait()
+			})
+		})
+	}
+}
+
 // TestDrain checks that a server that drains finishes what it carries, until the holder has the end.
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peer/swlink/config.go
+++ b/internal/peer/swlink/config.go
@@ -20,8 +20,10 @@
 	// DefaultHandshakeTimeout leaves time for the handshakes of all other hosts.
 	DefaultHandshakeTimeout = 3 * swclock.Second
 	DefaultIdleTimeout      = 5 * swclock.Minute
-	DefaultQueueLength      = 1024
-	DefaultMaxPeers         = 4096
+	// DefaultStreamTimeout leaves time for data to be sent again after a silence of two seconds.
+	DefaultStreamTimeout = 3 * swclock.Second
+	DefaultQueueLength   = 1024
+	DefaultMaxPeers      = 4096
 )
 
 // Limits and times that Config does not set.
@@ -68,6 +70,8 @@
 	HandshakeTimeout swclock.Millis
 	// IdleTimeout is how long a link may carry no message before the host that dialled it closes it.
 	IdleTimeout swclock.Millis
+	// StreamTimeout is how long the further streams of a link that was lost go on without a sign of life of the peer.
+	StreamTimeout swclock.Millis
 	// KeepAlive configures TCP keep-alive, which ends a broken link even if
 	// nothing is sent on it. The zero value leaves keep-alive off.
 	KeepAlive net.KeepAliveConfig
@@ -88,6 +92,7 @@
 	c.DialTimeout = orDefault(c.DialTimeout, DefaultDialTimeout)
 	c.HandshakeTimeout = orDefault(c.HandshakeTimeout, DefaultHandshakeTimeout)
 	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
+	c.StreamTimeout = orDefault(c.StreamTimeout, DefaultStreamTimeout)
 	return c
 }
 
--- a/internal/peer/swlink/handshake.go
+++ b/internal/peer/swlink/handshake.go
@@ -180,7 +180,7 @@
 		return
 	}
 	if old != nil {
-		old.fail(errReplaced)
+		old.end(errReplaced, old.id == l.id)
 		<-old.done
 	}
 	now := n.clock.Now()
@@ -192,14 +192,14 @@
 	n.handler.LinkUp(l.id)
 	stop := context.AfterFunc(ctx, func() { l.fail(errStopped) })
 	defer stop()
-	l.run()
+	l.run(ctx)
 }
 
 // newLink returns a link whose peer is not set yet.
 func (n *Network) newLink(session *yamux.Session, stream net.Conn) *link {
 	return &link{
 		network: n, session: session, stream: stream, frames: newFrameReader(stream),
-		flushSignal: make(chan struct{}, 1), shutdown: make(chan struct{}), done: make(chan struct{}),
+		flushSignal: make(chan struct{}, 1), shutdown: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 		prober:    prober{interval: n.config.ProbeInterval, timeout: n.config.ProbeTimeout},
 		startedAt: n.clock.Now(), lastMessageAt: n.clock.Now(),
 	}
@@ -246,7 +246,7 @@
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive = false
 	c.AcceptBacklog = streamBacklog
-	c.ConnectionWriteTimeout = (2 * n.config.ProbeTimeout).Duration()
+	c.ConnectionWriteTimeout = n.config.StreamTimeout.Duration() // also of the pings of outlasting streams
 	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = time.Duration(max(n.config.ProbeTimeout, swclock.Second)) * time.Millisecond
 	c.LogOutput = io.Discard
--- a/internal/peer/swlink/harness_test.go
+++ b/internal/peer/swlink/harness_test.go
@@ -17,12 +17,14 @@
 const waitTimeout = 20 * time.Second
 
 // lossyConn can discard the data of either direction without an error. While it
-// discards what it reads, it also hides the other side's close.
+// discards what it reads, it also hides the other side's close. It can also hold back what it reads.
 type lossyConn struct {
 	net.Conn
 	dropIn, dropOut atomic.Bool
-	closed          chan struct{}
-	once            sync.Once
+	// held, if not nil, is closed when the connection no longer holds back what it reads.
+	held   atomic.Pointer[chan struct{}]
+	closed chan struct{}
+	once   sync.Once
 }
 
 func (c *lossyConn) Close() error {
@@ -40,6 +42,12 @@
 func (c *lossyConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if held := c.held.Load(); held != nil {
+			select {
+			case <-*held:
+			case <-c.closed:
+			}
+		}
 		if err != nil && c.dropIn.Load() {
 			<-c.closed
 		}
@@ -115,6 +123,32 @@
 	}
 }
 
+// holdTraffic holds back what arrives on the connections that are open now until release is called.
+func (n *node) holdTraffic() (release func()) {
+	held := make(chan struct{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		c.held.Store(&held)
+	}
+	return func() { close(held) }
+}
+
+// openConns returns the number of connections that are open.
+func (n *node) openConns() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open := 0
+	for _, c := range n.conns {
+		select {
+		case <-c.closed:
+		default:
+			open++
+		}
+	}
+	return open
+}
+
 // linkCount returns the number of links that are up.
 func (n *node) linkCount() int { return len(n.links()) }
 
--- a/internal/peer/swlink/link.go
+++ b/internal/peer/swlink/link.go
@@ -1,6 +1,7 @@
 package swlink
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -20,6 +21,7 @@
 	errPeerTimeout = errors.New("peer did not answer a probe or a shutdown in time")
 	errReplaced    = errors.New("replaced by a newer connection")
 	errStopped     = errors.New("network stopped")
+	errLinkLost    = errors.New("link was lost")
 )
 
 // link is one established connection to a peer.
@@ -41,6 +43,8 @@
 	flushSignal chan struct{}
 	// shutdown is closed to end the link gracefully.
 	shutdown chan struct{}
+	// lost is closed when the link is lost while its further streams go on.
+	lost chan struct{}
 	// done is closed after the link's end was handled, including the call of LinkDown if it was lost.
 	done chan struct{}
 
@@ -58,23 +62,67 @@
 	shutdownAt   swclock.Millis
 	// cause is the first error that ended the link.
 	cause error
+	// outlasted is set if the further streams go on after the end of the link.
+	outlasted bool
 }
 
 // run carries messages until the link ends, then detaches it from its host's state,
-// which notifies the handler if the link was lost.
-func (l *link) run() {
+// which notifies the handler if the link was lost. Further streams may go on until they end, or ctx does.
+func (l *link) run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	tasks.Go(func() { l.fail(l.write()) })
 	if l.carries && l.network.config.ServeStream != nil {
-		tasks.Go(l.acceptStreams)
+		l.network.tasks.Go(l.acceptStreams)
 	}
 	graceful := l.read()
+	// A write that is blocked by the peer must not delay the report that messages were lost.
+	unblock := time.AfterFunc(watchInterval.Duration(), func() {
+		if l.isOutlasted() {
+			l.close()
+		}
+	})
 	tasks.Wait()
+	unblock.Stop()
 	if graceful && !l.dialled {
 		l.awaitClose()
 	}
 	l.remote.linkEnded(l, graceful)
 	close(l.done)
+	if l.isOutlasted() {
+		l.network.tasks.Go(func() { l.finishStreams(ctx) })
+	}
+}
+
+// finishStreams closes the connection of a lost link once its further streams have ended, the peer answers no ping
+// within StreamTimeout, or ctx ends.
+func (l *link) finishStreams(ctx context.Context) {
+	defer l.close()
+	stop := context.AfterFunc(ctx, l.close)
+	defer stop()
+	began := l.network.clock.Now()
+	ticker := time.NewTicker(watchInterval.Duration())
+	defer ticker.Stop()
+	for pingedAt := swclock.Millis(0); l.hasFurtherStreams(); {
+		if now := l.network.clock.Now(); now-pingedAt >= l.network.config.ProbeInterval {
+			pingedAt = now
+			if _, err := l.session.Ping(); err != nil {
+				l.network.logger.Info().Str("peer", string(l.id.Host)).Int("streams", l.session.NumStreams()-1).
+					Int64("sinceLostMillis", int64(l.network.clock.Now()-began)).Err(err).Msg("streams of a lost peer link ended")
+				return
+			}
+		}
+		<-ticker.C
+	}
+}
+
+// hasFurtherStreams reports whether there are streams beside the one of the messages.
+func (l *link) hasFurtherStreams() bool { return l.session.NumStreams() > 1 }
+
+// isOutlasted reports whether the further streams go on after the end of the link.
+func (l *link) isOutlasted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outlasted
 }
 
 // acceptStreams serves the further streams that the peer opens until the link ends.
@@ -153,6 +201,8 @@
 		select {
 		case <-l.shutdown:
 			return l.stream.Close()
+		case <-l.lost:
+			return errLinkLost
 		default:
 		}
 		select {
@@ -165,6 +215,7 @@
 				return err
 			}
 		case <-l.shutdown:
+		case <-l.lost:
 		case <-l.session.CloseChan():
 			return errors.New("session closed")
 		}
@@ -172,7 +223,10 @@
 }
 
 // fail ends the link with an error. Only the first error is kept as the cause.
-func (l *link) fail(err error) {
+func (l *link) fail(err error) { l.end(err, err == errPeerTimeout) }
+
+// end is like fail. If keepStreams is set, further streams that are open go on without the link.
+func (l *link) end(err error, keepStreams bool) {
 	if err == nil {
 		return
 	}
@@ -180,12 +234,20 @@
 	first := l.cause == nil
 	if first {
 		l.cause = err
+		l.outlasted = keepStreams && l.hasFurtherStreams()
 	}
+	outlasted := l.outlasted && err != errStopped
 	l.mu.Unlock()
 	if first && err == errPeerTimeout {
 		l.network.stats.peerTimeouts.Add(1)
 	}
-	l.close()
+	switch {
+	case !outlasted:
+		l.close()
+	case first:
+		close(l.lost)
+		_ = l.stream.SetDeadline(time.Unix(1, 0)) // fails only on a closed stream
+	}
 }
 
 // close ends the connection without waiting for the peer.
@@ -216,7 +278,7 @@
 		l.prober.restartTimeout(now)
 		l.shutdownAt = now
 	}
-	if l.carries && l.session.NumStreams() > 1 {
+	if l.carries && l.hasFurtherStreams() {
 		// Nobody else would notice that the peer of the further streams does not answer.
 		l.lastMessageAt = now
 		l.prober.requested = l.prober.requested || now-l.prober.sentAt >= l.prober.interval
--- a/internal/peer/swlink/network.go
+++ b/internal/peer/swlink/network.go
@@ -119,7 +119,8 @@
 )
 
 // OpenStream opens a further stream on the link to a host. If there is no link, it dials and waits for one until
-// ctx ends. The stream ends with the link.
+// ctx ends. If the link is lost because the host fell silent, the stream goes on unless the host stays silent for StreamTimeout; the
+// stream then implements LinkObserver.
 func (n *Network) OpenStream(ctx context.Context, to swid.HostID) (net.Conn, error) {
 	r := n.remote(to)
 	if r == nil {
@@ -137,9 +138,24 @@
 		return nil, errors.Wrap(err, "open stream")
 	}
 	n.stats.streamsOut.Add(1)
-	return stream, nil
+	return &furtherStream{Conn: stream, lost: l.lost}, nil
 }
 
+// LinkObserver is a stream that can outlast its link.
+type LinkObserver interface {
+	// LinkLost returns a channel that is closed when the link is lost and the stream goes on.
+	LinkLost() <-chan struct{}
+}
+
+// furtherStream is a stream that this host opened beside the one of the messages. It implements LinkObserver.
+type furtherStream struct {
+	net.Conn
+	lost <-chan struct{}
+}
+
+// LinkLost implements LinkObserver.
+func (s *furtherStream) LinkLost() <-chan struct{} { return s.lost }
+
 // AcceptsStreams reports whether there is a link to a host that accepts further streams.
 func (n *Network) AcceptsStreams(host swid.HostID) bool {
 	n.mu.Lock()
--- a/internal/peer/swlink/remote.go
+++ b/internal/peer/swlink/remote.go
@@ -271,13 +271,18 @@
 	l.mu.Lock()
 	cause, unacknowledged := l.cause, l.prober.outstanding || l.prober.unconfirmed
 	now := r.network.clock.Now()
-	up, sinceHeard := now-l.upAt, now-l.heardAt
+	up, sinceHeard, outlasted := now-l.upAt, now-l.heardAt, l.outlasted
 	l.mu.Unlock()
-	l.close()
+	streams := 0
+	if outlasted {
+		streams = l.session.NumStreams() - 1
+	} else {
+		l.close()
+	}
 	if !graceful {
 		r.network.stats.linksDown.Add(1)
 		r.network.logger.Info().Str("peer", string(r.host)).Int64("upMillis", int64(up)).
-			Int64("sinceHeardMillis", int64(sinceHeard)).Err(cause).Msg("peer link lost")
+			Int64("sinceHeardMillis", int64(sinceHeard)).Int("streams", streams).Err(cause).Msg("peer link lost")
 		r.dropQueue()
 		r.network.handler.LinkDown(l.id)
 	}
--- a/internal/peer/swlink/stream_test.go
+++ b/internal/peer/swlink/stream_test.go
@@ -91,7 +91,7 @@
 func TestStreamEndsWithSilentPeer(t *testing.T) {
 	d := &directory{}
 	config := streamConfig()
-	config.IdleTimeout, config.ProbeTimeout = swclock.Minute, 150
+	config.IdleTimeout, config.ProbeTimeout, config.StreamTimeout = swclock.Minute, 150, 300
 	a, b := start(t, d, "a", config), start(t, d, "b", config)
 	stream, err := a.OpenStream(t.Context(), "b")
 	if err != nil {
@@ -110,6 +110,83 @@
 	}
 }
 
+// TestStreamOutlastsLink guards against streams that end because their peer was silent for a moment: the link is replaced, and a stream goes on
+// once the peer does.
+func TestStreamOutlastsLink(t *testing.T) {
+	tests := []struct {
+		name string
+		// silent returns the hosts that receive nothing for a while.
+		silent func(a, b *node) []*node
+	}{
+		{"both hosts", func(a, b *node) []*node { return []*node{a, b} }},
+		{"the host that opened it", func(a, _ *node) []*node { return []*node{a} }},
+		{"the host that accepted it", func(_, b *node) []*node { return []*node{b} }},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			d := &directory{}
+			config := streamConfig()
+			config.IdleTimeout, config.ProbeTimeout, config.StreamTimeout = swclock.Minute, 150, swclock.Minute
+			a, b := start(t, d, "a", config), start(t, d, "b", config)
+			stream, err := a.OpenStream(t.Context(), "b")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := exchange(stream, "before"); err != nil {
+				t.Fatal(err)
+			}
+			var releases []func()
+			for _, n := range e.silent(a, b) {
+				releases = append(releases, n.holdTraffic())
+			}
+			eventually(t, "the loss of the link", func() bool { return len(a.lostPeers()) > 0 && len(b.lostPeers()) > 0 })
+			eventually(t, "a message on a new link", func() bool { return a.send(b, 1) && b.receivedCount() > 0 })
+			for _, release := range releases {
+				release()
+			}
+			if err := exchange(stream, "after"); err != nil {
+				t.Errorf("after the silence: %v", err)
+			}
+			select {
+			case <-stream.(LinkObserver).LinkLost():
+			default:
+				t.Error("the loss of the link was not reported to the stream")
+			}
+			if err := stream.Close(); err != nil {
+				t.Error(err)
+			}
+			eventually(t, "the end of the former connection", func() bool { return a.openConns() == 1 && b.openConns() == 1 })
+		})
+	}
+}
+
+// TestStreamEndsWithProcess checks that a stream does not outlast the process of its peer, of which a later one has linked.
+func TestStreamEndsWithProcess(t *testing.T) {
+	d := &directory{}
+	config := streamConfig()
+	config.IdleTimeout, config.StreamTimeout = swclock.Minute, swclock.Minute
+	a, b := start(t, d, "a", config), start(t, d, "b", config)
+	stream, err := a.OpenStream(t.Context(), "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := exchange(stream, "before"); err != nil {
+		t.Fatal(err)
+	}
+	a.dropTraffic(true, true) // a does not notice the end of b's process
+	b.stop()
+	config.Self.Incarnation = 2
+	later := start(t, d, "b", config)
+	eventually(t, "a link of the later process", func() bool { return later.send(a, 1) && a.receivedCount() > 0 })
+	if err := stream.SetReadDeadline(time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = stream.Read(make([]byte, 1))
+	if timeout, ok := err.(net.Error); err == nil || ok && timeout.Timeout() {
+		t.Errorf("the stream was not ended: %v", err)
+	}
+}
+
 // TestOpenStreamErrors checks the errors of hosts to which no stream can be opened.
 func TestOpenStreamErrors(t *testing.T) {
 	d := &directory{}
