Keep links between hosts through a silence of two seconds

A link without traffic, or the kept connection of a lost link between two pings, ended if the peer was silent for a moment between two keep-alive probes, 1 s apart. Owners then doubt the grants of a host that lives, and carried requests end if the setting peer.heartbeat, the time between two pings, is longer than the second after which keep-alive probes begin.

Cause: as for connections to targets, keep-alive closes a connection an interval after the last probe, if all have gone unanswered; with two probes that takes a silence of 1 s. Now there are three, and a silence of 2 s is survived. A broken link without traffic is found 4 s after the last byte instead of 3 s; one that carries messages or requests is found by its own probe, as before.

TestLinkKeepAliveSurvivesSilence fails before: 1 s of silence survived.

--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -261,8 +261,9 @@
 	hostChangePause = 3 * swclock.Second
 )
 
-// linkKeepAlive detects within 3 s that an idle link is broken.
-var linkKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+// linkKeepAlive detects within 4 s that an idle link is broken. A peer that is silent from the first probe to the last, for 2 s, is
+// taken for lost.
+var linkKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // assemble creates the components that need the incarnation that register obtained.
 func (h *Host) assemble() {
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -390,3 +390,16 @@
 		t.Errorf("refusal %+v, error %v", response, err)
 	}
 }
+
+// TestLinkKeepAliveSurvivesSilence guards against the loss of idle links whose peer was silent for a moment between two probes. The options of
+// the sockets are read back in TestKeepAliveCount of swlink.
+func TestLinkKeepAliveSurvivesSilence(t *testing.T) {
+	const silence, end = 2 * time.Second, 4 * time.Second
+	k := linkKeepAlive
+	if survived := time.Duration(k.Count-1) * k.Interval; survived < silence {
+		t.Errorf("a silence of more than %v ends a link, want %v", survived, silence)
+	}
+	if ended := k.Idle + time.Duration(k.Count)*k.Interval; ended > end {
+		t.Errorf("a broken link ends after %v, want %v at most", ended, end)
+	}
+}
