Stop without waiting for the next ping of a lost link

A host that stops while carried requests outlast a lost link ended up to one peer.heartbeat (50 ms to 10 s, 400 ms if not set) later than it could: the goroutine that pings the peer noticed the closed connection only with its next ping. Found by reading; no run showed it, and no test covers it. Now it looks at each turn, every 50 ms.

--- a/internal/peer/swlink/link.go
+++ b/internal/peer/swlink/link.go
@@ -103,7 +103,7 @@
 	ticker := time.NewTicker(watchInterval.Duration())
 	defer ticker.Stop()
 	for pingedAt := swclock.Millis(0); l.hasFurtherStreams(); {
-		if now := l.network.clock.Now(); now-pingedAt >= l.network.config.ProbeInterval {
+		if now := l.network.clock.Now(); now-pingedAt >= l.network.config.ProbeInterval || l.session.IsClosed() {
 			pingedAt = now
 			if _, err := l.session.Ping(); err != nil {
 				l.network.logger.Info().Str("peer", string(l.id.Host)).Int("streams", l.session.NumStreams()-1).
