Keep idle connections of callers for as long as the configuration allows by then

Callers may reuse a connection that is idle for up to the limit of the configuration in force. The deadline of an idle connection was set when it became idle, by the limit of that moment, and at least one minute. If the limit was raised meanwhile, the connection was closed at the former deadline, and a request that a caller sent at that moment got neither an answer nor a refusal.

When the deadline of an idle connection passes, the limit is now looked up once more, and the connection waits on if it may.

TestIdleTimeout, "a time that becomes longer": the request on the kept connection failed with "unexpected EOF" before, and is answered now; three runs of the package with -race pass.

--- a/internal/caller/swcallerconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -66,7 +66,7 @@
 }
 
 // ObserveIdle is Observe for a server with ConnState, whose connections may be idle for the server's own time, or the one that
-// idleTimeout returns when they become idle, whichever is longer.
+// idleTimeout returns, whichever is longer. idleTimeout is called when a connection becomes idle, and again once that time has passed.
 func ObserveIdle(l net.Listener, idleTimeout func() swclock.Millis, log zerolog.Logger) net.Listener {
 	return &listener{Listener: l, idleTimeout: idleTimeout, log: log}
 }
@@ -89,6 +89,8 @@
 	// becameIdle is true from when the connection became idle until its next read deadline is set, which is that of
 	// the idle time.
 	becameIdle atomic.Bool
+	// idleSince is nil unless the connection is idle.
+	idleSince atomic.Pointer[time.Time]
 	// request is the ID of the latest request, for the log; nil if there was none.
 	request     atomic.Pointer[swid.RequestID]
 	end         atomic.Pointer[End]
@@ -98,6 +100,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.staysIdle() {
+		n, err = c.Conn.Read(p)
+	}
 	switch {
 	case err == nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
 		// The server's own doing.
@@ -111,10 +116,23 @@
 	return n, err
 }
 
+// staysIdle sets a later deadline if the connection is idle and may be so for longer by now.
+func (c *conn) staysIdle() bool {
+	since := c.idleSince.Load()
+	if since == nil {
+		return false
+	}
+	until := since.Add(c.idleTimeout().Duration())
+	return until.After(time.Now()) && c.Conn.SetReadDeadline(until) == nil
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.idleSince.Store(nil)
 	if c.becameIdle.Swap(false) && c.idleTimeout != nil {
-		if longer := time.Now().Add(c.idleTimeout().Duration()); longer.After(t) {
+		now := time.Now()
+		c.idleSince.Store(&now)
+		if longer := now.Add(c.idleTimeout().Duration()); longer.After(t) {
 			t = longer
 		}
 	}
--- a/internal/caller/swcallerconn/swcallerconn_test.go
+++ b/internal/caller/swcallerconn/swcallerconn_test.go
@@ -163,16 +163,26 @@
 	tests := []struct {
 		name       string
 		configured swclock.Millis
-		kept       bool
+		// later is the configured time from when the connection is idle.
+		later swclock.Millis
+		kept  bool
 	}{
-		{"no configured time", 0, false},
-		{"a shorter configured time", 1, false},
-		{"a longer configured time", swclock.Hour, true},
+		{"no configured time", 0, 0, false},
+		{"a shorter configured time", 1, 1, false},
+		{"a longer configured time", swclock.Hour, swclock.Hour, true},
+		{"a time that becomes longer", 1, swclock.Hour, true},
+		{"a time that becomes shorter", swclock.Hour, 1, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-			server.Listener = ObserveIdle(server.Listener, func() swclock.Millis { return tt.configured }, zerolog.Nop())
+			var calls atomic.Int64
+			server.Listener = ObserveIdle(server.Listener, func() swclock.Millis {
+				if calls.Add(1) == 1 {
+					return tt.configured
+				}
+				return tt.later
+			}, zerolog.Nop())
 			server.Config.ConnState, server.Config.IdleTimeout = ConnState, 200*time.Millisecond
 			server.Start()
 			defer server.Close()
