Put no former quotas into force when the settings are reloaded during a change

A reload of the settings takes the table from the gate and computes the quotas anew. If it did that in between, or had begun before and ended after, the quotas of the former configuration were in force until the next change or reload: an organisation whose quota was raised was refused on, a lowered quota was not kept.

Both now happen under the lock that reloads hold.

TestReloadDuringChange, 5,000 organisations: former quotas in force after 3, 1 and 11 of 40 changes, and 8 with -race, before; none in 6 runs after, 2 of them with -race.

--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -71,8 +71,7 @@
 		if former != nil {
 			h.joinOrigins(table.JoinedServices(former))
 		}
-		h.ledger.Configure(h.quotasOf(item.Value))
-		h.gate.Configure(table)
+		h.putIntoForce(table)
 		h.updateServing()
 		h.log.Info().
 			Uint64("configVersion", uint64(item.Value.Version)).Uint64("revision", uint64(item.Revision)).
@@ -82,6 +81,14 @@
 	}
 }
 
+// putIntoForce passes a new configuration to the ledger and the gate.
+func (h *Host) putIntoForce(table *swcatalog.Table) {
+	h.configureMu.Lock()
+	defer h.configureMu.Unlock()
+	h.ledger.Configure(h.quotasOf(table.Catalog()))
+	h.gate.Configure(table)
+}
+
 // toleranceShare is the share of the operators' tolerance for usage above a quota
 // (QuotaOverage and QuotaSlack) that is added to each enforced limit, so that no
 // request within a quota is rejected. The remainder covers the excess that several
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -179,7 +179,7 @@
 	// adoptedUntil is the time until which this host, as a new owner, keeps the scheduling
 	// of plain services that the hosts have.
 	adoptedUntil atomic.Int64
-	// configureMu serialises assemble, configure and reconfigure.
+	// configureMu serialises assemble, configure, putIntoForce and reconfigure.
 	configureMu sync.Mutex
 }
 
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,8 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
+	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
 
 // sendRequests sends a number of requests from several concurrent callers to the
@@ -322,6 +325,38 @@
 	}
 }
 
+// TestReloadDuringChange guards against a reload of the settings that puts the quotas of the former configuration into force again.
+func TestReloadDuringChange(t *testing.T) {
+	d := newDeployment(t, 1)
+	h := d.hosts[0].fleet
+	// With many organisations, most reloads meet a change.
+	const organisations, changes = 5000, 40
+	c := *catalogOf(1)
+	for i := range organisations {
+		c.Organisations = append(c.Organisations, swcatalog.Organisation{ID: swid.OrgID(fmt.Sprint("o", i)), Quota: swcatalog.Quota{Rate: 1, Burst: 1}})
+	}
+	former := 0
+	for n := range changes {
+		changed := c
+		changed.Version = swid.ConfigVersion(n + 2)
+		changed.Organisations = slices.Clone(c.Organisations)
+		limited := n%2 == 0
+		if !limited {
+			changed.Organisations[1].Quota = swcatalog.Quota{}
+		}
+		var reloads sync.WaitGroup
+		reloads.Go(func() { h.Reload(d.hosts[0].settings) })
+		h.catalogChanged([]swwatch.Item[*swcatalog.Catalog]{{Name: "main", Value: &changed}})
+		reloads.Wait()
+		if _, admitted := h.ledger.Take(swquota.Process{Host: "h"}, "limited", 1e6, 0, h.clock.Now()); admitted == limited {
+			former++
+		}
+	}
+	if former > 0 {
+		t.Errorf("the quotas of the former configuration are in force after %d of %d changes", former, changes)
+	}
+}
+
 // TestMetrics checks the metrics that on-call engineers rely on.
 func TestMetrics(t *testing.T) {
 	d := newDeployment(t, 1)
