Take a target for dead by probes, not by the keep-alive of its connections (LOST)

Cause: connections to targets had a TCP keep-alive of 1 s, 1 s and 2 probes, later 3. It judges a target by the silence of one connection, and ends whatever runs there.

Now connections to targets have none. A target from which an overdue exchange has heard nothing for a second is looked for each 500 ms, as paths are; if all looks of 2.5 s fail, it is dead, and what may be repeated or taken up there ends. What may run once goes on until its deadline: nothing else could be done with it. Targets that left the list are looked for as long as exchanges run there. Connections to the store keep their keep-alive.

Left: a connection to a target that is silent for good, while new ones work, is noticed only by half of the time of requests that may be repeated, and by the deadline of others.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +30,13 @@
 	// target of its service does.
 	provenTime        = 2 * swclock.Second
 	serviceProvenTime = 500 * swclock.Millis(1)
+	// lookAfter is the time without a sign from a target after which an overdue exchange there has it looked for, also if others of its
+	// service are heard from.
+	lookAfter = swclock.Second
+	// deadTime is how long a target has to fail all looks to be taken for dead. A sound one may be silent for a second or two.
+	deadTime = 2500 * swclock.Millis(1)
+	// maxLookGap is the longest time between two looks that count as one series.
+	maxLookGap = 2 * swclock.Second
 )
 
 // Paths records what one host observes of its paths to targets. It is safe for concurrent use.
@@ -37,7 +45,7 @@
 	hooks Hooks
 
 	mu sync.Mutex
-	// targets has the listed targets.
+	// targets has the listed targets, and others while exchanges run there.
 	targets map[swid.TargetID]*path
 	// services has the services of the listed targets.
 	services map[swid.ServiceID]*scope
@@ -50,6 +58,9 @@
 // path is what is known of the path to one target.
 type path struct {
 	service swid.ServiceID
+	listed  bool
+	// exchanges is the number of exchanges with the target.
+	exchanges int
 	// heardAt is when something was last heard from the target, and failedAt when it last could not be connected to;
 	// 0 for never.
 	heardAt, failedAt swclock.Millis
@@ -57,6 +68,8 @@
 	elsewhereAt swclock.Millis
 	// lost is set if a look that began after elsewhereAt has failed: the path is lost, and the target is not merely silent.
 	lost bool
+	// failingSince is when the first of the latest looks began, all of which have failed; 0 if there is none.
+	failingSince swclock.Millis
 }
 
 // scope is a set of targets of which none may be reached.
@@ -96,7 +109,8 @@
 	defer p.mu.Unlock()
 	for id := range p.targets {
 		if _, found := listed[id]; !found {
-			delete(p.targets, id)
+			p.targets[id].listed = false
+			p.forget(id)
 		}
 	}
 	for _, s := range p.services {
@@ -109,7 +123,7 @@
 			known = &path{}
 			p.targets[id] = known
 		}
-		known.service = service
+		known.service, known.listed = service, true
 		p.scope(service).targets++
 	}
 	for service, s := range p.services {
@@ -119,6 +133,13 @@
 	}
 }
 
+// forget deletes a target that is not listed, and with which there is no exchange. p.mu must be held.
+func (p *Paths) forget(target swid.TargetID) {
+	if t := p.targets[target]; !t.listed && t.exchanges == 0 {
+		delete(p.targets, target)
+	}
+}
+
 // scope returns the scope of a service, creating it if needed. p.mu must be held.
 func (p *Paths) scope(service swid.ServiceID) *scope {
 	s := p.services[service]
@@ -140,20 +161,25 @@
 	signAt swclock.Millis
 	// doubtedAt is when the exchange was first found overdue, or 0.
 	doubtedAt swclock.Millis
-	// abort ends the exchange because the path is lost, and reports whether it did; nil if the exchange must not be ended.
+	// abort ends the exchange because its target cannot be reached, and reports whether it did; nil if the exchange must not be ended.
 	abort func() bool
+	look  func(context.Context) error
 }
 
 // Begin records that a request is sent to a target. expected is the time to the first part of its answer. abort ends
-// the exchange and reports whether it did. It is called while the path to the target is lost and the exchange is overdue, until it
-// did; nil if the exchange must not be ended.
-func (p *Paths) Begin(target swid.TargetID, expected swclock.Millis, abort func() bool) *Exchange {
+// the exchange and reports whether it did. It is called while the exchange is overdue and the path to the target is lost or the target
+// is dead, until it did; nil if the exchange must not be ended. look looks for the target, see ToLookFor.
+func (p *Paths) Begin(target swid.TargetID, expected swclock.Millis, abort func() bool, look func(context.Context) error) *Exchange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x := &Exchange{paths: p, target: target, patience: minStall + stallFactor*expected, signAt: p.clock.Now(), abort: abort}
-	if known := p.targets[target]; known != nil {
-		x.service = known.service
+	x := &Exchange{paths: p, target: target, patience: minStall + stallFactor*expected, signAt: p.clock.Now(), abort: abort, look: look}
+	known := p.targets[target]
+	if known == nil {
+		known = &path{}
+		p.targets[target] = known
 	}
+	known.exchanges++
+	x.service = known.service
 	p.exchanges[x] = struct{}{}
 	return x
 }
@@ -186,6 +212,8 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	delete(p.exchanges, x)
+	defer p.forget(x.target)
+	p.targets[x.target].exchanges--
 	switch {
 	case e == EndingUnconnected:
 		p.failed(x.target, now)
@@ -241,8 +269,13 @@
 func (p *Paths) Failed(target swid.TargetID, began swclock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t := p.targets[target]; t != nil && t.elsewhereAt > 0 && began >= t.elsewhereAt {
-		t.lost = true
+	t := p.targets[target]
+	if t == nil {
+		return
+	}
+	t.lost = t.lost || t.elsewhereAt > 0 && began >= t.elsewhereAt
+	if t.failingSince == 0 || began-t.failedAt > maxLookGap {
+		t.failingSince = max(began, 1)
 	}
 	p.failed(target, p.clock.Now())
 }
@@ -273,7 +306,10 @@
 	if known == nil {
 		return
 	}
-	known.heardAt, known.elsewhereAt, known.lost = max(now, 1), 0, false
+	known.heardAt, known.elsewhereAt, known.lost, known.failingSince = max(now, 1), 0, false, 0
+	if !known.listed {
+		return
+	}
 	s := p.scope(known.service)
 	changed := p.all.cut || s.cut
 	p.all.heardAt, p.all.cut = known.heardAt, false
@@ -333,7 +369,7 @@
 	p.reviewOverdue(now)
 	all := 0
 	for _, t := range p.targets {
-		if t.failedAt <= t.heardAt || now-t.failedAt >= failureMemory {
+		if !t.listed || t.failedAt <= t.heardAt || now-t.failedAt >= failureMemory {
 			continue
 		}
 		if t.failedAt > p.all.heardAt {
@@ -355,34 +391,48 @@
 	p.abortOverdue(now)
 }
 
-// abortOverdue ends the overdue exchanges at targets to which the path is lost, where that is allowed. p.mu must be
+// abortOverdue ends the overdue exchanges at targets that cannot be reached, where that is allowed. p.mu must be
 // held.
 func (p *Paths) abortOverdue(now swclock.Millis) {
 	for x := range p.exchanges {
-		if t := p.targets[x.target]; t != nil && t.lost && t.elsewhereAt >= x.signAt && x.abort != nil && x.isLost(now) && x.abort() {
+		if x.abort != nil && x.isLost(now) && x.isHopeless(p.targets[x.target], now) && x.abort() {
 			x.abort = nil
 		}
 	}
 }
 
-// ToConfirm returns the targets of overdue exchanges that may be ended if the path to their target is lost: no target of
-// the service is reached, which may as well mean that they are silent to all hosts. They are sorted by the time for which nothing was
-// heard from them, the longest first.
-func (p *Paths) ToConfirm() []swid.TargetID {
+// isHopeless reports whether the path to the target is lost, or the target is dead, since the last sign in the exchange.
+func (x *Exchange) isHopeless(t *path, now swclock.Millis) bool {
+	return t.lost && t.elsewhereAt >= x.signAt || t.failingSince > 0 && now-max(t.failingSince, x.signAt) >= deadTime
+}
+
+// Wanted is a target that is to be looked for.
+type Wanted struct {
+	Target swid.TargetID
+	// Look looks for it, and reports what it found to Heard or Failed.
+	Look func(context.Context) error
+}
+
+// ToLookFor returns the targets of overdue exchanges that may be ended if their target cannot be reached. Nothing was heard from them for
+// lookAfter, or from any of their service: whether the path is lost, or the target is dead or only silent for a moment is not known. They are sorted by the
+// time for which nothing was heard from them, the longest first.
+func (p *Paths) ToLookFor() []Wanted {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	var targets []swid.TargetID
+	var wanted []Wanted
 	for x := range p.exchanges {
 		t, s := p.targets[x.target], p.services[x.service]
-		if t != nil && s != nil && (p.all.cut || s.cut) && x.abort != nil && x.isLost(now) && !slices.Contains(targets, x.target) {
-			targets = append(targets, x.target)
+		cut := p.all.cut || s != nil && s.cut
+		if x.abort != nil && x.isLost(now) && (cut || now-max(t.heardAt, x.signAt) >= lookAfter) &&
+			!slices.ContainsFunc(wanted, func(w Wanted) bool { return w.Target == x.target }) {
+			wanted = append(wanted, Wanted{x.target, x.look})
 		}
 	}
-	slices.SortFunc(targets, func(a, b swid.TargetID) int {
-		return cmp.Or(cmp.Compare(p.targets[a].heardAt, p.targets[b].heardAt), strings.Compare(string(a), string(b)))
+	slices.SortFunc(wanted, func(a, b Wanted) int {
+		return cmp.Or(cmp.Compare(p.targets[a.Target].heardAt, p.targets[b.Target].heardAt), strings.Compare(string(a.Target), string(b.Target)))
 	})
-	return targets
+	return wanted
 }
 
 // notify reports the services for which Cut returns something else than before. p.mu must be held.
@@ -418,6 +468,7 @@
 	var cut, suspected []swid.TargetID
 	for id, t := range p.targets {
 		switch s := p.services[t.service]; {
+		case !t.listed:
 		case p.all.cut || s.cut:
 			cut = append(cut, id)
 		case s.suspected && t.failedAt <= t.heardAt:
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -54,7 +54,7 @@
 			return givenUp
 		}
 	}
-	exchange := p.host.paths.Begin(p.target, r.ExpectedFirst, abort)
+	exchange := p.host.paths.Begin(p.target, r.ExpectedFirst, abort, p.probe)
 	answer, err := p.Adapter.Start(ctx, r)
 	if err != nil {
 		err = p.end(ctx, exchange, err)
@@ -153,9 +153,9 @@
 	askedAt swclock.Millis
 	// asked is set once the first round in which they were asked has ended.
 	asked bool
-	// confirming is set while the loss of paths is being confirmed, and carrier is the host that was last to carry a request.
-	confirming bool
-	carrier    swid.HostID
+	// looking is set while look runs, and carrier is the host that was last to carry a request.
+	looking bool
+	carrier swid.HostID
 }
 
 func newPathProber(h *Host) *pathProber {
@@ -269,14 +269,14 @@
 
 // run handles changes, and probes targets while this host may reach none of a service, until ctx ends.
 func (p *pathProber) run(ctx context.Context) {
-	var confirmation conc.WaitGroup
-	defer confirmation.Wait()
+	var looks conc.WaitGroup
+	defer looks.Wait()
 	for {
-		if p.startConfirming() {
-			confirmation.Go(func() { p.confirm(ctx) })
+		if p.startLooking() {
+			looks.Go(func() { p.look(ctx) })
 		}
 		var due <-chan time.Time
-		if len(p.host.paths.ToProbe()) > 0 {
+		if len(p.host.paths.ToProbe()) > 0 || len(p.host.paths.ToLookFor()) > 0 {
 			due = time.After(probeInterval.Duration())
 		}
 		select {
@@ -333,68 +333,83 @@
 }
 
 const (
-	// confirmedAtOnce is the number of targets to which the loss of the path is confirmed at a time, and peersAsked the number of
-	// hosts that are asked about each. confirmTimeout bounds the time for their answers: one may have to be connected to, and to probe.
-	confirmedAtOnce = 4
+	// lookedForAtOnce is the number of targets that are looked for at a time, and peersAsked the number of hosts that are asked about
+	// each. askTimeout bounds the time for their answers: one may have to be connected to, and to probe.
+	lookedForAtOnce = 4
 	peersAsked      = 2
-	confirmTimeout  = probeTimeout + 200*swclock.Millis(1)
+	askTimeout      = probeTimeout + 200*swclock.Millis(1)
 )
 
-// startConfirming reports whether confirm is to be called.
-func (p *pathProber) startConfirming() bool {
-	if len(p.host.paths.ToConfirm()) == 0 {
+// startLooking reports whether look is to be called.
+func (p *pathProber) startLooking() bool {
+	if len(p.host.paths.ToLookFor()) == 0 {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	start := !p.confirming
-	p.confirming = true
+	start := !p.looking
+	p.looking = true
 	return start
 }
 
-// confirm finds out whether the paths to targets are lost that this host does not hear from, or the targets are silent to all hosts: it
-// asks other hosts whether they reach them, and if one does, looks once more itself. Only then are exchanges there ended.
-func (p *pathProber) confirm(ctx context.Context) {
-	var confirmations conc.WaitGroup
-	targets := p.host.paths.ToConfirm()
-	for _, id := range targets[:min(len(targets), confirmedAtOnce)] {
-		confirmations.Go(func() { p.confirmTarget(ctx, id) })
+// lookIfWanted has the targets looked for that this host does not hear from. It does not block.
+func (p *pathProber) lookIfWanted() {
+	if len(p.host.paths.ToLookFor()) > 0 {
+		p.suspected()
 	}
-	confirmations.Wait()
+}
+
+// look finds out about targets that this host does not hear from. Exchanges with one are ended only if the path to it is lost, or it fails all
+// looks for some seconds.
+func (p *pathProber) look(ctx context.Context) {
+	var looks conc.WaitGroup
+	targets := p.host.paths.ToLookFor()
+	for _, w := range targets[:min(len(targets), lookedForAtOnce)] {
+		looks.Go(func() { p.lookFor(ctx, w) })
+	}
+	looks.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.confirming = false
+	p.looking = false
 }
 
-func (p *pathProber) confirmTarget(ctx context.Context, id swid.TargetID) {
-	adapter, known := p.adapter(id)
-	if !known {
-		return
+// lookFor looks for a target. If this host reaches no target of its service, it first asks others whether they do, as the path is lost only
+// then.
+func (p *pathProber) lookFor(ctx context.Context, w swreach.Wanted) {
+	by, asked := swid.HostID(""), 0
+	if service, listed := p.host.view.serviceOf(w.Target); listed && p.host.paths.Cut(service) {
+		by, asked = p.askPeers(ctx, w.Target)
 	}
+	if by != "" {
+		p.host.paths.HeardElsewhere(w.Target)
+	}
+	err := w.Look(ctx)
+	p.host.log.Info().Str("target", string(w.Target)).Int("asked", asked).Str("reachedBy", string(by)).AnErr("error", err).
+		Bool("lost", by != "" && err != nil).Msg("path to a target looked at")
+}
+
+// askPeers asks other hosts whether they reach a target. It returns one that does, if there is one, and how many were asked.
+func (p *pathProber) askPeers(ctx context.Context, target swid.TargetID) (reachedBy swid.HostID, asked int) {
 	peers := p.peersToAsk()
-	asked, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
 	reached := make(chan swid.HostID, len(peers))
 	var asks conc.WaitGroup
 	for _, peer := range peers {
 		asks.Go(func() {
-			carrier := swcarry.Adapter{Opener: p.host.network, Carrier: peer, Target: id}
-			if err := carrier.Probe(asked); err == nil { // after an error, the path is not confirmed to be lost
+			carrier := swcarry.Adapter{Opener: p.host.network, Carrier: peer, Target: target}
+			if err := carrier.Probe(ctx); err == nil { // an error says nothing of the target
 				reached <- peer
 				cancel()
 			}
 		})
 	}
 	asks.Wait()
-	by := swid.HostID("")
 	select {
-	case by = <-reached:
-		p.host.paths.HeardElsewhere(id)
+	case reachedBy = <-reached:
 	default:
 	}
-	err := adapter.probe(ctx)
-	p.host.log.Info().Str("target", string(id)).Int("asked", len(peers)).Str("reachedBy", string(by)).AnErr("error", err).
-		Bool("lost", by != "" && err != nil).Msg("path to a target looked at")
+	return reachedBy, len(peers)
 }
 
 // noteCarrier records the host that is to carry a request.
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -98,6 +98,7 @@
 			return
 		}
 		h.paths.Review()
+		h.pathProber.lookIfWanted()
 		h.refreshOwner()
 		h.registerWithOwner(h.router.currentOwner(), h.needsCompleteRegistration.Load())
 		h.logShareChange()
--- a/internal/node/swfleet/silenttargets_test.go
+++ b/internal/node/swfleet/silenttargets_test.go
@@ -230,3 +230,33 @@
 		}
 	}
 }
+
+// TestStreamsLeaveDeadTarget guards against streams that wait until their deadline for a target that has ended without a sign.
+func TestStreamsLeaveDeadTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clearPools()
+		defer clearPools()
+		f := newPartitionedFleet(t, 15)
+		f.addLongStreams()
+		f.startAll()
+		f.observe(4)
+		var s longStreams
+		var callers sync.WaitGroup
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		defer stop()
+		time.AfterFunc(3*time.Second, func() { f.targets["model-3"].silence.set(cutHang, 0) })
+		order := hostOrder{hosts: f.hosts}
+		for ctx.Err() == nil {
+			h := order.next()
+			callers.Go(func() { f.stream(h, &s) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		callers.Wait()
+		f.targets["model-3"].silence.set(0)
+		f.killAll()
+		t.Logf("%d streams whole, %d refused, %d cut, %d lost, the longest %v", s.whole, s.refused, s.cut, s.lost, s.longest)
+		if sent := s.whole + s.refused + s.cut + s.lost; float64(s.whole) < minServedInSilence*float64(sent) {
+			t.Errorf("%d of %d streams are whole", s.whole, sent)
+		}
+	})
+}
--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -115,6 +114,8 @@
 	DialTimeout swclock.Millis
 	// MaxIdleTime bounds the time for which a connection stays idle in the pool, whatever its peer announces.
 	MaxIdleTime swclock.Millis
+	// KeepAlive configures TCP keep-alive; the zero value leaves it off. It also ends connections whose peer is only silent for as long.
+	KeepAlive net.KeepAliveConfig
 }
 
 // Pool keeps connections to one address. Its methods are safe for concurrent use.
@@ -143,13 +144,12 @@
 	process int64
 }
 
-// keepAlive detects connections whose peer is unresponsive. TCP sends the first probe after an idle second and closes
-// the connection an interval after the last one, even if the peer has only missed the time between the first and the last.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+// noKeepAlive turns off the keep-alive that package net enables by default.
+const noKeepAlive = -1
 
 // New returns an empty pool.
 func New(config Config) *Pool {
-	return &Pool{config: config, dialer: net.Dialer{Timeout: config.DialTimeout.Duration(), KeepAliveConfig: keepAlive}}
+	return &Pool{config: config, dialer: net.Dialer{Timeout: config.DialTimeout.Duration(), KeepAlive: noKeepAlive, KeepAliveConfig: config.KeepAlive}}
 }
 
 // Close closes the idle connections. Connections in use are closed when their exchange ends.
