End a stream on a connection that alone is silent by what its target reports

Once an exchange has heard nothing for 3 s, its target is looked for even if it is heard from elsewhere, and asked for its report of runs on another connection: if it has made more events of the stream than have arrived, also 250 ms later, the connection is lost. The stream ends, if it may, and goes on elsewhere. A target that pauses reports no further events, so that its stream goes on.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -33,6 +33,9 @@
 	// lookAfter is the time without a sign from a target after which an overdue exchange there has it looked for, also if others of its
 	// service are heard from.
 	lookAfter = swclock.Second
+	// connectionSilence is the time without a sign in an exchange after which its target is looked for even if it is heard from elsewhere:
+	// the connection may be silent for good.
+	connectionSilence = 3 * swclock.Second
 	// deadTime is how long a target has to fail all looks to be taken for dead. A sound one may be silent for a second or two.
 	deadTime = 2500 * swclock.Millis(1)
 	// maxLookGap is the longest time between two looks that count as one series.
@@ -163,13 +166,13 @@
 	doubtedAt swclock.Millis
 	// abort ends the exchange because its target cannot be reached, and reports whether it did; nil if the exchange must not be ended.
 	abort func() bool
-	look  func(context.Context) error
+	look  func(context.Context, *Exchange) error
 }
 
 // Begin records that a request is sent to a target. expected is the time to the first part of its answer. abort ends
 // the exchange and reports whether it did. It is called while the exchange is overdue and the path to the target is lost or the target
 // is dead, until it did; nil if the exchange must not be ended. look looks for the target, see ToLookFor.
-func (p *Paths) Begin(target swid.TargetID, expected swclock.Millis, abort func() bool, look func(context.Context) error) *Exchange {
+func (p *Paths) Begin(target swid.TargetID, expected swclock.Millis, abort func() bool, look func(context.Context, *Exchange) error) *Exchange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x := &Exchange{paths: p, target: target, patience: minStall + stallFactor*expected, signAt: p.clock.Now(), abort: abort, look: look}
@@ -222,6 +225,16 @@
 	}
 }
 
+// Silence returns the time since the exchange began, or something was last heard in it.
+func (x *Exchange) Silence() swclock.Millis {
+	x.paths.mu.Lock()
+	defer x.paths.mu.Unlock()
+	return x.paths.clock.Now() - x.signAt
+}
+
+// ConnectionSuspect reports whether the exchange has been silent for so long that its connection may be.
+func (x *Exchange) ConnectionSuspect() bool { return x.Silence() >= connectionSilence }
+
 // overdue reports whether the target should have been heard from.
 func (x *Exchange) overdue(now swclock.Millis) bool { return now-x.signAt >= x.patience }
 
@@ -414,8 +427,8 @@
 }
 
 // ToLookFor returns the targets of overdue exchanges that may be ended if their target cannot be reached. Nothing was heard from them for
-// lookAfter, or from any of their service: whether the path is lost, or the target is dead or only silent for a moment is not known. They are sorted by the
-// time for which nothing was heard from them, the longest first.
+// lookAfter, or from any of their service, or in the exchange for connectionSilence: whether the path or the connection is lost, or the target is dead or only
+// silent for a moment is not known. They are sorted by the time for which nothing was heard from them, the longest first.
 func (p *Paths) ToLookFor() []Wanted {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -424,9 +437,9 @@
 	for x := range p.exchanges {
 		t, s := p.targets[x.target], p.services[x.service]
 		cut := p.all.cut || s != nil && s.cut
-		if x.abort != nil && x.isLost(now) && (cut || now-max(t.heardAt, x.signAt) >= lookAfter) &&
+		if x.abort != nil && x.isLost(now) && (cut || now-max(t.heardAt, x.signAt) >= lookAfter || now-x.signAt >= connectionSilence) &&
 			!slices.ContainsFunc(wanted, func(w Wanted) bool { return w.Target == x.target }) {
-			wanted = append(wanted, Wanted{x.target, x.look})
+			wanted = append(wanted, Wanted{x.target, func(ctx context.Context) error { return x.look(ctx, x) }})
 		}
 	}
 	slices.SortFunc(wanted, func(a, b Wanted) int {
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,9 @@
 // errPathLost is the context cause of an exchange that is ended because this host reaches no target of the service.
 var errPathLost = errors.New("the host reaches no target of the service")
 
+// errConnectionLost is the context cause of an exchange that is ended because only its connection is silent.
+var errConnectionLost = errors.New("the connection to the target is silent while its run goes on")
+
 // pathAdapter records what the exchanges with a target show of the path to it. It implements swtarget.Adapter.
 type pathAdapter struct {
 	swtarget.Adapter
@@ -44,17 +48,28 @@
 // Start implements swtarget.Adapter.
 func (p *pathAdapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	end := func(cause error) bool {
+		givenUp := r.GiveUp == nil || r.GiveUp()
+		if givenUp {
+			cancel(cause)
+		}
+		return givenUp
+	}
 	var abort func() bool
 	if r.FirstOutputTimeout > 0 || r.GiveUp != nil { // the request may be sent to another target, or its stream be taken up
-		abort = func() bool {
-			givenUp := r.GiveUp == nil || r.GiveUp()
-			if givenUp {
-				cancel(errPathLost)
-			}
-			return givenUp
+		abort = func() bool { return end(errPathLost) }
+	}
+	received := &progress{}
+	look := func(looking context.Context, exchange *swreach.Exchange) error {
+		if err := p.probe(looking); err != nil {
+			return err
 		}
+		if r.LastEventID == "" && p.isConnectionLost(looking, exchange, r.ID, received) {
+			end(errConnectionLost)
+		}
+		return nil
 	}
-	exchange := p.host.paths.Begin(p.target, r.ExpectedFirst, abort, p.probe)
+	exchange := p.host.paths.Begin(p.target, r.ExpectedFirst, abort, look)
 	answer, err := p.Adapter.Start(ctx, r)
 	if err != nil {
 		err = p.end(ctx, exchange, err)
@@ -62,7 +77,37 @@
 		return nil, err
 	}
 	exchange.Heard()
-	return &pathAnswer{Answer: answer, adapter: p, exchange: exchange, ctx: ctx, cancel: cancel}, nil
+	return &pathAnswer{Answer: answer, adapter: p, exchange: exchange, received: received, ctx: ctx, cancel: cancel}, nil
+}
+
+// progress counts the events of a stream that were received.
+type progress struct{ events atomic.Int64 }
+
+// onTheWay is how long events that a target has reported may be on their way.
+const onTheWay = 250 * swclock.Millis(1)
+
+// isConnectionLost reports whether the connection of an exchange is silent for good: the target, which answers on another one, has made
+// events of the stream that have not arrived.
+func (p *pathAdapter) isConnectionLost(ctx context.Context, exchange *swreach.Exchange, id swid.RequestID, received *progress) bool {
+	reporter, reports := p.Adapter.(swtarget.RunReporter)
+	before := received.events.Load()
+	if !reports || before == 0 || !exchange.ConnectionSuspect() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	made, reported, err := reporter.ReportedEvents(ctx, id)
+	if err != nil || !reported || int64(made) <= before {
+		return false
+	}
+	select {
+	case <-time.After(onTheWay.Duration()):
+	case <-ctx.Done():
+	}
+	lost := received.events.Load() == before
+	p.host.log.Info().Str("requestId", string(id)).Str("target", string(p.target)).Int64("receivedEvents", before).Int("madeEvents", made).
+		Int64("silentMillis", int64(exchange.Silence())).Bool("lost", lost).Msg("connection to a target looked at")
+	return lost
 }
 
 // end records the end of an exchange, and returns its error: nil for a complete answer.
@@ -72,6 +117,9 @@
 	case errors.Is(context.Cause(ctx), errPathLost):
 		exchange.End(swreach.EndingBroken)
 		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errPathLost}
+	case errors.Is(context.Cause(ctx), errConnectionLost):
+		exchange.End(swreach.EndingSound)
+		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errConnectionLost}
 	case err == nil || err == io.EOF || ctx.Err() != nil:
 		exchange.End(swreach.EndingSound)
 	case errors.As(err, &failure) && (failure.Statement.Heard || failure.OtherStart || errors.Is(err, swbuffer.ErrExceeded) ||
@@ -111,6 +159,7 @@
 	swtarget.Answer
 	adapter  *pathAdapter
 	exchange *swreach.Exchange
+	received *progress
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	once     sync.Once
@@ -120,6 +169,7 @@
 func (a *pathAnswer) Next() (swtarget.Chunk, error) {
 	chunk, err := a.Answer.Next()
 	if err == nil {
+		a.received.events.Add(int64(chunk.Events))
 		a.exchange.Heard()
 		return chunk, nil
 	}
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -108,6 +108,13 @@
 	Probe(ctx context.Context) (swlimit.Statement, error)
 }
 
+// RunReporter is implemented by adapters whose targets report how far their runs are.
+type RunReporter interface {
+	// ReportedEvents returns how many events the target has made of the stream of a request, as of a moment ago. reported is false if it
+	// reports no run of the request.
+	ReportedEvents(ctx context.Context, id swid.RequestID) (events int, reported bool, err error)
+}
+
 // Failure classifies errors by what they mean for the request.
 type Failure uint8
 
