--- a/internal/core/swbudget/window.go
+++ b/internal/core/swbudget/window.go
@@ -56,10 +56,21 @@
 	return true
 }
 
+// GiveBack returns a retry that was taken at an instant and not used.
+func (w *Window) GiveBack(takenAt swclock.Millis) {
+	number := w.bucketNumber(takenAt)
+	if p := &w.buckets[number%int64(len(w.buckets))]; p.number == number && p.retries > 0 {
+		p.retries--
+	}
+}
+
+// bucketNumber returns the number of the bucket of an instant.
+func (w *Window) bucketNumber(at swclock.Millis) int64 { return int64(at*bucketCount/w.span) + 1 }
+
 // currentBucket returns the bucket of the current time. If the ring still holds
 // an older bucket in its place, currentBucket replaces that.
 func (w *Window) currentBucket(now swclock.Millis) *bucket {
-	number := int64(now*bucketCount/w.span) + 1
+	number := w.bucketNumber(now)
 	p := &w.buckets[number%int64(len(w.buckets))]
 	if p.number != number {
 		*p = bucket{number: number}
--- a/internal/core/swbudget/window_test.go
+++ b/internal/core/swbudget/window_test.go
@@ -1,6 +1,7 @@
 package swbudget
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -8,7 +9,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 )
 
-// TestWindow draws requests and retries and checks that the retries in any window
+// TestWindow draws requests, retries and ones that are given back, and checks that the others in any window
 // are at most the ratio of the requests in it plus the reserve.
 func TestWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -34,6 +35,12 @@
 				requests = append(requests, now)
 				continue
 			}
+			if len(retries) > 0 && rapid.IntRange(0, 3).Draw(t, "give back") == 0 {
+				i := rapid.IntRange(0, len(retries)-1).Draw(t, "retry")
+				w.GiveBack(retries[i])
+				retries = slices.Delete(retries, i, i+1)
+				continue
+			}
 			if !w.Take(now) {
 				continue
 			}
@@ -58,6 +65,10 @@
 			t.Errorf("retry %d: allowed is %v", i+1, got)
 		}
 	}
+	w.GiveBack(now)
+	if !w.Take(now) || w.Take(now) {
+		t.Error("a retry that was given back does not allow exactly one")
+	}
 	w.SetReserve(2)
 	if !w.Take(now) {
 		t.Error("a larger reserve allows no further retry")
@@ -68,4 +79,8 @@
 			t.Errorf("retry %d after the window: allowed is %v", i+1, got)
 		}
 	}
+	w.GiveBack(now - 1100)
+	if w.Take(now) {
+		t.Error("a retry of an earlier window that was given back allows another one")
+	}
 }
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -68,6 +68,9 @@
 	target swid.TargetID
 	// last is set if the request is sent to no other target after this one.
 	last bool
+	// retry is set if an earlier attempt reached a target, so that this one uses a retry of the budget if it does, and
+	// retryUsed is set once it has.
+	retry, retryUsed bool
 	// carrier is the host that carries the request; empty if this host sends it itself.
 	carrier swid.HostID
 	// origin is that of the streams that the target begins, and born identifies its start, as they were listed
@@ -204,7 +207,13 @@
 	ended.Delivered, ended.Unplaced = a.begun, a.begun && a.lastEventID == ""
 	ended.Began, ended.Origin = a.events > 0, a.certainOrigin()
 	a.ender = a.endedBy(ended)
-	a.held.reachedTarget = a.held.reachedTarget || !ended.Unsent
+	if !ended.Unsent {
+		a.held.reachedTarget = true
+		if a.retry && !a.retryUsed {
+			a.held.useRetry()
+			a.retryUsed = true
+		}
+	}
 	return ended
 }
 
@@ -305,7 +314,11 @@
 // mayGiveUp reports whether the attempt may be ended early. A stream that has begun may always: its caller can take it up.
 // Otherwise a retry is kept for the next attempt.
 func (a *attempt) mayGiveUp() bool {
-	return a.streaming.Load() || !a.last && a.held.keepRetry()
+	retries := 1
+	if a.retry {
+		retries++ // that of this attempt is in use
+	}
+	return a.streaming.Load() || !a.last && a.held.keepRetries(retries)
 }
 
 // isClosed reports whether the target has said that it takes no requests from this host. The owner that
--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -70,10 +70,12 @@
 	// reachedTarget is true if an attempt reached a target. Only the goroutine of
 	// Serve accesses reachedTarget and lastFailure.
 	reachedTarget bool
-	// retryTaken is true while a retry of the budget is kept for the next attempt. retryMu is a lock of its own because it
-	// is also taken by callers that hold locks which are taken under mu.
-	retryMu    sync.Mutex
-	retryTaken bool
+	// retries has the instants at which retries of the budget were taken that no attempt has used yet by reaching a target.
+	// retriesClosed is set once they were given back. retryMu is a lock of its own because it is also taken by callers that
+	// hold locks which are taken under mu.
+	retryMu       sync.Mutex
+	retries       []swclock.Millis
+	retriesClosed bool
 	// lastFailure is the latest server error that a target answered with, or nil.
 	// It is set only for a request with RetryFailures.
 	lastFailure *failureAnswer
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -30,6 +30,7 @@
 // serve executes the commands of the request's state machine until its end.
 func (e *heldRequest) serve(ctx context.Context) Report {
 	defer e.buffer.Close()
+	defer e.giveBackRetries()
 	rules := e.request.rules()
 	rules.Continuation.Origin = e.knownOrigin()
 	life, command := swlife.New(rules)
@@ -48,7 +49,7 @@
 		case swlife.Dispatch:
 			report.Attempts, report.Target = c.Attempt, c.Target
 			last = attempt{
-				held: e, number: c.Attempt, target: c.Target, last: c.Last, carrier: e.carrier,
+				held: e, number: c.Attempt, target: c.Target, last: c.Last, retry: e.reachedTarget, carrier: e.carrier,
 				begun: last.begun, delivered: last.delivered, firstDelivery: last.firstDelivery, lastEventID: last.lastEventID,
 			}
 			event = last.run(ctx)
@@ -242,7 +243,7 @@
 // waitForGrant sends a grant request to the cell's owner and waits for its decision.
 // If the retry budget does not allow another attempt, it returns a rejection instead.
 func (e *heldRequest) waitForGrant(ctx context.Context, c swlife.RequestGrant) swlife.Event {
-	if !e.takeRetry() {
+	if e.reachedTarget && !e.keepRetries(1) {
 		return swlife.Rejected{Reason: swcell.ReasonRetryBudget}
 	}
 	resend := time.NewTimer(e.startGrantRequest(c).Duration())
@@ -365,29 +366,41 @@
 	}
 }
 
-// takeRetry reports whether another grant request is allowed. If an earlier
-// attempt reached a target, it consumes one retry of the budget.
-func (e *heldRequest) takeRetry() bool {
-	if !e.reachedTarget {
+// keepRetries keeps retries of the budget for n attempts that have not reached a target yet, and reports whether the budget allows them.
+func (e *heldRequest) keepRetries(n int) bool {
+	budget := e.holder.config.Retries
+	if budget == nil {
 		return true
 	}
-	allowed := e.keepRetry()
 	e.retryMu.Lock()
 	defer e.retryMu.Unlock()
-	e.retryTaken = false
-	return allowed
+	for len(e.retries) < n {
+		takenAt := e.holder.config.Clock.Now()
+		if e.retriesClosed || !budget.Take(e.request.Service) {
+			return false
+		}
+		e.retries = append(e.retries, takenAt)
+	}
+	return true
 }
 
-// keepRetry reports whether the budget allows another attempt, and keeps a retry for it.
-func (e *heldRequest) keepRetry() bool {
-	retries := e.holder.config.Retries
-	if retries == nil {
-		return true
+// useRetry records that an attempt that is a retry has reached a target.
+func (e *heldRequest) useRetry() {
+	e.retryMu.Lock()
+	defer e.retryMu.Unlock()
+	if len(e.retries) > 0 { // without a budget, none is kept
+		e.retries = e.retries[1:]
 	}
+}
+
+// giveBackRetries returns the retries that no attempt has used. None is kept any more.
+func (e *heldRequest) giveBackRetries() {
 	e.retryMu.Lock()
 	defer e.retryMu.Unlock()
-	e.retryTaken = e.retryTaken || retries.Take(e.request.Service)
-	return e.retryTaken
+	for _, takenAt := range e.retries {
+		e.holder.config.Retries.GiveBack(e.request.Service, takenAt)
+	}
+	e.retries, e.retriesClosed = nil, true
 }
 
 // maxRedirects bounds the redirects that the holder follows for one grant request. Hosts that
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -50,6 +50,8 @@
 type Retries interface {
 	// Take consumes one retry of a service and reports whether one was available.
 	Take(service swid.ServiceID) bool
+	// GiveBack returns a retry of a service that was not used. takenAt is an instant just before Take was called.
+	GiveBack(service swid.ServiceID, takenAt swclock.Millis)
 }
 
 // Observer receives events for metrics. Its methods do not block.
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -61,9 +61,9 @@
 // script defines the behaviour of a target for one request.
 type script struct {
 	startErr error
-	// stalls ends the request with startErr only if the holder gives it up.
-	stalls bool
-	chunks []string
+	// stalls ends the request with startErr only if the holder gives it up. asks asks whether it does, and answers all the same.
+	stalls, asks bool
+	chunks       []string
 	// end is the error after the last chunk; io.EOF completes the answer.
 	end error
 	// hang blocks after the chunks until the attempt's context ends.
@@ -145,6 +145,9 @@
 	if next.startErr != nil && (!next.stalls || r.GiveUp()) {
 		return nil, next.startErr
 	}
+	if next.asks {
+		r.GiveUp()
+	}
 	return &scriptedAnswer{ctx: ctx, script: next}, nil
 }
 
@@ -551,6 +554,66 @@
 	return true
 }
 
+func (l *limitedRetries) GiveBack(swid.ServiceID, swclock.Millis) { l.left++ }
+
+// TestUnsentAttemptsTakeNoRetry guards against retries of the budget that are used up by attempts that reach no target, or by none.
+func TestUnsentAttemptsTakeNoRetry(t *testing.T) {
+	answer := script{chunks: []string{"x"}, end: io.EOF}
+	broken := script{startErr: errBroken}
+	unsent := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errors.New("not connected")}}
+	rejecting := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Err: errors.New("no room")}}
+	silent := script{startErr: &swtarget.Error{Failure: swtarget.FailureStalled, Err: errors.New("silent")}, stalls: true}
+	slow := script{asks: true, chunks: []string{"x"}, end: io.EOF}
+	tests := []struct {
+		name    string
+		retries int
+		// scripts are those of the targets that are granted; the grant request after the last of them is rejected.
+		scripts []script
+		cause   swlife.Cause
+		left    int
+	}{
+		{"unsent after sent", 1, []script{broken, unsent, answer}, swlife.CauseNone, 0},
+		{"several unsent after sent", 1, []script{broken, unsent, unsent, answer}, swlife.CauseNone, 0},
+		{"unsent after one that was given up", 1, []script{silent, unsent, answer}, swlife.CauseNone, 0},
+		{"unsent after a retry that was given up", 2, []script{broken, silent, unsent, answer}, swlife.CauseNone, 0},
+		{"unsent before sent", 1, []script{unsent, broken, answer}, swlife.CauseNone, 0},
+		{"sent twice", 1, []script{broken, broken}, swlife.CauseRetryBudget, 0},
+		{"rejected by its target", 1, []script{broken, rejecting}, swlife.CauseRetryBudget, 0},
+		{"answered before it is given up", 1, []script{slow}, swlife.CauseNone, 1},
+		{"retry answered before it is given up", 2, []script{broken, slow}, swlife.CauseNone, 1},
+		{"no further grant", 1, []script{broken}, swlife.CauseOverload, 1},
+		{"no further grant after unsent", 2, []script{broken, unsent}, swlife.CauseOverload, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			scripts := make(map[swid.TargetID][]script)
+			for i, s := range tt.scripts {
+				scripts[swid.TargetID(fmt.Sprint(i))] = []script{s}
+			}
+			f := newFixture(scripts)
+			budget := &limitedRetries{left: tt.retries}
+			f.holder.config.Retries = budget
+			reports, _ := f.serve(f.request(false, false))
+			go func() {
+				for s := range f.sent {
+					m, waits := s.message.(swmsg.GrantRequest)
+					switch {
+					case !waits:
+					case int(m.Attempt) <= len(tt.scripts):
+						f.grant(s.to, m, swid.TargetID(fmt.Sprint(m.Attempt-1)))
+					default:
+						f.holder.Receive(swlink.Peer{Host: s.to}, swmsg.Reject{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Reason: swcell.ReasonOverload})
+					}
+				}
+			}()
+			if report := <-reports; report.End.Cause != tt.cause || int(report.Attempts) != len(tt.scripts) || budget.left != tt.left {
+				t.Errorf("%d attempts, ended with %+v, %d retries left, want %v and %d", report.Attempts, report.End, budget.left, tt.cause, tt.left)
+			}
+			close(f.sent)
+		})
+	}
+}
+
 // TestGiveUpTakesRetry guards against an attempt that is given up while the budget allows no other one, and against a retry that is
 // counted twice.
 func TestGiveUpTakesRetry(t *testing.T) {
--- a/internal/node/swfleet/retries.go
+++ b/internal/node/swfleet/retries.go
@@ -78,6 +78,13 @@
 	return w.Take(r.clock.Now())
 }
 
+// GiveBack implements swholder.Retries.
+func (r *retryBudget) GiveBack(service swid.ServiceID, takenAt swclock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window(service).GiveBack(takenAt)
+}
+
 // window returns the window of a service, creating it if needed. r.mu must be held.
 func (r *retryBudget) window(service swid.ServiceID) *swbudget.Window {
 	w, known := r.windows[service]
