--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 
@@ -71,6 +72,10 @@
 	// retry is set if an earlier attempt reached a target, so that this one uses a retry of the budget if it does, and
 	// retryUsed is set once it has.
 	retry, retryUsed bool
+	// tried has the targets of earlier attempts, and continues is set if the attempt continues a stream, for which another
+	// target needs to have the same origin.
+	tried     []swid.TargetID
+	continues bool
 	// carrier is the host that carries the request; empty if this host sends it itself.
 	carrier swid.HostID
 	// origin is that of the streams that the target begins, and born identifies its start, as they were listed
@@ -293,7 +298,7 @@
 	a.patience = a.silenceLimit()
 	call.FirstOutputTimeout = a.firstOutputTimeout()
 	if a.events == 0 && !a.held.request.NonIdempotent {
-		call.GiveUp = a.mayGiveUp
+		call.GiveUp = func() bool { return a.mayGiveUp(target.Origin) }
 	}
 	call.ReceivedEvents = a.events
 	call.ExpectedFirst = a.expectedFirst()
@@ -312,13 +317,32 @@
 }
 
 // mayGiveUp reports whether the attempt may be ended early. A stream that has begun may always: its caller can take it up.
-// Otherwise a retry is kept for the next attempt.
-func (a *attempt) mayGiveUp() bool {
+// Otherwise there has to be another target, and a retry is kept for the next attempt. origin is that of the streams that the target begins.
+func (a *attempt) mayGiveUp(origin sworigin.Origin) bool {
 	retries := 1
 	if a.retry {
 		retries++ // that of this attempt is in use
 	}
-	return a.streaming.Load() || !a.last && a.held.keepRetries(retries)
+	return a.streaming.Load() || !a.last && a.hasAlternative(origin) && a.held.keepRetries(retries)
+}
+
+// hasAlternative reports whether another target is listed that the request may be sent to.
+func (a *attempt) hasAlternative(origin sworigin.Origin) bool {
+	c := &a.held.holder.config
+	now := c.Clock.Now()
+	for _, id := range c.Targets.OfService(a.held.request.Service) {
+		t, listed := c.Targets.Target(id)
+		if !listed || !t.Accepting || id == a.target || slices.Contains(a.tried, id) || a.continues && t.Origin != origin {
+			continue
+		}
+		if c.Closed != nil {
+			if statement, closed := c.Closed(id, now); closed && statement.Leaving {
+				continue
+			}
+		}
+		return true
+	}
+	return false
 }
 
 // isClosed reports whether the target has said that it takes no requests from this host. The owner that
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -50,6 +50,7 @@
 			report.Attempts, report.Target = c.Attempt, c.Target
 			last = attempt{
 				held: e, number: c.Attempt, target: c.Target, last: c.Last, retry: e.reachedTarget, carrier: e.carrier,
+				tried: e.grantRequest.Exclude, continues: e.grantRequest.Continuation.Continues,
 				begun: last.begun, delivered: last.delivered, firstDelivery: last.firstDelivery, lastEventID: last.lastEventID,
 			}
 			event = last.run(ctx)
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -44,6 +44,8 @@
 type Targets interface {
 	// Target returns a target, and whether it is listed.
 	Target(id swid.TargetID) (t swpool.Target, listed bool)
+	// OfService returns the targets that are listed for a service. The slice must not be modified.
+	OfService(service swid.ServiceID) []swid.TargetID
 }
 
 // Retries is the budget for further attempts at requests that reached a target.
--- a/internal/target/swpool/swpool.go
+++ b/internal/target/swpool/swpool.go
@@ -17,8 +17,14 @@
 // except that Configure must be called from one goroutine only.
 type Pool struct {
 	factory Factory
-	// entries is replaced as a whole by Configure. A stored map is not modified.
-	entries atomic.Pointer[map[swid.TargetID]entry]
+	// listing is replaced as a whole by Configure. A stored one is not modified.
+	listing atomic.Pointer[listing]
+}
+
+// listing has the targets of one document.
+type listing struct {
+	entries  map[swid.TargetID]entry
+	services map[swid.ServiceID][]swid.TargetID
 }
 
 type entry struct {
@@ -30,7 +36,7 @@
 // New returns an empty pool.
 func New(factory Factory) *Pool {
 	p := &Pool{factory: factory}
-	p.entries.Store(&map[swid.TargetID]entry{})
+	p.listing.Store(&listing{})
 	return p
 }
 
@@ -41,8 +47,8 @@
 	for _, s := range d.Services {
 		kinds[s.ID] = s.Kind
 	}
-	old := *p.entries.Load()
-	entries := make(map[swid.TargetID]entry, len(d.Targets))
+	old := p.listing.Load().entries
+	l := listing{entries: make(map[swid.TargetID]entry, len(d.Targets)), services: make(map[swid.ServiceID][]swid.TargetID, len(d.Services))}
 	for _, t := range d.Targets {
 		e := entry{target: t, kind: kinds[t.Service]}
 		if o, known := old[t.ID]; known && o.target.URL == t.URL && o.kind == e.kind {
@@ -50,9 +56,10 @@
 		} else {
 			e.adapter = p.factory(t, e.kind)
 		}
-		entries[t.ID] = e
+		l.entries[t.ID] = e
+		l.services[t.Service] = append(l.services[t.Service], t.ID)
 	}
-	p.entries.Store(&entries)
+	p.listing.Store(&l)
 }
 
 // Target is a target of the current document.
@@ -68,9 +75,14 @@
 
 // Target returns a target of the current document, and whether the document lists it.
 func (p *Pool) Target(id swid.TargetID) (Target, bool) {
-	e, listed := (*p.entries.Load())[id]
+	e, listed := p.listing.Load().entries[id]
 	return Target{
 		Adapter: e.adapter, Accepting: !e.target.Draining, Born: e.target.Born,
 		Origin: sworigin.Origin{Service: e.target.Service, Version: e.target.Version},
 	}, listed
 }
+
+// OfService returns the targets of a service in the current document. The slice must not be modified.
+func (p *Pool) OfService(service swid.ServiceID) []swid.TargetID {
+	return p.listing.Load().services[service]
+}
