Ask before a carried request is given up (LOST)

What callers saw at hosts whose requests others carry: a request whose target was silent for longer than half of its time ended as unknown (502) though no other target was listed for it, or the retry budget allowed no other attempt, and its target answered in time.

Cause: the carrier ended the request after FirstOutputTimeout. It knows nothing of the request's life, so it could not ask whether there may be another attempt, as hosts do for requests that they send themselves.

The holder now watches for the first output of a carried request, asks, and ends the stream to the carrier. The carrier gets the remaining time of the request as its limit, so that it still ends the request where its own path to the target is found to be lost. It ends a stream by its deadline and not by closing it beside a read, where yamux makes each wait for the other's frame.

--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,7 +36,11 @@
 	Cell    swid.CellID
 }
 
-// Start implements swtarget.Adapter.
+// errSilent is the error of a request that the holder gave up because there was no output.
+var errSilent = errors.New("no output within the time allowed")
+
+// Start implements swtarget.Adapter. The carrier does not know whether the request may be given up, so where that is to be asked,
+// the holder ends it after its FirstOutputTimeout.
 func (a *Adapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout.Duration())
 	stream, err := a.Opener.OpenStream(openCtx, a.Carrier)
@@ -45,15 +50,27 @@
 	}
 	// The end of the stream ends the request at the carrier.
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop}
+	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop, timer: &swtarget.OutputTimer{}}
+	if r.GiveUp != nil && r.FirstOutputTimeout > 0 {
+		c.timer = swtarget.StartOutputTimer(r.FirstOutputTimeout, func() bool {
+			if !r.GiveUp() {
+				return false
+			}
+			c.silent.Store(true)
+			_ = stream.SetDeadline(time.Unix(1, 0)) // fails only on a closed stream
+			return true
+		})
+		r.FirstOutputTimeout = max(r.FirstOutputTimeout, r.Remaining)
+	}
 	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell, Request: r})); err != nil {
 		_ = c.Close() // the error of the write is the one to return
-		return nil, lost(err)
+		return nil, c.lost(err)
 	}
 	if err := c.readAnswer(); err != nil {
 		_ = c.Close() // the error of the answer is the one to return
 		return nil, err
 	}
+	c.streamed = r.Stream && c.status < http.StatusMultipleChoices
 	return c, nil
 }
 
@@ -83,9 +100,14 @@
 
 // carriedAnswer is an answer that a carrier sends on. It implements swtarget.Answer.
 type carriedAnswer struct {
-	stream net.Conn
-	reader *bufio.Reader
-	stop   func() bool
+	// silent is set if the holder gave the request up because there was no output.
+	silent atomic.Bool
+	// timer runs until the first output of a stream, or the end of another answer.
+	timer    *swtarget.OutputTimer
+	streamed bool
+	stream   net.Conn
+	reader   *bufio.Reader
+	stop     func() bool
 	// buffer holds the latest message, of held bytes.
 	buffer    *swbuffer.Account
 	held      int
@@ -103,11 +125,19 @@
 	return err
 }
 
+// lost returns the error of a request of which nothing more is received because of err.
+func (c *carriedAnswer) lost(err error) *swtarget.Error {
+	if c.silent.Load() {
+		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errSilent}
+	}
+	return lost(err)
+}
+
 // readAnswer reads the header of the answer.
 func (c *carriedAnswer) readAnswer() error {
 	var reply swpb.CarriedReply
 	if err := c.read(&reply); err != nil {
-		return lost(err)
+		return c.lost(err)
 	}
 	if end := reply.GetEnd(); end != nil {
 		if err := decodeEnd(end); err != nil {
@@ -136,7 +166,7 @@
 func (c *carriedAnswer) Next() (swtarget.Chunk, error) {
 	var reply swpb.CarriedReply
 	if err := c.read(&reply); err != nil {
-		return swtarget.Chunk{}, lost(err)
+		return swtarget.Chunk{}, c.lost(err)
 	}
 	if end := reply.GetEnd(); end != nil {
 		c.usage = swtarget.Usage{
@@ -151,6 +181,9 @@
 	if chunk == nil {
 		return swtarget.Chunk{}, lost(errFrame)
 	}
+	if c.streamed {
+		c.timer.Stop()
+	}
 	return swtarget.Chunk{
 		Data: chunk.GetData(), Tokens: swid.Tokens(chunk.GetTokens()), Events: int(chunk.GetEvents()), LastEventID: chunk.GetLastEventId(),
 	}, nil
@@ -159,6 +192,7 @@
 // Close implements swtarget.Answer.
 func (c *carriedAnswer) Close() error {
 	c.stop()
+	c.timer.Stop()
 	c.buffer.Release(c.held)
 	c.held = 0
 	return c.stream.Close()
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -226,6 +226,61 @@
 	}
 }
 
+// TestGiveUp guards against carried requests that are given up for want of output although they may not be, and against ones that
+// are not once they may, or after their first output.
+func TestGiveUp(t *testing.T) {
+	const limit = 700 * swclock.Millis(1)
+	tests := []struct {
+		name string
+		// refused is how often the request may not be given up before it may.
+		refused int
+		pause   time.Duration
+		stream  bool
+		body    string
+		took    time.Duration
+	}{
+		{"in time", 0, limit.Duration() - 1, true, "ab", 3 * (limit.Duration() - 1)},
+		{"in time, not streamed", 0, limit.Duration() / 4, false, "ab", 3 * limit.Duration() / 4},
+		{"silent", 0, time.Minute, true, "", limit.Duration()},
+		{"too long, not streamed", 0, limit.Duration() - 1, false, "a", limit.Duration()},
+		{"may not be given up", 1000, 2 * limit.Duration(), true, "ab", 6 * limit.Duration()},
+		{"may be given up later", 3, time.Minute, true, "", limit.Duration() + 300*time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCarrier(&fakeTarget{chunks: []string{"a", "b"}, pause: tt.pause})
+				r := testRequest()
+				asked := 0
+				r.Stream, r.Remaining, r.FirstOutputTimeout, r.GiveUp = tt.stream, 2*swclock.Minute, limit, func() bool {
+					asked++
+					return asked > tt.refused
+				}
+				began := time.Now()
+				answer, err := c.adapter().Start(t.Context(), r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, _, _, err := receive(answer)
+				took := time.Since(began)
+				_ = answer.Close()
+				c.tasks.Wait()
+				var failure *swtarget.Error
+				givenUp := errors.As(err, &failure) && failure.Failure == swtarget.FailureStalled && !failure.CarrierLost && !failure.Unsent
+				if body != tt.body || took != tt.took || givenUp != (tt.body != "ab") {
+					t.Errorf("%q after %v, %v, want %q after %v", body, took, err, tt.body, tt.took)
+				}
+				if _, left := c.target.counts(); left > 0 != givenUp {
+					t.Errorf("ended early at the target: %d", left)
+				}
+				if got := c.carried[0].FirstOutputTimeout; got != r.Remaining {
+					t.Errorf("the carrier gives the request up after %d ms, want %d", got, r.Remaining)
+				}
+			})
+		})
+	}
+}
+
 // TestFailures checks what a holder learns of requests that fail.
 func TestFailures(t *testing.T) {
 	statement := swlimit.Statement{Heard: true, Leaving: true}
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -36,8 +36,8 @@
 	// If the adapter has its own limit, the shorter of the two applies.
 	FirstOutputTimeout swclock.Millis
 	// GiveUp, if not nil, reports whether an attempt may be ended after FirstOutputTimeout without output, or because the
-	// path to the target is lost, so that the request can be sent to another target or its stream be taken up. It does not block. Hosts that
-	// carry the request do not ask.
+	// path to the target is lost, so that the request can be sent to another target or its stream be taken up. It does not block. If another host
+	// carries the request, the holder asks after FirstOutputTimeout, and the carrier does not ask where its path is lost.
 	GiveUp func() bool
 	// ExpectedFirst is the expected time to the first part of the answer; 0 if it is not known.
 	ExpectedFirst swclock.Millis
