--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -44,12 +44,16 @@
 type Targets interface {
 	// Target returns a target, and whether it is listed.
 	Target(id swid.TargetID) (t swpool.Target, listed bool)
+	// OfService returns the targets that are listed for a service. The slice must not be modified.
+	OfService(service swid.ServiceID) []swid.TargetID
 }
 
 // Retries is the budget for further attempts at requests that reached a target.
 type Retries interface {
 	// Take consumes one retry of a service and reports whether one was available.
 	Take(service swid.ServiceID) bool
+	// GiveBack returns a retry of a service that was not used. takenAt is an instant just before Take was called.
+	GiveBack(service swid.ServiceID, takenAt swclock.Millis)
 }
 
 // Observer receives events for metrics. Its methods do not block.
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -54,6 +55,8 @@
 	nextOwner swid.HostID
 	// versions has the software versions of the targets that do not have v1.
 	versions map[swid.TargetID]swid.SoftwareVersion
+	// listed has the targets, without their adapters; nil stands for those with scripts, which accept requests.
+	listed map[swid.TargetID]swpool.Target
 	// calls lists the requests that the targets received.
 	calls []swtarget.Request
 }
@@ -61,9 +64,9 @@
 // script defines the behaviour of a target for one request.
 type script struct {
 	startErr error
-	// stalls ends the request with startErr only if the holder gives it up.
-	stalls bool
-	chunks []string
+	// stalls ends the request with startErr only if the holder gives it up. asks asks whether it does, and answers all the same.
+	stalls, asks bool
+	chunks       []string
 	// end is the error after the last chunk; io.EOF completes the answer.
 	end error
 	// hang blocks after the chunks until the attempt's context ends.
@@ -116,7 +119,24 @@
 }
 
 func (f *fixture) Target(id swid.TargetID) (swpool.Target, bool) {
-	return swpool.Target{Adapter: scriptedAdapter{f, id}, Accepting: true, Origin: f.originOf(id)}, true
+	f.mu.Lock()
+	t, listed := f.listed[id]
+	all := f.listed == nil
+	f.mu.Unlock()
+	if all {
+		t, listed = swpool.Target{Accepting: true, Origin: f.originOf(id)}, true
+	}
+	t.Adapter = scriptedAdapter{f, id}
+	return t, listed
+}
+
+func (f *fixture) OfService(swid.ServiceID) []swid.TargetID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listed != nil {
+		return slices.Collect(maps.Keys(f.listed))
+	}
+	return slices.Collect(maps.Keys(f.scripts))
 }
 
 // originOf returns the origin of the streams that a target begins, at version v1 unless another one is set.
@@ -137,14 +157,17 @@
 
 func (s scriptedAdapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	s.fixture.mu.Lock()
-	defer s.fixture.mu.Unlock()
 	s.fixture.calls = append(s.fixture.calls, r)
 	s.fixture.starts[s.target]++
 	next := s.fixture.scripts[s.target][0]
 	s.fixture.scripts[s.target] = s.fixture.scripts[s.target][1:]
+	s.fixture.mu.Unlock()
 	if next.startErr != nil && (!next.stalls || r.GiveUp()) {
 		return nil, next.startErr
 	}
+	if next.asks {
+		r.GiveUp()
+	}
 	return &scriptedAnswer{ctx: ctx, script: next}, nil
 }
 
@@ -540,6 +563,66 @@
 	}
 }
 
+// TestOnlyTargetWaits guards against an attempt that is given up at half of its time though the request can be sent to no other target, and
+// against one that is not given up once there is another.
+func TestOnlyTargetWaits(t *testing.T) {
+	type listed = map[swid.TargetID]swpool.Target
+	accepting := swpool.Target{Accepting: true, Origin: sworigin.Origin{Service: "s", Version: "v1"}}
+	other := swpool.Target{Accepting: true, Origin: sworigin.Origin{Service: "s", Version: "v2"}}
+	tests := []struct {
+		name string
+		// listed has the targets beside "a", which gets the request, and "tried", which was tried before.
+		listed    listed
+		leaving   []swid.TargetID
+		continues bool
+		givesUp   bool
+	}{
+		{name: "no other target"},
+		{name: "another one", listed: listed{"b": accepting}, givesUp: true},
+		{name: "the other one drains", listed: listed{"b": {Origin: accepting.Origin}}},
+		{name: "the other one says that it is leaving", listed: listed{"b": accepting}, leaving: []swid.TargetID{"b"}},
+		{name: "one of the others stays", listed: listed{"b": accepting, "c": accepting}, leaving: []swid.TargetID{"b"}, givesUp: true},
+		{name: "another version", listed: listed{"b": other}, givesUp: true},
+		{name: "another version for a stream that goes on", listed: listed{"b": other}, continues: true},
+		{name: "the version of a stream that goes on", listed: listed{"b": accepting}, continues: true, givesUp: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixtureWithConfig(map[swid.TargetID][]script{"tried": {{startErr: errBroken}}, "a": {{hang: true}}}, func(c *Config) {
+					c.Closed = func(target swid.TargetID, _ swclock.Millis) (swlimit.Statement, bool) {
+						leaving := slices.Contains(tt.leaving, target)
+						return swlimit.Statement{Heard: leaving, Leaving: leaving}, leaving
+					}
+				})
+				f.listed = listed{"tried": accepting, "a": accepting}
+				r := f.request(tt.continues, false)
+				if tt.continues {
+					r.Continuation, r.ResumeElsewhere = sworigin.Continuation{Continues: true}, true
+				}
+				r.Deadline = f.holder.config.Clock.Now() + 10*swclock.Second
+				reports, _ := f.serve(r)
+				for _, target := range []swid.TargetID{"tried", "a"} {
+					m, _ := expect[swmsg.GrantRequest](t, f)
+					f.holder.Receive(swlink.Peer{Host: "owner"}, swmsg.Grant{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Target: target, Origin: accepting.Origin})
+				}
+				synctest.Wait()
+				giveUp := f.calls[1].GiveUp
+				if giveUp() {
+					t.Error("given up before there is another target")
+				}
+				f.mu.Lock()
+				maps.Copy(f.listed, tt.listed)
+				f.mu.Unlock()
+				if got := giveUp(); got != tt.givesUp {
+					t.Errorf("given up: %t, want %t", got, tt.givesUp)
+				}
+				<-reports
+			})
+		})
+	}
+}
+
 // limitedRetries is a budget of a number of retries. It implements Retries.
 type limitedRetries struct{ left int }
 
@@ -551,6 +634,66 @@
 	return true
 }
 
+func (l *limitedRetries) GiveBack(swid.ServiceID, swclock.Millis) { l.left++ }
+
+// TestUnsentAttemptsTakeNoRetry guards against retries of the budget that are used up by attempts that reach no target, or by none.
+func TestUnsentAttemptsTakeNoRetry(t *testing.T) {
+	answer := script{chunks: []string{"x"}, end: io.EOF}
+	broken := script{startErr: errBroken}
+	unsent := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errors.New("not connected")}}
+	rejecting := script{startErr: &swtarget.Error{Failure: swtarget.FailureNotStarted, Err: errors.New("no room")}}
+	silent := script{startErr: &swtarget.Error{Failure: swtarget.FailureStalled, Err: errors.New("silent")}, stalls: true}
+	slow := script{asks: true, chunks: []string{"x"}, end: io.EOF}
+	tests := []struct {
+		name    string
+		retries int
+		// scripts are those of the targets that are granted; the grant request after the last of them is rejected.
+		scripts []script
+		cause   swlife.Cause
+		left    int
+	}{
+		{"unsent after sent", 1, []script{broken, unsent, answer}, swlife.CauseNone, 0},
+		{"several unsent after sent", 1, []script{broken, unsent, unsent, answer}, swlife.CauseNone, 0},
+		{"unsent after one that was given up", 1, []script{silent, unsent, answer}, swlife.CauseNone, 0},
+		{"unsent after a retry that was given up", 2, []script{broken, silent, unsent, answer}, swlife.CauseNone, 0},
+		{"unsent before sent", 1, []script{unsent, broken, answer}, swlife.CauseNone, 0},
+		{"sent twice", 1, []script{broken, broken}, swlife.CauseRetryBudget, 0},
+		{"rejected by its target", 1, []script{broken, rejecting}, swlife.CauseRetryBudget, 0},
+		{"answered before it is given up", 1, []script{slow}, swlife.CauseNone, 1},
+		{"retry answered before it is given up", 2, []script{broken, slow}, swlife.CauseNone, 1},
+		{"no further grant", 1, []script{broken}, swlife.CauseOverload, 1},
+		{"no further grant after unsent", 2, []script{broken, unsent}, swlife.CauseOverload, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			scripts := make(map[swid.TargetID][]script)
+			for i, s := range tt.scripts {
+				scripts[swid.TargetID(fmt.Sprint(i))] = []script{s}
+			}
+			f := newFixture(scripts)
+			budget := &limitedRetries{left: tt.retries}
+			f.holder.config.Retries = budget
+			reports, _ := f.serve(f.request(false, false))
+			go func() {
+				for s := range f.sent {
+					m, waits := s.message.(swmsg.GrantRequest)
+					switch {
+					case !waits:
+					case int(m.Attempt) <= len(tt.scripts):
+						f.grant(s.to, m, swid.TargetID(fmt.Sprint(m.Attempt-1)))
+					default:
+						f.holder.Receive(swlink.Peer{Host: s.to}, swmsg.Reject{Cell: m.Cell, Seq: m.Seq, Attempt: m.Attempt, Reason: swcell.ReasonOverload})
+					}
+				}
+			}()
+			if report := <-reports; report.End.Cause != tt.cause || int(report.Attempts) != len(tt.scripts) || budget.left != tt.left {
+				t.Errorf("%d attempts, ended with %+v, %d retries left, want %v and %d", report.Attempts, report.End, budget.left, tt.cause, tt.left)
+			}
+			close(f.sent)
+		})
+	}
+}
+
 // TestGiveUpTakesRetry guards against an attempt that is given up while the budget allows no other one, and against a retry that is
 // counted twice.
 func TestGiveUpTakesRetry(t *testing.T) {
@@ -611,7 +754,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFixture(map[swid.TargetID][]script{"a": {{chunks: tt.chunks, hang: true, lastEventID: "1"}}})
+				f := newFixture(map[swid.TargetID][]script{"a": {{chunks: tt.chunks, hang: true, lastEventID: "1"}}, "b": nil})
 				budget := &limitedRetries{left: tt.retries}
 				f.holder.config.Retries = budget
 				r := f.request(true, false)
--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -41,7 +41,11 @@
 	Cell    swid.CellID
 }
 
-// Start implements swtarget.Adapter.
+// errSilent is the error of a request that the holder gave up because there was no output.
+var errSilent = errors.New("no output within the time allowed")
+
+// Start implements swtarget.Adapter. The carrier does not know whether the request may be given up, so where that is to be asked,
+// the holder ends it after its FirstOutputTimeout.
 func (a *Adapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout.Duration())
 	stream, err := a.Opener.OpenStream(openCtx, a.Carrier)
@@ -50,18 +54,32 @@
 		return nil, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: errors.Wrap(err, "reach carrier")}
 	}
 	stop := context.AfterFunc(ctx, func() { abort(stream, time.Now().Add(cancelTimeout.Duration())) })
-	c := &carriedAnswer{stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop, closed: make(chan struct{})}
+	c := &carriedAnswer{
+		stream: stream, reader: bufio.NewReader(stream), buffer: r.Buffer, stop: stop, timer: &swtarget.OutputTimer{}, closed: make(chan struct{}),
+	}
 	if observer, ok := stream.(swlink.LinkObserver); ok && r.GiveUp != nil {
 		go c.giveUp(observer.LinkLost(), r.GiveUp)
 	}
+	if r.GiveUp != nil && r.FirstOutputTimeout > 0 {
+		c.timer = swtarget.StartOutputTimer(r.FirstOutputTimeout, func() bool {
+			if !r.GiveUp() {
+				return false
+			}
+			c.silent.Store(true)
+			_ = stream.SetDeadline(time.Unix(1, 0)) // fails only on a closed stream
+			return true
+		})
+		r.FirstOutputTimeout = max(r.FirstOutputTimeout, r.Remaining)
+	}
 	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell, Request: r})); err != nil {
 		_ = c.Close() // the error of the write is the one to return
-		return nil, lost(err)
+		return nil, c.lost(err)
 	}
 	if err := c.readAnswer(); err != nil {
 		_ = c.Close() // the error of the answer is the one to return
 		return nil, err
 	}
+	c.streamed = r.Stream && c.status < http.StatusMultipleChoices
 	return c, nil
 }
 
@@ -97,9 +115,14 @@
 
 // carriedAnswer is an answer that a carrier sends on. It implements swtarget.Answer.
 type carriedAnswer struct {
-	stream net.Conn
-	reader *bufio.Reader
-	stop   func() bool
+	// silent is set if the holder gave the request up because there was no output.
+	silent atomic.Bool
+	// timer runs until the first output of a stream, or the end of another answer.
+	timer    *swtarget.OutputTimer
+	streamed bool
+	stream   net.Conn
+	reader   *bufio.Reader
+	stop     func() bool
 	// buffer holds the latest message, of held bytes.
 	buffer    *swbuffer.Account
 	held      int
@@ -132,11 +155,19 @@
 	return err
 }
 
+// lost returns the error of a request of which nothing more is received because of err.
+func (c *carriedAnswer) lost(err error) *swtarget.Error {
+	if c.silent.Load() {
+		return &swtarget.Error{Failure: swtarget.FailureStalled, Err: errSilent}
+	}
+	return lost(err)
+}
+
 // readAnswer reads the header of the answer.
 func (c *carriedAnswer) readAnswer() error {
 	var reply swpb.CarriedReply
 	if err := c.read(&reply); err != nil {
-		return lost(err)
+		return c.lost(err)
 	}
 	if end := reply.GetEnd(); end != nil {
 		if err := decodeEnd(end); err != nil {
@@ -165,7 +196,7 @@
 func (c *carriedAnswer) Next() (swtarget.Chunk, error) {
 	var reply swpb.CarriedReply
 	if err := c.read(&reply); err != nil {
-		return swtarget.Chunk{}, lost(err)
+		return swtarget.Chunk{}, c.lost(err)
 	}
 	if end := reply.GetEnd(); end != nil {
 		c.usage = swtarget.Usage{
@@ -181,6 +212,9 @@
 		return swtarget.Chunk{}, lost(errFrame)
 	}
 	c.begun.Store(true)
+	if c.streamed {
+		c.timer.Stop()
+	}
 	return swtarget.Chunk{
 		Data: chunk.GetData(), Tokens: swid.Tokens(chunk.GetTokens()), Events: int(chunk.GetEvents()), LastEventID: chunk.GetLastEventId(),
 	}, nil
@@ -190,6 +224,7 @@
 func (c *carriedAnswer) Close() error {
 	c.stop()
 	c.closeOnce.Do(func() { close(c.closed) })
+	c.timer.Stop()
 	c.buffer.Release(c.held)
 	c.held = 0
 	return c.stream.Close()
