--- a/internal/core/swreach/directory.go
+++ b/internal/core/swreach/directory.go
@@ -22,6 +22,9 @@
 	choices = 2
 	// avoidTime is how long a host that could not be reached by another one carries no requests of that one.
 	avoidTime = 2 * swclock.Second
+	// outageShare is the share of the hosts that are present from which an outage begins of a service that they do not reach:
+	// if none does, the others find out in turn.
+	outageShare = 0.25
 )
 
 // Report is what a host reports of itself.
@@ -43,6 +46,8 @@
 	version uint64
 	ranked  map[swid.HostID]ranking
 	avoided map[pair]swclock.Millis
+	// outages is when the outage of each service began of which outageShare of the hosts, or more, reach no target.
+	outages map[swid.ServiceID]swclock.Millis
 	// forgotAt is when the hosts were last looked through for ones that do not report any more.
 	forgotAt swclock.Millis
 }
@@ -64,7 +69,10 @@
 
 // NewDirectory returns a directory without hosts.
 func NewDirectory() *Directory {
-	return &Directory{hosts: make(map[swid.HostID]*entry), ranked: make(map[swid.HostID]ranking), avoided: make(map[pair]swclock.Millis)}
+	return &Directory{
+		hosts: make(map[swid.HostID]*entry), ranked: make(map[swid.HostID]ranking), avoided: make(map[pair]swclock.Millis),
+		outages: make(map[swid.ServiceID]swclock.Millis),
+	}
 }
 
 // Update records the report of a host.
@@ -77,10 +85,74 @@
 		d.version++
 	}
 	if e == nil {
-		e = &entry{}
+		e = &entry{seenAt: -presenceTime}
 		d.hosts[host] = e
 	}
+	changed := !e.present(now) || !slices.Equal(e.Cut, r.Cut)
+	if changed {
+		d.lookAgain(now)
+	}
 	e.Report, e.seenAt = r, now
+	if changed {
+		d.lookAgain(now)
+		for _, service := range r.Cut {
+			d.look(service, now)
+		}
+	}
+}
+
+// present reports whether the host has reported lately.
+func (e *entry) present(now swclock.Millis) bool { return now-e.seenAt <= presenceTime }
+
+// lookAgain looks at the services with outages. d.mu must be held.
+func (d *Directory) lookAgain(now swclock.Millis) {
+	for service := range d.outages {
+		d.look(service, now)
+	}
+}
+
+// look counts the hosts that are present, and records the begin or the end of an outage of a service. d.mu must be held.
+func (d *Directory) look(service swid.ServiceID, now swclock.Millis) (present int) {
+	cut := 0
+	for _, e := range d.hosts {
+		if !e.present(now) {
+			continue
+		}
+		present++
+		if slices.Contains(e.Cut, service) {
+			cut++
+		}
+	}
+	_, known := d.outages[service]
+	switch outage := cut > 0 && float64(cut) >= outageShare*float64(present); {
+	case !outage:
+		delete(d.outages, service)
+	case !known:
+		d.outages[service] = now
+	}
+	return present
+}
+
+// Reaching returns the hosts that are present and reach a service, of those for which reaches returns true, or two of them if there
+// are more. since is when the outage of the service began, or now if there is none. known is false if no host is present.
+func (d *Directory) Reaching(service swid.ServiceID, now swclock.Millis, reaches func(swid.HostID) bool) (hosts []swid.HostID, since swclock.Millis, known bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if present := d.look(service, now); present == 0 {
+		return nil, 0, false
+	}
+	for host, e := range d.hosts {
+		if e.present(now) && !slices.Contains(e.Cut, service) && reaches(host) {
+			if hosts = append(hosts, host); len(hosts) == 2 {
+				break
+			}
+		}
+	}
+	since, outage := d.outages[service]
+	if !outage {
+		since = now
+	}
+	return hosts, since, true
 }
 
 // forget deletes the hosts that have not reported for a long time. d.mu must be held.
@@ -104,7 +176,7 @@
 	defer d.mu.Unlock()
 	var cut []swid.ServiceID
 	for _, e := range d.hosts {
-		if now-e.seenAt <= presenceTime {
+		if e.present(now) {
 			cut = append(cut, e.Cut...)
 		}
 	}
@@ -145,7 +217,7 @@
 	fewest, found := 0, 0
 	for _, host := range d.rank(holder) {
 		e := d.hosts[host]
-		if !e.Carries || e.Leaving || now-e.seenAt > presenceTime || e.carried >= maxCarried || slices.Contains(e.Cut, service) ||
+		if !e.Carries || e.Leaving || !e.present(now) || e.carried >= maxCarried || slices.Contains(e.Cut, service) ||
 			now < d.avoided[pair{holder, host}] || !reaches(host) {
 			continue
 		}
--- a/internal/core/swreach/directory_test.go
+++ b/internal/core/swreach/directory_test.go
@@ -137,3 +137,80 @@
 	}
 	d.Ended("h5") // forgotten
 }
+
+// TestReaching checks which hosts reach a service, and when its outage began.
+func TestReaching(t *testing.T) {
+	const now = swclock.Minute
+	all := []swid.HostID{"a", "b", "c", "d", "e", "f", "g", "h"}
+	report := func(d *Directory, at swclock.Millis, cut bool, hosts ...swid.HostID) {
+		for _, host := range hosts {
+			r := Report{Zone: "z0", Carries: true}
+			if cut {
+				r.Cut = []swid.ServiceID{"other", "s"}
+			}
+			d.Update(host, r, at)
+		}
+	}
+	tests := []struct {
+		name string
+		run  func(d *Directory)
+		// since is when the outage began, and hosts is the number of hosts that reach the service, 2 at most.
+		since swclock.Millis
+		hosts int
+	}{
+		{"no host has reported", func(*Directory) {}, 0, 0},
+		{"all reach it", func(d *Directory) { report(d, now, false, all...) }, now, 2},
+		{"one does not", func(d *Directory) { report(d, now-9, false, all...); report(d, now-5, true, "a") }, now, 2},
+		{"two do not", func(d *Directory) {
+			report(d, now-9, false, all...)
+			report(d, now-5, true, "a")
+			report(d, now-4, true, "b")
+		}, now - 4, 2},
+		{"one after the other does not", func(d *Directory) {
+			report(d, now-9, false, all...)
+			for i, host := range all {
+				report(d, now-8+swclock.Millis(i), true, host)
+			}
+			report(d, now, true, all...)
+		}, now - 7, 0},
+		{"one does for a moment", func(d *Directory) {
+			report(d, now-9, true, all...)
+			report(d, now-5, false, "b")
+			report(d, now-4, true, "b")
+		}, now - 9, 0},
+		{"one does", func(d *Directory) { report(d, now-9, true, all...); report(d, now-5, false, "b") }, now - 9, 1},
+		{"all do for a moment", func(d *Directory) {
+			report(d, now-9, true, all...)
+			report(d, now-5, false, all...)
+			report(d, now-4, true, all...)
+		}, now - 4, 0},
+		{"the only one that does leaves", func(d *Directory) {
+			report(d, now-9, false, "b")
+			report(d, now-5, true, "a", "c")
+			d.Remove("b")
+		}, now - 5, 0},
+		{"the only one that does is not heard from", func(d *Directory) {
+			report(d, now-presenceTime-1, false, "b")
+			report(d, now-5, true, "a", "c")
+		}, now - 5, 0},
+		{"none has reported since", func(d *Directory) { report(d, now-presenceTime-1, true, "a", "b") }, 0, 0},
+		{"none had reported for some time", func(d *Directory) {
+			report(d, now-3*presenceTime, true, "a", "b")
+			report(d, now-9, true, "a")
+		}, now - 9, 0},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			d := NewDirectory()
+			e.run(d)
+			hosts, since, known := d.Reaching("s", now, anyHost)
+			if len(hosts) != e.hosts || since != e.since || known != (e.since > 0) {
+				t.Errorf("known %t, reached by %q, since %d, want %d hosts and %d", known, hosts, since, e.hosts, e.since)
+			}
+			hosts, _, _ = d.Reaching("s", now, func(swid.HostID) bool { return false })
+			if len(hosts) > 0 {
+				t.Errorf("reached by %q, none of which can", hosts)
+			}
+		})
+	}
+}
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -129,6 +129,9 @@
 // that the request may run on, as if they processed no other prompt, and reports
 // whether there is such a target.
 func (c *Cell[P, O]) bestIdle(r *request) (best estimate, ok bool) {
+	if c.needsCarrier(r) && c.noOtherReaches(r.grantRequest.Key.Holder) {
+		return best, false
+	}
 	for _, t := range c.targets {
 		if !c.mayRun(r, t) {
 			continue
--- a/internal/core/swvalue/origin.go
+++ b/internal/core/swvalue/origin.go
@@ -38,7 +38,7 @@
 		default:
 			return swcell.ReasonVersionUnknown
 		}
-		r.idleUntil = c.now // the targets that may run it are others
+		r.forgetTargets(c.now)
 	}
 	if !slices.ContainsFunc(c.targets, func(t *target) bool { return t.listed && c.originOf(t) == r.origin }) {
 		return swcell.ReasonVersionGone
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -183,7 +183,7 @@
 	if !c.isEligible(r, t) {
 		return false
 	}
-	if _, ok := c.senderFor(r, t); !ok {
+	if !c.hasSender(r, t) {
 		return false
 	}
 	// A non-idempotent request is not used as a probe unless all active targets that it
--- a/internal/core/swvalue/reach.go
+++ b/internal/core/swvalue/reach.go
@@ -13,6 +13,9 @@
 	// Pick returns a host that can carry a request of a holder to a target of a service, of those for which reaches
 	// returns true.
 	Pick(holder swid.HostID, service swid.ServiceID, now swclock.Millis, reaches func(swid.HostID) bool) (swid.HostID, bool)
+	// Reaching returns the hosts that reach a service, of those for which reaches returns true, or two of them if there are more.
+	// since is when many began not to, or now if few do not. known is false if nothing is known of any host.
+	Reaching(service swid.ServiceID, now swclock.Millis, reaches func(swid.HostID) bool) (hosts []swid.HostID, since swclock.Millis, known bool)
 	// Avoid records that a holder could not reach a carrier.
 	Avoid(holder, carrier swid.HostID, now swclock.Millis)
 	// Began and Ended count the requests that a host carries.
@@ -26,6 +29,9 @@
 func (noCarriers) Pick(swid.HostID, swid.ServiceID, swclock.Millis, func(swid.HostID) bool) (swid.HostID, bool) {
 	return "", false
 }
+func (noCarriers) Reaching(swid.ServiceID, swclock.Millis, func(swid.HostID) bool) ([]swid.HostID, swclock.Millis, bool) {
+	return nil, 0, false
+}
 func (noCarriers) Avoid(swid.HostID, swid.HostID, swclock.Millis) {}
 func (noCarriers) Began(swid.HostID)                              {}
 func (noCarriers) Ended(swid.HostID)                              {}
@@ -38,6 +44,9 @@
 	// otherSignTime is how long a sign from a target to one host shows that the failures of another one are no
 	// failures of the target.
 	otherSignTime = swclock.Second
+	// outageWait is how long after many hosts were cut off from the service requests wait for one that reaches it, if none does:
+	// targets that are sound may fall silent for a moment.
+	outageWait = 1500 * swclock.Millis(1)
 )
 
 // hostReach is what is known of the path from one host to a target.
@@ -106,6 +115,12 @@
 	r.hosts[host] = h
 }
 
+// isLost reports whether a host could not connect to the target a moment ago.
+func (r *reachability) isLost(host swid.HostID, now swclock.Millis) bool {
+	h := r.hosts[host]
+	return h.failures > 0 && now < h.until
+}
+
 // reachableFrom reports whether a host may be granted the target.
 func (r *reachability) reachableFrom(host swid.HostID, now swclock.Millis) bool {
 	return now >= r.hosts[host].until
@@ -125,11 +140,84 @@
 	return r.unreached
 }
 
+// reaching is what is known of the hosts that reach the service, as of an instant and a listing.
+type reaching struct {
+	at      swclock.Millis
+	listing uint64
+	// known is set if anything is.
+	known bool
+	// hosts has the hosts that reach the service, two at most, and since is when many began not to.
+	hosts []swid.HostID
+	since swclock.Millis
+}
+
+// lookForHosts finds out which hosts reach the service.
+func (c *Cell[P, O]) lookForHosts() {
+	c.reaching = reaching{at: c.now, listing: c.listing}
+	active := make([]*target, 0, len(c.targets))
+	for _, t := range c.targets {
+		if t.active() {
+			active = append(active, t)
+		}
+	}
+	if len(active) == 0 {
+		return
+	}
+	k := &c.reaching
+	k.hosts, k.since, k.known = c.cfg.Carriers.Reaching(c.cfg.Service, c.now, func(host swid.HostID) bool {
+		return slices.ContainsFunc(active, func(t *target) bool { return !t.reach.isLost(host, c.now) })
+	})
+}
+
+// noOtherReaches reports whether no host but the holder reaches the service.
+func (c *Cell[P, O]) noOtherReaches(holder swid.HostID) bool {
+	if c.reaching.at != c.now || c.reaching.listing != c.listing {
+		c.lookForHosts()
+	}
+	return c.reaching.known && !slices.ContainsFunc(c.reaching.hosts, func(host swid.HostID) bool { return host != holder })
+}
+
+// awaitsHost reports whether a request that no host can send may run on a target once a host reaches the service again, and
+// whether it is to wait for that.
+func (c *Cell[P, O]) awaitsHost(r *request) (unreached, waits bool) {
+	// That the holder reaches no target is known from the request before its host reports it.
+	unreached = c.noOtherReaches(r.grantRequest.Key.Holder) && (r.grantRequest.Carry || len(c.reaching.hosts) == 0) && c.anyEligible(r)
+	return unreached, unreached && c.now-c.reaching.since < outageWait && !r.hasWaitedTooLong(c.now)
+}
+
+// mayAwaitHost is like awaitsHost, for a request that comes now.
+func (c *Cell[P, O]) mayAwaitHost(r *request) bool {
+	unreached, waits := c.awaitsHost(r)
+	if !unreached && c.anyEligible(r) {
+		c.lookForHosts() // the last host may have been cut off since the look at this instant
+		_, waits = c.awaitsHost(r)
+	}
+	return waits
+}
+
+// anyEligible reports whether there is a target on which a request may run, from whichever host it is sent.
+func (c *Cell[P, O]) anyEligible(r *request) bool {
+	return slices.ContainsFunc(c.targets, func(t *target) bool { return c.isEligible(r, t) })
+}
+
 // isEligible reports whether a request may run on a target, from whichever host it is sent.
 func (c *Cell[P, O]) isEligible(r *request, t *target) bool {
 	return t.active() && c.fitsOrigin(r, t) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID)
 }
 
+// forgetTargets has the targets looked at again for the request: others than before may run it.
+func (r *request) forgetTargets(now swclock.Millis) {
+	r.idleUntil, r.offerAllAt, r.reachAt = now, now, -1
+}
+
+// setCarry records that the holder of a waiting request reaches targets again, or no longer does.
+func (c *Cell[P, O]) setCarry(r *request, carry bool) {
+	if r.grantRequest.Carry != carry {
+		r.grantRequest.Carry = carry
+		r.forgetTargets(c.now)
+	}
+}
+
 // senderFor returns the host that is to send a request to a target: the holder, or one that carries the request. It
 // returns false if no host can.
 func (c *Cell[P, O]) senderFor(r *request, t *target) (sender swid.HostID, ok bool) {
@@ -140,6 +228,40 @@
 	return c.cfg.Carriers.Pick(holder, c.cfg.Service, c.now, func(host swid.HostID) bool { return t.reach.reachableFrom(host, c.now) })
 }
 
+// hasSender reports whether senderFor returns a host.
+func (c *Cell[P, O]) hasSender(r *request, t *target) bool {
+	holder := r.grantRequest.Key.Holder
+	if !c.needsCarrier(r) {
+		return t.reach.reachableFrom(holder, c.now)
+	}
+	carrier := c.anyCarrier(holder)
+	if carrier == "" || t.reach.reachableFrom(carrier, c.now) {
+		return carrier != ""
+	}
+	_, ok := c.senderFor(r, t)
+	return ok
+}
+
+// carriers has a carrier of each holder, whatever the target, as of an instant, a listing and a number of changes.
+type carriers struct {
+	at               swclock.Millis
+	listing, changes uint64
+	of               map[swid.HostID]swid.HostID
+}
+
+// anyCarrier returns a host that can carry a request of a holder to a target, if it reaches that; empty if there is none.
+func (c *Cell[P, O]) anyCarrier(holder swid.HostID) swid.HostID {
+	if k := &c.carriers; k.of == nil || k.at != c.now || k.listing != c.listing || k.changes != c.carrierChanges {
+		*k = carriers{at: c.now, listing: c.listing, changes: c.carrierChanges, of: make(map[swid.HostID]swid.HostID)}
+	}
+	carrier, known := c.carriers.of[holder]
+	if !known {
+		carrier, _ = c.cfg.Carriers.Pick(holder, c.cfg.Service, c.now, func(swid.HostID) bool { return true })
+		c.carriers.of[holder] = carrier
+	}
+	return carrier
+}
+
 // sender returns the host that sends the run's request to the target.
 func (r *run) sender() swid.HostID {
 	if r.carrier != "" {
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -124,6 +124,9 @@
 		return
 	}
 	if earlier := c.waitingByKey[e.Key]; earlier != nil {
+		if e.Attempt == earlier.grantRequest.Attempt {
+			c.setCarry(earlier, e.Carry)
+		}
 		if e.Attempt <= earlier.grantRequest.Attempt {
 			return
 		}
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -16,8 +16,12 @@
 	orphanTimeout = swclock.Second
 )
 
-func (c *Cell[P, O]) grant(r *request, o *Offer) {
-	sender, _ := c.senderFor(r, o.target) // bestOffer found one at this instant
+// grant grants a request the target of an offer, unless no host can send it there any more.
+func (c *Cell[P, O]) grant(r *request, o *Offer) bool {
+	sender, ok := c.senderFor(r, o.target)
+	if !ok {
+		return false
+	}
 	if sender == r.grantRequest.Key.Holder {
 		sender = ""
 	}
@@ -25,6 +29,7 @@
 	c.cfg.Limits.Take(o.target.conf.ID, c.now)
 	c.meanWork.Add(c.work(r, o.expected.uncached))
 	c.emit(c.start(r, o.target, sender).grant())
+	return true
 }
 
 // start records an attempt as running on a target, and its prompt as the last of
@@ -49,6 +54,7 @@
 	}
 	if carrier != "" {
 		c.cfg.Carriers.Began(carrier)
+		c.carrierChanges++
 	}
 	c.running[started.id()] = started
 	t.add(started)
@@ -78,6 +84,7 @@
 	delete(c.running, r.id())
 	if r.carrier != "" {
 		c.cfg.Carriers.Ended(r.carrier)
+		c.carrierChanges++
 	}
 	c.recordAccepted(r.target)
 	r.target.remove(r, c.now)
@@ -139,6 +146,7 @@
 	c.endRun(r)
 	if e.CarrierLost && r.carrier != "" {
 		c.cfg.Carriers.Avoid(r.grantRequest.Key.Holder, r.carrier, c.now)
+		c.carrierChanges++
 	}
 	wasProbing, sinceHeard := t.probing(), t.sinceHeard(c.now)
 	defer func() {
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -80,6 +80,11 @@
 	mixed        bool
 	mixedAt      swclock.Millis
 	mixedListing uint64
+	// reaching is the result of lookForHosts, and carriers has those of anyCarrier. carrierChanges counts the changes of what
+	// the hosts carry for this cell.
+	reaching       reaching
+	carriers       carriers
+	carrierChanges uint64
 	// meanWork is the mean work of the granted requests.
 	meanWork swcost.Average
 	effort   swcell.Effort
