Look for a target again before its exchanges are ended for an old failure (LOST)

What callers saw: a stream or call that may be repeated was ended at a sound target, although that had been silent for a second and had gone on long since, if its first output was expected to take so long that it was overdue only after 2.5 s. One probe that fails during the silence was enough, as nothing else was heard from this target until then. Cause: a target counted as dead 2.5 s after the first failed look, whether or not others had followed; a lost path likewise, for as long as nothing was heard from the target. Exchanges that became overdue later were ended in the same review, before ToLookFor had named the target. Now the failed looks themselves have to span 2.5 s, and what was found more than maxLookGap ago ends nothing; the exchange has the target looked for first. TestOldFailureEndsNothing: all four cases fail before, with the exchange ended before one look.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -401,9 +401,13 @@
 	}
 }
 
-// isHopeless reports whether the path to the target is lost, or the target is dead, since the last sign in the exchange.
+// isHopeless reports whether the path to the target is lost, or the target is dead, since the last sign in the exchange. What
+// was found longer than maxLookGap ago does not count: the target may have gone on since.
 func (x *Exchange) isHopeless(t *path, now swclock.Millis) bool {
-	return t.lost && t.elsewhereAt >= x.signAt || t.failingSince > 0 && now-max(t.failingSince, x.signAt) >= deadTime
+	if now-t.failedAt > maxLookGap {
+		return false
+	}
+	return t.lost && t.elsewhereAt >= x.signAt || t.failingSince > 0 && t.failedAt-max(t.failingSince, x.signAt) >= deadTime
 }
 
 // Wanted is a target that is to be looked for.
--- a/internal/core/swreach/paths_test.go
+++ b/internal/core/swreach/paths_test.go
@@ -395,3 +395,46 @@
 		})
 	}
 }
+
+// TestOldFailureEndsNothing guards against exchanges that are ended, as soon as they are overdue, for what was found long before.
+func TestOldFailureEndsNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(p *pathsTest)
+	}{
+		{"one failed look", func(p *pathsTest) { p.Failed("a1", p.clock.Now()) }},
+		{"failed looks of two seconds", func(p *pathsTest) {
+			for range 4 {
+				p.clock.Advance(500)
+				p.Failed("a1", p.clock.Now()-500)
+			}
+		}},
+		{"the path was lost", func(p *pathsTest) {
+			p.HeardElsewhere("a1")
+			p.Failed("a1", p.clock.Now())
+		}},
+		{"dead for a while", func(p *pathsTest) {
+			for range 6 {
+				p.clock.Advance(500)
+				p.Failed("a1", p.clock.Now()-500)
+			}
+		}},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			p := newPathsTest()
+			p.Begin("a1", 4*swclock.Second, func() bool { t.Error("the exchange was ended before its target was looked for"); return true }, nil)
+			p.clock.Advance(100)
+			e.fail(p)
+			for range 100 {
+				if len(p.ToLookFor()) > 0 {
+					return
+				}
+				p.clock.Advance(100)
+				p.Heard("a2")
+				p.Review()
+			}
+			t.Error("the target is never looked for")
+		})
+	}
+}
