Have all targets of overdue exchanges looked for in turn (LOST)

What callers saw: while four targets had overdue exchanges that must go on, such as calls in their last attempt, no other target was looked for. Streams at further dead targets waited until their deadline, and those on a lost path were not ended, as no other host was asked about their targets. Cause: four targets were looked for at a time, always those that had been silent for the longest, which a failed look does not change. Now those looked for the longest time ago come first, 32 at a time, so that a target is looked for again while its former look counts. Other hosts are asked about four at a time, as before. TestLooksTakeTurns, six dead targets of which four have exchanges that must go on: the other two are never ended before.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -419,7 +419,7 @@
 
 // ToLookFor returns the targets of overdue exchanges that may be ended if their target cannot be reached. Nothing was heard from them for
 // lookAfter, or from any of their service: whether the path is lost, or the target is dead or only silent for a moment is not known. They are sorted by the
-// time for which nothing was heard from them, the longest first.
+// time since they were last heard from or failed, the longest first, so that they take turns.
 func (p *Paths) ToLookFor() []Wanted {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -434,7 +434,7 @@
 		}
 	}
 	slices.SortFunc(wanted, func(a, b Wanted) int {
-		return cmp.Or(cmp.Compare(p.targets[a.Target].heardAt, p.targets[b.Target].heardAt), strings.Compare(string(a.Target), string(b.Target)))
+		return cmp.Or(cmp.Compare(p.targets[a.Target].lastSign(), p.targets[b.Target].lastSign()), strings.Compare(string(a.Target), string(b.Target)))
 	})
 	return wanted
 }
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -333,11 +333,13 @@
 }
 
 const (
-	// lookedForAtOnce is the number of targets that are looked for at a time, and peersAsked the number of hosts that are asked about
+	// lookedForAtOnce is the number of targets that are looked for at a time. Each has to have its turn while its former one counts.
+	lookedForAtOnce = 32
+	// askedForAtOnce is the number of those that other hosts are asked about, and peersAsked the number of hosts that are asked about
 	// each. askTimeout bounds the time for their answers: one may have to be connected to, and to probe.
-	lookedForAtOnce = 4
-	peersAsked      = 2
-	askTimeout      = probeTimeout + 200*swclock.Millis(1)
+	askedForAtOnce = 4
+	peersAsked     = 2
+	askTimeout     = probeTimeout + 200*swclock.Millis(1)
 )
 
 // startLooking reports whether look is to be called.
@@ -364,8 +366,8 @@
 func (p *pathProber) look(ctx context.Context) {
 	var looks conc.WaitGroup
 	targets := p.host.paths.ToLookFor()
-	for _, w := range targets[:min(len(targets), lookedForAtOnce)] {
-		looks.Go(func() { p.lookFor(ctx, w) })
+	for i, w := range targets[:min(len(targets), lookedForAtOnce)] {
+		looks.Go(func() { p.lookFor(ctx, w, i < askedForAtOnce) })
 	}
 	looks.Wait()
 	p.mu.Lock()
@@ -373,11 +375,11 @@
 	p.looking = false
 }
 
-// lookFor looks for a target. If this host reaches no target of its service, it first asks others whether they do, as the path is lost only
-// then.
-func (p *pathProber) lookFor(ctx context.Context, w swreach.Wanted) {
+// lookFor looks for a target. If this host reaches no target of its service and asks is set, it first asks others whether they do, as the path is
+// lost only then.
+func (p *pathProber) lookFor(ctx context.Context, w swreach.Wanted, asks bool) {
 	by, asked := swid.HostID(""), 0
-	if service, listed := p.host.view.serviceOf(w.Target); listed && p.host.paths.Cut(service) {
+	if service, listed := p.host.view.serviceOf(w.Target); asks && listed && p.host.paths.Cut(service) {
 		by, asked = p.askPeers(ctx, w.Target)
 	}
 	if by != "" {
--- a/internal/node/swfleet/silenttargets_test.go
+++ b/internal/node/swfleet/silenttargets_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -260,3 +261,34 @@
 		}
 	})
 }
+
+// TestLooksTakeTurns guards against dead targets that are never looked for because of others whose exchanges must go on.
+func TestLooksTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clearPools()
+		defer clearPools()
+		f := newPartitionedFleet(t, 2)
+		f.startAll()
+		f.observe(4)
+		host := f.hosts[0].current.Load()
+		var ended [6]atomic.Bool
+		for i := range ended {
+			id := swid.TargetID(fmt.Sprint("model-", i))
+			f.targets[id].silence.set(cutHang, 0)
+			adapter, _ := host.pathProber.adapter(id)
+			host.paths.Heard(id)
+			time.Sleep(10 * time.Millisecond)
+			host.paths.Begin(id, 0, func() bool {
+				ended[i].Store(i >= 4) // the others are in their last attempt
+				return i >= 4
+			}, adapter.probe)
+		}
+		time.Sleep(6 * time.Second)
+		for i := range ended {
+			if i >= 4 && !ended[i].Load() {
+				t.Errorf("the exchange with dead target %d goes on", i)
+			}
+		}
+		f.killAll()
+	})
+}
