Notice dead targets also where no target of their service is listed (LOST)

What callers saw: streams at a dead target waited until their deadline if the target was the last of its service that was listed, or not draining, as its entry lapses when it dies. With keep-alive they ended after 3 s. Cause: an exchange counted as overdue only while its service has a listed target, so that its target was neither looked for nor taken for dead. TestDeadTargetOfNoService fails before: not ended after 5 s of failed looks. Found in review.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -352,13 +352,13 @@
 // has been. p.mu must be held.
 func (p *Paths) reviewOverdue(now swclock.Millis) {
 	for x := range p.exchanges {
-		s := p.services[x.service]
+		s := p.services[x.service] // nil if no target of the service is listed
 		switch {
-		case !x.overdue(now) || s == nil:
+		case !x.overdue(now):
 		case x.doubtedAt == 0:
 			x.doubtedAt = max(now, 1)
 			p.hooks.Doubted()
-		case x.isLost(now) && s.heardAt <= x.doubtedAt:
+		case s != nil && x.isLost(now) && s.heardAt <= x.doubtedAt:
 			p.suspect(x.service)
 		}
 	}
--- a/internal/core/swreach/paths_test.go
+++ b/internal/core/swreach/paths_test.go
@@ -438,3 +438,23 @@
 		})
 	}
 }
+
+// TestDeadTargetOfNoService guards against exchanges that are never ended at a dead target because no target of its service is listed.
+func TestDeadTargetOfNoService(t *testing.T) {
+	p := newPathsTest()
+	ended := false
+	x := p.Begin("b1", 0, func() bool { ended = true; return true }, nil)
+	p.Configure(map[swid.TargetID]swid.ServiceID{"a1": "a"})
+	x.Heard()
+	for range 10 {
+		p.clock.Advance(500)
+		p.Heard("a1")
+		p.Review()
+		for _, w := range p.ToLookFor() {
+			p.Failed(w.Target, p.clock.Now()-400)
+		}
+	}
+	if !ended {
+		t.Error("the exchange goes on at the dead target")
+	}
+}
