Do not panic when a carried request meets the last target of a service that leaves

What callers saw: a request that another host carries got no answer if it arrived while the last listed target of its service left the list or began to drain, that target had an exchange from which nothing was heard for two seconds, and the pool of targets was not configured yet. The panic was kept by the network's tasks, and would be raised when the host stops. Cause: targets with exchanges are kept after they left the list, but their services are not, and Proven took the service for known. TestProvenOfNoService panics before.

--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -492,12 +492,12 @@
 func (t *path) lastSign() swclock.Millis { return max(t.heardAt, t.failedAt) }
 
 // Proven reports whether the target, or another one of its service, was heard from a moment ago, and the target
-// has not failed since it was last heard from.
+// has not failed since it was last heard from. It does so only of listed targets.
 func (p *Paths) Proven(target swid.TargetID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, now := p.targets[target], p.clock.Now()
-	if t == nil || t.failedAt > t.heardAt {
+	if t == nil || !t.listed || t.failedAt > t.heardAt {
 		return false
 	}
 	s := p.services[t.service]
--- a/internal/core/swreach/paths_test.go
+++ b/internal/core/swreach/paths_test.go
@@ -458,3 +458,15 @@
 		t.Error("the exchange goes on at the dead target")
 	}
 }
+
+// TestProvenOfNoService guards against a panic when a target with an exchange has left the list as the last of its service.
+func TestProvenOfNoService(t *testing.T) {
+	p := newPathsTest()
+	p.Begin("b1", 0, nil, nil).Heard()
+	p.Begin("c1", 0, nil, nil)
+	p.Configure(map[swid.TargetID]swid.ServiceID{"a1": "a"})
+	p.clock.Advance(provenTime)
+	if p.Proven("b1") || p.Proven("c1") {
+		t.Error("a path to a target that is not listed is proven")
+	}
+}
