Take no cancelled probe for a sign that a target is out of reach (LOST)

What callers saw: nothing was seen; a host that reaches a service could take itself for cut off from it for a moment, so that its requests were carried, or refused where all hosts do. Cause: a host that asks two others whether they reach a target cancels the second question with the first answer, and a request that is carried ends with its holder's wish. The probe that was under way for it ended then, and counted as failed; two of them are enough if nothing was heard from the service meanwhile. TestCancelledProbe: two probes that are cancelled after 10 ms make the host cut off before. Found in review.

--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -86,19 +86,21 @@
 	return err
 }
 
-// probe looks whether the target can be reached, and records what it finds.
+// probe looks whether the target can be reached, and records what it finds. If ctx ends first, it has found nothing.
 func (p *pathAdapter) probe(ctx context.Context) error {
 	prober, canProbe := p.Adapter.(swtarget.Prober)
 	if !canProbe {
 		p.host.paths.Heard(p.target) // the next request shows it
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
 	sent := p.host.clock.Now()
-	statement, err := prober.Probe(ctx)
+	statement, err := prober.Probe(probeCtx)
 	if err != nil {
-		p.host.paths.Failed(p.target, sent)
+		if ctx.Err() == nil {
+			p.host.paths.Failed(p.target, sent)
+		}
 		return err
 	}
 	p.host.paths.Heard(p.target)
--- a/internal/node/swfleet/silenttargets_test.go
+++ b/internal/node/swfleet/silenttargets_test.go
@@ -292,3 +292,33 @@
 		f.killAll()
 	})
 }
+
+// TestCancelledProbe guards against hosts that take themselves for cut off because probes were cancelled.
+func TestCancelledProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clearPools()
+		defer clearPools()
+		f := newPartitionedFleet(t, 2)
+		f.startAll()
+		f.observe(4)
+		host := f.hosts[0].current.Load()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		var probes sync.WaitGroup
+		for _, id := range []swid.TargetID{"model-1", "model-2"} {
+			adapter, known := host.pathProber.adapter(id)
+			if !known {
+				t.Fatalf("%s is not listed", id)
+			}
+			f.targets[id].silence.set(cutHang, 0)
+			probes.Go(func() { _ = adapter.probe(ctx) }) // fails, as it is cancelled
+		}
+		time.Sleep(10 * time.Millisecond)
+		cancel()
+		probes.Wait()
+		if host.paths.Cut("model") {
+			t.Error("the host takes itself for cut off after two probes that were cancelled")
+		}
+		f.killAll()
+	})
+}
