--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -81,7 +81,7 @@
 	defer func() { _ = stream.Close() }()                                              // the answer is known, or does not matter any more
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) }) // fails only on a closed stream
 	defer stop()
-	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell})); err != nil {
+	if err := writeFrame(stream, encodeRequest(&Request{Cell: a.Cell, Request: swtarget.Request{Path: string(a.Target)}})); err != nil {
 		return errors.Wrap(err, "ask carrier")
 	}
 	var reply swpb.CarriedReply
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -156,8 +156,8 @@
 		cancel()
 		close(left)
 	}()
-	if r.Path == "" {
-		s.answerProbe(ctx, &r, stream)
+	if r.Target == "" {
+		s.answerProbe(ctx, swid.TargetID(r.Path), stream)
 		return
 	}
 	began := s.config.Clock.Now()
@@ -179,8 +179,8 @@
 }
 
 // answerProbe tells the holder whether this host reaches the target.
-func (s *Server) answerProbe(ctx context.Context, r *Request, stream net.Conn) {
-	err := s.config.Probe(ctx, r.Target)
+func (s *Server) answerProbe(ctx context.Context, target swid.TargetID, stream net.Conn) {
+	err := s.config.Probe(ctx, target)
 	if err != nil {
 		err = &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: err}
 	}
--- a/internal/peer/swcarry/swcarry.go
+++ b/internal/peer/swcarry/swcarry.go
@@ -87,7 +87,8 @@
 	return size, nil
 }
 
-// Request is a request that is carried. One without a Path is not sent: it asks whether the carrier reaches the target.
+// Request is a request that is carried. One without a Target is not sent: it asks whether the carrier reaches the target whose ID
+// is in Path. An earlier build refuses it, as no such target is listed, and concludes nothing for any target.
 type Request struct {
 	Target swid.TargetID
 	// Cell is that of the target, for the log.
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -531,6 +531,27 @@
 	}
 }
 
+// TestProbeNamesNoTarget guards against questions that hosts of an earlier build take for requests: they count their target as one that cannot
+// be connected to.
+func TestProbeNamesNoTarget(t *testing.T) {
+	own, other := net.Pipe()
+	var asked swpb.CarriedRequest
+	var carrier sync.WaitGroup
+	carrier.Go(func() {
+		defer func() { _ = other.Close() }()
+		if err := readFrame(bufio.NewReader(other), &asked); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := (&Adapter{Opener: pipe{own}, Target: "t"}).Probe(t.Context()); err == nil {
+		t.Error("a target counts as reached without an answer")
+	}
+	carrier.Wait()
+	if asked.GetTarget() != "" {
+		t.Errorf("the question is a request to target %q", asked.GetTarget())
+	}
+}
+
 // TestProbeWithoutAnswer guards against a holder that waits for longer than it wants for a carrier that does not answer.
 func TestProbeWithoutAnswer(t *testing.T) {
 	own, other := net.Pipe()
