--- a/internal/core/swreach/paths.go
+++ b/internal/core/swreach/paths.go
@@ -365,13 +365,13 @@
 // has been. p.mu must be held.
 func (p *Paths) reviewOverdue(now swclock.Millis) {
 	for x := range p.exchanges {
-		s := p.services[x.service]
+		s := p.services[x.service] // nil if no target of the service is listed
 		switch {
-		case !x.overdue(now) || s == nil:
+		case !x.overdue(now):
 		case x.doubtedAt == 0:
 			x.doubtedAt = max(now, 1)
 			p.hooks.Doubted()
-		case x.isLost(now) && s.heardAt <= x.doubtedAt:
+		case s != nil && x.isLost(now) && s.heardAt <= x.doubtedAt:
 			p.suspect(x.service)
 		}
 	}
@@ -414,9 +414,13 @@
 	}
 }
 
-// isHopeless reports whether the path to the target is lost, or the target is dead, since the last sign in the exchange.
+// isHopeless reports whether the path to the target is lost, or the target is dead, since the last sign in the exchange. What
+// was found longer than maxLookGap ago does not count: the target may have gone on since.
 func (x *Exchange) isHopeless(t *path, now swclock.Millis) bool {
-	return t.lost && t.elsewhereAt >= x.signAt || t.failingSince > 0 && now-max(t.failingSince, x.signAt) >= deadTime
+	if now-t.failedAt > maxLookGap {
+		return false
+	}
+	return t.lost && t.elsewhereAt >= x.signAt || t.failingSince > 0 && t.failedAt-max(t.failingSince, x.signAt) >= deadTime
 }
 
 // Wanted is a target that is to be looked for.
@@ -428,7 +432,7 @@
 
 // ToLookFor returns the targets of overdue exchanges that may be ended if their target cannot be reached. Nothing was heard from them for
 // lookAfter, or from any of their service, or in the exchange for connectionSilence: whether the path or the connection is lost, or the target is dead or only
-// silent for a moment is not known. They are sorted by the time for which nothing was heard from them, the longest first.
+// silent for a moment is not known. They are sorted by the time since they were last heard from or failed, the longest first, so that they take turns.
 func (p *Paths) ToLookFor() []Wanted {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -443,7 +447,7 @@
 		}
 	}
 	slices.SortFunc(wanted, func(a, b Wanted) int {
-		return cmp.Or(cmp.Compare(p.targets[a.Target].heardAt, p.targets[b.Target].heardAt), strings.Compare(string(a.Target), string(b.Target)))
+		return cmp.Or(cmp.Compare(p.targets[a.Target].lastSign(), p.targets[b.Target].lastSign()), strings.Compare(string(a.Target), string(b.Target)))
 	})
 	return wanted
 }
@@ -501,12 +505,12 @@
 func (t *path) lastSign() swclock.Millis { return max(t.heardAt, t.failedAt) }
 
 // Proven reports whether the target, or another one of its service, was heard from a moment ago, and the target
-// has not failed since it was last heard from.
+// has not failed since it was last heard from. It does so only of listed targets.
 func (p *Paths) Proven(target swid.TargetID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, now := p.targets[target], p.clock.Now()
-	if t == nil || t.failedAt > t.heardAt {
+	if t == nil || !t.listed || t.failedAt > t.heardAt {
 		return false
 	}
 	s := p.services[t.service]
--- a/internal/node/swfleet/paths.go
+++ b/internal/node/swfleet/paths.go
@@ -134,19 +134,21 @@
 	return err
 }
 
-// probe looks whether the target can be reached, and records what it finds.
+// probe looks whether the target can be reached, and records what it finds. If ctx ends first, it has found nothing.
 func (p *pathAdapter) probe(ctx context.Context) error {
 	prober, canProbe := p.Adapter.(swtarget.Prober)
 	if !canProbe {
 		p.host.paths.Heard(p.target) // the next request shows it
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
 	sent := p.host.clock.Now()
-	statement, err := prober.Probe(ctx)
+	statement, err := prober.Probe(probeCtx)
 	if err != nil {
-		p.host.paths.Failed(p.target, sent)
+		if ctx.Err() == nil {
+			p.host.paths.Failed(p.target, sent)
+		}
 		return err
 	}
 	p.host.paths.Heard(p.target)
@@ -383,11 +385,13 @@
 }
 
 const (
-	// lookedForAtOnce is the number of targets that are looked for at a time, and peersAsked the number of hosts that are asked about
+	// lookedForAtOnce is the number of targets that are looked for at a time. Each has to have its turn while its former one counts.
+	lookedForAtOnce = 32
+	// askedForAtOnce is the number of those that other hosts are asked about, and peersAsked the number of hosts that are asked about
 	// each. askTimeout bounds the time for their answers: one may have to be connected to, and to probe.
-	lookedForAtOnce = 4
-	peersAsked      = 2
-	askTimeout      = probeTimeout + 200*swclock.Millis(1)
+	askedForAtOnce = 4
+	peersAsked     = 2
+	askTimeout     = probeTimeout + 200*swclock.Millis(1)
 )
 
 // startLooking reports whether look is to be called.
@@ -414,8 +418,8 @@
 func (p *pathProber) look(ctx context.Context) {
 	var looks conc.WaitGroup
 	targets := p.host.paths.ToLookFor()
-	for _, w := range targets[:min(len(targets), lookedForAtOnce)] {
-		looks.Go(func() { p.lookFor(ctx, w) })
+	for i, w := range targets[:min(len(targets), lookedForAtOnce)] {
+		looks.Go(func() { p.lookFor(ctx, w, i < askedForAtOnce) })
 	}
 	looks.Wait()
 	p.mu.Lock()
@@ -423,11 +427,11 @@
 	p.looking = false
 }
 
-// lookFor looks for a target. If this host reaches no target of its service, it first asks others whether they do, as the path is lost only
-// then.
-func (p *pathProber) lookFor(ctx context.Context, w swreach.Wanted) {
+// lookFor looks for a target. If this host reaches no target of its service and asks is set, it first asks others whether they do, as the path is
+// lost only then.
+func (p *pathProber) lookFor(ctx context.Context, w swreach.Wanted, asks bool) {
 	by, asked := swid.HostID(""), 0
-	if service, listed := p.host.view.serviceOf(w.Target); listed && p.host.paths.Cut(service) {
+	if service, listed := p.host.view.serviceOf(w.Target); asks && listed && p.host.paths.Cut(service) {
 		by, asked = p.askPeers(ctx, w.Target)
 	}
 	if by != "" {
