--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -114,7 +114,8 @@
 	DialTimeout swclock.Millis
 	// MaxIdleTime bounds the time for which a connection stays idle in the pool, whatever its peer announces.
 	MaxIdleTime swclock.Millis
-	// KeepAlive configures TCP keep-alive; the zero value leaves it off. It also ends connections whose peer is only silent for as long.
+	// KeepAlive configures TCP keep-alive; the zero value leaves it off. It also ends connections whose peer is only silent for as long, but
+	// one of a peer that has been started anew at once.
 	KeepAlive net.KeepAliveConfig
 }
 
