--- a/internal/node/swfleet/silenttargets_test.go
+++ b/internal/node/swfleet/silenttargets_test.go
@@ -209,6 +209,36 @@
 	s.longest = max(s.longest, took)
 }
 
+// playLongCalls has callers send requests to the hosts in turn while play runs, one each interval at the usual size of the fleet, and
+// returns how they ended.
+func (f *partitionedFleet) playLongCalls(path string, interval time.Duration, play func()) *longStreams {
+	var s longStreams
+	var callers sync.WaitGroup
+	ctx, stop := context.WithCancel(context.Background())
+	callers.Go(func() {
+		order := hostOrder{hosts: f.hosts}
+		for ctx.Err() == nil {
+			h := order.next()
+			callers.Go(func() { f.longCall(h, path, &s) })
+			time.Sleep(interval * usualSize / time.Duration(max(len(f.hosts), usualSize)))
+		}
+	})
+	play()
+	stop()
+	callers.Wait()
+	f.killAll()
+	f.deployment.t.Logf("%d whole, %d refused, %d cut, %d lost, the longest took %v", s.whole, s.refused, s.cut, s.lost, s.longest)
+	return &s
+}
+
+// check reports requests that were cut or lost, and fewer whole ones than least of all.
+func (s *longStreams) check(t *testing.T, least float64) {
+	sent := s.whole + s.refused + s.cut + s.lost
+	if s.cut > 0 || s.lost > 0 || float64(s.whole) < least*float64(sent) {
+		t.Errorf("of %d requests %d were cut, %d lost and %d refused", sent, s.cut, s.lost, s.refused)
+	}
+}
+
 // TestSilenceCutsNoStream guards against streams that are ended because sound targets fall silent for a moment.
 func TestSilenceCutsNoStream(t *testing.T) {
 	cases := []struct {
@@ -241,34 +271,18 @@
 					engines := f.keepTargets("model-", c.targets)
 					f.startAll()
 					f.observe(4)
-					var s longStreams
-					var callers sync.WaitGroup
-					ctx, stop := context.WithCancel(context.Background())
-					callers.Go(func() {
-						order := hostOrder{hosts: f.hosts}
-						for ctx.Err() == nil {
-							h := order.next()
-							callers.Go(func() { f.longCall(h, "/long/x", &s) })
-							time.Sleep(100 * time.Millisecond * usualSize / time.Duration(max(size, usualSize)))
+					s := f.playLongCalls("/long/x", 100*time.Millisecond, func() {
+						time.Sleep(4 * time.Second)
+						for range 5 {
+							rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+							if c.during != nil {
+								c.during(f)
+							}
+							f.silence(engines[:c.silent], c.span)
+							time.Sleep(3 * time.Second)
 						}
 					})
-					time.Sleep(4 * time.Second)
-					for range 5 {
-						rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
-						if c.during != nil {
-							c.during(f)
-						}
-						f.silence(engines[:c.silent], c.span)
-						time.Sleep(3 * time.Second)
-					}
-					stop()
-					callers.Wait()
-					f.killAll()
-					sent := s.whole + s.refused + s.cut + s.lost
-					t.Logf("%d of %d streams whole, %d refused, %d cut, %d lost, the longest %v", s.whole, sent, s.refused, s.cut, s.lost, s.longest)
-					if s.cut > 0 || s.lost > 0 || float64(s.whole) < minServedInSilence*float64(sent) {
-						t.Errorf("of %d streams %d were cut, %d lost and %d refused", sent, s.cut, s.lost, s.refused)
-					}
+					s.check(t, minServedInSilence)
 				})
 			})
 		}
@@ -284,21 +298,11 @@
 		f.addLongStreams()
 		f.startAll()
 		f.observe(4)
-		var s longStreams
-		var callers sync.WaitGroup
-		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
-		defer stop()
-		time.AfterFunc(3*time.Second, func() { f.targets["model-3"].silence.set(cutHang, 0) })
-		order := hostOrder{hosts: f.hosts}
-		for ctx.Err() == nil {
-			h := order.next()
-			callers.Go(func() { f.longCall(h, "/long/x", &s) })
-			time.Sleep(100 * time.Millisecond)
-		}
-		callers.Wait()
-		f.targets["model-3"].silence.set(0)
-		f.killAll()
-		t.Logf("%d streams whole, %d refused, %d cut, %d lost, the longest %v", s.whole, s.refused, s.cut, s.lost, s.longest)
+		s := f.playLongCalls("/long/x", 100*time.Millisecond, func() {
+			time.Sleep(3 * time.Second)
+			f.targets["model-3"].silence.set(cutHang, 0)
+			time.Sleep(7 * time.Second)
+		})
 		if sent := s.whole + s.refused + s.cut + s.lost; float64(s.whole) < minServedInSilence*float64(sent) {
 			t.Errorf("%d of %d streams are whole", s.whole, sent)
 		}
@@ -334,38 +338,26 @@
 						targets := f.keepTargets("plain-", c.targets)
 						f.startAll()
 						f.observe(4)
-						var s longStreams
-						var callers sync.WaitGroup
+						var changes sync.WaitGroup
 						ctx, stop := context.WithCancel(context.Background())
-						callers.Go(func() {
-							order := hostOrder{hosts: f.hosts}
-							for ctx.Err() == nil {
-								h := order.next()
-								callers.Go(func() { f.longCall(h, path, &s) })
-								time.Sleep(50 * time.Millisecond * usualSize / time.Duration(max(size, usualSize)))
-							}
-						})
 						if c.changes {
-							callers.Go(func() {
+							changes.Go(func() {
 								for ctx.Err() == nil {
 									f.changeConfiguration()
 									time.Sleep(time.Second)
 								}
 							})
 						}
-						time.Sleep(4 * time.Second)
-						for range 5 {
-							f.silence(targets, c.span)
-							time.Sleep(3 * time.Second)
-						}
-						stop()
-						callers.Wait()
-						f.killAll()
-						sent := s.whole + s.refused + s.cut + s.lost
-						t.Logf("%d of %d calls answered, %d refused, %d cut, %d lost, the longest took %v", s.whole, sent, s.refused, s.cut, s.lost, s.longest)
-						if s.cut > 0 || s.lost > 0 || float64(s.whole) < minCallsServedInSilence*float64(sent) {
-							t.Errorf("of %d calls %d were cut, %d lost and %d refused", sent, s.cut, s.lost, s.refused)
-						}
+						s := f.playLongCalls(path, 50*time.Millisecond, func() {
+							time.Sleep(4 * time.Second)
+							for range 5 {
+								f.silence(targets, c.span)
+								time.Sleep(3 * time.Second)
+							}
+							stop()
+							changes.Wait()
+						})
+						s.check(t, minCallsServedInSilence)
 					})
 				})
 			}
