Decide by one look whether a request has to be carried and who is its owner

The owner and the demand to carry were found by two looks, between which the host had found itself cut off.

Now the demand is found first and looked at again once the owner is chosen.

TestOwnerAndCarryAgree fails without the change.

--- a/internal/holder/swholder/held.go
+++ b/internal/holder/swholder/held.go
@@ -223,12 +223,12 @@
 // report for a running request unless the host granted the attempt or was already
 // sent a report.
 func (e *heldRequest) reportTo(owner swid.HostID) {
-	routed, noRedirect := e.holder.config.Router.Owner(e.request.Cell)
+	r := e.findRoute()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case e.waiting && routed == owner:
-		e.sendGrantRequest(owner, noRedirect)
+	case e.waiting && r.owner == owner:
+		e.sendGrantRequest(r)
 	case e.running != nil && !slices.Contains(e.running.owners, owner):
 		if e.holder.config.Sender.Send(owner, e.inFlightMessage()) {
 			e.running.owners = append(e.running.owners, owner)
@@ -250,25 +250,41 @@
 
 // repeatGrantRequest repeats the grant request after a lost link.
 func (e *heldRequest) repeatGrantRequest() {
-	owner, noRedirect := e.holder.config.Router.Owner(e.request.Cell)
+	r := e.findRoute()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.waiting {
-		e.sendGrantRequest(owner, noRedirect)
+		e.sendGrantRequest(r)
 	}
 }
 
-// sendGrantRequest sends a grant request to owner and reports whether the message was
+// route is where a grant request goes.
+type route struct {
+	owner      swid.HostID
+	noRedirect bool
+	// carry is set if the request has to be carried: its owner then knows the hosts.
+	carry bool
+}
+
+// findRoute returns the route of the next grant request. Whether this host is cut off decides on the owner as well, and may change
+// meanwhile: a request that has to be carried does not go to an owner that was chosen for one that does not.
+func (e *heldRequest) findRoute() route {
+	cut := e.isCut()
+	owner, noRedirect := e.holder.config.Router.Owner(e.request.Cell)
+	return route{owner, noRedirect, cut && e.isCut()}
+}
+
+// sendGrantRequest sends a grant request and reports whether the message was
 // queued for sending. If the last grant request went to another host, that request
 // is cancelled there first. The caller holds e.mu.
-func (e *heldRequest) sendGrantRequest(owner swid.HostID, noRedirect bool) bool {
-	if e.requestedOwner != "" && e.requestedOwner != owner {
+func (e *heldRequest) sendGrantRequest(r route) bool {
+	if e.requestedOwner != "" && e.requestedOwner != r.owner {
 		e.holder.config.Sender.Send(e.requestedOwner, e.withdrawMessage())
 	}
-	e.requestedOwner, e.acknowledged, e.grantRequestSentAt = owner, false, e.holder.config.Clock.Now()
+	e.requestedOwner, e.acknowledged, e.grantRequestSentAt = r.owner, false, e.holder.config.Clock.Now()
 	m := e.grantRequestMessage()
-	m.NoRedirect = noRedirect
-	e.queuedToSend = e.holder.config.Sender.Send(owner, m)
+	m.NoRedirect, m.Carry = r.noRedirect, r.carry
+	e.queuedToSend = e.holder.config.Sender.Send(r.owner, m)
 	return e.queuedToSend
 }
 
@@ -277,7 +293,7 @@
 	return swmsg.Withdraw{Cell: e.request.Cell, Seq: e.request.Seq, Attempt: e.grantRequest.Attempt}
 }
 
-// grantRequestMessage returns the grant request of the current attempt. The caller holds e.mu.
+// grantRequestMessage returns the grant request of the current attempt without its route. The caller holds e.mu.
 func (e *heldRequest) grantRequestMessage() swmsg.GrantRequest {
 	r := e.request
 	return swmsg.GrantRequest{
@@ -303,7 +319,6 @@
 		Charge:         r.Charge,
 		Resumable:      r.ResumeElsewhere,
 		Continuation:   e.grantRequest.Continuation,
-		Carry:          e.isCut(),
 	}
 }
 
@@ -349,8 +364,10 @@
 
 // inFlightMessage returns the report of the running attempt, which must exist. The caller holds e.mu.
 func (e *heldRequest) inFlightMessage() swmsg.InFlight {
+	request := e.grantRequestMessage()
+	request.Carry = e.isCut()
 	return swmsg.InFlight{
-		GrantRequest: e.grantRequestMessage(),
+		GrantRequest: request,
 		Target:       e.running.target,
 		Elapsed:      e.holder.config.Clock.Now() - e.running.started,
 		Produced:     e.running.produced,
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -313,12 +313,12 @@
 
 // startGrantRequest sends the first grant request of an attempt and returns the wait before it is repeated.
 func (e *heldRequest) startGrantRequest(c swlife.RequestGrant) swclock.Millis {
-	owner, noRedirect := e.holder.config.Router.Owner(e.request.Cell)
+	r := e.findRoute()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.grantRequest = c
 	e.waiting, e.granted, e.redirects = true, false, 0
-	return e.resendInterval(e.sendGrantRequest(owner, noRedirect))
+	return e.resendInterval(e.sendGrantRequest(r))
 }
 
 // resendGrantRequest repeats the grant request when that is due, or if the Router selects
@@ -328,7 +328,7 @@
 	if late := e.lateOwner(); late != "" {
 		e.holder.config.Router.Doubt(late)
 	}
-	owner, noRedirect := e.holder.config.Router.Owner(e.request.Cell)
+	r := e.findRoute()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.waiting {
@@ -336,10 +336,10 @@
 	}
 	// An owner that is busy is not made busier.
 	wait := e.grantRequestSentAt + e.holder.config.GrantRequestInterval - e.holder.config.Clock.Now()
-	if owner == e.requestedOwner && e.queuedToSend && !e.acknowledged && wait > 0 && e.holder.config.AckTimeout > 0 {
+	if r.owner == e.requestedOwner && e.queuedToSend && !e.acknowledged && wait > 0 && e.holder.config.AckTimeout > 0 {
 		return min(wait, e.holder.config.AckTimeout)
 	}
-	return e.resendInterval(e.sendGrantRequest(owner, noRedirect))
+	return e.resendInterval(e.sendGrantRequest(r))
 }
 
 // lateOwner returns the host that the last grant request was sent to, if that
@@ -422,10 +422,10 @@
 	}
 	e.redirects++
 	if reachable && e.redirects <= maxRedirects {
-		e.sendGrantRequest(m.Owner, false)
+		e.sendGrantRequest(route{m.Owner, false, e.isCut()})
 		return
 	}
-	e.sendGrantRequest(e.requestedOwner, true)
+	e.sendGrantRequest(route{e.requestedOwner, true, e.isCut()})
 }
 
 // cancelGrantRequest ends the wait for a grant. It cancels the grant request, or
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -1333,3 +1334,29 @@
 		})
 	}
 }
+
+// TestOwnerAndCarryAgree guards against requests that go to this host itself, which knows no other hosts, with the demand to be carried,
+// because the host finds itself cut off while it chooses the owner.
+func TestOwnerAndCarryAgree(t *testing.T) {
+	f := newFixture(nil)
+	var cut atomic.Bool
+	f.holder.config.Cut = func(swid.ServiceID) bool { return cut.Load() }
+	f.holder.config.Router = routerFunc{f, func() { cut.Store(true) }}
+	reports, _ := f.serve(f.request(false, false))
+	if request, _ := expect[swmsg.GrantRequest](t, f); request.Carry {
+		t.Error("the owner that was chosen before the host was cut off is asked for a carrier")
+	}
+	f.holder.EndWaiting()
+	<-reports
+}
+
+// routerFunc is a Router that calls a function once it has chosen an owner.
+type routerFunc struct {
+	Router
+	chosen func()
+}
+
+func (r routerFunc) Owner(cell swid.CellID) (swid.HostID, bool) {
+	defer r.chosen()
+	return r.Router.Owner(cell)
+}
