Schedule plain services at the owner while their targets turn requests away

Cause: each host schedules its own requests of plain services and does not see what the others send.

Change: hosts report how many of these requests were turned away or waited, and the owner schedules for all hosts from 2 in 100 on.

--- /dev/null
+++ b/internal/core/swcontention/swcontention.go
@@ -0,0 +1,104 @@
+// Package swcontention decides who schedules the requests of plain services: each host its own, which saves a message to the owner
+// and back, or the owner those of all hosts, which alone sees how many run at a target. The load that it answers: together the hosts
+// send more than a service's targets take at once, while each of them sees few of the requests, so that targets turn away what other
+// targets, or the same one a moment later, would have had room for.
+package swcontention
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+const (
+	// minWait is the wait for a target from which a request counts as contended.
+	minWait = 20 * swclock.Millis(1)
+	// contendedShare is the share of the requests that have to be contended.
+	contendedShare = 0.02
+	// minContended is the number of contended requests below which their share says little.
+	minContended = 4
+	// averageTime is the time constant of the counts.
+	averageTime = 2 * swclock.Second
+	// holdTime is how long the owner goes on after the latest sign of contention, so that hosts do not change to and fro in one burst.
+	holdTime = 10 * swclock.Second
+)
+
+// Counts are numbers of requests of plain services.
+type Counts struct {
+	// Granted were granted a target, and Contended of them waited for that, or were turned away by the target.
+	Granted, Contended uint32
+}
+
+// Meter counts what the cells of one host grant. Its methods are safe for concurrent use; those of a nil meter do nothing.
+type Meter struct {
+	granted, contended atomic.Uint32
+	// onContended is called for each contended request; nil does nothing.
+	onContended func()
+}
+
+// NewMeter returns a meter that calls a function for each contended request. The function must not block.
+func NewMeter(onContended func()) *Meter { return &Meter{onContended: onContended} }
+
+// Granted counts a request that waited for so long until it was granted a target.
+func (m *Meter) Granted(waited swclock.Millis) {
+	if m == nil {
+		return
+	}
+	m.granted.Add(1)
+	if waited >= minWait {
+		m.addContended()
+	}
+}
+
+// TurnedAway counts a request that a target turned away for want of room.
+func (m *Meter) TurnedAway() {
+	if m != nil {
+		m.addContended()
+	}
+}
+
+func (m *Meter) addContended() {
+	m.contended.Add(1)
+	if m.onContended != nil {
+		m.onContended()
+	}
+}
+
+// Take returns the counts since the last call.
+func (m *Meter) Take() Counts {
+	return Counts{Granted: m.granted.Swap(0), Contended: m.contended.Swap(0)}
+}
+
+// Register has the counts of all hosts at the owner. Its methods are safe for concurrent use.
+type Register struct {
+	mu sync.Mutex
+	// granted and contended are decaying sums as of the instant at.
+	granted, contended float64
+	at                 swclock.Millis
+	// until is when the owner stops to schedule for all hosts.
+	until swclock.Millis
+}
+
+// Add adds the counts that a host reports.
+func (r *Register) Add(c Counts, now swclock.Millis) {
+	if c == (Counts{}) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := math.Exp(-float64(max(now-r.at, 0)) / float64(averageTime))
+	r.granted, r.contended = r.granted*left+float64(c.Granted), r.contended*left+float64(c.Contended)
+	r.at = max(r.at, now)
+	if r.contended >= minContended && r.contended >= contendedShare*r.granted {
+		r.until = now + holdTime
+	}
+}
+
+// Contended reports whether the owner is to schedule the requests of all hosts.
+func (r *Register) Contended(now swclock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now < r.until
+}
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -27,6 +27,9 @@
 	}
 	c.remove(r)
 	c.cfg.Limits.Take(o.target.conf.ID, c.now)
+	if o.target.plain() {
+		c.cfg.Contention.Granted(c.now - r.requestedAt)
+	}
 	c.meanWork.Add(c.work(r, o.expected.uncached))
 	c.emit(c.start(r, o.target, sender).grant())
 	return true
@@ -187,6 +190,9 @@
 		case e.Statement.Heard:
 			t.reach.close(r.sender(), c.now+unreachableTime)
 			t.occupancy.recordRejection(c.now)
+			if t.plain() && !e.Statement.Leaving && e.Statement.Pause == 0 {
+				c.cfg.Contention.TurnedAway()
+			}
 			t.recordNoAnswer(1, c.now)
 		default:
 			t.reach.lost(r.sender(), c.now)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -25,6 +25,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcontention"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
@@ -138,6 +139,8 @@
 	StoreReachable func() bool
 	// OnOriginWanted is called while a request waits for the origin of its stream. It must not block.
 	OnOriginWanted func()
+	// Contention counts how requests of plain services find room. Nil counts nothing.
+	Contention *swcontention.Meter
 	// Carriers picks the hosts that carry requests. Nil means that none is carried.
 	Carriers Carriers
 	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -45,6 +45,7 @@
 		StoreReachable: h.storeReachable,
 		OnOriginWanted: h.originKeeper.Wake,
 		Carriers:       h.carriers,
+		Contention:     h.contentionMeter,
 	}
 	if h.view.chargedByOwner(cell) {
 		config.Ledger = h.ledger
--- a/internal/node/swfleet/gauges.go
+++ b/internal/node/swfleet/gauges.go
@@ -34,6 +34,9 @@
 			_, hosts := h.ledger.Share(h.clock.Now())
 			return float64(hosts)
 		}),
+		gauge("plain_services_contended", "1 while the hosts' reports make this one, as their owner, schedule the requests of plain services.", func() float64 {
+			return boolValue(h.contention.Contended(h.clock.Now()))
+		}),
 		gauge("known_targets", "Targets in the list in force.", func() float64 { return float64(h.view.targetCount()) }),
 		gauge("answer_bytes_held", "Bytes of answers that are held to be passed on.", func() float64 { return float64(h.answers.Held()) }),
 		gauge("answer_bytes_limit", "Bytes of answers that may be held.", func() float64 { return float64(h.answers.Capacity()) }),
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
@@ -45,7 +46,7 @@
 func (h *Host) registerWithOwner(owner swid.HostID, complete bool) {
 	m := swmsg.Registration{
 		Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete),
-		Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached(), StoreQuestion: h.askStoreState(owner),
+		Contention: h.contentionMeter.Take(), Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached(), StoreQuestion: h.askStoreState(owner),
 	}
 	if after, era, wanted := h.targets.Wanted(); wanted {
 		m.TargetsAfter, m.TargetsEra = after, era
@@ -113,6 +114,18 @@
 	}
 }
 
+// minContentionInterval is the least time between two registrations for the sake of contention.
+const minContentionInterval = 100 * swclock.Millis(1)
+
+// reportContention makes the host register now if the owner may not know yet that requests of plain services find no room.
+func (h *Host) reportContention() {
+	now, last := int64(h.clock.Now()), h.contentionReportedAt.Load()
+	if h.view.scheduling() == swmsg.SchedulingShared || now-last < int64(minContentionInterval) || !h.contentionReportedAt.CompareAndSwap(last, now) {
+		return
+	}
+	h.requestRegistration()
+}
+
 // logShareChange logs the share of the quotas that this host admits when the number
 // of hosts registered with it has changed.
 func (h *Host) logShareChange() {
@@ -169,6 +182,7 @@
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
 	h.ledger.Register(process, registration.Age, registration.Complete, amounts, h.clock.Now())
+	h.contention.Add(registration.Contention, h.clock.Now())
 	h.updateCarrier(from.Host, registration.Cut)
 	for _, target := range registration.Reached {
 		h.owner.TargetHeard(target, from.Host)
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcontention"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
@@ -131,6 +132,12 @@
 	paths      *swreach.Paths
 	pathProber *pathProber
 	carriers   *swreach.Directory
+	// contentionMeter counts how the requests of plain services that this host schedules find room, and contention has the counts
+	// of the hosts that are registered with this one.
+	contentionMeter *swcontention.Meter
+	contention      swcontention.Register
+	// contentionReportedAt is when this host last registered for the sake of contention.
+	contentionReportedAt atomic.Int64
 	// carrying carries requests of other hosts.
 	carrying *swcarry.Server
 	// answers is the memory for the answers that this host holds, of its own requests and of those that it carries.
@@ -193,6 +200,7 @@
 		origins:     sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.boot = h.clock
+	h.contentionMeter = swcontention.NewMeter(h.reportContention)
 	h.pathProber = newPathProber(h)
 	h.paths = swreach.NewPaths(h.clock, swreach.Hooks{Changed: h.pathProber.changed, Doubted: h.pathProber.doubted, Suspected: h.pathProber.suspected})
 	h.carriers = swreach.NewDirectory()
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcontention"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -176,6 +177,7 @@
 	return swmsg.Registration{
 		Complete: w.GetFresh(), Leaving: w.GetLeaving(), Amounts: amounts, Age: duration(c, "ageMillis", w.GetAgeMillis()),
 		Strikes: strikes, Scheduling: scheduling(c, w.GetScheduling()), Streams: decodeBegunStreams(c, w.GetBegun()),
+		Contention:    swcontention.Counts{Granted: w.GetPlainGranted(), Contended: w.GetPlainContended()},
 		Cut:           services(c, "cut", w.GetCut()),
 		Reached:       convert(w.GetReached(), func(t string) swid.TargetID { return target(c, t) }),
 		StoreQuestion: w.GetStoreQuestion(), TargetsAfter: swwatch.Revision(w.GetTargetsAfter()), TargetsEra: swobject.Era(w.GetTargetsEra()),
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -149,6 +149,7 @@
 	return &swpb.Attach{
 		Fresh: m.Complete, Leaving: m.Leaving, Amounts: amounts, AgeMillis: int64(m.Age),
 		Strikes: strikes, Scheduling: uint32(m.Scheduling), Begun: encodeBegunStreams(m.Streams),
+		PlainGranted: m.Contention.Granted, PlainContended: m.Contention.Contended,
 		Cut:           encodeServices(m.Cut),
 		Reached:       convert(m.Reached, func(t swid.TargetID) string { return string(t) }),
 		StoreQuestion: m.StoreQuestion, TargetsAfter: uint64(m.TargetsAfter), TargetsEra: uint64(m.TargetsEra),
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -5,6 +5,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcontention"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
@@ -139,6 +140,8 @@
 	Cut []swid.ServiceID
 	// Reached are targets that the sender could not reach before, and can now.
 	Reached []swid.TargetID
+	// Contention counts the requests of plain services that the sender scheduled since its last registration.
+	Contention swcontention.Counts
 	// Scheduling is the sender's, so that the owner can tell the sender if that is to change.
 	Scheduling Scheduling
 	// StoreQuestion is the number of the StoreState that the sender asks for; 0 asks for none.
