Weigh a request's own work more, so that large ones take less of the room of many small ones

The order divides the worth by the root of a request's own work and its tier's usual work, so that within each tier large requests take the place of several small ones that are worth more together.

Change: the request's own work has a weight of 0.8, its tier's usual work 0.2.

--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -146,6 +146,8 @@
 	scale int
 	// takenUp multiplies the arrivals of resumable requests, which take up streams then; 0 means that they are new.
 	takenUp float64
+	// seed selects the arrivals.
+	seed uint64
 	// crashes are the times at which five of nine engines end, for simCrashTime.
 	crashes []swclock.Millis
 }
@@ -227,7 +229,7 @@
 
 // drawArrivals draws the arrivals of a load at random; equal loads get equal arrivals.
 func (s *sim) drawArrivals(l simLoad) {
-	random := rand.New(rand.NewPCG(11, 7))
+	random := rand.New(rand.NewPCG(11, 7+l.seed))
 	lognormal := func(mean, sigma float64) float64 { return mean * math.Exp(sigma*random.NormFloat64()-sigma*sigma/2) }
 	for i := range classes {
 		c := &classes[i]
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -28,13 +28,17 @@
 }
 
 // ByWorth ranks requests by the worth of their answer divided by the time that it takes.
-// That time is the geometric mean of the request's own work and the mean work of
-// its tier: with the request's own work alone the largest requests of each tier would starve.
+// That time is a geometric mean of the request's own work and the mean work of its tier, with the weight ownWorkWeight for the former: with
+// the request's own work alone the largest requests of each tier would starve, and the less of it counts, the more small ones wait for
+// one large one that takes their place.
 type ByWorth struct{}
 
+// ownWorkWeight is the weight of a request's own work.
+const ownWorkWeight = 0.8
+
 // Rank implements Order.
 func (ByWorth) Rank(c *Candidate) float64 {
-	return c.Precedence * c.Value / math.Sqrt(max(c.Work, 1)*max(c.MeanWork, 1))
+	return c.Precedence * c.Value / (math.Pow(max(c.Work, 1), ownWorkWeight) * math.Pow(max(c.MeanWork, 1), 1-ownWorkWeight))
 }
 
 // precedenceStep is the factor between the ranks of two neighbouring tiers of
