Rank organisations lower that are granted more than their share

One that sends six times as much as each other one takes its multiple of the room while there is too little.

Change: within each tier an organisation that was granted more than an equal share of what the tier got, in tokens over 5 s, ranks lower, by 0.4 at most. What some do not ask for is left to the others; where there is room for all, nothing changes.

Partial: the shares are not strict, and a new owner counts them anew.

--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -37,6 +37,8 @@
 		return
 	}
 	r.precedes = c.mayPrecede(r)
+	c.shares.review(c.now)
+	c.shares.of(r.grantRequest.Org, r.grantRequest.Tier).asked.add(r.shareTokens(), c.now)
 	if !ok {
 		c.add(r)
 		return
--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -146,12 +146,23 @@
 	scale int
 	// takenUp multiplies the arrivals of resumable requests, which take up streams then; 0 means that they are new.
 	takenUp float64
+	// orgs is the number of organisations, of which the first sends hotOrg times as much as each other one; 0 means one.
+	orgs   int
+	hotOrg float64
 	// seed selects the arrivals.
 	seed uint64
 	// crashes are the times at which five of nine engines end, for simCrashTime.
 	crashes []swclock.Millis
 }
 
+// drawOrg draws the organisation of a request.
+func (l *simLoad) drawOrg(random *rand.Rand) swid.OrgID {
+	if l.orgs == 0 {
+		return "o"
+	}
+	return swid.OrgID(fmt.Sprint("o", max(int(random.Float64()*(float64(l.orgs)-1+l.hotOrg)-l.hotOrg+1), 0)))
+}
+
 const simCrashTime = 2 * swclock.Second
 
 var slowdowns = []float64{0.55, 1, 2.8, 0.55, 1, 2.8, 0.55, 1, 2.8}
@@ -250,7 +261,7 @@
 			prompt := min(max(lognormal(c.prompt, c.promptDeviation), 50), 54000)
 			r.size = prompt + outputWeight*r.outputTokens
 			r.grantRequest = swcell.GrantRequest{
-				Tier: c.tier, Org: "o", PromptTokens: swid.Tokens(prompt), OutputTokens: c.limit,
+				Tier: c.tier, Org: l.drawOrg(random), PromptTokens: swid.Tokens(prompt), OutputTokens: c.limit,
 				ExpectedTokens: swid.Tokens(max(lognormal(r.outputTokens, 0.5)*1.13, 1)),
 			}
 			if r.takenUp = l.takenUp > 0 && c.resumable; r.takenUp {
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -56,7 +56,7 @@
 func (c *Cell[P, O]) rank(r *request, work, first float64) float64 {
 	c.candidate = Candidate{
 		Value: c.valueAt(r, first), Work: work, MeanWork: c.sizes.forTier(r.grantRequest.Tier).work.value, Waited: c.now - r.requestedAt,
-		Precedence: r.precedence(),
+		Precedence: r.precedence() * c.shareFactor(r),
 	}
 	c.effort.Ranks++
 	return c.order.Rank(&c.candidate)
@@ -72,6 +72,15 @@
 	return math.Pow(precedenceStep, steps)
 }
 
+// shareFactor returns the factor by which the rank of a request changes because of what its organisation has been granted. A stream that
+// goes on keeps its rank.
+func (c *Cell[P, O]) shareFactor(r *request) float64 {
+	if r.precedes {
+		return 1
+	}
+	return c.shares.of(r.grantRequest.Org, r.grantRequest.Tier).factor
+}
+
 // maxContinuedLoad is the share of the targets' time up to which streams that go on precede new ones, so that they never take all
 // of it.
 const maxContinuedLoad = 0.3
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -59,6 +59,7 @@
 		c.cfg.Carriers.Began(carrier)
 		c.carrierChanges++
 	}
+	c.shares.of(r.grantRequest.Org, r.grantRequest.Tier).granted.add(r.shareTokens(), c.now)
 	c.running[started.id()] = started
 	t.add(started)
 	c.recordApart(started)
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -86,6 +86,8 @@
 	reaching       reaching
 	carriers       carriers
 	carrierChanges uint64
+	// shares has what organisations ask for and are granted.
+	shares shares
 	// meanWork is the mean work of the granted requests.
 	meanWork swcost.Average
 	effort   swcell.Effort
@@ -267,6 +269,7 @@
 		byID:      make(map[swid.TargetID]*target),
 		typical:   priors, typicalSlots: 1,
 		waitingByKey: make(map[swcell.Key]*request), running: make(map[runKey]*run),
+		shares:  shares{minFactor: minShareFactor},
 		apart:   make(map[swid.Fingerprint]*run),
 		decided: newHistory(historySize), uncharged: newUnchargedRequests(historySize),
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
