Try targets that have joined

Cause: a target of which no speed is known counts as a typical one, and as slower by as much as its output is.

Change: a target that has shown no speed and runs nothing counts as five times as fast, the most by which engines differ, for requests that are in time there even if it is five times as slow. One that fails ranks lower by its faults, as before.

Ruled out: the same for all requests; at capacity one of seven refusals came after its objective then (TestLoads).

--- a/internal/core/swvalue/contention_test.go
+++ b/internal/core/swvalue/contention_test.go
@@ -235,6 +235,7 @@
 	}
 	for _, hosts := range []int{30, 129} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				each, owner := newPlainSim(hosts, seed, nil), newPlainSim(hosts, seed, new(swcontention.Register))
 				servedByEach, servedByOwner := each.play(burst, 10), owner.play(burst, 10)
--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -52,8 +52,10 @@
 	slowdown float64 // time that work takes, as a multiple of a typical engine's
 	slots    int
 	runs     []*simRun
-	down     bool
-	born     int64
+	// granted counts the requests that it was granted.
+	granted int
+	down    bool
+	born    int64
 }
 
 // simRun is a request at an engine.
@@ -149,6 +151,8 @@
 	// orgs is the number of organisations, of which the first sends hotOrg times as much as each other one; 0 means one.
 	orgs   int
 	hotOrg float64
+	// joins is when a third of the engines join, one of each speed in three; 0 means that they are there from the start.
+	joins swclock.Millis
 	// seed selects the arrivals.
 	seed uint64
 	// crashes are the times at which five of nine engines end, for simCrashTime.
@@ -173,6 +177,7 @@
 	}
 	for i := range len(slowdowns) * max(l.scale, 1) {
 		e := &simEngine{id: swid.TargetID(fmt.Sprint("e", i)), slowdown: slowdowns[i%len(slowdowns)], slots: 10, born: 1}
+		e.down = l.joins > 0 && i%len(slowdowns) < 3
 		s.engines[e.id], s.engineList = e, append(s.engineList, e)
 	}
 	s.configure()
@@ -297,6 +302,7 @@
 		prompt: simOverhead + float64(r.grantRequest.PromptTokens)*simPrefill, output: r.outputTokens * simDecode,
 	}
 	e.runs = append(e.runs, run)
+	e.granted++
 }
 
 // retry lets the caller of a rejected request retry once, after the RetryAfter of the
@@ -338,7 +344,7 @@
 		if slices.Contains(l.crashes, s.now) {
 			s.crash()
 		}
-		if slices.Contains(l.crashes, s.now-simCrashTime) {
+		if l.joins > 0 && s.now == l.joins || slices.Contains(l.crashes, s.now-simCrashTime) {
 			s.restart()
 		}
 		for ; next < len(s.requests) && s.requests[next].arrived <= s.now; next++ {
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -22,6 +22,8 @@
 	// Running counts the requests on the target, Slots the requests that it can run at once.
 	Running int
 	Slots   int
+	// Untried is set if nothing is known of the target's speed and it runs nothing: it has joined lately.
+	Untried bool
 	// FaultRate is the share of recent attempts that failed on the target.
 	FaultRate float64
 	// Random is a number in [0, 1).
@@ -49,12 +51,23 @@
 	// lateWeight is the weight of the time by which the first output misses its
 	// objective, in addition to that time itself.
 	lateWeight = 4.0
+	// speedRange is by how much targets differ in speed.
+	speedRange = 5.0
 )
 
+// tries reports whether the request is to show the speed of a target that is not known: if it is in time there even if the target is the
+// slowest one. Otherwise a target that is taken for typical would stay unknown, also if it is the fastest.
+func (o *Offer) tries() bool {
+	return o.Untried && o.First*speedRange <= o.ObjectiveLeft && o.Total*speedRange <= o.Deadline
+}
+
 // Cost implements Placement.
 func (Fastest) Cost(o *Offer) float64 {
 	cost := o.First + restShare*(o.Total-o.First)
 	cost += lateWeight * max(o.First-o.ObjectiveLeft, 0)
+	if o.tries() {
+		cost /= speedRange
+	}
 	return cost*(1+faultWeight*o.FaultRate*o.FaultRate) + o.Random
 }
 
@@ -205,7 +218,7 @@
 	return Offer{
 		target: t, First: e.first, Total: e.total, ObjectiveLeft: c.objectiveLeft(&r.grantRequest),
 		Deadline: float64(r.grantRequest.Deadline - c.now),
-		Running:  len(t.runs), Slots: t.conf.Slots, FaultRate: t.faultRate.Value(),
+		Running:  len(t.runs), Slots: t.conf.Slots, Untried: t.untried(), FaultRate: t.faultRate.Value(),
 		Random: c.random.Float64(), expected: e,
 	}
 }
--- a/internal/core/swvalue/room_test.go
+++ b/internal/core/swvalue/room_test.go
@@ -56,6 +56,7 @@
 	for _, factor := range []float64{2, 3, 4} {
 		for _, seconds := range []int{2, 6, 15} {
 			t.Run(fmt.Sprintf("%v times the capacity for %d s", factor, seconds), func(t *testing.T) {
+				t.Parallel()
 				const calm = 0.7
 				l := simLoad{factor: calm, seconds: 3 * seconds, burst: factor / calm}
 				now := playRoom(func() core { return New(Config{}, Fastest{}, ByWorth{}) }, l, seeds)
--- a/internal/core/swvalue/shares_test.go
+++ b/internal/core/swvalue/shares_test.go
@@ -84,6 +84,7 @@
 	}
 	for _, factor := range []float64{0.7, 1.5, 2, 3} {
 		t.Run(fmt.Sprint(factor, " times the capacity"), func(t *testing.T) {
+			t.Parallel()
 			worth, hottest, others := play(factor, minShareFactor)
 			worthBefore, hottestBefore, othersBefore := play(factor, 1)
 			for tier := range classes {
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -110,6 +110,12 @@
 // plain reports whether the target counts no tokens.
 func (t *target) plain() bool { return t.conf.Plain }
 
+// untried reports whether nothing is known of the target's speed, and it runs nothing that could show it.
+func (t *target) untried() bool {
+	return len(t.runs) == 0 && t.rates.decode.Samples() == 0 && t.rates.prefill.Samples() == 0 && t.rates.service.Samples() == 0 &&
+		t.rates.overhead.Samples() == 0
+}
+
 // active reports whether the target takes new work.
 func (t *target) active() bool {
 	return t.listed && t.reachable && !t.leaving && t.conf.State == swcell.TargetActive
