Mend what the review of contention, shares and joined targets found

Found by a reviewer who did not write them: - A contended host registered ten times a second as long as its owner did not answer, as one of the build before never does.

--- a/internal/core/swcell/snapshot.go
+++ b/internal/core/swcell/snapshot.go
@@ -50,12 +50,23 @@
 	Tiers   []TierStatus
 	Targets []TargetStatus
 	Effort  Effort
+	// AboveShare are the organisations that rank lower because they were granted more than their share, which package swvalue does.
+	AboveShare AboveShare
 	// RetriesLeft is the rest of the retry budget.
 	RetriesLeft float64
 	// Violations counts the broken invariants since the cell was created.
 	Violations int
 }
 
+// AboveShare tells which organisations rank lower.
+type AboveShare struct {
+	// Count is their number, over all tiers, and Lowest the one with the lowest factor.
+	Count  int
+	Lowest swid.OrgID
+	Tier   swid.Tier
+	Factor float64
+}
+
 // Snapshot returns the cell's present state.
 func (c *Cell) Snapshot() Snapshot {
 	s := Snapshot{Tiers: make([]TierStatus, len(c.tiers)), RetriesLeft: c.retryBudget.Left(), Violations: c.violations}
--- a/internal/core/swcontention/swcontention.go
+++ b/internal/core/swcontention/swcontention.go
@@ -27,13 +27,16 @@
 
 // Counts are numbers of requests of plain services.
 type Counts struct {
-	// Granted were granted a target, and Contended of them waited for that, or were turned away by the target.
+	// Granted counts the grants of a target, and Contended those for which the request had waited and those by which it was turned away,
+	// so that one grant may count twice.
 	Granted, Contended uint32
 }
 
 // Meter counts what the cells of one host grant. Its methods are safe for concurrent use; those of a nil meter do nothing.
 type Meter struct {
 	granted, contended atomic.Uint32
+	// total counts what contended has counted since the process began.
+	total atomic.Uint64
 	// onContended is called for each contended request; nil does nothing.
 	onContended func()
 }
@@ -61,6 +64,7 @@
 
 func (m *Meter) addContended() {
 	m.contended.Add(1)
+	m.total.Add(1)
 	if m.onContended != nil {
 		m.onContended()
 	}
@@ -71,6 +75,39 @@
 	return Counts{Granted: m.granted.Swap(0), Contended: m.contended.Swap(0)}
 }
 
+// Contended returns the number of contended grants since the meter was made.
+func (m *Meter) Contended() uint64 { return m.total.Load() }
+
+const (
+	// minEarlyInterval is the least time between two early reports, and quietTime the time without one after which it is that again.
+	minEarlyInterval = 100 * swclock.Millis(1)
+	quietTime        = holdTime
+)
+
+// Early decides when a host reports contention before its next regular report is due. Each early report without effect doubles the time to
+// the next: the owner may be of a build that does not know of contention, or be out of reach. Its methods are safe for concurrent use.
+type Early struct {
+	mu       sync.Mutex
+	last     swclock.Millis
+	interval swclock.Millis
+}
+
+// Due reports whether a report is due now, and counts it as made.
+func (e *Early) Due(now swclock.Millis) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch since := now - e.last; {
+	case e.interval == 0 || since >= quietTime:
+		e.interval = minEarlyInterval
+	case since < e.interval:
+		return false
+	default:
+		e.interval = min(2*e.interval, quietTime)
+	}
+	e.last = now
+	return true
+}
+
 // Register has the counts of all hosts at the owner. Its methods are safe for concurrent use.
 type Register struct {
 	mu sync.Mutex
@@ -81,19 +118,25 @@
 	until swclock.Millis
 }
 
-// Add adds the counts that a host reports.
-func (r *Register) Add(c Counts, now swclock.Millis) {
+// Change tells that contention has begun, with the counts from which that follows.
+type Change struct{ Granted, Contended float64 }
+
+// Add adds the counts that a host reports, and reports whether contention begins with them.
+func (r *Register) Add(c Counts, now swclock.Millis) (Change, bool) {
 	if c == (Counts{}) {
-		return
+		return Change{}, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	left := math.Exp(-float64(max(now-r.at, 0)) / float64(averageTime))
 	r.granted, r.contended = r.granted*left+float64(c.Granted), r.contended*left+float64(c.Contended)
 	r.at = max(r.at, now)
-	if r.contended >= minContended && r.contended >= contendedShare*r.granted {
-		r.until = now + holdTime
+	if r.contended < minContended || r.contended < contendedShare*r.granted {
+		return Change{}, false
 	}
+	begins := now >= r.until
+	r.until = max(r.until, now+holdTime)
+	return Change{Granted: r.granted, Contended: r.contended}, begins
 }
 
 // Contended reports whether the owner is to schedule the requests of all hosts.
--- a/internal/core/swcontention/swcontention_test.go
+++ b/internal/core/swcontention/swcontention_test.go
@@ -57,3 +57,20 @@
 	none.Granted(minWait)
 	none.TurnedAway()
 }
+
+func TestEarly(t *testing.T) {
+	var e Early
+	due := 0
+	for now := swclock.Millis(1); now <= 20*swclock.Second; now++ {
+		if e.Due(now) {
+			due++
+		}
+	}
+	// 0, 0.1, 0.3, 0.7, 1.5, 3.1, 6.3, 12.7 s, as contention goes on.
+	if due != 8 {
+		t.Errorf("%d early reports in 20 s of contention, want 8", due)
+	}
+	if !e.Due(40*swclock.Second) || !e.Due(40*swclock.Second+minEarlyInterval*2) {
+		t.Error("no early reports after a quiet time")
+	}
+}
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -38,7 +38,9 @@
 	}
 	r.precedes = c.mayPrecede(r)
 	c.shares.review(c.now)
-	c.shares.of(r.grantRequest.Org, r.grantRequest.Tier).asked.add(r.shareTokens(), c.now)
+	if r.grantRequest.Attempt <= 1 {
+		c.shares.askedFor(r.grantRequest.Org, r.grantRequest.Tier, r.shareTokens(), c.now)
+	}
 	if !ok {
 		c.add(r)
 		return
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -78,7 +78,7 @@
 	if r.precedes {
 		return 1
 	}
-	return c.shares.of(r.grantRequest.Org, r.grantRequest.Tier).factor
+	return c.shares.factorOf(r.grantRequest.Org, r.grantRequest.Tier)
 }
 
 // maxContinuedLoad is the share of the targets' time up to which streams that go on precede new ones, so that they never take all
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -22,7 +22,7 @@
 	// Running counts the requests on the target, Slots the requests that it can run at once.
 	Running int
 	Slots   int
-	// Untried is set if nothing is known of the target's speed and it runs nothing: it has joined lately.
+	// Untried is set if nothing is known of the speed of a target that has joined lately, and it runs nothing.
 	Untried bool
 	// FaultRate is the share of recent attempts that failed on the target.
 	FaultRate float64
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -27,6 +27,10 @@
 	}
 	c.remove(r)
 	c.cfg.Limits.Take(o.target.conf.ID, c.now)
+	if r.grantRequest.Attempt <= 1 {
+		c.shares.of(r.grantRequest.Org, r.grantRequest.Tier).granted.add(r.shareTokens(), c.now)
+	}
+	o.target.attempts++
 	if o.target.plain() {
 		c.cfg.Contention.Granted(c.now - r.requestedAt)
 	}
@@ -59,7 +63,6 @@
 		c.cfg.Carriers.Began(carrier)
 		c.carrierChanges++
 	}
-	c.shares.of(r.grantRequest.Org, r.grantRequest.Tier).granted.add(r.shareTokens(), c.now)
 	c.running[started.id()] = started
 	t.add(started)
 	c.recordApart(started)
--- a/internal/core/swvalue/shares.go
+++ b/internal/core/swvalue/shares.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
@@ -12,8 +13,8 @@
 	// sharesInterval is the least time between two computations of the factors, and sharesPerSecond bounds how many are computed.
 	sharesInterval  = 100 * swclock.Millis(1)
 	sharesPerSecond = 50_000
-	// minShareFactor is the lowest factor by which the rank of an organisation's requests changes: about that between the ranks of
-	// neighbouring tiers, so that the requests of a higher tier seldom rank below those of a lower one.
+	// minShareFactor is the lowest factor by which the rank of an organisation's requests changes. With it, and three tiers, the mean request of a
+	// tier ranks about as high as that of the next one.
 	minShareFactor = 0.4
 	// shareTolerance is how far an organisation may be above its share without a lower rank.
 	shareTolerance = 1.1
@@ -32,12 +33,31 @@
 	reviewAt swclock.Millis
 }
 
-// orgShare is what an organisation asks for and is granted in one tier, in tokens.
+// orgShare is what an organisation asks for and is granted in one tier, in tokens. Requests count once, with their first attempt; one that
+// was refused and comes back asks again.
 type orgShare struct {
 	asked, granted workRate
-	factor         float64
+	// askedAt is when the organisation last asked.
+	askedAt swclock.Millis
+	factor  float64
 }
 
+// factorOf returns the factor of an organisation.
+func (s *shares) factorOf(org swid.OrgID, tier swid.Tier) float64 {
+	if o := s.tiers[min(int(tier), swid.MaxTiers-1)][org]; o != nil {
+		return o.factor
+	}
+	return 1
+}
+
+// askedFor records that an organisation asks for tokens.
+func (s *shares) askedFor(org swid.OrgID, tier swid.Tier, tokens float64, now swclock.Millis) {
+	o := s.of(org, tier)
+	o.asked.add(tokens, now)
+	o.askedAt = now
+}
+
+// of returns the record of an organisation, which may be new.
 func (s *shares) of(org swid.OrgID, tier swid.Tier) *orgShare {
 	orgs := &s.tiers[min(int(tier), swid.MaxTiers-1)]
 	if *orgs == nil {
@@ -63,12 +83,11 @@
 		count += len(orgs)
 		asked, granted := make([]float64, 0, len(orgs)), make([]float64, 0, len(orgs))
 		for id, o := range orgs {
-			a := o.asked.rate(now)
-			if a < minShareRate {
+			if now-o.askedAt > shareMemory {
 				delete(orgs, id)
 				continue
 			}
-			asked, granted = append(asked, a), append(granted, o.granted.rate(now))
+			asked, granted = append(asked, o.asked.rate(now)), append(granted, o.granted.rate(now))
 		}
 		share := equalShare(asked, sum(granted))
 		for _, o := range orgs {
@@ -86,8 +105,25 @@
 	return max(float64(r.grantRequest.PromptTokens)+r.output, 1)
 }
 
-// minShareRate is the rate, in tokens a millisecond, below which an organisation is forgotten.
-const minShareRate = 1e-3
+// above returns the organisations whose factor is below 1.
+func (s *shares) above() swcell.AboveShare {
+	above := swcell.AboveShare{Factor: 1}
+	for tier, orgs := range s.tiers {
+		for id, o := range orgs {
+			if o.factor >= 1 {
+				continue
+			}
+			above.Count++
+			if o.factor < above.Factor || o.factor == above.Factor && id < above.Lowest {
+				above.Lowest, above.Tier, above.Factor = id, swid.Tier(tier), o.factor
+			}
+		}
+	}
+	return above
+}
+
+// shareMemory is the time after which an organisation that asks for nothing is forgotten: several times inflowWindow.
+const shareMemory = 6 * inflowWindow
 
 // equalShare returns the share that all get of a total if those who ask for less leave the rest to the others; infinite if the total
 // is enough for all.
--- a/internal/core/swvalue/shares_test.go
+++ b/internal/core/swvalue/shares_test.go
@@ -101,6 +101,9 @@
 			if factor > 1 && others.share(0) <= hottest.share(0) {
 				t.Errorf("the highest tier of the other organisations is served %.3f, that of the hot one %.3f", others.share(0), hottest.share(0))
 			}
+			if factor > 1 && others.share(0) <= othersBefore.share(0) {
+				t.Errorf("the highest tier of the other organisations is served %.3f, %.3f without shares", others.share(0), othersBefore.share(0))
+			}
 			if factor < 1 && hottest != hottestBefore {
 				t.Errorf("the hot organisation is served %+v, %+v without shares, though there is room for all", hottest, hottestBefore)
 			}
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -342,6 +342,7 @@
 // Snapshot returns the cell's current state.
 func (c *Cell[P, O]) Snapshot() swcell.Snapshot {
 	s := swcell.Snapshot{Tiers: make([]swcell.TierStatus, len(c.cfg.TierValues)), Effort: c.effort}
+	s.AboveShare = c.shares.above()
 	for _, r := range c.waiting {
 		s.Tiers[c.tierIndex(r.grantRequest.Tier)].Waiting++
 	}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -53,7 +53,9 @@
 	// tokens is the sum of the tokens of runs.
 	tokens swid.Tokens
 	rates  rates
-	cache  *cache
+	// attempts counts the attempts that this cell granted it since it was started.
+	attempts int
+	cache    *cache
 	// prefillFreeAt is when the prompts granted so far are expected to have been
 	// processed. prefillSum is the expected time for the prompts of all runs so far, less
 	// the time that removePrefill subtracts for runs that ended early.
@@ -110,9 +112,12 @@
 // plain reports whether the target counts no tokens.
 func (t *target) plain() bool { return t.conf.Plain }
 
-// untried reports whether nothing is known of the target's speed, and it runs nothing that could show it.
+// maxTries is the number of attempts that may be granted to learn the speed of a target.
+const maxTries = 3
+
+// untried reports whether nothing is known of the speed of a target that has joined lately, and it runs nothing that could show it.
 func (t *target) untried() bool {
-	return len(t.runs) == 0 && t.rates.decode.Samples() == 0 && t.rates.prefill.Samples() == 0 && t.rates.service.Samples() == 0 &&
+	return len(t.runs) == 0 && t.attempts < maxTries && t.rates.decode.Samples() == 0 && t.rates.prefill.Samples() == 0 && t.rates.service.Samples() == 0 &&
 		t.rates.overhead.Samples() == 0
 }
 
@@ -285,7 +290,7 @@
 		t.cache.clear()
 		t.unanswered = 0
 		t.breaks.Restarted()
-		t.rates = rates{}
+		t.rates, t.attempts = rates{}, 0
 		t.restartedAt, t.leaving, t.doubtedAt = c.now, false, 0
 		t.reach = newReachability()
 		c.reviewSilentRuns(t)
--- a/internal/node/swfleet/gauges.go
+++ b/internal/node/swfleet/gauges.go
@@ -37,6 +37,10 @@
 		gauge("plain_services_contended", "1 while the hosts' reports make this one, as their owner, schedule the requests of plain services.", func() float64 {
 			return boolValue(h.contention.Contended(h.clock.Now()))
 		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "sassafraswing", Name: "plain_grants_contended_total",
+			Help: "Grants of targets of plain services, by this host, for which the request had waited, or after which the target turned it away.",
+		}, func() float64 { return float64(h.contentionMeter.Contended()) }),
 		gauge("known_targets", "Targets in the list in force.", func() float64 { return float64(h.view.targetCount()) }),
 		gauge("answer_bytes_held", "Bytes of answers that are held to be passed on.", func() float64 { return float64(h.answers.Held()) }),
 		gauge("answer_bytes_limit", "Bytes of answers that may be held.", func() float64 { return float64(h.answers.Capacity()) }),
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
@@ -114,16 +113,11 @@
 	}
 }
 
-// minContentionInterval is the least time between two registrations for the sake of contention.
-const minContentionInterval = 100 * swclock.Millis(1)
-
 // reportContention makes the host register now if the owner may not know yet that requests of plain services find no room.
 func (h *Host) reportContention() {
-	now, last := int64(h.clock.Now()), h.contentionReportedAt.Load()
-	if h.view.scheduling() == swmsg.SchedulingShared || now-last < int64(minContentionInterval) || !h.contentionReportedAt.CompareAndSwap(last, now) {
-		return
+	if h.view.scheduling() == swmsg.SchedulingEach && h.earlyContention.Due(h.clock.Now()) {
+		h.requestRegistration()
 	}
-	h.requestRegistration()
 }
 
 // logShareChange logs the share of the quotas that this host admits when the number
@@ -182,7 +176,10 @@
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
 	h.ledger.Register(process, registration.Age, registration.Complete, amounts, h.clock.Now())
-	h.contention.Add(registration.Contention, h.clock.Now())
+	if change, begins := h.contention.Add(registration.Contention, h.clock.Now()); begins {
+		h.log.Info().Float64("granted", change.Granted).Float64("contended", change.Contended).Str("peer", string(from.Host)).
+			Msg("targets of plain services are contended")
+	}
 	h.updateCarrier(from.Host, registration.Cut)
 	for _, target := range registration.Reached {
 		h.owner.TargetHeard(target, from.Host)
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -136,8 +136,7 @@
 	// of the hosts that are registered with this one.
 	contentionMeter *swcontention.Meter
 	contention      swcontention.Register
-	// contentionReportedAt is when this host last registered for the sake of contention.
-	contentionReportedAt atomic.Int64
+	earlyContention swcontention.Early
 	// carrying carries requests of other hosts.
 	carrying *swcarry.Server
 	// answers is the memory for the answers that this host holds, of its own requests and of those that it carries.
--- a/internal/owner/swowner/runner.go
+++ b/internal/owner/swowner/runner.go
@@ -321,8 +321,12 @@
 	for _, t := range s.Targets {
 		targets.Str(string(t.ID), fmt.Sprintf("%d/%d prefill %.4f decode %.2f", t.Running, t.Slots, t.PrefillTime, t.DecodeTime))
 	}
-	r.config.Log.Info().Str("cell", string(r.id)).Uint64("epoch", uint64(r.epoch)).
-		Int("inputs", load.count).Int64("longestInputMillis", int64(load.longestWait)).
+	e := r.config.Log.Info().Str("cell", string(r.id)).Uint64("epoch", uint64(r.epoch))
+	if s.AboveShare.Count > 0 {
+		e = e.Int("organisationsAboveShare", s.AboveShare.Count).Str("lowestOrganisation", string(s.AboveShare.Lowest)).
+			Uint8("lowestTier", uint8(s.AboveShare.Tier)).Float64("lowestFactor", s.AboveShare.Factor)
+	}
+	e.Int("inputs", load.count).Int64("longestInputMillis", int64(load.longestWait)).
 		Int64("busyMillis", int64(load.busy)).Int64("longestStepMillis", int64(load.longestStep)).
 		Uint64("ranks", effort.Ranks).Uint64("comparisons", effort.Comparisons).Uint64("visits", effort.Visits).
 		Array("waiting", waiting).Array("running", running).Dict("targets", targets).Msg("cell status")
