--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -37,6 +37,10 @@
 		return
 	}
 	r.precedes = c.mayPrecede(r)
+	c.shares.review(c.now)
+	if r.grantRequest.Attempt <= 1 {
+		c.shares.askedFor(r.grantRequest.Org, r.grantRequest.Tier, r.shareTokens(), c.now)
+	}
 	if !ok {
 		c.add(r)
 		return
--- a/internal/core/swvalue/load_test.go
+++ b/internal/core/swvalue/load_test.go
@@ -52,8 +52,10 @@
 	slowdown float64 // time that work takes, as a multiple of a typical engine's
 	slots    int
 	runs     []*simRun
-	down     bool
-	born     int64
+	// granted counts the requests that it was granted.
+	granted int
+	down    bool
+	born    int64
 }
 
 // simRun is a request at an engine.
@@ -146,10 +148,25 @@
 	scale int
 	// takenUp multiplies the arrivals of resumable requests, which take up streams then; 0 means that they are new.
 	takenUp float64
+	// orgs is the number of organisations, of which the first sends hotOrg times as much as each other one; 0 means one.
+	orgs   int
+	hotOrg float64
+	// joins is when a third of the engines join, one of each speed in three; 0 means that they are there from the start.
+	joins swclock.Millis
+	// seed selects the arrivals.
+	seed uint64
 	// crashes are the times at which five of nine engines end, for simCrashTime.
 	crashes []swclock.Millis
 }
 
+// drawOrg draws the organisation of a request.
+func (l *simLoad) drawOrg(random *rand.Rand) swid.OrgID {
+	if l.orgs == 0 {
+		return "o"
+	}
+	return swid.OrgID(fmt.Sprint("o", max(int(random.Float64()*(float64(l.orgs)-1+l.hotOrg)-l.hotOrg+1), 0)))
+}
+
 const simCrashTime = 2 * swclock.Second
 
 var slowdowns = []float64{0.55, 1, 2.8, 0.55, 1, 2.8, 0.55, 1, 2.8}
@@ -160,6 +177,7 @@
 	}
 	for i := range len(slowdowns) * max(l.scale, 1) {
 		e := &simEngine{id: swid.TargetID(fmt.Sprint("e", i)), slowdown: slowdowns[i%len(slowdowns)], slots: 10, born: 1}
+		e.down = l.joins > 0 && i%len(slowdowns) < 3
 		s.engines[e.id], s.engineList = e, append(s.engineList, e)
 	}
 	s.configure()
@@ -227,7 +245,7 @@
 
 // drawArrivals draws the arrivals of a load at random; equal loads get equal arrivals.
 func (s *sim) drawArrivals(l simLoad) {
-	random := rand.New(rand.NewPCG(11, 7))
+	random := rand.New(rand.NewPCG(11, 7+l.seed))
 	lognormal := func(mean, sigma float64) float64 { return mean * math.Exp(sigma*random.NormFloat64()-sigma*sigma/2) }
 	for i := range classes {
 		c := &classes[i]
@@ -248,7 +266,7 @@
 			prompt := min(max(lognormal(c.prompt, c.promptDeviation), 50), 54000)
 			r.size = prompt + outputWeight*r.outputTokens
 			r.grantRequest = swcell.GrantRequest{
-				Tier: c.tier, Org: "o", PromptTokens: swid.Tokens(prompt), OutputTokens: c.limit,
+				Tier: c.tier, Org: l.drawOrg(random), PromptTokens: swid.Tokens(prompt), OutputTokens: c.limit,
 				ExpectedTokens: swid.Tokens(max(lognormal(r.outputTokens, 0.5)*1.13, 1)),
 			}
 			if r.takenUp = l.takenUp > 0 && c.resumable; r.takenUp {
@@ -284,6 +302,7 @@
 		prompt: simOverhead + float64(r.grantRequest.PromptTokens)*simPrefill, output: r.outputTokens * simDecode,
 	}
 	e.runs = append(e.runs, run)
+	e.granted++
 }
 
 // retry lets the caller of a rejected request retry once, after the RetryAfter of the
@@ -325,7 +344,7 @@
 		if slices.Contains(l.crashes, s.now) {
 			s.crash()
 		}
-		if slices.Contains(l.crashes, s.now-simCrashTime) {
+		if l.joins > 0 && s.now == l.joins || slices.Contains(l.crashes, s.now-simCrashTime) {
 			s.restart()
 		}
 		for ; next < len(s.requests) && s.requests[next].arrived <= s.now; next++ {
--- a/internal/core/swvalue/order.go
+++ b/internal/core/swvalue/order.go
@@ -28,13 +28,17 @@
 }
 
 // ByWorth ranks requests by the worth of their answer divided by the time that it takes.
-// That time is the geometric mean of the request's own work and the mean work of
-// its tier: with the request's own work alone the largest requests of each tier would starve.
+// That time is a geometric mean of the request's own work and the mean work of its tier, with the weight ownWorkWeight for the former: with
+// the request's own work alone the largest requests of each tier would starve, and the less of it counts, the more small ones wait for
+// one large one that takes their place.
 type ByWorth struct{}
 
+// ownWorkWeight is the weight of a request's own work.
+const ownWorkWeight = 0.8
+
 // Rank implements Order.
 func (ByWorth) Rank(c *Candidate) float64 {
-	return c.Precedence * c.Value / math.Sqrt(max(c.Work, 1)*max(c.MeanWork, 1))
+	return c.Precedence * c.Value / (math.Pow(max(c.Work, 1), ownWorkWeight) * math.Pow(max(c.MeanWork, 1), 1-ownWorkWeight))
 }
 
 // precedenceStep is the factor between the ranks of two neighbouring tiers of
@@ -52,7 +56,7 @@
 func (c *Cell[P, O]) rank(r *request, work, first float64) float64 {
 	c.candidate = Candidate{
 		Value: c.valueAt(r, first), Work: work, MeanWork: c.sizes.forTier(r.grantRequest.Tier).work.value, Waited: c.now - r.requestedAt,
-		Precedence: r.precedence(),
+		Precedence: r.precedence() * c.shareFactor(r),
 	}
 	c.effort.Ranks++
 	return c.order.Rank(&c.candidate)
@@ -68,6 +72,15 @@
 	return math.Pow(precedenceStep, steps)
 }
 
+// shareFactor returns the factor by which the rank of a request changes because of what its organisation has been granted. A stream that
+// goes on keeps its rank.
+func (c *Cell[P, O]) shareFactor(r *request) float64 {
+	if r.precedes {
+		return 1
+	}
+	return c.shares.factorOf(r.grantRequest.Org, r.grantRequest.Tier)
+}
+
 // maxContinuedLoad is the share of the targets' time up to which streams that go on precede new ones, so that they never take all
 // of it.
 const maxContinuedLoad = 0.3
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -25,6 +25,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swcontention"
 	"github.com/sassafraswing/sassafraswing/internal/core/swcost"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
@@ -85,6 +86,8 @@
 	reaching       reaching
 	carriers       carriers
 	carrierChanges uint64
+	// shares has what organisations ask for and are granted.
+	shares shares
 	// meanWork is the mean work of the granted requests.
 	meanWork swcost.Average
 	effort   swcell.Effort
@@ -138,6 +141,8 @@
 	StoreReachable func() bool
 	// OnOriginWanted is called while a request waits for the origin of its stream. It must not block.
 	OnOriginWanted func()
+	// Contention counts how requests of plain services find room. Nil counts nothing.
+	Contention *swcontention.Meter
 	// Carriers picks the hosts that carry requests. Nil means that none is carried.
 	Carriers Carriers
 	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
@@ -264,6 +269,7 @@
 		byID:      make(map[swid.TargetID]*target),
 		typical:   priors, typicalSlots: 1,
 		waitingByKey: make(map[swcell.Key]*request), running: make(map[runKey]*run),
+		shares:  shares{minFactor: minShareFactor},
 		apart:   make(map[swid.Fingerprint]*run),
 		decided: newHistory(historySize), uncharged: newUnchargedRequests(historySize),
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
@@ -336,6 +342,7 @@
 // Snapshot returns the cell's current state.
 func (c *Cell[P, O]) Snapshot() swcell.Snapshot {
 	s := swcell.Snapshot{Tiers: make([]swcell.TierStatus, len(c.cfg.TierValues)), Effort: c.effort}
+	s.AboveShare = c.shares.above()
 	for _, r := range c.waiting {
 		s.Tiers[c.tierIndex(r.grantRequest.Tier)].Waiting++
 	}
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -45,7 +45,7 @@
 func (h *Host) registerWithOwner(owner swid.HostID, complete bool) {
 	m := swmsg.Registration{
 		Complete: complete, Age: h.clock.Now() - h.started, Scheduling: h.view.scheduling(), RateLimits: h.rateLimitsToReport(complete),
-		Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached(), StoreQuestion: h.askStoreState(owner),
+		Contention: h.contentionMeter.Take(), Cut: h.paths.CutServices(), Reached: h.pathProber.takeReached(), StoreQuestion: h.askStoreState(owner),
 	}
 	if after, era, wanted := h.targets.Wanted(); wanted {
 		m.TargetsAfter, m.TargetsEra = after, era
@@ -113,6 +113,13 @@
 	}
 }
 
+// reportContention makes the host register now if the owner may not know yet that requests of plain services find no room.
+func (h *Host) reportContention() {
+	if h.view.scheduling() == swmsg.SchedulingEach && h.earlyContention.Due(h.clock.Now()) {
+		h.requestRegistration()
+	}
+}
+
 // logShareChange logs the share of the quotas that this host admits when the number
 // of hosts registered with it has changed.
 func (h *Host) logShareChange() {
@@ -169,6 +176,10 @@
 		amounts[i] = swquota.Amount{Org: v.Org, Age: v.Age, Value: float64(v.Value)}
 	}
 	h.ledger.Register(process, registration.Age, registration.Complete, amounts, h.clock.Now())
+	if change, begins := h.contention.Add(registration.Contention, h.clock.Now()); begins {
+		h.log.Info().Float64("granted", change.Granted).Float64("contended", change.Contended).Str("peer", string(from.Host)).
+			Msg("targets of plain services are contended")
+	}
 	h.updateCarrier(from.Host, registration.Cut)
 	for _, target := range registration.Reached {
 		h.owner.TargetHeard(target, from.Host)
