--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -179,6 +179,6 @@
 		h.origins.Add(b, h.clock.Now())
 	}
 	h.replyScheduling(from, &registration)
-	h.replyStoreState(from, registration.StoreQuestion)
+	h.replyStoreState(from, &registration)
 	h.sendTargets(from.Host, registration.TargetsAfter, registration.TargetsEra)
 }
--- a/internal/node/swfleet/storestate.go
+++ b/internal/node/swfleet/storestate.go
@@ -7,6 +7,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -76,16 +77,16 @@
 }
 
 // replyStoreState tells a host what this one holds of the store, if it asks for that and this host reaches the store. Otherwise it
-// asks the host for what that holds.
-func (h *Host) replyStoreState(from swlink.Peer, question uint64) {
-	if question == 0 || from.Host == h.self.Host {
+// may ask the host for what that holds.
+func (h *Host) replyStoreState(from swlink.Peer, r *swmsg.Registration) {
+	if r.StoreQuestion == 0 || from.Host == h.self.Host {
 		return
 	}
-	state := swmsg.StoreState{Question: question}
+	state := swmsg.StoreState{Question: r.StoreQuestion}
 	for _, kind := range []string{kindCatalogs, kindTargets, kindHosts} {
 		held, ok := h.followers()[kind].Held()
 		if !ok {
-			h.askTargets(from, question)
+			h.askTargets(from, r)
 			return
 		}
 		if len(state.Kinds) > 0 && held.Era != state.Era {
@@ -102,19 +103,49 @@
 const (
 	// targetsAskedInterval is the least time between two hosts that an owner asks for targets.
 	targetsAskedInterval = 250 * swclock.Millis(1)
+	// targetsRoundPause is the time without a question after which all hosts may be asked again: every host has registered within it.
+	targetsRoundPause = swquota.RegistrationInterval + 100*swclock.Millis(1)
 	// targetListsPerSecond bounds the lists of targets that a host sends to others, whatever their number.
 	targetListsPerSecond = 32
 )
 
+// targetQuestions decides which of the hosts that register an owner asks for targets: each host once in a round. All hosts register at
+// the same interval, so that by the time alone the same ones would be asked again and again. It is safe for concurrent use.
+type targetQuestions struct {
+	mu sync.Mutex
+	// last is the time since boot of the latest question.
+	last swclock.Millis
+	// asked has the hosts that were asked in this round.
+	asked map[swid.HostID]struct{}
+}
+
+// mayAsk reports whether an owner that holds the targets as of a revision asks a host that registers, and counts that as asked. A
+// host that cannot read the store either says as of when it holds them.
+func (q *targetQuestions) mayAsk(now swclock.Millis, after swwatch.Revision, era swobject.Era, host swid.HostID, r *swmsg.Registration) bool {
+	if r.TargetsAfter != 0 && (r.TargetsEra != era || r.TargetsAfter <= after) {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.asked == nil || now-q.last > targetsRoundPause {
+		q.asked = make(map[swid.HostID]struct{})
+	}
+	if _, asked := q.asked[host]; asked || now-q.last < targetsAskedInterval {
+		return false
+	}
+	q.asked[host] = struct{}{}
+	q.last = now
+	return true
+}
+
 // askTargets asks a host that has registered for the targets that it holds, if this host cannot read them. An owner with an old list
 // grants targets that are leaving, which look free, and none that have come since.
-func (h *Host) askTargets(from swlink.Peer, question uint64) {
+func (h *Host) askTargets(from swlink.Peer, r *swmsg.Registration) {
 	after, era, wanted := h.targets.Wanted()
-	now, last := int64(h.boot.SinceBoot()), h.targetsAskedAt.Load()
-	if !wanted || now-last < int64(targetsAskedInterval) || !h.targetsAskedAt.CompareAndSwap(last, now) {
+	if !wanted || !h.targetQuestions.mayAsk(h.boot.SinceBoot(), after, era, from.Host, r) {
 		return
 	}
-	h.exchange.Send(from.Host, swmsg.StoreState{Question: question, Era: era, TargetsAfter: after})
+	h.exchange.Send(from.Host, swmsg.StoreState{Question: r.StoreQuestion, Era: era, TargetsAfter: after})
 }
 
 // sendTargets sends the targets to a host that asks for them, if this host holds later ones.
--- a/internal/node/swfleet/storestate_test.go
+++ b/internal/node/swfleet/storestate_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 )
 
 // TestConfirmedByOwner guards against hosts that accept a removed key, act on an old configuration or deny sound keys because the
@@ -134,3 +137,60 @@
 	}
 	return n
 }
+
+// TestTargetsAskedOfAll guards against an owner that asks the same hosts for the targets again and again, although they cannot read
+// the store either.
+func TestTargetsAskedOfAll(t *testing.T) {
+	const (
+		span = 20 * swclock.Second
+		// maxPerSecond bounds the questions in the mean.
+		maxPerSecond = 4
+	)
+	tests := []struct {
+		name  string
+		hosts int
+		// behind is the share of the hosts that say that they hold no later targets.
+		behind float64
+		// minAsked is how many different hosts are asked at least.
+		minAsked int
+	}{
+		{"one host", 1, 0, 1},
+		{"two hosts", 2, 0, 2},
+		{"15 hosts", 15, 0, 15},
+		{"15 hosts, a third without the store", 15, 1.0 / 3, 10},
+		{"137 hosts", 137, 0, 40},
+		{"137 hosts, most without the store", 137, 0.95, 7},
+		{"300 hosts, a third without the store", 300, 1.0 / 3, 40},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var questions targetQuestions
+			asked := make(map[int]int)
+			total, behind := 0, int(tt.behind*float64(tt.hosts))
+			for now := swclock.Second; now < span; now += swquota.RegistrationInterval {
+				for host := range tt.hosts {
+					var r swmsg.Registration
+					if host < behind {
+						r.TargetsAfter, r.TargetsEra = 8, 2
+					}
+					at := now + swclock.Millis(host)*swquota.RegistrationInterval/swclock.Millis(tt.hosts)
+					if questions.mayAsk(at, 8, 2, swid.HostID(fmt.Sprint(host)), &r) {
+						total++
+						asked[host]++
+					}
+				}
+			}
+			for host := range behind {
+				if asked[host] > 0 {
+					t.Errorf("host %d was asked, which holds no later targets", host)
+				}
+			}
+			if len(asked) < tt.minAsked {
+				t.Errorf("%d different hosts were asked, want at least %d", len(asked), tt.minAsked)
+			}
+			if total > int(maxPerSecond*span/swclock.Second) {
+				t.Errorf("%d questions in %v", total, span.Duration())
+			}
+		})
+	}
+}
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -153,8 +153,8 @@
 	hosts    *swwatch.Follower[swcatalog.Host]
 	// storeQuestions has the questions for what the owner holds of the store.
 	storeQuestions storeQuestions
-	// targetsAskedAt is the time since boot when this host last asked another one for the targets.
-	targetsAskedAt atomic.Int64
+	// targetQuestions bounds the questions to other hosts for the targets that they hold.
+	targetQuestions targetQuestions
 	// targetLists bounds the lists of targets that this host sends to others.
 	targetLists *rate.Limiter
 	// health tracks whether the store can be reached; nil until the host is assembled.
