--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -216,7 +216,7 @@
 		c.timer.Stop()
 	}
 	return swtarget.Chunk{
-		Data: chunk.GetData(), Tokens: swid.Tokens(chunk.GetTokens()), Events: int(chunk.GetEvents()), LastEventID: chunk.GetLastEventId(),
+		Data: chunk.GetData(), Tokens: swid.Tokens(chunk.GetTokens()), Events: int(chunk.GetEvents()), LastEventID: string(chunk.GetLastEventId()),
 	}, nil
 }
 
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -247,6 +247,6 @@
 	}
 	defer r.Buffer.Release(len(chunk.Data))
 	return writeFrame(stream, &swpb.CarriedReply{Kind: &swpb.CarriedReply_Chunk{Chunk: &swpb.CarriedChunk{
-		Data: chunk.Data, Tokens: int64(chunk.Tokens), Events: int64(chunk.Events), LastEventId: chunk.LastEventID,
+		Data: chunk.Data, Tokens: int64(chunk.Tokens), Events: int64(chunk.Events), LastEventId: []byte(chunk.LastEventID),
 	}}})
 }
--- a/internal/peer/swcarry/swcarry.go
+++ b/internal/peer/swcarry/swcarry.go
@@ -10,6 +10,8 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"slices"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -98,37 +100,65 @@
 
 func encodeRequest(r *Request) *swpb.CarriedRequest {
 	return &swpb.CarriedRequest{
-		Target: string(r.Target), Id: string(r.ID), Cell: string(r.Cell), Attempt: uint32(r.Attempt), Org: string(r.Org),
-		Method: r.Method, Path: r.Path, Host: r.Host, Header: encodeHeader(r.Header), ContentType: r.ContentType, Body: r.Body,
-		Stream: r.Stream, IdempotencyKey: r.IdempotencyKey, FirstOutputTimeoutMillis: int64(r.FirstOutputTimeout),
+		Target: string(r.Target), Id: []byte(r.ID), Cell: string(r.Cell), Attempt: uint32(r.Attempt), Org: string(r.Org),
+		Method: []byte(r.Method), Path: []byte(r.Path), Host: []byte(r.Host), Header: encodeHeader(r.Header), ContentType: []byte(r.ContentType),
+		Body: r.Body, Stream: r.Stream, IdempotencyKey: []byte(r.IdempotencyKey), FirstOutputTimeoutMillis: int64(r.FirstOutputTimeout),
 		ExpectedFirstMillis: int64(r.ExpectedFirst), RemainingMillis: int64(r.Remaining),
-		ReceivedEvents: int64(r.ReceivedEvents), LastEventId: r.LastEventID, Born: r.Born,
+		ReceivedEvents: int64(r.ReceivedEvents), LastEventId: []byte(r.LastEventID), Born: r.Born,
 	}
 }
 
 func decodeRequest(w *swpb.CarriedRequest) Request {
 	return Request{Target: swid.TargetID(w.GetTarget()), Cell: swid.CellID(w.GetCell()), Request: swtarget.Request{
 		ID: swid.RequestID(w.GetId()), Attempt: swid.Attempt(w.GetAttempt()), Org: swid.OrgID(w.GetOrg()),
-		Method: w.GetMethod(), Path: w.GetPath(), Host: w.GetHost(), Header: decodeHeader(w.GetHeader()), ContentType: w.GetContentType(),
-		Body: w.GetBody(), Stream: w.GetStream(), IdempotencyKey: w.GetIdempotencyKey(),
+		Method: string(w.GetMethod()), Path: string(w.GetPath()), Host: string(w.GetHost()), Header: decodeHeader(w.GetHeader()),
+		ContentType: string(w.GetContentType()), Body: w.GetBody(), Stream: w.GetStream(), IdempotencyKey: string(w.GetIdempotencyKey()),
 		FirstOutputTimeout: swclock.Millis(max(w.GetFirstOutputTimeoutMillis(), 0)), ExpectedFirst: swclock.Millis(max(w.GetExpectedFirstMillis(), 0)),
-		Remaining: swclock.Millis(max(w.GetRemainingMillis(), 0)), ReceivedEvents: int(w.GetReceivedEvents()), LastEventID: w.GetLastEventId(),
+		Remaining: swclock.Millis(max(w.GetRemainingMillis(), 0)), ReceivedEvents: int(w.GetReceivedEvents()), LastEventID: string(w.GetLastEventId()),
 		Born: w.GetBorn(),
 	}}
 }
 
+// encodeHeader encodes a header, whose values may be no UTF-8.
 func encodeHeader(h http.Header) []*swpb.HeaderField {
 	fields := make([]*swpb.HeaderField, 0, len(h))
 	for name, values := range h {
-		fields = append(fields, &swpb.HeaderField{Name: name, Values: values})
+		f := &swpb.HeaderField{Name: name, Values: values}
+		if slices.ContainsFunc(values, func(v string) bool { return !utf8.ValidString(v) }) {
+			f.Values = make([]string, len(values))
+			for i, v := range values {
+				f.Values[i] = asUTF8(v)
+				f.RawValues = append(f.RawValues, []byte(v))
+			}
+		}
+		fields = append(fields, f)
 	}
 	return fields
 }
 
+// asUTF8 returns a text as it is, or as one in ISO 8859-1 if it is no UTF-8.
+func asUTF8(text string) string {
+	if utf8.ValidString(text) {
+		return text
+	}
+	runes := make([]rune, len(text))
+	for i := range len(text) {
+		runes[i] = rune(text[i])
+	}
+	return string(runes)
+}
+
 func decodeHeader(fields []*swpb.HeaderField) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
-		h[f.GetName()] = f.GetValues()
+		values := f.GetValues()
+		if raw := f.GetRawValues(); len(raw) > 0 {
+			values = make([]string, len(raw))
+			for i, v := range raw {
+				values[i] = string(v)
+			}
+		}
+		h[f.GetName()] = values
 	}
 	return h
 }
@@ -142,7 +172,7 @@
 	if err != nil {
 		failed := &swtarget.Error{Failure: swtarget.FailureBroken, Err: err}
 		errors.As(err, &failed)
-		end.Failure, end.Unsent, end.Error = uint32(failed.Failure), failed.Unsent, failed.Error()
+		end.Failure, end.Unsent, end.Error = uint32(failed.Failure), failed.Unsent, asUTF8(failed.Error())
 		end.RateLimit = swcodec.EncodeStatement(failed.Statement)
 	}
 	return &swpb.CarriedReply{Kind: &swpb.CarriedReply_End{End: end}}
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -35,6 +35,8 @@
 	// startErr and endErr, if not nil, end the request instead of an answer, and the answer.
 	startErr, endErr error
 	statement        swlimit.Statement
+	// header is that of the answer; nil stands for a usual one.
+	header http.Header
 
 	mu       sync.Mutex
 	requests []swtarget.Request
@@ -65,7 +67,10 @@
 }
 
 func (*fakeAnswer) Status() int { return 203 }
-func (*fakeAnswer) Header() http.Header {
+func (a *fakeAnswer) Header() http.Header {
+	if a.target != nil && a.target.header != nil {
+		return a.target.header
+	}
 	return http.Header{"X-A": {"1", "2"}, "X-B": {""}}
 }
 func (a *fakeAnswer) Statement() swlimit.Statement { return a.target.statement }
