Begin no stream under the version of a target's earlier start (ORDER)

What callers saw: events of two software versions in one stream. While the store is away an engine crashes, is back under its id and address at a second version, begins streams, and crashes again: they went on at the first version.

Cause: the start of an engine was looked at for streams that are continued, and with several versions for all; with one version a new stream was sent to any start and recorded as begun by the listed version (swholder expectedStart).

Where one version serves, a new stream still begins at a start that is not listed, as the engine may not be listed for as long as the store is away; its origin is then sworigin.Unlisted, a version that no target has, which earlier builds do not continue either. The owner rejects it with versionUnknown, and grants such an engine to streams that may be continued only when no other has room, until it is listed anew. Ruled out: getting the version from the engine (its report does not have it); refusing new streams there (no room while the store is away).

TestUnlistedStartLast fails without the ranking and without its reset, TestOtherStart without the field.

--- a/internal/core/sworigin/sworigin.go
+++ b/internal/core/sworigin/sworigin.go
@@ -21,6 +21,18 @@
 // Known reports whether the origin is known.
 func (o Origin) Known() bool { return o.Service != "" }
 
+// unlistedVersion is the version of origins that no target has.
+const unlistedVersion swid.SoftwareVersion = "\x00"
+
+// Unlisted returns an origin of a service that is none of the listed ones: that of a stream which another start of a target than the
+// listed one has begun. To an earlier build it is a version that no target has, so that such a stream is not continued there either.
+func Unlisted(service swid.ServiceID) Origin {
+	return Origin{Service: service, Version: unlistedVersion}
+}
+
+// IsUnlisted reports whether nothing is known of the origin but that it may be none of the listed ones.
+func (o Origin) IsUnlisted() bool { return o.Version == unlistedVersion }
+
 // Stream identifies a stream by a hash of the id of the caller's attempt that brought its first event. 0
 // identifies none.
 type Stream uint64
--- a/internal/core/swvalue/origin.go
+++ b/internal/core/swvalue/origin.go
@@ -40,6 +40,9 @@
 		}
 		r.forgetTargets(c.now)
 	}
+	if r.origin.IsUnlisted() {
+		return swcell.ReasonVersionUnknown
+	}
 	if !slices.ContainsFunc(c.targets, func(t *target) bool { return t.listed && c.originOf(t) == r.origin }) {
 		return swcell.ReasonVersionGone
 	}
--- a/internal/core/swvalue/origin_test.go
+++ b/internal/core/swvalue/origin_test.go
@@ -249,3 +249,77 @@
 		})
 	}
 }
+
+// TestUnlistedStartLast guards against streams that begin at a start of a target that is not listed, where nobody can continue them,
+// although another target has room; and against targets that get none then although the others are full, or after they are listed.
+func TestUnlistedStartLast(t *testing.T) {
+	first := sworigin.Origin{Service: "s", Version: "v1"}
+	register := sworigin.NewRegister(100)
+	register.SetServing(map[swid.ServiceID][]sworigin.Origin{"s": {first}}, 0)
+	b := &harness{cell: New(Config{Service: "s", Origins: register}, Fastest{}, ByWorth{}), now: 1000}
+	configure := func(born int64) {
+		b.step(swcell.Configure{Targets: []swcell.Target{
+			{ID: "a", State: swcell.TargetActive, Slots: 6, Version: first.Version, Born: born},
+			{ID: "b", State: swcell.TargetActive, Slots: 4, Version: first.Version, Born: born},
+		}})
+	}
+	run := func(resumable bool, exclude ...swid.TargetID) swcell.Grant {
+		b.now += 10
+		g, granted := grantOf(b.step(b.newGrantRequest(func(r *swcell.GrantRequest) { r.Resumable, r.Exclude = resumable, exclude })))
+		if !granted {
+			t.Fatal("a stream was not granted")
+		}
+		return g
+	}
+	end := func(g swcell.Grant) {
+		b.step(swcell.Done{Key: g.Key, Attempt: g.Attempt, Target: g.Target, Result: swcell.ResultAnswered})
+	}
+	configure(1)
+	began, others := run(true, "b"), []swcell.Grant{run(true, "a")}
+	b.step(swcell.Progress{
+		Key: began.Key, Attempt: began.Attempt, Produced: 5,
+		Begun: sworigin.Begun{Stream: 7, Origin: sworigin.Unlisted("s"), Retention: sworigin.MaxRetention},
+	})
+	for range 3 {
+		others = append(others, run(true))
+	}
+	for _, g := range others {
+		if g.Target != "b" {
+			t.Errorf("a stream was granted at %q while b had room", g.Target)
+		}
+	}
+	g := run(true)
+	if g.Target != "a" {
+		t.Errorf("a stream was granted at %q, want a, as b is full", g.Target)
+	}
+	end(g)
+	end(others[0])
+	if g = run(false); g.Target != "a" {
+		t.Errorf("a request that nobody continues was granted at %q, want a, which runs less", g.Target)
+	}
+	end(g)
+	end(others[1])
+	configure(2)
+	if rejected := rejectionOf(b.step(b.newGrantRequest(func(r *swcell.GrantRequest) {
+		r.Continuation = sworigin.Continuation{Continues: true, Stream: 7}
+	}))); rejected.Reason != swcell.ReasonVersionUnknown {
+		t.Errorf("the stream was rejected for reason %v, want %v", rejected.Reason, swcell.ReasonVersionUnknown)
+	}
+	if rejected := rejectionOf(b.step(b.newGrantRequest(func(r *swcell.GrantRequest) {
+		r.Continuation = sworigin.Continuation{Continues: true, Stream: 8, Origin: sworigin.Unlisted("s")}
+	}))); rejected.Reason != swcell.ReasonVersionUnknown {
+		t.Errorf("a stream of no listed origin was rejected for reason %v, want %v", rejected.Reason, swcell.ReasonVersionUnknown)
+	}
+	if b.cell.byID["a"].unlisted {
+		t.Error("a is granted last although it has been listed anew")
+	}
+}
+
+func rejectionOf(actions []swcell.Action) swcell.Reject {
+	for _, a := range actions {
+		if r, ok := a.(swcell.Reject); ok {
+			return r
+		}
+	}
+	return swcell.Reject{}
+}
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -87,7 +87,11 @@
 			continue
 		}
 		c.compared = c.offer(r, t)
-		if cost := c.placement.Cost(&c.compared); cost < lowest {
+		cost := c.placement.Cost(&c.compared)
+		if r.grantRequest.Resumable && t.unlisted {
+			cost = math.MaxFloat64 // nobody could continue the stream
+		}
+		if cost < lowest {
 			lowest, found = cost, c.compared
 		}
 	}
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -107,6 +107,7 @@
 	}
 	c.observeStatement(r, e.Statement)
 	c.cfg.Origins.Add(e.Begun, c.now)
+	r.target.unlisted = r.target.unlisted || e.Begun.Origin.IsUnlisted()
 	if e.Produced <= r.produced {
 		return
 	}
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -84,6 +84,8 @@
 	unvouched  cachedUnvouched
 	// doubtedAt is when there was a sign that the target had ended, or 0 if none is left.
 	doubtedAt swclock.Millis
+	// unlisted is set if a stream has begun at another start of the target than the listed one.
+	unlisted bool
 	// heardAt is when the target last answered or produced output.
 	heardAt swclock.Millis
 	// silent holds the latest runs that ended without an answer while the target was not known
@@ -280,7 +282,7 @@
 		t.unanswered = 0
 		t.breaks.Restarted()
 		t.rates = rates{}
-		t.restartedAt, t.leaving, t.doubtedAt = c.now, false, 0
+		t.restartedAt, t.leaving, t.doubtedAt, t.unlisted = c.now, false, 0, false
 		t.reach = newReachability()
 		c.reviewSilentRuns(t)
 		for _, r := range t.runs {
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -82,6 +82,8 @@
 	// when the attempt began.
 	origin sworigin.Origin
 	born   int64
+	// unlisted is set if the request was sent to another start of the target than the listed one.
+	unlisted bool
 	// owners holds the owner that granted the attempt and each host that the running
 	// attempt was reported to since.
 	owners []swid.HostID
@@ -228,6 +230,9 @@
 // certainOrigin returns the origin of a stream that the attempt began. It is not known if the target has
 // been listed with another start and another version since, as either one may have written the stream.
 func (a *attempt) certainOrigin() sworigin.Origin {
+	if a.unlisted {
+		return sworigin.Unlisted(a.origin.Service)
+	}
 	target, listed := a.held.holder.config.Targets.Target(a.target)
 	if listed && target.Born != a.born && target.Origin != a.origin {
 		return sworigin.Origin{}
@@ -235,19 +240,29 @@
 	return a.origin
 }
 
-// expectedStart returns the start of the target that the attempt is for, or 0 for any. A stream that is continued, and
-// where streams may have several origins also one that may be, is not sent to another start than the listed one: that
-// may have another version.
+// expectedStart returns the start of the target that the attempt is for, or 0 for any: a stream that is continued, or may be, is for
+// the listed one, as another start may have another version.
 func (a *attempt) expectedStart() int64 {
-	r, c := a.held.request, &a.held.holder.config
-	continued := r.Continuation.Continues || a.lastEventID != ""
-	continuable := r.Stream != 0 || r.ResumeElsewhere
-	if c.Origins == nil || !continued && (!continuable || !c.Origins.Mixed(a.origin.Service, c.Clock.Now())) {
+	r := a.held.request
+	if a.held.holder.config.Origins == nil || !a.continuesStream() && r.Stream == 0 && !r.ResumeElsewhere {
 		return 0
 	}
 	return a.born
 }
 
+// continuesStream reports whether the caller has a part of the stream.
+func (a *attempt) continuesStream() bool {
+	return a.held.request.Continuation.Continues || a.lastEventID != ""
+}
+
+// mayBeginUnlisted reports whether an attempt that has met another start of the target than the listed one may begin its stream there.
+// Nobody continues it then. Where several versions serve, it gets another target.
+func (a *attempt) mayBeginUnlisted(err error) bool {
+	c := &a.held.holder.config
+	var failure *swtarget.Error
+	return errors.As(err, &failure) && failure.OtherStart && !a.continuesStream() && !c.Origins.Mixed(a.origin.Service, c.Clock.Now())
+}
+
 // recordBegun records that the stream of the request has begun, and returns it.
 func (a *attempt) recordBegun() sworigin.Begun {
 	r := a.held.request
@@ -309,6 +324,14 @@
 		adapter = a.held.holder.config.Carry(a.carrier, a.held.request.Cell, a.target)
 	}
 	response, err := adapter.Start(ctx, call)
+	if call.Born != 0 && a.mayBeginUnlisted(err) {
+		// The stream may begin before the target is listed again, which may take as long as the store is away.
+		call.Born, a.unlisted = 0, true
+		a.held.holder.config.Log.Info().
+			Str("requestId", string(call.ID)).Uint32("attempt", uint32(a.number)).Str("target", string(a.target)).Int64("listedBorn", a.born).
+			Msg("stream begins at a start of the target that is not listed")
+		response, err = adapter.Start(ctx, call)
+	}
 	if err != nil {
 		return a.classifyError(ctx, err)
 	}
--- a/internal/peer/swcarry/wire_test.go
+++ b/internal/peer/swcarry/wire_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// TestOtherStart guards against a holder that does not get to know that its carrier met another start of the target.
+func TestOtherStart(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		failed := notStarted("started anew").(*swtarget.Error)
+		failed.OtherStart = other
+		_, err := newCarrier(&fakeTarget{startErr: failed}).adapter().Start(t.Context(), testRequest())
+		if failure, ok := err.(*swtarget.Error); !ok || failure.OtherStart != other || !failure.Unsent {
+			t.Errorf("error %#v, want the target's", err)
+		}
+	}
+}
+
 func notStarted(text string) error {
 	return &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errors.New(text)}
 }
