--- a/internal/node/swfleet/storestate.go
+++ b/internal/node/swfleet/storestate.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -76,16 +77,16 @@
 }
 
 // replyStoreState tells a host what this one holds of the store, if it asks for that and this host reaches the store. Otherwise it
-// asks the host for what that holds.
-func (h *Host) replyStoreState(from swlink.Peer, question uint64) {
-	if question == 0 || from.Host == h.self.Host {
+// may ask the host for what that holds.
+func (h *Host) replyStoreState(from swlink.Peer, r *swmsg.Registration) {
+	if r.StoreQuestion == 0 || from.Host == h.self.Host {
 		return
 	}
-	state := swmsg.StoreState{Question: question}
+	state := swmsg.StoreState{Question: r.StoreQuestion}
 	for _, kind := range []string{kindCatalogs, kindTargets, kindHosts} {
 		held, ok := h.followers()[kind].Held()
 		if !ok {
-			h.askTargets(from, question)
+			h.askTargets(from, r)
 			return
 		}
 		if len(state.Kinds) > 0 && held.Era != state.Era {
@@ -106,15 +107,33 @@
 	targetListsPerSecond = 32
 )
 
+// targetQuestions decides which of the hosts that register an owner asks for targets. It is safe for concurrent use.
+type targetQuestions struct {
+	turns turns
+	// last is the time since boot of the latest question.
+	last atomic.Int64
+}
+
+// mayAsk reports whether an owner that holds the targets as of a revision asks a host that registers, and counts that as asked. A
+// host that cannot read the store either says as of when it holds them.
+func (q *targetQuestions) mayAsk(now swclock.Millis, after swwatch.Revision, era swobject.Era, host swid.HostID, r *swmsg.Registration) bool {
+	if r.TargetsAfter != 0 && (r.TargetsEra != era || r.TargetsAfter <= after) {
+		return false
+	}
+	return q.turns.take(host, now, func() bool {
+		last := q.last.Load()
+		return now-swclock.Millis(last) >= targetsAskedInterval && q.last.CompareAndSwap(last, int64(now))
+	})
+}
+
 // askTargets asks a host that has registered for the targets that it holds, if this host cannot read them. An owner with an old list
 // grants targets that are leaving, which look free, and none that have come since.
-func (h *Host) askTargets(from swlink.Peer, question uint64) {
+func (h *Host) askTargets(from swlink.Peer, r *swmsg.Registration) {
 	after, era, wanted := h.targets.Wanted()
-	now, last := int64(h.boot.SinceBoot()), h.targetsAskedAt.Load()
-	if !wanted || now-last < int64(targetsAskedInterval) || !h.targetsAskedAt.CompareAndSwap(last, now) {
+	if !wanted || !h.targetQuestions.mayAsk(h.boot.SinceBoot(), after, era, from.Host, r) {
 		return
 	}
-	h.exchange.Send(from.Host, swmsg.StoreState{Question: question, Era: era, TargetsAfter: after})
+	h.exchange.Send(from.Host, swmsg.StoreState{Question: r.StoreQuestion, Era: era, TargetsAfter: after})
 }
 
 // sendTargets sends the targets to a host that asks for them, if this host holds later ones.
@@ -123,7 +142,7 @@
 		return
 	}
 	listing, later := h.targets.ListSince(after, era)
-	if !later || len(listing.Items) > swcodec.MaxListedTargets || !h.targetLists.Allow() {
+	if !later || len(listing.Items) > swcodec.MaxListedTargets || !h.targetListTurns.take(to, h.boot.SinceBoot(), h.targetLists.Allow) {
 		return
 	}
 	m := swmsg.TargetList{Era: era, AsOf: listing.AsOf, Targets: make([]swmsg.ListedTarget, len(listing.Items))}
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -159,10 +159,11 @@
 	hosts    *swwatch.Follower[swcatalog.Host]
 	// storeQuestions has the questions for what the owner holds of the store.
 	storeQuestions storeQuestions
-	// targetsAskedAt is the time since boot when this host last asked another one for the targets.
-	targetsAskedAt atomic.Int64
-	// targetLists bounds the lists of targets that this host sends to others.
-	targetLists *rate.Limiter
+	// targetQuestions bounds the questions to other hosts for the targets that they hold.
+	targetQuestions targetQuestions
+	// targetLists bounds the lists of targets that this host sends to others, which get them in turn.
+	targetLists     *rate.Limiter
+	targetListTurns turns
 	// health tracks whether the store can be reached; nil until the host is assembled.
 	health atomic.Pointer[swwatch.Health]
 	// loggedHostCount is the number of hosts registered with this one when it was
