--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -54,7 +54,9 @@
 
 // Step reviews the order. The caller calls it each 100 ms or so. write is not nil if the record has to be written to the store
 // now; until Stored or WriteFailed, Step returns no other. change is not nil if the verdict has changed.
-func (r *Rollout) Step(s Situation, now swclock.Millis) (write *Record, change *Change) { return nil, nil }
+func (r *Rollout) Step(s Situation, now swclock.Millis) (write *Record, change *Change) {
+	return nil, nil
+}
 
 // Evidence returns what the present belief rests on.
 func (r *Rollout) Evidence(now swclock.Millis) Evidence { return Evidence{Order: r.order} }
