Add the interface of roll-outs between platform and fleet

Cause: the owner of the cells needs the operators' orders of roll-outs, and has to write their records. Without these settings roll-outs are not in force.

--- a/internal/config/swcatalog/swcatalog.go
+++ b/internal/config/swcatalog/swcatalog.go
@@ -7,6 +7,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
 )
 
 // Catalog is one version of the configuration. It is immutable.
@@ -149,3 +150,10 @@
 	Incarnation swid.Incarnation
 	Size        swelect.Size
 }
+
+// Rollout is an operator's order to move a service to another software version, with what the store keeps of it.
+type Rollout struct {
+	Order swrollout.Order
+	// Record is zero if the entry has none, or that of another order.
+	Record swrollout.Record
+}
--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -139,6 +139,16 @@
 	f.Cores = o.Optional("cores").Float(1, 0, 1e3)
 	f.MemoryMegabytes = o.Optional("memoryMegabytes").Float(0, 0, 1e9)
 	f.LinkMegabits = o.Optional("linkMegabits").Float(0, 0, 1e7)
+	if rollout := o.Optional("rollout"); rollout.Present() {
+		mapRollout(rollout.Object(), &f.Rollout)
+	}
+}
+
+func mapRollout(o *swyaml.Object, r *Rollout) {
+	defer o.ReportUnknown()
+	r.MaxShare = o.Required("maxShare").Float(0, 0, 1)
+	r.Slack = int(o.Required("slack").Int(0, 0, 1_000_000))
+	r.RollbackWithin = o.Required("rollbackWithin").Span(0, 100, swclock.Hour)
 }
 
 func mapLog(o *swyaml.Object, l *Log) {
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -106,8 +106,22 @@
 	LinkMegabits   float64
 	// MemoryMegabytes is the memory that this process may use, in MB; 0 if it is not known.
 	MemoryMegabytes float64
+	// Rollout is zero if roll-outs are not in force.
+	Rollout Rollout
 }
 
+// Rollout bounds what a software version may get before it is known to be sound.
+type Rollout struct {
+	// MaxShare and Slack bound its requests: a fraction of the service's requests, and an absolute number.
+	MaxShare float64
+	Slack    int
+	// RollbackWithin is the time after its 50th bad answer from which a version must get nothing.
+	RollbackWithin swclock.Millis
+}
+
+// Enabled reports whether roll-outs are in force.
+func (r Rollout) Enabled() bool { return r.RollbackWithin > 0 }
+
 // Orders configures the orders that hosts send to engines, such as loading a model.
 type Orders struct {
 	// TokenFile holds the bearer token for targets that check their caller; it may be empty.
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -26,6 +26,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -51,6 +52,9 @@
 	catalogs fakeSource[*swcatalog.Catalog]
 	targets  fakeSource[swcatalog.Target]
 	hosts    fakeSource[swcatalog.Host]
+	rollouts fakeSource[swcatalog.Rollout]
+	// rolloutCalls counts the calls for rollouts.
+	rolloutCalls int
 	// values and streams are the hosts' own objects.
 	values, streams fakeSource[[]byte]
 	// era counts the calls of setBack. calls counts those for values and streams.
@@ -65,6 +69,7 @@
 	s.catalogs = fakeSource[*swcatalog.Catalog]{store: s, items: make(map[string]swwatch.Item[*swcatalog.Catalog])}
 	s.targets = fakeSource[swcatalog.Target]{store: s, items: make(map[string]swwatch.Item[swcatalog.Target])}
 	s.hosts = fakeSource[swcatalog.Host]{store: s, items: make(map[string]swwatch.Item[swcatalog.Host])}
+	s.rollouts = fakeSource[swcatalog.Rollout]{store: s, items: make(map[string]swwatch.Item[swcatalog.Rollout])}
 	s.values = fakeSource[[]byte]{store: s, items: make(map[string]swwatch.Item[[]byte])}
 	s.streams = fakeSource[[]byte]{store: s, items: make(map[string]swwatch.Item[[]byte])}
 	return s
@@ -341,6 +346,29 @@
 func (p fakePlatform) Targets() swwatch.Source[swcatalog.Target] { return &p.deployment.store.targets }
 func (p fakePlatform) Hosts() swwatch.Source[swcatalog.Host]     { return &p.deployment.store.hosts }
 
+func (p fakePlatform) Rollouts() swwatch.Source[swcatalog.Rollout] {
+	return &p.deployment.store.rollouts
+}
+
+func (p fakePlatform) WriteRollout(_ context.Context, name string, record swrollout.Record, expected swwatch.Revision) (swwatch.Revision, error) {
+	s := p.deployment.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rolloutCalls++
+	item, found := s.rollouts.items[name]
+	switch {
+	case s.unavailable:
+		return 0, swobject.ErrUnavailable
+	case !found:
+		return 0, swobject.ErrNotFound
+	case item.Revision != expected:
+		return 0, swobject.ErrConflict
+	}
+	item.Value.Record = record
+	s.rollouts.write(name, item.Value)
+	return s.revision, nil
+}
+
 func (p fakePlatform) Objects() swobject.Objects {
 	return fakeObjects{p.deployment.store, &p.deployment.store.values}
 }
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -26,6 +26,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
+	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
@@ -51,6 +52,11 @@
 	Targets() swwatch.Source[swcatalog.Target]
 	// Hosts returns the source of the hosts that registered themselves in the store.
 	Hosts() swwatch.Source[swcatalog.Host]
+	// Rollouts returns the source of the operators' orders of roll-outs. An item's name is that of its service.
+	Rollouts() swwatch.Source[swcatalog.Rollout]
+	// WriteRollout writes the record of the order with a name if its entry still has the expected revision, and returns the
+	// new one. Its errors are those of swobject.Objects.
+	WriteRollout(ctx context.Context, name string, record swrollout.Record, expected swwatch.Revision) (swwatch.Revision, error)
 	// Objects returns the objects in which the hosts keep what has to outlast them.
 	Objects() swobject.Objects
 	// Streams returns the objects in which the hosts keep the origins of streams.
