Ask at which software versions a request may run, and observe each answer

Cause: roll-outs need a decision at each grant, also of retries and continuations, and the answers by version. Change: swvalue.Config.Rollouts is asked for each request and target (isEligible), preferred targets of a version on trial are taken first, targets that may not be granted are no supply, and each end of an attempt is passed on with the target's state at the grant. Warm-up of targets reaches the cells.

--- a/internal/config/swdoc/swdoc.go
+++ b/internal/config/swdoc/swdoc.go
@@ -107,6 +107,8 @@
 	Born int64
 	// Version is that of the target's software; empty if unknown. Parse does not set it.
 	Version swid.SoftwareVersion
+	// Warmup is the time for which the target is still slow after its start; Parse does not set it.
+	Warmup swclock.Millis
 	// ChecksCaller is set if the target itself authenticates the sender of an order.
 	ChecksCaller bool
 	Fencing      FencingMode
--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -194,6 +194,10 @@
 	PathLost bool
 	// CarrierLost is set if the host that was to carry the request could not be reached, or was lost.
 	CarrierLost bool
+	// TargetFault is set if the answer has an error status for which the target is responsible.
+	TargetFault bool
+	// Unsent is set if nothing of the request was sent to the target.
+	Unsent bool
 }
 
 // LoadReport contains a target's own report of its load.
@@ -250,6 +254,8 @@
 	Born int64
 	// Version is that of the target's software.
 	Version swid.SoftwareVersion
+	// Warmup is the time for which the target said that it is still slow after its start.
+	Warmup swclock.Millis
 }
 
 // Organisation defines an organisation's share of a cell.
--- a/internal/core/swvalue/admit.go
+++ b/internal/core/swvalue/admit.go
@@ -28,7 +28,7 @@
 // exceeds its organisation's quota, or if it is infeasible.
 func (c *Cell[P, O]) admit(r *request) {
 	idle, ok := c.idle(r)
-	if !ok && !r.awaitsOrigin() && !c.awaitsVersion(r) && !c.mayAwaitHost(r) {
+	if !ok && !r.awaitsOrigin() && !c.awaitsVersion(r) && !c.awaitsAdmission(r) && !c.mayAwaitHost(r) {
 		c.reject(r, swcell.ReasonNoTarget, c.retryAfter(minRetryAfter))
 		return
 	}
@@ -244,7 +244,7 @@
 func (c *Cell[P, O]) computeSupply() (speed, soonest float64) {
 	soonest = math.Inf(1)
 	for _, t := range c.targets {
-		if !t.active() || (t.probing() && c.now < t.nextProbeAt) {
+		if !t.active() || !c.isSupply(t) || (t.probing() && c.now < t.nextProbeAt) {
 			continue
 		}
 		speed += c.speed(t)
@@ -267,6 +267,7 @@
 	c.endLostRuns()
 	c.reviewOrigins()
 	c.review()
+	c.reportLoad()
 }
 
 // review rejects the waiting requests that are infeasible, and those that no target may run at present: if no host reaches the
--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -28,6 +28,8 @@
 	Random float64
 
 	expected estimate
+	// preferred is set if the request is to be granted the target before those of other versions.
+	preferred bool
 }
 
 // Placement compares offers for one request.
@@ -87,7 +89,11 @@
 			continue
 		}
 		c.compared = c.offer(r, t)
-		if cost := c.placement.Cost(&c.compared); cost < lowest {
+		c.compared.preferred = c.isPreferred(r, t)
+		if found.preferred && !c.compared.preferred {
+			continue
+		}
+		if cost := c.placement.Cost(&c.compared); cost < lowest || c.compared.preferred && !found.preferred {
 			lowest, found = cost, c.compared
 		}
 	}
@@ -132,6 +138,9 @@
 // because a target that is busy now is expected to preserve more of the answer's worth
 // (by minWaitGain), even after the wait for a free slot.
 func (c *Cell[P, O]) shouldWait(r *request, offered *Offer) bool {
+	if offered.preferred {
+		return false
+	}
 	minShare := offered.ExpectedShare(c.cfg.LateShare) + minWaitGain
 	return minShare <= 1 && c.busyShare(r) >= minShare
 }
--- a/internal/core/swvalue/reach.go
+++ b/internal/core/swvalue/reach.go
@@ -202,7 +202,7 @@
 
 // isEligible reports whether a request may run on a target, from whichever host it is sent.
 func (c *Cell[P, O]) isEligible(r *request, t *target) bool {
-	return t.active() && c.fitsOrigin(r, t) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID)
+	return t.active() && c.fitsOrigin(r, t) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID) && c.isAdmitted(r, t)
 }
 
 // forgetTargets has the targets looked at again for the request: others than before may run it.
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -62,6 +62,8 @@
 	// busyShare is the result of busyShare, which is used until an instant.
 	busyShare      float64
 	busyShareUntil swclock.Millis
+	// admission is the result of admissionOf.
+	admission cachedAdmission
 }
 
 // runKey identifies one attempt.
@@ -104,6 +106,8 @@
 	// soloPrefill is set if the target processed no other prompt between the grant and
 	// the first output.
 	soloPrefill bool
+	// atGrant is what was known of the target at the grant.
+	atGrant atGrant
 }
 
 func (r *run) id() runKey { return runKey{r.grantRequest.Key, r.grantRequest.Attempt} }
@@ -132,6 +136,7 @@
 		}
 		c.remove(earlier)
 	}
+	c.recordArrival(&e)
 	c.cfg.Strikes.Report(e.Fingerprint, int(e.Strikes), c.now)
 	r := c.newRequest(e)
 	if wait, refused := c.refused(r); refused {
@@ -210,6 +215,7 @@
 	}
 	if r := c.running[runKey{e.Key, e.Attempt}]; r != nil {
 		c.unchargeRun(r)
+		c.recordUnsent(r)
 		c.endRun(r)
 		c.decided.forget(e.Key)
 	}
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -28,7 +28,9 @@
 	c.remove(r)
 	c.cfg.Limits.Take(o.target.conf.ID, c.now)
 	c.meanWork.Add(c.work(r, o.expected.uncached))
-	c.emit(c.start(r, o.target, sender).grant())
+	started := c.start(r, o.target, sender)
+	c.recordGranted(started)
+	c.emit(started.grant())
 	return true
 }
 
@@ -39,6 +41,7 @@
 	started := &run{
 		grantRequest: r.grantRequest, prefixes: r.prefixes, target: t, grantedAt: c.now, output: r.output, charged: r.charged, expected: o.expected,
 		prompt: r.prompt, origin: r.origin, carrier: carrier, apart: r.apart, suspects: r.suspects,
+		atGrant: t.atGrant(c.now),
 	}
 	if !t.plain() {
 		started.soloPrefill = o.expected.wait == 0
@@ -142,6 +145,7 @@
 	}
 	t := r.target
 	c.observeRun(r, e)
+	c.observeAnswer(r, &e)
 	c.observeStatement(r, e.Statement)
 	c.endRun(r)
 	if e.CarrierLost && r.carrier != "" {
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -85,6 +85,12 @@
 	reaching       reaching
 	carriers       carriers
 	carrierChanges uint64
+	// admission is the result of cellAdmission, and admissionChanges counts the changes after which Config.Rollouts may return others.
+	admission        cachedAdmission
+	admissionChanges uint64
+	// beganAt is when the first event came, and joinedAt when each holder last came from another owner.
+	beganAt  swclock.Millis
+	joinedAt map[swid.HostID]swclock.Millis
 	// meanWork is the mean work of the granted requests.
 	meanWork swcost.Average
 	effort   swcell.Effort
@@ -143,6 +149,8 @@
 	// OthersSchedule reports whether other hosts schedule their own requests on the same targets.
 	// Nil means that none does.
 	OthersSchedule func() bool
+	// Rollouts decides at which software versions requests may run. Nil allows all.
+	Rollouts Rollouts
 }
 
 // NewStrikes returns a register of strikes for cells.
@@ -177,6 +185,9 @@
 	Cleared int
 }
 
+// notBegun is the value of Cell.beganAt before the first event.
+const notBegun swclock.Millis = -1
+
 // Constants that are not configured.
 const (
 	// reviewInterval is the time between two checks of the waiting requests.
@@ -265,6 +276,7 @@
 		typical:   priors, typicalSlots: 1,
 		waitingByKey: make(map[swcell.Key]*request), running: make(map[runKey]*run),
 		apart:   make(map[swid.Fingerprint]*run),
+		beganAt: notBegun, joinedAt: make(map[swid.HostID]swclock.Millis),
 		decided: newHistory(historySize), uncharged: newUnchargedRequests(historySize),
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
@@ -274,6 +286,9 @@
 // before the instant of the previous call, that instant is used.
 func (c *Cell[P, O]) Step(now swclock.Millis, e swcell.Event, actions []swcell.Action) []swcell.Action {
 	c.now = max(c.now, now)
+	if c.beganAt == notBegun {
+		c.beganAt = c.now
+	}
 	c.actions = actions
 	c.apply(e)
 	if c.awaitsOrigins {
@@ -310,6 +325,7 @@
 		c.handleHolderDied(e)
 	case swcell.HolderJoined:
 		c.recordHandover()
+		c.recordJoined(e.Holder)
 	case swcell.HolderLeft:
 		c.handleHolderLeft(e)
 	case swcell.Tick:
@@ -322,7 +338,7 @@
 
 // TickInterval returns the time after which the cell needs a Tick.
 func (c *Cell[P, O]) TickInterval() swclock.Millis {
-	if len(c.waiting) == 0 {
+	if len(c.waiting) == 0 && !c.admission.Ordered {
 		return swclock.Second
 	}
 	return reviewInterval
--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -59,6 +59,8 @@
 	// the time that removePrefill subtracts for runs that ended early.
 	prefillFreeAt float64
 	prefillSum    float64
+	// warmUntil is when the target is expected to have its usual speed after its start.
+	warmUntil swclock.Millis
 	// changedAt is the value of Cell.changes when a slot was last freed or the target's
 	// configuration or reachability last changed.
 	changedAt uint64
@@ -287,6 +289,9 @@
 			c.recordSilentRun(r)
 		}
 	}
+	if t.conf.Warmup != conf.Warmup || t.conf.Born != conf.Born || !t.wasListed {
+		t.warmUntil = c.now + conf.Warmup
+	}
 	t.conf = conf
 	t.cache.capacity = conf.KVTokens
 	t.listed = true
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -126,6 +126,8 @@
 	result         swcell.Result
 	// err is the adapter's error if the attempt failed.
 	err error
+	// unsent is set if nothing of the request was sent to the target in the latest run.
+	unsent bool
 	// doneReported is true once the end of the attempt was reported to its owners.
 	doneReported bool
 }
@@ -208,7 +210,7 @@
 	e.running = nil
 	e.mu.Unlock()
 	a.ended = e.holder.config.Clock.Now()
-	a.result = ended.Result
+	a.result, a.unsent = ended.Result, ended.Unsent
 	ended.Delivered, ended.Unplaced = a.begun, a.begun && a.lastEventID == ""
 	ended.Began, ended.Origin = a.events > 0, a.certainOrigin()
 	a.ender = a.endedBy(ended)
@@ -631,12 +633,24 @@
 		Statement:    a.statement,
 		PathLost:     a.carrier == "" && a.result != swcell.ResultAnswered && e.isCut(),
 		CarrierLost:  a.carrierLost(),
+		TargetFault:  a.complete && a.status >= http.StatusInternalServerError,
+		Unsent:       a.unsent,
+	}
+	if e.holder.config.OnDone != nil {
+		e.holder.config.OnDone(e.request, Ended{Done: m, Version: a.origin.Version, Born: a.born})
 	}
 	for _, owner := range a.owners {
 		e.holder.config.Sender.Send(owner, m)
 	}
 }
 
+// Ended is the end of an attempt, with what was listed of its target when it began.
+type Ended struct {
+	Done    swmsg.Done
+	Version swid.SoftwareVersion
+	Born    int64
+}
+
 // carrierLost reports whether the attempt failed because the carrier could not be reached, or was lost.
 func (a *attempt) carrierLost() bool {
 	var failure *swtarget.Error
--- a/internal/holder/swholder/swholder.go
+++ b/internal/holder/swholder/swholder.go
@@ -87,6 +87,8 @@
 	// OnStatement, if not nil, is called with what each answer says of the requests that its target takes, once
 	// its header has arrived. sent is when the request was sent.
 	OnStatement func(r *Request, target swid.TargetID, s swlimit.Statement, sent swclock.Millis)
+	// OnDone is called when an attempt has ended. It must not block. Nil does nothing.
+	OnDone func(r *Request, e Ended)
 	// Closed, if not nil, returns what a target has said that keeps this host from sending requests to
 	// it, and whether it has.
 	Closed func(target swid.TargetID, now swclock.Millis) (swlimit.Statement, bool)
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -276,7 +276,7 @@
 // targetOf converts a target. v.mu must be held and v.table set.
 func (v *view) targetOf(t *swcatalog.Target) swdoc.Target {
 	target := swdoc.Target{
-		ID: t.ID, Service: t.Service, Zone: t.Zone, URL: t.Address, Slots: t.Slots, Draining: t.Draining, Born: t.Born, Version: t.Version,
+		ID: t.ID, Service: t.Service, Zone: t.Zone, URL: t.Address, Slots: t.Slots, Draining: t.Draining, Born: t.Born, Version: t.Version, Warmup: t.WarmupRemaining,
 	}
 	if s, known := v.table.Service(t.Service); known && s.Engine != nil {
 		target.KVTokens = s.Engine.KVTokens
--- a/internal/owner/swowner/convert.go
+++ b/internal/owner/swowner/convert.go
@@ -66,6 +66,8 @@
 		Statement:    m.Statement,
 		PathLost:     m.PathLost,
 		CarrierLost:  m.CarrierLost,
+		TargetFault:  m.TargetFault,
+		Unsent:       m.Unsent,
 	}
 }
 
@@ -106,6 +108,7 @@
 		KVTokens:   t.KVTokens,
 		Born:       t.Born,
 		Version:    t.Version,
+		Warmup:     t.Warmup,
 	}
 	if t.Draining {
 		target.State = swcell.TargetDraining
--- a/internal/peer/swcodec/decode.go
+++ b/internal/peer/swcodec/decode.go
@@ -7,6 +7,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
+	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
@@ -158,6 +159,7 @@
 	c.listLength("strikes", len(w.GetStrikes()), MaxStrikes)
 	c.listLength("reached", len(w.GetReached()), MaxReached)
 	c.listLength("rateLimits", len(w.GetRateLimits()), MaxRateLimits)
+	c.listLength("outcomes", len(w.GetOutcomes()), MaxOutcomes)
 	if c.err != nil {
 		return swmsg.Registration{}
 	}
@@ -185,6 +187,17 @@
 				Brittle: l.GetBrittle(), MaxRejections: maxRejections(c, l.GetMaxRejections()),
 			}
 		}),
+		Outcomes: convert(w.GetOutcomes(), func(o *swpb.Outcome) swmsg.Outcome { return decodeOutcome(c, o) }),
+	}
+}
+
+func decodeOutcome(c *checker, w *swpb.Outcome) swmsg.Outcome {
+	return swmsg.Outcome{
+		Service: swid.ServiceID(c.requiredText("service", w.GetService())), Version: swid.SoftwareVersion(c.optionalText("version", w.GetVersion())),
+		Target: target(c, w.GetTarget()), Born: w.GetBorn(), Route: swrollout.Route(w.GetRoute()), Bad: w.GetBad(),
+		First: duration(c, "firstMillis", w.GetFirstMillis()), Total: duration(c, "totalMillis", w.GetTotalMillis()),
+		PromptTokens: tokens(c, "promptTokens", w.GetPromptTokens()), OutputTokens: tokens(c, "outputTokens", w.GetOutputTokens()),
+		Age: duration(c, "ageMillis", w.GetAgeMillis()),
 	}
 }
 
@@ -246,6 +259,7 @@
 		FirstToken:   duration(c, "firstTokenMillis", w.GetFirstTokenMillis()),
 		Total:        duration(c, "totalMillis", w.GetTotalMillis()),
 		Statement:    statement(c, w.GetRateLimit()), PathLost: w.GetPathLost(), CarrierLost: w.GetCarrierLost(),
+		TargetFault: w.GetTargetFault(), Unsent: w.GetUnsent(),
 	}
 }
 
--- a/internal/peer/swcodec/encode.go
+++ b/internal/peer/swcodec/encode.go
@@ -158,6 +158,15 @@
 				Brittle: l.Brittle, MaxRejections: int64(l.MaxRejections),
 			}
 		}),
+		Outcomes: convert(m.Outcomes, encodeOutcome),
+	}
+}
+
+func encodeOutcome(o swmsg.Outcome) *swpb.Outcome {
+	return &swpb.Outcome{
+		Service: string(o.Service), Version: string(o.Version), Target: string(o.Target), Born: o.Born, Route: uint64(o.Route), Bad: o.Bad,
+		FirstMillis: int64(o.First), TotalMillis: int64(o.Total), PromptTokens: int64(o.PromptTokens), OutputTokens: int64(o.OutputTokens),
+		AgeMillis: int64(o.Age),
 	}
 }
 
@@ -189,6 +198,7 @@
 		Result: uint32(m.Result), PromptTokens: int64(m.PromptTokens), OutputTokens: int64(m.OutputTokens),
 		CachedTokens: int64(m.CachedTokens), FirstTokenMillis: int64(m.FirstToken), TotalMillis: int64(m.Total),
 		RateLimit: EncodeStatement(m.Statement), PathLost: m.PathLost, CarrierLost: m.CarrierLost,
+		TargetFault: m.TargetFault, Unsent: m.Unsent,
 	}
 }
 
--- a/internal/peer/swcodec/swcodec.go
+++ b/internal/peer/swcodec/swcodec.go
@@ -32,6 +32,8 @@
 	MaxRateLimits = 4096
 	// MaxBegunStreams bounds the streams of one registration.
 	MaxBegunStreams = 1024
+	// MaxOutcomes bounds the ends of attempts of one registration.
+	MaxOutcomes = 256
 	// MaxServices bounds the services in a list of one message.
 	MaxServices = 4096
 	// MaxReached bounds the targets of one registration that the sender can reach again.
--- a/internal/peer/swmsg/swmsg.go
+++ b/internal/peer/swmsg/swmsg.go
@@ -8,6 +8,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
+	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
@@ -147,6 +148,25 @@
 	// store. 0 asks for none.
 	TargetsAfter swwatch.Revision
 	TargetsEra   swobject.Era
+	// Outcomes are the latest ends of attempts at services with several software versions, if Complete is set.
+	Outcomes []Outcome
+}
+
+// Outcome is the end of an attempt at a target, Age ago.
+type Outcome struct {
+	Service swid.ServiceID
+	Version swid.SoftwareVersion
+	Target  swid.TargetID
+	// Born identifies the target's start.
+	Born  int64
+	Route swrollout.Route
+	// Bad is set if the target alone can be responsible for the end.
+	Bad bool
+	// First and Total are the times from dispatch to the first output, 0 if there was none, and to the end.
+	First, Total swclock.Millis
+	// PromptTokens are those that were not cached.
+	PromptTokens, OutputTokens swid.Tokens
+	Age                        swclock.Millis
 }
 
 // StoreState tells a host that registered with the sender what the sender holds of the store's objects, so that the
@@ -288,6 +308,10 @@
 	PathLost bool
 	// CarrierLost is set if the host that was to carry the request could not be reached, or was lost.
 	CarrierLost bool
+	// TargetFault is set if the answer has an error status for which the target is responsible.
+	TargetFault bool
+	// Unsent is set if nothing of the request was sent to the target.
+	Unsent bool
 }
 
 // Grant permits the holder to dispatch one attempt to one target.
