Decide roll-outs by a sequential test and reserve their exposure

Change: a ledger reserves units in blocks; answers are judged against the old versions' by route, load and the target's own speed; the lifecycle moves the traffic and completes, or rolls back.

Result: an early version.

--- /dev/null
+++ b/internal/core/swrollout/review.go
@@ -0,0 +1,134 @@
+package swrollout
+
+import "github.com/sassafraswing/sassafraswing/internal/core/swclock"
+
+// Reasons of verdicts, and what open ones wait for.
+const (
+	reasonAnswers   = "waitsForAnswers"
+	reasonRoutes    = "waitsForRoutes"
+	reasonLoad      = "waitsForLoad"
+	reasonTime      = "waitsForLaterAnswers"
+	reasonTargets   = "waitsForNewTargets"
+	reasonDoubt     = "waitsAsAnswersAreBad"
+	reasonBad       = "answersBad"
+	reasonSlow      = "answersSlow"
+	reasonSound     = "answersSound"
+	reasonShort     = "evidenceShort"
+	reasonNoTargets = "newTargetsMissing"
+	reasonDeadline  = "deadlinePassed"
+	reasonStored    = "decidedByEarlierOwner"
+)
+
+const (
+	// loadedShare is the share of the old versions' answers from loaded targets from which the new version has to be seen
+	// under load.
+	loadedShare = 0.15
+	// minRouteShare is the divisor of all requests from which a route has to be seen.
+	minRouteShare = 50
+	// routeLead is the number of requests by which a route may be ahead of the one that was seen least.
+	routeLead = 8
+	// soundThreshold is the log-likelihood ratio against a bad version from which a sound one may be completed at the planned
+	// time, and lastThreshold the one that does in the last moment.
+	soundThreshold, lastThreshold = 4, 1
+	// minRouteAnswers is the number of answers that a route needs at least, and lastRouteAnswers in the last moment.
+	minRouteAnswers, lastRouteAnswers = 20, 5
+	// doubtThreshold is the ratio for a version that has turned bad from which it is not completed.
+	doubtThreshold = 3
+)
+
+// trialEnd returns when the trial should end so that there is time for the traffic to move, and the last moment at which it may.
+func (r *Rollout) trialEnd() (planned, last swclock.Millis) {
+	end := r.plannedEnd()
+	last = end - lastTrialTime
+	longest := 0.0
+	for _, s := range r.routes {
+		if r.active(s) {
+			longest = max(longest, s.mayLast)
+		}
+	}
+	move := max(swclock.Millis(moveDurations*longest), minMoveTime)
+	earliest := r.startedAt + swclock.Millis(minTrialShare*float64(r.order.Duration))
+	return min(max(end-move, earliest), last), last
+}
+
+// review renews the verdict.
+func (r *Rollout) review(now swclock.Millis) {
+	if r.verdict == VerdictBad {
+		return
+	}
+	if r.changed && now-r.judgedAt >= judgeInterval || r.last == nil || len(r.running) > 0 && now-r.judgedAt >= swclock.Second {
+		threshold := float64(badThreshold)
+		if r.verdict == VerdictSound {
+			threshold = movingThreshold
+		}
+		r.last = r.judge(threshold)
+		r.judgedAt, r.changed = now, false
+	}
+	if r.last.isBad {
+		r.verdict, r.reason = VerdictBad, reasonBad
+		if r.last.slowMost {
+			r.reason = reasonSlow
+		}
+		return
+	}
+	if r.verdict == VerdictSound {
+		if now >= r.deadline-rollbackMargin && !r.ending && !r.hasRoom() {
+			r.verdict, r.reason = VerdictBad, reasonNoTargets
+		}
+		return
+	}
+	planned, last := r.trialEnd()
+	if r.situation.NewTargets == 0 && now < r.deadline-rollbackMargin {
+		r.reason = reasonTargets
+		return
+	}
+	missing := r.missing(now, planned, last)
+	switch {
+	case missing == "" && now >= planned:
+		r.verdict, r.reason, r.soundAt = VerdictSound, reasonSound, now
+	case now >= last:
+		r.verdict, r.reason = VerdictBad, reasonShort
+		if r.situation.NewTargets == 0 {
+			r.reason = reasonNoTargets
+		}
+	case missing == "":
+		r.reason = reasonTime
+	default:
+		r.reason = missing
+	}
+}
+
+// missing returns what has to be seen before the version is sound, empty if nothing. Less is asked for as the last moment comes.
+func (r *Rollout) missing(now, planned, last swclock.Millis) string {
+	late := 0.0
+	if now > planned && last > planned {
+		late = min(float64(now-planned)/float64(last-planned), 1)
+	} else if now >= last {
+		late = 1
+	}
+	threshold := soundThreshold + late*(lastThreshold-soundThreshold)
+	answers := minRouteAnswers + late*(lastRouteAnswers-minRouteAnswers)
+	all := r.last.tests[cell{all: true}]
+	if all == nil || all.answers < answers || all.sums[0] > -threshold {
+		return reasonAnswers
+	}
+	if highestRise(r.last.tests) >= doubtThreshold {
+		return reasonDoubt
+	}
+	for route, s := range r.routes {
+		// A route whose requests cannot end before the decision cannot be seen.
+		if !r.active(s) || r.startedAt+swclock.Millis(s.mayLast) > last {
+			continue
+		}
+		if t := r.last.tests[cell{route: route}]; t == nil || t.answers < answers || t.sums[0] > -threshold/2 {
+			return reasonRoutes
+		}
+	}
+	if r.last.oldLoaded >= loadedShare && late < 1 {
+		t := r.last.tests[cell{all: true, loaded: true}]
+		if t == nil || t.answers < answers || t.sums[0] > -threshold/2 {
+			return reasonLoad
+		}
+	}
+	return ""
+}
--- a/internal/core/swrollout/swrollout.go
+++ b/internal/core/swrollout/swrollout.go
@@ -60,8 +60,10 @@
 	Requests uint64
 	// Reserved is the exposure that all owners together may have used: at most so much.
 	Reserved uint64
-	// Answers and Bad are the answers of the new version that were known when the record was written, and the bad ones of them.
+	// Answers and Bad are the answers of the new version that were known when the record was written, and the bad or slow ones of them.
 	Answers, Bad uint64
+	// Writer is Config.Writer of the owner that wrote the record, or empty.
+	Writer string
 }
 
 // Config configures a Rollout.
@@ -71,6 +73,9 @@
 	Slack    uint64
 	// RollbackWithin is the time after the 50th bad answer from which the new version must get nothing.
 	RollbackWithin swclock.Millis
+	// Writer identifies the owner's process in the records that it writes, so that a record of another owner is never taken
+	// for its own. It may be empty.
+	Writer string
 }
 
 // Route identifies the kind of a request: requests of one route are compared with each other.
@@ -104,6 +109,9 @@
 	Old, New bool
 	// PreferNew is set if a target of the new version with room is to be taken first, also one that is expected to be slower.
 	PreferNew bool
+	// Fill is set if, of the targets of the new version with room, the one with the most runs is to be taken, so that a small
+	// share of the traffic shows them under load.
+	Fill bool
 }
 
 // Verdict is what a Rollout holds of the new version.
