--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -32,8 +32,9 @@
 	soundThreshold, lastThreshold = 4, 1
 	// minRouteAnswers is the number of answers that a route needs at least, and lastRouteAnswers in the last moment.
 	minRouteAnswers, lastRouteAnswers = 20, 5
-	// doubtThreshold is the ratio for a version that has turned bad from which it is not completed.
-	doubtThreshold = 3
+	// doubtThreshold is the ratio for a version that has turned bad from which it is not completed, and lastDoubt the one in the
+	// last moment.
+	doubtThreshold, lastDoubt = 3, 5
 )
 
 // trialEnd returns when the trial should end so that there is time for the traffic to move, and the last moment at which it may.
@@ -112,7 +113,7 @@
 	if all == nil || all.answers < answers || all.sums[0] > -threshold {
 		return reasonAnswers
 	}
-	if highestRise(r.last.tests) >= doubtThreshold {
+	if highestRise(r.last.tests) >= doubtThreshold+late*(lastDoubt-doubtThreshold) {
 		return reasonDoubt
 	}
 	for route, s := range r.routes {
