Refit what old versions show once a second

Change: the baseline is renewed once a second; names have indices, so that nothing is looked up by hash in the loops.

--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -57,7 +57,10 @@
 	if r.verdict == VerdictBad {
 		return
 	}
-	if r.changed && now-r.judgedAt >= judgeInterval || r.last == nil || len(r.running) > 0 && now-r.judgedAt >= swclock.Second {
+	if r.baseline == nil || now-r.baselineAt >= baselineInterval && r.old.total != r.baselineTotal {
+		r.baseline, r.baselineAt, r.baselineTotal = newBaseline(&r.names, r.old.sorted()), now, r.old.total
+	}
+	if r.last == nil || r.changed && now-r.judgedAt >= judgeInterval || now-r.judgedAt >= baselineInterval {
 		threshold := float64(badThreshold)
 		if r.verdict == VerdictSound {
 			threshold = movingThreshold
@@ -109,8 +112,8 @@
 	}
 	threshold := soundThreshold + late*(lastThreshold-soundThreshold)
 	answers := minRouteAnswers + late*(lastRouteAnswers-minRouteAnswers)
-	all := r.last.tests[cell{all: true}]
-	if all == nil || all.answers < answers || all.sums[0] > -threshold {
+	all := r.last.test(cellAll)
+	if all.answers < answers || all.sums[0] > -threshold {
 		return reasonAnswers
 	}
 	if highestRise(r.last.tests) >= doubtThreshold+late*(lastDoubt-doubtThreshold) {
@@ -121,13 +124,13 @@
 		if !r.active(s) || r.startedAt+swclock.Millis(s.mayLast) > last {
 			continue
 		}
-		if t := r.last.tests[cell{route: route}]; t == nil || t.answers < answers || t.sums[0] > -threshold/2 {
+		if t := r.last.test(cellOf(r.names.route(route), false)); t.answers < answers || t.sums[0] > -threshold/2 {
 			return reasonRoutes
 		}
 	}
-	if r.last.oldLoaded >= loadedShare && late < 1 {
-		t := r.last.tests[cell{all: true, loaded: true}]
-		if t == nil || t.answers < answers || t.sums[0] > -threshold/2 {
+	if r.baseline.loaded >= loadedShare && late < 1 {
+		t := r.last.test(cellAllLoaded)
+		if t.answers < answers || t.sums[0] > -threshold/2 {
 			return reasonLoad
 		}
 	}
--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -16,8 +16,10 @@
 	rollbackMargin = 300 * swclock.Millis(1)
 	// clockError is what the times of day of two hosts may differ by; an owner that takes an order over ends it earlier by that.
 	clockError = 200 * swclock.Millis(1)
-	// judgeInterval is the least time between two looks at all answers.
-	judgeInterval = 200 * swclock.Millis(1)
+	// judgeInterval is the least time between two looks at the answers of the new version, and baselineInterval at those of the
+	// old ones.
+	judgeInterval    = 200 * swclock.Millis(1)
+	baselineInterval = swclock.Second
 	// minMoveTime is the least time for which traffic moves.
 	minMoveTime = 1500 * swclock.Millis(1)
 	// lastTrialTime is the time before the planned end until which the trial may go on if too little was seen.
@@ -60,7 +62,7 @@
 	// behind is set if the store has an older record than is known: it was set back.
 	behind bool
 
-	targets                        map[swid.TargetID]int
+	names                          names
 	old, fresh                     samples
 	inheritedAnswers, inheritedBad uint64
 	routes                         map[Route]*routeState
@@ -68,8 +70,12 @@
 	asked   Route
 	running []Running
 
-	last      *judgement
-	judgedAt  swclock.Millis
+	// baseline is what the answers of old versions said at baselineAt, and last what those of the new one did at judgedAt.
+	baseline             *baseline
+	last                 *judgement
+	baselineAt, judgedAt swclock.Millis
+	baselineTotal        uint64
+	// changed is set if answers of the new version came since.
 	changed   bool
 	steppedAt swclock.Millis
 	situation Situation
@@ -92,7 +98,7 @@
 // New returns the roll-out of an order whose record the store has. unixNow is the host's time of day in Unix milliseconds.
 func New(config Config, order Order, record Record, now swclock.Millis, unixNow int64) *Rollout {
 	r := &Rollout{config: config, order: order, startedAt: now, startedUnix: unixNow, reason: reasonAnswers,
-		targets: make(map[swid.TargetID]int), routes: make(map[Route]*routeState), judgedAt: now - judgeInterval}
+		names: newNames(), routes: make(map[Route]*routeState)}
 	if record.Order == order.ID {
 		r.record = record
 	} else {
@@ -241,7 +247,7 @@
 }
 
 // wantsLoad reports whether the new version has yet to be seen under load.
-func (r *Rollout) wantsLoad() bool { return r.last == nil || r.last.oldLoaded >= loadedShare }
+func (r *Rollout) wantsLoad() bool { return r.baseline == nil || r.baseline.loaded >= loadedShare }
 
 // burst is the number of units that are saved up, so that requests of the trial meet at a target.
 func (r *Rollout) burst() uint64 {
@@ -280,7 +286,7 @@
 
 // Observe takes the end of an attempt at any version.
 func (r *Rollout) Observe(a Answer, now swclock.Millis) {
-	s := r.newSample(a, now)
+	s := r.names.sample(a, now)
 	if a.Version != r.order.To {
 		r.old.add(s)
 		return
@@ -391,9 +397,7 @@
 	e := Evidence{Order: r.order, State: r.record.State, Verdict: r.verdict, Moving: r.verdict == VerdictSound, Reason: r.reason,
 		Remaining: r.deadline - now, Requests: r.record.Requests + r.ledger.arrived, Reserved: r.record.Reserved, Used: r.ledger.used}
 	if r.last != nil {
-		for _, route := range r.last.routes {
-			e.Routes = append(e.Routes, *route)
-		}
+		e.Routes = slices.Clone(r.last.routes)
 		slices.SortFunc(e.Routes, func(a, b RouteEvidence) int { return cmp.Compare(a.Route, b.Route) })
 	}
 	return e
