Pause the trial once 40 answers were bad, and allow for ill targets that are not told apart yet

Cause: where the service itself fails, a bad version got requests for more than the time allowed after its 50th bad answer.

Change: no more exposure from 40 bad answers on until the version is clearly sound; twice the mean rate as long as too few answers tell which targets are ill.

--- a/internal/core/swrollout/judge.go
+++ b/internal/core/swrollout/judge.go
@@ -27,6 +27,9 @@
 	// minIllAnswers and illRate are the number and the share of spoilt answers from which a target of an old version is ill, and
 	// illShare the share of ill targets from which those of the new version are compared with them.
 	minIllAnswers, illRate, illShare = 3, 0.08, 0.15
+	// illAnswers is the number of answers a target from which ill ones are told from others, and unsureFactor the one by which an
+	// ill target's rate may exceed the mean as long as there are fewer.
+	illAnswers, unsureFactor = 25, 2
 )
 
 // badRates are the shares of answers that a bad version spoils, at which it is tested.
@@ -101,6 +104,8 @@
 	loaded float64
 	// routes counts the answers by the route's index.
 	routes []RouteEvidence
+	// unsure is set if some targets may be ill, and too few answers tell which.
+	unsure bool
 }
 
 func newBaseline(n *names, old []*sample) *baseline {
@@ -126,7 +131,8 @@
 	}
 	b.loaded = float64(loaded) / float64(max(len(old), 1))
 	counts := countOnce(old, spoilt)
-	ill := illTargets(len(n.targets), old, spoilt, counts)
+	ill, thin := illTargets(len(n.targets), old, spoilt, counts)
+	b.unsure = ill == nil && thin
 	for i, s := range old {
 		if !counts[i] || ill != nil && !ill[s.target] {
 			continue
@@ -142,7 +148,11 @@
 func (b *baseline) rate(c int, at swclock.Millis) float64 {
 	for _, around := range [...]int{c, c &^ 1, cellAll} {
 		if around < len(b.rates) && b.rates[around].answers >= minCurve {
-			return b.rates[around].at(at)
+			rate := b.rates[around].at(at)
+			if b.unsure && rate >= illRate/unsureFactor {
+				rate = min(rate*unsureFactor, maxRate)
+			}
+			return rate
 		}
 	}
 	return minRate
@@ -169,8 +179,8 @@
 }
 
 // illTargets returns the targets of old versions that fail a part of their answers, if they are so many that those of the new version
-// may be like them, else nil.
-func illTargets(targets int, old []*sample, spoilt, counts []bool) []bool {
+// may be like them, else nil. It is thin if too few answers of each target are known.
+func illTargets(targets int, old []*sample, spoilt, counts []bool) (ill []bool, thin bool) {
 	answers, bad := make([]int, targets), make([]int, targets)
 	for i, s := range old {
 		if !counts[i] {
@@ -181,7 +191,7 @@
 			bad[s.target]++
 		}
 	}
-	ill := make([]bool, targets)
+	ill = make([]bool, targets)
 	found, all := 0, 0
 	for i := range ill {
 		if answers[i] == 0 {
@@ -194,9 +204,9 @@
 		}
 	}
 	if found == 0 || float64(found) < illShare*float64(all) {
-		return nil
+		return nil, len(old) < illAnswers*all
 	}
-	return ill
+	return ill, false
 }
 
 // test is the sequential test of a cell.
--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -23,6 +23,9 @@
 	// loadedShare is the share of the old versions' answers from loaded targets from which the new version has to be seen
 	// under load.
 	loadedShare = 0.15
+	// pauseAnswers is the number of spoilt answers from which a version gets nothing more until it is clear that it is sound: fewer than
+	// those from which it has to be rolled back.
+	pauseAnswers = 40
 	// minRouteShare is the divisor of all requests from which a route has to be seen.
 	minRouteShare = 50
 	// routeLead is the number of requests by which a route may be ahead of the one that was seen least.
@@ -102,6 +105,11 @@
 	}
 }
 
+// paused reports whether so many answers were bad that the new version gets nothing before more is known.
+func (r *Rollout) paused() bool {
+	return r.last != nil && r.last.spoilt >= pauseAnswers && r.last.test(cellAll).sums[0] > -soundThreshold
+}
+
 // missing returns what has to be seen before the version is sound, empty if nothing. Less is asked for as the last moment comes.
 func (r *Rollout) missing(now, planned, last swclock.Millis) string {
 	late := 0.0
