Name a target of the new version that may be ill, so that others speak for the version

Cause: with one ill target among the few that a trial uses, the version was blamed, or too little was seen without that target.

--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -13,12 +13,18 @@
 	reasonBad       = "answersBad"
 	reasonSlow      = "answersSlow"
 	reasonSound     = "answersSound"
-	reasonShort     = "evidenceShort"
+	reasonFewAll    = "tooFewAnswers"
+	reasonFewRoutes = "tooFewAnswersOfARoute"
+	reasonFewLoad   = "tooFewAnswersUnderLoad"
+	reasonDoubted   = "answersDoubtful"
 	reasonNoTargets = "newTargetsMissing"
 	reasonDeadline  = "deadlinePassed"
 	reasonStored    = "decidedByEarlierOwner"
 )
 
+// shortOf are the reasons for which a version is rolled back in the last moment, by what was waited for.
+var shortOf = map[string]string{reasonAnswers: reasonFewAll, reasonRoutes: reasonFewRoutes, reasonLoad: reasonFewLoad, reasonDoubt: reasonDoubted}
+
 const (
 	// loadedShare is the share of the old versions' answers from loaded targets from which the new version has to be seen
 	// under load.
@@ -26,6 +32,8 @@
 	// pauseAnswers is the number of spoilt answers from which a version gets nothing more until it is clear that it is sound: fewer than
 	// those from which it has to be rolled back.
 	pauseAnswers = 40
+	// pauseThreshold is the log-likelihood ratio against a bad version from which it is clear.
+	pauseThreshold = 8
 	// minRouteShare is the divisor of all requests from which a route has to be seen.
 	minRouteShare = 50
 	// routeLead is the number of requests by which a route may be ahead of the one that was seen least.
@@ -60,7 +68,7 @@
 	if r.verdict == VerdictBad {
 		return
 	}
-	if r.baseline == nil || now-r.baselineAt >= baselineInterval && r.old.total != r.baselineTotal {
+	if r.baseline == nil || r.old.total >= 2*r.baselineTotal && r.old.total > 0 || now-r.baselineAt >= baselineInterval && r.old.total != r.baselineTotal {
 		r.baseline, r.baselineAt, r.baselineTotal = newBaseline(&r.names, r.old.sorted()), now, r.old.total
 	}
 	if r.last == nil || r.changed && now-r.judgedAt >= judgeInterval || now-r.judgedAt >= baselineInterval {
@@ -71,7 +79,7 @@
 		r.last = r.judge(threshold)
 		r.judgedAt, r.changed = now, false
 	}
-	if r.last.isBad {
+	if r.last.isBad && (r.baseline.answers >= minOldAnswers || now-r.startedAt >= minOldTime) {
 		r.verdict, r.reason = VerdictBad, reasonBad
 		if r.last.slowMost {
 			r.reason = reasonSlow
@@ -85,8 +93,11 @@
 		return
 	}
 	planned, last := r.trialEnd()
-	if r.situation.NewTargets == 0 && now < r.deadline-rollbackMargin {
+	if r.situation.NewTargets == 0 {
 		r.reason = reasonTargets
+		if now >= r.deadline-rollbackMargin {
+			r.verdict, r.reason = VerdictBad, reasonNoTargets
+		}
 		return
 	}
 	missing := r.missing(now, planned, last)
@@ -94,10 +105,7 @@
 	case missing == "" && now >= planned:
 		r.verdict, r.reason, r.soundAt = VerdictSound, reasonSound, now
 	case now >= last:
-		r.verdict, r.reason = VerdictBad, reasonShort
-		if r.situation.NewTargets == 0 {
-			r.reason = reasonNoTargets
-		}
+		r.verdict, r.reason = VerdictBad, shortOf[missing]
 	case missing == "":
 		r.reason = reasonTime
 	default:
@@ -107,7 +115,7 @@
 
 // paused reports whether so many answers were bad that the new version gets nothing before more is known.
 func (r *Rollout) paused() bool {
-	return r.last != nil && r.last.spoilt >= pauseAnswers && r.last.test(cellAll).sums[0] > -soundThreshold
+	return r.last != nil && r.last.spoilt >= pauseAnswers && r.last.test(cellAll).sums[0] > -pauseThreshold
 }
 
 // missing returns what has to be seen before the version is sound, empty if nothing. Less is asked for as the last moment comes.
--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -32,8 +32,9 @@
 	durationRise, durationFall = 0.5, 0.05
 	// writeRetry is the time from a failed write to the next one.
 	writeRetry = 100 * swclock.Millis(1)
-	// slotUse is the share of the new targets' slots that the traffic may take at completion.
-	slotUse = 0.9
+	// slotUse is the share of the new targets' slots that the traffic may take at completion, and slotShare the share of the slots of
+	// the old ones that is enough in any case.
+	slotUse, slotShare = 0.9, 0.85
 )
 
 // Rollout decides one order. It is not safe for concurrent use.
@@ -199,7 +200,11 @@
 		return Versions{Old: true}
 	}
 	r.asked = route
-	return Versions{Old: true, New: true, PreferNew: true, Fill: r.wantsLoad()}
+	v := Versions{Old: true, New: true, PreferNew: true, Fill: r.wantsLoad()}
+	if r.last != nil && r.last.suspect >= 0 {
+		v.Avoid = r.names.byIndex[r.last.suspect]
+	}
+	return v
 }
 
 // route returns the state of a route, nil if there are too many.
@@ -246,8 +251,10 @@
 	return s.asks*minRouteShare >= all
 }
 
-// wantsLoad reports whether the new version has yet to be seen under load.
-func (r *Rollout) wantsLoad() bool { return r.baseline == nil || r.baseline.loaded >= loadedShare }
+// wantsLoad reports whether the new version is to be seen under load.
+func (r *Rollout) wantsLoad() bool {
+	return r.baseline == nil || r.baseline.loaded >= loadedShare
+}
 
 // burst is the number of units that are saved up, so that requests of the trial meet at a target.
 func (r *Rollout) burst() uint64 {
@@ -264,7 +271,7 @@
 	if s.NewTargets == 0 {
 		return false
 	}
-	return float64(s.NewSlots)*slotUse >= min(r.usedSlots, slotUse*float64(s.OldSlots))
+	return float64(s.NewSlots) >= min(r.usedSlots/slotUse, slotShare*float64(s.OldSlots))
 }
 
 // Granted records that a request was granted to a target of the new version: a first attempt, a retry or a continuation.
--- a/internal/core/swrollout/sample.go
+++ b/internal/core/swrollout/sample.go
@@ -64,6 +64,8 @@
 	targets map[swid.TargetID]int
 	routes  map[Route]int
 	series  map[seriesKey]int
+	// byIndex are the targets.
+	byIndex []swid.TargetID
 }
 
 func newNames() names {
@@ -79,6 +81,15 @@
 	return i
 }
 
+// target returns the index of a target.
+func (n *names) target(target swid.TargetID) int {
+	i := index(n.targets, target)
+	if i == len(n.byIndex) {
+		n.byIndex = append(n.byIndex, target)
+	}
+	return i
+}
+
 // route returns the index of a route.
 func (n *names) route(route Route) int {
 	if i, found := n.routes[route]; found || len(n.routes) >= maxRoutes {
@@ -108,7 +119,7 @@
 // sample returns an answer as it is kept.
 func (n *names) sample(a Answer, now swclock.Millis) sample {
 	level, loaded := loadLevel(a.Running, a.Slots)
-	s := sample{at: now - max(a.SinceEnd, 0), target: index(n.targets, a.Target), route: n.route(a.Route), level: level, loaded: loaded,
+	s := sample{at: now - max(a.SinceEnd, 0), target: n.target(a.Target), route: n.route(a.Route), level: level, loaded: loaded,
 		warming: a.Warming, bad: a.Bad, total: a.Total}
 	none := math.NaN()
 	s.times = [timeKinds]float64{none, none, none}
--- a/internal/core/swrollout/speed.go
+++ b/internal/core/swrollout/speed.go
@@ -190,7 +190,7 @@
 		if run.Warming || route >= len(p.usual) || p.usual[route] == 0 {
 			continue
 		}
-		target := index(n.targets, run.Target)
+		target := n.target(run.Target)
 		factor := 0.0
 		for kind := range timeKinds {
 			if speed := byTarget.of(target, kind); !math.IsNaN(speed) {
--- a/internal/core/swrollout/swrollout.go
+++ b/internal/core/swrollout/swrollout.go
@@ -112,6 +112,9 @@
 	// Fill is set if, of the targets of the new version with room, the one with the most runs is to be taken, so that a small
 	// share of the traffic shows them under load.
 	Fill bool
+	// Avoid is a target of the new version that may be ill, or empty: other targets of that version are to be taken first, so that
+	// its answers are not held against the version.
+	Avoid swid.TargetID
 }
 
 // Verdict is what a Rollout holds of the new version.
