--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -41,6 +41,9 @@
 	// soundThreshold is the log-likelihood ratio against a bad version from which a sound one may be completed at the planned
 	// time, and lastThreshold the one that does in the last moment.
 	soundThreshold, lastThreshold = 4, 1
+	// partThreshold and lastPart are those against a version that is bad on one route, or under load only; in the last moment, a bad
+	// answer of a route is borne.
+	partThreshold, lastPart = 2, 1.5
 	// minRouteAnswers is the number of answers that a route needs at least, and lastRouteAnswers in the last moment.
 	minRouteAnswers, lastRouteAnswers = 20, 5
 	// doubtThreshold is the ratio for a version that has turned bad from which it is not completed, and lastDoubt the one in the
@@ -140,13 +143,13 @@
 		if !r.active(s) || r.startedAt+swclock.Millis(s.mayLast) > last {
 			continue
 		}
-		if t := r.last.test(cellOf(r.names.route(route), false)); t.answers < answers || t.sums[0] > -threshold/2 {
+		if t := r.last.test(cellOf(r.names.route(route), false)); t.answers < answers || t.sums[0] > -partThreshold+late*(partThreshold+lastPart) {
 			return reasonRoutes
 		}
 	}
 	if r.baseline.loaded >= loadedShare && late < 1 {
 		t := r.last.test(cellAllLoaded)
-		if t.answers < answers || t.sums[0] > -threshold/2 {
+		if t.answers < answers || t.sums[0] > -partThreshold+late*(partThreshold+lastPart) {
 			return reasonLoad
 		}
 	}
--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -27,7 +27,7 @@
 	// moveDurations is the time for which traffic moves, in durations of long requests.
 	moveDurations = 1.5
 	// minTrialShare is the share of an order's duration that the trial takes at least.
-	minTrialShare = 0.5
+	minTrialShare = 0.6
 	// durationRise and durationFall weigh a new expected duration of a route's requests.
 	durationRise, durationFall = 0.5, 0.05
 	// writeRetry is the time from a failed write to the next one.
--- a/internal/core/swrollout/speed.go
+++ b/internal/core/swrollout/speed.go
@@ -10,12 +10,10 @@
 const (
 	// slowFactor is the factor by which a slow answer takes longer than expected.
 	slowFactor = 2.3
-	// overdueFactor is the factor by which a run that has not ended is older than nearly all of its route take at a target as fast.
-	overdueFactor = 3
-	// overdueSlack is added to it, as runs of short routes wait for the network too.
+	// overdueSlack is added to the time that a run may take, as runs of short routes wait for the network too.
 	overdueSlack = 500 * swclock.Millis(1)
-	// overdueQuantile is the quantile of the durations that nearly all runs take.
-	overdueQuantile = 0.9
+	// usualQuantile is the quantile of the durations that nearly all runs take.
+	usualQuantile = 0.95
 	// speedRange is the factor by which sound targets differ in speed.
 	speedRange = 5
 	// speedQuantile is the quantile of a target's answers that is taken as its speed: lower than the share of fast answers of a
@@ -46,13 +44,24 @@
 	return s[target][kind]
 }
 
+// slowest returns the largest speed of a target that is known, NaN if none is.
+func (s speeds) slowest(target int) float64 {
+	slowest := math.NaN()
+	for kind := range timeKinds {
+		if speed := s.of(target, kind); !math.IsNaN(speed) && !(speed <= slowest) {
+			slowest = speed
+		}
+	}
+	return slowest
+}
+
 // pace is what is known of the speed of the old versions.
 type pace struct {
 	// curves are in the order of the series' indices.
 	curves []curve
 	// slowest are the speeds of the slowest targets that may be sound.
 	slowest [timeKinds]float64
-	// usual are the durations that nearly all runs of a route take, in milliseconds, by index; 0 if not known.
+	// usual are the durations that nearly all runs of a route take at an average target, in milliseconds, by index; 0 if not known.
 	usual []float64
 }
 
@@ -78,14 +87,14 @@
 	}
 	totals := make([][]float64, len(n.routes))
 	for _, s := range old {
-		if !s.bad {
-			totals[s.route] = append(totals[s.route], float64(s.total))
+		if speed := byTarget.slowest(s.target); !s.bad && !math.IsNaN(speed) {
+			totals[s.route] = append(totals[s.route], float64(s.total)/math.Exp(speed))
 		}
 	}
 	p.usual = make([]float64, len(totals))
 	for route, t := range totals {
 		if len(t) >= minCurve {
-			p.usual[route] = quantile(t, overdueQuantile)
+			p.usual[route] = quantile(t, usualQuantile)
 		}
 	}
 	return p, byTarget
@@ -182,7 +191,7 @@
 	return slow
 }
 
-// overdue returns the runs at the new version that are older than nearly all runs of their route take at a target as fast.
+// overdue returns the runs at the new version that are several times older than nearly all runs of their route at a target as fast.
 func (p *pace) overdue(n *names, runs []Running, byTarget speeds, now swclock.Millis) []*sample {
 	var overdue []*sample
 	for _, run := range runs {
@@ -191,16 +200,11 @@
 			continue
 		}
 		target := n.target(run.Target)
-		factor := 0.0
-		for kind := range timeKinds {
-			if speed := byTarget.of(target, kind); !math.IsNaN(speed) {
-				factor = max(factor, overdueFactor*math.Exp(speed))
-			}
-		}
-		if factor == 0 {
-			factor = speedRange // the target's speed is not known
+		speed := byTarget.slowest(target)
+		if math.IsNaN(speed) {
+			speed = math.Log(speedRange)
 		}
-		if float64(run.Since) < max(factor, overdueFactor)*p.usual[route]+float64(overdueSlack) {
+		if float64(run.Since) < slowFactor*math.Exp(speed)*p.usual[route]+float64(overdueSlack) {
 			continue
 		}
 		level, loaded := loadLevel(run.Running, run.Slots)
