--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -144,7 +144,7 @@
 	if k.StartedAt == 0 {
 		k.StartedAt = record.StartedAt
 	}
-	r.behind = record.State < k.State || record.Reserved < k.Reserved
+	r.behind = record.State < k.State || record.Reserved < k.Reserved || k.Moving && !record.Moving
 	if r.pending == nil && !record.State.Final() {
 		r.ending = false
 	}
