--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -131,6 +131,7 @@
 	}
 	threshold := soundThreshold + late*(lastThreshold-soundThreshold)
 	answers := minRouteAnswers + late*(lastRouteAnswers-minRouteAnswers)
+	part := -partThreshold + late*(partThreshold+lastPart)
 	all := r.last.test(cellAll)
 	if all.answers < answers || all.sums[0] > -threshold {
 		return reasonAnswers
@@ -143,15 +144,12 @@
 		if !r.active(s) || r.startedAt+swclock.Millis(s.mayLast) > last {
 			continue
 		}
-		if t := r.last.test(cellOf(r.names.route(route), false)); t.answers < answers || t.sums[0] > -partThreshold+late*(partThreshold+lastPart) {
+		if !r.last.seen(cellOf(r.names.route(route), false), answers, part) {
 			return reasonRoutes
 		}
 	}
-	if r.baseline.loaded >= loadedShare && late < 1 {
-		t := r.last.test(cellAllLoaded)
-		if t.answers < answers || t.sums[0] > -partThreshold+late*(partThreshold+lastPart) {
-			return reasonLoad
-		}
+	if r.baseline.loaded >= loadedShare && late < 1 && !r.last.seen(cellAllLoaded, answers, part) {
+		return reasonLoad
 	}
 	return ""
 }
--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -253,7 +253,8 @@
 
 // wantsLoad reports whether the new version is to be seen under load.
 func (r *Rollout) wantsLoad() bool {
-	return r.baseline == nil || r.baseline.loaded >= loadedShare
+	// If targets of old versions are ill, many targets have to be seen.
+	return r.baseline == nil || r.baseline.loaded >= loadedShare && r.baseline.deviation == 0
 }
 
 // burst is the number of units that are saved up, so that requests of the trial meet at a target.
--- a/internal/core/swrollout/sample.go
+++ b/internal/core/swrollout/sample.go
@@ -45,7 +45,9 @@
 	loaded        bool
 	warming       bool
 	bad           bool
-	total         swclock.Millis
+	// late is set for a run that has not ended and may be sound.
+	late  bool
+	total swclock.Millis
 	// times are logarithms, and NaN where nothing was measured. series are the indices of the times that they are compared with.
 	times  [timeKinds]float64
 	series [timeKinds]int
--- a/internal/core/swrollout/speed.go
+++ b/internal/core/swrollout/speed.go
@@ -191,7 +191,8 @@
 	return slow
 }
 
-// overdue returns the runs at the new version that are several times older than nearly all runs of their route at a target as fast.
+// overdue returns the runs at the new version that are older than nearly all runs of their route at a target as fast. They are late, or
+// several times older.
 func (p *pace) overdue(n *names, runs []Running, byTarget speeds, now swclock.Millis) []*sample {
 	var overdue []*sample
 	for _, run := range runs {
@@ -204,12 +205,14 @@
 		if math.IsNaN(speed) {
 			speed = math.Log(speedRange)
 		}
-		if float64(run.Since) < slowFactor*math.Exp(speed)*p.usual[route]+float64(overdueSlack) {
+		usual := math.Exp(speed) * p.usual[route]
+		if float64(run.Since) < usual+float64(overdueSlack) {
 			continue
 		}
 		level, loaded := loadLevel(run.Running, run.Slots)
 		none := math.NaN()
-		overdue = append(overdue, &sample{at: now, target: target, route: route, level: level, loaded: loaded, times: [timeKinds]float64{none, none, none}})
+		overdue = append(overdue, &sample{at: now, target: target, route: route, level: level, loaded: loaded,
+			late: float64(run.Since) < slowFactor*usual+float64(overdueSlack), times: [timeKinds]float64{none, none, none}})
 	}
 	return overdue
 }
