Run roll-outs at the owner of the shared cells

Cause: nothing followed the operators' orders of roll-outs, or kept a new version from requests. Change: swrolloutkeeper follows the orders while the host is the owner, gives each swrollout.Rollout what the cells see, writes its record under its revision and lists again after a failed write. A version that was listed after the orders gets nothing while others serve, nor does that of an order that was removed or replaced before it was found sound. Plain services are scheduled by the owner while an order is open, and wherever targets of several versions are listed. Hosts report their latest answers to a new owner.

--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -28,8 +28,8 @@
 	Random float64
 
 	expected estimate
-	// preferred is set if the request is to be granted the target before those of other versions.
-	preferred bool
+	// preference is how much the request is to be granted the target before others.
+	preference int
 }
 
 // Placement compares offers for one request.
@@ -89,11 +89,11 @@
 			continue
 		}
 		c.compared = c.offer(r, t)
-		c.compared.preferred = c.isPreferred(r, t)
-		if found.preferred && !c.compared.preferred {
+		c.compared.preference = c.preference(r, t)
+		if c.compared.preference < found.preference {
 			continue
 		}
-		if cost := c.placement.Cost(&c.compared); cost < lowest || c.compared.preferred && !found.preferred {
+		if cost := c.placement.Cost(&c.compared); cost < lowest || c.compared.preference > found.preference {
 			lowest, found = cost, c.compared
 		}
 	}
@@ -138,7 +138,7 @@
 // because a target that is busy now is expected to preserve more of the answer's worth
 // (by minWaitGain), even after the wait for a free slot.
 func (c *Cell[P, O]) shouldWait(r *request, offered *Offer) bool {
-	if offered.preferred {
+	if offered.preference > 0 {
 		return false
 	}
 	minShare := offered.ExpectedShare(c.cfg.LateShare) + minWaitGain
--- a/internal/core/swvalue/request.go
+++ b/internal/core/swvalue/request.go
@@ -62,8 +62,8 @@
 	// busyShare is the result of busyShare, which is used until an instant.
 	busyShare      float64
 	busyShareUntil swclock.Millis
-	// admission is the result of admissionOf.
-	admission cachedAdmission
+	// admission is the result of versionsFor.
+	admission admission
 }
 
 // runKey identifies one attempt.
--- a/internal/core/swvalue/rollouts.go
+++ b/internal/core/swvalue/rollouts.go
@@ -22,82 +22,83 @@
 type Rollouts interface {
 	// Arrived counts a request that reached the service: once for each request of a caller.
 	Arrived(now swclock.Millis)
-	// Admission returns at which versions a request may run that is expected to take mayLast at an old version. The result holds
-	// at this instant and until the next call of another method.
-	Admission(route swrollout.Route, mayLast, now swclock.Millis) Admission
+	// Standing returns what holds for the service at this instant.
+	Standing(now swclock.Millis) Standing
+	// Versions returns at which versions a request may begin that is expected to take mayLast at an old version. It is called while there
+	// is an order, and last for a request that is granted.
+	Versions(route swrollout.Route, mayLast, now swclock.Millis) swrollout.Versions
 	// Granted records that a request was granted to a version, and Returned that such a request was certainly not sent.
 	Granted(version swid.SoftwareVersion, now swclock.Millis)
 	Returned(version swid.SoftwareVersion, now swclock.Millis)
 	// Observe takes the end of an attempt.
 	Observe(a swrollout.Answer, now swclock.Millis)
-	// Report tells the state of the cell as of the latest review. oldRunning counts the runs at old versions.
-	Report(oldRunning, waiting int, now swclock.Millis)
+	// Report tells the state of the cell while there is an order.
+	Report(s swrollout.Situation, now swclock.Millis)
 }
 
-// Admission says at which software versions a request may run. Its zero value allows all.
-type Admission struct {
-	// Ordered is set if there is an order for the version To, and Versions says what it allows.
-	Ordered  bool
-	To       swid.SoftwareVersion
-	Versions swrollout.Versions
-	// Trial is set while requests at To need exposure, so that its targets are no supply.
+// Standing is what holds for all requests of a service. Its zero value restricts nothing.
+type Standing struct {
+	// Ordered is set if there is an order for the version To, and Open while it is not decided.
+	Ordered, Open bool
+	To            swid.SoftwareVersion
+	// Trial is set while requests at To need exposure.
 	Trial bool
+	// OldServes and NewServes say whether requests in general may begin at old versions and at To.
+	OldServes, NewServes bool
 	// Withheld has the versions that may be those of an order which is not known yet.
 	Withheld []swid.SoftwareVersion
 }
 
-// allows reports whether a request may run at a version.
-func (a *Admission) allows(v swid.SoftwareVersion) bool {
-	switch {
-	case slices.Contains(a.Withheld, v):
-		return false
-	case !a.Ordered:
-		return true
-	case v == a.To:
-		return a.Versions.New
-	default:
-		return a.Versions.Old
-	}
-}
+// restricts reports whether any version may be excluded.
+func (s *Standing) restricts() bool { return s.Ordered || len(s.Withheld) > 0 }
 
-// mayAllowLater reports whether requests may come to be allowed at a version that the admission does not allow.
-func (a *Admission) mayAllowLater(v swid.SoftwareVersion) bool {
-	return slices.Contains(a.Withheld, v) || a.Ordered && v == a.To && a.Trial
+// admission says at which software versions a request may run, as of an instant and a number of changes.
+type admission struct {
+	versions swrollout.Versions
+	mayLast  swclock.Millis
+	known    bool
+	at       swclock.Millis
+	changes  uint64
 }
 
-// restricts reports whether any version may be excluded.
-func (a *Admission) restricts() bool { return a.Ordered || len(a.Withheld) > 0 }
-
-// cachedAdmission is an Admission as of an instant and a number of changes.
-type cachedAdmission struct {
-	Admission
+// cachedStanding is a Standing as of an instant and a number of changes.
+type cachedStanding struct {
+	Standing
 	known   bool
 	at      swclock.Millis
 	changes uint64
 }
 
-func (a *cachedAdmission) isCurrent(now swclock.Millis, changes uint64) bool {
-	return a.known && a.at == now && a.changes == changes
+// standing returns what holds for the service now.
+func (c *Cell[P, O]) standing() *Standing {
+	if s := &c.lastStanding; !s.known || s.at != c.now || s.changes != c.admissionChanges {
+		*s = cachedStanding{c.cfg.Rollouts.Standing(c.now), true, c.now, c.admissionChanges}
+	}
+	return &c.lastStanding.Standing
 }
 
-// cellAdmission returns what holds for a request that takes no time.
-func (c *Cell[P, O]) cellAdmission() *Admission {
-	if a := &c.admission; !a.isCurrent(c.now, c.admissionChanges) {
-		*a = cachedAdmission{c.cfg.Rollouts.Admission(0, 0, c.now), true, c.now, c.admissionChanges}
+// versionsFor returns at which versions a request may run while there is an order.
+func (c *Cell[P, O]) versionsFor(r *request) *swrollout.Versions {
+	if a := &r.admission; !a.known || a.at != c.now || a.changes != c.admissionChanges {
+		last := c.mayLast(r, c.standing().To)
+		*a = admission{c.cfg.Rollouts.Versions(routeOf(&r.grantRequest), last, c.now), last, true, c.now, c.admissionChanges}
 	}
-	return &c.admission.Admission
+	return &r.admission.versions
 }
 
-// admissionOf returns at which versions a request may run.
-func (c *Cell[P, O]) admissionOf(r *request) *Admission {
-	cell := c.cellAdmission()
-	if !cell.restricts() {
-		return cell
-	}
-	if a := &r.admission; !a.isCurrent(c.now, c.admissionChanges) {
-		*a = cachedAdmission{c.cfg.Rollouts.Admission(routeOf(&r.grantRequest), c.mayLast(r, cell.To), c.now), true, c.now, c.admissionChanges}
+// allows reports whether a request may run at a version.
+func (c *Cell[P, O]) allows(r *request, v swid.SoftwareVersion) bool {
+	s := c.standing()
+	switch {
+	case slices.Contains(s.Withheld, v):
+		return false
+	case !s.Ordered:
+		return true
+	case v == s.To:
+		return c.versionsFor(r).New
+	default:
+		return c.versionsFor(r).Old
 	}
-	return &r.admission.Admission
 }
 
 // routeOf returns the kind of a request: its route and model.
@@ -116,39 +117,60 @@
 
 // isAdmitted reports whether a request may run at the version of a target.
 func (c *Cell[P, O]) isAdmitted(r *request, t *target) bool {
-	return c.cfg.Rollouts == nil || c.admissionOf(r).allows(t.conf.Version)
+	return c.cfg.Rollouts == nil || !c.standing().restricts() || c.allows(r, t.conf.Version)
 }
 
 // awaitsAdmission reports whether the request may run on a target once a version is allowed that is not yet.
 func (c *Cell[P, O]) awaitsAdmission(r *request) bool {
-	if c.cfg.Rollouts == nil {
+	if c.cfg.Rollouts == nil || !c.standing().restricts() {
 		return false
 	}
-	a := c.admissionOf(r)
+	s := c.standing()
 	return slices.ContainsFunc(c.targets, func(t *target) bool {
-		return a.mayAllowLater(t.conf.Version) && t.active() && c.fitsOrigin(r, t) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID)
+		later := slices.Contains(s.Withheld, t.conf.Version) || s.Trial && t.conf.Version == s.To
+		return later && t.active() && c.fitsOrigin(r, t) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID)
 	})
 }
 
-// isPreferred reports whether a request is to be granted a target before those of other versions.
-func (c *Cell[P, O]) isPreferred(r *request, t *target) bool {
+// preference returns how much a request is to be granted a target before others: 0 if it is not.
+func (c *Cell[P, O]) preference(r *request, t *target) int {
 	if c.cfg.Rollouts == nil {
-		return false
+		return 0
+	}
+	s := c.standing()
+	if !s.Ordered || t.conf.Version != s.To {
+		return 0
+	}
+	switch v := c.versionsFor(r); {
+	case !v.New || !v.PreferNew:
+		return 0
+	case t.conf.ID == v.Avoid:
+		return 1
+	case v.Fill:
+		return 2 + len(t.runs)
+	default:
+		return 2
 	}
-	a := c.admissionOf(r)
-	return a.Ordered && a.Versions.New && a.Versions.PreferNew && t.conf.Version == a.To
 }
 
-// isSupply reports whether new requests in general may be granted a target. A version on trial is supply if there is no other.
+// isSupply reports whether requests in general may be granted a target. A version on trial is supply if there is no other.
 func (c *Cell[P, O]) isSupply(t *target) bool {
-	if c.cfg.Rollouts == nil {
+	if c.cfg.Rollouts == nil || !c.standing().restricts() {
 		return true
 	}
-	a := c.cellAdmission()
-	if a.Trial && t.conf.Version == a.To {
-		return a.Versions.New && !slices.ContainsFunc(c.targets, func(o *target) bool { return o.active() && o.conf.Version != a.To })
+	s := c.standing()
+	switch {
+	case slices.Contains(s.Withheld, t.conf.Version):
+		return false
+	case !s.Ordered:
+		return true
+	case t.conf.Version != s.To:
+		return s.OldServes
+	case s.Trial:
+		return !slices.ContainsFunc(c.targets, func(o *target) bool { return o.active() && o.conf.Version != s.To })
+	default:
+		return s.NewServes
 	}
-	return a.allows(t.conf.Version)
 }
 
 // recordArrival counts the first attempt of a request, unless another owner may have.
@@ -185,13 +207,15 @@
 	return atGrant{version: t.conf.Version, born: t.conf.Born, running: len(t.runs) + 1, slots: t.conf.Slots, warming: now < t.warmUntil}
 }
 
-// recordGranted records that a run was granted here.
-func (c *Cell[P, O]) recordGranted(r *run) {
-	if c.cfg.Rollouts != nil {
-		r.atGrant.counted = true
-		c.cfg.Rollouts.Granted(r.atGrant.version, c.now)
-		c.admissionChanges++
+// recordGranted records that a request was granted here.
+func (c *Cell[P, O]) recordGranted(r *request, started *run) {
+	if c.cfg.Rollouts == nil || !c.standing().Ordered || started.atGrant.version != c.standing().To {
+		return
 	}
+	c.cfg.Rollouts.Versions(routeOf(&r.grantRequest), r.admission.mayLast, c.now)
+	started.atGrant.counted = true
+	c.cfg.Rollouts.Granted(started.atGrant.version, c.now)
+	c.admissionChanges++
 }
 
 // recordUnsent records that the request of a run was certainly not sent.
@@ -252,14 +276,29 @@
 
 // reportLoad tells Rollouts the state of the cell.
 func (c *Cell[P, O]) reportLoad() {
-	if c.cfg.Rollouts == nil || !c.cellAdmission().Ordered {
+	if c.cfg.Rollouts == nil || !c.standing().Open {
 		return
 	}
-	running := 0
-	for _, r := range c.running {
-		if r.atGrant.version != c.admission.To {
-			running++
+	to := c.standing().To
+	situation := swrollout.Situation{Waiting: len(c.waiting)}
+	for _, t := range c.targets {
+		switch {
+		case !t.active() || t.probing():
+		case t.conf.Version == to:
+			situation.NewTargets, situation.NewSlots = situation.NewTargets+1, situation.NewSlots+t.conf.Slots
+		default:
+			situation.OldTargets, situation.OldSlots = situation.OldTargets+1, situation.OldSlots+t.conf.Slots
+		}
+		for _, r := range t.runs {
+			if r.atGrant.version != to {
+				situation.OldRunning++
+				continue
+			}
+			situation.NewRunning = append(situation.NewRunning, swrollout.Running{
+				Target: t.conf.ID, Route: routeOf(&r.grantRequest), Since: c.now - r.grantedAt,
+				Running: r.atGrant.running, Slots: r.atGrant.slots, Warming: r.atGrant.warming,
+			})
 		}
 	}
-	c.cfg.Rollouts.Report(running, len(c.waiting), c.now)
+	c.cfg.Rollouts.Report(situation, c.now)
 }
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -29,7 +29,7 @@
 	c.cfg.Limits.Take(o.target.conf.ID, c.now)
 	c.meanWork.Add(c.work(r, o.expected.uncached))
 	started := c.start(r, o.target, sender)
-	c.recordGranted(started)
+	c.recordGranted(r, started)
 	c.emit(started.grant())
 	return true
 }
--- a/internal/core/swvalue/swvalue.go
+++ b/internal/core/swvalue/swvalue.go
@@ -85,8 +85,8 @@
 	reaching       reaching
 	carriers       carriers
 	carrierChanges uint64
-	// admission is the result of cellAdmission, and admissionChanges counts the changes after which Config.Rollouts may return others.
-	admission        cachedAdmission
+	// lastStanding is the result of standing, and admissionChanges counts the changes after which Config.Rollouts may return others.
+	lastStanding     cachedStanding
 	admissionChanges uint64
 	// beganAt is when the first event came, and joinedAt when each holder last came from another owner.
 	beganAt  swclock.Millis
@@ -338,7 +338,7 @@
 
 // TickInterval returns the time after which the cell needs a Tick.
 func (c *Cell[P, O]) TickInterval() swclock.Millis {
-	if len(c.waiting) == 0 && !c.admission.Ordered {
+	if len(c.waiting) == 0 && !c.lastStanding.Open {
 		return swclock.Second
 	}
 	return reviewInterval
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -45,6 +45,7 @@
 		StoreReachable: h.storeReachable,
 		OnOriginWanted: h.originKeeper.Wake,
 		Carriers:       h.carriers,
+		Rollouts:       h.rolloutsOf(cell),
 	}
 	if h.view.chargedByOwner(cell) {
 		config.Ledger = h.ledger
@@ -112,7 +113,10 @@
 
 // targetsChanged applies a new list of targets.
 func (h *Host) targetsChanged(items []swwatch.Item[swcatalog.Target]) {
-	h.view.setTargets(items, h.clock.Now())
+	remixed := h.view.setTargets(items, h.clock.Now())
+	if h.rollouts != nil {
+		h.rollouts.SetTargets(h.view.listedTargets())
+	}
 	draining := 0
 	for _, item := range items {
 		if item.Value.Draining {
@@ -131,6 +135,9 @@
 	h.updateServing()
 	h.paths.Configure(h.view.activeTargets())
 	h.configure()
+	if remixed {
+		h.holder.Reroute() // other hosts may schedule requests from now on
+	}
 }
 
 // versionsOf returns the software versions of targets, each once with its service.
--- a/internal/node/swfleet/outofstep_test.go
+++ b/internal/node/swfleet/outofstep_test.go
@@ -15,6 +15,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
@@ -156,6 +157,40 @@
 	return pathSource[swcatalog.Target]{p.fakePlatform.Targets(), p.path()}
 }
 
+func (p simulatedPlatform) Rollouts() swwatch.Source[swcatalog.Rollout] {
+	return pathSource[swcatalog.Rollout]{countedRollouts{p.fakePlatform.Rollouts(), p.deployment.store}, p.path()}
+}
+
+// countedRollouts counts the calls for orders.
+type countedRollouts struct {
+	swwatch.Source[swcatalog.Rollout]
+	store *fakeStore
+}
+
+func (c countedRollouts) count() {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.rolloutCalls++
+}
+
+// List implements swwatch.Source.
+func (c countedRollouts) List(ctx context.Context) (swwatch.Listing[swcatalog.Rollout], error) {
+	c.count()
+	return c.Source.List(ctx)
+}
+
+// Watch implements swwatch.Source.
+func (c countedRollouts) Watch(ctx context.Context, after swwatch.Revision, wait swclock.Millis) (swwatch.Changes[swcatalog.Rollout], error) {
+	c.count()
+	return c.Source.Watch(ctx, after, wait)
+}
+
+func (p simulatedPlatform) WriteRollout(ctx context.Context, name string, record swrollout.Record, expected swwatch.Revision) (swwatch.Revision, error) {
+	return call(ctx, p.path(), func(ctx context.Context) (swwatch.Revision, error) {
+		return p.fakePlatform.WriteRollout(ctx, name, record, expected)
+	})
+}
+
 func (p simulatedPlatform) Hosts() swwatch.Source[swcatalog.Host] {
 	return pathSource[swcatalog.Host]{p.fakePlatform.Hosts(), p.path()}
 }
--- a/internal/node/swfleet/registration.go
+++ b/internal/node/swfleet/registration.go
@@ -52,6 +52,7 @@
 	}
 	if complete {
 		m.Amounts = amountsOf(h.meter.All(h.clock.Now()))
+		m.Outcomes = h.outcomes.recent(h.clock.Now())
 		m.Streams = h.origins.Recent(swcodec.MaxBegunStreams, h.clock.Now())
 	} else {
 		m.Amounts = amountsOf(h.meter.Unreported())
@@ -163,6 +164,7 @@
 	}
 	if registration.Complete {
 		h.owner.HolderJoined(from.Host)
+		h.receiveOutcomes(from, registration.Outcomes)
 	}
 	amounts := make([]swquota.Amount, len(registration.Amounts))
 	for i, v := range registration.Amounts {
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -137,7 +137,11 @@
 	componentsCtx, stop := context.WithCancel(runCtx)
 	tasks := pool.New().WithErrors().WithContext(componentsCtx)
 	tasks.Go(h.network.Run)
-	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.originKeeper.Run, h.pathProber.run, h.keepEntry} {
+	runs := []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.originKeeper.Run, h.pathProber.run, h.keepEntry}
+	if h.rollouts != nil {
+		runs = append(runs, h.rollouts.Run)
+	}
+	for _, run := range runs {
 		tasks.Go(func(ctx context.Context) error {
 			run(ctx)
 			return nil
--- a/internal/node/swfleet/scheduling.go
+++ b/internal/node/swfleet/scheduling.go
@@ -22,7 +22,7 @@
 // requests of plain services scheduled. Each host schedules its own, which saves a message to the
 // owner and back, unless something has to be counted over all hosts, or may have to as far as this host knows.
 func (h *Host) wantedScheduling(now swclock.Millis) swmsg.Scheduling {
-	if !h.pathProber.hasAsked() || h.strikes.Active(now) || h.limitsPlainTargets() || h.mixesPlainVersions(now) || now < swclock.Millis(h.adoptedUntil.Load()) {
+	if !h.pathProber.hasAsked() || h.strikes.Active(now) || h.limitsPlainTargets() || h.mixesPlainVersions(now) || h.rollsOutPlain() || now < swclock.Millis(h.adoptedUntil.Load()) {
 		return swmsg.SchedulingShared
 	}
 	return swmsg.SchedulingEach
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"runtime"
@@ -65,6 +66,10 @@
 	requestsPerHost float64
 	// revokeWithin is the time within which removed keys are to be denied; 0 sets no limit.
 	revokeWithin swclock.Millis
+	// rollout is zero if roll-outs are not in force.
+	rollout swsettings.Rollout
+	// log takes the log of all hosts; nil drops it.
+	log io.Writer
 	// adapter, if not nil, returns the adapter of a target for one process of a host.
 	adapter func(swid.TargetID) swtarget.Adapter
 	// hostAdapter, if not nil, returns the adapter of a target for one process of the host with a number.
@@ -152,14 +157,18 @@
 		Fleet: &swsettings.Fleet{
 			ApplyWithin: 2 * swclock.Second, RevokeWithin: h.fleet.revokeWithin, TargetHeartbeat: swclock.Second, ReregisterWithin: 2 * swclock.Second,
 			QuotaWindow: 8 * swclock.Second, RetryWindow: 10 * swclock.Second, RetryRatio: 0.1, RetryReserve: 32,
-			ProcessorShare: h.processor.share, Cores: 1, LinkMegabits: 100,
+			ProcessorShare: h.processor.share, Cores: 1, LinkMegabits: 100, Rollout: h.fleet.rollout,
 		},
 		ShutdownTimeout: 8 * swclock.Second,
 	}
 	factory := func(*swsettings.Settings, swclock.Clock, zerolog.Logger) (Platform, error) {
 		return simulatedPlatform{fakePlatform{h.fleet.deployment}, h.fleet, h.number}, nil
 	}
-	host, err := New(settings, factory, zerolog.Nop())
+	log := zerolog.Nop()
+	if h.fleet.log != nil {
+		log = zerolog.New(h.fleet.log).With().Str("host", string(settings.Host)).Logger()
+	}
+	host, err := New(settings, factory, log)
 	if err != nil {
 		t.Error(err)
 		return
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -155,7 +155,7 @@
 	time.Sleep(500 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	catalogs, targets := s.catalogs.items, s.targets.items
+	catalogs, targets, rollouts := s.catalogs.items, s.targets.items, s.rollouts.items
 	for _, name := range silent {
 		delete(targets, name)
 	}
@@ -165,7 +165,13 @@
 	s.hosts.restore(&earlier.hosts)
 	s.values.restore(&earlier.values)
 	s.streams.restore(&earlier.streams)
+	s.rollouts.restore(&earlier.rollouts)
 	s.era++
+	for name, item := range rollouts {
+		if _, found := s.rollouts.items[name]; !found {
+			s.rollouts.write(name, swcatalog.Rollout{Order: item.Value.Order})
+		}
+	}
 	s.catalogs.rewrite(catalogs)
 	s.targets.rewrite(targets)
 	s.unavailable = false
@@ -182,6 +188,7 @@
 	c.targets.restore(&s.targets)
 	c.hosts.restore(&s.hosts)
 	c.values.restore(&s.values)
+	c.rollouts.restore(&s.rollouts)
 	c.streams.restore(&s.streams)
 	return c
 }
--- a/internal/node/swfleet/streamversions_test.go
+++ b/internal/node/swfleet/streamversions_test.go
@@ -56,8 +56,22 @@
 	down bool
 	// crashed is closed by a crash, and replaced when the engine is up again.
 	crashed chan struct{}
+	// observe, if not nil, is called with each request that the engine runs, and returns how it answers.
+	observe func(version swid.SoftwareVersion) answerFault
 }
 
+// answerFault is how an engine answers a request. Its zero value is sound.
+type answerFault struct {
+	fails, cut bool
+	// slowdown is the factor by which all takes longer; 0 stands for 1.
+	slowdown float64
+}
+
+// failedAnswer is an answer with an error status.
+type failedAnswer struct{ fakeAnswer }
+
+func (failedAnswer) Status() int { return http.StatusInternalServerError }
+
 // Start implements swtarget.Adapter.
 func (v *versionedEngine) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	v.mu.Lock()
@@ -72,7 +86,14 @@
 	if err != nil {
 		received = 0
 	}
-	return &versionedAnswer{ctx: ctx, version: v.version, crashed: v.crashed, received: received, first: true}, nil
+	var fault answerFault
+	if v.observe != nil {
+		fault = v.observe(v.version)
+	}
+	if fault.fails {
+		return &failedAnswer{}, nil
+	}
+	return &versionedAnswer{ctx: ctx, version: v.version, crashed: v.crashed, received: received, first: true, fault: fault}, nil
 }
 
 // crash ends all runs. The engine is back after downTime, at a version, and its entry is written after a
@@ -117,6 +138,7 @@
 	crashed  chan struct{}
 	received int
 	first    bool
+	fault    answerFault
 }
 
 func (*versionedAnswer) Status() int                  { return http.StatusOK }
@@ -133,6 +155,12 @@
 	if a.first {
 		wait, a.first = prefillTime, false
 	}
+	if a.fault.slowdown > 0 {
+		wait = time.Duration(float64(wait) * a.fault.slowdown)
+	}
+	if a.fault.cut && a.received == longStreamEvents/2 {
+		return swtarget.Chunk{}, &swtarget.Error{Failure: swtarget.FailureBroken, Err: errConnection}
+	}
 	select {
 	case <-time.After(wait):
 	case <-a.crashed:
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -33,6 +33,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
+	"github.com/sassafraswing/sassafraswing/internal/owner/swrolloutkeeper"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcarry"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
@@ -141,6 +142,10 @@
 	carrying *swcarry.Server
 	// answers is the memory for the answers that this host holds, of its own requests and of those that it carries.
 	answers *swbuffer.Budget
+	// rollouts runs the roll-outs while this host is the owner. It is nil if they are not in force, and until the host is assembled.
+	rollouts *swrolloutkeeper.Keeper
+	// outcomes has the latest answers of services with several versions.
+	outcomes outcomeLog
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -276,6 +281,7 @@
 	h.configureMu.Lock()
 	defer h.configureMu.Unlock()
 	h.exchange = swexchange.New(h.self)
+	h.rollouts = h.newRolloutKeeper()
 	h.network = swlink.New(swlink.Config{
 		Self: h.self, Address: h.settings.Peer.Address, ProbeInterval: h.settings.Peer.Heartbeat,
 		KeepAlive: linkKeepAlive, ServeStream: func(peer swlink.Peer, stream net.Conn) { h.carrying.Serve(peer.Host, stream) },
@@ -286,7 +292,7 @@
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Clock: h.clock, Sender: h.exchange, Router: h.router,
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
-		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement,
+		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement, OnDone: h.recordOutcome,
 		Origins: h.origins, Cut: h.paths.Cut, Carry: h.carriedAdapter, Answers: h.answers,
 	})
 	h.owner = swowner.New(swowner.Config{
@@ -320,6 +326,7 @@
 	targets.MissingGrace = h.settings.Fleet.ReregisterWithin
 	targets.RenewalTimeout = missedHeartbeats * h.settings.Fleet.TargetHeartbeat
 	h.targets = swwatch.NewFollower(targets, h.platform.Targets(), h.targetsChanged)
+	h.followRollouts(config(kindRollouts, rolloutWait))
 	hosts := config(kindHosts, hostWait)
 	hosts.ChangePause = hostChangePause
 	hosts.MissingGrace = h.settings.Fleet.ReregisterWithin
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -10,6 +10,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmember"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
@@ -28,6 +29,8 @@
 	targets         []swcatalog.Target
 	// targetsListed is set once the targets have been listed.
 	targetsListed bool
+	// mixed has the services of which targets of several versions are listed, if roll-outs are in force.
+	mixed map[swid.ServiceID]bool
 	// drained has the targets that were draining when they were last listed.
 	drained map[swid.TargetID]drainedTarget
 	members []swmember.Member
@@ -59,9 +62,13 @@
 
 // setTargets replaces the targets. One that was draining stays so until it is started anew: a store that
 // was set back may list it as it was before.
-func (v *view) setTargets(items []swwatch.Item[swcatalog.Target], now swclock.Millis) {
+// setTargets reports whether that changes who schedules plain services.
+func (v *view) setTargets(items []swwatch.Item[swcatalog.Target], now swclock.Millis) (remixed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if mixed := mixedServices(items); v.settings.Fleet.Rollout.Enabled() && !maps.Equal(mixed, v.mixed) {
+		v.mixed, remixed = mixed, true
+	}
 	targets := make([]swcatalog.Target, len(items))
 	for i, item := range items {
 		t := item.Value
@@ -75,6 +82,14 @@
 	}
 	maps.DeleteFunc(v.drained, func(_ swid.TargetID, d drainedTarget) bool { return now-d.listedAt > drainedMemory })
 	v.targets, v.targetsListed = targets, true
+	return remixed
+}
+
+// listedTargets returns the listed targets.
+func (v *view) listedTargets() []swcatalog.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.targets
 }
 
 // drainedTarget is a target that was draining.
@@ -172,7 +187,7 @@
 func (v *view) scheduledByEachHost(cell swid.CellID) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.table != nil && !v.hasRequestQuota && !v.plainShared && v.isPlain(cell)
+	return v.table != nil && !v.hasRequestQuota && !v.plainShared && v.isPlain(cell) && !v.mixed[swelect.Service(cell)]
 }
 
 // targetScheduledByEachHost reports whether each host schedules its own requests for a target.
