Test: a slow version answers a part several times slower

Targets that are sound differ in speed by up to five times, so a version that is slower throughout is not bad for that.

--- a/internal/node/swfleet/rollouts_test.go
+++ b/internal/node/swfleet/rollouts_test.go
@@ -164,7 +164,12 @@
 		{name: "sound", sound: true, fault: func(int) answerFault { return answerFault{} }},
 		{name: "fails", fault: func(int) answerFault { return answerFault{fails: rand.Float64() < 0.4} }},
 		{name: "cuts", fault: func(int) answerFault { return answerFault{cut: rand.Float64() < 0.4} }},
-		{name: "slow", fault: func(int) answerFault { return answerFault{slowdown: 4} }},
+		{name: "slow", fault: func(int) answerFault {
+			if rand.Float64() < 0.4 {
+				return answerFault{slowdown: 5}
+			}
+			return answerFault{}
+		}},
 	}
 	events := []struct {
 		name string
