--- a/internal/owner/swrolloutkeeper/keeper.go
+++ b/internal/owner/swrolloutkeeper/keeper.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -71,7 +72,9 @@
 	// known has the processes whose answers were taken since.
 	known map[Process]struct{}
 
-	writes conc.WaitGroup
+	// refreshing is set while the orders are being listed.
+	refreshing atomic.Bool
+	calls      conc.WaitGroup
 }
 
 // Process identifies a process of a host.
@@ -94,7 +97,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval.Duration())
 	defer ticker.Stop()
-	defer k.writes.Wait()
+	defer k.calls.Wait()
 	var following conc.WaitGroup
 	defer following.Wait()
 	stop := func() {}
@@ -122,14 +125,18 @@
 		now := k.config.Clock.Now()
 		if owner && now-refreshedAt >= refreshInterval && k.lacksOrders() && k.config.Reachable() {
 			refreshedAt = now
-			k.writes.Go(func() { k.refresh(ctx) })
+			k.calls.Go(func() { k.refresh(ctx) })
 		}
 		k.step(ctx, now)
 	}
 }
 
-// refresh lists the orders.
+// refresh lists the orders, unless that is under way.
 func (k *Keeper) refresh(ctx context.Context) {
+	if k.refreshing.Swap(true) {
+		return
+	}
+	defer k.refreshing.Store(false)
 	call, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	if err := k.follower.Refresh(call); err != nil && ctx.Err() == nil {
@@ -281,7 +288,7 @@
 	alone := k.config.Alone()
 	for _, s := range k.all() {
 		if w := s.step(alone, now); w != nil {
-			k.writes.Go(func() { k.write(ctx, w) })
+			k.calls.Go(func() { k.write(ctx, w) })
 		}
 	}
 }
