--- a/internal/node/swfleet/rollouts_test.go
+++ b/internal/node/swfleet/rollouts_test.go
@@ -31,9 +31,34 @@
 
 var rolloutBounds = swsettings.Rollout{MaxShare: 0.1, Slack: 50, RollbackWithin: 5 * swclock.Second}
 
-// rolloutFleet is a fleet during a roll-out. It plays the operator and the platform too.
+// rolloutFleet is a fleet during roll-outs, of which trial is that of the engines.
 type rolloutFleet struct {
 	*versionedFleet
+	trial *trial
+}
+
+func newRolloutFleet(t *testing.T, size int, fault func() answerFault, badAfter time.Duration) *rolloutFleet {
+	f := &rolloutFleet{versionedFleet: newVersionedFleet(t, size)}
+	f.trial = &trial{fleet: f.versionedFleet, service: "model", to: newVersion, fault: fault, badAfter: badAfter}
+	f.rollout = rolloutBounds
+	f.pick = func(bool) *simulatedHost {
+		h := f.hosts[rand.IntN(len(f.hosts))]
+		if h.current.Load() != nil {
+			f.trial.arrive()
+		}
+		return h
+	}
+	if os.Getenv("ROLLOUT_LOG") != "" {
+		f.log = os.Stderr
+	}
+	return f
+}
+
+// trial is a roll-out as the operator and the platform see it, which it plays too.
+type trial struct {
+	fleet   *versionedFleet
+	service swid.ServiceID
+	to      swid.SoftwareVersion
 	// fault is how the new version answers from badAfter the order on.
 	fault    func() answerFault
 	badAfter time.Duration
@@ -44,105 +69,120 @@
 	ordered               bool
 	arrived, exposed, bad int
 	spentAt, lastSent     time.Time
-	decidedAt             time.Time
+	orderedAt, decidedAt  time.Time
 	state                 swrollout.State
-	orderedAt             time.Time
 }
 
-func newRolloutFleet(t *testing.T, size int, fault func() answerFault, badAfter time.Duration) *rolloutFleet {
-	f := &rolloutFleet{versionedFleet: newVersionedFleet(t, size), fault: fault, badAfter: badAfter}
-	f.rollout = rolloutBounds
-	f.pick = func(bool) *simulatedHost {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		h := f.hosts[rand.IntN(len(f.hosts))]
-		if f.ordered && h.current.Load() != nil {
-			f.arrived++
-		}
-		return h
-	}
-	if os.Getenv("ROLLOUT_LOG") != "" {
-		f.log = os.Stderr
+// arrive counts a request that reaches a host.
+func (r *trial) arrive() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ordered {
+		r.arrived++
 	}
-	return f
 }
 
-// observeStart counts a request that a new engine runs.
-func (f *rolloutFleet) observeStart(swid.SoftwareVersion) answerFault {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastSent = time.Now()
-	if f.ordered {
-		f.exposed++
+// observe counts a request that a target of the new version runs, and returns how it is answered.
+func (r *trial) observe(version swid.SoftwareVersion) answerFault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version != r.to {
+		return answerFault{}
+	}
+	r.lastSent = time.Now()
+	if r.ordered {
+		r.exposed++
 	}
 	var fault answerFault
-	if time.Since(f.orderedAt) >= f.badAfter {
-		fault = f.fault()
+	if time.Since(r.orderedAt) >= r.badAfter {
+		fault = r.fault()
 	}
 	if fault != (answerFault{}) {
-		if f.bad++; f.bad == badAnswers {
-			f.spentAt = time.Now()
+		if r.bad++; r.bad == badAnswers {
+			r.spentAt = time.Now()
 		}
 	}
 	return fault
 }
 
-// order writes the order, and starts the new engines a moment later.
-func (f *rolloutFleet) order() {
-	f.mu.Lock()
-	f.ordered, f.orderedAt = true, time.Now()
-	f.mu.Unlock()
-	f.deployment.store.rollouts.put("model", swcatalog.Rollout{Order: swrollout.Order{
-		ID: "1", Service: "model", To: newVersion, Duration: swclock.Millis(rolloutSpan / time.Millisecond),
+// order writes the order, and starts targets of the new version a moment later.
+func (r *trial) order(id swrollout.OrderID) []*versionedEngine {
+	r.mu.Lock()
+	r.ordered, r.orderedAt = true, time.Now()
+	r.mu.Unlock()
+	r.fleet.deployment.store.rollouts.put(string(r.service), swcatalog.Rollout{Order: swrollout.Order{
+		ID: id, Service: r.service, To: r.to, Duration: swclock.Millis(rolloutSpan / time.Millisecond),
 	}})
 	time.Sleep(500 * time.Millisecond)
-	for _, e := range f.join(newEngines, newVersion) {
-		e.observe = f.observeStart
+	joined := r.fleet.joinService(newEngines, r.service, r.to)
+	for _, e := range joined {
+		e.mu.Lock()
+		e.observe = r.observe
+		e.mu.Unlock()
 	}
+	return joined
+}
+
+// end ends the count of requests at the deadline.
+func (r *trial) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ordered = false
 }
 
 // operate carries out what the status of the order says, until ctx ends.
-func (f *rolloutFleet) operate(ctx context.Context) {
+func (r *trial) operate(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
-		f.deployment.store.mu.Lock()
-		state := f.deployment.store.rollouts.items["model"].Value.Record.State
-		f.deployment.store.mu.Unlock()
-		f.mu.Lock()
-		decided := state.Final() && !f.state.Final()
+		s := r.fleet.deployment.store
+		s.mu.Lock()
+		item := s.rollouts.items[string(r.service)].Value
+		s.mu.Unlock()
+		state := item.Record.State
+		r.mu.Lock()
+		decided := item.Order.To == r.to && state.Final() && !r.state.Final()
 		if decided {
-			f.state, f.decidedAt = state, time.Now()
+			r.state, r.decidedAt = state, time.Now()
 		}
-		f.mu.Unlock()
+		r.mu.Unlock()
 		switch {
 		case !decided:
 		case state == swrollout.StateCompleted:
-			f.stop("v1")
+			r.stop(func(v swid.SoftwareVersion) bool { return v != r.to })
 		default:
 			time.Sleep(time.Second)
-			f.stop(newVersion)
+			r.stop(func(v swid.SoftwareVersion) bool { return v == r.to })
 		}
 	}
 }
 
-// stop stops the engines of a version at once.
-func (f *rolloutFleet) stop(version swid.SoftwareVersion) {
-	f.versionedFleet.mu.Lock()
+// stop stops the targets of some versions at once.
+func (r *trial) stop(stops func(swid.SoftwareVersion) bool) {
+	f := r.fleet
+	f.mu.Lock()
 	engines := slices.Clone(f.engines)
-	f.versionedFleet.mu.Unlock()
+	f.mu.Unlock()
 	for _, e := range engines {
 		e.mu.Lock()
-		if e.version == version && !e.down {
+		stopped := stops(e.version) && f.deployment.store.serviceOf(string(e.id)) == r.service
+		if stopped && !e.down {
 			e.down = true
 			close(e.crashed)
 		}
 		e.mu.Unlock()
-		if e.version == version {
+		if stopped {
 			f.deployment.store.targets.remove(string(e.id))
 		}
 	}
 }
 
+// serviceOf returns the service of a target.
+func (s *fakeStore) serviceOf(target string) swid.ServiceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.items[target].Value.Service
+}
+
 // cutThird cuts the links between a third of the hosts, without the owner, and the others for a time.
 func (f *rolloutFleet) cutThird(span time.Duration) {
 	owner := f.owner()
@@ -246,19 +286,17 @@
 						defer stop()
 						var running sync.WaitGroup
 						running.Go(func() { f.sendStreams(ctx) })
-						running.Go(func() { f.operate(ctx) })
+						running.Go(func() { f.trial.operate(ctx) })
 						time.Sleep(2 * time.Second)
-						orderedAt := time.Now()
-						f.order()
-						time.Sleep(time.Until(orderedAt.Add(v.eventAfter)))
+						f.trial.order("1")
+						time.Sleep(time.Until(f.trial.orderedAt.Add(v.eventAfter)))
 						e.run(f)
-						time.Sleep(time.Until(orderedAt.Add(rolloutSpan)))
-						f.mu.Lock()
-						f.ordered = false
-						f.mu.Unlock()
+						time.Sleep(time.Until(f.trial.orderedAt.Add(rolloutSpan)))
+						f.trial.end()
 						running.Wait()
 						f.killAll()
-						f.check(t, orderedAt, v.sound, e.forgets)
+						f.trial.check(t, v.sound)
+						f.checkVersions(t, !v.sound || e.forgets)
 					})
 				})
 			}
@@ -267,26 +305,26 @@
 }
 
 // check checks the roll-out.
-func (f *rolloutFleet) check(t *testing.T, orderedAt time.Time, sound, forgets bool) {
-	bound := rolloutBounds.MaxShare*float64(f.arrived) + float64(rolloutBounds.Slack)
+func (r *trial) check(t *testing.T, sound bool) {
+	bound := rolloutBounds.MaxShare*float64(r.arrived) + float64(rolloutBounds.Slack)
 	last := time.Duration(0)
-	if !f.spentAt.IsZero() {
-		last = f.lastSent.Sub(f.spentAt)
+	if !r.spentAt.IsZero() {
+		last = r.lastSent.Sub(r.spentAt)
 	}
-	t.Logf("%v %v after the order; %d requests, exposure %d, bound %.0f; %d bad answers, last request %v after the 50th; %d calls of the store; begun %d of %d, mixed %d",
-		f.state, f.decidedAt.Sub(orderedAt), f.arrived, f.exposed, bound, f.bad, last, f.deployment.store.rolloutCalls, f.fresh.begun, f.fresh.sent, f.mixed)
+	decided := r.decidedAt.Sub(r.orderedAt)
+	t.Logf("%s: %v %v after the order; %d requests, exposure %d, bound %.0f; %d bad answers, last request %v after the 50th; %d calls of the store",
+		r.service, r.state, decided, r.arrived, r.exposed, bound, r.bad, last, r.fleet.deployment.store.rolloutCalls)
 	want := swrollout.StateRolledBack
 	if sound {
 		want = swrollout.StateCompleted
 	}
-	if f.state != want || f.decidedAt.After(orderedAt.Add(rolloutSpan)) {
-		t.Errorf("%v %v after the order, want %v within %v", f.state, f.decidedAt.Sub(orderedAt), want, rolloutSpan)
+	if r.state != want || decided > rolloutSpan {
+		t.Errorf("%s: %v %v after the order, want %v within %v", r.service, r.state, decided, want, rolloutSpan)
 	}
-	if !sound && float64(f.exposed) > bound {
-		t.Errorf("%d requests of %d reached a bad version, want at most %.0f", f.exposed, f.arrived, bound)
+	if !sound && float64(r.exposed) > bound {
+		t.Errorf("%s: %d requests of %d reached a bad version, want at most %.0f", r.service, r.exposed, r.arrived, bound)
 	}
 	if limit := rolloutBounds.RollbackWithin.Duration(); last > limit {
-		t.Errorf("a bad version got a request %v after its 50th bad answer, want at most %v", last, limit)
+		t.Errorf("%s: a bad version got a request %v after its 50th bad answer, want at most %v", r.service, last, limit)
 	}
-	f.checkVersions(t, !sound || forgets)
 }
