--- a/internal/node/swfleet/rollouts_test.go
+++ b/internal/node/swfleet/rollouts_test.go
@@ -328,3 +328,168 @@
 		t.Errorf("%s: a bad version got a request %v after its 50th bad answer, want at most %v", r.service, last, limit)
 	}
 }
+
+// sendPlain sends requests of the plain service until ctx ends, and counts them for its roll-out.
+func (f *rolloutFleet) sendPlain(ctx context.Context, r *trial, o *outcomes) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for ctx.Err() == nil {
+		h := f.hosts[rand.IntN(len(f.hosts))]
+		if h.current.Load() != nil {
+			r.arrive()
+			calls.Go(func() { f.sendCallTo(ctx, h, newCall("/plain/x", uniqueBody()), discardSink{}, o) })
+		}
+		time.Sleep(streamInterval)
+	}
+}
+
+// TestRolloutOrders guards against orders that disturb each other or the service, and against requests at a version whose order was
+// removed, replaced or cannot be carried out.
+func TestRolloutOrders(t *testing.T) {
+	sound := func() answerFault { return answerFault{} }
+	fails := func() answerFault { return answerFault{fails: rand.Float64() < 0.4} }
+	// pause is the time from an order to what happens to it, and settled the time after which that is in force.
+	const pause, settled = 8 * time.Second, time.Second
+	cases := []struct {
+		name string
+		run  func(t *testing.T, ctx context.Context, f *rolloutFleet)
+	}{
+		{"a plain service beside the engines, both fail", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.trial.fault = fails
+			f.playBeside(t, ctx, fails, false)
+		}},
+		{"a sound plain service beside engines that fail", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.trial.fault = fails
+			f.playBeside(t, ctx, sound, true)
+		}},
+		{"order removed", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.trial.order("1")
+			time.Sleep(pause)
+			f.deployment.store.rollouts.remove("model")
+			removed := time.Now()
+			<-ctx.Done()
+			if f.trial.exposed == 0 || f.trial.lastSent.Sub(removed) > settled {
+				t.Errorf("%d requests at the new version, the last one %v after its order was removed", f.trial.exposed, f.trial.lastSent.Sub(removed))
+			}
+		}},
+		{"order replaced", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.trial.order("1")
+			time.Sleep(pause)
+			replaced := time.Now()
+			next := &trial{fleet: f.versionedFleet, service: "model", to: "v3", fault: sound}
+			next.order("2")
+			next.operate(ctx)
+			if f.trial.lastSent.Sub(replaced) > settled {
+				t.Errorf("a request at the former version %v after its order was replaced", f.trial.lastSent.Sub(replaced))
+			}
+			next.check(t, true)
+		}},
+		{"order repeated after a roll-back", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.trial.fault = fails
+			f.trial.order("1")
+			operating, stop := context.WithCancel(ctx)
+			time.AfterFunc(pause, stop)
+			f.trial.operate(operating)
+			f.trial.check(t, false)
+			f.trial.state, f.trial.bad, f.trial.exposed, f.trial.arrived, f.trial.spentAt = 0, 0, 0, 0, time.Time{}
+			f.trial.fault = sound
+			f.trial.order("2")
+			f.trial.operate(ctx)
+			f.trial.check(t, true)
+		}},
+		{"no such version", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.deployment.store.rollouts.put("model", swcatalog.Rollout{Order: swrollout.Order{
+				ID: "1", Service: "model", To: "v9", Duration: swclock.Millis(pause / time.Millisecond),
+			}})
+			f.trial.to, f.trial.orderedAt = "v9", time.Now()
+			f.trial.operate(ctx)
+			f.trial.check(t, false)
+		}},
+		{"no such service", func(_ *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.deployment.store.rollouts.put("none", swcatalog.Rollout{Order: swrollout.Order{
+				ID: "1", Service: "none", To: "v9", Duration: swclock.Millis(pause / time.Millisecond),
+			}})
+			<-ctx.Done()
+		}},
+		{"engines crash", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			f.trial.order("1")
+			crashing, stop := context.WithTimeout(ctx, rolloutSpan/2)
+			defer stop()
+			go f.trial.operate(ctx)
+			f.crashEngines(crashing, engineCrashInterval, func(v swid.SoftwareVersion) swid.SoftwareVersion { return v }, 0)
+			<-ctx.Done()
+			f.trial.check(t, true)
+		}},
+		{"engines of the new version rejoin at the old one", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
+			joined := f.trial.order("1")
+			time.AfterFunc(pause, func() {
+				for _, e := range joined[:newEngines/4] {
+					e.crash("v1", 300*time.Millisecond)
+				}
+			})
+			f.trial.operate(ctx)
+			f.trial.check(t, true)
+		}},
+	}
+	for _, size := range sizesOf(15) {
+		for _, c := range cases {
+			t.Run(fmt.Sprint(size, " hosts, ", c.name), func(t *testing.T) {
+				clearPools()
+				synctest.Test(t, func(t *testing.T) {
+					defer clearPools()
+					f := newRolloutFleet(t, size, sound, 0)
+					f.startAll()
+					f.observe(4)
+					ctx, stop := context.WithTimeout(context.Background(), 2*time.Second+pause+rolloutSpan+rolloutLinger)
+					defer stop()
+					var running sync.WaitGroup
+					running.Go(func() { f.sendStreams(ctx) })
+					time.Sleep(2 * time.Second)
+					c.run(t, ctx, f)
+					running.Wait()
+					f.killAll()
+					f.checkVersions(t, true)
+				})
+			})
+		}
+	}
+}
+
+// playBeside plays a roll-out of the plain service beside one of the engines that fail.
+func (f *rolloutFleet) playBeside(t *testing.T, ctx context.Context, fault func() answerFault, sound bool) {
+	plain := &trial{fleet: f.versionedFleet, service: "plain", to: "p2", fault: fault}
+	var o outcomes
+	var running sync.WaitGroup
+	running.Go(func() { f.sendPlain(ctx, plain, &o) })
+	running.Go(func() { f.trial.operate(ctx) })
+	running.Go(func() { plain.operate(ctx) })
+	f.trial.order("1")
+	plain.order("2")
+	running.Wait()
+	f.trial.check(t, false)
+	plain.check(t, sound)
+	t.Logf("%d of %d plain requests answered", o.answered, o.sent)
+	if float64(o.answered) < minServed*float64(o.sent) {
+		t.Errorf("%d of %d plain requests answered", o.answered, o.sent)
+	}
+}
+
+// TestRolloutsNotInForce guards against calls of the store, and requests kept from a version, where roll-outs are not in force.
+func TestRolloutsNotInForce(t *testing.T) {
+	clearPools()
+	synctest.Test(t, func(t *testing.T) {
+		defer clearPools()
+		f := newRolloutFleet(t, 15, func() answerFault { return answerFault{} }, 0)
+		f.rollout = swsettings.Rollout{}
+		f.startAll()
+		f.observe(4)
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		defer stop()
+		f.trial.order("1")
+		f.sendStreams(ctx)
+		f.killAll()
+		if calls := f.deployment.store.rolloutCalls; calls > 0 || f.trial.exposed < f.trial.arrived/4 {
+			t.Errorf("%d calls of the store; %d of %d requests at the new version", calls, f.trial.exposed, f.trial.arrived)
+		}
+	})
+}
