Export roll-outs as metrics, make no write while the store is away, and check that completion cuts nothing

Cause: an owner tried to write each 100 ms while the store was away (172 to 194 calls a roll-out), and logged each.

--- a/internal/node/swfleet/rollouts_test.go
+++ b/internal/node/swfleet/rollouts_test.go
@@ -71,6 +71,8 @@
 	spentAt, lastSent     time.Time
 	orderedAt, decidedAt  time.Time
 	state                 swrollout.State
+	// cut counts the requests that ran at targets of the old versions when these stopped.
+	cut int64
 }
 
 // arrive counts a request that reaches a host.
@@ -166,6 +168,9 @@
 		e.mu.Lock()
 		stopped := stops(e.version) && f.deployment.store.serviceOf(string(e.id)) == r.service
 		if stopped && !e.down {
+			if e.version != r.to {
+				r.cut += e.running.Load()
+			}
 			e.down = true
 			close(e.crashed)
 		}
@@ -324,6 +329,9 @@
 	if !sound && float64(r.exposed) > bound {
 		t.Errorf("%s: %d requests of %d reached a bad version, want at most %.0f", r.service, r.exposed, r.arrived, bound)
 	}
+	if r.cut > 0 {
+		t.Errorf("%s: %d requests were cut off at the completion", r.service, r.cut)
+	}
 	if limit := rolloutBounds.RollbackWithin.Duration(); last > limit {
 		t.Errorf("%s: a bad version got a request %v after its 50th bad answer, want at most %v", r.service, last, limit)
 	}
--- a/internal/node/swfleet/streamversions_test.go
+++ b/internal/node/swfleet/streamversions_test.go
@@ -58,6 +58,8 @@
 	crashed chan struct{}
 	// observe, if not nil, is called with each request that the engine runs, and returns how it answers.
 	observe func(version swid.SoftwareVersion) answerFault
+	// running is the number of streams that run.
+	running atomic.Int64
 }
 
 // answerFault is how an engine answers a request. Its zero value is sound.
@@ -93,7 +95,8 @@
 	if fault.fails {
 		return &failedAnswer{}, nil
 	}
-	return &versionedAnswer{ctx: ctx, version: v.version, crashed: v.crashed, received: received, first: true, fault: fault}, nil
+	v.running.Add(1)
+	return &versionedAnswer{ctx: ctx, engine: v, version: v.version, crashed: v.crashed, received: received, first: true, fault: fault}, nil
 }
 
 // crash ends all runs. The engine is back after downTime, at a version, and its entry is written after a
@@ -134,6 +137,7 @@
 // versionedAnswer is a stream of a versionedEngine. It implements swtarget.Answer.
 type versionedAnswer struct {
 	ctx      context.Context
+	engine   *versionedEngine
 	version  swid.SoftwareVersion
 	crashed  chan struct{}
 	received int
@@ -145,7 +149,15 @@
 func (*versionedAnswer) Header() http.Header          { return nil }
 func (*versionedAnswer) Statement() swlimit.Statement { return swlimit.Statement{} }
 func (*versionedAnswer) Usage() swtarget.Usage        { return swtarget.Usage{} }
-func (*versionedAnswer) Close() error                 { return nil }
+
+// Close implements swtarget.Answer.
+func (a *versionedAnswer) Close() error {
+	if a.engine != nil {
+		a.engine.running.Add(-1)
+		a.engine = nil
+	}
+	return nil
+}
 
 func (a *versionedAnswer) Next() (swtarget.Chunk, error) {
 	if a.received == longStreamEvents {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -281,7 +281,9 @@
 	h.configureMu.Lock()
 	defer h.configureMu.Unlock()
 	h.exchange = swexchange.New(h.self)
-	h.rollouts = h.newRolloutKeeper()
+	if h.rollouts = h.newRolloutKeeper(); h.rollouts != nil {
+		h.registry.MustRegister(newRolloutCollector(h.rollouts))
+	}
 	h.network = swlink.New(swlink.Config{
 		Self: h.self, Address: h.settings.Peer.Address, ProbeInterval: h.settings.Peer.Heartbeat,
 		KeepAlive: linkKeepAlive, ServeStream: func(peer swlink.Peer, stream net.Conn) { h.carrying.Serve(peer.Host, stream) },
--- a/internal/owner/swrolloutkeeper/keeper.go
+++ b/internal/owner/swrolloutkeeper/keeper.go
@@ -74,7 +74,9 @@
 
 	// refreshing is set while the orders are being listed.
 	refreshing atomic.Bool
-	calls      conc.WaitGroup
+	// failures counts the writes that failed.
+	failures atomic.Uint64
+	calls    conc.WaitGroup
 }
 
 // Process identifies a process of a host.
@@ -271,6 +273,9 @@
 // IsOpen reports whether there is an order for a service that is not decided yet.
 func (k *Keeper) IsOpen(service swid.ServiceID) bool { return k.Service(service).isOpen() }
 
+// FailedWrites returns the number of writes to the store that failed.
+func (k *Keeper) FailedWrites() uint64 { return k.failures.Load() }
+
 // Evidence returns what is known of each order.
 func (k *Keeper) Evidence() []swrollout.Evidence {
 	now := k.config.Clock.Now()
@@ -293,8 +298,12 @@
 	}
 }
 
-// write writes a record. If that fails, the orders are listed again: another owner may have written one.
+// write writes a record, unless the store cannot be reached. If that fails, the orders are listed again: another owner may have written one.
 func (k *Keeper) write(ctx context.Context, w *pendingWrite) {
+	if !k.config.Reachable() {
+		w.service.written(w, 0, swobject.ErrUnavailable, k.config.Clock.Now())
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	revision, err := k.config.Write(call, w.name, w.record, w.expected)
@@ -302,5 +311,6 @@
 	if err == nil && revision != 0 || ctx.Err() != nil {
 		return
 	}
+	k.failures.Add(1)
 	k.refresh(ctx)
 }
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -39,6 +39,8 @@
 	// logged is the state and moving that were last logged as written.
 	logged      swrollout.State
 	loggedMoved bool
+	// failing is set while writes fail.
+	failing bool
 	// versions has the versions of the listed targets. abandoned is the version of a former order that was not found sound; it is
 	// meaningless unless hasAbandoned is set.
 	versions     map[swid.SoftwareVersion]*listedVersion
@@ -299,14 +301,18 @@
 	}
 	if err != nil {
 		s.rollout.WriteFailed(now)
+		if s.failing {
+			return
+		}
+		s.failing = true
 		s.log().Err(err).Str("state", w.record.State.String()).Uint64("expected", uint64(w.expected)).Msg("record of a roll-out not written")
 		return
 	}
 	s.revision = max(revision, s.revision)
 	s.rollout.Stored(w.record, now)
 	s.refreshState(now)
-	if w.record.State != s.logged || w.record.Moving != s.loggedMoved {
-		s.logged, s.loggedMoved = w.record.State, w.record.Moving
+	if w.record.State != s.logged || w.record.Moving != s.loggedMoved || s.failing {
+		s.logged, s.loggedMoved, s.failing = w.record.State, w.record.Moving, false
 		s.log().Str("state", w.record.State.String()).Bool("moving", w.record.Moving).Uint64("reserved", w.record.Reserved).
 			Uint64("requests", w.record.Requests).Uint64("answers", w.record.Answers).Uint64("bad", w.record.Bad).
 			Uint64("revision", uint64(revision)).Msg("record of a roll-out written")
