--- a/internal/node/swfleet/outofstep_test.go
+++ b/internal/node/swfleet/outofstep_test.go
@@ -167,21 +167,37 @@
 	store *fakeStore
 }
 
-func (c countedRollouts) count() {
+// count returns an error while the orders are hidden.
+func (c countedRollouts) count() error {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	c.store.rolloutCalls++
+	if c.store.rolloutsHidden {
+		return errUnavailable
+	}
+	return nil
+}
+
+// hideRollouts makes calls for orders fail, or answers them again.
+func (s *fakeStore) hideRollouts(hidden bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rolloutsHidden = hidden
 }
 
 // List implements swwatch.Source.
 func (c countedRollouts) List(ctx context.Context) (swwatch.Listing[swcatalog.Rollout], error) {
-	c.count()
+	if err := c.count(); err != nil {
+		return swwatch.Listing[swcatalog.Rollout]{}, err
+	}
 	return c.Source.List(ctx)
 }
 
 // Watch implements swwatch.Source.
 func (c countedRollouts) Watch(ctx context.Context, after swwatch.Revision, wait swclock.Millis) (swwatch.Changes[swcatalog.Rollout], error) {
-	c.count()
+	if err := c.count(); err != nil {
+		return swwatch.Changes[swcatalog.Rollout]{}, err
+	}
 	return c.Source.Watch(ctx, after, wait)
 }
 
--- a/internal/node/swfleet/rollouts.go
+++ b/internal/node/swfleet/rollouts.go
@@ -24,6 +24,8 @@
 const (
 	// rolloutWait is the longest time that a watch of the orders waits for a change.
 	rolloutWait = 15 * swclock.Second
+	// rolloutRetryPause is the pause after a failed call for the orders.
+	rolloutRetryPause = 500 * swclock.Millis(1)
 	// kindRollouts is the name of the kind in the log.
 	kindRollouts = "rollouts"
 	// maxOutcomes is the number of answers that a host keeps of all services for a new owner, and outcomeLifetime is for how long.
@@ -54,7 +56,7 @@
 	if h.rollouts == nil {
 		return
 	}
-	config.PeerWait = 0
+	config.PeerWait, config.RetryPause = 0, rolloutRetryPause
 	h.rollouts.Follow(swwatch.NewFollower(config, h.platform.Rollouts(), h.rollouts.Changed))
 }
 
--- a/internal/node/swfleet/rollouts_test.go
+++ b/internal/node/swfleet/rollouts_test.go
@@ -255,6 +255,12 @@
 			}()
 			f.restartAll()
 		}},
+		{name: "all hosts killed, orders listed late", run: func(f *rolloutFleet) {
+			f.deployment.store.hideRollouts(true)
+			f.restartAll()
+			time.Sleep(15 * time.Second)
+			f.deployment.store.hideRollouts(false)
+		}},
 		{name: "a third cut off", run: func(f *rolloutFleet) { f.cutThird(10 * time.Second) }},
 		{name: "store away", run: func(f *rolloutFleet) {
 			f.deployment.store.setUnavailable(true)
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -55,6 +55,8 @@
 	rollouts fakeSource[swcatalog.Rollout]
 	// rolloutCalls counts the calls for rollouts.
 	rolloutCalls int
+	// rolloutsHidden makes lists and watches of rollouts fail.
+	rolloutsHidden bool
 	// values and streams are the hosts' own objects.
 	values, streams fakeSource[[]byte]
 	// era counts the calls of setBack. calls counts those for values and streams.
--- a/internal/owner/swrolloutkeeper/keeper.go
+++ b/internal/owner/swrolloutkeeper/keeper.go
@@ -28,7 +28,7 @@
 	// callTimeout bounds one call of the store.
 	callTimeout = 1500 * swclock.Millis(1)
 	// refreshInterval is the least time between two listings of the orders that a newly listed version needs.
-	refreshInterval = 250 * swclock.Millis(1)
+	refreshInterval = 500 * swclock.Millis(1)
 )
 
 // Follower keeps a copy of the orders. swwatch.Follower implements it.
--- a/internal/store/swwatch/follower.go
+++ b/internal/store/swwatch/follower.go
@@ -45,6 +45,8 @@
 	// ChangePause is the pause between a change and the next watch, so that changes in
 	// quick succession are fetched with few calls.
 	ChangePause swclock.Millis
+	// RetryPause is the pause after a failed call, for objects whose calls may fail while others are answered.
+	RetryPause swclock.Millis
 	// MissingGrace is how long an object that is missing after an outage of the store, or after it was
 	// set back, is still held.
 	MissingGrace swclock.Millis
@@ -135,6 +137,7 @@
 			// return late.
 			f.config.Health.recordFailure(f.config.Kind, err)
 			listed = false
+			sleep(ctx, f.config.RetryPause)
 		}
 	}
 }
