Show roll-outs with their evidence in swctl

Cause: an operator can't see what a roll-out waits for: the answers by version and route, the exposure used and allowed. Change: swadmin.NewRolloutsHandler serves the evidence of a host as JSON at /rollouts, with names of routes and the exposure that the bounds allow for the requests so far; swctl rollouts prints it for one host or several, of which one without an answer hides no other. swfleet does not serve the path yet.

--- a/internal/operator/swclient/swclient.go
+++ b/internal/operator/swclient/swclient.go
@@ -1,6 +1,6 @@
 // Package swclient implements swctl, the operators' command line. It validates,
-// compares and applies environment documents, shows the state of hosts, drains
-// hosts and targets, sends orders to engines and prints events.
+// compares and applies environment documents, shows the state of hosts and of
+// roll-outs, drains hosts and targets, sends orders to engines and prints events.
 package swclient
 
 import (
@@ -60,6 +60,7 @@
 		{"drain", "target|host ID", (*session).drain},
 		{"undrain", "target|host ID", (*session).undrain},
 		{"order", "TARGET load-model|load-adapter|set-role ARGUMENT [VERSION]", (*session).order},
+		{"rollouts", "[URL ...]", (*session).rollouts},
 		{"follow", "[-count N]", (*session).follow},
 	}
 }
--- a/internal/operator/swclient/swclient_test.go
+++ b/internal/operator/swclient/swclient_test.go
@@ -44,6 +44,7 @@
 				e.Setenv(name, server.URL)
 				e.Values[name] = store
 			}
+			serveRollouts(e)
 			return os.WriteFile(e.WorkDir+"/example.yaml", swexample.Document(), 0o600)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
