Let stand-in engines and plain services play software versions

Cause: nothing plays a roll-out: the stand-ins had no software versions, and their faults hit every answer until they are switched off. Change: swversion decides which answers of a version are bad (fail, are cut off or take several times as long), by share, time since the start, load and path, evenly and alike at each run. swengine and swplain play it; the keys version and badness are checked with their line. The test's client of swplain uses a connection a call: http.Client repeats one with an idempotency key on a kept connection, which ran two calls twice in the first run of the new test.

--- a/internal/stand/swengine/answer.go
+++ b/internal/stand/swengine/answer.go
@@ -55,7 +55,7 @@
 		swreply.Error(w, http.StatusBadRequest, "header", err.Error())
 		return
 	}
-	started, ok := e.startRun(c, id, swid.Attempt(attempt))
+	started, ok := e.startRun(c, r.URL.Path, id, swid.Attempt(attempt))
 	if !ok {
 		w.Header().Set("Retry-After", "1")
 		swreply.Error(w, http.StatusTooManyRequests, "queue_full", "not run: the queue is full")
@@ -92,6 +92,10 @@
 	defer o.release()
 	o.source = e.source(run)
 	o.delay(kindLateAnswers)
+	if run.effect.Fails {
+		o.fail()
+		return
+	}
 	w.Header().Set(headerRequestID, string(o.source.id))
 	if run.call.stream {
 		o.stream()
@@ -233,7 +237,7 @@
 		p = o.progress()
 	}
 	o.engine.faults.BlockResponse(o.ctx, o.r)
-	if _, ok := o.engine.faults.Trigger(kindCutAfter); ok {
+	if _, ok := o.engine.faults.Trigger(kindCutAfter); ok || o.run.effect.Cut {
 		o.endedByEngine = true
 		panic(http.ErrAbortHandler)
 	}
@@ -251,6 +255,15 @@
 	o.finish(body)
 }
 
+// fail answers with an error once the request has run.
+func (o *response) fail() {
+	for p := o.progress(); p.state != runEnded; p = o.progress() {
+		o.wait(p)
+	}
+	o.endedByEngine = true
+	swreply.Error(o.w, http.StatusInternalServerError, "failed", "the request ran and failed")
+}
+
 // finish sends the last bytes of an answer and records its delivery once they are flushed.
 func (o *response) finish(last []byte) {
 	if _, err := o.w.Write(last); err != nil {
--- a/internal/stand/swengine/batch.go
+++ b/internal/stand/swengine/batch.go
@@ -96,7 +96,7 @@
 	rate := b.config.PrefillRate * b.config.TimeScale
 	needed := 0.0
 	for _, s := range b.running {
-		needed += s.remaining
+		needed += s.remaining * s.slowdown
 	}
 	maxCarry := rate / float64(swclock.Second)
 	b.prefillCredit = min(b.prefillCredit+b.config.PrefillRate*seconds, max(needed, maxCarry))
@@ -110,8 +110,8 @@
 		if s.remaining == 0 {
 			continue
 		}
-		done := min(s.remaining, b.prefillCredit)
-		b.prefillCredit -= done
+		done := min(s.remaining, b.prefillCredit/s.slowdown)
+		b.prefillCredit -= done * s.slowdown
 		s.remaining -= done
 		s.prefilled += done
 		if s.remaining > 0 {
@@ -138,7 +138,7 @@
 			continue
 		}
 		before := s.outputTokens()
-		s.produced = min(s.produced+tokens, float64(s.output))
+		s.produced = min(s.produced+tokens/s.slowdown, float64(s.output))
 		if s.outputTokens() > before {
 			progressed = append(progressed, s)
 		}
@@ -154,6 +154,8 @@
 	cached swid.Tokens
 	// output is the length of the answer.
 	output int
+	// slowdown is how many times as long the sequence takes; at least 1.
+	slowdown float64
 	// remaining and prefilled count the prompt tokens still to prefill and those prefilled.
 	remaining float64
 	prefilled float64
--- a/internal/stand/swengine/config.go
+++ b/internal/stand/swengine/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swversion"
 )
 
 // Config describes one engine. Zero fields take the defaults below.
@@ -49,6 +50,8 @@
 	EnforceFencing bool
 	// CallerToken is the bearer token that orders must carry; if empty, orders are not checked.
 	CallerToken string
+	// Version is the software version that the engine plays. It is sound if it has no Badness.
+	Version swversion.Version
 }
 
 // Defaults of Config.
--- a/internal/stand/swengine/engine.go
+++ b/internal/stand/swengine/engine.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swversion"
 )
 
 // expiryInterval is the time between two checks for runs whose retention has ended, or
@@ -28,6 +29,7 @@
 	log     zerolog.Logger
 	faults  *swfault.Set
 	handler http.Handler
+	version *swversion.Player
 
 	lifetime context.Context
 	stop     context.CancelFunc
@@ -75,6 +77,7 @@
 		o(e)
 	}
 	e.batch = &batch{config: c, cache: e.cache}
+	e.version = swversion.NewPlayer(c.Version, e.clock)
 	e.faults = swfault.NewSet(e.clock, e.onFaultAdded, faultKinds...)
 	e.lifetime, e.stop = context.WithCancel(context.Background())
 	e.process, e.endProcess = context.WithCancel(e.lifetime)
@@ -182,8 +185,8 @@
 	r.broadcast()
 }
 
-// startRun queues a run of a call and reports whether the queue had room.
-func (e *Engine) startRun(c call, id swid.RequestID, attempt swid.Attempt) (*run, bool) {
+// startRun queues a run of a call for a path and reports whether the queue had room.
+func (e *Engine) startRun(c call, path string, id swid.RequestID, attempt swid.Attempt) (*run, bool) {
 	r := &run{call: c, id: id, attempt: attempt, changed: make(chan struct{})}
 	r.sequence = &sequence{
 		hashes: swprompt.BlockHashes(c.prompt),
@@ -195,6 +198,8 @@
 		e.mu.Unlock()
 		return nil, false
 	}
+	r.effect = e.version.Next(swversion.Request{Path: path, Running: len(e.batch.running) + len(e.batch.waiting), Slots: e.config.Slots})
+	r.sequence.slowdown = max(r.effect.Slowdown, 1)
 	r.record = e.tally.startRun(recordKey{id: id, attempt: attempt, hash: c.hash()})
 	e.runs[id] = r
 	e.bySequence[r.sequence] = r
--- a/internal/stand/swengine/engine_test.go
+++ b/internal/stand/swengine/engine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swanswer"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swversion"
 )
 
 // waitTimeout bounds each wait in these tests.
@@ -161,6 +163,68 @@
 	}
 }
 
+// TestVersions plays software versions of which each answer is bad, and one of which none is.
+func TestVersions(t *testing.T) {
+	bad := func(kind swversion.Kind) swversion.Version {
+		return swversion.Version{Name: "v2", Badness: swversion.Badness{Kind: kind, Share: 1, Factor: 3}}
+	}
+	tests := []struct {
+		name    string
+		version swversion.Version
+		// status is that of each answer, and whole is set if the stream is.
+		status int
+		whole  bool
+	}{
+		{"sound", swversion.Version{Name: "v2"}, http.StatusOK, true},
+		{"fails", bad(swversion.KindFails), http.StatusInternalServerError, false},
+		{"cuts", bad(swversion.KindCuts), http.StatusOK, false},
+		{"slow", bad(swversion.KindSlow), http.StatusOK, true},
+		{"fails at another path", swversion.Version{Badness: swversion.Badness{Kind: swversion.KindFails, Share: 1, Path: "/v1/chat"}}, http.StatusOK, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			config := fastConfig
+			config.Version = tt.version
+			_, url := startEngine(t, config)
+			got := postCompletion(t, url, "r1", streamedRequest, "")
+			whole := got.terminal && got.text == swanswer.Text("hello", 8)
+			if got.status != tt.status || whole != tt.whole {
+				t.Errorf("streamed answer %+v", got)
+			}
+			if tt.version.Badness.Kind == swversion.KindCuts {
+				rest := postCompletion(t, url, "r1", streamedRequest, strconv.Itoa(got.events))
+				if got.events == 0 || !rest.terminal || got.text+rest.text != swanswer.Text("hello", 8) {
+					t.Errorf("continued answer %+v after %+v", rest, got)
+				}
+			}
+			got = postCompletion(t, url, "r2", wholeRequest, "")
+			if cut := got.err != nil && got.status == 0; cut != (tt.version.Badness.Kind == swversion.KindCuts) || !cut && got.status != tt.status {
+				t.Errorf("whole answer %+v", got)
+			}
+		})
+	}
+}
+
+// TestSlowSequence checks that a slow sequence takes its factor of steps, and another one beside it as many as alone.
+func TestSlowSequence(t *testing.T) {
+	b := &batch{config: Config{Slots: 2, PrefillRate: 1000, DecodeRate: 100, TimeScale: 1}.withDefaults(), cache: newPrefixCache(Config{}.withDefaults())}
+	sound, slow := &sequence{prompt: 1, output: 11, slowdown: 1}, &sequence{prompt: 1, output: 11, slowdown: 4}
+	b.submit(sound)
+	b.submit(slow)
+	ends := make(map[*sequence]swclock.Millis)
+	for now := swclock.Millis(10); now < 10*swclock.Second && !b.idle(); now += 10 {
+		b.step(now, 1)
+		for _, s := range []*sequence{sound, slow} {
+			if _, ended := ends[s]; s.finished() && s.produced > 0 && !ended {
+				ends[s] = now
+			}
+		}
+	}
+	if ends[sound] == 0 || ends[slow] < 3*ends[sound] || ends[slow] > 5*ends[sound] {
+		t.Errorf("the sound sequence ended at %d ms, the slow one at %d ms", ends[sound], ends[slow])
+	}
+}
+
 func addFault(t *testing.T, e *Engine, f swfault.Fault) {
 	t.Helper()
 	if err := e.Faults().Add(f); err != nil {
--- a/internal/stand/swengine/run.go
+++ b/internal/stand/swengine/run.go
@@ -4,6 +4,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swanswer"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swversion"
 )
 
 // runState is the stage of a run.
@@ -25,6 +26,9 @@
 	sequence *sequence
 	record   *record
 
+	// effect is what the engine's software version does to the answer.
+	effect swversion.Effect
+
 	state runState
 	// changed is closed and replaced whenever tokens were generated or the state changed. A
 	// crash ends the contexts of the responses instead.
--- a/internal/stand/swengine/settings.go
+++ b/internal/stand/swengine/settings.go
@@ -4,6 +4,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swyaml"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swversion"
 )
 
 // Upper bounds of settings.
@@ -47,6 +48,7 @@
 	c.EventLoss = int(o.Optional("eventLoss").Int(0, 0, maxEvents))
 	c.Retention = o.Optional("retention").Span(defaultRetention, 1, maxDuration)
 	c.EnforceFencing = o.Optional("honoursFencing").Bool(false)
+	c.Version = swversion.MapVersion(o)
 	if v := o.Optional("callerToken"); v.Present() {
 		c.CallerToken = v.Text("", "a bearer token", func(s string) bool { return s != "" })
 	}
--- a/internal/stand/swengine/stream.go
+++ b/internal/stand/swengine/stream.go
@@ -19,6 +19,9 @@
 		return
 	}
 	limit, cut := o.eventLimit(kindCutAfter)
+	if o.run.effect.Cut && o.sent == 0 {
+		limit, cut = o.run.call.eventCount()/2, true
+	}
 	truncated := false
 	if !cut {
 		limit, truncated = o.eventLimit(kindTruncate)
--- a/internal/stand/swmain/swmain_test.go
+++ b/internal/stand/swmain/swmain_test.go
@@ -30,6 +30,8 @@
 		{"no address", []string{"engine"}, "", "-address"},
 		{"unknown key", []string{"engine", "-address", "127.0.0.1:0"}, "slots: 4\nslotz: 5\n", "settings.yaml:2: slotz: unknown key"},
 		{"wrong value", []string{"plain", "-address", "127.0.0.1:0"}, "serviceTime: 5\n", "settings.yaml:1: serviceTime: "},
+		{"badness of an engine", []string{"engine", "-address", "127.0.0.1:0"}, "version: v2\nbadness: {kind: slow, share: 2}\n", "settings.yaml:2: badness.share: "},
+		{"badness of a plain service", []string{"plain", "-address", "127.0.0.1:0"}, "badness: {share: 1}\n", "settings.yaml:1: badness.kind: the key is missing"},
 		{"host without zone", []string{"platform", "-address", "127.0.0.1:0"}, "hosts:\n  - {id: a, region: r, address: 127.0.0.1:1}\n", "hosts[0].zone: the key is missing"},
 	}
 	for _, test := range tests {
--- a/internal/stand/swplain/swplain.go
+++ b/internal/stand/swplain/swplain.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
 	"github.com/sassafraswing/sassafraswing/internal/stand/swreply"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swversion"
 )
 
 // Headers of the service.
@@ -31,6 +32,10 @@
 type Config struct {
 	// ServiceTime is how long each call takes.
 	ServiceTime swclock.Millis
+	// Slots is the number of calls at which the service is fully loaded; it runs more.
+	Slots int
+	// Version is the software version that the service plays. It is sound if it has no Badness.
+	Version swversion.Version
 }
 
 // Option configures a Service in New.
@@ -48,6 +53,8 @@
 	clock  swclock.Clock
 	log    zerolog.Logger
 	faults *swfault.Set
+	// version decides which answers are bad.
+	version *swversion.Player
 
 	lifetime context.Context
 	stop     context.CancelFunc
@@ -60,7 +67,9 @@
 	endProcess context.CancelFunc
 	// sequence is the number of the latest call that ran, counted from 1.
 	sequence int64
-	counts   Counts
+	// running is the number of calls that run.
+	running int
+	counts  Counts
 }
 
 // Counts holds how often calls ran. A crash fault does not reset it.
@@ -81,6 +90,7 @@
 	for _, o := range options {
 		o(s)
 	}
+	s.version = swversion.NewPlayer(c.Version, s.clock)
 	s.faults = swfault.NewSet(s.clock, s.onFaultAdded, swfault.KindFreeze, swfault.KindCrash,
 		swfault.KindSlow, swfault.KindSilence, swfault.KindRefuse, KindDropAnswer)
 	s.lifetime, s.stop = context.WithCancel(context.Background())
@@ -161,11 +171,16 @@
 		return
 	}
 	id := r.Header.Get(headerRequestID)
-	sequence := s.countCall(id, r.Header.Get(headerIdempotencyKey))
-	s.simulateWork(ctx)
-	if _, ok := s.faults.Trigger(KindDropAnswer); ok {
+	sequence, effect := s.startCall(r.URL.Path, id, r.Header.Get(headerIdempotencyKey))
+	defer s.endCall()
+	s.simulateWork(ctx, max(effect.Slowdown, 1))
+	if _, ok := s.faults.Trigger(KindDropAnswer); ok || effect.Cut {
 		panic(http.ErrAbortHandler)
 	}
+	if effect.Fails {
+		swreply.Error(w, http.StatusInternalServerError, "failed", "the call ran and failed")
+		return
+	}
 	s.faults.BlockResponse(ctx, r)
 	w.Header().Set(headerRequestID, id)
 	swreply.JSON(w, http.StatusOK, echoBody{
@@ -177,22 +192,29 @@
 	})
 }
 
-// countCall counts a call that runs and returns its sequence number.
-func (s *Service) countCall(id, key string) int64 {
+// startCall counts a call that runs and returns its sequence number, and what the software version does to its answer.
+func (s *Service) startCall(path, id, key string) (int64, swversion.Effect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
+	s.running++
 	s.counts.ByRequest[id]++
 	if key != "" {
 		s.counts.ByKey[key]++
 	}
-	return s.sequence
+	return s.sequence, s.version.Next(swversion.Request{Path: path, Running: s.running, Slots: s.config.Slots})
+}
+
+func (s *Service) endCall() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
 }
 
-// simulateWork waits for the processing time of a call, which the slow fault extends.
+// simulateWork waits for slowdown times the processing time of a call, which the slow fault extends.
 // It aborts the connection if ctx ends first; the call stays counted.
-func (s *Service) simulateWork(ctx context.Context) {
-	span := s.config.ServiceTime.Duration()
+func (s *Service) simulateWork(ctx context.Context, slowdown float64) {
+	span := time.Duration(float64(s.config.ServiceTime.Duration()) * slowdown)
 	if f, ok := s.faults.Get(swfault.KindSlow); ok && f.Factor > 0 {
 		span = time.Duration(float64(span)*f.Factor) + f.Delay.Duration()
 	}
--- a/internal/stand/swplain/swplain_test.go
+++ b/internal/stand/swplain/swplain_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/sassafraswing/sassafraswing/internal/stand/swfault"
+	"github.com/sassafraswing/sassafraswing/internal/stand/swversion"
 )
 
 func post(t *testing.T, url, id, key string) (int, string) {
@@ -16,6 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	request.Close = true // http.Client repeats a call with an idempotency key that a kept connection loses
 	request.Header.Set(headerRequestID, id)
 	request.Header.Set(headerIdempotencyKey, key)
 	response, err := http.DefaultClient.Do(request)
@@ -66,3 +69,37 @@
 		})
 	}
 }
+
+// TestVersions plays software versions of which answers are bad.
+func TestVersions(t *testing.T) {
+	tests := []struct {
+		name    string
+		badness swversion.Badness
+		// statuses are those of four calls, 0 for one that is cut off.
+		statuses [4]int
+	}{
+		{"sound", swversion.Badness{}, [4]int{200, 200, 200, 200}},
+		{"half fail", swversion.Badness{Kind: swversion.KindFails, Share: 0.5}, [4]int{200, 500, 200, 500}},
+		{"half are cut", swversion.Badness{Kind: swversion.KindCuts, Share: 0.5}, [4]int{200, 0, 200, 0}},
+		{"slow", swversion.Badness{Kind: swversion.KindSlow, Share: 1, Factor: 2}, [4]int{200, 200, 200, 200}},
+		{"fail at another path", swversion.Badness{Kind: swversion.KindFails, Share: 1, Path: "/reads/"}, [4]int{200, 200, 200, 200}},
+		{"fail under load only", swversion.Badness{Kind: swversion.KindFails, Share: 1, MinLoad: 0.5}, [4]int{200, 200, 200, 200}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(Config{ServiceTime: 1, Slots: 4, Version: swversion.Version{Name: "v2", Badness: tt.badness}})
+			server := httptest.NewServer(s.Handler())
+			defer server.Close()
+			defer s.Close()
+			for i, want := range tt.statuses {
+				id := strconv.Itoa(i)
+				if status, _ := post(t, server.URL, id, id); status != want {
+					t.Errorf("call %d: status %d, want %d", i, status, want)
+				}
+				if got := s.Counts().ByKey[id]; got != 1 {
+					t.Errorf("call %d ran %d times", i, got)
+				}
+			}
+		})
+	}
+}
