Play roll-outs: a stand-in for a site of the operator platform

Cause: the stand-ins speak the project's own protocols. Nothing of ours had a store with status and revisions, servers of several versions that register there, or the operator who starts and stops them; roll-outs exist only on the operator platform. Change: platform/swsite has the store, the servers, the operator (old servers stop at once at completed, new ones drain some time after rolled_back) and callers, on loopback addresses. "sassafraswing dev -rollout VERSION" runs it with three hosts in one process and prints the course of an order; "swstand site" runs it for hosts that are started apart. swmain takes further kinds of stand-ins, as swcommand takes the function that shows a roll-out, since only packages under platform/ know the platform's words.

--- a/cmd/sassafraswing/main.go
+++ b/cmd/sassafraswing/main.go
@@ -6,8 +6,9 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/node/swcommand"
 	"github.com/sassafraswing/sassafraswing/platform"
+	"github.com/sassafraswing/sassafraswing/platform/swsite"
 )
 
 func main() {
-	os.Exit(swcommand.Main(os.Args[1:], os.Stdout, os.Stderr, swcommand.Adapters{platform.AdapterName: platform.New}))
+	os.Exit(swcommand.Main(os.Args[1:], os.Stdout, os.Stderr, swcommand.Adapters{platform.AdapterName: platform.New}, swsite.RunRollout))
 }
--- a/internal/node/swcommand/swcommand.go
+++ b/internal/node/swcommand/swcommand.go
@@ -32,6 +32,7 @@
 const usage = `Usage:
   sassafraswing -settings FILE [-check]   run the daemon, or only check its settings
   sassafraswing dev                       run one host with stand-ins for all else
+  sassafraswing dev -rollout VERSION      show a roll-out on three hosts with stand-ins for all else
   sassafraswing -version                  print the version
 `
 
@@ -39,20 +40,23 @@
 // adapters. Each adapter connects the daemon to one kind of operators' platform.
 type Adapters map[string]swfleet.Factory
 
+// ShowRollout shows a roll-out to a software version on hosts with stand-ins, until it is decided or ctx ends.
+type ShowRollout func(ctx context.Context, version string, out io.Writer, log zerolog.Logger) error
+
 // Main runs the command and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer, adapters Adapters) int {
+func Main(args []string, stdout, stderr io.Writer, adapters Adapters, show ShowRollout) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return Run(ctx, args, stdout, stderr, adapters)
+	return Run(ctx, args, stdout, stderr, adapters, show)
 }
 
 // Run is Main with a context whose end shuts the daemon down.
-func Run(ctx context.Context, args []string, stdout, stderr io.Writer, adapters Adapters) int {
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer, adapters Adapters, show ShowRollout) int {
 	// The hangup handler is installed first, because an unhandled hangup signal ends the process.
 	hangups, release := notifyHangups()
 	defer release()
 	if len(args) > 0 && args[0] == "dev" {
-		return runDev(ctx, args[1:], stdout, stderr)
+		return runDev(ctx, args[1:], stdout, stderr, show)
 	}
 	flags := newFlags(stderr)
 	settingsFile := flags.String("settings", "", "the daemon's settings `FILE`")
@@ -118,13 +122,31 @@
 	return f.Run(ctx)
 }
 
-func runDev(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+func runDev(ctx context.Context, args []string, stdout, stderr io.Writer, show ShowRollout) int {
 	flags := newFlags(stderr)
+	rollout := flags.String("rollout", "", "show a roll-out to this `VERSION` of the stand-ins")
+	level := flags.String("log", "", "with -rollout, log from this `LEVEL` on; without it, warnings and errors")
 	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
 		fmt.Fprint(stderr, usage)
 		return ExitUsage
 	}
-	return exitCode(stderr, swdev.Run(ctx, stdout, zerolog.New(stderr).With().Timestamp().Logger()))
+	log := zerolog.New(stderr).With().Timestamp().Logger()
+	if *rollout == "" {
+		if *level != "" {
+			fmt.Fprint(stderr, usage)
+			return ExitUsage
+		}
+		return exitCode(stderr, swdev.Run(ctx, stdout, log))
+	}
+	shown := zerolog.WarnLevel
+	if *level != "" {
+		var err error
+		if shown, err = zerolog.ParseLevel(*level); err != nil {
+			fmt.Fprintf(stderr, "sassafraswing: -log: there is no level %q\n", *level)
+			return ExitUsage
+		}
+	}
+	return exitCode(stderr, show(ctx, *rollout, stdout, log.Level(shown)))
 }
 
 func newFlags(stderr io.Writer) *flag.FlagSet {
--- a/internal/node/swcommand/swcommand_test.go
+++ b/internal/node/swcommand/swcommand_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -21,10 +23,23 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"sassafraswing": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr, Adapters{"stand": newUnreachablePlatform})) },
+		"sassafraswing": func() {
+			os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr, Adapters{"stand": newUnreachablePlatform}, showRollout))
+		},
 	})
 }
 
+// showRollout prints the version, and logs a line at each of two levels. It fails for the version of which there is none.
+func showRollout(_ context.Context, version string, out io.Writer, log zerolog.Logger) error {
+	log.Info().Msg("a line of level info")
+	log.Warn().Msg("a line of level warn")
+	if version == "none" {
+		return errors.New("there is no such version")
+	}
+	_, err := fmt.Fprintln(out, "roll-out to", version)
+	return err
+}
+
 // unreachablePlatform is a platform whose store cannot be reached.
 type unreachablePlatform struct {
 	swfleet.Platform
--- a/internal/node/swdev/swdev.go
+++ b/internal/node/swdev/swdev.go
@@ -120,5 +120,9 @@
   -d '{"model":"chat","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"Hello"}]}'
 
 Status and metrics: http://%s/status and http://%s/metrics. Stop with Ctrl-C.
+
+A roll-out on three hosts, to a version that is sound, or of which answers fail, are cut off or are slow:
+
+sassafraswing dev -rollout v2|fails|cuts|slow
 `, s.Caller.Address, swexample.APIKey, s.Operator.Address, s.Operator.Address)
 }
--- a/internal/stand/swmain/serve.go
+++ b/internal/stand/swmain/serve.go
@@ -23,7 +23,7 @@
 )
 
 // serve serves the stand-in on its addresses until ctx ends or a listener fails.
-func serve(ctx context.Context, log zerolog.Logger, o options, s standIn) error {
+func serve(ctx context.Context, log zerolog.Logger, o options, s StandIn) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	listener, err := net.Listen("tcp", o.address)
@@ -39,10 +39,10 @@
 			return errors.Wrap(err, "listen for admin")
 		}
 		log.Info().Str("address", admin.Addr().String()).Msg("listening for admin")
-		workers.Go(func() { cancel(serveUntil(ctx, admin, adminOnly(s.handler))) })
+		workers.Go(func() { cancel(serveUntil(ctx, admin, adminOnly(s.Handler))) })
 		workers.Go(func() { cancel(serveWithCrashes(ctx, listener, s)) })
 	} else {
-		workers.Go(func() { cancel(serveUntil(ctx, listener, s.handler)) })
+		workers.Go(func() { cancel(serveUntil(ctx, listener, s.Handler)) })
 	}
 	workers.Wait()
 	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
@@ -75,13 +75,13 @@
 
 // serveWithCrashes serves on l, and closes the listener while the crash fault is
 // active, so that connections are refused.
-func serveWithCrashes(ctx context.Context, l net.Listener, s standIn) error {
+func serveWithCrashes(ctx context.Context, l net.Listener, s StandIn) error {
 	address := l.Addr().String()
 	for {
 		if err := serveUntilCrash(ctx, l, s); err != nil {
 			return err
 		}
-		if err := s.faults.WaitInactive(ctx, swfault.KindCrash); err != nil || ctx.Err() != nil {
+		if err := s.Faults.WaitInactive(ctx, swfault.KindCrash); err != nil || ctx.Err() != nil {
 			return nil
 		}
 		next, err := relisten(ctx, address)
@@ -93,14 +93,14 @@
 }
 
 // serveUntilCrash serves until the crash fault becomes active or ctx ends.
-func serveUntilCrash(ctx context.Context, l net.Listener, s standIn) error {
+func serveUntilCrash(ctx context.Context, l net.Listener, s StandIn) error {
 	lifetime, end := context.WithCancel(ctx)
 	var workers conc.WaitGroup
 	workers.Go(func() {
 		defer end()
-		_ = s.faults.WaitActive(lifetime, swfault.KindCrash) // an error only means that lifetime ended first
+		_ = s.Faults.WaitActive(lifetime, swfault.KindCrash) // an error only means that lifetime ended first
 	})
-	err := serveUntil(lifetime, l, s.handler)
+	err := serveUntil(lifetime, l, s.Handler)
 	end()
 	workers.Wait()
 	return err
--- a/internal/stand/swmain/swmain.go
+++ b/internal/stand/swmain/swmain.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -27,30 +29,44 @@
 	ExitUsage = 2
 )
 
-const usage = `usage: swstand engine|plain|platform -address IP:port [-admin IP:port] [-settings file.yaml]
+const usage = `usage: swstand %s -address IP:port [-admin IP:port] [-settings file.yaml]
 `
 
-// standIn is a running stand-in.
-type standIn struct {
-	handler http.Handler
-	faults  *swfault.Set
-	close   func()
+// StandIn is a running stand-in.
+type StandIn struct {
+	Handler http.Handler
+	Faults  *swfault.Set
+	Close   func()
 }
 
-// Run runs the stand-in that the arguments name until ctx ends, and returns the exit status.
-func Run(ctx context.Context, args []string, stderr io.Writer) int {
+// Kind is a kind of stand-in.
+type Kind struct {
+	Name string
+	// Start starts a stand-in with the contents of a settings file.
+	Start func(file string, data []byte, log zerolog.Logger) (StandIn, error)
+}
+
+// kinds are those of this module. The users of Run add their own.
+var kinds = []Kind{
+	{"engine", startEngine}, {"plain", startPlain}, {"platform", startPlatform},
+}
+
+// Run runs the stand-in that the arguments name, which is of a kind of this module or one of further, until ctx ends, and returns
+// the exit status.
+func Run(ctx context.Context, args []string, stderr io.Writer, further ...Kind) int {
 	log := zerolog.New(stderr).With().Timestamp().Logger()
-	o, err := parse(args, stderr)
+	kinds := slices.Concat(kinds, further)
+	o, err := parse(args, names(kinds), stderr)
 	if err != nil {
 		fmt.Fprintf(stderr, "swstand: %v\n", err)
 		return ExitUsage
 	}
-	s, err := o.start(log)
+	s, err := o.start(kinds, log)
 	if err != nil {
 		fmt.Fprintf(stderr, "swstand: %v\n", err)
 		return ExitUsage
 	}
-	defer s.close()
+	defer s.Close()
 	if err := serve(ctx, log, o, s); err != nil {
 		log.Error().Err(err).Msg("stopped")
 		return ExitFailure
@@ -66,11 +82,19 @@
 	settings string
 }
 
-func parse(args []string, stderr io.Writer) (options, error) {
+func names(kinds []Kind) []string {
+	names := make([]string, len(kinds))
+	for i, k := range kinds {
+		names[i] = k.Name
+	}
+	return names
+}
+
+func parse(args, kinds []string, stderr io.Writer) (options, error) {
 	flags := flag.NewFlagSet("swstand", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.Usage = func() {
-		fmt.Fprint(stderr, usage)
+		fmt.Fprintf(stderr, usage, strings.Join(kinds, "|"))
 		flags.PrintDefaults()
 	}
 	var o options
@@ -95,37 +119,46 @@
 }
 
 // start reads the settings and starts the stand-in.
-func (o options) start(log zerolog.Logger) (standIn, error) {
+func (o options) start(kinds []Kind, log zerolog.Logger) (StandIn, error) {
 	data := []byte("{}")
 	if o.settings != "" {
 		read, err := os.ReadFile(o.settings)
 		if err != nil {
-			return standIn{}, errors.Wrap(err, "read settings")
+			return StandIn{}, errors.Wrap(err, "read settings")
 		}
 		data = read
 	}
-	switch o.kind {
-	case "engine":
-		c, err := swengine.ParseConfig(o.settings, data)
-		if err != nil {
-			return standIn{}, err
-		}
-		e := swengine.New(c, swengine.WithLog(log))
-		return standIn{handler: e.Handler(), faults: e.Faults(), close: e.Close}, nil
-	case "plain":
-		c, err := swplain.ParseConfig(o.settings, data)
-		if err != nil {
-			return standIn{}, err
-		}
-		s := swplain.New(c, swplain.WithLog(log))
-		return standIn{handler: s.Handler(), faults: s.Faults(), close: s.Close}, nil
-	case "platform":
-		c, err := swplatform.ParseConfig(o.settings, data)
-		if err != nil {
-			return standIn{}, err
+	for _, k := range kinds {
+		if k.Name == o.kind {
+			return k.Start(o.settings, data, log)
 		}
-		p := swplatform.New(c, swplatform.WithLog(log))
-		return standIn{handler: p.Handler(), faults: p.Faults(), close: p.Close}, nil
 	}
-	return standIn{}, errors.Errorf("unknown kind of stand-in %q (allowed: engine, plain, platform)", o.kind)
+	return StandIn{}, errors.Errorf("unknown kind of stand-in %q (allowed: %s)", o.kind, strings.Join(names(kinds), ", "))
+}
+
+func startEngine(file string, data []byte, log zerolog.Logger) (StandIn, error) {
+	c, err := swengine.ParseConfig(file, data)
+	if err != nil {
+		return StandIn{}, err
+	}
+	e := swengine.New(c, swengine.WithLog(log))
+	return StandIn{Handler: e.Handler(), Faults: e.Faults(), Close: e.Close}, nil
+}
+
+func startPlain(file string, data []byte, log zerolog.Logger) (StandIn, error) {
+	c, err := swplain.ParseConfig(file, data)
+	if err != nil {
+		return StandIn{}, err
+	}
+	s := swplain.New(c, swplain.WithLog(log))
+	return StandIn{Handler: s.Handler(), Faults: s.Faults(), Close: s.Close}, nil
+}
+
+func startPlatform(file string, data []byte, log zerolog.Logger) (StandIn, error) {
+	c, err := swplatform.ParseConfig(file, data)
+	if err != nil {
+		return StandIn{}, err
+	}
+	p := swplatform.New(c, swplatform.WithLog(log))
+	return StandIn{Handler: p.Handler(), Faults: p.Faults(), Close: p.Close}, nil
 }
