--- a/internal/config/swdoc/page_test.go
+++ b/internal/config/swdoc/page_test.go
@@ -22,7 +22,7 @@
 platform: {z: 1, tls: {z: 1}}
 orders: {z: 1}
 log: {z: 1}
-fleet: {z: 1}
+fleet: {z: 1, rollout: {z: 1}}
 `
 	probeDocument = `z: 1
 regions: [{z: 1}]
