Keep the names of the scopes in which a host admits requests

Cause: the evidence of a roll-out is by scope, the hash of a route and a model, from which an operator can't tell the route. Change: the gate keeps the names of the 256 scopes that it used last; ScopeName returns one, for the operators' interface. Result: go test -race -count=1 ./internal/caller/swgate: ok.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"sync/atomic"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
@@ -152,11 +153,17 @@
 	// draining is ended by StartDraining, which calls startDraining.
 	draining      context.Context
 	startDraining context.CancelFunc
+	// scopes has the names of the scopes that were used last.
+	scopes *lru.Cache[swid.PromptScope, string]
 }
 
+// maxScopes bounds the scopes whose names a gate keeps. Callers name the models, so there may be any number.
+const maxScopes = 256
+
 // New returns a gate that denies all calls until Configure is called.
 func New(config Config, bounds Bounds) *Gate {
-	g := &Gate{config: config}
+	scopes, _ := lru.New[swid.PromptScope, string](maxScopes) // fails only for a size below 1
+	g := &Gate{config: config, scopes: scopes}
 	g.draining, g.startDraining = context.WithCancel(context.Background())
 	g.bounds.Store(&bounds)
 	return g
@@ -327,7 +334,7 @@
 	r := &swholder.Request{
 		ID: c.ID, Seq: seq, Service: service, Cell: swid.NewCellID(service, g.config.Region),
 		Tier: route.Tier, OrgTier: defaultOrgTier, Deadline: deadline(now, c.Deadline, route.Timeout),
-		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, ExpectedTokens: c.ExpectedTokens, Parts: c.Parts, Scope: promptScope(route.Name, c.Model),
+		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, ExpectedTokens: c.ExpectedTokens, Parts: c.Parts, Scope: g.scope(route.Name, c.Model),
 		AbandonAfter: route.AbandonAfter, Attempts: swid.Attempt(route.Attempts), EndsAtDeadline: true, NotResumable: true,
 		Call: swtarget.Request{
 			Method: c.Method, Host: c.Host, Path: c.Target, Header: c.Header, Body: body,
@@ -439,6 +446,25 @@
 	return swprompt.Fingerprint("", append(content, r.Call.Body...))
 }
 
+// scope returns the scope of prompts on a route for a model, and keeps its name.
+func (g *Gate) scope(route, model string) swid.PromptScope {
+	scope := promptScope(route, model)
+	if !g.scopes.Contains(scope) {
+		name := route
+		if model != "" {
+			name += "/" + model
+		}
+		g.scopes.Add(scope, swlog.Truncate(name))
+	}
+	return scope
+}
+
+// ScopeName returns the route and the model of a scope in which this gate has admitted requests of late, or an empty text.
+func (g *Gate) ScopeName(scope swid.PromptScope) string {
+	name, _ := g.scopes.Get(scope)
+	return name
+}
+
 // promptScope returns the scope of prompts on a route for a model.
 func promptScope(route, model string) swid.PromptScope {
 	h := fnv.New32a()
--- a/internal/caller/swgate/swgate_test.go
+++ b/internal/caller/swgate/swgate_test.go
@@ -134,6 +134,32 @@
 	return 0
 }
 
+// TestScopeNames checks that the names of scopes are known once there were requests, and that models of callers' choice do not add up.
+func TestScopeNames(t *testing.T) {
+	f := newFixture()
+	serve := func(path, model string) swid.PromptScope {
+		call := callTo(path, "key")
+		call.Model = model
+		if r := f.gate.Serve(context.Background(), call, nil); r.Denial != DeniedNone {
+			t.Fatalf("denial %s", r.Denial)
+		}
+		return f.lastRequest.Scope
+	}
+	read, chat := serve("/read/x", ""), serve("/chat/x", "m")
+	if got := f.gate.ScopeName(read); got != "read" {
+		t.Errorf("name %q of route read", got)
+	}
+	if got := f.gate.ScopeName(chat); got != "chat/m" {
+		t.Errorf("name %q of route chat and model m", got)
+	}
+	for i := range 2 * maxScopes {
+		serve("/chat/x", fmt.Sprint("m", i))
+	}
+	if got := f.gate.ScopeName(read); got != "" || f.gate.scopes.Len() != maxScopes {
+		t.Errorf("name %q after many others, %d names", got, f.gate.scopes.Len())
+	}
+}
+
 // TestUnready checks that calls are denied before the first configuration and during shutdown.
 func TestUnready(t *testing.T) {
 	f := newFixture()
