--- a/internal/operator/swclient/rollouts_test.go
+++ b/internal/operator/swclient/rollouts_test.go
@@ -24,7 +24,7 @@
 	},
 	{
 		Order: swrollout.Order{ID: "398:12000:v3", Service: "booking", To: "v3", Duration: 12000},
-		State: swrollout.StateCompleted, Verdict: swrollout.VerdictSound, Moving: true, Reason: "allRoutesSound", Remaining: -1500,
+		State: swrollout.StateCompleted, Verdict: swrollout.VerdictSound, Moving: true, Reason: "answersSound", Remaining: -1500,
 	},
 }
 
