Show roll-outs at the operators' address

Change: GET /rollouts at operator.address, where roll-outs are in force (swadmin.NewRolloutsHandler).

--- a/internal/node/swfleet/rollouts.go
+++ b/internal/node/swfleet/rollouts.go
@@ -35,15 +35,13 @@
 
 // newRolloutKeeper returns the keeper of the roll-outs, or nil if they are not in force.
 func (h *Host) newRolloutKeeper() *swrolloutkeeper.Keeper {
-	bounds := h.settings.Fleet.Rollout
-	if !bounds.Enabled() {
+	if !h.settings.Fleet.Rollout.Enabled() {
 		return nil
 	}
+	bounds := h.rolloutBounds()
+	bounds.Writer = string(h.self.Host) + "-" + strconv.FormatUint(uint64(h.self.Incarnation), 10)
 	return swrolloutkeeper.New(swrolloutkeeper.Config{
-		Rollout: swrollout.Config{
-			MaxShare: bounds.MaxShare, Slack: uint64(bounds.Slack), RollbackWithin: bounds.RollbackWithin,
-			Writer: string(h.self.Host) + "-" + strconv.FormatUint(uint64(h.self.Incarnation), 10),
-		},
+		Rollout: bounds,
 		Clock: h.clock, Boot: h.boot, UnixNow: func() int64 { return time.Now().UnixMilli() },
 		Owner: h.isOwner, Alone: h.ownsAllHosts, Reachable: h.storeReachable,
 		Era:   func() swobject.Era { return h.health.Load().Era() },
@@ -51,6 +49,27 @@
 	})
 }
 
+func (h *Host) rolloutBounds() swrollout.Config {
+	r := h.settings.Fleet.Rollout
+	return swrollout.Config{MaxShare: r.MaxShare, Slack: uint64(r.Slack), RollbackWithin: r.RollbackWithin}
+}
+
+// rolloutEvidence returns the evidence of the roll-outs that this host decides. There is none until the host is assembled.
+func (h *Host) rolloutEvidence() []swrollout.Evidence {
+	if k := h.rolloutKeeper.Load(); k != nil {
+		return k.Evidence()
+	}
+	return nil
+}
+
+// rolloutRouteName returns the name of a route, which is the scope of its prompts.
+func (h *Host) rolloutRouteName(r swrollout.Route) string {
+	if h.rolloutKeeper.Load() == nil {
+		return ""
+	}
+	return h.gate.ScopeName(swid.PromptScope(r))
+}
+
 // followRollouts creates the copy of the orders, which is kept while this host is the owner.
 func (h *Host) followRollouts(config swwatch.Config) {
 	if h.rollouts == nil {
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 )
 
@@ -296,10 +297,15 @@
 	}
 }
 
-// operators returns the handler for operators, which serves the metrics.
+// operators returns the handler for operators, which serves the metrics and, if roll-outs are in force, what is known of them.
 func (h *Host) operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
+	if h.settings.Fleet.Rollout.Enabled() {
+		mux.Handle(swadmin.RolloutsPath, swadmin.NewRolloutsHandler(swadmin.RolloutSource{
+			Host: h.settings.Host, Bounds: h.rolloutBounds, Evidence: h.rolloutEvidence, RouteName: h.rolloutRouteName,
+		}, h.log))
+	}
 	return mux
 }
 
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -144,6 +144,8 @@
 	answers *swbuffer.Budget
 	// rollouts runs the roll-outs while this host is the owner. It is nil if they are not in force, and until the host is assembled.
 	rollouts *swrolloutkeeper.Keeper
+	// rolloutKeeper is rollouts for operators, whose listener is open before the host is assembled.
+	rolloutKeeper atomic.Pointer[swrolloutkeeper.Keeper]
 	// outcomes has the latest answers of services with several versions.
 	outcomes outcomeLog
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
@@ -309,6 +311,7 @@
 	h.exchange.OnLinkUp(h.linkUp)
 	h.exchange.Connect(h.network, h.linkDown, h.holder, h.owner, registrationReceiver{h})
 	h.createFollowers()
+	h.rolloutKeeper.Store(h.rollouts)
 }
 
 // createFollowers creates the followers, which keep copies of the store's objects.
