Order answers by the start of their runs

Cause: runs that had not ended came last in the test, so that a few late ones among many looked like a version that had turned bad; answers under little load were not compared where old versions ran at the next level.

Change: the test goes by the start of the runs; the two lowest levels of load count as like; a route has to be seen more often.

--- a/internal/core/swrollout/judge.go
+++ b/internal/core/swrollout/judge.go
@@ -1,7 +1,9 @@
 package swrollout
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 )
@@ -20,7 +22,7 @@
 	// minRate and maxRate bound the rate of spoilt answers that is assumed of old versions.
 	minRate, maxRate = 0.01, 0.9
 	// lateRate is the rate of runs that are late that is assumed of old versions.
-	lateRate = 0.1
+	lateRate = 0.05
 	// badThreshold is the log-likelihood ratio from which a version is bad, and movingThreshold the one while the whole
 	// traffic moves to it.
 	badThreshold, movingThreshold = 9, 11
@@ -29,6 +31,8 @@
 	spreadThreshold, spreadAnswers = 4, 15
 	// suspectThreshold is the ratio from which the target with the most bad answers may be ill.
 	suspectThreshold = 2
+	// othersThreshold is the ratio against a bad version from which the other targets show that it is sound.
+	othersThreshold = 1
 	// aloneThreshold is added if one target alone has answered often enough.
 	aloneThreshold = 8
 	// minOldAnswers is the number of answers of old versions from which the new one is found bad, and minOldTime the time from which
@@ -176,6 +180,22 @@
 	return rate
 }
 
+// orderByStart sorts answers by the time at which their runs began, as runs that have not ended would be the last ones otherwise.
+func orderByStart(all []*sample, spoilt, counts []bool) {
+	type answer struct {
+		s              *sample
+		spoilt, counts bool
+	}
+	answers := make([]answer, len(all))
+	for i, s := range all {
+		answers[i] = answer{s, spoilt[i], counts[i]}
+	}
+	slices.SortStableFunc(answers, func(a, b answer) int { return cmp.Compare(a.s.at-a.s.total, b.s.at-b.s.total) })
+	for i, a := range answers {
+		all[i], spoilt[i], counts[i] = a.s, a.spoilt, a.counts
+	}
+}
+
 // countOnce returns which answers count: of the failed ones of a target that follow each other within streakTime, the first.
 func countOnce(all []*sample, spoilt []bool) []bool {
 	counts := make([]bool, len(all))
@@ -290,14 +310,13 @@
 	return j.tests[c]
 }
 
-// seen reports whether so many answers of a cell are known, and the ratio is so low, with or without a target that is ill.
+// seen reports whether so many answers of a cell are known, and the ratio is so low. Without the target with the most bad answers, it has
+// to be lower.
 func (j *judgement) seen(c int, answers, ratio float64) bool {
-	for _, tests := range [...][]test{j.others, j.whole} {
-		if c < len(tests) && tests[c].answers >= answers && tests[c].sums[0] <= ratio {
-			return true
-		}
+	low := func(tests []test, ratio float64) bool {
+		return c < len(tests) && tests[c].answers >= answers && tests[c].sums[0] <= ratio
 	}
-	return false
+	return low(j.whole, ratio) || low(j.others, min(ratio, -othersThreshold))
 }
 
 // judge tests the new version against the old ones. It depends on the answers only.
@@ -333,6 +352,7 @@
 	j.slowMost = slows > failures
 	j.answers, j.spoilt = uint64(len(fresh)), uint64(slows+failures)
 	counts := countOnce(fresh, spoilt)
+	orderByStart(fresh, spoilt, counts)
 	j.whole = r.test(j, fresh, spoilt, counts, -1)
 	j.tests = j.whole
 	if worst := worstTarget(len(n.targets), fresh, spoilt, counts); worst >= 0 {
--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -43,7 +43,7 @@
 	soundThreshold, lastThreshold = 4, 1
 	// partThreshold and lastPart are those against a version that is bad on one route, or under load only; in the last moment, a bad
 	// answer of a route is borne.
-	partThreshold, lastPart = 2, 1.5
+	partThreshold, lastPart = 4, 0.5
 	// minRouteAnswers is the number of answers that a route needs at least, and lastRouteAnswers in the last moment.
 	minRouteAnswers, lastRouteAnswers = 20, 5
 	// doubtThreshold is the ratio for a version that has turned bad from which it is not completed, and lastDoubt the one in the
--- a/internal/core/swrollout/speed.go
+++ b/internal/core/swrollout/speed.go
@@ -128,6 +128,8 @@
 			}
 			curves[i].expected[level] = higher
 		}
+		// Targets that run little are about as fast at either of the two lowest levels.
+		curves[i].exact[0] = curves[i].exact[0] || curves[i].exact[1]
 	}
 	return curves
 }
@@ -211,7 +213,7 @@
 		}
 		level, loaded := loadLevel(run.Running, run.Slots)
 		none := math.NaN()
-		overdue = append(overdue, &sample{at: now, target: target, route: route, level: level, loaded: loaded,
+		overdue = append(overdue, &sample{at: now, total: run.Since, target: target, route: route, level: level, loaded: loaded,
 			late: float64(run.Since) < slowFactor*usual+float64(overdueSlack), times: [timeKinds]float64{none, none, none}})
 	}
 	return overdue
