--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -118,7 +118,7 @@
 
 // paused reports whether so many answers were bad that the new version gets nothing before more is known.
 func (r *Rollout) paused() bool {
-	return r.last != nil && r.last.spoilt >= pauseAnswers && r.last.test(cellAll).sums[0] > -pauseThreshold
+	return r.last != nil && max(r.last.spoilt, r.inheritedBad) >= pauseAnswers && r.last.test(cellAll).sums[0] > -pauseThreshold
 }
 
 // missing returns what has to be seen before the version is sound, empty if nothing. Less is asked for as the last moment comes.
