--- a/internal/core/swrollout/judge.go
+++ b/internal/core/swrollout/judge.go
@@ -26,6 +26,8 @@
 	// badThreshold is the log-likelihood ratio from which a version is bad, and movingThreshold the one while the whole
 	// traffic moves to it.
 	badThreshold, movingThreshold = 9, 11
+	// unsureThreshold is added where targets of old versions differ, as answers of one target then depend on each other.
+	unsureThreshold = 3
 	// spreadThreshold is the ratio that has to remain without the target with the most bad answers, and spreadAnswers the number
 	// of answers from which the other targets speak for the version.
 	spreadThreshold, spreadAnswers = 4, 15
--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -29,10 +29,12 @@
 	// loadedShare is the share of the old versions' answers from loaded targets from which the new version has to be seen
 	// under load.
 	loadedShare = 0.15
-	// pauseAnswers is the number of spoilt answers from which a version gets nothing more until it is clear that it is sound: fewer than
-	// those from which it has to be rolled back.
-	pauseAnswers = 40
-	// pauseThreshold is the log-likelihood ratio against a bad version from which it is clear.
+	// pauseAnswers is the number of spoilt answers from which the time runs after which a version has to be rolled back, less those
+	// that are not known yet.
+	pauseAnswers = 45
+	// pauseMargin is how much earlier than that time the version gets nothing more, until it is clear that it is sound, and pauseThreshold
+	// the log-likelihood ratio from which it is.
+	pauseMargin    = 1500 * swclock.Millis(1)
 	pauseThreshold = 8
 	// minRouteShare is the divisor of all requests from which a route has to be seen.
 	minRouteShare = 50
@@ -41,6 +43,10 @@
 	// soundThreshold is the log-likelihood ratio against a bad version from which a sound one may be completed at the planned
 	// time, and lastThreshold the one that does in the last moment.
 	soundThreshold, lastThreshold = 4, 1
+	// lastUnsure is the latter where targets of old versions differ, so that little more can be known.
+	lastUnsure = 0.4
+	// lastPartUnsure is the corresponding one of a route.
+	lastPartUnsure = 2.5
 	// partThreshold and lastPart are those against a version that is bad on one route, or under load only; in the last moment, a bad
 	// answer of a route is borne.
 	partThreshold, lastPart = 4, 0.5
@@ -79,8 +85,14 @@
 		if r.verdict == VerdictSound {
 			threshold = movingThreshold
 		}
+		if r.baseline.deviation > 0 {
+			threshold += unsureThreshold
+		}
 		r.last = r.judge(threshold)
 		r.judgedAt, r.changed = now, false
+		if !r.manyBad && r.last.spoilt >= pauseAnswers {
+			r.manyBad, r.manyBadAt = true, now
+		}
 	}
 	if r.last.isBad && (r.baseline.answers >= minOldAnswers || now-r.startedAt >= minOldTime) {
 		r.verdict, r.reason = VerdictBad, reasonBad
@@ -117,8 +129,8 @@
 }
 
 // paused reports whether so many answers were bad that the new version gets nothing before more is known.
-func (r *Rollout) paused() bool {
-	return r.last != nil && max(r.last.spoilt, r.inheritedBad) >= pauseAnswers && r.last.test(cellAll).sums[0] > -pauseThreshold
+func (r *Rollout) paused(now swclock.Millis) bool {
+	return r.last != nil && r.manyBad && now >= r.manyBadAt+r.config.RollbackWithin-pauseMargin && r.last.test(cellAll).sums[0] > -pauseThreshold
 }
 
 // missing returns what has to be seen before the version is sound, empty if nothing. Less is asked for as the last moment comes.
@@ -132,6 +144,10 @@
 	threshold := soundThreshold + late*(lastThreshold-soundThreshold)
 	answers := minRouteAnswers + late*(lastRouteAnswers-minRouteAnswers)
 	part := -partThreshold + late*(partThreshold+lastPart)
+	if r.baseline.deviation > 0 {
+		threshold -= late * (lastThreshold - lastUnsure)
+		part += late * (lastPartUnsure - lastPart)
+	}
 	all := r.last.test(cellAll)
 	if all.answers < answers || all.sums[0] > -threshold {
 		return reasonAnswers
--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -35,6 +35,8 @@
 	// slotUse is the share of the new targets' slots that the traffic may take at completion, and slotShare the share of the slots of
 	// the old ones that is enough in any case.
 	slotUse, slotShare = 0.9, 0.85
+	// usedSteps is the number of calls of Step over which the slots in use are averaged.
+	usedSteps = 8
 )
 
 // Rollout decides one order. It is not safe for concurrent use.
@@ -67,6 +69,8 @@
 	old, fresh                     samples
 	inheritedAnswers, inheritedBad uint64
 	routes                         map[Route]*routeState
+	// asks counts the calls of Versions for these routes.
+	asks uint64
 	// asked is the route for which the new version was last allowed.
 	asked   Route
 	running []Running
@@ -76,12 +80,16 @@
 	last                 *judgement
 	baselineAt, judgedAt swclock.Millis
 	baselineTotal        uint64
+	// manyBadAt is when pauseAnswers were known, if manyBad.
+	manyBad   bool
+	manyBadAt swclock.Millis
 	// changed is set if answers of the new version came since.
 	changed   bool
 	steppedAt swclock.Millis
 	situation Situation
-	// usedSlots follows the number of requests that run at the old versions.
+	// usedSlots follows the number of requests that run during the trial, if usedKnown.
 	usedSlots float64
+	usedKnown bool
 }
 
 // routeState is what is known of a route's requests.
@@ -111,6 +119,9 @@
 	}
 	r.deadline = r.startedAt + order.Duration
 	r.inheritedAnswers, r.inheritedBad = r.record.Answers, r.record.Bad
+	if r.inheritedBad >= pauseAnswers {
+		r.manyBad, r.manyBadAt = true, now-config.RollbackWithin // it is not known when
+	}
 	r.ledger = newLedger(config, order.Duration)
 	r.adopt(now)
 	if r.verdict == VerdictOpen && !r.record.State.Final() && now >= r.deadline-rollbackMargin {
@@ -182,6 +193,7 @@
 	state := r.route(route)
 	if state != nil {
 		state.asks++
+		r.asks++
 		state.expect(mayLast)
 	}
 	switch {
@@ -196,7 +208,7 @@
 		ends := now+mayLast <= r.plannedEnd()
 		return Versions{Old: !r.ending && (ends || !r.hasRoom()), New: true, PreferNew: true}
 	}
-	if r.paused() || !r.ledger.open(r.burst()) || !r.wanted(state) {
+	if r.paused(now) || !r.ledger.open(r.burst()) || !r.wanted(state) {
 		return Versions{Old: true}
 	}
 	r.asked = route
@@ -244,11 +256,7 @@
 
 // active reports whether a route has a part of the traffic that matters.
 func (r *Rollout) active(s *routeState) bool {
-	var all uint64
-	for _, other := range r.routes {
-		all += other.asks
-	}
-	return s.asks*minRouteShare >= all
+	return s.asks*minRouteShare >= r.asks
 }
 
 // wantsLoad reports whether the new version is to be seen under load.
@@ -272,7 +280,11 @@
 	if s.NewTargets == 0 {
 		return false
 	}
-	return float64(s.NewSlots) >= min(r.usedSlots/slotUse, slotShare*float64(s.OldSlots))
+	need := slotShare * float64(s.OldSlots)
+	if r.usedKnown {
+		need = min(need, r.usedSlots/slotUse)
+	}
+	return float64(s.NewSlots) >= need
 }
 
 // Granted records that a request was granted to a target of the new version: a first attempt, a retry or a continuation.
@@ -335,7 +347,11 @@
 	before := r.verdict
 	r.situation, r.running, r.steppedAt = s, s.NewRunning, now
 	if r.verdict == VerdictOpen {
-		r.usedSlots += (float64(s.OldRunning) - r.usedSlots) / 8
+		used := float64(s.OldRunning + len(s.NewRunning))
+		if !r.usedKnown {
+			r.usedSlots, r.usedKnown = used, true
+		}
+		r.usedSlots += (used - r.usedSlots) / usedSteps
 	}
 	if !r.record.State.Final() {
 		r.review(now)
--- a/internal/core/swrollout/rollout_test.go
+++ b/internal/core/swrollout/rollout_test.go
@@ -108,6 +108,8 @@
 		{"taken over after it was rolled back", Record{Order: "o", To: "new", State: StateRolledBack, StartedAt: 1000}, 9000, func(o *owner) {}, StateNone, ""},
 		{"taken over after the deadline", Record{Order: "o", To: "new", State: StateRunning, StartedAt: 1000}, 60_000, func(o *owner) {}, StateRolledBack, ""},
 		{"taken over after the deadline, moving", Record{Order: "o", To: "new", State: StateRunning, Moving: true, StartedAt: 1000}, 60_000, func(o *owner) {}, StateCompleted, ""},
+		{"taken over while moving, too few slots", Record{Order: "o", To: "new", State: StateRunning, Moving: true, StartedAt: 1000}, 9000,
+			func(o *owner) { o.situation.NewSlots = 10 }, StateRolledBack, reasonNoTargets},
 		{"a record of another order", Record{Order: "former", To: "new", State: StateRolledBack, StartedAt: 1}, 1000, func(o *owner) {}, StateCompleted, reasonSound},
 		{"a clock that is behind", Record{Order: "o", To: "new", State: StateRunning, StartedAt: 9000}, 1000, func(o *owner) {}, StateCompleted, reasonSound},
 	}
@@ -148,7 +150,7 @@
 	}
 	granted := o.granted
 	o.r.ledger.left = 100
-	o.r.last.spoilt = 0 // neither the lack of units nor the pause holds requests back
+	o.r.manyBad = false // neither the lack of units nor the pause holds requests back
 	if granted >= 50 {
 		t.Errorf("%d bad answers before the verdict", granted)
 	}
