--- a/internal/core/swrollout/judge.go
+++ b/internal/core/swrollout/judge.go
@@ -366,11 +366,12 @@
 	}
 	all, ended := tests(-1)
 	j.whole, j.tests = all, all
+	highest := highestRise(ended)
 	worst := worstTarget(len(n.targets), fresh, spoilt, counts)
 	if worst < 0 {
+		j.isBad = highest >= threshold+aloneThreshold // by what earlier owners knew
 		return j
 	}
-	highest := highestRise(ended)
 	if highest >= suspectThreshold {
 		j.suspect = worst
 	}
--- a/internal/core/swrollout/rollout_test.go
+++ b/internal/core/swrollout/rollout_test.go
@@ -160,6 +160,35 @@
 	}
 }
 
+// TestInheritedEvidence checks that an owner without any report knows from the record that a version is bad.
+func TestInheritedEvidence(t *testing.T) {
+	tests := []struct {
+		name         string
+		answers, bad uint64
+		// most is what a bad version may get, and want the state in the end.
+		most int
+		want State
+	}{
+		{"bad", 60, 20, 50, StateRolledBack},
+		{"many bad", 300, 45, 0, StateRolledBack},
+		{"good", 60, 0, 0, StateCompleted},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			record := Record{Order: "o", To: "new", State: StateRunning, StartedAt: 1000, Requests: 500, Reserved: 70, Answers: e.answers, Bad: e.bad}
+			o := newOwner(t, New(playConfig, testOrder, record, 0, 3000), 0)
+			o.oldBefore, o.grantedBefore = 430, 70
+			o.run(testOrder.Duration)
+			if got := o.last().State; got != e.want {
+				t.Errorf("%v, want %v: %+v", got, e.want, o.r.Evidence(o.now))
+			}
+			if e.want == StateRolledBack && o.granted > e.most {
+				t.Errorf("%d requests granted, at most %d wanted", o.granted, e.most)
+			}
+		})
+	}
+}
+
 // TestStoredIsJoined checks that what is known of an order never goes back.
 func TestStoredIsJoined(t *testing.T) {
 	running := Record{Order: "o", To: "new", State: StateRunning, StartedAt: 5, Requests: 100, Reserved: 40}
