--- a/internal/core/swrollout/judge.go
+++ b/internal/core/swrollout/judge.go
@@ -1,14 +1,16 @@
 package swrollout
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 )
 
 const (
-	// streakTime is the time in which failed answers of a target without a good one between them count once: a crash ends all
-	// runs of a target.
+	// streakTime is the time in which failed answers of runs at a target at the same time count once, if there is no good one between
+	// them: a crash ends all runs of a target.
 	streakTime = swclock.Second
 	// rateBucket is the length of the intervals by which the rates of old versions are known, and rateBuckets the number of them
 	// before and after an answer that it is compared with.
@@ -20,15 +22,19 @@
 	// minRate and maxRate bound the rate of spoilt answers that is assumed of old versions.
 	minRate, maxRate = 0.01, 0.9
 	// lateRate is the rate of runs that are late that is assumed of old versions.
-	lateRate = 0.1
+	lateRate = 0.05
 	// badThreshold is the log-likelihood ratio from which a version is bad, and movingThreshold the one while the whole
 	// traffic moves to it.
 	badThreshold, movingThreshold = 9, 11
+	// unsureThreshold is added where targets of old versions differ, as answers of one target then depend on each other.
+	unsureThreshold = 3
 	// spreadThreshold is the ratio that has to remain without the target with the most bad answers, and spreadAnswers the number
 	// of answers from which the other targets speak for the version.
 	spreadThreshold, spreadAnswers = 4, 15
 	// suspectThreshold is the ratio from which the target with the most bad answers may be ill.
 	suspectThreshold = 2
+	// othersThreshold is the ratio against a bad version from which the other targets show that it is sound.
+	othersThreshold = 1
 	// aloneThreshold is added if one target alone has answered often enough.
 	aloneThreshold = 8
 	// minOldAnswers is the number of answers of old versions from which the new one is found bad, and minOldTime the time from which
@@ -176,7 +182,24 @@
 	return rate
 }
 
-// countOnce returns which answers count: of the failed ones of a target that follow each other within streakTime, the first.
+// orderByStart sorts answers by the time at which their runs began, as runs that have not ended would be the last ones otherwise.
+func orderByStart(all []*sample, spoilt, counts []bool) {
+	type answer struct {
+		s              *sample
+		spoilt, counts bool
+	}
+	answers := make([]answer, len(all))
+	for i, s := range all {
+		answers[i] = answer{s, spoilt[i], counts[i]}
+	}
+	slices.SortStableFunc(answers, func(a, b answer) int { return cmp.Compare(a.s.at-a.s.total, b.s.at-b.s.total) })
+	for i, a := range answers {
+		all[i], spoilt[i], counts[i] = a.s, a.spoilt, a.counts
+	}
+}
+
+// countOnce returns which answers count: of the failed ones of a target that ran at the same time and follow each other within
+// streakTime, the first.
 func countOnce(all []*sample, spoilt []bool) []bool {
 	counts := make([]bool, len(all))
 	last := make(map[int]swclock.Millis)
@@ -186,7 +209,7 @@
 		case !spoilt[i]:
 			delete(last, s.target)
 		case !s.bad:
-		case found && s.at-at < streakTime:
+		case found && s.at-at < streakTime && s.at-s.total <= at:
 			continue
 		default:
 			last[s.target] = s.at
@@ -290,14 +313,13 @@
 	return j.tests[c]
 }
 
-// seen reports whether so many answers of a cell are known, and the ratio is so low, with or without a target that is ill.
+// seen reports whether so many answers of a cell are known, and the ratio is so low. Without the target with the most bad answers, it has
+// to be lower.
 func (j *judgement) seen(c int, answers, ratio float64) bool {
-	for _, tests := range [...][]test{j.others, j.whole} {
-		if c < len(tests) && tests[c].answers >= answers && tests[c].sums[0] <= ratio {
-			return true
-		}
+	low := func(tests []test, ratio float64) bool {
+		return c < len(tests) && tests[c].answers >= answers && tests[c].sums[0] <= ratio
 	}
-	return false
+	return low(j.whole, ratio) || low(j.others, min(ratio, -othersThreshold))
 }
 
 // judge tests the new version against the old ones. It depends on the answers only.
@@ -333,36 +355,44 @@
 	j.slowMost = slows > failures
 	j.answers, j.spoilt = uint64(len(fresh)), uint64(slows+failures)
 	counts := countOnce(fresh, spoilt)
-	j.whole = r.test(j, fresh, spoilt, counts, -1)
-	j.tests = j.whole
-	if worst := worstTarget(len(n.targets), fresh, spoilt, counts); worst >= 0 {
-		if highestRise(j.tests) >= suspectThreshold {
-			j.suspect = worst
+	orderByStart(fresh, spoilt, counts)
+	late := slices.ContainsFunc(fresh, func(s *sample) bool { return s.late })
+	tests := func(without int) (all, ended []test) {
+		all = r.test(j, fresh, spoilt, counts, without, true)
+		if !late {
+			return all, all
 		}
-		r.weighTargets(j, r.test(j, fresh, spoilt, counts, worst), threshold)
+		return all, r.test(j, fresh, spoilt, counts, without, false)
 	}
-	return j
-}
-
-// weighTargets decides whether the version is bad, given the tests without the target with the most spoilt answers: one ill target does
-// not make a bad version.
-func (r *Rollout) weighTargets(j *judgement, without []test, threshold float64) {
-	highest := highestRise(j.tests)
+	all, ended := tests(-1)
+	j.whole, j.tests = all, all
+	highest := highestRise(ended)
+	worst := worstTarget(len(n.targets), fresh, spoilt, counts)
+	if worst < 0 {
+		j.isBad = highest >= threshold+aloneThreshold // by what earlier owners knew
+		return j
+	}
+	if highest >= suspectThreshold {
+		j.suspect = worst
+	}
+	// One ill target does not make a bad version, nor do runs that are late.
+	others, endedOthers := tests(worst)
 	switch {
-	case without[cellAll].answers < spreadAnswers:
+	case endedOthers[cellAll].answers < spreadAnswers:
 		j.isBad = highest >= threshold+aloneThreshold
-	case highestRise(without) >= spreadThreshold:
+	case highestRise(endedOthers) >= spreadThreshold:
 		j.isBad = highest >= threshold
 	default:
-		j.others = without
+		j.others = others
 		if highest >= spreadThreshold {
-			j.tests = without
+			j.tests = others
 		}
 	}
+	return j
 }
 
-// test runs the tests over the answers that count, without those of one target.
-func (r *Rollout) test(j *judgement, fresh []*sample, spoilt, counts []bool, without int) []test {
+// test runs the tests over the answers that count, without those of one target, and with runs that are late or without them.
+func (r *Rollout) test(j *judgement, fresh []*sample, spoilt, counts []bool, without int, late bool) []test {
 	tests := make([]test, cellOf(len(r.names.routes), false))
 	among := 1
 	if r.verdict == VerdictOpen {
@@ -377,7 +407,7 @@
 		}
 	}
 	for i, s := range fresh {
-		if !counts[i] || s.target == without {
+		if !counts[i] || s.target == without || s.late && !late {
 			continue
 		}
 		for _, c := range s.cells() {
--- a/internal/core/swrollout/rollout_test.go
+++ b/internal/core/swrollout/rollout_test.go
@@ -108,6 +108,8 @@
 		{"taken over after it was rolled back", Record{Order: "o", To: "new", State: StateRolledBack, StartedAt: 1000}, 9000, func(o *owner) {}, StateNone, ""},
 		{"taken over after the deadline", Record{Order: "o", To: "new", State: StateRunning, StartedAt: 1000}, 60_000, func(o *owner) {}, StateRolledBack, ""},
 		{"taken over after the deadline, moving", Record{Order: "o", To: "new", State: StateRunning, Moving: true, StartedAt: 1000}, 60_000, func(o *owner) {}, StateCompleted, ""},
+		{"taken over while moving, too few slots", Record{Order: "o", To: "new", State: StateRunning, Moving: true, StartedAt: 1000}, 9000,
+			func(o *owner) { o.situation.NewSlots = 10 }, StateRolledBack, reasonNoTargets},
 		{"a record of another order", Record{Order: "former", To: "new", State: StateRolledBack, StartedAt: 1}, 1000, func(o *owner) {}, StateCompleted, reasonSound},
 		{"a clock that is behind", Record{Order: "o", To: "new", State: StateRunning, StartedAt: 9000}, 1000, func(o *owner) {}, StateCompleted, reasonSound},
 	}
@@ -148,7 +150,7 @@
 	}
 	granted := o.granted
 	o.r.ledger.left = 100
-	o.r.last.spoilt = 0 // neither the lack of units nor the pause holds requests back
+	o.r.manyBad = false // neither the lack of units nor the pause holds requests back
 	if granted >= 50 {
 		t.Errorf("%d bad answers before the verdict", granted)
 	}
@@ -158,6 +160,35 @@
 	}
 }
 
+// TestInheritedEvidence checks that an owner without any report knows from the record that a version is bad.
+func TestInheritedEvidence(t *testing.T) {
+	tests := []struct {
+		name         string
+		answers, bad uint64
+		// most is what a bad version may get, and want the state in the end.
+		most int
+		want State
+	}{
+		{"bad", 60, 20, 50, StateRolledBack},
+		{"many bad", 300, 45, 0, StateRolledBack},
+		{"good", 60, 0, 0, StateCompleted},
+	}
+	for _, e := range tests {
+		t.Run(e.name, func(t *testing.T) {
+			record := Record{Order: "o", To: "new", State: StateRunning, StartedAt: 1000, Requests: 500, Reserved: 70, Answers: e.answers, Bad: e.bad}
+			o := newOwner(t, New(playConfig, testOrder, record, 0, 3000), 0)
+			o.oldBefore, o.grantedBefore = 430, 70
+			o.run(testOrder.Duration)
+			if got := o.last().State; got != e.want {
+				t.Errorf("%v, want %v: %+v", got, e.want, o.r.Evidence(o.now))
+			}
+			if e.want == StateRolledBack && o.granted > e.most {
+				t.Errorf("%d requests granted, at most %d wanted", o.granted, e.most)
+			}
+		})
+	}
+}
+
 // TestStoredIsJoined checks that what is known of an order never goes back.
 func TestStoredIsJoined(t *testing.T) {
 	running := Record{Order: "o", To: "new", State: StateRunning, StartedAt: 5, Requests: 100, Reserved: 40}
