Give a version on trial nothing from an owner that reaches neither the store nor all hosts

Cause: another owner may have rolled the version back, of which such an owner hears nothing until its units are used. Change: Standing withholds the version then.

--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -359,6 +359,10 @@
 	if s.rollout == nil {
 		return standing
 	}
+	if s.verdict == swrollout.VerdictOpen && !s.keeper.config.Reachable() && !s.keeper.config.Alone() {
+		// Another owner may have rolled the version back.
+		standing.Withheld = append(standing.Withheld, s.rollout.Order().To)
+	}
 	standing.Ordered, standing.Open, standing.To = true, !s.state.Final(), s.rollout.Order().To
 	standing.Trial = s.verdict == swrollout.VerdictOpen
 	standing.NewServes = s.verdict == swrollout.VerdictSound
