--- a/internal/node/swdev/swdev.go
+++ b/internal/node/swdev/swdev.go
@@ -121,8 +121,8 @@
 
 Status and metrics: http://%s/status and http://%s/metrics. Stop with Ctrl-C.
 
-A roll-out on three hosts, to a version that is sound, or of which answers fail, are cut off or are slow:
+A roll-out on three hosts, to a version that is sound, or of which some answers fail, are cut off or are slow, or all are slow:
 
-sassafraswing dev -rollout v2|fails|cuts|slow
+sassafraswing dev -rollout v2|fails|cuts|slow|slower
 `, s.Caller.Address, swexample.APIKey, s.Operator.Address, s.Operator.Address)
 }
