--- a/internal/node/swfleet/rollouts.go
+++ b/internal/node/swfleet/rollouts.go
@@ -42,7 +42,7 @@
 	bounds.Writer = string(h.self.Host) + "-" + strconv.FormatUint(uint64(h.self.Incarnation), 10)
 	return swrolloutkeeper.New(swrolloutkeeper.Config{
 		Rollout: bounds,
-		Clock: h.clock, Boot: h.boot, UnixNow: func() int64 { return time.Now().UnixMilli() },
+		Clock:   h.clock, Boot: h.boot, UnixNow: func() int64 { return time.Now().UnixMilli() },
 		Owner: h.isOwner, Alone: h.ownsAllHosts, Reachable: h.storeReachable,
 		Era:   func() swobject.Era { return h.health.Load().Era() },
 		Write: h.platform.WriteRollout, Log: h.log,
--- a/internal/node/swfleet/rollouts_test.go
+++ b/internal/node/swfleet/rollouts_test.go
@@ -429,9 +429,10 @@
 			f.trial.order("1")
 			crashing, stop := context.WithTimeout(ctx, rolloutSpan/2)
 			defer stop()
-			go f.trial.operate(ctx)
+			var operating sync.WaitGroup
+			operating.Go(func() { f.trial.operate(ctx) })
 			f.crashEngines(crashing, engineCrashInterval, func(v swid.SoftwareVersion) swid.SoftwareVersion { return v }, 0)
-			<-ctx.Done()
+			operating.Wait()
 			f.trial.check(t, true)
 		}},
 		{"an engine of the new version rejoins at the old one", func(t *testing.T, ctx context.Context, f *rolloutFleet) {
