--- a/internal/core/swvalue/place.go
+++ b/internal/core/swvalue/place.go
@@ -30,6 +30,8 @@
 	Random float64
 
 	expected estimate
+	// preference is how much the request is to be granted the target before others.
+	preference int
 }
 
 // Placement compares offers for one request.
@@ -100,11 +102,15 @@
 			continue
 		}
 		c.compared = c.offer(r, t)
+		c.compared.preference = c.preference(r, t)
+		if c.compared.preference < found.preference {
+			continue
+		}
 		cost := c.placement.Cost(&c.compared)
 		if r.grantRequest.Resumable && t.unlisted {
 			cost = math.MaxFloat64 // nobody could continue the stream
 		}
-		if cost < lowest {
+		if cost < lowest || c.compared.preference > found.preference {
 			lowest, found = cost, c.compared
 		}
 	}
@@ -149,6 +155,9 @@
 // because a target that is busy now is expected to preserve more of the answer's worth
 // (by minWaitGain), even after the wait for a free slot.
 func (c *Cell[P, O]) shouldWait(r *request, offered *Offer) bool {
+	if offered.preference > 0 {
+		return false
+	}
 	minShare := offered.ExpectedShare(c.cfg.LateShare) + minWaitGain
 	return minShare <= 1 && c.busyShare(r) >= minShare
 }
--- a/internal/core/swvalue/run.go
+++ b/internal/core/swvalue/run.go
@@ -35,7 +35,9 @@
 		c.cfg.Contention.Granted(c.now - r.requestedAt)
 	}
 	c.meanWork.Add(c.work(r, o.expected.uncached))
-	c.emit(c.start(r, o.target, sender).grant())
+	started := c.start(r, o.target, sender)
+	c.recordGranted(r, started)
+	c.emit(started.grant())
 	return true
 }
 
@@ -46,6 +48,7 @@
 	started := &run{
 		grantRequest: r.grantRequest, prefixes: r.prefixes, target: t, grantedAt: c.now, output: r.output, charged: r.charged, expected: o.expected,
 		prompt: r.prompt, origin: r.origin, carrier: carrier, apart: r.apart, suspects: r.suspects,
+		atGrant: t.atGrant(c.now),
 	}
 	if !t.plain() {
 		started.soloPrefill = o.expected.wait == 0
@@ -150,6 +153,7 @@
 	}
 	t := r.target
 	c.observeRun(r, e)
+	c.observeAnswer(r, &e)
 	c.observeStatement(r, e.Statement)
 	c.endRun(r)
 	if e.CarrierLost && r.carrier != "" {
--- a/internal/node/swfleet/events.go
+++ b/internal/node/swfleet/events.go
@@ -46,6 +46,7 @@
 		OnOriginWanted: h.originKeeper.Wake,
 		Carriers:       h.carriers,
 		Contention:     h.contentionMeter,
+		Rollouts:       h.rolloutsOf(cell),
 	}
 	if h.view.chargedByOwner(cell) {
 		config.Ledger = h.ledger
@@ -113,7 +114,10 @@
 
 // targetsChanged applies a new list of targets.
 func (h *Host) targetsChanged(items []swwatch.Item[swcatalog.Target]) {
-	h.view.setTargets(items, h.clock.Now())
+	remixed := h.view.setTargets(items, h.clock.Now())
+	if h.rollouts != nil {
+		h.rollouts.SetTargets(h.view.listedTargets())
+	}
 	draining := 0
 	for _, item := range items {
 		if item.Value.Draining {
@@ -132,6 +136,9 @@
 	h.updateServing()
 	h.paths.Configure(h.view.activeTargets())
 	h.configure()
+	if remixed {
+		h.holder.Reroute() // other hosts may schedule requests from now on
+	}
 }
 
 // versionsOf returns the software versions of targets, each once with its service.
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swelect"
+	"github.com/sassafraswing/sassafraswing/internal/operator/swadmin"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
 )
 
@@ -137,7 +138,11 @@
 	componentsCtx, stop := context.WithCancel(runCtx)
 	tasks := pool.New().WithErrors().WithContext(componentsCtx)
 	tasks.Go(h.network.Run)
-	for _, run := range []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.originKeeper.Run, h.pathProber.run, h.keepEntry} {
+	runs := []func(context.Context){h.owner.Run, h.catalogs.Run, h.targets.Run, h.hosts.Run, h.renewRegistration, h.refusalKeeper.Run, h.originKeeper.Run, h.pathProber.run, h.keepEntry}
+	if h.rollouts != nil {
+		runs = append(runs, h.rollouts.Run)
+	}
+	for _, run := range runs {
 		tasks.Go(func(ctx context.Context) error {
 			run(ctx)
 			return nil
@@ -292,10 +297,15 @@
 	}
 }
 
-// operators returns the handler for operators, which serves the metrics.
+// operators returns the handler for operators, which serves the metrics and, if roll-outs are in force, what is known of them.
 func (h *Host) operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
+	if h.settings.Fleet.Rollout.Enabled() {
+		mux.Handle(swadmin.RolloutsPath, swadmin.NewRolloutsHandler(swadmin.RolloutSource{
+			Host: h.settings.Host, Bounds: h.rolloutBounds, Evidence: h.rolloutEvidence, RouteName: h.rolloutRouteName,
+		}, h.log))
+	}
 	return mux
 }
 
--- a/internal/node/swfleet/streamversions_test.go
+++ b/internal/node/swfleet/streamversions_test.go
@@ -56,8 +56,24 @@
 	down bool
 	// crashed is closed by a crash, and replaced when the engine is up again.
 	crashed chan struct{}
+	// observe, if not nil, is called with each request that the engine runs, and returns how it answers.
+	observe func(version swid.SoftwareVersion) answerFault
+	// running is the number of streams that run.
+	running atomic.Int64
 }
 
+// answerFault is how an engine answers a request. Its zero value is sound.
+type answerFault struct {
+	fails, cut bool
+	// slowdown is the factor by which all takes longer; 0 stands for 1.
+	slowdown float64
+}
+
+// failedAnswer is an answer with an error status.
+type failedAnswer struct{ fakeAnswer }
+
+func (failedAnswer) Status() int { return http.StatusInternalServerError }
+
 // Start implements swtarget.Adapter.
 func (v *versionedEngine) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
 	v.mu.Lock()
@@ -72,7 +88,15 @@
 	if err != nil {
 		received = 0
 	}
-	return &versionedAnswer{ctx: ctx, version: v.version, crashed: v.crashed, received: received, first: true}, nil
+	var fault answerFault
+	if v.observe != nil {
+		fault = v.observe(v.version)
+	}
+	if fault.fails {
+		return &failedAnswer{}, nil
+	}
+	v.running.Add(1)
+	return &versionedAnswer{ctx: ctx, engine: v, version: v.version, crashed: v.crashed, received: received, first: true, fault: fault}, nil
 }
 
 // crash ends all runs. The engine is back after downTime, at a version, and its entry is written after a
@@ -113,17 +137,27 @@
 // versionedAnswer is a stream of a versionedEngine. It implements swtarget.Answer.
 type versionedAnswer struct {
 	ctx      context.Context
+	engine   *versionedEngine
 	version  swid.SoftwareVersion
 	crashed  chan struct{}
 	received int
 	first    bool
+	fault    answerFault
 }
 
 func (*versionedAnswer) Status() int                  { return http.StatusOK }
 func (*versionedAnswer) Header() http.Header          { return nil }
 func (*versionedAnswer) Statement() swlimit.Statement { return swlimit.Statement{} }
 func (*versionedAnswer) Usage() swtarget.Usage        { return swtarget.Usage{} }
-func (*versionedAnswer) Close() error                 { return nil }
+
+// Close implements swtarget.Answer.
+func (a *versionedAnswer) Close() error {
+	if a.engine != nil {
+		a.engine.running.Add(-1)
+		a.engine = nil
+	}
+	return nil
+}
 
 func (a *versionedAnswer) Next() (swtarget.Chunk, error) {
 	if a.received == longStreamEvents {
@@ -133,6 +167,12 @@
 	if a.first {
 		wait, a.first = prefillTime, false
 	}
+	if a.fault.slowdown > 0 {
+		wait = time.Duration(float64(wait) * a.fault.slowdown)
+	}
+	if a.fault.cut && a.received == longStreamEvents/2 {
+		return swtarget.Chunk{}, &swtarget.Error{Failure: swtarget.FailureBroken, Err: errConnection}
+	}
 	select {
 	case <-time.After(wait):
 	case <-a.crashed:
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -27,12 +27,14 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
+	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/node/swnode"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
+	"github.com/sassafraswing/sassafraswing/internal/owner/swrolloutkeeper"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcarry"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
@@ -52,6 +54,11 @@
 	Targets() swwatch.Source[swcatalog.Target]
 	// Hosts returns the source of the hosts that registered themselves in the store.
 	Hosts() swwatch.Source[swcatalog.Host]
+	// Rollouts returns the source of the operators' orders of roll-outs. An item's name is that of its service.
+	Rollouts() swwatch.Source[swcatalog.Rollout]
+	// WriteRollout writes the record of the order with a name if its entry still has the expected revision, and returns the
+	// new one. Its errors are those of swobject.Objects.
+	WriteRollout(ctx context.Context, name string, record swrollout.Record, expected swwatch.Revision) (swwatch.Revision, error)
 	// Objects returns the objects in which the hosts keep what has to outlast them.
 	Objects() swobject.Objects
 	// Streams returns the objects in which the hosts keep the origins of streams.
@@ -141,6 +148,12 @@
 	carrying *swcarry.Server
 	// answers is the memory for the answers that this host holds, of its own requests and of those that it carries.
 	answers *swbuffer.Budget
+	// rollouts runs the roll-outs while this host is the owner. It is nil if they are not in force, and until the host is assembled.
+	rollouts *swrolloutkeeper.Keeper
+	// rolloutKeeper is rollouts for operators, whose listener is open before the host is assembled.
+	rolloutKeeper atomic.Pointer[swrolloutkeeper.Keeper]
+	// outcomes has the latest answers of services with several versions.
+	outcomes outcomeLog
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -278,6 +291,9 @@
 	h.configureMu.Lock()
 	defer h.configureMu.Unlock()
 	h.exchange = swexchange.New(h.self)
+	if h.rollouts = h.newRolloutKeeper(); h.rollouts != nil {
+		h.registry.MustRegister(newRolloutCollector(h.rollouts))
+	}
 	h.network = swlink.New(swlink.Config{
 		Self: h.self, Address: h.settings.Peer.Address, ProbeInterval: h.settings.Peer.Heartbeat,
 		KeepAlive: linkKeepAlive, ServeStream: func(peer swlink.Peer, stream net.Conn) { h.carrying.Serve(peer.Host, stream) },
@@ -288,7 +304,7 @@
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Clock: h.clock, Sender: h.exchange, Router: h.router,
 		Targets: h.pool, Observer: h.metrics, Log: h.log, MaxHeld: h.settings.Caller.MaxHeld,
 		Retries: h.retries, AckTimeout: ackTimeout, GrantRequestInterval: grantRequestInterval, ReportEarly: true,
-		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement,
+		OnGranted: h.recordUsage, OnStatement: h.recordStatement, Closed: h.closed.Statement, OnDone: h.recordOutcome,
 		Origins: h.origins, Cut: h.paths.Cut, Carry: h.carriedAdapter, Answers: h.answers,
 	})
 	h.owner = swowner.New(swowner.Config{
@@ -303,6 +319,7 @@
 	h.exchange.OnLinkUp(h.linkUp)
 	h.exchange.Connect(h.network, h.linkDown, h.holder, h.owner, registrationReceiver{h})
 	h.createFollowers()
+	h.rolloutKeeper.Store(h.rollouts)
 }
 
 // createFollowers creates the followers, which keep copies of the store's objects.
@@ -322,6 +339,7 @@
 	targets.MissingGrace = h.settings.Fleet.ReregisterWithin
 	targets.RenewalTimeout = missedHeartbeats * h.settings.Fleet.TargetHeartbeat
 	h.targets = swwatch.NewFollower(targets, h.platform.Targets(), h.targetsChanged)
+	h.followRollouts(config(kindRollouts, rolloutWait))
 	hosts := config(kindHosts, hostWait)
 	hosts.ChangePause = hostChangePause
 	hosts.MissingGrace = h.settings.Fleet.ReregisterWithin
