Give runs that have not ended the time at which they should have

Answers in the order of the start of their runs made failures, which end early, come together at the end; late runs were left out with an ill target.

Change: answers go by their end, and runs that have not ended by when they should have; late runs count at all targets; a moving version with many bad answers gets nothing, and is rolled back at the deadline, until it is clearly sound; less certainty is asked for in the last moment where old targets differ.

--- a/internal/core/swrollout/judge.go
+++ b/internal/core/swrollout/judge.go
@@ -182,19 +182,19 @@
 	return rate
 }
 
-// orderByStart sorts answers by the time at which their runs began, as runs that have not ended would be the last ones otherwise.
-func orderByStart(all []*sample, spoilt, counts []bool) {
+// sortByTime sorts answers by their time, and what is known of each with them.
+func sortByTime(all []*sample, slow []bool) {
 	type answer struct {
-		s              *sample
-		spoilt, counts bool
+		s    *sample
+		slow bool
 	}
 	answers := make([]answer, len(all))
 	for i, s := range all {
-		answers[i] = answer{s, spoilt[i], counts[i]}
+		answers[i] = answer{s, slow[i]}
 	}
-	slices.SortStableFunc(answers, func(a, b answer) int { return cmp.Compare(a.s.at-a.s.total, b.s.at-b.s.total) })
+	slices.SortStableFunc(answers, func(a, b answer) int { return cmp.Compare(a.s.at, b.s.at) })
 	for i, a := range answers {
-		all[i], spoilt[i], counts[i] = a.s, a.spoilt, a.counts
+		all[i], slow[i] = a.s, a.slow
 	}
 }
 
@@ -329,8 +329,11 @@
 	byTarget := b.pace.speeds(n, fresh)
 	slow := b.pace.slow(fresh, byTarget)
 	// Runs that are overdue are slow answers that are still to come.
-	for _, o := range b.pace.overdue(n, r.running, byTarget, r.steppedAt) {
-		fresh, slow = append(fresh, o), append(slow, true)
+	if overdue := b.pace.overdue(n, r.running, byTarget, r.steppedAt); len(overdue) > 0 {
+		for _, o := range overdue {
+			fresh, slow = append(fresh, o), append(slow, true)
+		}
+		sortByTime(fresh, slow)
 	}
 	j := &judgement{suspect: -1, routes: make([]RouteEvidence, len(n.routes))}
 	copy(j.routes, b.routes)
@@ -355,7 +358,6 @@
 	j.slowMost = slows > failures
 	j.answers, j.spoilt = uint64(len(fresh)), uint64(slows+failures)
 	counts := countOnce(fresh, spoilt)
-	orderByStart(fresh, spoilt, counts)
 	late := slices.ContainsFunc(fresh, func(s *sample) bool { return s.late })
 	tests := func(without int) (all, ended []test) {
 		all = r.test(j, fresh, spoilt, counts, without, true)
@@ -391,7 +393,8 @@
 	return j
 }
 
-// test runs the tests over the answers that count, without those of one target, and with runs that are late or without them.
+// test runs the tests over the answers that count, without those of one target, and with the runs that are late at any target or
+// without them.
 func (r *Rollout) test(j *judgement, fresh []*sample, spoilt, counts []bool, without int, late bool) []test {
 	tests := make([]test, cellOf(len(r.names.routes), false))
 	among := 1
@@ -407,7 +410,7 @@
 		}
 	}
 	for i, s := range fresh {
-		if !counts[i] || s.target == without || s.late && !late {
+		if !counts[i] || s.target == without && !s.late || s.late && !late {
 			continue
 		}
 		for _, c := range s.cells() {
@@ -450,7 +453,7 @@
 	bad := make([]int, targets)
 	worst, most := -1, 0
 	for i, s := range fresh {
-		if !spoilt[i] || !counts[i] {
+		if !spoilt[i] || !counts[i] || s.late {
 			continue
 		}
 		bad[s.target]++
--- a/internal/core/swrollout/review.go
+++ b/internal/core/swrollout/review.go
@@ -46,10 +46,10 @@
 	// lastUnsure is the latter where targets of old versions differ, so that little more can be known.
 	lastUnsure = 0.4
 	// lastPartUnsure is the corresponding one of a route.
-	lastPartUnsure = 2.5
+	lastPartUnsure = 4
 	// partThreshold and lastPart are those against a version that is bad on one route, or under load only; in the last moment, a bad
 	// answer of a route is borne.
-	partThreshold, lastPart = 4, 0.5
+	partThreshold, lastPart = 4, 0
 	// minRouteAnswers is the number of answers that a route needs at least, and lastRouteAnswers in the last moment.
 	minRouteAnswers, lastRouteAnswers = 20, 5
 	// doubtThreshold is the ratio for a version that has turned bad from which it is not completed, and lastDoubt the one in the
@@ -102,8 +102,14 @@
 		return
 	}
 	if r.verdict == VerdictSound {
-		if now >= r.deadline-rollbackMargin && !r.ending && !r.hasRoom() {
+		if now < r.deadline-rollbackMargin || r.ending {
+			return
+		}
+		switch {
+		case !r.hasRoom():
 			r.verdict, r.reason = VerdictBad, reasonNoTargets
+		case r.paused(now):
+			r.verdict, r.reason = VerdictBad, reasonDoubted
 		}
 		return
 	}
@@ -142,17 +148,19 @@
 		late = 1
 	}
 	threshold := soundThreshold + late*(lastThreshold-soundThreshold)
+	doubt := doubtThreshold + late*(lastDoubt-doubtThreshold)
 	answers := minRouteAnswers + late*(lastRouteAnswers-minRouteAnswers)
 	part := -partThreshold + late*(partThreshold+lastPart)
 	if r.baseline.deviation > 0 {
 		threshold -= late * (lastThreshold - lastUnsure)
+		doubt += late * unsureThreshold
 		part += late * (lastPartUnsure - lastPart)
 	}
 	all := r.last.test(cellAll)
 	if all.answers < answers || all.sums[0] > -threshold {
 		return reasonAnswers
 	}
-	if highestRise(r.last.tests) >= doubtThreshold+late*(lastDoubt-doubtThreshold) {
+	if highestRise(r.last.tests) >= doubt {
 		return reasonDoubt
 	}
 	for route, s := range r.routes {
--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -201,6 +201,8 @@
 		return Versions{New: true, PreferNew: true}
 	case r.verdict == VerdictBad:
 		return Versions{Old: true}
+	case r.paused(now):
+		return Versions{Old: true}
 	case r.verdict == VerdictSound:
 		if r.situation.NewTargets == 0 {
 			return Versions{Old: !r.ending, New: true}
@@ -208,7 +210,7 @@
 		ends := now+mayLast <= r.plannedEnd()
 		return Versions{Old: !r.ending && (ends || !r.hasRoom()), New: true, PreferNew: true}
 	}
-	if r.paused(now) || !r.ledger.open(r.burst()) || !r.wanted(state) {
+	if !r.ledger.open(r.burst()) || !r.wanted(state) {
 		return Versions{Old: true}
 	}
 	r.asked = route
@@ -402,7 +404,7 @@
 
 // mayComplete reports whether the old versions are no longer needed, or have to end.
 func (r *Rollout) mayComplete(now swclock.Millis) bool {
-	if !r.hasRoom() {
+	if !r.hasRoom() || r.paused(now) {
 		return false
 	}
 	return now >= r.plannedEnd() || r.situation.OldRunning == 0 && r.situation.Waiting == 0 && now-r.soundAt >= judgeInterval
--- a/internal/core/swrollout/speed.go
+++ b/internal/core/swrollout/speed.go
@@ -11,7 +11,7 @@
 	// slowFactor is the factor by which a slow answer takes longer than expected.
 	slowFactor = 2.3
 	// overdueSlack is added to the time that a run may take, as runs of short routes wait for the network too.
-	overdueSlack = 500 * swclock.Millis(1)
+	overdueSlack = 300 * swclock.Millis(1)
 	// usualQuantile is the quantile of the durations that nearly all runs take.
 	usualQuantile = 0.95
 	// speedRange is the factor by which sound targets differ in speed.
@@ -194,8 +194,19 @@
 }
 
 // overdue returns the runs at the new version that are older than nearly all runs of their route at a target as fast. They are late, or
-// several times older.
+// several times older. Their time is that at which they should have ended, so that they do not all come last.
 func (p *pace) overdue(n *names, runs []Running, byTarget speeds, now swclock.Millis) []*sample {
+	// Targets differ by speedRange, so that one that is not known is at most about its square root slower than most.
+	unknown := math.Log(speedRange)
+	var known []float64
+	for target := range byTarget {
+		if speed := byTarget.slowest(target); !math.IsNaN(speed) {
+			known = append(known, speed)
+		}
+	}
+	if len(known) > 1 {
+		unknown = quantile(known, 0.5) + unknown/2
+	}
 	var overdue []*sample
 	for _, run := range runs {
 		route := n.route(run.Route)
@@ -205,7 +216,7 @@
 		target := n.target(run.Target)
 		speed := byTarget.slowest(target)
 		if math.IsNaN(speed) {
-			speed = math.Log(speedRange)
+			speed = unknown
 		}
 		usual := math.Exp(speed) * p.usual[route]
 		if float64(run.Since) < usual+float64(overdueSlack) {
@@ -213,7 +224,7 @@
 		}
 		level, loaded := loadLevel(run.Running, run.Slots)
 		none := math.NaN()
-		overdue = append(overdue, &sample{at: now, total: run.Since, target: target, route: route, level: level, loaded: loaded,
+		overdue = append(overdue, &sample{at: now - run.Since + swclock.Millis(usual), total: run.Since, target: target, route: route, level: level, loaded: loaded,
 			late: float64(run.Since) < slowFactor*usual+float64(overdueSlack), times: [timeKinds]float64{none, none, none}})
 	}
 	return overdue
