--- a/internal/core/swrollout/plays_test.go
+++ b/internal/core/swrollout/plays_test.go
@@ -15,7 +15,10 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
-var seeds = flag.Int("seeds", defaultSeeds, "seeded plays of each kind and size")
+var (
+	seeds     = flag.Int("seeds", defaultSeeds, "seeded plays of each kind and size")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first play of each kind and size")
+)
 
 // playConfig are the bounds of the operator's page.
 var playConfig = Config{MaxShare: 0.1, Slack: 50, RollbackWithin: 5 * swclock.Second, Writer: "host-1"}
@@ -28,7 +31,7 @@
 	// later, loaded and oneRoute limit what is spoilt.
 	later, loaded, oneRoute bool
 	// trouble of versions that are sound, or besides.
-	serviceFails, targetFails, crashes, cold, late bool
+	serviceFails, targetFails, crashes, newCrash, cold, late bool
 }
 
 func (k kind) bad() bool { return k.fails || k.slows }
@@ -406,30 +409,35 @@
 		next += rng.ExpFloat64() * 1000 / z.rate
 		at(swclock.Millis(next), func(now swclock.Millis) { arrive(now) })
 	}
-	if k.crashes {
-		crash := func(targets []*playTarget) {
-			at(begin+swclock.Millis(rng.Float64()*float64(duration)), func(now swclock.Millis) {
-				t := pick(targets, now, true, "")
-				if t == nil || t.running == 0 {
-					return
-				}
-				t.joins, t.warm = now+2*swclock.Second, now+4*swclock.Second
-				ids := make([]int, 0, len(t.runs))
-				for id := range t.runs {
-					ids = append(ids, id)
-				}
-				slices.Sort(ids)
-				for _, id := range ids {
-					if r := t.runs[id]; r != nil {
-						r.answer.Bad = true
-						finish(r, now)
-					}
+	crash := func(targets []*playTarget) {
+		at(begin+swclock.Millis(rng.Float64()*float64(duration)), func(now swclock.Millis) {
+			t := pick(targets, now, true, "")
+			if t == nil || t.running == 0 {
+				return
+			}
+			t.joins, t.warm = now+2*swclock.Second, now+4*swclock.Second
+			ids := make([]int, 0, len(t.runs))
+			for id := range t.runs {
+				ids = append(ids, id)
+			}
+			slices.Sort(ids)
+			for _, id := range ids {
+				if r := t.runs[id]; r != nil {
+					r.answer.Bad = true
+					finish(r, now)
 				}
-			})
-		}
+			}
+		})
+	}
+	if k.crashes {
 		crash(old)
 		crash(fresh)
 	}
+	if k.newCrash {
+		for range 1 + rng.IntN(3) {
+			crash(fresh)
+		}
+	}
 	var step func(now swclock.Millis)
 	step = func(now swclock.Millis) {
 		s := Situation{OldRunning: oldRunning, Waiting: len(line)}
@@ -561,10 +569,8 @@
 	r.cut += p.cut
 }
 
-// TestPlays plays orders of each kind of version, and checks the rates of wrong decisions. With -v it prints them beside those of a
-// fixed share.
-func TestPlays(t *testing.T) {
-	var rows []*row
+// playAll plays orders of some kinds of versions, of each size.
+func playAll(kinds []kind) (rows []*row) {
 	for _, z := range sizes {
 		for _, k := range kinds {
 			rows = append(rows, &row{kind: k, size: z})
@@ -578,14 +584,44 @@
 			defer wait.Done()
 			limit <- struct{}{}
 			defer func() { <-limit }()
-			for seed := range uint64(*seeds) {
-				r.add(seed+1, play(r.kind, r.size, seed+1, false), play(r.kind, r.size, seed+1, true))
+			for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+				r.add(seed, play(r.kind, r.size, seed, false), play(r.kind, r.size, seed, true))
 			}
 		}()
 	}
 	wait.Wait()
+	return rows
+}
+
+// played has the plays of all kinds.
+var played = sync.OnceValue(func() []*row { return playAll(kinds) })
+
+// TestPlayedExposure checks that bad versions get no more than the bound until the deadline, also those that turned bad after they were found
+// sound.
+func TestPlayedExposure(t *testing.T) {
+	for _, r := range played() {
+		if r.over > 0 {
+			t.Errorf("%s, %s: %d of %d got more than the bound", r.kind.name, r.size.name, r.over, *seeds)
+		}
+	}
+}
+
+// TestPlaysOfCrashingTargets checks that targets of the new version that crash, one to three times in an order and none of the old version, are
+// not taken for badness of the version more often than stated.
+func TestPlaysOfCrashingTargets(t *testing.T) {
+	for _, r := range playAll([]kind{{name: "good, new targets crash", newCrash: true}}) {
+		if most := int(maxWrongRollbacks * float64(*seeds)); r.wrong > most {
+			t.Errorf("%s, %s: %d of %d rolled back, at most %d wanted; %d with a fixed share", r.kind.name, r.size.name, r.wrong, *seeds, most, r.baseline)
+		}
+	}
+}
+
+// TestPlays plays orders of each kind of version, and checks the rates of wrong decisions. With -v it prints them beside those of a
+// fixed share.
+func TestPlays(t *testing.T) {
+	rows := played()
 	var b strings.Builder
-	fmt.Fprintf(&b, "%d seeds each\n| version | size | wrong | wrong, fixed share | found sound at first | over the bound in the end | most bad answers | last request after the 50th, ms | most writes | runs cut at completion, mean |\n", *seeds)
+	fmt.Fprintf(&b, "%d seeds each, from %d\n| version | size | wrong | wrong, fixed share | found sound at first | over the bound in the end | most bad answers | last request after the 50th, ms | most writes | runs cut at completion, mean |\n", *seeds, *firstSeed)
 	b.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
 	wrongRollbacks, sound := make(map[string]int), make(map[string]int)
 	for _, r := range rows {
--- a/internal/core/swvalue/rollouts_test.go
+++ b/internal/core/swvalue/rollouts_test.go
@@ -92,6 +92,10 @@
 			f := &fakeRollouts{}
 			b := newRolloutHarness(f)
 			b.run(b.newGrantRequest(func(a *swcell.GrantRequest) { a.Exclude = []swid.TargetID{"new"} }), swcell.ResultAnswered)
+			slower, _ := grantOf(b.step(b.newGrantRequest(func(a *swcell.GrantRequest) { a.Exclude = []swid.TargetID{"old"} })))
+			b.step(swcell.Done{
+				Key: slower.Key, Attempt: slower.Attempt, Target: "new", Result: swcell.ResultAnswered, OutputTokens: 50, FirstToken: 100, Total: 900,
+			})
 			f.standing, f.versions, f.granted = tt.standing, tt.versions, nil
 			b.now += swclock.Second
 			g, _ := grantOf(b.step(b.newGrantRequest(tt.change)))
