--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -61,8 +61,7 @@
 }
 
 // setTargets replaces the targets. One that was draining stays so until it is started anew: a store that
-// was set back may list it as it was before.
-// setTargets reports whether that changes who schedules plain services.
+// was set back may list it as it was before. setTargets reports whether other services have targets of several versions than before.
 func (v *view) setTargets(items []swwatch.Item[swcatalog.Target], now swclock.Millis) (remixed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -183,7 +182,8 @@
 // scheduledByEachHost reports whether each host schedules its own requests for a cell,
 // which is then called local. This is true for the cells of plain services, whose calls
 // are short and whose targets are mostly idle, unless something has to be counted over all
-// hosts: the requests of an organisation (see chargedByOwner), or what plainShared is set for.
+// hosts: the requests of an organisation (see chargedByOwner), what plainShared is set for, or those of a service with several
+// versions, one of which may be on trial.
 func (v *view) scheduledByEachHost(cell swid.CellID) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
