--- a/internal/node/swfleet/rollouts_test.go
+++ b/internal/node/swfleet/rollouts_test.go
@@ -241,6 +241,15 @@
 				time.Sleep(3 * time.Second)
 			}
 		}},
+		{name: "owner leaves", run: func(f *rolloutFleet) {
+			for range 3 {
+				owner := f.owner()
+				owner.leave()
+				<-owner.ended
+				owner.start()
+				time.Sleep(time.Second)
+			}
+		}},
 		{name: "all hosts killed", run: func(f *rolloutFleet) {
 			for range 2 {
 				f.restartAll()
