Do not take an answer for whole that ends before its target has the request

A target that answers a long upload at once, sends a part and breaks off is then taken to have ended the answer: it closes the connection (the reset comes when the rest of the upload arrives, after the end that has been read already), half-closes it, or resets it, where the pending write consumes the socket's error and the read sees the end of the connection.

Change: at the end of such an answer swconn ends the pending write and asks the system whether the peer has acknowledged everything and the connection was not reset since. The segment that ends a connection acknowledges all that the peer has read, so that this depends on no timing. Otherwise the answer is broken (ErrCutRequest).

Not seen by this: a target whose system has taken the whole upload, and which half-closes the connection without reading it.

--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -41,6 +41,13 @@
 	err  error
 }
 
+// delivered reports whether the peer, which has ended the connection, had taken the whole request before.
+func (c *conn) delivered(w *pendingWrite) bool {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // ends a write that waits for room; fails only on a closed connection
+	<-w.done
+	return w.err == nil && c.isAcknowledged()
+}
+
 // finished reports whether the whole request was written without an error.
 func (w *pendingWrite) finished() bool {
 	select {
@@ -257,10 +264,12 @@
 }
 
 // Read reads the body. It returns io.EOF at the answer's marked end, or at the
-// end of the connection if the answer is not framed.
+// end of the connection if the answer is not framed. If the peer has not taken the whole request by then, it has broken off.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.answer.Body.Read(b)
 	switch {
+	case err == io.EOF && !r.Framed && r.Status < http.StatusBadRequest && !r.conn.delivered(r.written):
+		err = contextCauseOr(r.ctx, ErrCutRequest) // an error may be sent without a look at the request
 	case err == io.EOF:
 		r.bodyComplete = true
 	case err != nil:
--- a/internal/target/swconn/peek.go
+++ b/internal/target/swconn/peek.go
@@ -28,3 +28,23 @@
 	})
 	return err == nil && peekErr == unix.EAGAIN
 }
+
+// isAcknowledged reports whether the peer's system has acknowledged everything that was written, and the connection was not reset
+// since. The end of a connection acknowledges all that the peer could have read.
+func (c *conn) isAcknowledged() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var queued, failed int
+	var queueErr, optionErr error
+	err = raw.Control(func(fd uintptr) {
+		queued, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		failed, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+	})
+	return err == nil && queueErr == nil && optionErr == nil && queued == 0 && failed == 0
+}
