Take no answer with an invalid status

The adapters of plain services passed 000, 001, 020, 099, +20, -00 and 101 on as answers, swcarry passed on what a carrier says, and swconn skipped them as interim answers: a request waited for its timeout then, or took for its answer what followed on the connection.

Change: an answer whose status is below 100 is broken (ErrStatus), as is 101, which no request asks for. A holder refuses a status below 200 from a carrier, which may be of the build before. Interim answers are skipped as before; statuses of 600 and more are passed on as before.

--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -44,6 +44,9 @@
 // errSilent is the error of a request that the holder gave up because there was no output.
 var errSilent = errors.New("no output within the time allowed")
 
+// errStatus means that an answer has a status that ends no exchange.
+var errStatus = errors.New("the answer has an invalid status")
+
 // Start implements swtarget.Adapter. The carrier does not know whether the request may be given up, so where that is to be asked,
 // the holder ends it after its FirstOutputTimeout.
 func (a *Adapter) Start(ctx context.Context, r swtarget.Request) (swtarget.Answer, error) {
@@ -183,6 +186,9 @@
 	if err != nil {
 		return lost(err)
 	}
+	if answer.GetStatus() < http.StatusOK { // from a carrier of an earlier build
+		return &swtarget.Error{Failure: swtarget.FailureBroken, Statement: statement, Err: errors.Wrapf(errStatus, "%d", answer.GetStatus())}
+	}
 	c.status, c.header, c.statement = int(answer.GetStatus()), decodeHeader(answer.GetHeader()), statement
 	return nil
 }
--- a/internal/peer/swcarry/swcarry_test.go
+++ b/internal/peer/swcarry/swcarry_test.go
@@ -559,6 +559,25 @@
 	}
 }
 
+// TestOddStatus guards against answers of a carrier whose status is none.
+func TestOddStatus(t *testing.T) {
+	for _, status := range []uint32{0, 20, 99, 100, 101, 199} {
+		own, other := net.Pipe()
+		go func() {
+			if err := readFrame(bufio.NewReader(other), &swpb.CarriedRequest{}); err != nil {
+				t.Error(err)
+			}
+			if err := writeFrame(other, &swpb.CarriedReply{Kind: &swpb.CarriedReply_Answer{Answer: &swpb.CarriedAnswer{Status: status}}}); err != nil {
+				t.Error(err)
+			}
+		}()
+		_, err := (&Adapter{Opener: pipe{own}}).Start(t.Context(), testRequest())
+		if failure, ok := err.(*swtarget.Error); !ok || failure.Failure != swtarget.FailureBroken || failure.CarrierLost {
+			t.Errorf("status %d: error %#v, want a broken answer", status, err)
+		}
+	}
+}
+
 // TestProbe checks what a holder learns of whether a carrier reaches a target, for which nothing is sent to the target.
 func TestProbe(t *testing.T) {
 	tests := []struct {
--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -244,9 +244,12 @@
 // statusLine matches the begin of an answer, without its line break.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
 
-// CheckHead returns ErrCutHead if another answer begins within the reason phrase or a field of the header of an answer, because the
-// peer broke off there. The header may then have fields of both answers.
+// CheckHead returns ErrStatus if an answer has a status that none to our requests has. It returns ErrCutHead if another answer begins
+// within the reason phrase or a field of the header, because the peer broke off there. The header may then have fields of both answers.
 func CheckHead(answer *http.Response) error {
+	if answer.StatusCode < http.StatusContinue || answer.StatusCode == http.StatusSwitchingProtocols {
+		return errors.Wrapf(ErrStatus, "%q", answer.Status)
+	}
 	if statusLine.MatchString(answer.Status) {
 		return ErrCutHead
 	}
--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -60,6 +60,8 @@
 	ErrHead = errors.New("the header of the answer is too large")
 	// ErrCutHead means that the peer broke off within the header of an answer and wrote another answer.
 	ErrCutHead = errors.New("another answer begins within the header of the answer")
+	// ErrStatus means that the status of an answer is not one of HTTP, or one that was not asked for.
+	ErrStatus = errors.New("the answer has an invalid status")
 	// ErrCutRequest means that the peer ended an answer that does not mark its end before it had taken the whole request.
 	ErrCutRequest = errors.New("the connection ended before the whole request was taken")
 	// ErrOtherProcess means that another process of the peer than the expected one is at the end of the connection.
