Bound what callers have sent and a process holds, and their connections

Cause of the crowds of TestCrowd: each body was read whole (io.ReadAll) and only answers had a budget; the connections of callers to a fleet host had no bound (caller.maxConnections was read only by the other interface), so that they took every descriptor of the process.

Bodies take room as they arrive, in segments that are never longer than what has arrived before; an announced length takes none. The room is a quarter of the process's memory (swroom). A body that finds none takes that of bodies that have stalled, those that hold the most first, then that of the organisation that holds the most if it holds more than its own; a body that is complete keeps its room. Else it is refused with 503 and Retry-After, and nothing of it has run. One that has to give way while it arrives gets the same refusal, and its connection is closed once it could be read. One organisation holds at most what all leave free of three quarters, small bodies have the last quarter.

Connections: the smaller of caller.maxConnections, a share of the descriptors (the new fleet.fileDescriptors, filled in from the machine's number, and the limit of the process), and a quarter of the memory at 20 KiB each. Above that the oldest gives way: refused ones, those without a whole header, idle ones, those whose body has stalled; else the new one is closed. A request that is served never gives way.

The memory limit of the collector is three quarters of memoryMegabytes: it collects earlier and returns memory near the bound, and replaces no budget.

headerTimeoutMs and headerBytes of the configuration are used: the first for the header that is awaited, the second refuses a longer header with 431.

--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 )
 
@@ -74,6 +75,7 @@
 		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout.Duration(),
 		ConnContext:       swcallerconn.ConnContext,
+		ConnState:         swcallerconn.ConnState,
 	}
 	server.RegisterOnShutdown(s.startLeaving)
 	return server
@@ -100,7 +102,9 @@
 // newRefusal returns a handler for requests whose method and path have none.
 func (s *Server) newRefusal(status int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.refuse(w, s.newBody(w, r), newNotRunError(status, "noSuchPath", "there is no "+r.Method+" "+r.URL.Path))
+		body := s.newBody(w, r)
+		defer body.Close()
+		s.refuse(w, body, newNotRunError(status, "noSuchPath", "there is no "+r.Method+" "+r.URL.Path))
 	})
 }
 
@@ -108,6 +112,7 @@
 func (s *Server) withErrorResponse(handle func(http.ResponseWriter, *http.Request, *swcallerconn.Body, httprouter.Params) *Error) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		body := s.newBody(w, r)
+		defer body.Close()
 		if problem := handle(w, r, body, params); problem != nil {
 			s.refuse(w, body, problem)
 		}
@@ -186,10 +191,11 @@
 
 // accept authenticates a caller and reads the body. It authenticates the caller again by the document that is in force then.
 func (s *Server) accept(r *http.Request, body *swcallerconn.Body) (acceptedRequest, *Error) {
-	if _, problem := s.authenticate(r); problem != nil {
+	early, problem := s.authenticate(r)
+	if problem != nil {
 		return acceptedRequest{}, problem
 	}
-	data, problem := s.readBody(body)
+	data, problem := s.readBody(body, early.org.ID)
 	if problem != nil {
 		return acceptedRequest{}, problem
 	}
@@ -215,8 +221,8 @@
 	return a, nil
 }
 
-func (s *Server) readBody(body *swcallerconn.Body) ([]byte, *Error) {
-	data, err := body.ReadAll(int64(s.settings.MaxBodyBytes))
+func (s *Server) readBody(body *swcallerconn.Body, org swid.OrgID) ([]byte, *Error) {
+	data, err := body.ReadAll(int64(s.settings.MaxBodyBytes), swroom.Group(org))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, newNotRunError(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body is above "+strconv.Itoa(s.settings.MaxBodyBytes)+" bytes")
@@ -224,6 +230,11 @@
 	if err != nil && s.leaving.Err() != nil {
 		return nil, newNotRunError(http.StatusServiceUnavailable, "shuttingDown", "this host is shutting down")
 	}
+	if errors.Is(err, swroom.ErrNoRoom) {
+		problem := newNotRunError(http.StatusServiceUnavailable, "noRoom", "this host has no room for the body")
+		problem.RetryAfter = swclock.Second
+		return nil, problem
+	}
 	if err != nil {
 		return nil, newNotRunError(http.StatusRequestTimeout, "bodyIncomplete", "the body did not arrive whole in time")
 	}
--- a/internal/caller/swcallerconn/body.go
+++ b/internal/caller/swcallerconn/body.go
@@ -14,6 +14,7 @@
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 )
 
 const (
@@ -45,17 +46,26 @@
 	request    *http.Request
 	controller *http.ResponseController
 	bounds     Bounds
+	// connection is nil if it is not one of a listener of this package.
+	connection *conn
+	reception  reception
 	received   int64
-	// started is true once a part of the body was asked for; whole once all of it was read; failed once a read has failed.
-	started, whole, failed bool
+	// started is true once a part of the body was asked for; whole once all of it was read; failed once a read has failed; gaveWay
+	// if that was because the body had to give way to others.
+	started, whole, failed, gaveWay bool
 }
 
-// NewBody returns the body of a request.
+// NewBody returns the body of a request. The caller has to close it.
 func NewBody(w http.ResponseWriter, r *http.Request, bounds Bounds) *Body {
-	return &Body{
-		writer: w, request: r, controller: http.NewResponseController(w), bounds: bounds,
+	b := &Body{
+		writer: w, request: r, controller: http.NewResponseController(w), bounds: bounds, connection: connOf(r.Context()),
 		whole: r.Body == nil || r.Body == http.NoBody,
 	}
+	if b.connection != nil {
+		b.connection.awaitsHeader.Store(false)
+	}
+	b.setState(swroom.StateServing)
+	return b
 }
 
 // Announced returns the length that the caller announced; -1 if it announced none.
@@ -64,49 +74,6 @@
 // Received returns how many bytes were read. Some more may have arrived.
 func (b *Body) Received() int64 { return b.received }
 
-// ReadAll reads the body, which may have up to limit bytes; 0 sets no limit. The error wraps an *http.MaxBytesError
-// if there are more. The read fails when Bounds.Draining ends.
-func (b *Body) ReadAll(limit int64) ([]byte, error) {
-	if b.whole {
-		return nil, nil
-	}
-	b.started = true
-	if err := b.controller.SetReadDeadline(time.Now().Add(b.bounds.ReadTimeout.Duration())); err != nil {
-		return nil, errors.Wrap(err, "set the read deadline of the body")
-	}
-	stop := b.interruptWhenDraining()
-	body := b.request.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(b.writer, body, limit)
-	}
-	data, err := io.ReadAll(body)
-	stop()
-	b.received += int64(len(data))
-	if err != nil {
-		b.failed = true
-		return nil, errors.Wrap(err, "read body")
-	}
-	b.whole = true
-	return data, errors.Wrap(b.controller.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
-}
-
-// interruptWhenDraining lets the read deadline pass when Bounds.Draining ends. The function that it returns ends that.
-func (b *Body) interruptWhenDraining() (stop func()) {
-	if b.bounds.Draining == nil {
-		return func() {}
-	}
-	interrupted := make(chan struct{})
-	cancel := context.AfterFunc(b.bounds.Draining, func() {
-		defer close(interrupted)
-		_ = b.controller.SetReadDeadline(time.Now()) // fails only if the connection is closed
-	})
-	return func() {
-		if !cancel() {
-			<-interrupted // it must not change a later deadline
-		}
-	}
-}
-
 // Refuse calls write to send a refusal with a Content-Length. If the body has not arrived whole, the refusal is sent at once,
 // and the rest of the body is read and discarded: a connection that is closed while the caller still writes is reset, which
 // can destroy the refusal. limit is the longest body that callers may send; 0 if there is no limit. The connection is kept if
@@ -134,6 +101,10 @@
 	if err == nil {
 		err = b.controller.Flush()
 	}
+	b.setState(swroom.StateRefused)
+	if err == nil && b.gaveWay {
+		err = swroom.ErrNoRoom
+	}
 	if err == nil {
 		err = b.discard(limit)
 	}
--- a/internal/caller/swcallerconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -19,6 +19,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 )
 
 // EndKind says how a connection ended, as far as this host noticed.
@@ -52,40 +53,85 @@
 	Err error
 }
 
+// Observation configures how connections are observed. The zero value only records how they end.
+type Observation struct {
+	// IdleTimeout returns how long connections may be idle, if that is longer than the server's own time; it may be nil. It is called when
+	// a connection becomes idle, and again once that time has passed. The server needs ConnState.
+	IdleTimeout func() swclock.Millis
+	// HeaderTimeout returns how long the header of a request may take in place of the server's own time, or 0 for that; it may be nil. The
+	// server needs ConnState, and its handler NewBody.
+	HeaderTimeout func() swclock.Millis
+	// Intake bounds the connections and the bodies on them; nil sets no bound. The server needs ConnState, and its handler NewBody.
+	Intake *Intake
+	Log    zerolog.Logger
+}
+
 // listener wraps the connections that it accepts.
 type listener struct {
 	net.Listener
-	idleTimeout func() swclock.Millis
-	log         zerolog.Logger
+	Observation
+	// loggedAt is when connections that were closed for want of room were last logged. Only Accept uses it.
+	loggedAt swclock.Millis
+	logged   uint64
 }
 
 // Observe returns a listener whose connections record how they end. The first write of a connection that fails is
 // logged with the latest request there. The connections' server needs ConnContext.
-func Observe(l net.Listener, log zerolog.Logger) net.Listener {
-	return ObserveIdle(l, nil, log)
+func Observe(l net.Listener, o Observation) net.Listener {
+	return &listener{Listener: l, Observation: o, loggedAt: -roomLogInterval}
 }
 
-// ObserveIdle is Observe for a server with ConnState, whose connections may be idle for the server's own time, or the one that
-// idleTimeout returns, whichever is longer. idleTimeout is called when a connection becomes idle, and again once that time has passed.
-func ObserveIdle(l net.Listener, idleTimeout func() swclock.Millis, log zerolog.Logger) net.Listener {
-	return &listener{Listener: l, idleTimeout: idleTimeout, log: log}
-}
+// roomLogInterval is the least time between two lines on connections that are closed for want of room.
+const roomLogInterval = swclock.Second
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: accepted, Observation: l.Observation}
+		c.awaitsHeader.Store(true)
+		if l.Intake == nil {
+			return c, nil
+		}
+		now := l.Intake.Clock.Now()
+		c.room = l.Intake.Connections.Open(now, c.giveWay)
+		l.logWantOfRoom(now)
+		if c.room != nil {
+			return c, nil
+		}
+		_ = accepted.Close() // nothing was read or sent
 	}
-	return &conn{Conn: c, idleTimeout: l.idleTimeout, log: l.log}, nil
+}
+
+// logWantOfRoom logs how many connections were closed for want of room since the last line.
+func (l *listener) logWantOfRoom(now swclock.Millis) {
+	if now-l.loggedAt < roomLogInterval {
+		return
+	}
+	connections := l.Intake.Connections
+	closed := connections.Rejected()
+	for _, state := range swroom.States() {
+		closed += connections.Closed(state)
+	}
+	if closed == l.logged {
+		return
+	}
+	l.Log.Warn().Uint64("closed", closed-l.logged).Uint64("rejectedInAll", connections.Rejected()).Int("limit", connections.Limit()).
+		Msg("connections of callers gave way")
+	l.loggedAt, l.logged = now, closed
 }
 
 // conn is a connection that records how it ends.
 type conn struct {
 	net.Conn
-	// idleTimeout may be nil.
-	idleTimeout func() swclock.Millis
-	log         zerolog.Logger
+	Observation
+	// room is nil if there is no Intake.
+	room *swroom.Connection
+	// awaitsHeader is true until the header of a request is complete, and once the connection is idle.
+	awaitsHeader atomic.Bool
 	// becameIdle is true from when the connection became idle until its next read deadline is set, which is that of
 	// the idle time.
 	becameIdle atomic.Bool
@@ -122,23 +168,36 @@
 	if since == nil {
 		return false
 	}
-	until := since.Add(c.idleTimeout().Duration())
+	until := since.Add(c.IdleTimeout().Duration())
 	return until.After(time.Now()) && c.Conn.SetReadDeadline(until) == nil
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.idleSince.Store(nil)
-	if c.becameIdle.Swap(false) && c.idleTimeout != nil {
+	if c.becameIdle.Swap(false) && c.IdleTimeout != nil {
 		now := time.Now()
 		c.idleSince.Store(&now)
-		if longer := now.Add(c.idleTimeout().Duration()); longer.After(t) {
+		if longer := now.Add(c.IdleTimeout().Duration()); longer.After(t) {
 			t = longer
 		}
+	} else if !t.IsZero() && c.awaitsHeader.Load() && c.HeaderTimeout != nil {
+		if timeout := c.HeaderTimeout(); timeout > 0 {
+			t = time.Now().Add(timeout.Duration())
+		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.room.Remove()
+	return c.Conn.Close()
+}
+
+// giveWay closes the connection, which is removed from the intake already.
+func (c *conn) giveWay() { _ = c.Conn.Close() }
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -147,7 +206,7 @@
 	}
 	c.recordEnd(EndWriteFailed, err)
 	if !c.writeFailed.Swap(true) {
-		e := c.log.Info()
+		e := c.Log.Info()
 		if id := c.request.Load(); id != nil {
 			e = e.Str("requestId", string(*id))
 		}
@@ -173,32 +232,50 @@
 
 // ConnContext is the ConnContext of a server whose listener is one of Observe.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
-	}
-	if observed, ok := c.(*conn); ok {
+	if observed := observedConn(c); observed != nil {
 		return context.WithValue(ctx, connKey{}, observed)
 	}
 	return ctx
 }
 
-// ConnState is the ConnState of a server whose listener is one of ObserveIdle, and whose IdleTimeout is set.
+// observedConn returns nil if the connection is not one of Observe.
+func observedConn(c net.Conn) *conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	observed, _ := c.(*conn)
+	return observed
+}
+
+// connOf returns the connection of ctx; nil if it is not one of Observe.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// ConnState is the ConnState of a server whose listener is one of Observe, and whose IdleTimeout is set.
 func ConnState(c net.Conn, state http.ConnState) {
-	if observed, ok := c.(*conn); ok && state == http.StateIdle {
-		observed.becameIdle.Store(true)
+	observed := observedConn(c)
+	if observed == nil || state != http.StateIdle {
+		return
+	}
+	observed.awaitsHeader.Store(true)
+	observed.becameIdle.Store(true)
+	if observed.Intake != nil {
+		observed.room.SetState(observed.Intake.Clock.Now(), swroom.StateIdle)
 	}
 }
 
 // SetRequest names the request that the connection of ctx serves from now on.
 func SetRequest(ctx context.Context, id swid.RequestID) {
-	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+	if c := connOf(ctx); c != nil {
 		c.request.Store(&id)
 	}
 }
 
 // EndOf returns how the connection of ctx has ended so far.
 func EndOf(ctx context.Context) End {
-	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+	if c := connOf(ctx); c != nil {
 		if end := c.end.Load(); end != nil {
 			return *end
 		}
--- a/internal/caller/swcallerconn/swcallerconn_test.go
+++ b/internal/caller/swcallerconn/swcallerconn_test.go
@@ -32,8 +32,9 @@
 			panic(http.ErrAbortHandler) // as for a request whose caller is gone
 		}
 		body, status := NewBody(w, r, bounds), http.StatusNotFound
+		defer body.Close()
 		if r.URL.Path == "/read" {
-			if _, err := body.ReadAll(testBodyLimit); err != nil {
+			if _, err := body.ReadAll(testBodyLimit, "o"); err != nil {
 				status = http.StatusRequestTimeout
 			}
 		}
@@ -42,7 +43,7 @@
 			w.WriteHeader(status)
 		})
 	}))
-	server.Listener = Observe(server.Listener, log)
+	server.Listener = Observe(server.Listener, Observation{Log: log})
 	server.Config.ConnContext = ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
@@ -177,12 +178,12 @@
 		t.Run(tt.name, func(t *testing.T) {
 			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 			var calls atomic.Int64
-			server.Listener = ObserveIdle(server.Listener, func() swclock.Millis {
+			server.Listener = Observe(server.Listener, Observation{IdleTimeout: func() swclock.Millis {
 				if calls.Add(1) == 1 {
 					return tt.configured
 				}
 				return tt.later
-			}, zerolog.Nop())
+			}, Log: zerolog.Nop()})
 			server.Config.ConnState, server.Config.IdleTimeout = ConnState, 200*time.Millisecond
 			server.Start()
 			defer server.Close()
--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
@@ -23,6 +24,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swlog"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -56,8 +58,11 @@
 	// BegunBy is the caller's attempt that brought the first event of the stream that is taken up; empty
 	// for a new stream, and if the caller does not say it.
 	BegunBy swid.RequestID
-	// ReadBody reads the body within the given limits.
-	ReadBody func(swcatalog.Limits) ([]byte, error)
+	// HeaderBytes is the length of the request line and the header; 0 if it is not known. It may be too low, but not too high.
+	HeaderBytes int
+	// ReadBody reads the body within the given limits. The organisation is empty on a public route. The error wraps
+	// swroom.ErrNoRoom if there is no room for the body.
+	ReadBody func(swcatalog.Limits, swid.OrgID) ([]byte, error)
 	// BodyBytes is the length of the body that the caller announced; -1 if it announced none.
 	BodyBytes int64
 	// BodyReceived returns how many bytes of the body were read; nil if that is not known.
@@ -83,6 +88,10 @@
 	DeniedBody
 	// DeniedDraining means that the host is shutting down.
 	DeniedDraining
+	// DeniedRoom means that the host has no room for the body.
+	DeniedRoom
+	// DeniedHeader means that the header is too large.
+	DeniedHeader
 )
 
 var denialNames = [...]string{
@@ -93,6 +102,8 @@
 	DeniedStale:        "staleConfiguration",
 	DeniedBody:         "body",
 	DeniedDraining:     "leaving",
+	DeniedRoom:         "room",
+	DeniedHeader:       "header",
 }
 
 // String returns the denial's name in logs and metrics.
@@ -194,6 +205,8 @@
 	retryAfterStale        = 300 * swclock.Millis(1)
 	// retryAfterDraining is short, so that a caller retries at another host at once.
 	retryAfterDraining = 10 * swclock.Millis(1)
+	// retryAfterRoom is the time after which a body that does not arrive gives way to others.
+	retryAfterRoom = swclock.Second
 )
 
 // deniedDraining is the result of a call that is denied during shutdown.
@@ -223,11 +236,14 @@
 	if a.denied.Denial != DeniedNone {
 		return g.deny(c, a.table, a.denied)
 	}
-	body, err := c.ReadBody(a.table.Catalog().Limits)
+	body, err := c.ReadBody(a.table.Catalog().Limits, a.orgID())
 	if err != nil {
 		denied := Result{Denial: DeniedBody}
-		if g.draining.Err() != nil {
+		switch {
+		case g.draining.Err() != nil:
 			denied = deniedDraining
+		case errors.Is(err, swroom.ErrNoRoom):
+			denied = Result{Denial: DeniedRoom, RetryAfter: retryAfterRoom}
 		}
 		denied.BodyError = err
 		return g.deny(c, a.table, denied)
@@ -254,6 +270,14 @@
 	org   *swcatalog.Organisation
 }
 
+// orgID returns the ID of the organisation; empty if the route is public.
+func (a *admission) orgID() swid.OrgID {
+	if a.org == nil {
+		return ""
+	}
+	return a.org.ID
+}
+
 // admit decides on a call by the configuration in force, without its body.
 func (g *Gate) admit(c *Call) admission {
 	a := admission{table: g.table.Load()}
@@ -265,6 +289,10 @@
 		a.denied = deniedDraining
 		return a
 	}
+	if limit := a.table.Catalog().Limits.HeaderBytes; limit > 0 && c.HeaderBytes > limit {
+		a.denied = Result{Denial: DeniedHeader}
+		return a
+	}
 	route, found := a.table.Route(c.Host, c.Path)
 	if !found {
 		a.denied = g.notFound(DeniedNoRoute)
--- a/internal/caller/swgate/swgate_test.go
+++ b/internal/caller/swgate/swgate_test.go
@@ -85,7 +85,7 @@
 func callTo(path, key string) *Call {
 	return &Call{
 		ID: "id", Method: http.MethodPost, Host: "H:8080", Target: path + "?q", Path: path, Key: key,
-		ReadBody: func(swcatalog.Limits) ([]byte, error) { return []byte("body"), nil },
+		ReadBody: func(swcatalog.Limits, swid.OrgID) ([]byte, error) { return []byte("body"), nil },
 	}
 }
 
@@ -155,7 +155,7 @@
 	f := newFixture()
 	c := callTo("/read/x", "key")
 	readErr := errors.New("too large")
-	c.ReadBody = func(swcatalog.Limits) ([]byte, error) { return nil, readErr }
+	c.ReadBody = func(swcatalog.Limits, swid.OrgID) ([]byte, error) { return nil, readErr }
 	if r := f.gate.Serve(context.Background(), c, nil); r.Denial != DeniedBody || !errors.Is(r.BodyError, readErr) {
 		t.Errorf("result %+v", r)
 	}
@@ -201,7 +201,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture()
 			c := callTo(tt.path, tt.key)
-			c.ReadBody = func(swcatalog.Limits) ([]byte, error) {
+			c.ReadBody = func(swcatalog.Limits, swid.OrgID) ([]byte, error) {
 				tt.change(f)
 				return []byte("body"), nil
 			}
@@ -325,7 +325,9 @@
 	for name, change := range map[string]func(c *Call){
 		"target": func(c *Call) { c.Target = "/read/x?other" },
 		"method": func(c *Call) { c.Method = http.MethodPut },
-		"body":   func(c *Call) { c.ReadBody = func(swcatalog.Limits) ([]byte, error) { return []byte("else"), nil } },
+		"body": func(c *Call) {
+			c.ReadBody = func(swcatalog.Limits, swid.OrgID) ([]byte, error) { return []byte("else"), nil }
+		},
 	} {
 		if fingerprintOf(change) == first {
 			t.Errorf("another %s has the same fingerprint", name)
--- a/internal/config/swsettings/parse.go
+++ b/internal/config/swsettings/parse.go
@@ -138,6 +138,7 @@
 	f.ProcessorShare = o.Optional("processorShare").Float(0, 0, 1e3)
 	f.Cores = o.Optional("cores").Float(1, 0, 1e3)
 	f.MemoryMegabytes = o.Optional("memoryMegabytes").Float(0, 0, 1e9)
+	f.FileDescriptors = int(o.Optional("fileDescriptors").Int(0, 0, 1e9))
 	f.LinkMegabits = o.Optional("linkMegabits").Float(0, 0, 1e7)
 }
 
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -106,6 +106,8 @@
 	LinkMegabits   float64
 	// MemoryMegabytes is the memory that this process may use, in MB; 0 if it is not known.
 	MemoryMegabytes float64
+	// FileDescriptors is the number of descriptors that this process may have open; 0 if only the limit of the process bounds it.
+	FileDescriptors int
 }
 
 // Orders configures the orders that hosts send to engines, such as loading a model.
--- /dev/null
+++ b/internal/core/swroom/swroom.go
@@ -0,0 +1,259 @@
+// Package swroom decides who may hold how much of a process's memory and descriptors with what callers send, and who gives
+// way when there is no more.
+package swroom
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+)
+
+const (
+	// DefaultCapacity is the capacity of a process that does not know its memory.
+	DefaultCapacity = 64 << 20
+	// minCapacity is the lowest capacity that CapacityOf returns.
+	minCapacity = 16 << 20
+	// memoryFraction is the part of the process's memory that bodies may take is one in memoryFraction.
+	memoryFraction = 4
+	// smallBytes is the size of a small body. One part in smallFraction of the capacity is kept for small bodies.
+	smallBytes    = 16 << 10
+	smallFraction = 4
+	// stallAfter is how long a body that takes no further room, or a connection on which no request arrives, counts as in use.
+	stallAfter = swclock.Second
+)
+
+// ErrNoRoom means that a caller has to give way.
+var ErrNoRoom = errors.New("there is no room for the request")
+
+// CapacityOf returns the capacity for bodies of a process with so much memory, in bytes. 0 stands for memory that is not known.
+func CapacityOf(memory int64) int64 {
+	if memory <= 0 {
+		return DefaultCapacity
+	}
+	return max(memory/memoryFraction, minCapacity)
+}
+
+// Group names those whose bodies are counted together, such as an organisation.
+type Group string
+
+// Counts counts the bodies that were refused for want of room.
+type Counts struct {
+	// Full is the number of those that found no room, Stalled of those that had stalled and gave way, and Larger of those that
+	// gave way because their group held the most.
+	Full, Stalled, Larger uint64
+}
+
+// Room is the memory of a process for the bodies of requests. Its methods are safe for concurrent use.
+//
+// Bodies take room as they arrive. A body above smallBytes leaves one part in smallFraction of the capacity free, and its group
+// holds at most as much as all groups leave of the rest. So n groups that take what they can get leave one in n+1 parts free.
+// If a body finds no room, bodies that have stalled give way, those that hold the most first, and then the largest of the group that
+// holds the most if it holds more than that of the body. A body that is complete does not give way.
+type Room struct {
+	capacity int64
+
+	mu sync.Mutex
+	// held is the sum of what the shares hold. It never exceeds capacity.
+	held   int64
+	groups map[Group]*group
+	// arriving has the shares of bodies that are not complete.
+	arriving map[*Share]struct{}
+	counts   Counts
+}
+
+// group is what the open shares of one Group hold.
+type group struct {
+	name   Group
+	shares int
+	held   int64
+}
+
+// NewRoom returns a room of which nothing is held.
+func NewRoom(capacity int64) *Room {
+	return &Room{capacity: capacity, groups: make(map[Group]*group), arriving: make(map[*Share]struct{})}
+}
+
+// Capacity returns the bytes that all bodies together may hold.
+func (r *Room) Capacity() int64 { return r.capacity }
+
+// Held returns the bytes that all bodies hold.
+func (r *Room) Held() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held
+}
+
+// Counts returns how many bodies were refused.
+func (r *Room) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts
+}
+
+// Share has what is held of one body.
+type Share struct {
+	room  *Room
+	group *group
+	// giveWay is called, with room.mu locked, when the body has to give way.
+	giveWay func()
+	// The fields below are protected by room.mu. grownAt is when the share last grew.
+	held            int64
+	grownAt         swclock.Millis
+	evicted, closed bool
+}
+
+// Open returns the share of a body that has begun to arrive. The caller has to close it. giveWay ends the reception of the body; it
+// must not block, nor call the room. The share of a nil room is nil.
+func (r *Room) Open(now swclock.Millis, name Group, giveWay func()) *Share {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.groups[name]
+	if g == nil {
+		g = &group{name: name}
+		r.groups[name] = g
+	}
+	g.shares++
+	s := &Share{room: r, group: g, giveWay: giveWay, grownAt: now}
+	r.arriving[s] = struct{}{}
+	return s
+}
+
+// Reserve adds n bytes to the share, for which others may have to give way. It returns ErrNoRoom if there is no room, or if
+// this share has given way. All methods of a nil share succeed; it bounds nothing.
+func (s *Share) Reserve(now swclock.Millis, n int) error {
+	if s == nil {
+		return nil
+	}
+	r := s.room
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.evicted || s.closed {
+		return ErrNoRoom
+	}
+	victims, found := r.findRoom(now, s, int64(n))
+	if !found {
+		r.counts.Full++
+		return ErrNoRoom
+	}
+	for _, v := range victims {
+		r.evict(now, v)
+	}
+	s.held += int64(n)
+	s.group.held += int64(n)
+	r.held += int64(n)
+	s.grownAt = now
+	return nil
+}
+
+// findRoom returns the shares that have to give way so that s can grow by n, or false if that would not be enough.
+func (r *Room) findRoom(now swclock.Millis, s *Share, n int64) (victims []*Share, found bool) {
+	freed, freedOfGroup := int64(0), int64(0)
+	chosen := make(map[*Share]struct{})
+	for !r.fits(s, n, freed, freedOfGroup) {
+		v := r.victim(now, s, n-freedOfGroup, chosen)
+		if v == nil {
+			return nil, false
+		}
+		chosen[v] = struct{}{}
+		victims = append(victims, v)
+		freed += v.held
+		if v.group == s.group {
+			freedOfGroup += v.held
+		}
+	}
+	return victims, true
+}
+
+// fits reports whether s can grow by n once so many bytes are free, and so many of them by its own group.
+func (r *Room) fits(s *Share, n, freed, freedOfGroup int64) bool {
+	held := r.held - freed + n
+	if s.held+n <= smallBytes {
+		return held <= r.capacity
+	}
+	large := r.capacity - r.capacity/smallFraction
+	return s.group.held-freedOfGroup+n <= large-held
+}
+
+// victim returns the share that gives way next so that s can grow by n, or nil if there is none.
+func (r *Room) victim(now swclock.Millis, s *Share, n int64, chosen map[*Share]struct{}) *Share {
+	var stalled, largest *Share
+	for v := range r.arriving {
+		if _, taken := chosen[v]; taken || v == s || v.held == 0 {
+			continue
+		}
+		if v.stalled(now) && (stalled == nil || v.held > stalled.held) {
+			stalled = v
+		}
+		// Bodies of the same group that still arrive do not give way to each other: none would become complete.
+		if v.group != s.group && (largest == nil || v.group.held > largest.group.held || v.group.held == largest.group.held && v.held > largest.held) {
+			largest = v
+		}
+	}
+	if stalled != nil {
+		return stalled
+	}
+	if largest != nil && largest.group.held > s.group.held+n {
+		return largest
+	}
+	return nil
+}
+
+// stalled reports whether the body has taken no further room for long.
+func (s *Share) stalled(now swclock.Millis) bool { return now-s.grownAt >= stallAfter }
+
+// evict makes a share give way.
+func (r *Room) evict(now swclock.Millis, s *Share) {
+	if s.stalled(now) {
+		r.counts.Stalled++
+	} else {
+		r.counts.Larger++
+	}
+	s.evicted = true
+	r.release(s)
+	s.giveWay()
+}
+
+// release takes all bytes from a share, which may not give way any more.
+func (r *Room) release(s *Share) {
+	delete(r.arriving, s)
+	s.group.held -= s.held
+	r.held -= s.held
+	s.held = 0
+}
+
+// Complete records that the body has arrived: it does not give way any more. It returns ErrNoRoom if it had to before.
+func (s *Share) Complete() error {
+	if s == nil {
+		return nil
+	}
+	s.room.mu.Lock()
+	defer s.room.mu.Unlock()
+	if s.evicted {
+		return ErrNoRoom
+	}
+	delete(s.room.arriving, s)
+	return nil
+}
+
+// Close releases what the share holds. It may be called again.
+func (s *Share) Close() {
+	if s == nil {
+		return
+	}
+	r := s.room
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	r.release(s)
+	if s.group.shares--; s.group.shares == 0 {
+		delete(r.groups, s.group.name)
+	}
+}
--- a/internal/node/swcommand/swcommand.go
+++ b/internal/node/swcommand/swcommand.go
@@ -100,10 +100,21 @@
 // day with the highest load is 9.8 MB instead of 12.3 MB, for 5% more processor time.
 const gcPercent = 25
 
+const (
+	// memoryLimitShare is the part of the process's memory from which the collector runs more often and returns memory to the operating
+	// system. The rest is for what the collector does not see, such as the program itself.
+	memoryLimitShare = 0.75
+	// megabyte is the unit of the memory in the settings.
+	megabyte = 1e6
+)
+
 // runFleet runs a host that reads its configuration, its targets and the other hosts from
 // the platform's store.
 func runFleet(ctx context.Context, path string, settings *swsettings.Settings, hangups <-chan os.Signal, adapter swfleet.Factory, logWriter *swlog.Writer) error {
 	debug.SetGCPercent(gcPercent)
+	if memory := settings.Fleet.MemoryMegabytes; memory > 0 {
+		debug.SetMemoryLimit(int64(memory * megabyte * memoryLimitShare))
+	}
 	log := newLogger(logWriter, settings)
 	f, err := swfleet.New(settings, adapter, log)
 	if err != nil {
--- a/internal/node/swfleet/configchanges_test.go
+++ b/internal/node/swfleet/configchanges_test.go
@@ -44,7 +44,7 @@
 	// The body arrives while the configuration changes.
 	arrives := time.Duration(rand.Int64N(int64(2 * changeInterval)))
 	var read time.Time
-	call.ReadBody = func(swcatalog.Limits) ([]byte, error) {
+	call.ReadBody = func(swcatalog.Limits, swid.OrgID) ([]byte, error) {
 		time.Sleep(arrives)
 		read = time.Now()
 		return []byte(call.ID), nil
--- a/internal/node/swfleet/crashingcontent_test.go
+++ b/internal/node/swfleet/crashingcontent_test.go
@@ -230,7 +230,7 @@
 	return &swgate.Call{
 		ID: swid.RequestID(fmt.Sprint(path, time.Now().UnixNano(), rand.Uint64())), Method: http.MethodPost, Host: "h",
 		Target: path, Path: path, Key: "key", Deadline: swclock.Millis(patience / time.Millisecond), PromptTokens: 100, OutputTokens: 10, ExpectedTokens: 5,
-		ReadBody: func(swcatalog.Limits) ([]byte, error) { return []byte(body), nil },
+		ReadBody: func(swcatalog.Limits, swid.OrgID) ([]byte, error) { return []byte(body), nil },
 	}
 }
 
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -69,7 +69,9 @@
 		(*h).ServeHTTP(w, r)
 		return
 	}
-	swcallerconn.NewBody(w, r, c.bounds).Refuse(&c.log, "", 0, func() {
+	body := swcallerconn.NewBody(w, r, c.bounds)
+	defer body.Close()
+	body.Refuse(&c.log, "", 0, func() {
 		w.Header().Set("Retry-After", "0.3")
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -100,11 +102,11 @@
 		MaxHeaderBytes: h.settings.Caller.MaxHeaderBytes, IdleTimeout: idleTimeout.Duration(),
 		ConnContext: swcallerconn.ConnContext, ConnState: swcallerconn.ConnState,
 	}
-	idle := func() swclock.Millis {
+	limits := func() swcatalog.Limits {
 		if c.handler.Load() == nil || h.gate.Table() == nil {
-			return 0
+			return swcatalog.Limits{}
 		}
-		return h.gate.Table().Catalog().Limits.IdleTimeout
+		return h.gate.Table().Catalog().Limits
 	}
 	readiness := &http.Server{
 		Handler:           h.platform.ReadinessHandler(func() bool { return h.ready() }),
@@ -112,7 +114,11 @@
 	}
 	operators := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout.Duration()}
 	tasks := pool.New().WithErrors().WithContext(runCtx).WithCancelOnError()
-	tasks.Go(newServeTask("callers", callers, swcallerconn.ObserveIdle(listeners.callers, idle, h.log)))
+	tasks.Go(newServeTask("callers", callers, swcallerconn.Observe(listeners.callers, swcallerconn.Observation{
+		IdleTimeout:   func() swclock.Millis { return limits().IdleTimeout },
+		HeaderTimeout: func() swclock.Millis { return limits().HeaderTimeout },
+		Intake:        h.intake, Log: h.log,
+	})))
 	tasks.Go(newServeTask("readiness", readiness, listeners.readiness))
 	tasks.Go(newServeTask("operators", operators, listeners.operators))
 	tasks.Go(func(runCtx context.Context) error {
--- a/internal/node/swfleet/simulation_test.go
+++ b/internal/node/swfleet/simulation_test.go
@@ -224,7 +224,7 @@
 	call := &swgate.Call{
 		ID: id, Method: http.MethodPost, Host: "h", Target: "/model/x", Path: "/model/x", Key: "key",
 		PromptTokens: 100, OutputTokens: 10, ExpectedTokens: 5, Deadline: f.deadline,
-		ReadBody: func(swcatalog.Limits) ([]byte, error) { return nil, nil },
+		ReadBody: func(swcatalog.Limits, swid.OrgID) ([]byte, error) { return nil, nil },
 	}
 	result := host.gate.Serve(ctx, call, discardSink{})
 	if result.Denial == swgate.DeniedNone && result.Report.End.Outcome == swlife.OutcomeAnswered {
--- a/internal/node/swfleet/stand_test.go
+++ b/internal/node/swfleet/stand_test.go
@@ -389,7 +389,7 @@
 		call := &swgate.Call{
 			ID: swid.RequestID(r.Header.Get("Id")), Method: r.Method, Host: "h", Target: r.URL.Path, Path: r.URL.Path, Key: r.Header.Get("Key"),
 			PromptTokens: 100, OutputTokens: 10, ExpectedTokens: 5,
-			ReadBody: func(swcatalog.Limits) ([]byte, error) { return io.ReadAll(r.Body) },
+			ReadBody: func(swcatalog.Limits, swid.OrgID) ([]byte, error) { return io.ReadAll(r.Body) },
 		}
 		result := gate.Serve(r.Context(), call, responseSink{w})
 		switch {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
 	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
@@ -26,6 +27,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
@@ -135,6 +137,8 @@
 	carrying *swcarry.Server
 	// answers is the memory for the answers that this host holds, of its own requests and of those that it carries.
 	answers *swbuffer.Budget
+	// intake is the room for the connections of callers and the bodies of requests, also of those that it carries.
+	intake *swcallerconn.Intake
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -196,7 +200,9 @@
 	h.pathProber = newPathProber(h)
 	h.paths = swreach.NewPaths(h.clock, swreach.Hooks{Changed: h.pathProber.changed, Doubted: h.pathProber.doubted, Suspected: h.pathProber.suspected})
 	h.carriers = swreach.NewDirectory()
-	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(int64(settings.Fleet.MemoryMegabytes * megabyte)))
+	memory := int64(settings.Fleet.MemoryMegabytes * megabyte)
+	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(memory))
+	h.intake = swcallerconn.NewIntake(swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(settings.Fleet.FileDescriptors), memory), memory, h.clock)
 	h.carrying = swcarry.NewServer(swcarry.Config{
 		Adapter: h.carryingAdapter, Probe: h.probeForPeer, OnStatement: h.recordCarriedStatement, Answers: h.answers, Clock: h.clock, Log: log,
 	})
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -14,7 +14,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
-	"golang.org/x/net/netutil"
 
 	"github.com/sassafraswing/sassafraswing/internal/caller/swcaller"
 	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
@@ -23,6 +22,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swcell"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swmetrics"
 	"github.com/sassafraswing/sassafraswing/internal/owner/swowner"
@@ -64,6 +64,7 @@
 	holder   *swholder.Holder
 	owner    *swowner.Owner
 	caller   *swcaller.Server
+	intake   *swcallerconn.Intake
 	listener net.Listener
 }
 
@@ -97,6 +98,7 @@
 			return swcell.New(swcell.Config{}, swcell.WithViolationHook(hook))
 		},
 	})
+	n.intake = swcallerconn.NewIntake(swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(0), 0), 0, deps.Clock)
 	n.caller = swcaller.New(settings.Caller, settings.Region, n.holder, deps.Clock, deps.Log)
 	return n
 }
@@ -113,7 +115,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	listener = swcallerconn.Observe(netutil.LimitListener(listener, n.settings.Caller.MaxConnections), n.deps.Log)
+	listener = swcallerconn.Observe(listener, swcallerconn.Observation{Intake: n.intake, Log: n.deps.Log})
 	if n.deps.CallerTLS != nil {
 		listener = tls.NewListener(listener, n.deps.CallerTLS)
 	}
