Count carried requests with the bodies that a host holds, and test the room

A carrier takes room for a request that another host sends it, in one group a holder; without room it reads the request to its end, as the holder writes before it reads, and rejects it as not sent. A holder no longer encodes the body into a copy: it writes the other fields, and then the body from where it lies, as the last field. Either build reads what the other writes (TestRequestOfEitherBuild).

An idle connection without a configured idle time was ended by the configured time for headers: found by TestHeaderTimeout, mended with it.

--- a/internal/caller/swcallerconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -175,13 +175,14 @@
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.idleSince.Store(nil)
-	if c.becameIdle.Swap(false) && c.IdleTimeout != nil {
+	switch idle := c.becameIdle.Swap(false); {
+	case idle && c.IdleTimeout != nil:
 		now := time.Now()
 		c.idleSince.Store(&now)
 		if longer := now.Add(c.IdleTimeout().Duration()); longer.After(t) {
 			t = longer
 		}
-	} else if !t.IsZero() && c.awaitsHeader.Load() && c.HeaderTimeout != nil {
+	case !idle && !t.IsZero() && c.awaitsHeader.Load() && c.HeaderTimeout != nil:
 		if timeout := c.HeaderTimeout(); timeout > 0 {
 			t = time.Now().Add(timeout.Duration())
 		}
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -204,7 +204,7 @@
 	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(memory))
 	h.intake = swcallerconn.NewIntake(swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(settings.Fleet.FileDescriptors), memory), memory, h.clock)
 	h.carrying = swcarry.NewServer(swcarry.Config{
-		Adapter: h.carryingAdapter, Probe: h.probeForPeer, OnStatement: h.recordCarriedStatement, Answers: h.answers, Clock: h.clock, Log: log,
+		Adapter: h.carryingAdapter, Probe: h.probeForPeer, OnStatement: h.recordCarriedStatement, Bodies: h.intake.Bodies, Answers: h.answers, Clock: h.clock, Log: log,
 	})
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
--- a/internal/peer/swcarry/client.go
+++ b/internal/peer/swcarry/client.go
@@ -71,7 +71,7 @@
 		})
 		r.FirstOutputTimeout = max(r.FirstOutputTimeout, r.Remaining)
 	}
-	if err := writeFrame(stream, encodeRequest(&Request{Target: a.Target, Cell: a.Cell, Request: r})); err != nil {
+	if err := writeRequest(stream, &Request{Target: a.Target, Cell: a.Cell, Request: r}); err != nil {
 		_ = c.Close() // the error of the write is the one to return
 		return nil, c.lost(err)
 	}
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -48,6 +49,8 @@
 	// OnStatement is called with what an answer says of the requests that its target takes. sent is when the request
 	// was sent.
 	OnStatement func(r *Request, s swlimit.Statement, sent swclock.Millis)
+	// Bodies is the room for the requests, those of one holder as one group; nil sets no bound.
+	Bodies *swroom.Room
 	// Answers is the memory for answers that are held; nil sets no bound.
 	Answers *swbuffer.Budget
 	Clock   swclock.Clock
@@ -135,8 +138,14 @@
 	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout.Duration())); err != nil {
 		return // the stream has ended
 	}
+	share := s.config.Bodies.Open(s.config.Clock.Now(), swroom.Group(holder), func() {})
+	defer share.Close()
 	var wire swpb.CarriedRequest
-	if err := readFrame(reader, &wire); err != nil {
+	if err := readRequest(reader, &wire, s.config.Clock.Now(), share); err != nil {
+		if errors.Is(err, swroom.ErrNoRoom) {
+			err := &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: err}
+			_ = writeFrame(stream, encodeEnd(err, swtarget.Usage{})) // without an answer, the holder takes the request for lost
+		}
 		s.config.Log.Info().Str("holder", string(holder)).Err(err).Msg("carried request not received")
 		return
 	}
--- a/internal/peer/swcarry/swcarry.go
+++ b/internal/peer/swcarry/swcarry.go
@@ -12,11 +12,13 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swbuffer"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -44,12 +46,72 @@
 	if err != nil {
 		return errors.Wrap(err, "encode frame")
 	}
-	for len(frame) > 0 {
-		n, err := w.Write(frame[:min(len(frame), maxWriteBytes)])
+	return writePieces(w, frame)
+}
+
+// writePieces writes data in pieces of at most maxWriteBytes.
+func writePieces(w io.Writer, data []byte) error {
+	for len(data) > 0 {
+		n, err := w.Write(data[:min(len(data), maxWriteBytes)])
 		if err != nil {
 			return err
 		}
-		frame = frame[n:]
+		data = data[n:]
+	}
+	return nil
+}
+
+// bodyField is the number of the field of swpb.CarriedRequest that has the body.
+const bodyField protowire.Number = 11
+
+// writeRequest writes a request as writeFrame does, but without a copy of its body, which is the last field.
+func writeRequest(w io.Writer, r *Request) error {
+	m := encodeRequest(r)
+	m.Body = nil
+	var body []byte
+	if len(r.Body) > 0 {
+		body = protowire.AppendVarint(protowire.AppendTag(nil, bodyField, protowire.BytesType), uint64(len(r.Body)))
+	}
+	size := proto.Size(m) + len(body) + len(r.Body)
+	if size > maxFrameBytes {
+		return errors.Wrapf(errFrame, "%d bytes", size)
+	}
+	frame, err := proto.MarshalOptions{}.MarshalAppend(binary.AppendUvarint(nil, uint64(size)), m)
+	if err != nil {
+		return errors.Wrap(err, "encode frame")
+	}
+	if err := writePieces(w, append(frame, body...)); err != nil {
+		return err
+	}
+	return writePieces(w, r.Body)
+}
+
+// readRequest reads a request, which takes room as long as the share is open. If there is none, it discards the request and returns
+// an error that wraps swroom.ErrNoRoom.
+func readRequest(r *bufio.Reader, m *swpb.CarriedRequest, now swclock.Millis, share *swroom.Share) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > maxFrameBytes {
+		return errors.Wrapf(errFrame, "%d bytes", size)
+	}
+	if refused := share.Reserve(now, int(size)); refused != nil {
+		// The holder writes the whole request before it reads.
+		if _, err := io.CopyN(io.Discard, r, int64(size)); err != nil {
+			return err
+		}
+		return errors.Wrapf(refused, "%d bytes", size)
+	}
+	if err := share.Complete(); err != nil {
+		return err
+	}
+	frame := make([]byte, size)
+	if _, err := io.ReadFull(r, frame); err != nil {
+		return errors.Wrap(io.ErrUnexpectedEOF, err.Error())
+	}
+	if err := proto.Unmarshal(frame, m); err != nil {
+		return errors.Wrap(errFrame, err.Error())
 	}
 	return nil
 }
