--- a/internal/caller/swcaller/swcaller_test.go
+++ b/internal/caller/swcaller/swcaller_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
 	"github.com/sassafraswing/sassafraswing/internal/config/swdoc"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
@@ -106,6 +107,38 @@
 	}
 }
 
+// TestBodyWithoutRoom checks that a request without room for its body is refused as not run, with when to come back.
+func TestBodyWithoutRoom(t *testing.T) {
+	settings := swsettings.Caller{BodyTimeout: 10 * swclock.Second, WriteTimeout: swclock.Minute, HeaderTimeout: swclock.Minute, MaxBodyBytes: 1 << 20}
+	s := New(settings, "r", nil, swclock.NewSystem(), zerolog.Nop())
+	key := sha256.Sum256([]byte("key"))
+	s.Configure(&swdoc.Document{Organisations: []swdoc.Organisation{{ID: "o", KeyHashes: []string{hex.EncodeToString(key[:])}}}})
+	intake := swcallerconn.NewIntake(100, 1<<20, swclock.NewSystem()) // less than the body
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = s.HTTP()
+	server.Listener = swcallerconn.Observe(server.Listener, swcallerconn.Observation{Intake: intake, Log: zerolog.Nop()})
+	server.Start()
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/completions", strings.NewReader(strings.Repeat("x", 1<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer key")
+	response, err := server.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") != "1" ||
+		!strings.Contains(string(body), `"outcome":"notRun"`) || !strings.Contains(string(body), `"code":"noRoom"`) {
+		t.Errorf("response %+v, body %s, error %v", response, body, err)
+	}
+	if held := intake.Bodies.Held(); held != 0 {
+		t.Errorf("%d bytes held", held)
+	}
+}
+
 // deadlineRecorder is a response recorder that takes read deadlines.
 type deadlineRecorder struct{ *httptest.ResponseRecorder }
 
--- a/internal/caller/swcallerconn/intake.go
+++ b/internal/caller/swcallerconn/intake.go
@@ -22,10 +22,9 @@
 	joining sync.Mutex
 }
 
-// NewIntake returns the intake of a process that may have so many connections of callers, and has so much memory, in bytes; 0 stands for
-// memory that is not known.
-func NewIntake(connections int, memory int64, clock swclock.Clock) *Intake {
-	return &Intake{Connections: swroom.NewConnections(connections), Bodies: swroom.NewRoom(swroom.CapacityOf(memory)), Clock: clock}
+// NewIntake returns an intake for so many connections and so many bytes of bodies.
+func NewIntake(connections int, capacity int64, clock swclock.Clock) *Intake {
+	return &Intake{Connections: swroom.NewConnections(connections), Bodies: swroom.NewRoom(capacity), Clock: clock}
 }
 
 // Sizes of the segments in which bodies are read. A segment is at most as long as what has arrived before it.
--- a/internal/core/swroom/swroom.go
+++ b/internal/core/swroom/swroom.go
@@ -13,8 +13,10 @@
 const (
 	// DefaultCapacity is the capacity of a process that does not know its memory.
 	DefaultCapacity = 64 << 20
-	// minCapacity is the lowest capacity that CapacityOf returns.
-	minCapacity = 16 << 20
+	// minCapacity is the lowest capacity that CapacityOf returns, and bodiesInCapacity the number of the largest bodies that it has room for at
+	// least: one body may hold three eighths of it.
+	minCapacity      = 16 << 20
+	bodiesInCapacity = 3
 	// memoryFraction is the part of the process's memory that bodies may take is one in memoryFraction.
 	memoryFraction = 4
 	// smallBytes is the size of a small body. One part in smallFraction of the capacity is kept for small bodies.
@@ -27,12 +29,14 @@
 // ErrNoRoom means that a caller has to give way.
 var ErrNoRoom = errors.New("there is no room for the request")
 
-// CapacityOf returns the capacity for bodies of a process with so much memory, in bytes. 0 stands for memory that is not known.
-func CapacityOf(memory int64) int64 {
+// CapacityOf returns the capacity for bodies of up to largest bytes of a process with so much memory, in bytes. 0 stands for memory that
+// is not known.
+func CapacityOf(memory, largest int64) int64 {
+	capacity := max(memory/memoryFraction, minCapacity)
 	if memory <= 0 {
-		return DefaultCapacity
+		capacity = DefaultCapacity
 	}
-	return max(memory/memoryFraction, minCapacity)
+	return max(capacity, bodiesInCapacity*largest)
 }
 
 // Group names those whose bodies are counted together, such as an organisation.
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -202,7 +202,8 @@
 	h.carriers = swreach.NewDirectory()
 	memory := int64(settings.Fleet.MemoryMegabytes * megabyte)
 	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(memory))
-	h.intake = swcallerconn.NewIntake(swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(settings.Fleet.FileDescriptors), memory), memory, h.clock)
+	connections := swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(settings.Fleet.FileDescriptors), memory)
+	h.intake = swcallerconn.NewIntake(connections, swroom.CapacityOf(memory, int64(settings.Caller.MaxBodyBytes)), h.clock)
 	h.carrying = swcarry.NewServer(swcarry.Config{
 		Adapter: h.carryingAdapter, Probe: h.probeForPeer, OnStatement: h.recordCarriedStatement, Bodies: h.intake.Bodies, Answers: h.answers, Clock: h.clock, Log: log,
 	})
@@ -215,6 +216,7 @@
 	h.reloadable.Store(settings.Fleet)
 	h.metrics = swmetrics.New(h.registry)
 	h.gauges = newGauges(h)
+	h.intake.Register(h.registry)
 	h.retries = newRetryBudget(settings.Fleet, h.clock)
 	return h, nil
 }
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -98,7 +98,9 @@
 			return swcell.New(swcell.Config{}, swcell.WithViolationHook(hook))
 		},
 	})
-	n.intake = swcallerconn.NewIntake(swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(0), 0), 0, deps.Clock)
+	connections := swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(0), 0)
+	n.intake = swcallerconn.NewIntake(connections, swroom.CapacityOf(0, int64(settings.Caller.MaxBodyBytes)), deps.Clock)
+	n.intake.Register(deps.Registry)
 	n.caller = swcaller.New(settings.Caller, settings.Region, n.holder, deps.Clock, deps.Log)
 	return n
 }
