--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -177,8 +177,7 @@
 	}
 	request.Call.ContentType = r.Header.Get("Content-Type")
 	request.Call.Body = body
-	content := append([]byte(r.Method+" "+request.Call.Path+"\n"), body...)
-	request.Fingerprint = swprompt.Fingerprint(request.Service, content)
+	request.Fingerprint = swprompt.Fingerprint(request.Service, []byte(r.Method+" "+request.Call.Path+"\n"), body)
 }
 
 // acceptedRequest is an authenticated request with its body.
--- a/internal/caller/swcallerconn/intake.go
+++ b/internal/caller/swcallerconn/intake.go
@@ -30,7 +30,7 @@
 // Sizes of the segments in which bodies are read. A segment is at most as long as what has arrived before it.
 const (
 	minSegmentBytes = 512
-	maxSegmentBytes = 16 << 10
+	maxSegmentBytes = 32 << 10
 	// soleJoinBytes is the size from which bodies are copied one at a time.
 	soleJoinBytes = 64 << 10
 )
--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -460,11 +460,11 @@
 // fingerprint returns a hash of the organisation, method, path, query and body. The service is left
 // out, because a route may lead to several services, and to others after a change.
 func fingerprint(r *swholder.Request, c *Call) swid.Fingerprint {
-	content := make([]byte, 0, len(r.Org)+len(c.Method)+len(c.Target)+len(r.Call.Body)+3)
-	content = append(append(content, r.Org...), 0)
-	content = append(append(content, c.Method...), 0)
-	content = append(append(content, c.Target...), 0)
-	return swprompt.Fingerprint("", append(content, r.Call.Body...))
+	prefix := make([]byte, 0, len(r.Org)+len(c.Method)+len(c.Target)+3)
+	prefix = append(append(prefix, r.Org...), 0)
+	prefix = append(append(prefix, c.Method...), 0)
+	prefix = append(append(prefix, c.Target...), 0)
+	return swprompt.Fingerprint("", prefix, r.Call.Body)
 }
 
 // promptScope returns the scope of prompts on a route for a model.
--- a/internal/core/swprompt/swprompt.go
+++ b/internal/core/swprompt/swprompt.go
@@ -69,12 +69,14 @@
 }
 
 // Fingerprint returns the hash that identifies a request's content within a service, or within all
-// services if service is empty.
-func Fingerprint(service swid.ServiceID, body []byte) swid.Fingerprint {
+// services if service is empty. The content is the parts one after the other.
+func Fingerprint(service swid.ServiceID, parts ...[]byte) swid.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(string(service)) // never fails
 	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
+	for _, p := range parts {
+		_, _ = d.Write(p)
+	}
 	return swid.Fingerprint(d.Sum64())
 }
