Test that refused bodies and closed connections take no room

Two mutants survived the tests: one that kept the room of a refused body while its rest is discarded, and one that never removed closed connections. Both fail now.

go test -race -count=1 ./internal/caller/swcallerconn: pass.

--- a/internal/caller/swcallerconn/intake_test.go
+++ b/internal/caller/swcallerconn/intake_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	log := zerolog.Nop()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body := NewBody(w, r, Bounds{ReadTimeout: swclock.Minute, WriteTimeout: swclock.Second})
+		body := NewBody(w, r, Bounds{ReadTimeout: swclock.Hour, WriteTimeout: swclock.Second})
 		defer body.Close()
 		data, err := body.ReadAll(largestBody, swroom.Group(r.URL.Path))
 		var tooLarge *http.MaxBytesError
@@ -193,6 +193,21 @@
 	}
 }
 
+// TestRefusedBodyTakesNoRoom checks that a refused body takes no room while the rest of it is discarded.
+func TestRefusedBodyTakesNoRoom(t *testing.T) {
+	in := NewIntake(1000, swroom.DefaultCapacity, &swclock.Manual{})
+	address := startReceiving(t, in, Observation{})
+	c := dial(t, address)
+	_, text := encodeBody(bytes.Repeat([]byte("x"), largestBody+100_000), 100_000)
+	if _, err := io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.TrimSuffix(text, "0\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if response, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || response.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Fatalf("refusal %+v, error %v", response, err)
+	}
+	waitFor(t, "no room is held", func() bool { return in.Bodies.Held() == 0 })
+}
+
 // TestConnectionsGiveWay checks that a request on a new connection is answered whatever other connections are used for, and that
 // no more are open than allowed.
 func TestConnectionsGiveWay(t *testing.T) {
@@ -212,8 +227,10 @@
 			clock := &swclock.Manual{}
 			in := NewIntake(limit, swroom.DefaultCapacity, clock)
 			address := startReceiving(t, in, Observation{})
+			var connections []net.Conn
 			for i := range limit {
-				if _, err := io.WriteString(dial(t, address), tt.text); err != nil {
+				connections = append(connections, dial(t, address))
+				if _, err := io.WriteString(connections[i], tt.text); err != nil {
 					t.Fatal(err)
 				}
 				if tt.state != swroom.StateRefused { // these are closed by themselves
@@ -235,6 +252,17 @@
 			if open > limit+limit/8 {
 				t.Errorf("%d connections open", open)
 			}
+			for _, c := range append(connections, c) {
+				_ = c.Close()
+			}
+			waitFor(t, "no connection is counted", func() bool {
+				for _, state := range swroom.States() {
+					if in.Connections.Count(state) > 0 {
+						return false
+					}
+				}
+				return true
+			})
 		})
 	}
 }
