Let the body that was opened first give way among equal ones

TestGiveWay failed once (with the race detector): among bodies that hold the same, the order of a map decided. The choice is now the same in each run.

go test -race -count=30 ./internal/core/swroom -args -rapid.seed=1 -rapid.nofailfile, go test -count=40 ./internal/core/swroom: pass.

--- a/internal/core/swroom/swroom.go
+++ b/internal/core/swroom/swroom.go
@@ -60,7 +60,9 @@
 
 	mu sync.Mutex
 	// held is the sum of what the shares hold. It never exceeds capacity.
-	held   int64
+	held int64
+	// opened counts all shares.
+	opened uint64
 	groups map[Group]*group
 	// arriving has the shares of bodies that are not complete.
 	arriving map[*Share]struct{}
@@ -100,6 +102,8 @@
 type Share struct {
 	room  *Room
 	group *group
+	// number counts the shares of the room.
+	number uint64
 	// giveWay is called, with room.mu locked, when the body has to give way.
 	giveWay func()
 	// The fields below are protected by room.mu. grownAt is when the share last grew.
@@ -122,7 +126,8 @@
 		r.groups[name] = g
 	}
 	g.shares++
-	s := &Share{room: r, group: g, giveWay: giveWay, grownAt: now}
+	r.opened++
+	s := &Share{room: r, group: g, number: r.opened, giveWay: giveWay, grownAt: now}
 	r.arriving[s] = struct{}{}
 	return s
 }
@@ -190,11 +195,11 @@
 		if _, taken := chosen[v]; taken || v == s || v.held == 0 {
 			continue
 		}
-		if v.stalled(now) && (stalled == nil || v.held > stalled.held) {
+		if v.stalled(now) && (stalled == nil || v.givesWayBefore(stalled)) {
 			stalled = v
 		}
 		// Bodies of the same group that still arrive do not give way to each other: none would become complete.
-		if v.group != s.group && (largest == nil || v.group.held > largest.group.held || v.group.held == largest.group.held && v.held > largest.held) {
+		if v.group != s.group && (largest == nil || v.group.held > largest.group.held || v.group.held == largest.group.held && v.givesWayBefore(largest)) {
 			largest = v
 		}
 	}
@@ -207,6 +212,11 @@
 	return nil
 }
 
+// givesWayBefore reports whether s gives way before o if nothing else tells them apart: it holds more, or was opened earlier.
+func (s *Share) givesWayBefore(o *Share) bool {
+	return s.held > o.held || s.held == o.held && s.number < o.number
+}
+
 // stalled reports whether the body has taken no further room for long.
 func (s *Share) stalled(now swclock.Millis) bool { return now-s.grownAt >= stallAfter }
 
