Note the progress of a body when its bytes arrive

Cause: a body's progress was noted when a segment was asked for, up to 32 KiB at a time, and under the room's lock. A caller that sends 20 KiB/s steadily is inside the limits (300 kB in 15 s), but its last note is up to 1.6 s old, so it counted as stalled and gave way, and its connection too.

So that a byte now and then does not keep a body in use, a read does not count if the body arrives at under half the rate at which it would be complete in time (512 bytes/s where no length is announced), or if the last segment arrives at under an eighth of the body's own rate before. A caller that slows down by more than that is not steady and may give way where room is short; nothing changes for it in calm.

Measured: TestProgress, 7 cases. With notes per segment, as before, 2 of them fail (both of a steady slow body: it gives way); with the change all pass. go test ./internal/core/swroom ./internal/caller/swcallerconn, the latter also with -race: ok.

--- a/internal/caller/swcallerconn/intake.go
+++ b/internal/caller/swcallerconn/intake.go
@@ -44,6 +44,9 @@
 	reserved int
 	segments [][]byte
 	length   int
+	// startedAt is when the body began to arrive; segmentAt is when the last segment was added, and lengthBefore the length without that segment.
+	startedAt, segmentAt swclock.Millis
+	lengthBefore         int
 
 	mu sync.Mutex
 	// receiving is false before the body begins to arrive and once it is complete or has failed; evicted is true if it had to give way before.
@@ -82,6 +85,9 @@
 			segment = segment[:len(segment)+n]
 			r.length += n
 			r.body.received += int64(n)
+			if n > 0 {
+				r.noteProgress()
+			}
 		}
 		r.segments[len(r.segments)-1] = segment
 		if err == io.EOF {
@@ -93,12 +99,58 @@
 	}
 }
 
+// Rates from which a body that arrives makes progress.
+const (
+	// paceFraction is the part of the rate at which a body of a known length arrives in time, and fadeFraction that of the body's own rate so far:
+	// one in so many.
+	paceFraction = 2
+	fadeFraction = 8
+	// minPace is the rate, in bytes a second, for bodies of unknown length.
+	minPace = 512
+	// paceInterval is the time over which a rate is measured at least.
+	paceInterval = swclock.Second
+)
+
+// noteProgress records that a part of the body has arrived, unless it arrives at such a rate that the caller only keeps it open.
+func (r *reception) noteProgress() {
+	in := r.body.intake()
+	if in == nil {
+		return
+	}
+	if now := in.Clock.Now(); r.inTime(now) && !r.fades(now) {
+		r.body.connection.room.Grow(now)
+		r.share.Progress(now)
+	}
+}
+
+// inTime reports whether the body has arrived at a rate at which it can be complete in time.
+func (r *reception) inTime(now swclock.Millis) bool {
+	elapsed := int64(now - r.startedAt)
+	if elapsed < int64(paceInterval) {
+		return true
+	}
+	if announced := r.body.Announced(); announced > 0 {
+		return paceFraction*int64(r.length)*int64(r.body.bounds.ReadTimeout) >= announced*elapsed
+	}
+	return int64(r.length)*int64(swclock.Second) >= minPace*elapsed
+}
+
+// fades reports whether the last segment arrives far more slowly than what was before it.
+func (r *reception) fades(now swclock.Millis) bool {
+	elapsed := int64(now - r.segmentAt)
+	if elapsed < int64(paceInterval) {
+		return false
+	}
+	before := max(int64(r.segmentAt-r.startedAt), int64(paceInterval))
+	return fadeFraction*int64(r.length-r.lengthBefore)*before < int64(r.lengthBefore)*elapsed
+}
+
 // grow adds a segment, for which there has to be room.
 func (r *reception) grow() ([]byte, error) {
 	size := min(max(r.length, minSegmentBytes), maxSegmentBytes)
 	if in := r.body.intake(); in != nil {
 		now := in.Clock.Now()
-		r.body.connection.room.Grow(now)
+		r.segmentAt, r.lengthBefore = now, r.length
 		if r.reserved+size > swroom.FreeBytes {
 			if r.share == nil {
 				r.share = in.Bodies.Open(now, r.group, r.giveWay)
@@ -162,7 +214,8 @@
 		return nil, errors.Wrap(err, "set the read deadline of the body")
 	}
 	if in := b.intake(); in != nil {
-		b.connection.room.Receive(in.Clock.Now(), r.giveWay)
+		r.startedAt = in.Clock.Now()
+		b.connection.room.Receive(r.startedAt, r.giveWay)
 	}
 	stop := b.interruptWhenDraining()
 	source := b.request.Body
--- a/internal/caller/swcallerconn/intake_test.go
+++ b/internal/caller/swcallerconn/intake_test.go
@@ -301,3 +301,87 @@
 		time.Sleep(2 * timeout.Duration())
 	}
 }
+
+// TestProgress guards against slow senders inside the limits that count as stalled, and against callers that keep a body open with a few bytes.
+func TestProgress(t *testing.T) {
+	tests := []struct {
+		name      string
+		announced int
+		// first arrives at once, then each bytes every interval.
+		first, each int
+		interval    swclock.Millis
+		givesWay    bool
+	}{
+		{"steady and slow", 300_000, 0, 8_000, 400, false},
+		{"steady and slow, of unknown length", 0, 0, 8_000, 400, false},
+		{"steady after what was under way", 300_000, 60_000, 8_000, 400, false},
+		{"one byte at a time of the rest", 300_000, 299_900, 1, 400, true},
+		{"one byte at a time of the rest, of unknown length", 0, 299_900, 1, 400, true},
+		{"too slow to be complete in time", largestBody, 10_000, 1_000, 400, true},
+		{"stopped", 300_000, 60_000, 0, 400, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &swclock.Manual{}
+			in := NewIntake(1000, 3*largestBody, clock)
+			connection := &conn{Observation: Observation{Intake: in}, room: in.Connections.Open(0, func() {})}
+			recorder := httptest.NewRecorder()
+			request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
+			request.ContentLength = -1
+			if tt.announced > 0 {
+				request.ContentLength = int64(tt.announced)
+			}
+			body := &Body{
+				writer: recorder, request: request, controller: http.NewResponseController(recorder), connection: connection,
+				bounds: Bounds{ReadTimeout: 15 * swclock.Second},
+			}
+			r := &body.reception
+			r.body, r.group, r.receiving = body, "slow", true
+			connection.room.Receive(0, func() {})
+			source := &pacedReader{clock: clock, first: tt.first, each: tt.each, interval: tt.interval, steps: 20, end: func() {
+				other := in.Bodies.Open(clock.Now(), "other", func() {})
+				defer other.Close()
+				// So much only fits if nothing else is held, and it holds more than the first, which gives way only if it has stalled.
+				_ = other.Reserve(clock.Now(), 3*largestBody*3/8)
+			}}
+			if _, err := r.read(source); err != nil {
+				t.Fatal(err)
+			}
+			gaveWay := r.stop()
+			if gaveWay != tt.givesWay {
+				t.Errorf("gave way: %v", gaveWay)
+			}
+		})
+	}
+}
+
+// pacedReader reads first bytes at once and then each bytes every interval, and calls end after so many steps.
+type pacedReader struct {
+	clock       *swclock.Manual
+	first, each int
+	interval    swclock.Millis
+	steps       int
+	// left is what can be read at this time.
+	left    int
+	started bool
+	end     func()
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(p []byte) (int, error) {
+	if !r.started {
+		r.started, r.left = true, r.first
+	}
+	for r.left == 0 {
+		if r.steps == 0 {
+			r.end()
+			return 0, io.EOF
+		}
+		r.steps--
+		r.clock.Advance(r.interval)
+		r.left = r.each
+	}
+	n := min(r.left, len(p))
+	r.left -= n
+	return n, nil
+}
--- a/internal/core/swroom/swroom.go
+++ b/internal/core/swroom/swroom.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -22,7 +23,7 @@
 	// smallBytes is the size of a small body. One part in smallFraction of the capacity is kept for small bodies.
 	smallBytes    = 16 << 10
 	smallFraction = 4
-	// stallAfter is how long a body that takes no further room, or a connection on which no request arrives, counts as in use.
+	// stallAfter is how long a body of which nothing arrives, on its connection as well, counts as in use.
 	stallAfter = swclock.Second
 )
 
@@ -106,10 +107,11 @@
 	number uint64
 	// giveWay is called, with room.mu locked, when the body has to give way.
 	giveWay func()
-	// The fields below are protected by room.mu. grownAt is when the share last grew.
+	// The three fields below are protected by room.mu.
 	held            int64
-	grownAt         swclock.Millis
 	evicted, closed bool
+	// progressAt is when the body last made progress.
+	progressAt atomic.Int64
 }
 
 // Open returns the share of a body that has begun to arrive. The caller has to close it. giveWay ends the reception of the body; it
@@ -127,7 +129,8 @@
 	}
 	g.shares++
 	r.opened++
-	s := &Share{room: r, group: g, number: r.opened, giveWay: giveWay, grownAt: now}
+	s := &Share{room: r, group: g, number: r.opened, giveWay: giveWay}
+	s.Progress(now)
 	r.arriving[s] = struct{}{}
 	return s
 }
@@ -155,10 +158,17 @@
 	s.held += int64(n)
 	s.group.held += int64(n)
 	r.held += int64(n)
-	s.grownAt = now
+	s.Progress(now)
 	return nil
 }
 
+// Progress records that a part of the body has arrived. It takes no lock.
+func (s *Share) Progress(now swclock.Millis) {
+	if s != nil {
+		s.progressAt.Store(int64(now))
+	}
+}
+
 // findRoom returns the shares that have to give way so that s can grow by n, or false if that would not be enough.
 func (r *Room) findRoom(now swclock.Millis, s *Share, n int64) (victims []*Share, found bool) {
 	freed, freedOfGroup := int64(0), int64(0)
@@ -217,8 +227,10 @@
 	return s.held > o.held || s.held == o.held && s.number < o.number
 }
 
-// stalled reports whether the body has taken no further room for long.
-func (s *Share) stalled(now swclock.Millis) bool { return now-s.grownAt >= stallAfter }
+// stalled reports whether the body has made no progress for long.
+func (s *Share) stalled(now swclock.Millis) bool {
+	return now-swclock.Millis(s.progressAt.Load()) >= stallAfter
+}
 
 // evict makes a share give way.
 func (r *Room) evict(now swclock.Millis, s *Share) {
