Let the test of refused bodies wait until all that was sent has arrived

Cause: TestRefusalOfEvictedBodyRead let time pass once half of the slow body had arrived; what arrived afterwards counted as progress, so that the body had not stalled and the other one was refused in its place.

Change: it sends up to the end of a segment and waits until the next one is asked for. After the refusal the caller sends nearly all of the rest in place of 4 bytes, which is stricter.

--- a/internal/caller/swcallerconn/intake_test.go
+++ b/internal/caller/swcallerconn/intake_test.go
@@ -148,10 +148,17 @@
 		address := startReceiving(t, in, Observation{})
 		fields, text := encodeBody(bytes.Repeat([]byte("x"), largestBody), chunk)
 		slow := dial(t, address)
-		if _, err := io.WriteString(slow, "POST /a HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n"+text[:largestBody-100_000]); err != nil {
+		// At the end of a segment, so that the next one tells that all of it has arrived: what arrives later is progress.
+		const sent = largestBody - 4*maxSegmentBytes
+		end := sent
+		if chunk > 0 {
+			const framing = len("3e8\r\n") + len("\r\n")
+			end = sent/chunk*(chunk+framing) + len("3e8\r\n") + sent%chunk
+		}
+		if _, err := io.WriteString(slow, "POST /a HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n"+text[:end]); err != nil {
 			t.Fatal(err)
 		}
-		waitFor(t, "most of the body has arrived", func() bool { return in.Bodies.Held() > largestBody/2 })
+		waitFor(t, "all that was sent has arrived", func() bool { return in.Bodies.Held() == sent+maxSegmentBytes-swroom.FreeBytes })
 		clock.Advance(2 * swclock.Second)
 		fast := dial(t, address)
 		if _, err := io.WriteString(fast, "POST /b HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n"+text); err != nil {
@@ -161,7 +168,7 @@
 			t.Fatalf("body of another: %+v, error %v", response, err)
 		}
 		reader := bufio.NewReader(slow)
-		if _, err := io.WriteString(slow, "xxxx"); err != nil {
+		if _, err := io.WriteString(slow, text[end:len(text)-1]); err != nil {
 			t.Fatalf("write after the refusal: %v", err)
 		}
 		response, err := http.ReadResponse(reader, nil)
