Bound the small bodies of one organisation, and count hosts apart from organisations

Carried requests were grouped by the host's name among the names of organisations.

Change: the small bodies of a group hold at most a quarter of the capacity, and at most as much as all leave free. If that bound is met, only small bodies of the group that have stalled give way, as nothing else would help. The key of a group is an organisation or a host (OpenCarried). Room is looked for without a map while there is enough.

TestGroupsOfHosts is new; it can't be built on the code before. TestRoom with -rapid.checks=2000: ok. go test ./internal/core/swroom ./internal/peer/swcarry: ok.

--- a/internal/core/swroom/swroom.go
+++ b/internal/core/swroom/swroom.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
+	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 )
 
 const (
@@ -40,9 +41,15 @@
 	return max(capacity, bodiesInCapacity*largest)
 }
 
-// Group names those whose bodies are counted together, such as an organisation.
+// Group names the organisation whose bodies are counted together; empty for those of no organisation.
 type Group string
 
+// groupKey identifies a group: the bodies of an organisation's requests, or those that are carried for a host.
+type groupKey struct {
+	organisation Group
+	holder       swid.HostID
+}
+
 // Counts counts the bodies that were refused for want of room.
 type Counts struct {
 	// Full is the number of those that found no room, Stalled of those that had stalled and gave way, and Larger of those that
@@ -53,7 +60,8 @@
 // Room is the memory of a process for the bodies of requests. Its methods are safe for concurrent use.
 //
 // Bodies take room as they arrive. A body above smallBytes leaves one part in smallFraction of the capacity free, and its group
-// holds at most as much as all groups leave of the rest. So n groups that take what they can get leave one in n+1 parts free.
+// holds at most as much as all groups leave of the rest. So n groups that take what they can get leave one in n+1 parts free. The
+// small bodies of a group hold at most that part, and at most as much as all leave free of the capacity.
 // If a body finds no room, bodies that have stalled give way, those that hold the most first, and then the largest of the group that
 // holds the most if it holds more than that of the body. A body that is complete does not give way.
 type Room struct {
@@ -64,22 +72,24 @@
 	held int64
 	// opened counts all shares.
 	opened uint64
-	groups map[Group]*group
+	groups map[groupKey]*group
 	// arriving has the shares of bodies that are not complete.
 	arriving map[*Share]struct{}
 	counts   Counts
 }
 
-// group is what the open shares of one Group hold.
+// group is what the open shares of one groupKey hold.
 type group struct {
-	name   Group
+	key    groupKey
 	shares int
 	held   int64
+	// small is the part of held that small bodies hold.
+	small int64
 }
 
 // NewRoom returns a room of which nothing is held.
 func NewRoom(capacity int64) *Room {
-	return &Room{capacity: capacity, groups: make(map[Group]*group), arriving: make(map[*Share]struct{})}
+	return &Room{capacity: capacity, groups: make(map[groupKey]*group), arriving: make(map[*Share]struct{})}
 }
 
 // Capacity returns the bytes that all bodies together may hold.
@@ -116,16 +126,25 @@
 
 // Open returns the share of a body that has begun to arrive. The caller has to close it. giveWay ends the reception of the body; it
 // must not block, nor call the room. The share of a nil room is nil.
-func (r *Room) Open(now swclock.Millis, name Group, giveWay func()) *Share {
+func (r *Room) Open(now swclock.Millis, organisation Group, giveWay func()) *Share {
+	return r.open(now, groupKey{organisation: organisation}, giveWay)
+}
+
+// OpenCarried is as Open for a request that is carried for another host.
+func (r *Room) OpenCarried(now swclock.Millis, holder swid.HostID, giveWay func()) *Share {
+	return r.open(now, groupKey{holder: holder}, giveWay)
+}
+
+func (r *Room) open(now swclock.Millis, key groupKey, giveWay func()) *Share {
 	if r == nil {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	g := r.groups[name]
+	g := r.groups[key]
 	if g == nil {
-		g = &group{name: name}
-		r.groups[name] = g
+		g = &group{key: key}
+		r.groups[key] = g
 	}
 	g.shares++
 	r.opened++
@@ -155,9 +174,7 @@
 	for _, v := range victims {
 		r.evict(now, v)
 	}
-	s.held += int64(n)
-	s.group.held += int64(n)
-	r.held += int64(n)
+	s.add(int64(n))
 	s.Progress(now)
 	return nil
 }
@@ -169,40 +186,70 @@
 	}
 }
 
+// add changes what the share holds.
+func (s *Share) add(n int64) {
+	s.group.small -= s.small()
+	s.held += n
+	s.group.small += s.small()
+	s.group.held += n
+	s.room.held += n
+}
+
+// small returns what the share holds if its body is small, else 0.
+func (s *Share) small() int64 {
+	if s.held > smallBytes {
+		return 0
+	}
+	return s.held
+}
+
+// freed is what the shares that are to give way hold: all of them, those of the group that grows, and the small bodies of that group.
+type freed struct{ all, ofGroup, smallOfGroup int64 }
+
 // findRoom returns the shares that have to give way so that s can grow by n, or false if that would not be enough.
 func (r *Room) findRoom(now swclock.Millis, s *Share, n int64) (victims []*Share, found bool) {
-	freed, freedOfGroup := int64(0), int64(0)
+	var f freed
+	if r.fits(s, n, f) {
+		return nil, true
+	}
 	chosen := make(map[*Share]struct{})
-	for !r.fits(s, n, freed, freedOfGroup) {
-		v := r.victim(now, s, n-freedOfGroup, chosen)
+	for !r.fits(s, n, f) {
+		v := r.victim(now, s, n, f, chosen)
 		if v == nil {
 			return nil, false
 		}
 		chosen[v] = struct{}{}
 		victims = append(victims, v)
-		freed += v.held
+		f.all += v.held
 		if v.group == s.group {
-			freedOfGroup += v.held
+			f.ofGroup += v.held
+			f.smallOfGroup += v.small()
 		}
 	}
 	return victims, true
 }
 
-// fits reports whether s can grow by n once so many bytes are free, and so many of them by its own group.
-func (r *Room) fits(s *Share, n, freed, freedOfGroup int64) bool {
-	held := r.held - freed + n
+// fits reports whether s can grow by n once others have given way.
+func (r *Room) fits(s *Share, n int64, f freed) bool {
+	held := r.held - f.all + n
 	if s.held+n <= smallBytes {
-		return held <= r.capacity
+		return s.group.small-f.smallOfGroup+n <= r.capacity-held && r.smallFits(s, n, f)
 	}
 	large := r.capacity - r.capacity/smallFraction
-	return s.group.held-freedOfGroup+n <= large-held
+	return s.group.held-f.ofGroup+n <= large-held
+}
+
+// smallFits reports whether the small bodies of a group take no more than one group may, if s is small and grows by n.
+func (r *Room) smallFits(s *Share, n int64, f freed) bool {
+	return s.held+n > smallBytes || s.group.small-f.smallOfGroup+n <= r.capacity/smallFraction
 }
 
 // victim returns the share that gives way next so that s can grow by n, or nil if there is none.
-func (r *Room) victim(now swclock.Millis, s *Share, n int64, chosen map[*Share]struct{}) *Share {
+func (r *Room) victim(now swclock.Millis, s *Share, n int64, f freed, chosen map[*Share]struct{}) *Share {
 	var stalled, largest *Share
+	onlySmallOfGroup := !r.smallFits(s, n, f) // as nothing else would help
 	for v := range r.arriving {
-		if _, taken := chosen[v]; taken || v == s || v.held == 0 {
+		if _, taken := chosen[v]; taken || v == s || v.held == 0 || onlySmallOfGroup && (v.group != s.group || v.small() == 0) {
 			continue
 		}
 		if v.stalled(now) && (stalled == nil || v.givesWayBefore(stalled)) {
@@ -216,7 +263,7 @@
 	if stalled != nil {
 		return stalled
 	}
-	if largest != nil && largest.group.held > s.group.held+n {
+	if largest != nil && largest.group.held > s.group.held-f.ofGroup+n {
 		return largest
 	}
 	return nil
@@ -247,9 +294,7 @@
 // release takes all bytes from a share, which may not give way any more.
 func (r *Room) release(s *Share) {
 	delete(r.arriving, s)
-	s.group.held -= s.held
-	r.held -= s.held
-	s.held = 0
+	s.add(-s.held)
 }
 
 // Complete records that the body has arrived: it does not give way any more. It returns ErrNoRoom if it had to before.
@@ -280,6 +325,6 @@
 	s.closed = true
 	r.release(s)
 	if s.group.shares--; s.group.shares == 0 {
-		delete(r.groups, s.group.name)
+		delete(r.groups, s.group.key)
 	}
 }
--- a/internal/core/swroom/swroom_test.go
+++ b/internal/core/swroom/swroom_test.go
@@ -82,6 +82,57 @@
 	}
 }
 
+// TestSmallBodiesOfOneGroup guards against an organisation whose small bodies, which are complete, take the room of another's largest body.
+func TestSmallBodiesOfOneGroup(t *testing.T) {
+	const largest, count = 4 << 20, 4000
+	r := NewRoom(CapacityOf(120e6, largest))
+	refused := 0
+	for range count {
+		s := r.Open(0, "a", func() { t.Error("a complete body gave way") })
+		if err := s.Reserve(0, smallBytes); err != nil {
+			refused++
+			continue
+		}
+		if err := s.Complete(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if refused == 0 {
+		t.Error("the small bodies of one group have no bound")
+	}
+	for _, g := range []Group{"b", ""} {
+		s := r.Open(0, g, func() {})
+		if err := s.Reserve(0, smallBytes); err != nil {
+			t.Errorf("a small body of %q: %v", g, err)
+		}
+		if err := s.Reserve(0, largest-smallBytes); err != nil {
+			t.Errorf("the largest body of %q: %v", g, err)
+		}
+		s.Close()
+	}
+	// Of its own bodies, the small ones give way once they have stalled, and large ones that would not help do not.
+	stalled := r.Open(0, "b", func() { t.Error("another organisation's body gave way") })
+	if err := stalled.Reserve(0, 2*smallBytes); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Open(stallAfter, "a", func() {}).Reserve(stallAfter, smallBytes); err == nil {
+		t.Error("one more small body found room")
+	}
+}
+
+// TestGroupsOfHosts guards against a host and an organisation of the same name that are counted together.
+func TestGroupsOfHosts(t *testing.T) {
+	const capacity = 16 << 20
+	r := NewRoom(capacity)
+	// Together they would hold more than a group may.
+	if err := r.Open(0, "a", func() {}).Reserve(0, capacity/4); err != nil {
+		t.Error(err)
+	}
+	if err := r.OpenCarried(0, "a", func() {}).Reserve(0, capacity/4); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestRoom checks, whatever is done with the shares, that they never hold more than the capacity, that complete ones never
 // give way, that one that gave way holds nothing and gets nothing, and that a small body and one of an organisation that holds nothing
 // find room where only bodies that have stalled are in the way.
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -138,7 +138,7 @@
 	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout.Duration())); err != nil {
 		return // the stream has ended
 	}
-	share := s.config.Bodies.Open(s.config.Clock.Now(), swroom.Group(holder), func() {})
+	share := s.config.Bodies.OpenCarried(s.config.Clock.Now(), holder, func() {})
 	defer share.Close()
 	var wire swpb.CarriedRequest
 	if err := readRequest(reader, &wire, s.config.Clock.Now(), share); err != nil {
