Tell the owner that a carrier has no room, so that the target is not charged

Cause: a carrier without room, and one that carries too many requests, ended a request as not started, which the owner takes for a target that the sender does not reach: sound targets paid for a full host.

--- a/internal/core/swcell/swevent.go
+++ b/internal/core/swcell/swevent.go
@@ -192,7 +192,7 @@
 	Statement swlimit.Statement
 	// PathLost is set if the holder reaches no target of the cell, so that the result says nothing of the target.
 	PathLost bool
-	// CarrierLost is set if the host that was to carry the request could not be reached, or was lost.
+	// CarrierLost is set if the host that was to carry the request could not be reached, was lost, or has no room for it.
 	CarrierLost bool
 }
 
--- a/internal/core/swvalue/reach_test.go
+++ b/internal/core/swvalue/reach_test.go
@@ -305,6 +305,12 @@
 				b.step(swcell.Done{Key: g.Key, Attempt: 1, Target: g.Target, Result: swcell.ResultNoAnswer, CarrierLost: true})
 			}
 		}, false},
+		{"the carrier has no room", func(b *harness) {
+			for range 2 * unansweredLimit {
+				g, _ := grantOf(b.step(b.newGrantRequest(nil)))
+				b.step(swcell.Done{Key: g.Key, Attempt: 1, Target: g.Target, Result: swcell.ResultNotStarted, CarrierLost: true})
+			}
+		}, false},
 		{"a host hears from the target by a probe afterwards", func(b *harness) {
 			for range unansweredLimit {
 				b.run(b.newGrantRequest(nil), swcell.ResultNoAnswer)
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -637,7 +637,7 @@
 	}
 }
 
-// carrierLost reports whether the attempt failed because the carrier could not be reached, or was lost.
+// carrierLost reports whether the attempt failed because the carrier could not be reached, was lost, or has no room.
 func (a *attempt) carrierLost() bool {
 	var failure *swtarget.Error
 	return errors.As(a.err, &failure) && failure.CarrierLost
--- a/internal/target/swtarget/swtarget.go
+++ b/internal/target/swtarget/swtarget.go
@@ -151,7 +151,7 @@
 	Statement swlimit.Statement
 	// OtherStart means that the request was not sent because the target has been started anew, see Request.Born.
 	OtherStart bool
-	// CarrierLost means that the host that was to carry the request could not be reached, or was lost.
+	// CarrierLost means that the host that was to carry the request could not be reached, was lost, or has no room for it.
 	CarrierLost bool
 	Err         error
 }
