Log the bounds in force at start, respect GOMEMLIMIT, and sample lines of a carrier without room

Cause: the limit of connections may be lower than the configured one, and no line told it. memoryMegabytes and fileDescriptors are read once, and a reload said nothing of a change. The collector's limit replaced the one that an operator set in the environment. A carrier without room wrote a line a request.

The line request denied stays one a request: it is the record of that request, and the writer of the log bounds and counts what it drops.

Measured: go test -run TestMemoryLimit ./internal/node/swcommand, go test -run TestReload ./internal/node/swfleet, go test ./internal/peer/swcarry: ok.

--- a/internal/node/swcommand/swcommand.go
+++ b/internal/node/swcommand/swcommand.go
@@ -106,16 +106,28 @@
 	memoryLimitShare = 0.75
 	// megabyte is the unit of the memory in the settings.
 	megabyte = 1e6
+	// memoryLimitVariable is the environment variable with which an operator sets the limit of the collector, or "off".
+	memoryLimitVariable = "GOMEMLIMIT"
 )
 
+// memoryLimit returns the limit of the garbage collector in bytes, or 0 if that of the runtime stays: the one that the operator
+// set in the environment.
+func memoryLimit(megabytes float64, ofOperator string) int64 {
+	if ofOperator != "" {
+		return 0
+	}
+	return int64(megabytes * megabyte * memoryLimitShare)
+}
+
 // runFleet runs a host that reads its configuration, its targets and the other hosts from
 // the platform's store.
 func runFleet(ctx context.Context, path string, settings *swsettings.Settings, hangups <-chan os.Signal, adapter swfleet.Factory, logWriter *swlog.Writer) error {
 	debug.SetGCPercent(gcPercent)
-	if memory := settings.Fleet.MemoryMegabytes; memory > 0 {
-		debug.SetMemoryLimit(int64(memory * megabyte * memoryLimitShare))
+	if limit := memoryLimit(settings.Fleet.MemoryMegabytes, os.Getenv(memoryLimitVariable)); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	log := newLogger(logWriter, settings)
+	log.Info().Int64("collectorLimitBytes", debug.SetMemoryLimit(-1)).Msg("memory limit of the garbage collector")
 	f, err := swfleet.New(settings, adapter, log)
 	if err != nil {
 		return err
--- a/internal/node/swcommand/swcommand_test.go
+++ b/internal/node/swcommand/swcommand_test.go
@@ -72,3 +72,22 @@
 		Dir: "testdata", Cmds: map[string]func(*testscript.TestScript, bool, []string){"accepted": waitAccepted},
 	})
 }
+
+// TestMemoryLimit checks that the memory in the settings does not replace the limit that an operator set.
+func TestMemoryLimit(t *testing.T) {
+	tests := []struct {
+		megabytes  float64
+		ofOperator string
+		want       int64
+	}{
+		{0, "", 0},
+		{120, "", 90e6},
+		{120, "64MiB", 0},
+		{120, "off", 0},
+	}
+	for _, tt := range tests {
+		if got := memoryLimit(tt.megabytes, tt.ofOperator); got != tt.want {
+			t.Errorf("%+v: %d", tt, got)
+		}
+	}
+}
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -80,7 +80,8 @@
 
 // Run serves callers until ctx ends, and then finishes the requests that the host holds.
 func (h *Host) Run(ctx context.Context) error {
-	h.log.Info().Str("zone", string(h.settings.Zone)).Str("address", h.settings.Caller.Address).Msg("starting")
+	h.log.Info().Str("zone", string(h.settings.Zone)).Str("address", h.settings.Caller.Address).
+		Int("maxConnections", h.intake.Connections.Limit()).Int64("maxBodyBytesHeld", h.intake.Bodies.Capacity()).Msg("starting")
 	err := h.run(ctx)
 	h.log.Info().Err(err).Msg("stopped")
 	return err
--- a/internal/node/swfleet/swfleet_test.go
+++ b/internal/node/swfleet/swfleet_test.go
@@ -304,6 +304,15 @@
 	if !h.log.has("settings reloaded") {
 		t.Error("the reload is not logged")
 	}
+	const atNextStart = "other memory or descriptors take effect at the next start"
+	if h.log.has(atNextStart) {
+		t.Error("a change of the memory or the descriptors is logged without one")
+	}
+	fleet.FileDescriptors++
+	h.fleet.Reload(&changed)
+	if !h.log.has(atNextStart) {
+		t.Error("it is not logged that other descriptors take effect at the next start")
+	}
 	if status, _ := d.sendRequest(h, "/plain/x", "before", "key"); status != http.StatusOK {
 		t.Errorf("answered with %d while the store is available", status)
 	}
--- a/internal/node/swnode/swnode.go
+++ b/internal/node/swnode/swnode.go
@@ -122,6 +122,8 @@
 		listener = tls.NewListener(listener, n.deps.CallerTLS)
 	}
 	n.listener = listener
+	n.deps.Log.Info().Int("maxConnections", n.intake.Connections.Limit()).Int64("maxBodyBytesHeld", n.intake.Bodies.Capacity()).
+		Msg("listening for callers")
 	return nil
 }
 
--- a/internal/peer/swcarry/room_test.go
+++ b/internal/peer/swcarry/room_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
@@ -132,3 +133,22 @@
 	runtime.KeepAlive(&written)
 	runtime.KeepAlive(r)
 }
+
+// TestLinesWithoutRoom guards against a line for each request that a carrier without room rejects.
+func TestLinesWithoutRoom(t *testing.T) {
+	const requests = 300
+	var lines bytes.Buffer
+	c := newCarrier(&fakeTarget{})
+	config := c.config
+	config.Bodies, config.Log = swroom.NewRoom(0), zerolog.New(zerolog.SyncWriter(&lines))
+	c.Server = NewServer(config)
+	for range requests {
+		if _, err := c.adapter().Start(t.Context(), testRequest()); err == nil {
+			t.Fatal("carried")
+		}
+	}
+	c.tasks.Wait()
+	if n := bytes.Count(lines.Bytes(), []byte("carried request not received")); n == 0 || n > requests/2 {
+		t.Errorf("%d lines for %d requests", n, requests)
+	}
+}
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -29,6 +29,9 @@
 	endTimeout = 500 * swclock.Millis(1)
 	// maxCarried bounds the requests that are carried at a time. Owners stay below it.
 	maxCarried = 256
+	// roomLogBurst is how many lines on requests without room are written in roomLogInterval.
+	roomLogBurst    = 5
+	roomLogInterval = swclock.Second
 	// maxRemaining bounds the time of a request whose holder sets no limit.
 	maxRemaining = swclock.Hour
 )
@@ -61,6 +64,8 @@
 type Server struct {
 	config  Config
 	carried atomic.Int64
+	// wantOfRoom logs the requests that were rejected for want of room, some of them.
+	wantOfRoom zerolog.Logger
 
 	mu sync.Mutex
 	// serving counts the calls of Serve.
@@ -71,7 +76,12 @@
 }
 
 // NewServer returns a server that carries nothing.
-func NewServer(config Config) *Server { return &Server{config: config, idle: make(chan struct{})} }
+func NewServer(config Config) *Server {
+	return &Server{
+		config: config, idle: make(chan struct{}),
+		wantOfRoom: config.Log.Sample(&zerolog.BurstSampler{Burst: roomLogBurst, Period: roomLogInterval.Duration()}),
+	}
+}
 
 // Carried returns the number of requests that are carried now.
 func (s *Server) Carried() int { return int(s.carried.Load()) }
@@ -145,6 +155,8 @@
 		if errors.Is(err, swroom.ErrNoRoom) {
 			err := &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: err}
 			_ = writeFrame(stream, encodeEnd(err, swtarget.Usage{})) // without an answer, the holder takes the request for lost
+			s.wantOfRoom.Info().Str("holder", string(holder)).Err(err).Msg("carried request not received")
+			return
 		}
 		s.config.Log.Info().Str("holder", string(holder)).Err(err).Msg("carried request not received")
 		return
