Enter a body into the room with its first bytes there

Change: Open takes no lock; the first Reserve enters the share under the lock that it takes anyway. A share that took no room ends without a lock for Complete.

Measured: go test ./internal/core/swroom, also with -rapid.checks=3000, and with -race beside ./internal/caller/swcallerconn and ./internal/peer/swcarry: ok. No speed was measured.

--- a/internal/core/swroom/swroom.go
+++ b/internal/core/swroom/swroom.go
@@ -70,7 +70,7 @@
 	mu sync.Mutex
 	// held is the sum of what the shares hold. It never exceeds capacity.
 	held int64
-	// opened counts all shares.
+	// opened counts all shares that took room.
 	opened uint64
 	groups map[groupKey]*group
 	// arriving has the shares of bodies that are not complete.
@@ -109,11 +109,12 @@
 	return r.counts
 }
 
-// Share has what is held of one body.
+// Share has what is held of one body. It is used by one goroutine; others only make it give way.
 type Share struct {
-	room  *Room
-	group *group
-	// number counts the shares of the room.
+	room *Room
+	key  groupKey
+	// group is nil until the share takes room for the first time. number counts such shares of the room.
+	group  *group
 	number uint64
 	// giveWay is called, with room.mu locked, when the body has to give way.
 	giveWay func()
@@ -139,19 +140,23 @@
 	if r == nil {
 		return nil
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	g := r.groups[key]
+	s := &Share{room: r, key: key, giveWay: giveWay}
+	s.Progress(now)
+	return s
+}
+
+// enter adds the share to those that may have to give way.
+func (s *Share) enter() {
+	r := s.room
+	g := r.groups[s.key]
 	if g == nil {
-		g = &group{key: key}
-		r.groups[key] = g
+		g = &group{key: s.key}
+		r.groups[s.key] = g
 	}
 	g.shares++
 	r.opened++
-	s := &Share{room: r, group: g, number: r.opened, giveWay: giveWay}
-	s.Progress(now)
+	s.group, s.number = g, r.opened
 	r.arriving[s] = struct{}{}
-	return s
 }
 
 // Reserve adds n bytes to the share, for which others may have to give way. It returns ErrNoRoom if there is no room, or if
@@ -166,6 +171,9 @@
 	if s.evicted || s.closed {
 		return ErrNoRoom
 	}
+	if s.group == nil {
+		s.enter()
+	}
 	victims, found := r.findRoom(now, s, int64(n))
 	if !found {
 		r.counts.Full++
@@ -299,7 +307,7 @@
 
 // Complete records that the body has arrived: it does not give way any more. It returns ErrNoRoom if it had to before.
 func (s *Share) Complete() error {
-	if s == nil {
+	if s == nil || s.group == nil {
 		return nil
 	}
 	s.room.mu.Lock()
@@ -323,6 +331,9 @@
 		return
 	}
 	s.closed = true
+	if s.group == nil {
+		return
+	}
 	r.release(s)
 	if s.group.shares--; s.group.shares == 0 {
 		delete(r.groups, s.group.key)
