--- a/internal/caller/swcallerconn/intake_test.go
+++ b/internal/caller/swcallerconn/intake_test.go
@@ -330,7 +330,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			clock := &swclock.Manual{}
-			in := NewIntake(1000, 3*largestBody, clock)
+			const connections = 8
+			in := NewIntake(connections, 3*largestBody, clock)
+			for range connections - 1 {
+				in.Connections.Open(0, func() { t.Error("a connection whose request is served was closed") }).SetState(0, swroom.StateServing)
+			}
 			connection := &conn{Observation: Observation{Intake: in}, room: in.Connections.Open(0, func() {})}
 			recorder := httptest.NewRecorder()
 			request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
@@ -344,12 +348,14 @@
 			}
 			r := &body.reception
 			r.body, r.group, r.receiving = body, "slow", true
-			connection.room.Receive(0, func() {})
+			refused := false
+			connection.room.Receive(0, func() { refused = true })
 			source := &pacedReader{clock: clock, first: tt.first, each: tt.each, interval: tt.interval, steps: 20, end: func() {
 				other := in.Bodies.Open(clock.Now(), "other", func() {})
 				defer other.Close()
 				// So much only fits if nothing else is held, and it holds more than the first, which gives way only if it has stalled.
 				_ = other.Reserve(clock.Now(), 3*largestBody*3/8)
+				in.Connections.Open(clock.Now(), func() {}).Remove()
 			}}
 			if _, err := r.read(source); err != nil {
 				t.Fatal(err)
@@ -358,6 +364,9 @@
 			if gaveWay != tt.givesWay {
 				t.Errorf("gave way: %v", gaveWay)
 			}
+			if refused != tt.givesWay {
+				t.Errorf("gave way to another connection: %v", refused)
+			}
 		})
 	}
 }
