--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
@@ -24,6 +25,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swlife"
 	"github.com/sassafraswing/sassafraswing/internal/core/sworigin"
 	"github.com/sassafraswing/sassafraswing/internal/core/swprompt"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
 	"github.com/sassafraswing/sassafraswing/internal/operator/swlog"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -57,8 +59,11 @@
 	// BegunBy is the caller's attempt that brought the first event of the stream that is taken up; empty
 	// for a new stream, and if the caller does not say it.
 	BegunBy swid.RequestID
-	// ReadBody reads the body within the given limits.
-	ReadBody func(swcatalog.Limits) ([]byte, error)
+	// HeaderBytes is the length of the request line and the header; 0 if it is not known. It may be too low, but not too high.
+	HeaderBytes int
+	// ReadBody reads the body within the given limits. The organisation is empty on a public route. The error wraps
+	// swroom.ErrNoRoom if there is no room for the body.
+	ReadBody func(swcatalog.Limits, swid.OrgID) ([]byte, error)
 	// BodyBytes is the length of the body that the caller announced; -1 if it announced none.
 	BodyBytes int64
 	// BodyReceived returns how many bytes of the body were read; nil if that is not known.
@@ -84,6 +89,10 @@
 	DeniedBody
 	// DeniedDraining means that the host is shutting down.
 	DeniedDraining
+	// DeniedRoom means that the host has no room for the body.
+	DeniedRoom
+	// DeniedHeader means that the header is too large.
+	DeniedHeader
 )
 
 var denialNames = [...]string{
@@ -94,6 +103,8 @@
 	DeniedStale:        "staleConfiguration",
 	DeniedBody:         "body",
 	DeniedDraining:     "leaving",
+	DeniedRoom:         "room",
+	DeniedHeader:       "header",
 }
 
 // String returns the denial's name in logs and metrics.
@@ -201,6 +212,8 @@
 	retryAfterStale        = 300 * swclock.Millis(1)
 	// retryAfterDraining is short, so that a caller retries at another host at once.
 	retryAfterDraining = 10 * swclock.Millis(1)
+	// retryAfterRoom is the time after which a body that does not arrive gives way to others.
+	retryAfterRoom = swclock.Second
 )
 
 // deniedDraining is the result of a call that is denied during shutdown.
@@ -230,11 +243,14 @@
 	if a.denied.Denial != DeniedNone {
 		return g.deny(c, a.table, a.denied)
 	}
-	body, err := c.ReadBody(a.table.Catalog().Limits)
+	body, err := c.ReadBody(a.table.Catalog().Limits, a.orgID())
 	if err != nil {
 		denied := Result{Denial: DeniedBody}
-		if g.draining.Err() != nil {
+		switch {
+		case g.draining.Err() != nil:
 			denied = deniedDraining
+		case errors.Is(err, swroom.ErrNoRoom):
+			denied = Result{Denial: DeniedRoom, RetryAfter: retryAfterRoom}
 		}
 		denied.BodyError = err
 		return g.deny(c, a.table, denied)
@@ -261,6 +277,14 @@
 	org   *swcatalog.Organisation
 }
 
+// orgID returns the ID of the organisation; empty if the route is public.
+func (a *admission) orgID() swid.OrgID {
+	if a.org == nil {
+		return ""
+	}
+	return a.org.ID
+}
+
 // admit decides on a call by the configuration in force, without its body.
 func (g *Gate) admit(c *Call) admission {
 	a := admission{table: g.table.Load()}
@@ -272,6 +296,10 @@
 		a.denied = deniedDraining
 		return a
 	}
+	if limit := a.table.Catalog().Limits.HeaderBytes; limit > 0 && c.HeaderBytes > limit {
+		a.denied = Result{Denial: DeniedHeader}
+		return a
+	}
 	route, found := a.table.Route(c.Host, c.Path)
 	if !found {
 		a.denied = g.notFound(DeniedNoRoute)
@@ -439,11 +467,11 @@
 // fingerprint returns a hash of the organisation, method, path, query and body. The service is left
 // out, because a route may lead to several services, and to others after a change.
 func fingerprint(r *swholder.Request, c *Call) swid.Fingerprint {
-	content := make([]byte, 0, len(r.Org)+len(c.Method)+len(c.Target)+len(r.Call.Body)+3)
-	content = append(append(content, r.Org...), 0)
-	content = append(append(content, c.Method...), 0)
-	content = append(append(content, c.Target...), 0)
-	return swprompt.Fingerprint("", append(content, r.Call.Body...))
+	prefix := make([]byte, 0, len(r.Org)+len(c.Method)+len(c.Target)+3)
+	prefix = append(append(prefix, r.Org...), 0)
+	prefix = append(append(prefix, c.Method...), 0)
+	prefix = append(append(prefix, c.Target...), 0)
+	return swprompt.Fingerprint("", prefix, r.Call.Body)
 }
 
 // scope returns the scope of prompts on a route for a model, and keeps its name.
--- a/internal/config/swsettings/swsettings.go
+++ b/internal/config/swsettings/swsettings.go
@@ -108,6 +108,8 @@
 	MemoryMegabytes float64
 	// Rollout is zero if roll-outs are not in force.
 	Rollout Rollout
+	// FileDescriptors is the number of descriptors that this process may have open; 0 if only the limit of the process bounds it.
+	FileDescriptors int
 }
 
 // Rollout bounds what a software version may get before it is known to be sound.
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -674,7 +674,7 @@
 	Born    int64
 }
 
-// carrierLost reports whether the attempt failed because the carrier could not be reached, or was lost.
+// carrierLost reports whether the attempt failed because the carrier could not be reached, was lost, or has no room.
 func (a *attempt) carrierLost() bool {
 	var failure *swtarget.Error
 	return errors.As(a.err, &failure) && failure.CarrierLost
--- a/internal/node/swfleet/run.go
+++ b/internal/node/swfleet/run.go
@@ -70,7 +70,9 @@
 		(*h).ServeHTTP(w, r)
 		return
 	}
-	swcallerconn.NewBody(w, r, c.bounds).Refuse(&c.log, "", 0, func() {
+	body := swcallerconn.NewBody(w, r, c.bounds)
+	defer body.Close()
+	body.Refuse(&c.log, "", 0, func() {
 		w.Header().Set("Retry-After", "0.3")
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -79,7 +81,8 @@
 
 // Run serves callers until ctx ends, and then finishes the requests that the host holds.
 func (h *Host) Run(ctx context.Context) error {
-	h.log.Info().Str("zone", string(h.settings.Zone)).Str("address", h.settings.Caller.Address).Msg("starting")
+	h.log.Info().Str("zone", string(h.settings.Zone)).Str("address", h.settings.Caller.Address).
+		Int("maxConnections", h.intake.Connections.Limit()).Int64("maxBodyBytesHeld", h.intake.Bodies.Capacity()).Msg("starting")
 	err := h.run(ctx)
 	h.log.Info().Err(err).Msg("stopped")
 	return err
@@ -101,11 +104,11 @@
 		MaxHeaderBytes: h.settings.Caller.MaxHeaderBytes, IdleTimeout: idleTimeout.Duration(),
 		ConnContext: swcallerconn.ConnContext, ConnState: swcallerconn.ConnState,
 	}
-	idle := func() swclock.Millis {
+	limits := func() swcatalog.Limits {
 		if c.handler.Load() == nil || h.gate.Table() == nil {
-			return 0
+			return swcatalog.Limits{}
 		}
-		return h.gate.Table().Catalog().Limits.IdleTimeout
+		return h.gate.Table().Catalog().Limits
 	}
 	readiness := &http.Server{
 		Handler:           h.platform.ReadinessHandler(func() bool { return h.ready() }),
@@ -113,7 +116,11 @@
 	}
 	operators := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout.Duration()}
 	tasks := pool.New().WithErrors().WithContext(runCtx).WithCancelOnError()
-	tasks.Go(newServeTask("callers", callers, swcallerconn.ObserveIdle(listeners.callers, idle, h.log)))
+	tasks.Go(newServeTask("callers", callers, swcallerconn.Observe(listeners.callers, swcallerconn.Observation{
+		IdleTimeout:   func() swclock.Millis { return limits().IdleTimeout },
+		HeaderTimeout: func() swclock.Millis { return limits().HeaderTimeout },
+		Intake:        h.intake, Log: h.log,
+	})))
 	tasks.Go(newServeTask("readiness", readiness, listeners.readiness))
 	tasks.Go(newServeTask("operators", operators, listeners.operators))
 	tasks.Go(func(runCtx context.Context) error {
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/sassafraswing/sassafraswing/internal/caller/swcallerconn"
 	"github.com/sassafraswing/sassafraswing/internal/caller/swgate"
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
 	"github.com/sassafraswing/sassafraswing/internal/config/swsettings"
@@ -28,6 +29,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swquota"
 	"github.com/sassafraswing/sassafraswing/internal/core/swreach"
 	"github.com/sassafraswing/sassafraswing/internal/core/swrollout"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/core/swsuspect"
 	"github.com/sassafraswing/sassafraswing/internal/core/swvalue"
 	"github.com/sassafraswing/sassafraswing/internal/holder/swholder"
@@ -154,6 +156,8 @@
 	rolloutKeeper atomic.Pointer[swrolloutkeeper.Keeper]
 	// outcomes has the latest answers of services with several versions.
 	outcomes outcomeLog
+	// intake is the room for the connections of callers and the bodies of requests, also of those that it carries.
+	intake *swcallerconn.Intake
 	// refusalKeeper keeps the refused contents and parts in the store. It is nil until the host is registered.
 	refusalKeeper *swrefusal.Keeper
 	view          *view
@@ -217,9 +221,12 @@
 	h.pathProber = newPathProber(h)
 	h.paths = swreach.NewPaths(h.clock, swreach.Hooks{Changed: h.pathProber.changed, Doubted: h.pathProber.doubted, Suspected: h.pathProber.suspected})
 	h.carriers = swreach.NewDirectory()
-	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(int64(settings.Fleet.MemoryMegabytes * megabyte)))
+	memory := int64(settings.Fleet.MemoryMegabytes * megabyte)
+	h.answers = swbuffer.NewBudget(swbuffer.CapacityOf(memory))
+	connections := swroom.LimitOf(settings.Caller.MaxConnections, swcallerconn.Descriptors(settings.Fleet.FileDescriptors), memory)
+	h.intake = swcallerconn.NewIntake(connections, swroom.CapacityOf(memory, int64(settings.Caller.MaxBodyBytes)), h.clock)
 	h.carrying = swcarry.NewServer(swcarry.Config{
-		Adapter: h.carryingAdapter, Probe: h.probeForPeer, OnStatement: h.recordCarriedStatement, Answers: h.answers, Clock: h.clock, Log: log,
+		Adapter: h.carryingAdapter, Probe: h.probeForPeer, OnStatement: h.recordCarriedStatement, Bodies: h.intake.Bodies, Answers: h.answers, Clock: h.clock, Log: log,
 	})
 	h.meter, h.started = swquota.NewMeter(settings.Fleet.QuotaWindow), h.clock.Now()
 	platform, err := factory(settings, h.clock, log)
@@ -230,6 +237,7 @@
 	h.reloadable.Store(settings.Fleet)
 	h.metrics = swmetrics.New(h.registry)
 	h.gauges = newGauges(h)
+	h.intake.Register(h.registry)
 	h.retries = newRetryBudget(settings.Fleet, h.clock)
 	return h, nil
 }
--- a/internal/peer/swcarry/server.go
+++ b/internal/peer/swcarry/server.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/core/swclock"
 	"github.com/sassafraswing/sassafraswing/internal/core/swid"
 	"github.com/sassafraswing/sassafraswing/internal/core/swlimit"
+	"github.com/sassafraswing/sassafraswing/internal/core/swroom"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcodec"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swpb"
 	"github.com/sassafraswing/sassafraswing/internal/target/swtarget"
@@ -28,6 +29,9 @@
 	endTimeout = 500 * swclock.Millis(1)
 	// maxCarried bounds the requests that are carried at a time. Owners stay below it.
 	maxCarried = 256
+	// roomLogBurst is how many lines on requests without room are written in roomLogInterval.
+	roomLogBurst    = 5
+	roomLogInterval = swclock.Second
 	// maxRemaining bounds the time of a request whose holder sets no limit.
 	maxRemaining = swclock.Hour
 )
@@ -48,6 +52,8 @@
 	// OnStatement is called with what an answer says of the requests that its target takes. sent is when the request
 	// was sent.
 	OnStatement func(r *Request, s swlimit.Statement, sent swclock.Millis)
+	// Bodies is the room for the requests, those of one holder as one group; nil sets no bound.
+	Bodies *swroom.Room
 	// Answers is the memory for answers that are held; nil sets no bound.
 	Answers *swbuffer.Budget
 	Clock   swclock.Clock
@@ -58,6 +64,8 @@
 type Server struct {
 	config  Config
 	carried atomic.Int64
+	// wantOfRoom logs the requests that were rejected for want of room, some of them.
+	wantOfRoom zerolog.Logger
 
 	mu sync.Mutex
 	// serving counts the calls of Serve.
@@ -68,7 +76,12 @@
 }
 
 // NewServer returns a server that carries nothing.
-func NewServer(config Config) *Server { return &Server{config: config, idle: make(chan struct{})} }
+func NewServer(config Config) *Server {
+	return &Server{
+		config: config, idle: make(chan struct{}),
+		wantOfRoom: config.Log.Sample(&zerolog.BurstSampler{Burst: roomLogBurst, Period: roomLogInterval.Duration()}),
+	}
+}
 
 // Carried returns the number of requests that are carried now.
 func (s *Server) Carried() int { return int(s.carried.Load()) }
@@ -135,8 +148,16 @@
 	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout.Duration())); err != nil {
 		return // the stream has ended
 	}
+	share := s.config.Bodies.OpenCarried(s.config.Clock.Now(), holder, func() {})
+	defer share.Close()
 	var wire swpb.CarriedRequest
-	if err := readFrame(reader, &wire); err != nil {
+	if err := readRequest(reader, &wire, s.config.Clock.Now(), share); err != nil {
+		if errors.Is(err, swroom.ErrNoRoom) {
+			err := &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: err}
+			_ = writeFrame(stream, encodeEnd(err, swtarget.Usage{})) // without an answer, the holder takes the request for lost
+			s.wantOfRoom.Info().Str("holder", string(holder)).Err(err).Msg("carried request not received")
+			return
+		}
 		s.config.Log.Info().Str("holder", string(holder)).Err(err).Msg("carried request not received")
 		return
 	}
@@ -191,7 +212,7 @@
 func (s *Server) run(ctx context.Context, r *Request, stream net.Conn) (swtarget.Usage, error) {
 	if s.carried.Add(1) > maxCarried {
 		s.carried.Add(-1)
-		return swtarget.Usage{}, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, Err: errBusy}
+		return swtarget.Usage{}, &swtarget.Error{Failure: swtarget.FailureNotStarted, Unsent: true, CarrierLost: true, Err: errBusy}
 	}
 	defer s.carried.Add(-1)
 	r.Buffer = s.config.Answers.Open()
