Let a decided order starve no later release

Cause: once an order was decided, "old" meant every version but that of the order, for as long as the entry stayed in the store. After `completed` a later release got nothing, and nothing was served once the last target of the order's version had gone; after `rolled_back` nothing was served if only the rolled-back version was left.

Change: a decided order restricts by a list of versions (Standing.Barred). After a completion these are the versions that were listed then, while they are listed; an owner that reads an order which is completed already takes those listed by then, for 30 s at most, as their targets stop at once. After a roll-back it is the order's version. Both give way if no other target that takes requests may serve. Requests do not wait for barred versions. The record in the store is unchanged.

--- a/internal/core/swvalue/rollouts.go
+++ b/internal/core/swvalue/rollouts.go
@@ -47,10 +47,17 @@
 	OldServes, NewServes bool
 	// Withheld has the versions that may be those of an order which is not known yet.
 	Withheld []swid.SoftwareVersion
+	// Barred has the versions that get nothing because an order was decided. Requests do not wait for them.
+	Barred []swid.SoftwareVersion
 }
 
 // restricts reports whether any version may be excluded.
-func (s *Standing) restricts() bool { return s.Ordered || len(s.Withheld) > 0 }
+func (s *Standing) restricts() bool { return s.Ordered || len(s.Withheld) > 0 || len(s.Barred) > 0 }
+
+// excludes reports whether no request may begin at a version.
+func (s *Standing) excludes(v swid.SoftwareVersion) bool {
+	return slices.Contains(s.Withheld, v) || slices.Contains(s.Barred, v)
+}
 
 // admission says at which software versions a request may run, as of an instant and a number of changes.
 type admission struct {
@@ -90,7 +97,7 @@
 func (c *Cell[P, O]) allows(r *request, v swid.SoftwareVersion) bool {
 	s := c.standing()
 	switch {
-	case slices.Contains(s.Withheld, v):
+	case s.excludes(v):
 		return false
 	case !s.Ordered:
 		return true
@@ -128,7 +135,7 @@
 	s := c.standing()
 	return slices.ContainsFunc(c.targets, func(t *target) bool {
 		later := slices.Contains(s.Withheld, t.conf.Version) || s.Trial && t.conf.Version == s.To
-		return later && t.active() && c.fitsOrigin(r, t) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID)
+		return later && !slices.Contains(s.Barred, t.conf.Version) && t.active() && c.fitsOrigin(r, t) && !slices.Contains(r.grantRequest.Exclude, t.conf.ID)
 	})
 }
 
@@ -160,7 +167,7 @@
 	}
 	s := c.standing()
 	switch {
-	case slices.Contains(s.Withheld, t.conf.Version):
+	case s.excludes(t.conf.Version):
 		return false
 	case !s.Ordered:
 		return true
--- a/internal/core/swvalue/rollouts_test.go
+++ b/internal/core/swvalue/rollouts_test.go
@@ -210,6 +210,7 @@
 		{"completed", Standing{Ordered: true, To: "v2", NewServes: true}, 1},
 		{"rolled back", Standing{Ordered: true, To: "v2", OldServes: true}, 1},
 		{"an unknown version", Standing{Withheld: []swid.SoftwareVersion{"v2"}}, 1},
+		{"an order was decided", Standing{Barred: []swid.SoftwareVersion{"v2"}}, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -246,3 +247,13 @@
 		t.Errorf("reported %+v", s)
 	}
 }
+
+// TestBarredVersion guards against requests that run at a version, or wait for it, that gets nothing as its order was decided.
+func TestBarredVersion(t *testing.T) {
+	f := &fakeRollouts{standing: Standing{Barred: []swid.SoftwareVersion{"v2"}}}
+	b := newRolloutHarness(f)
+	actions := b.step(b.newGrantRequest(func(a *swcell.GrantRequest) { a.Attempt, a.Exclude = 2, []swid.TargetID{"old"} }))
+	if g, granted := grantOf(actions); granted || len(b.cell.waiting) != 0 {
+		t.Errorf("granted %q, %d wait", g.Target, len(b.cell.waiting))
+	}
+}
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -1,8 +1,8 @@
 package swrolloutkeeper
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -16,6 +16,10 @@
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
 
+// formerLifetime is how long versions count as former ones of an order that this host found completed: their targets stop at once, and
+// are listed for a while. A version that is listed for longer is a later one.
+const formerLifetime = 30 * swclock.Second
+
 // reportLifetime is how long a cell's report of its load holds: a cell without work ends and reports no more.
 const reportLifetime = 500 * swclock.Millis(1)
 
@@ -46,8 +50,12 @@
 	versions     map[swid.SoftwareVersion]*listedVersion
 	abandoned    swid.SoftwareVersion
 	hasAbandoned bool
-	load         swrollout.Situation
-	loadAt       swclock.Millis
+	// former has the versions from which the completed order has moved the service, while they are listed and until formerUntil
+	// in time since boot, unless that is 0.
+	former      map[swid.SoftwareVersion]struct{}
+	formerUntil swclock.Millis
+	load        swrollout.Situation
+	loadAt      swclock.Millis
 	// reported has the answers that hosts reported before the order was known, the oldest first.
 	reported []reportedAnswer
 }
@@ -86,7 +94,7 @@
 func (s *Service) drop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rollout, s.reported = nil, nil
+	s.rollout, s.reported, s.former = nil, nil, nil
 	s.hasAbandoned = false
 }
 
@@ -128,6 +136,7 @@
 	if s.hasAbandoned && s.versions[s.abandoned] == nil {
 		s.hasAbandoned = false
 	}
+	maps.DeleteFunc(s.former, func(version swid.SoftwareVersion, _ struct{}) bool { return s.versions[version] == nil })
 }
 
 // take takes an order and its record in the store.
@@ -155,7 +164,12 @@
 	s.logged, s.loggedMoved = record.State, record.Moving
 	s.era = s.keeper.config.Era()
 	s.observeReported(record, now)
+	s.state, s.former = swrollout.StateNone, nil
 	s.refreshState(now)
+	s.formerUntil = 0
+	if record.State == swrollout.StateCompleted {
+		s.formerUntil = s.keeper.config.Boot.SinceBoot() + formerLifetime
+	}
 	s.log().Str("state", record.State.String()).Uint64("reserved", record.Reserved).Uint64("requests", record.Requests).
 		Int64("durationMillis", int64(order.Duration)).Uint64("revision", uint64(item.Revision)).Msg("order of a roll-out")
 }
@@ -196,7 +210,7 @@
 	}
 	s.log().Str("state", s.state.String()).Msg("order of a roll-out was removed")
 	s.abandon()
-	s.rollout = nil
+	s.rollout, s.former = nil, nil
 }
 
 // abandon keeps the version of the present order from requests unless it was found sound. s.mu must be held.
@@ -216,6 +230,14 @@
 // refreshState takes over the state of the roll-out. s.mu must be held and there must be an order.
 func (s *Service) refreshState(now swclock.Millis) {
 	e := s.rollout.Evidence(now)
+	if e.State == swrollout.StateCompleted && s.state != e.State {
+		s.former = make(map[swid.SoftwareVersion]struct{})
+		for version := range s.versions {
+			if version != e.Order.To {
+				s.former[version] = struct{}{}
+			}
+		}
+	}
 	s.state, s.moving, s.verdict = e.State, e.Moving, e.Verdict
 }
 
@@ -319,24 +341,43 @@
 	}
 }
 
-// withheld returns the versions that get nothing because they may be those of orders that are not known. If none is known to be free of
-// orders, the version whose targets are oldest serves. s.mu must be held.
-func (s *Service) withheld(confirmed swclock.Millis) []swid.SoftwareVersion {
+// isBarred reports whether a version gets nothing because the order was decided. s.mu must be held.
+func (s *Service) isBarred(version swid.SoftwareVersion) bool {
+	if s.rollout == nil {
+		return false
+	}
+	switch s.state {
+	case swrollout.StateCompleted:
+		_, former := s.former[version]
+		return former && (s.formerUntil == 0 || s.keeper.config.Boot.SinceBoot() < s.formerUntil)
+	case swrollout.StateRolledBack:
+		return version == s.rollout.Order().To
+	default:
+		return false
+	}
+}
+
+// excluded returns the versions that get nothing: withheld ones may be those of orders that are not known, and barred ones lost when the
+// order was decided. If none is known to be free of orders, the version whose targets are oldest serves. s.mu must be held.
+func (s *Service) excluded(confirmed swclock.Millis) (withheld, barred []swid.SoftwareVersion) {
 	if len(s.versions) < 2 {
-		return nil
+		return nil, nil
 	}
-	var withheld []swid.SoftwareVersion
 	var oldest *listedVersion
 	var serving swid.SoftwareVersion
 	serves := false
 	for version, v := range s.versions {
-		barred := s.hasAbandoned && version == s.abandoned
-		if v.listedAt <= confirmed && !barred {
+		abandoned := s.hasAbandoned && version == s.abandoned
+		switch {
+		case s.isBarred(version):
+			barred = append(barred, version)
+			continue
+		case v.listedAt <= confirmed && !abandoned:
 			serves = serves || v.active > 0
 			continue
 		}
 		withheld = append(withheld, version)
-		if v.active > 0 && !barred && (oldest == nil || v.born < oldest.born || v.born == oldest.born && version < serving) {
+		if v.active > 0 && !abandoned && (oldest == nil || v.born < oldest.born || v.born == oldest.born && version < serving) {
 			oldest, serving = v, version
 		}
 	}
@@ -344,10 +385,11 @@
 		withheld = slices.DeleteFunc(withheld, func(v swid.SoftwareVersion) bool { return v == serving })
 	}
 	if !serves && oldest == nil {
-		return nil // nothing else serves
+		return nil, nil // nothing else serves
 	}
-	slices.SortFunc(withheld, func(a, b swid.SoftwareVersion) int { return strings.Compare(string(a), string(b)) })
-	return withheld
+	slices.Sort(withheld)
+	slices.Sort(barred)
+	return withheld, barred
 }
 
 // Standing implements swvalue.Rollouts.
@@ -355,18 +397,19 @@
 	confirmed := s.keeper.confirmedAt()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	standing := swvalue.Standing{Withheld: s.withheld(confirmed)}
-	if s.rollout == nil {
+	var standing swvalue.Standing
+	standing.Withheld, standing.Barred = s.excluded(confirmed)
+	if s.rollout == nil || s.state.Final() {
 		return standing
 	}
 	if s.verdict == swrollout.VerdictOpen && !s.keeper.config.Reachable() && !s.keeper.config.Alone() {
 		// Another owner may have rolled the version back.
 		standing.Withheld = append(standing.Withheld, s.rollout.Order().To)
 	}
-	standing.Ordered, standing.Open, standing.To = true, !s.state.Final(), s.rollout.Order().To
+	standing.Ordered, standing.Open, standing.To = true, true, s.rollout.Order().To
 	standing.Trial = s.verdict == swrollout.VerdictOpen
 	standing.NewServes = s.verdict == swrollout.VerdictSound
-	standing.OldServes = s.state != swrollout.StateCompleted
+	standing.OldServes = true
 	return standing
 }
 
