Put no version on trial that alone serves

Cause: the decision did not ask whether there is another version. An order for the version in service (written twice after a completion) put the whole service on trial: one request in ten was served, and it was rolled back at the deadline. The same held for a trial whose old targets had all gone.

Change: an order is completed at once, with the reason onlyVersion, if no other version is listed from the time at which the order is first read; not if its record says that it was begun before. While no target of another version that may serve takes requests, the order's version serves without exposure; the trial and its decision go on.

Result: TestOrderForOnlyVersion and TestLastOldTargetGone failed before ("a request may run nowhere") and pass.

--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -35,6 +35,8 @@
 	// slotUse is the share of the new targets' slots that the traffic may take at completion, and slotShare the share of the slots of
 	// the old ones that is enough in any case.
 	slotUse, slotShare = 0.9, 0.85
+	// reasonOnlyVersion is the reason of an order for the version that alone is in service.
+	reasonOnlyVersion = "onlyVersion"
 	// usedSteps is the number of calls of Step over which the slots in use are averaged.
 	usedSteps = 8
 )
@@ -322,6 +324,8 @@
 type Situation struct {
 	// OldTargets and NewTargets are the targets that take requests, and OldSlots and NewSlots the sums of their slots.
 	OldTargets, NewTargets, OldSlots, NewSlots int
+	// OnlyNew is set if no other version was listed since the order was first seen, and targets of the new one take requests.
+	OnlyNew bool
 	// OldRunning is the number of requests that run at targets of other versions.
 	OldRunning int
 	// Waiting is the number of requests that wait for a target.
@@ -353,7 +357,11 @@
 		}
 		r.usedSlots += (used - r.usedSlots) / usedSteps
 	}
-	if !r.record.State.Final() {
+	switch {
+	case r.record.State.Final():
+	case r.verdict == VerdictOpen && s.OnlyNew:
+		r.verdict, r.reason, r.soundAt = VerdictSound, reasonOnlyVersion, now // nothing is to be moved
+	default:
 		r.review(now)
 	}
 	write = r.propose(now)
--- a/internal/owner/swrolloutkeeper/decided_test.go
+++ b/internal/owner/swrolloutkeeper/decided_test.go
@@ -93,3 +93,49 @@
 		t.Errorf("only %v serve", got)
 	}
 }
+
+// TestOrderForOnlyVersion guards against orders that put the only version in service on trial.
+func TestOrderForOnlyVersion(t *testing.T) {
+	s := newStand("a", make(map[string]swwatch.Item[swcatalog.Rollout]))
+	s.list("v2")
+	s.order("1", "v2")
+	s.refresh(t)
+	for range 300 {
+		s.keeper.Service("s").Arrived(s.now)
+		if len(s.served("v2")) == 0 {
+			t.Fatal("a request may run nowhere")
+		}
+		s.keeper.Service("s").Granted("v2", s.now)
+		s.now++
+	}
+	s.step(swclock.Second)
+	if state := s.items["s"].Value.Record.State; state != swrollout.StateCompleted {
+		t.Errorf("the record says %v", state)
+	}
+}
+
+// TestLastOldTargetGone guards against a trial at the only version that is left, also past the deadline.
+func TestLastOldTargetGone(t *testing.T) {
+	s := newStand("a", make(map[string]swwatch.Item[swcatalog.Rollout]))
+	s.list("v1", "v2")
+	s.order("1", "v2")
+	s.refresh(t)
+	s.step(swclock.Second)
+	s.list("v2")
+	for range 7 {
+		for range 100 {
+			if len(s.served("v2")) == 0 {
+				t.Fatalf("a request may run nowhere after %v ms", s.now)
+			}
+			s.keeper.Service("s").Granted("v2", s.now)
+		}
+		s.step(10 * swclock.Second)
+		if state := s.items["s"].Value.Record.State; state == swrollout.StateCompleted {
+			t.Fatal("completed though nothing was seen of the version")
+		}
+	}
+	s.list("v1", "v2")
+	if got := s.served("v1", "v2"); len(got) != 1 || got[0] != "v1" {
+		t.Errorf("%v serve once the old version is back", got)
+	}
+}
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -50,6 +50,10 @@
 	versions     map[swid.SoftwareVersion]*listedVersion
 	abandoned    swid.SoftwareVersion
 	hasAbandoned bool
+	// unrestricted is set if, at the latest call of Standing, the order's version alone served: requests begin there without exposure.
+	unrestricted bool
+	// mixed is set if other versions than the order's were listed since it was taken up, or may have been before.
+	mixed bool
 	// former has the versions from which the completed order has moved the service, while they are listed and until formerUntil
 	// in time since boot, unless that is 0.
 	former      map[swid.SoftwareVersion]struct{}
@@ -136,9 +140,39 @@
 	if s.hasAbandoned && s.versions[s.abandoned] == nil {
 		s.hasAbandoned = false
 	}
+	s.mixed = s.mixed || s.listsOthers()
 	maps.DeleteFunc(s.former, func(version swid.SoftwareVersion, _ struct{}) bool { return s.versions[version] == nil })
 }
 
+// listsOthers reports whether there is an order, and targets of other versions are listed. s.mu must be held.
+func (s *Service) listsOthers() bool {
+	if s.rollout == nil {
+		return false
+	}
+	for version := range s.versions {
+		if version != s.rollout.Order().To {
+			return true
+		}
+	}
+	return false
+}
+
+// servesAlone reports whether only targets of the order's version take requests, beside versions that get nothing. s.mu must be held and
+// there must be an order.
+func (s *Service) servesAlone(withheld []swid.SoftwareVersion) bool {
+	active := false
+	for version, v := range s.versions {
+		switch {
+		case v.active == 0 || slices.Contains(withheld, version):
+		case version == s.rollout.Order().To:
+			active = true
+		default:
+			return false
+		}
+	}
+	return active
+}
+
 // take takes an order and its record in the store.
 func (s *Service) take(item swwatch.Item[swcatalog.Rollout]) {
 	s.mu.Lock()
@@ -165,6 +199,7 @@
 	s.era = s.keeper.config.Era()
 	s.observeReported(record, now)
 	s.state, s.former = swrollout.StateNone, nil
+	s.mixed = record.State != swrollout.StateNone || s.listsOthers()
 	s.refreshState(now)
 	s.formerUntil = 0
 	if record.State == swrollout.StateCompleted {
@@ -296,6 +331,8 @@
 			situation.OldTargets, situation.OldSlots = situation.OldTargets+v.active, situation.OldSlots+v.slots
 		}
 	}
+	to := s.versions[s.rollout.Order().To]
+	situation.OnlyNew = !s.mixed && to != nil && to.active > 0
 	if !alone {
 		situation.OldRunning++ // other owners may have granted requests
 	}
@@ -402,6 +439,11 @@
 	if s.rollout == nil || s.state.Final() {
 		return standing
 	}
+	s.unrestricted = s.servesAlone(standing.Withheld)
+	if s.unrestricted {
+		standing.Ordered, standing.Open, standing.To, standing.OldServes, standing.NewServes = true, true, s.rollout.Order().To, true, true
+		return standing
+	}
 	if s.verdict == swrollout.VerdictOpen && !s.keeper.config.Reachable() && !s.keeper.config.Alone() {
 		// Another owner may have rolled the version back.
 		standing.Withheld = append(standing.Withheld, s.rollout.Order().To)
@@ -420,7 +462,11 @@
 	if s.rollout == nil {
 		return swrollout.Versions{Old: true, New: true}
 	}
-	return s.rollout.Versions(route, mayLast, now)
+	versions := s.rollout.Versions(route, mayLast, now)
+	if s.unrestricted {
+		versions.Old, versions.New = true, true
+	}
+	return versions
 }
 
 // Arrived implements swvalue.Rollouts.
