Withhold no version while the others cannot carry the load

Cause: a version whose orders are not known, or whose order was removed, got nothing as long as one target of another version was active. In a release that replaces target after target while this host cannot list the orders, the last old target got everything.

Change: no version is withheld once the versions that may serve have less than six tenths of the slots that they had when another version was first listed beside them. Below that a service that is half used at its peak would have to turn requests away, while the loss of a third of the targets by a crash still keeps an unknown version from requests. Targets that are added, as for a roll-out, lift nothing.

Result: TestReleaseWithoutOrders failed in 3 of 7 cases and passes; TestUnlistedOrder and TestRolloutOrders pass.

--- a/internal/owner/swrolloutkeeper/decided_test.go
+++ b/internal/owner/swrolloutkeeper/decided_test.go
@@ -139,3 +139,45 @@
 		t.Errorf("%v serve once the old version is back", got)
 	}
 }
+
+// TestReleaseWithoutOrders guards against a release in which the versions that get nothing have most of the targets.
+func TestReleaseWithoutOrders(t *testing.T) {
+	type names = []swid.SoftwareVersion
+	versions := names{"v1", "v2"}
+	tests := []struct {
+		name string
+		// removed is set if the new version is the one of an order that was removed, which then is known.
+		removed bool
+		// slots are those of both versions, one listing after the other.
+		slots [][]int
+		want  names
+	}{
+		{"targets of a new version beside the others", false, [][]int{{20, 20}}, names{"v1"}},
+		{"a few replaced", false, [][]int{{16, 4}}, names{"v1"}},
+		{"most replaced", false, [][]int{{16, 4}, {8, 12}}, names{"v1", "v2"}},
+		{"most replaced, one more again", false, [][]int{{8, 12}, {10, 12}}, names{"v1", "v2"}},
+		{"more targets of the new version", false, [][]int{{20, 60}}, names{"v1"}},
+		{"removed order", true, [][]int{{20, 20}}, names{"v1"}},
+		{"removed order, most replaced", true, [][]int{{20, 20}, {8, 12}}, names{"v1", "v2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newStand("a", make(map[string]swwatch.Item[swcatalog.Rollout]))
+			s.listSlots(versions[:1], 20)
+			if tt.removed {
+				s.listSlots(versions, 20, 20)
+				s.order("1", "v2")
+				s.refresh(t)
+				delete(s.items, "s")
+			}
+			s.refresh(t)
+			for _, slots := range tt.slots {
+				s.now++
+				s.listSlots(versions, slots...)
+			}
+			if got := s.served(versions...); !slices.Equal(got, tt.want) {
+				t.Errorf("%v serve, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -20,6 +20,9 @@
 // are listed for a while. A version that is listed for longer is a later one.
 const formerLifetime = 30 * swclock.Second
 
+// carryShare is the share of their former slots with which the versions that may serve are taken to carry the service's load.
+const carryShare = 0.6
+
 // reportLifetime is how long a cell's report of its load holds: a cell without work ends and reports no more.
 const reportLifetime = 500 * swclock.Millis(1)
 
@@ -81,6 +84,8 @@
 	born int64
 	// active and slots count the targets that take requests, and their slots.
 	active, slots int
+	// peak is the largest slots since another version was listed beside this one.
+	peak int
 }
 
 func newService(k *Keeper, id swid.ServiceID) *Service {
@@ -137,6 +142,12 @@
 			v.slots += t.Slots
 		}
 	}
+	for version, v := range s.versions {
+		v.peak = v.slots
+		if f := former[version]; f != nil && len(s.versions) > 1 {
+			v.peak = max(f.peak, v.slots)
+		}
+	}
 	if s.hasAbandoned && s.versions[s.abandoned] == nil {
 		s.hasAbandoned = false
 	}
@@ -395,7 +406,8 @@
 }
 
 // excluded returns the versions that get nothing: withheld ones may be those of orders that are not known, and barred ones lost when the
-// order was decided. If none is known to be free of orders, the version whose targets are oldest serves. s.mu must be held.
+// order was decided. If none is known to be free of orders, the version whose targets are oldest serves. None is withheld if the others
+// cannot carry the load any more, as in a release. s.mu must be held.
 func (s *Service) excluded(confirmed swclock.Millis) (withheld, barred []swid.SoftwareVersion) {
 	if len(s.versions) < 2 {
 		return nil, nil
@@ -403,6 +415,7 @@
 	var oldest *listedVersion
 	var serving swid.SoftwareVersion
 	serves := false
+	slots, peak := 0, 0
 	for version, v := range s.versions {
 		abandoned := s.hasAbandoned && version == s.abandoned
 		switch {
@@ -411,6 +424,7 @@
 			continue
 		case v.listedAt <= confirmed && !abandoned:
 			serves = serves || v.active > 0
+			slots, peak = slots+v.slots, peak+v.peak
 			continue
 		}
 		withheld = append(withheld, version)
@@ -420,10 +434,14 @@
 	}
 	if !serves && oldest != nil {
 		withheld = slices.DeleteFunc(withheld, func(v swid.SoftwareVersion) bool { return v == serving })
+		slots, peak = slots+oldest.slots, peak+oldest.peak
 	}
 	if !serves && oldest == nil {
 		return nil, nil // nothing else serves
 	}
+	if float64(slots) < carryShare*float64(peak) {
+		withheld = nil
+	}
 	slices.Sort(withheld)
 	slices.Sort(barred)
 	return withheld, barred
