Keep revisions of a former era of the store out of the present one

Cause: the answer to a write made before the store was set back, taken after the listing of the new era, raised the revision to one that the new era has not reached. Each listing was then taken for an earlier one, and each write conflicted, 10 a second with as many listings, for good.

Change: a write carries the era of the revision that it expects. If the era has changed since, its answer settles the write, and what was read in the new era counts as what the store has. After a conflict the pause before the next write doubles, from 0.1 s to 1.6 s, until a write succeeds; after other failures it is 0.1 s as before, as the decision has to be written soon after the store is back.

--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -32,6 +32,8 @@
 	durationRise, durationFall = 0.5, 0.05
 	// writeRetry is the time from a failed write to the next one.
 	writeRetry = 100 * swclock.Millis(1)
+	// MaxConflictPause is the longest time from a write that conflicted to the next one: the time doubles until a write succeeds.
+	MaxConflictPause = 1600 * swclock.Millis(1)
 	// slotUse is the share of the new targets' slots that the traffic may take at completion, and slotShare the share of the slots of
 	// the old ones that is enough in any case.
 	slotUse, slotShare = 0.9, 0.85
@@ -58,6 +60,8 @@
 	pending                      *Record
 	pendingUnits, pendingArrived uint64
 	retryAt                      swclock.Millis
+	// conflictPause is the time after the next write that conflicts.
+	conflictPause swclock.Millis
 
 	verdict Verdict
 	reason  string
@@ -144,7 +148,7 @@
 	if r.pending != nil && record == *r.pending {
 		r.ledger.left += r.pendingUnits
 		r.ledger.arrived -= r.pendingArrived
-		r.pending = nil
+		r.pending, r.conflictPause = nil, 0
 	}
 	// Records are joined, so that the order in which they are read does not matter.
 	k := &r.record
@@ -183,6 +187,14 @@
 	r.retryAt = now + writeRetry
 }
 
+// WriteConflicted reports like WriteFailed that another record was written since what the store has was read. If that goes on, another
+// owner writes, or what was read is not what the store has.
+func (r *Rollout) WriteConflicted(now swclock.Millis) {
+	r.WriteFailed(now)
+	r.conflictPause = min(max(2*r.conflictPause, writeRetry), MaxConflictPause)
+	r.retryAt = now + r.conflictPause
+}
+
 // Arrived counts a request that reached the service: once for each request of a caller, also one that is rejected.
 func (r *Rollout) Arrived(now swclock.Millis) { r.ledger.arrive(now) }
 
--- a/internal/owner/swrolloutkeeper/keeper_test.go
+++ b/internal/owner/swrolloutkeeper/keeper_test.go
@@ -316,3 +316,46 @@
 		t.Errorf("the record says %v", state)
 	}
 }
+
+// TestLateWriteOfFormerEra guards against a revision of a former era of the store that is taken for one of the present era.
+func TestLateWriteOfFormerEra(t *testing.T) {
+	s := newStand("a", make(map[string]swwatch.Item[swcatalog.Rollout]))
+	s.list("v1", "v2")
+	s.order("1", "v2")
+	s.refresh(t)
+	early := s.items["s"]
+	service := s.keeper.Service("s")
+	s.now += stepInterval
+	late := service.step(true, s.now)
+	s.keeper.write(t.Context(), late)
+	s.step(orderTime / 2)
+	late = &pendingWrite{service: late.service, name: late.name, order: late.order, era: late.era, record: s.items["s"].Value.Record, expected: 100}
+	s.items["s"], s.era = early, s.era+1
+	s.refresh(t)
+	service.written(late, 120, nil, s.now)
+	s.calls = 0
+	s.step(orderTime)
+	if state := s.items["s"].Value.Record.State; state != swrollout.StateRolledBack || s.items["s"].Value.Record.Reserved < late.record.Reserved {
+		t.Errorf("the record is %+v, want at least %d reserved and a final state", s.items["s"].Value.Record, late.record.Reserved)
+	}
+}
+
+// TestConflictingWrites guards against writes that are repeated without growing pauses while they conflict.
+func TestConflictingWrites(t *testing.T) {
+	s := newStand("a", make(map[string]swwatch.Item[swcatalog.Rollout]))
+	s.list("v1", "v2")
+	s.order("1", "v2")
+	s.refresh(t)
+	s.step(swclock.Second)
+	s.calls, s.err = 0, swobject.ErrConflict
+	s.step(2 * orderTime)
+	// A write and a listing for each doubling, and each longest pause.
+	if most := 2 * (6 + int(2*orderTime/swrollout.MaxConflictPause)); s.calls > most || s.calls == 0 {
+		t.Errorf("%d calls, want at most %d", s.calls, most)
+	}
+	s.err = nil
+	s.step(swrollout.MaxConflictPause + stepInterval)
+	if state := s.items["s"].Value.Record.State; state != swrollout.StateRolledBack {
+		t.Errorf("the record says %v", state)
+	}
+}
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
@@ -37,7 +38,7 @@
 	name     string
 	revision swwatch.Revision
 	era      swobject.Era
-	// record is the one with which the order was taken up.
+	// record is the one that the store had when it was last read or written, in era.
 	record swrollout.Record
 	// state, moving and verdict are those of the latest step.
 	state   swrollout.State
@@ -195,7 +196,7 @@
 		if era == s.era && item.Revision <= s.revision {
 			return // read before this host's latest write
 		}
-		s.name, s.revision, s.era = item.Name, item.Revision, era
+		s.name, s.revision, s.era, s.record = item.Name, item.Revision, era, record
 		s.rollout.Stored(record, now)
 		s.refreshState(now)
 		return
@@ -304,11 +305,13 @@
 
 // pendingWrite is a record that is being written.
 type pendingWrite struct {
-	service  *Service
-	name     string
-	order    swrollout.OrderID
-	record   swrollout.Record
+	service *Service
+	name    string
+	order   swrollout.OrderID
+	record  swrollout.Record
+	// expected is a revision of era.
 	expected swwatch.Revision
+	era      swobject.Era
 }
 
 // step reviews the order, and returns the record that is to be written, if one is. alone is set if no other owner schedules requests.
@@ -326,7 +329,7 @@
 	if record == nil {
 		return nil
 	}
-	return &pendingWrite{service: s, name: s.name, order: s.rollout.Order().ID, record: *record, expected: s.revision}
+	return &pendingWrite{service: s, name: s.name, order: s.rollout.Order().ID, record: *record, expected: s.revision, era: s.era}
 }
 
 // situation returns the state of the service's targets, as its cell reported it a moment ago, or as they are listed. s.mu must be held.
@@ -370,7 +373,11 @@
 		return
 	}
 	if err != nil {
-		s.rollout.WriteFailed(now)
+		if errors.Is(err, swobject.ErrConflict) {
+			s.rollout.WriteConflicted(now)
+		} else {
+			s.rollout.WriteFailed(now)
+		}
 		if s.failing {
 			return
 		}
@@ -378,8 +385,12 @@
 		s.log().Err(err).Str("state", w.record.State.String()).Uint64("expected", uint64(w.expected)).Msg("record of a roll-out not written")
 		return
 	}
-	s.revision = max(revision, s.revision)
 	s.rollout.Stored(w.record, now)
+	if w.era == s.era {
+		s.revision, s.record = max(revision, s.revision), w.record
+	} else {
+		s.rollout.Stored(s.record, now) // the store was set back since
+	}
 	s.refreshState(now)
 	if w.record.State != s.logged || w.record.Moving != s.loggedMoved || s.failing {
 		s.logged, s.loggedMoved, s.failing = w.record.State, w.record.Moving, false
