Take answers that are reported after a cut at the owner that began the order

Cause: reported answers were compared with the start in the record with which the order was taken up. It has none at the owner that began the order, so the answers of hosts that came back from another owner were dropped.

--- a/internal/owner/swrolloutkeeper/keeper_test.go
+++ b/internal/owner/swrolloutkeeper/keeper_test.go
@@ -359,3 +359,25 @@
 		t.Errorf("the record says %v", state)
 	}
 }
+
+// TestReportedAfterCut guards against answers that the owner that began the order drops, as they are reported to it after a cut.
+func TestReportedAfterCut(t *testing.T) {
+	s := newStand("a", make(map[string]swwatch.Item[swcatalog.Rollout]))
+	s.list("v1", "v2")
+	s.order("1", "v2")
+	s.refresh(t)
+	s.step(20 * swclock.Second)
+	var answers []swrollout.Answer
+	for i := range 64 {
+		a := swrollout.Answer{Version: "v1", Target: "v1", Route: 1, First: 50, Total: 300, SinceEnd: swclock.Millis(100 + 200*i)}
+		if i%2 == 0 {
+			a.Version, a.Target, a.Bad = "v2", swid.TargetID(fmt.Sprint("v2-", i%8)), true
+		}
+		answers = append(answers, a)
+	}
+	s.keeper.ObserveReported(Process{"b", 1}, map[swid.ServiceID][]swrollout.Answer{"s": answers})
+	s.step(swclock.Second)
+	if state := s.items["s"].Value.Record.State; state != swrollout.StateRolledBack {
+		t.Errorf("the record says %v", state)
+	}
+}
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -209,7 +209,8 @@
 	s.name, s.revision = item.Name, item.Revision
 	s.logged, s.loggedMoved = record.State, record.Moving
 	s.era = s.keeper.config.Era()
-	s.observeReported(record, now)
+	s.record = record
+	s.observeReported(now)
 	s.state, s.former = swrollout.StateNone, nil
 	s.mixed = record.State != swrollout.StateNone || s.listsOthers()
 	s.refreshState(now)
@@ -230,15 +231,14 @@
 	}
 	s.reported = slices.Delete(s.reported, 0, max(len(s.reported)-maxReported, 0))
 	if s.rollout != nil {
-		s.observeReported(s.record, now)
+		s.observeReported(now)
 	}
 }
 
 // observeReported passes the reported answers since the order was first seen to the roll-out. s.mu must be held.
-func (s *Service) observeReported(record swrollout.Record, now swclock.Millis) {
-	s.record = record
-	if record.StartedAt > 0 {
-		age := swclock.Millis(s.keeper.config.UnixNow() - record.StartedAt)
+func (s *Service) observeReported(now swclock.Millis) {
+	if s.record.StartedAt > 0 {
+		age := swclock.Millis(s.keeper.config.UnixNow() - s.record.StartedAt)
 		for _, a := range s.reported {
 			if a.SinceEnd += now - a.at; a.SinceEnd <= age {
 				s.rollout.Observe(a.Answer, now)
