Pause a version whose bad answers two owners know together

Cause: bad answers in a record counted towards the pause when an order was taken up, but not in a record that another owner writes meanwhile. Two owners with 44 bad answers each went on.

Change: bad answers in a record of another writer, beyond the inherited ones, are added to those known here. They may be the same answers: the pause then comes early, and is lifted as before once the answers say that the version is sound. As it is not known when they came, the pause begins at once.

--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -74,7 +74,10 @@
 	names                          names
 	old, fresh                     samples
 	inheritedAnswers, inheritedBad uint64
-	routes                         map[Route]*routeState
+	// foreignBad are the bad answers in records that another owner has written since, beyond the inherited ones. They may include
+	// some that are known here.
+	foreignBad uint64
+	routes     map[Route]*routeState
 	// asks counts the calls of Versions for these routes.
 	asks uint64
 	// asked is the route for which the new version was last allowed.
@@ -155,6 +158,9 @@
 	k.To = record.To
 	k.Requests = max(k.Requests, record.Requests)
 	k.Reserved = max(k.Reserved, record.Reserved)
+	if record.Writer != r.config.Writer && record.Bad > r.inheritedBad {
+		r.foreignBad = max(r.foreignBad, record.Bad-r.inheritedBad)
+	}
 	k.Answers, k.Bad = max(k.Answers, record.Answers), max(k.Bad, record.Bad)
 	k.Moving = k.Moving || record.Moving
 	k.State = max(k.State, record.State)
@@ -369,6 +375,9 @@
 		}
 		r.usedSlots += (used - r.usedSlots) / usedSteps
 	}
+	if _, bad := r.counts(); !r.manyBad && r.foreignBad > 0 && bad+r.foreignBad >= pauseAnswers {
+		r.manyBad, r.manyBadAt = true, now-r.config.RollbackWithin // it is not known when
+	}
 	switch {
 	case r.record.State.Final():
 	case r.verdict == VerdictOpen && s.OnlyNew:
--- a/internal/core/swrollout/rollout_test.go
+++ b/internal/core/swrollout/rollout_test.go
@@ -351,3 +351,38 @@
 		t.Errorf("%v in the end: %+v", got, last.r.Evidence(last.now))
 	}
 }
+
+// TestBadAnswersAtTwoOwners guards against a version that goes on as each of two owners at once knows less than pauseAnswers bad answers.
+func TestBadAnswersAtTwoOwners(t *testing.T) {
+	tests := []struct {
+		name   string
+		writer string
+		own    uint64
+		// inherited and stored are the bad answers of the record at first, and of one that is read later.
+		inherited, stored uint64
+		paused            bool
+	}{
+		{"of another owner", "b", 0, 0, pauseAnswers, true},
+		{"of both", "b", pauseAnswers - 1, 0, pauseAnswers - 1, true},
+		{"few of both", "b", pauseAnswers / 3, 0, pauseAnswers / 3, false},
+		{"its own record", "a", pauseAnswers - 1, 0, pauseAnswers - 1, false},
+		{"the inherited ones", "b", 0, pauseAnswers - 1, pauseAnswers - 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			config := playConfig
+			config.Writer = "a"
+			record := Record{Order: "o", To: "new", State: StateRunning, StartedAt: 1000, Reserved: 300, Answers: 2 * tt.inherited, Bad: tt.inherited}
+			r := New(config, testOrder, record, 0, 1000)
+			for i := range tt.own {
+				r.Observe(Answer{Version: "new", Target: swid.TargetID(rune('A' + i%4)), Route: 1, Running: 2, Slots: 7, Bad: true}, 0)
+			}
+			record.Writer, record.Bad, record.Answers = tt.writer, tt.stored, 2*tt.stored
+			r.Stored(record, 10)
+			r.Step(Situation{OldTargets: 10, NewTargets: 10, OldSlots: 70, NewSlots: 70, OldRunning: 20}, 300)
+			if got := r.manyBad; got != tt.paused {
+				t.Errorf("paused for bad answers is %v", got)
+			}
+		})
+	}
+}
