Spare deployments without roll-outs their cost

Cause: each host kept the names of the scopes of all requests, and looked for services with several versions at each change of the targets, also where no roll-out is in force.

Change: the gate keeps the names only after KeepScopeNames, which is called where roll-outs are in force; a look-up of a name that is in use now counts as use. The versions of the targets are compared only there as well. The comment of setTargets is one piece.

Result: TestScopeNames failed ("though names are not kept") and passes; swgate passes with the race detector. That the targets are not compared has no test.

--- a/internal/caller/swgate/swgate.go
+++ b/internal/caller/swgate/swgate.go
@@ -153,7 +153,7 @@
 	// draining is ended by StartDraining, which calls startDraining.
 	draining      context.Context
 	startDraining context.CancelFunc
-	// scopes has the names of the scopes that were used last.
+	// scopes has the names of the scopes that were used last; nil if they are not kept.
 	scopes *lru.Cache[swid.PromptScope, string]
 }
 
@@ -162,13 +162,17 @@
 
 // New returns a gate that denies all calls until Configure is called.
 func New(config Config, bounds Bounds) *Gate {
-	scopes, _ := lru.New[swid.PromptScope, string](maxScopes) // fails only for a size below 1
-	g := &Gate{config: config, scopes: scopes}
+	g := &Gate{config: config}
 	g.draining, g.startDraining = context.WithCancel(context.Background())
 	g.bounds.Store(&bounds)
 	return g
 }
 
+// KeepScopeNames makes ScopeName know the scopes of later requests. It is to be called before Serve.
+func (g *Gate) KeepScopeNames() {
+	g.scopes, _ = lru.New[swid.PromptScope, string](maxScopes) // fails only for a size below 1
+}
+
 // Configure puts a configuration into force.
 func (g *Gate) Configure(t *swcatalog.Table) {
 	g.table.Store(t)
@@ -446,10 +450,13 @@
 	return swprompt.Fingerprint("", append(content, r.Call.Body...))
 }
 
-// scope returns the scope of prompts on a route for a model, and keeps its name.
+// scope returns the scope of prompts on a route for a model, and keeps its name if it is to be kept.
 func (g *Gate) scope(route, model string) swid.PromptScope {
 	scope := promptScope(route, model)
-	if !g.scopes.Contains(scope) {
+	if g.scopes == nil {
+		return scope
+	}
+	if _, known := g.scopes.Get(scope); !known {
 		name := route
 		if model != "" {
 			name += "/" + model
@@ -461,6 +468,9 @@
 
 // ScopeName returns the route and the model of a scope in which this gate has admitted requests of late, or an empty text.
 func (g *Gate) ScopeName(scope swid.PromptScope) string {
+	if g.scopes == nil {
+		return ""
+	}
 	name, _ := g.scopes.Get(scope)
 	return name
 }
--- a/internal/caller/swgate/swgate_test.go
+++ b/internal/caller/swgate/swgate_test.go
@@ -134,7 +134,8 @@
 	return 0
 }
 
-// TestScopeNames checks that the names of scopes are known once there were requests, and that models of callers' choice do not add up.
+// TestScopeNames checks that the names of the scopes that were used last are known if they are kept, and that models of callers' choice do
+// not add up.
 func TestScopeNames(t *testing.T) {
 	f := newFixture()
 	serve := func(path, model string) swid.PromptScope {
@@ -145,6 +146,10 @@
 		}
 		return f.lastRequest.Scope
 	}
+	if got := f.gate.ScopeName(serve("/read/x", "")); got != "" {
+		t.Errorf("name %q, though names are not kept", got)
+	}
+	f.gate.KeepScopeNames()
 	read, chat := serve("/read/x", ""), serve("/chat/x", "m")
 	if got := f.gate.ScopeName(read); got != "read" {
 		t.Errorf("name %q of route read", got)
@@ -154,6 +159,10 @@
 	}
 	for i := range 2 * maxScopes {
 		serve("/chat/x", fmt.Sprint("m", i))
+		serve("/chat/x", "m")
+	}
+	if got := f.gate.ScopeName(chat); got != "chat/m" {
+		t.Errorf("name %q of a scope that is in use", got)
 	}
 	if got := f.gate.ScopeName(read); got != "" || f.gate.scopes.Len() != maxScopes {
 		t.Errorf("name %q after many others, %d names", got, f.gate.scopes.Len())
--- a/internal/node/swfleet/rollouts.go
+++ b/internal/node/swfleet/rollouts.go
@@ -75,6 +75,7 @@
 	if h.rollouts == nil {
 		return
 	}
+	h.gate.KeepScopeNames()
 	config.PeerWait, config.RetryPause = 0, rolloutRetryPause
 	h.rollouts.Follow(swwatch.NewFollower(config, h.platform.Rollouts(), h.rollouts.Changed))
 }
--- a/internal/node/swfleet/view.go
+++ b/internal/node/swfleet/view.go
@@ -60,14 +60,15 @@
 	return true
 }
 
-// setTargets replaces the targets. One that was draining stays so until it is started anew: a store that
-// was set back may list it as it was before.
-// setTargets reports whether that changes who schedules plain services.
+// setTargets replaces the targets, and reports whether that changes who schedules plain services. A target that was draining stays so
+// until it is started anew: a store that was set back may list it as it was before.
 func (v *view) setTargets(items []swwatch.Item[swcatalog.Target], now swclock.Millis) (remixed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if mixed := mixedServices(items); v.settings.Fleet.Rollout.Enabled() && !maps.Equal(mixed, v.mixed) {
-		v.mixed, remixed = mixed, true
+	if v.settings.Fleet.Rollout.Enabled() {
+		if mixed := mixedServices(items); !maps.Equal(mixed, v.mixed) {
+			v.mixed, remixed = mixed, true
+		}
 	}
 	targets := make([]swcatalog.Target, len(items))
 	for i, item := range items {
