Compare slots with those of the time when a version was withheld

Cause: the most slots of a version were kept for as long as the service had several versions. A service with two versions that was made smaller long ago would grant an unlisted third one requests at once.

Change: while no version is withheld, the slots of that time count.

Result: TestSlotsOfLongAgo failed ([v1 v2 v3] serve) and passes, also with the race detector; TestRolloutOrders passes.

--- a/internal/owner/swrolloutkeeper/decided_test.go
+++ b/internal/owner/swrolloutkeeper/decided_test.go
@@ -181,3 +181,20 @@
 		})
 	}
 }
+
+// TestSlotsOfLongAgo guards against versions that are taken for too small, long after the service was made smaller, when another appears.
+func TestSlotsOfLongAgo(t *testing.T) {
+	s := newStand("a", make(map[string]swwatch.Item[swcatalog.Rollout]))
+	versions := []swid.SoftwareVersion{"v1", "v2", "v3"}
+	s.listSlots(versions[:2], 20, 20)
+	s.refresh(t)
+	s.listSlots(versions[:2], 8, 8)
+	if got := s.served(versions[:2]...); len(got) != 2 {
+		t.Fatalf("only %v serve", got)
+	}
+	s.now++
+	s.listSlots(versions, 8, 8, 8)
+	if got := s.served(versions...); !slices.Equal(got, versions[:2]) {
+		t.Errorf("%v serve, want %v", got, versions[:2])
+	}
+}
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -85,7 +85,7 @@
 	born int64
 	// active and slots count the targets that take requests, and their slots.
 	active, slots int
-	// peak is the largest slots since another version was listed beside this one.
+	// peak is the most slots since a version of the service is withheld, and just before.
 	peak int
 }
 
@@ -443,6 +443,11 @@
 			oldest, serving = v, version
 		}
 	}
+	if len(withheld) == 0 {
+		for _, v := range s.versions {
+			v.peak = v.slots
+		}
+	}
 	if !serves && oldest != nil {
 		withheld = slices.DeleteFunc(withheld, func(v swid.SoftwareVersion) bool { return v == serving })
 		slots, peak = slots+oldest.slots, peak+oldest.peak
