--- a/internal/core/swrollout/rollout.go
+++ b/internal/core/swrollout/rollout.go
@@ -32,9 +32,13 @@
 	durationRise, durationFall = 0.5, 0.05
 	// writeRetry is the time from a failed write to the next one.
 	writeRetry = 100 * swclock.Millis(1)
+	// MaxConflictPause is the longest time from a write that conflicted to the next one: the time doubles until a write succeeds.
+	MaxConflictPause = 1600 * swclock.Millis(1)
 	// slotUse is the share of the new targets' slots that the traffic may take at completion, and slotShare the share of the slots of
 	// the old ones that is enough in any case.
 	slotUse, slotShare = 0.9, 0.85
+	// reasonOnlyVersion is the reason of an order for the version that alone is in service.
+	reasonOnlyVersion = "onlyVersion"
 	// usedSteps is the number of calls of Step over which the slots in use are averaged.
 	usedSteps = 8
 )
@@ -56,6 +60,8 @@
 	pending                      *Record
 	pendingUnits, pendingArrived uint64
 	retryAt                      swclock.Millis
+	// conflictPause is the time after the next write that conflicts.
+	conflictPause swclock.Millis
 
 	verdict Verdict
 	reason  string
@@ -68,7 +74,10 @@
 	names                          names
 	old, fresh                     samples
 	inheritedAnswers, inheritedBad uint64
-	routes                         map[Route]*routeState
+	// foreignBad are the bad answers in records that another owner has written since, beyond the inherited ones. They may include
+	// some that are known here.
+	foreignBad uint64
+	routes     map[Route]*routeState
 	// asks counts the calls of Versions for these routes.
 	asks uint64
 	// asked is the route for which the new version was last allowed.
@@ -142,13 +151,16 @@
 	if r.pending != nil && record == *r.pending {
 		r.ledger.left += r.pendingUnits
 		r.ledger.arrived -= r.pendingArrived
-		r.pending = nil
+		r.pending, r.conflictPause = nil, 0
 	}
 	// Records are joined, so that the order in which they are read does not matter.
 	k := &r.record
 	k.To = record.To
 	k.Requests = max(k.Requests, record.Requests)
 	k.Reserved = max(k.Reserved, record.Reserved)
+	if record.Writer != r.config.Writer && record.Bad > r.inheritedBad {
+		r.foreignBad = max(r.foreignBad, record.Bad-r.inheritedBad)
+	}
 	k.Answers, k.Bad = max(k.Answers, record.Answers), max(k.Bad, record.Bad)
 	k.Moving = k.Moving || record.Moving
 	k.State = max(k.State, record.State)
@@ -181,6 +193,14 @@
 	r.retryAt = now + writeRetry
 }
 
+// WriteConflicted reports like WriteFailed that another record was written since what the store has was read. If that goes on, another
+// owner writes, or what was read is not what the store has.
+func (r *Rollout) WriteConflicted(now swclock.Millis) {
+	r.WriteFailed(now)
+	r.conflictPause = min(max(2*r.conflictPause, writeRetry), MaxConflictPause)
+	r.retryAt = now + r.conflictPause
+}
+
 // Arrived counts a request that reached the service: once for each request of a caller, also one that is rejected.
 func (r *Rollout) Arrived(now swclock.Millis) { r.ledger.arrive(now) }
 
@@ -324,6 +344,8 @@
 type Situation struct {
 	// OldTargets and NewTargets are the targets that take requests, and OldSlots and NewSlots the sums of their slots.
 	OldTargets, NewTargets, OldSlots, NewSlots int
+	// OnlyNew is set if no other version was listed since the order was first seen, and targets of the new one take requests.
+	OnlyNew bool
 	// OldRunning is the number of requests that run at targets of other versions.
 	OldRunning int
 	// Waiting is the number of requests that wait for a target.
@@ -355,7 +377,14 @@
 		}
 		r.usedSlots += (used - r.usedSlots) / usedSteps
 	}
-	if !r.record.State.Final() {
+	if _, bad := r.counts(); !r.manyBad && r.foreignBad > 0 && bad+r.foreignBad >= pauseAnswers {
+		r.manyBad, r.manyBadAt = true, now-r.config.RollbackWithin // it is not known when
+	}
+	switch {
+	case r.record.State.Final():
+	case r.verdict == VerdictOpen && s.OnlyNew:
+		r.verdict, r.reason, r.soundAt = VerdictSound, reasonOnlyVersion, now // nothing is to be moved
+	default:
 		r.review(now)
 	}
 	write = r.propose(now)
--- a/internal/owner/swrolloutkeeper/service.go
+++ b/internal/owner/swrolloutkeeper/service.go
@@ -1,10 +1,11 @@
 package swrolloutkeeper
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraswing/sassafraswing/internal/config/swcatalog"
@@ -16,6 +17,13 @@
 	"github.com/sassafraswing/sassafraswing/internal/store/swwatch"
 )
 
+// formerLifetime is how long versions count as former ones of an order that this host found completed: their targets stop at once, and
+// are listed for a while. A version that is listed for longer is a later one.
+const formerLifetime = 30 * swclock.Second
+
+// carryShare is the share of their former slots with which the versions that may serve are taken to carry the service's load.
+const carryShare = 0.6
+
 // reportLifetime is how long a cell's report of its load holds: a cell without work ends and reports no more.
 const reportLifetime = 500 * swclock.Millis(1)
 
@@ -30,7 +38,7 @@
 	name     string
 	revision swwatch.Revision
 	era      swobject.Era
-	// record is the one with which the order was taken up.
+	// record is the one that the store had when it was last read or written, in era.
 	record swrollout.Record
 	// state, moving and verdict are those of the latest step.
 	state   swrollout.State
@@ -46,8 +54,16 @@
 	versions     map[swid.SoftwareVersion]*listedVersion
 	abandoned    swid.SoftwareVersion
 	hasAbandoned bool
-	load         swrollout.Situation
-	loadAt       swclock.Millis
+	// unrestricted is set if, at the latest call of Standing, the order's version alone served: requests begin there without exposure.
+	unrestricted bool
+	// mixed is set if other versions than the order's were listed since it was taken up, or may have been before.
+	mixed bool
+	// former has the versions from which the completed order has moved the service, while they are listed and until formerUntil
+	// in time since boot, unless that is 0.
+	former      map[swid.SoftwareVersion]struct{}
+	formerUntil swclock.Millis
+	load        swrollout.Situation
+	loadAt      swclock.Millis
 	// reported has the answers that hosts reported before the order was known, the oldest first.
 	reported []reportedAnswer
 }
@@ -69,6 +85,8 @@
 	born int64
 	// active and slots count the targets that take requests, and their slots.
 	active, slots int
+	// peak is the most slots since a version of the service is withheld, and just before.
+	peak int
 }
 
 func newService(k *Keeper, id swid.ServiceID) *Service {
@@ -86,7 +104,7 @@
 func (s *Service) drop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rollout, s.reported = nil, nil
+	s.rollout, s.reported, s.former = nil, nil, nil
 	s.hasAbandoned = false
 }
 
@@ -125,9 +143,46 @@
 			v.slots += t.Slots
 		}
 	}
+	for version, v := range s.versions {
+		v.peak = v.slots
+		if f := former[version]; f != nil && len(s.versions) > 1 {
+			v.peak = max(f.peak, v.slots)
+		}
+	}
 	if s.hasAbandoned && s.versions[s.abandoned] == nil {
 		s.hasAbandoned = false
 	}
+	s.mixed = s.mixed || s.listsOthers()
+	maps.DeleteFunc(s.former, func(version swid.SoftwareVersion, _ struct{}) bool { return s.versions[version] == nil })
+}
+
+// listsOthers reports whether there is an order, and targets of other versions are listed. s.mu must be held.
+func (s *Service) listsOthers() bool {
+	if s.rollout == nil {
+		return false
+	}
+	for version := range s.versions {
+		if version != s.rollout.Order().To {
+			return true
+		}
+	}
+	return false
+}
+
+// servesAlone reports whether only targets of the order's version take requests, beside versions that get nothing. s.mu must be held and
+// there must be an order.
+func (s *Service) servesAlone(withheld []swid.SoftwareVersion) bool {
+	active := false
+	for version, v := range s.versions {
+		switch {
+		case v.active == 0 || slices.Contains(withheld, version):
+		case version == s.rollout.Order().To:
+			active = true
+		default:
+			return false
+		}
+	}
+	return active
 }
 
 // take takes an order and its record in the store.
@@ -141,7 +196,7 @@
 		if era == s.era && item.Revision <= s.revision {
 			return // read before this host's latest write
 		}
-		s.name, s.revision, s.era = item.Name, item.Revision, era
+		s.name, s.revision, s.era, s.record = item.Name, item.Revision, era, record
 		s.rollout.Stored(record, now)
 		s.refreshState(now)
 		return
@@ -154,8 +209,15 @@
 	s.name, s.revision = item.Name, item.Revision
 	s.logged, s.loggedMoved = record.State, record.Moving
 	s.era = s.keeper.config.Era()
-	s.observeReported(record, now)
+	s.record = record
+	s.observeReported(now)
+	s.state, s.former = swrollout.StateNone, nil
+	s.mixed = record.State != swrollout.StateNone || s.listsOthers()
 	s.refreshState(now)
+	s.formerUntil = 0
+	if record.State == swrollout.StateCompleted {
+		s.formerUntil = s.keeper.config.Boot.SinceBoot() + formerLifetime
+	}
 	s.log().Str("state", record.State.String()).Uint64("reserved", record.Reserved).Uint64("requests", record.Requests).
 		Int64("durationMillis", int64(order.Duration)).Uint64("revision", uint64(item.Revision)).Msg("order of a roll-out")
 }
@@ -169,15 +231,14 @@
 	}
 	s.reported = slices.Delete(s.reported, 0, max(len(s.reported)-maxReported, 0))
 	if s.rollout != nil {
-		s.observeReported(s.record, now)
+		s.observeReported(now)
 	}
 }
 
 // observeReported passes the reported answers since the order was first seen to the roll-out. s.mu must be held.
-func (s *Service) observeReported(record swrollout.Record, now swclock.Millis) {
-	s.record = record
-	if record.StartedAt > 0 {
-		age := swclock.Millis(s.keeper.config.UnixNow() - record.StartedAt)
+func (s *Service) observeReported(now swclock.Millis) {
+	if s.record.StartedAt > 0 {
+		age := swclock.Millis(s.keeper.config.UnixNow() - s.record.StartedAt)
 		for _, a := range s.reported {
 			if a.SinceEnd += now - a.at; a.SinceEnd <= age {
 				s.rollout.Observe(a.Answer, now)
@@ -196,7 +257,7 @@
 	}
 	s.log().Str("state", s.state.String()).Msg("order of a roll-out was removed")
 	s.abandon()
-	s.rollout = nil
+	s.rollout, s.former = nil, nil
 }
 
 // abandon keeps the version of the present order from requests unless it was found sound. s.mu must be held.
@@ -216,6 +277,14 @@
 // refreshState takes over the state of the roll-out. s.mu must be held and there must be an order.
 func (s *Service) refreshState(now swclock.Millis) {
 	e := s.rollout.Evidence(now)
+	if e.State == swrollout.StateCompleted && s.state != e.State {
+		s.former = make(map[swid.SoftwareVersion]struct{})
+		for version := range s.versions {
+			if version != e.Order.To {
+				s.former[version] = struct{}{}
+			}
+		}
+	}
 	s.state, s.moving, s.verdict = e.State, e.Moving, e.Verdict
 }
 
@@ -236,11 +305,13 @@
 
 // pendingWrite is a record that is being written.
 type pendingWrite struct {
-	service  *Service
-	name     string
-	order    swrollout.OrderID
-	record   swrollout.Record
+	service *Service
+	name    string
+	order   swrollout.OrderID
+	record  swrollout.Record
+	// expected is a revision of era.
 	expected swwatch.Revision
+	era      swobject.Era
 }
 
 // step reviews the order, and returns the record that is to be written, if one is. alone is set if no other owner schedules requests.
@@ -258,7 +329,7 @@
 	if record == nil {
 		return nil
 	}
-	return &pendingWrite{service: s, name: s.name, order: s.rollout.Order().ID, record: *record, expected: s.revision}
+	return &pendingWrite{service: s, name: s.name, order: s.rollout.Order().ID, record: *record, expected: s.revision, era: s.era}
 }
 
 // situation returns the state of the service's targets, as its cell reported it a moment ago, or as they are listed. s.mu must be held.
@@ -274,6 +345,8 @@
 			situation.OldTargets, situation.OldSlots = situation.OldTargets+v.active, situation.OldSlots+v.slots
 		}
 	}
+	to := s.versions[s.rollout.Order().To]
+	situation.OnlyNew = !s.mixed && to != nil && to.active > 0
 	if !alone {
 		situation.OldRunning++ // other owners may have granted requests
 	}
@@ -300,7 +373,11 @@
 		return
 	}
 	if err != nil {
-		s.rollout.WriteFailed(now)
+		if errors.Is(err, swobject.ErrConflict) {
+			s.rollout.WriteConflicted(now)
+		} else {
+			s.rollout.WriteFailed(now)
+		}
 		if s.failing {
 			return
 		}
@@ -308,8 +385,12 @@
 		s.log().Err(err).Str("state", w.record.State.String()).Uint64("expected", uint64(w.expected)).Msg("record of a roll-out not written")
 		return
 	}
-	s.revision = max(revision, s.revision)
 	s.rollout.Stored(w.record, now)
+	if w.era == s.era {
+		s.revision, s.record = max(revision, s.revision), w.record
+	} else {
+		s.rollout.Stored(s.record, now) // the store was set back since
+	}
 	s.refreshState(now)
 	if w.record.State != s.logged || w.record.Moving != s.loggedMoved || s.failing {
 		s.logged, s.loggedMoved, s.failing = w.record.State, w.record.Moving, false
@@ -319,35 +400,67 @@
 	}
 }
 
-// withheld returns the versions that get nothing because they may be those of orders that are not known. If none is known to be free of
-// orders, the version whose targets are oldest serves. s.mu must be held.
-func (s *Service) withheld(confirmed swclock.Millis) []swid.SoftwareVersion {
+// isBarred reports whether a version gets nothing because the order was decided. s.mu must be held.
+func (s *Service) isBarred(version swid.SoftwareVersion) bool {
+	if s.rollout == nil {
+		return false
+	}
+	switch s.state {
+	case swrollout.StateCompleted:
+		_, former := s.former[version]
+		return former && (s.formerUntil == 0 || s.keeper.config.Boot.SinceBoot() < s.formerUntil)
+	case swrollout.StateRolledBack:
+		return version == s.rollout.Order().To
+	default:
+		return false
+	}
+}
+
+// excluded returns the versions that get nothing: withheld ones may be those of orders that are not known, and barred ones lost when the
+// order was decided. If none is known to be free of orders, the version whose targets are oldest serves. None is withheld if the others
+// cannot carry the load any more, as in a release. s.mu must be held.
+func (s *Service) excluded(confirmed swclock.Millis) (withheld, barred []swid.SoftwareVersion) {
 	if len(s.versions) < 2 {
-		return nil
+		return nil, nil
 	}
-	var withheld []swid.SoftwareVersion
 	var oldest *listedVersion
 	var serving swid.SoftwareVersion
 	serves := false
+	slots, peak := 0, 0
 	for version, v := range s.versions {
-		barred := s.hasAbandoned && version == s.abandoned
-		if v.listedAt <= confirmed && !barred {
+		abandoned := s.hasAbandoned && version == s.abandoned
+		switch {
+		case s.isBarred(version):
+			barred = append(barred, version)
+			continue
+		case v.listedAt <= confirmed && !abandoned:
 			serves = serves || v.active > 0
+			slots, peak = slots+v.slots, peak+v.peak
 			continue
 		}
 		withheld = append(withheld, version)
-		if v.active > 0 && !barred && (oldest == nil || v.born < oldest.born || v.born == oldest.born && version < serving) {
+		if v.active > 0 && !abandoned && (oldest == nil || v.born < oldest.born || v.born == oldest.born && version < serving) {
 			oldest, serving = v, version
 		}
 	}
+	if len(withheld) == 0 {
+		for _, v := range s.versions {
+			v.peak = v.slots
+		}
+	}
 	if !serves && oldest != nil {
 		withheld = slices.DeleteFunc(withheld, func(v swid.SoftwareVersion) bool { return v == serving })
+		slots, peak = slots+oldest.slots, peak+oldest.peak
 	}
 	if !serves && oldest == nil {
-		return nil // nothing else serves
+		return nil, nil // nothing else serves
 	}
-	slices.SortFunc(withheld, func(a, b swid.SoftwareVersion) int { return strings.Compare(string(a), string(b)) })
-	return withheld
+	if float64(slots) < carryShare*float64(peak) {
+		withheld = nil
+	}
+	slices.Sort(withheld)
+	slices.Sort(barred)
+	return withheld, barred
 }
 
 // Standing implements swvalue.Rollouts.
@@ -355,18 +468,24 @@
 	confirmed := s.keeper.confirmedAt()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	standing := swvalue.Standing{Withheld: s.withheld(confirmed)}
-	if s.rollout == nil {
+	var standing swvalue.Standing
+	standing.Withheld, standing.Barred = s.excluded(confirmed)
+	if s.rollout == nil || s.state.Final() {
+		return standing
+	}
+	s.unrestricted = s.servesAlone(standing.Withheld)
+	if s.unrestricted {
+		standing.Ordered, standing.Open, standing.To, standing.OldServes, standing.NewServes = true, true, s.rollout.Order().To, true, true
 		return standing
 	}
 	if s.verdict == swrollout.VerdictOpen && !s.keeper.config.Reachable() && !s.keeper.config.Alone() {
 		// Another owner may have rolled the version back.
 		standing.Withheld = append(standing.Withheld, s.rollout.Order().To)
 	}
-	standing.Ordered, standing.Open, standing.To = true, !s.state.Final(), s.rollout.Order().To
+	standing.Ordered, standing.Open, standing.To = true, true, s.rollout.Order().To
 	standing.Trial = s.verdict == swrollout.VerdictOpen
 	standing.NewServes = s.verdict == swrollout.VerdictSound
-	standing.OldServes = s.state != swrollout.StateCompleted
+	standing.OldServes = true
 	return standing
 }
 
@@ -377,7 +496,11 @@
 	if s.rollout == nil {
 		return swrollout.Versions{Old: true, New: true}
 	}
-	return s.rollout.Versions(route, mayLast, now)
+	versions := s.rollout.Versions(route, mayLast, now)
+	if s.unrestricted {
+		versions.Old, versions.New = true, true
+	}
+	return versions
 }
 
 // Arrived implements swvalue.Rollouts.
