Close no connection whose request is served, and spare new ones beside idle ones

Cause: the connection that gives way was chosen by its state without excluding that the state changed; in between its request could become one that is served, which was then closed without an answer. New connections ranked before idle ones whatever their age, so that two new callers closed each other beside idle connections. A refusal that had just been sent was the first to be closed, and a body that was refused when it was complete exempted its connection from giving way for later bodies.

Change: the state is one word that changes by compare-and-swap; a connection that gave way has a last state, and NewBody aborts its handler then, before anything is passed on. Waiting and refused connections go first only after a second in that state; younger ones go after idle ones and stalled bodies, refused ones last. A body is not refused for a connection that has no room even so. Each body may be refused anew.

--- a/internal/caller/swcallerconn/body.go
+++ b/internal/caller/swcallerconn/body.go
@@ -55,7 +55,8 @@
 	started, whole, failed, gaveWay bool
 }
 
-// NewBody returns the body of a request. The caller has to close it.
+// NewBody returns the body of a request. The caller has to close it. It ends the handler with http.ErrAbortHandler if the connection
+// gave way to others: nothing of the request has been passed on, and no answer can reach its caller.
 func NewBody(w http.ResponseWriter, r *http.Request, bounds Bounds) *Body {
 	b := &Body{
 		writer: w, request: r, controller: http.NewResponseController(w), bounds: bounds, connection: connOf(r.Context()),
@@ -64,7 +65,9 @@
 	if b.connection != nil {
 		b.connection.awaitsHeader.Store(false)
 	}
-	b.setState(swroom.StateServing)
+	if in := b.intake(); in != nil && !b.connection.room.SetState(in.Clock.Now(), swroom.StateServing) {
+		panic(http.ErrAbortHandler)
+	}
 	return b
 }
 
--- a/internal/core/swroom/connections.go
+++ b/internal/core/swroom/connections.go
@@ -75,11 +75,16 @@
 	return states
 }
 
+// stateClosed is the state of a connection that gave way and is closed. No other state follows.
+const stateClosed = stateCount
+
+// settleAfter is how long a connection has to be in its state before it gives way ahead of those that were in theirs for longer.
+const settleAfter = swclock.Second
+
 // Connections bounds the open connections of callers. Its methods are safe for concurrent use.
 //
-// When there are too many, one gives way: the oldest of those whose requests were refused, else of those on which no whole header has
-// arrived, else of those that are idle, else of those whose body has stalled. A connection whose request is served does not give way. If none
-// does, the new connection is not accepted.
+// When there are too many, one gives way, see rankOf. A connection whose request is served does not. If none does, the new connection is
+// not accepted.
 type Connections struct {
 	limit int
 
@@ -102,11 +107,12 @@
 	close func()
 	// refuse ends the reception of the body of the request that arrives, so that it is refused; it may be nil.
 	refuse atomic.Pointer[func()]
-	state  atomic.Uint32
+	// state is a State. It changes by compare-and-swap only, so that a connection that is closed is not served.
+	state atomic.Uint32
 	// since is when the state began, or when the body last grew.
 	since atomic.Int64
-	// ending is true once refuse was called. It is protected by connections.mu.
-	ending bool
+	// ending is true once refuse was called for the body that arrives.
+	ending atomic.Bool
 }
 
 // Open returns a new connection, for which another may have to give way, or nil if there is no room for it. The caller has to
@@ -126,55 +132,104 @@
 
 // makeRoom makes a connection give way, and reports whether there is room for another one.
 func (c *Connections) makeRoom(now swclock.Millis) bool {
-	v := c.victim(now)
-	if v == nil {
-		return false
+	for {
+		v, state := c.victim(now)
+		if v == nil {
+			return false
+		}
+		if state == StateReceiving {
+			if v.end() {
+				c.closed[state]++
+				return true
+			}
+		} else if c.claim(v, state) {
+			return true
+		}
+		// It is used for something else by now.
 	}
-	state := State(v.state.Load())
-	if state != StateReceiving {
-		c.closed[state]++
-		delete(c.open, v)
-		v.close()
-		return true
+}
+
+// claim closes a connection that is in the state, and reports whether it still was.
+func (c *Connections) claim(v *Connection, state State) bool {
+	if !v.state.CompareAndSwap(uint32(state), uint32(stateClosed)) {
+		return false
 	}
+	c.closed[state]++
+	delete(c.open, v)
+	v.close()
+	return true
+}
+
+// end refuses the body that arrives, and reports false if it is complete.
+func (v *Connection) end() bool {
 	refuse := v.refuse.Load()
 	if refuse == nil {
-		return false // it became complete meanwhile
+		return false
 	}
-	c.closed[state]++
-	v.ending = true
+	v.ending.Store(true)
 	(*refuse)()
-	return len(c.open) < c.limit+c.limit/overdraftFraction
+	return true
 }
 
-// precedence is the order in which connections give way. Those that are served are left out.
-var precedence = [stateCount]int{StateRefused: 1, StateWaiting: 2, StateIdle: 3, StateReceiving: 4}
+// rankOf returns the rank in which a connection gives way that has been in its state for so long; 0 if it does not. Those whose refusals
+// callers had the time to read go first, those with refusals that were just sent last.
+func rankOf(state State, age swclock.Millis) int {
+	settled := age >= settleAfter
+	switch {
+	case state == StateRefused && settled:
+		return 1
+	case state == StateWaiting && settled:
+		return 2
+	case state == StateIdle:
+		return 3
+	case state == StateReceiving && age >= stallAfter:
+		return 4
+	case state == StateWaiting:
+		return 5
+	case state == StateRefused:
+		return 6
+	default:
+		return 0
+	}
+}
 
-// victim returns the connection that gives way next, or nil if there is none.
-func (c *Connections) victim(now swclock.Millis) *Connection {
+// victim returns the connection that gives way next and its state, or nil if there is none: the oldest of those of the lowest rank.
+func (c *Connections) victim(now swclock.Millis) (*Connection, State) {
+	// A connection whose body is refused stays open for a while.
+	mayExceed := len(c.open) < c.limit+c.limit/overdraftFraction
 	var best *Connection
+	var bestState State
 	rank, since := 0, int64(0)
 	for v := range c.open {
 		state, at := State(v.state.Load()), v.since.Load()
-		p := precedence[state]
-		if p == 0 || state == StateReceiving && (v.ending || now-swclock.Millis(at) < stallAfter) {
+		p := rankOf(state, now-swclock.Millis(at))
+		if p == 0 || state == StateReceiving && (!mayExceed || v.ending.Load() || v.refuse.Load() == nil) {
 			continue
 		}
 		if best == nil || p < rank || p == rank && at < since {
-			best, rank, since = v, p, at
+			best, bestState, rank, since = v, state, p, at
 		}
 	}
-	return best
+	return best, bestState
 }
 
-// SetState records what the connection is used for from now on.
-func (c *Connection) SetState(now swclock.Millis, state State) {
+// SetState records what the connection is used for from now on. It reports false if the connection gave way and is closed: what
+// arrived on it must not be served.
+func (c *Connection) SetState(now swclock.Millis, state State) bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.refuse.Store(nil)
-	c.since.Store(int64(now))
-	c.state.Store(uint32(state))
+	for {
+		former := c.state.Load()
+		if State(former) == stateClosed {
+			return false
+		}
+		c.since.Store(int64(now))
+		if c.state.CompareAndSwap(former, uint32(state)) {
+			return true
+		}
+	}
 }
 
 // Receive records that a body arrives, which refuse ends. refuse must not block, nor call the connections.
@@ -183,6 +238,7 @@
 		return
 	}
 	c.SetState(now, StateReceiving)
+	c.ending.Store(false)
 	c.refuse.Store(&refuse)
 }
 
