Add a margin to the configured time for headers

Cause: the read deadline was the configured time to the millisecond, counted from the accept. A caller that takes what it may, plus a link's delay or one retransmission, was cut without an answer.

Change: half a second is added.

--- a/internal/caller/swcallerconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -84,6 +84,9 @@
 // roomLogInterval is the least time between two lines on connections that are closed for want of room.
 const roomLogInterval = swclock.Second
 
+// headerMargin is added to Observation.HeaderTimeout for the delay of a link and one retransmission.
+const headerMargin = 500 * swclock.Millis(1)
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -184,7 +187,7 @@
 		}
 	case !idle && !t.IsZero() && c.awaitsHeader.Load() && c.HeaderTimeout != nil:
 		if timeout := c.HeaderTimeout(); timeout > 0 {
-			t = time.Now().Add(timeout.Duration())
+			t = time.Now().Add((timeout + headerMargin).Duration())
 		}
 	}
 	return c.Conn.SetReadDeadline(t)
