Bound what the headers of callers take

Cause: net/http keeps a parsed header as a map, and the request a copy of it.

No lock, and nothing for usual headers.

--- a/internal/caller/swcallerconn/intake.go
+++ b/internal/caller/swcallerconn/intake.go
@@ -17,14 +17,19 @@
 type Intake struct {
 	Connections *swroom.Connections
 	Bodies      *swroom.Room
-	Clock       swclock.Clock
+	// Headers bounds the headers of requests; nil sets no bound.
+	Headers *swroom.Headers
+	Clock   swclock.Clock
 	// joining serialises the copies of large bodies, so that there is one at a time.
 	joining sync.Mutex
 }
 
+// headersFraction is the part of the room for bodies that headers may take beside it is one in headersFraction.
+const headersFraction = 2
+
 // NewIntake returns an intake for so many connections and so many bytes of bodies.
 func NewIntake(connections int, capacity int64, clock swclock.Clock) *Intake {
-	return &Intake{Connections: swroom.NewConnections(connections), Bodies: swroom.NewRoom(capacity), Clock: clock}
+	return &Intake{Connections: swroom.NewConnections(connections), Bodies: swroom.NewRoom(capacity), Headers: swroom.NewHeaders(capacity / headersFraction), Clock: clock}
 }
 
 // Sizes of the segments in which bodies are read. A segment is at most as long as what has arrived before it.
--- a/internal/caller/swcallerconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -99,6 +99,7 @@
 		if l.Intake == nil {
 			return c, nil
 		}
+		c.header = l.Intake.Headers.Open()
 		now := l.Intake.Clock.Now()
 		c.room = l.Intake.Connections.Open(now, c.giveWay)
 		l.logWantOfRoom(now)
@@ -133,6 +134,8 @@
 	Observation
 	// room is nil if there is no Intake.
 	room *swroom.Connection
+	// header is what the header of the present request holds.
+	header *swroom.Header
 	// awaitsHeader is true until the header of a request is complete, and once the connection is idle.
 	awaitsHeader atomic.Bool
 	// becameIdle is true from when the connection became idle until its next read deadline is set, which is that of
@@ -152,6 +155,9 @@
 	for errors.Is(err, os.ErrDeadlineExceeded) && c.staysIdle() {
 		n, err = c.Conn.Read(p)
 	}
+	if n > 0 && c.awaitsHeader.Load() && !c.header.Grow(p[:n]) {
+		return 0, errNoRoomForHeader
+	}
 	switch {
 	case err == nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
 		// The server's own doing.
@@ -165,6 +171,9 @@
 	return n, err
 }
 
+// errNoRoomForHeader means that the headers of other requests hold all the room. The server closes the connection.
+var errNoRoomForHeader = errors.New("there is no room for the header")
+
 // staysIdle sets a later deadline if the connection is idle and may be so for longer by now.
 func (c *conn) staysIdle() bool {
 	since := c.idleSince.Load()
@@ -196,6 +205,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.room.Remove()
+	c.header.Close()
 	return c.Conn.Close()
 }
 
@@ -263,6 +273,7 @@
 	if observed == nil || state != http.StateIdle {
 		return
 	}
+	observed.header.Reset()
 	observed.awaitsHeader.Store(true)
 	observed.becameIdle.Store(true)
 	if observed.Intake != nil {
--- a/internal/caller/swcallerconn/metrics.go
+++ b/internal/caller/swcallerconn/metrics.go
@@ -18,6 +18,8 @@
 	}
 	gauge("body_bytes_held", "Bytes of requests' bodies that are held.", nil, func() float64 { return float64(in.Bodies.Held()) })
 	gauge("body_bytes_limit", "Bytes of requests' bodies that may be held.", nil, func() float64 { return float64(in.Bodies.Capacity()) })
+	gauge("header_bytes_held", "What headers of requests are taken to hold, in bytes.", nil, func() float64 { return float64(in.Headers.Held()) })
+	counter("headers_without_room_total", "Headers that found no room, by which their connections were closed.", nil, in.Headers.Refused)
 	for _, r := range []struct {
 		reason string
 		count  func(swroom.Counts) uint64
--- /dev/null
+++ b/internal/core/swroom/headers_test.go
@@ -0,0 +1,66 @@
+package swroom
+
+import (
+	"bytes"
+	"testing"
+)
+
+func TestHeaders(t *testing.T) {
+	const capacity = 1 << 20
+	short := bytes.Repeat([]byte("a:\r\n"), 3000)
+	tests := []struct {
+		name string
+		// others are headers of short fields that arrive before.
+		others int
+		data   []byte
+		want   bool
+	}{
+		{"a usual one", 0, bytes.Repeat([]byte("name: a usual value\r\n"), 20), true},
+		{"a usual one beside a crowd", 100, bytes.Repeat([]byte("name: a usual value\r\n"), 20), true},
+		{"many short fields alone", 0, short, true},
+		{"many short fields beside a crowd", 100, short, false},
+		{"a long one beside a crowd", 100, make([]byte, 1<<20), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			room := NewHeaders(capacity)
+			var others []*Header
+			for range tt.others {
+				others = append(others, room.Open())
+				others[len(others)-1].Grow(short)
+			}
+			h := room.Open()
+			if got := h.Grow(tt.data); got != tt.want {
+				t.Errorf("room %v, want %v", got, tt.want)
+			}
+			if held := room.Held(); held > capacity {
+				t.Errorf("%d bytes held, at most %d wanted", held, capacity)
+			}
+			for _, o := range others {
+				o.Reset()
+				o.Close()
+			}
+			h.Close()
+			if held := room.Held(); held != 0 {
+				t.Errorf("%d bytes held once all connections have ended", held)
+			}
+			if late := room.Open(); !late.Grow(short) {
+				t.Error("no room once the crowd has left")
+			}
+		})
+	}
+}
+
+func TestHeaderAfterClose(t *testing.T) {
+	room := NewHeaders(1 << 20)
+	h := room.Open()
+	h.Close()
+	h.Grow(make([]byte, 100<<10))
+	if held := room.Held(); held != 0 {
+		t.Errorf("%d bytes held by a connection that has ended", held)
+	}
+	var none *Headers
+	if unbounded := none.Open(); !unbounded.Grow(make([]byte, 1<<20)) {
+		t.Error("a header without a room is bounded")
+	}
+}
