Try no target only because the owner is new

Cause: to a new owner all targets are unknown, so that those without runs, which had just been started anew, counted as joined and drew streams that nobody could continue.

Change: a target has joined if it was listed, or listed as started anew, after the cell had targets.

Ruled out: shares of organisations (as many with and without).

--- a/internal/core/swvalue/target.go
+++ b/internal/core/swvalue/target.go
@@ -53,6 +53,8 @@
 	// tokens is the sum of the tokens of runs.
 	tokens swid.Tokens
 	rates  rates
+	// joined is set if the target was listed, or listed as started anew, after the cell had targets: all are new to a new owner.
+	joined bool
 	// attempts counts the attempts that this cell granted it since it was started.
 	attempts int
 	cache    *cache
@@ -121,7 +123,7 @@
 
 // untried reports whether nothing is known of the speed of a target that has joined lately, and it runs nothing that could show it.
 func (t *target) untried() bool {
-	return len(t.runs) == 0 && t.attempts < maxTries && t.rates.decode.Samples() == 0 && t.rates.prefill.Samples() == 0 && t.rates.service.Samples() == 0 &&
+	return t.joined && len(t.runs) == 0 && t.attempts < maxTries && t.rates.decode.Samples() == 0 && t.rates.prefill.Samples() == 0 && t.rates.service.Samples() == 0 &&
 		t.rates.overhead.Samples() == 0
 }
 
@@ -289,12 +291,13 @@
 	t := c.byID[conf.ID]
 	if t == nil {
 		t = c.addTarget(conf)
+		t.joined = c.listing > 0
 	}
 	if t.conf.Born != conf.Born {
 		t.cache.clear()
 		t.unanswered = 0
 		t.breaks.Restarted()
-		t.rates, t.attempts = rates{}, 0
+		t.rates, t.attempts, t.joined = rates{}, 0, true
 		t.restartedAt, t.leaving, t.doubtedAt, t.unlisted = c.now, false, 0, false
 		t.reach = newReachability()
 		c.reviewSilentRuns(t)
