Count waits of plain requests as contention at the owner only

While a target is silent a host's own requests wait for it, which counted as contention; the owner then has the slots of one host for all, and rejects what the hosts together would have sent.

Change: a wait counts only while the owner schedules. What begins it are requests that a target turned away.

--- a/internal/core/swcontention/swcontention.go
+++ b/internal/core/swcontention/swcontention.go
@@ -37,20 +37,25 @@
 	granted, contended atomic.Uint32
 	// total counts what contended has counted since the process began.
 	total atomic.Uint64
-	// onContended is called for each contended request; nil does nothing.
+	// shared reports whether the owner schedules for all hosts, and onContended is called for each contended request.
+	shared      func() bool
 	onContended func()
 }
 
-// NewMeter returns a meter that calls a function for each contended request. The function must not block.
-func NewMeter(onContended func()) *Meter { return &Meter{onContended: onContended} }
+// NewMeter returns a meter. shared reports whether the owner schedules for all hosts, and onContended is called for each contended request.
+// Neither may block.
+func NewMeter(shared func() bool, onContended func()) *Meter {
+	return &Meter{shared: shared, onContended: onContended}
+}
 
-// Granted counts a request that waited for so long until it was granted a target.
+// Granted counts a request that waited for so long until it was granted a target. A wait counts only at the owner of all: a host waits for
+// targets that are silent or suspect too, for which the owner has no more room than the hosts together.
 func (m *Meter) Granted(waited swclock.Millis) {
 	if m == nil {
 		return
 	}
 	m.granted.Add(1)
-	if waited >= minWait {
+	if waited >= minWait && m.shared() {
 		m.addContended()
 	}
 }
@@ -65,9 +70,7 @@
 func (m *Meter) addContended() {
 	m.contended.Add(1)
 	m.total.Add(1)
-	if m.onContended != nil {
-		m.onContended()
-	}
+	m.onContended()
 }
 
 // Take returns the counts since the last call.
--- a/internal/core/swcontention/swcontention_test.go
+++ b/internal/core/swcontention/swcontention_test.go
@@ -42,8 +42,13 @@
 }
 
 func TestMeter(t *testing.T) {
-	calls := 0
-	m := NewMeter(func() { calls++ })
+	calls, shared := 0, false
+	m := NewMeter(func() bool { return shared }, func() { calls++ })
+	m.Granted(minWait)
+	if got, want := m.Take(), (Counts{Granted: 1}); got != want || calls != 0 {
+		t.Errorf("%+v after a wait at a host, %d calls, want %+v and none", got, calls, want)
+	}
+	shared = true
 	m.Granted(0)
 	m.Granted(minWait)
 	m.TurnedAway()
--- a/internal/core/swvalue/contention_test.go
+++ b/internal/core/swvalue/contention_test.go
@@ -73,9 +73,9 @@
 	shared               bool
 }
 
-func newPlainCell(targets int) *plainCell {
+func newPlainCell(targets int, shared func() bool) *plainCell {
 	c := new(plainCell)
-	c.meter = swcontention.NewMeter(func() { c.contended = true })
+	c.meter = swcontention.NewMeter(shared, func() { c.contended = true })
 	c.Cell = New(Config{Contention: c.meter}, Fastest{}, ByWorth{})
 	var conf swcell.Configure
 	for i := range targets {
@@ -89,15 +89,17 @@
 
 func newPlainSim(hosts int, seed uint64, register *swcontention.Register) *plainSim {
 	s := &plainSim{
-		random: rand.New(rand.NewPCG(seed, 5)), owner: newPlainCell(plainTargets), register: register,
+		random: rand.New(rand.NewPCG(seed, 5)), register: register,
 		targets: make(map[swid.TargetID]*plainTarget), requests: make(map[swcell.Key]*plainRequest),
 	}
 	for i := range plainTargets {
 		t := &plainTarget{id: swid.TargetID(fmt.Sprint("t", i))}
 		s.targets[t.id] = t
 	}
+	shared := func() bool { return s.shared }
+	s.owner = newPlainCell(plainTargets, shared)
 	for range hosts {
-		s.hosts = append(s.hosts, newPlainCell(plainTargets))
+		s.hosts = append(s.hosts, newPlainCell(plainTargets, shared))
 	}
 	return s
 }
--- a/internal/node/swfleet/swfleet.go
+++ b/internal/node/swfleet/swfleet.go
@@ -40,6 +40,7 @@
 	"github.com/sassafraswing/sassafraswing/internal/peer/swcarry"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swexchange"
 	"github.com/sassafraswing/sassafraswing/internal/peer/swlink"
+	"github.com/sassafraswing/sassafraswing/internal/peer/swmsg"
 	"github.com/sassafraswing/sassafraswing/internal/store/swobject"
 	"github.com/sassafraswing/sassafraswing/internal/store/sworiginlog"
 	"github.com/sassafraswing/sassafraswing/internal/store/swrefusal"
@@ -217,7 +218,7 @@
 		origins:     sworigin.NewRegister(sworigin.DefaultCapacity), registrationRequested: make(chan struct{}, 1), schedulingOrders: make(chan schedulingOrder, 1),
 	}
 	h.boot = h.clock
-	h.contentionMeter = swcontention.NewMeter(h.reportContention)
+	h.contentionMeter = swcontention.NewMeter(func() bool { return h.view.scheduling() == swmsg.SchedulingShared }, h.reportContention)
 	h.pathProber = newPathProber(h)
 	h.paths = swreach.NewPaths(h.clock, swreach.Hooks{Changed: h.pathProber.changed, Doubted: h.pathProber.doubted, Suspected: h.pathProber.suspected})
 	h.carriers = swreach.NewDirectory()
