Report no request as not run that is ended while an attempt runs

Cause: an event that is invalid in the current phase ended a request with the outcome that the attempts before it proved, so that one that was running, or was answered, counted as not run. The package comment named it as a condition of its promise.

Now an attempt that runs at the end may have run, and so may one that was answered.

The property test also draws attempts that were cancelled unsent, which stay not run.

--- a/internal/core/swlife/swlife.go
+++ b/internal/core/swlife/swlife.go
@@ -5,10 +5,8 @@
 // It guarantees that a request is dispatched to each target at most once, that a
 // non-idempotent request is never dispatched again once it may have run, that a stream is continued only at
 // the software version that began it, and that
-// OutcomeNotRun is reported only if no attempt can have run. The last guarantee requires
-// valid events: one that is invalid in the current phase ends the request, and the
-// outcome then ignores an attempt that still runs or was answered, so that it may be
-// OutcomeNotRun although a target may have run the request.
+// OutcomeNotRun is reported only if no attempt can have run. An event that is invalid in the current
+// phase ends the request; an attempt that has not ended by then may have run.
 package swlife
 
 import (
@@ -68,8 +66,8 @@
 	// tried holds every target that the request was dispatched to, each once.
 	tried []swid.TargetID
 	// mayHaveRun is set when an attempt ends with any result that does not prove that
-	// the target did not start the request, or if an earlier request with the same key
-	// may have run. It is never cleared.
+	// the target did not start the request, if the request ends while one is running, or if an earlier
+	// request with the same key may have run. It is never cleared.
 	mayHaveRun bool
 	// resumes counts the resumptions of the current attempt.
 	resumes int
@@ -106,7 +104,7 @@
 		}
 	case Replayed:
 		if l.phase == phaseClaiming {
-			l.phase = phaseEnded
+			l.phase, l.mayHaveRun = phaseEnded, true
 			return End{Outcome: OutcomeAnswered}
 		}
 	case Granted:
@@ -126,6 +124,7 @@
 			return l.attemptEnded(e)
 		}
 	}
+	l.mayHaveRun = l.mayHaveRun || l.phase == phaseRunning
 	return l.end(CauseTargetFailed, 0)
 }
 
@@ -180,7 +179,7 @@
 	}
 	switch e.Result {
 	case swcell.ResultAnswered, swcell.ResultRejected:
-		l.phase = phaseEnded
+		l.phase, l.mayHaveRun = phaseEnded, true
 		return End{Outcome: OutcomeAnswered}
 	case swcell.ResultFailed:
 		l.mayHaveRun = true
--- a/internal/core/swlife/swlife_test.go
+++ b/internal/core/swlife/swlife_test.go
@@ -29,6 +29,8 @@
 	AttemptEnded{Result: swcell.ResultBroken, Delivered: true, Unplaced: true},
 	AttemptEnded{Result: swcell.ResultCancelled, Cause: CausePreempted},
 	AttemptEnded{Result: swcell.ResultCancelled, Cause: CauseCallerGone},
+	AttemptEnded{Result: swcell.ResultCancelled, Cause: CauseCallerGone, Unsent: true},
+	AttemptEnded{Result: swcell.ResultCancelled, Cause: CausePreempted, Unsent: true},
 	AttemptEnded{Result: swcell.ResultRejected},
 	AttemptEnded{Result: swcell.ResultNoAnswer},
 }
@@ -156,19 +158,16 @@
 }
 
 // mayHaveRunAfter reports whether a target may have run the request if a command is
-// answered by the given event.
+// answered by the given event. What is no end of the attempt that a command starts proves nothing of it.
 func mayHaveRunAfter(c Command, e Event) bool {
-	if failed, ok := e.(ClaimFailed); ok {
-		_, claiming := c.(Claim)
-		return claiming && failed.MayHaveRun
-	}
-	ended, ok := e.(AttemptEnded)
-	if !ok || ended.Result == swcell.ResultNotStarted {
-		return false
-	}
 	switch c.(type) {
+	case Claim:
+		failed, ok := e.(ClaimFailed)
+		_, replayed := e.(Replayed)
+		return ok && failed.MayHaveRun || replayed
 	case Dispatch, Resume:
-		return true
+		ended, ok := e.(AttemptEnded)
+		return !ok || ended.Result != swcell.ResultNotStarted && !(ended.Result == swcell.ResultCancelled && ended.Unsent)
 	}
 	return false
 }
@@ -189,6 +188,9 @@
 		{"refused, then run", true, []Event{Claimed{}, Granted{Target: "a"}, AttemptEnded{Result: swcell.ResultNotStarted}, Granted{Target: "b"}, broken}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
 		{"claim unavailable", true, []Event{ClaimFailed{Cause: CauseClaimUnavailable}}, End{Outcome: OutcomeNotRun, Cause: CauseClaimUnavailable}},
 		{"repeated key", true, []Event{ClaimFailed{Cause: CauseClaimHeld, MayHaveRun: true}}, End{Outcome: OutcomeUnknown, Cause: CauseClaimHeld}},
+		{"granted again while it runs", false, []Event{Granted{Target: "a"}, Granted{Target: "b"}}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+		{"given up by its caller while it runs", true, []Event{Claimed{}, Granted{Target: "a"}, WaitEnded{Cause: CauseCallerGone}}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
+		{"given up by its caller after it was answered", true, []Event{Claimed{}, Granted{Target: "a"}, AttemptEnded{Result: swcell.ResultAnswered}, WaitEnded{Cause: CauseCallerGone}}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
 		{"broken after delivery", false, []Event{Granted{Target: "a"}, AttemptEnded{Result: swcell.ResultBroken, Delivered: true}}, End{Outcome: OutcomeUnknown, Cause: CauseTargetFailed}},
 	}
 	for _, tt := range tests {
