Tell client libraries not to repeat a request by its target's error status

Callers of the product's own interface whose request must not run twice could get it run twice: an answer of a plain service is passed on with its status, and client libraries repeat 408, 409, 429 and 5xx by themselves. The host's own errors say X-Should-Retry: false where repeating is not safe; answers that are passed on did not.

Before: TestErrorOfTargetIsNotRepeated fails for 408, 429, 500 and 503.

--- a/internal/caller/swcaller/sink.go
+++ b/internal/caller/swcaller/sink.go
@@ -16,6 +16,8 @@
 	timeout    swclock.Millis
 	// stream is true if a successful answer is streamed.
 	stream bool
+	// once is set if the request must not run twice.
+	once bool
 	// bounded is set once the write deadline of an answer that is not streamed is set.
 	bounded bool
 }
@@ -23,6 +25,9 @@
 // Begin implements swholder.Sink.
 func (s *sink) Begin(status int, header http.Header) error {
 	maps.Copy(s.writer.Header(), header)
+	if s.once && status >= http.StatusBadRequest {
+		s.writer.Header().Set(headerShouldRetry, "false") // client libraries repeat a request by its status
+	}
 	s.stream = s.stream && status < http.StatusMultipleChoices
 	s.writer.WriteHeader(status)
 	return nil
--- a/internal/caller/swcaller/swcaller.go
+++ b/internal/caller/swcaller/swcaller.go
@@ -313,7 +313,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, request *swholder.Request) {
 	w.Header().Set(headerRequestID, string(request.ID))
 	swcallerconn.SetRequest(r.Context(), request.ID)
-	out := &sink{writer: w, controller: http.NewResponseController(w), timeout: s.settings.WriteTimeout, stream: request.Call.Stream}
+	out := &sink{writer: w, controller: http.NewResponseController(w), timeout: s.settings.WriteTimeout, stream: request.Call.Stream, once: request.NonIdempotent}
 	report := s.holder.Serve(r.Context(), request, out)
 	s.logEnd(request, &report)
 	if report.End.Outcome == swlife.OutcomeAnswered {
--- a/internal/caller/swcaller/swcaller_test.go
+++ b/internal/caller/swcaller/swcaller_test.go
@@ -223,3 +223,22 @@
 		})
 	}
 }
+
+// TestErrorOfTargetIsNotRepeated guards against client libraries that send a request again which must not run twice, because of the
+// status with which its target answered.
+func TestErrorOfTargetIsNotRepeated(t *testing.T) {
+	for _, tt := range []struct {
+		once   bool
+		status int
+		want   string
+	}{{true, 200, ""}, {true, 408, "false"}, {true, 429, "false"}, {true, 500, "false"}, {true, 503, "false"}, {false, 503, ""}} {
+		w := httptest.NewRecorder()
+		s := &sink{writer: w, controller: http.NewResponseController(w), timeout: swclock.Second, once: tt.once}
+		if err := s.Begin(tt.status, http.Header{"Content-Type": {"text/plain"}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := w.Header().Get(headerShouldRetry); got != tt.want {
+			t.Errorf("%+v: %s is %q", tt, headerShouldRetry, got)
+		}
+	}
+}
