--- a/internal/caller/swcallerconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -298,6 +298,26 @@
 	return End{}
 }
 
+// ResetAtEnd makes the connection of ctx end with a reset rather than an ordinary end, also if the process ends. It is for answers that
+// mark their end by that of the connection, until they are complete; they must not look so before.
+func ResetAtEnd(ctx context.Context, reset bool) error {
+	c := connOf(ctx)
+	if c == nil {
+		return nil
+	}
+	socket, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return nil
+	}
+	if reset {
+		return socket.SetLinger(0)
+	}
+	return socket.SetLinger(systemLinger)
+}
+
+// systemLinger has the system send what was written after the connection is closed.
+const systemLinger = -1
+
 // LogAbort logs that the connection of ctx is aborted: its request ended without an answer that the caller could read, or
 // within one that has begun.
 func LogAbort(ctx context.Context, log *zerolog.Logger, id swid.RequestID, begun bool, end swlife.End) {
--- a/internal/holder/swholder/attempt.go
+++ b/internal/holder/swholder/attempt.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 
@@ -553,11 +554,28 @@
 	return a.held.sink.Write(data)
 }
 
+// withLength returns the header of an answer that is held whole, with the length of its body. An empty one needs none, and may be the
+// answer to a HEAD request, whose header has another length. Without a length, callers of HTTP/1.0 would take the end of their
+// connection for that of the answer, whatever ended it.
+func withLength(header http.Header, length int) http.Header {
+	if length == 0 {
+		return header
+	}
+	h := http.Header{"Content-Length": {strconv.Itoa(length)}}
+	for name, values := range header {
+		if name != "Content-Length" {
+			h[name] = values
+		}
+	}
+	return h
+}
+
 // deliverBody sends the buffered answer to the caller.
 func (a *attempt) deliverBody() error {
 	if a.body.Len() == 0 {
 		return a.deliver(nil)
 	}
+	a.header = withLength(a.header, a.body.Len())
 	for _, segment := range a.body.Segments() {
 		if err := a.deliver(segment); err != nil {
 			return err
--- a/internal/holder/swholder/serve.go
+++ b/internal/holder/swholder/serve.go
@@ -149,7 +149,7 @@
 		return end
 	}
 	last.begun = true
-	if err := e.sink.Begin(e.lastFailure.status, e.lastFailure.header); err != nil {
+	if err := e.sink.Begin(e.lastFailure.status, withLength(e.lastFailure.header, e.lastFailure.body.Len())); err != nil {
 		return swlife.End{Outcome: swlife.OutcomeUnknown, Cause: swlife.CauseCallerGone}
 	}
 	for _, segment := range e.lastFailure.body.Segments() {
@@ -231,7 +231,7 @@
 
 // replay sends the caller the answer that was recorded for its idempotency key.
 func (e *heldRequest) replay(d swclaim.Decision) swlife.Event {
-	err := e.sink.Begin(d.Status, swtarget.MediaType(d.ContentType))
+	err := e.sink.Begin(d.Status, withLength(swtarget.MediaType(d.ContentType), len(d.Body)))
 	if err == nil {
 		err = e.sink.Write(d.Body)
 	}
--- a/internal/holder/swholder/swholder_test.go
+++ b/internal/holder/swholder/swholder_test.go
@@ -207,9 +207,15 @@
 }
 
 // bufferSink is a Sink that stores the answer in memory.
-type bufferSink struct{ data []byte }
+type bufferSink struct {
+	header http.Header
+	data   []byte
+}
 
-func (b *bufferSink) Begin(int, http.Header) error { return nil }
+func (b *bufferSink) Begin(_ int, header http.Header) error {
+	b.header = header
+	return nil
+}
 func (b *bufferSink) Write(data []byte) error {
 	b.data = append(b.data, data...)
 	return nil
@@ -511,6 +517,40 @@
 	}
 }
 
+// TestLengthOfWholeAnswer guards against an answer that is held whole and sent without its length, so that callers of HTTP/1.0 could not tell
+// if it is cut.
+func TestLengthOfWholeAnswer(t *testing.T) {
+	failure := script{status: http.StatusInternalServerError, chunks: []string{"failed"}, end: io.EOF}
+	tests := []struct {
+		name    string
+		stream  bool
+		scripts []script
+		want    string
+	}{
+		{"in pieces", false, []script{{chunks: []string{"x", "yz"}, end: io.EOF}}, "3"},
+		{"a stream", true, []script{{chunks: []string{"x", "yz"}, end: io.EOF}}, ""},
+		{"an empty answer", false, []script{{end: io.EOF}}, ""},
+		{"an error", false, []script{{status: http.StatusNotFound, chunks: []string{"none"}, end: io.EOF}}, "4"},
+		{"an earlier error", false, []script{failure, {startErr: errBroken}}, "6"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(map[swid.TargetID][]script{"a": tt.scripts[:1], "b": tt.scripts[1:]})
+			r := f.request(tt.stream, false)
+			r.RetryFailures, r.Attempts = len(tt.scripts) > 1, 2
+			reports, out := f.serve(r)
+			for i := range tt.scripts {
+				grantRequest, _ := expect[swmsg.GrantRequest](t, f)
+				f.grant("owner", grantRequest, []swid.TargetID{"a", "b"}[i])
+			}
+			<-reports
+			if got := out.header.Get("Content-Length"); got != tt.want {
+				t.Errorf("length %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestLastAttemptWaits guards against an attempt that is given up to leave time for another one when none may follow.
 func TestLastAttemptWaits(t *testing.T) {
 	const limit = 700 * swclock.Millis(1)
