--- a/internal/target/swconn/exchange.go
+++ b/internal/target/swconn/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -33,6 +34,8 @@
 	ctx  context.Context
 	// bodyComplete is set once the body was read to its end.
 	bodyComplete bool
+	// cut is the error of an answer that is not framed and was broken off at the end of its connection.
+	cut error
 }
 
 // pendingWrite is the write of a request. err is valid once done is closed.
@@ -41,11 +44,22 @@
 	err  error
 }
 
-// delivered reports whether the peer, which has ended the connection, had taken the whole request before.
-func (c *conn) delivered(w *pendingWrite) bool {
+// peerEnd is what is known of a connection that its peer has ended.
+type peerEnd struct {
+	// reset is set if the peer has not closed the connection but reset it, and taken if it had taken the whole request before.
+	reset, taken bool
+}
+
+// peerEnd returns how the peer has ended the connection while w was written. A reset shows only once: a pending write may have
+// consumed the error, and a read then sees the end of the connection.
+func (c *conn) peerEnd(w *pendingWrite) peerEnd {
 	_ = c.SetWriteDeadline(time.Unix(1, 0)) // ends a write that waits for room; fails only on a closed connection
 	<-w.done
-	return w.err == nil && c.isAcknowledged()
+	unacknowledged, failed, err := c.socketState()
+	return peerEnd{
+		reset: failed != 0 || w.err != nil && !errors.Is(w.err, os.ErrDeadlineExceeded),
+		taken: err == nil && failed == 0 && w.err == nil && unacknowledged == 0,
+	}
 }
 
 // finished reports whether the whole request was written without an error.
@@ -267,12 +281,16 @@
 }
 
 // Read reads the body. It returns io.EOF at the answer's marked end, or at the
-// end of the connection if the answer is not framed. If the peer has not taken the whole request by then, it has broken off.
+// end of the connection if the answer is not framed and the peer has not broken off.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.answer.Body.Read(b)
+	if err == io.EOF && !r.Framed && !r.bodyComplete && r.cut == nil {
+		r.cut = r.checkEnd()
+	}
+	if err == io.EOF && r.cut != nil {
+		err = r.cut
+	}
 	switch {
-	case err == io.EOF && !r.Framed && r.Status < http.StatusBadRequest && !r.conn.delivered(r.written):
-		err = contextCauseOr(r.ctx, ErrCutRequest) // an error may be sent without a look at the request
 	case err == io.EOF:
 		r.bodyComplete = true
 	case err != nil:
@@ -281,6 +299,19 @@
 	return n, err
 }
 
+// checkEnd returns an error if the end of the connection is not that of the answer.
+func (r *Response) checkEnd() error {
+	end := r.conn.peerEnd(r.written)
+	switch {
+	case end.reset:
+		return ErrReset
+	case !end.taken && r.Status < http.StatusBadRequest: // an error may be sent without a look at the request
+		return ErrCutRequest
+	default:
+		return nil
+	}
+}
+
 // Close ends the exchange. It returns the connection to the pool if the request was
 // written and the answer read in full, and nothing forbids reuse. Otherwise it closes
 // the connection, so that the peer stops work on an unfinished request.
--- a/internal/target/swconn/peek.go
+++ b/internal/target/swconn/peek.go
@@ -3,6 +3,7 @@
 import (
 	"syscall"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -29,22 +30,29 @@
 	return err == nil && peekErr == unix.EAGAIN
 }
 
-// isAcknowledged reports whether the peer's system has acknowledged everything that was written, and the connection was not reset
-// since. The end of a connection acknowledges all that the peer could have read.
-func (c *conn) isAcknowledged() bool {
+// socketState returns how many bytes that were written the peer's system has not acknowledged, and the error of the socket if the
+// connection has failed and no call has returned that yet. The end of a connection acknowledges all that the peer could have read.
+func (c *conn) socketState() (unacknowledged int, failed syscall.Errno, err error) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, 0, errNoSocket
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, 0, err
 	}
-	var queued, failed int
+	var pending int
 	var queueErr, optionErr error
-	err = raw.Control(func(fd uintptr) {
-		queued, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		failed, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-	})
-	return err == nil && queueErr == nil && optionErr == nil && queued == 0 && failed == 0
+	if err := raw.Control(func(fd uintptr) {
+		unacknowledged, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		pending, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+	}); err != nil {
+		return 0, 0, err
+	}
+	if queueErr == nil {
+		queueErr = optionErr
+	}
+	return unacknowledged, syscall.Errno(pending), queueErr
 }
+
+var errNoSocket = errors.New("the connection is no socket")
--- a/internal/target/swconn/swconn.go
+++ b/internal/target/swconn/swconn.go
@@ -64,6 +64,8 @@
 	ErrStatus = errors.New("the answer has an invalid status")
 	// ErrCutRequest means that the peer ended an answer that does not mark its end before it had taken the whole request.
 	ErrCutRequest = errors.New("the connection ended before the whole request was taken")
+	// ErrReset means that the peer reset the connection at the end of an answer that does not mark its end.
+	ErrReset = errors.New("the connection was reset where the answer seems to end")
 	// ErrOtherProcess means that another process of the peer than the expected one is at the end of the connection.
 	ErrOtherProcess = errors.New("the peer has been started anew")
 )
