Charge no body to the room for headers, and close connections without room (DENIED)

Callers do not come back after that.

Cause: all bytes that arrived while a header was awaited were charged to the room for headers, those of the body behind it in the same read too: 4 KiB of one-byte chunks count as 1,300 lines. So the crowd's bodies filled that room, and a letter with its body needed some of it. And net/http answers an error of a read that it does not know with 400, where the host means to close the connection.

Change: a header is charged up to the empty line that ends it. The error is a net.OpError of a read, after which net/http closes the connection without an answer, so that callers may come back.

--- a/internal/caller/swcallerconn/intake_test.go
+++ b/internal/caller/swcallerconn/intake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -401,3 +402,38 @@
 	r.left -= n
 	return n, nil
 }
+
+// TestHeaderWithoutRoom guards against a final answer to a request whose header finds no room: its caller could not come back.
+func TestHeaderWithoutRoom(t *testing.T) {
+	in := NewIntake(100, swroom.DefaultCapacity, swclock.NewSystem())
+	address := startReceiving(t, in, Observation{})
+	for long := bytes.Repeat([]byte("n: v\r\n"), 100); in.Headers.Open().Grow(long); { // until a crowd holds all room
+	}
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	large := "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nName: " + strings.Repeat("x", 16<<10) + "\r\n\r\nbody"
+	if _, err := io.WriteString(c, large); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(c); len(answer) > 0 || errors.Is(err, os.ErrDeadlineExceeded) { // the connection may end with a reset
+		t.Errorf("answer %q, error %v", answer, err)
+	}
+	body := strings.Repeat("1\r\nx\r\n", 600) + "0\r\n\r\n"
+	small, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = small.Close() }()
+	if _, err := io.WriteString(small, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+body); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := http.ReadResponse(bufio.NewReader(small), nil); err != nil || answer.StatusCode != http.StatusOK {
+		t.Errorf("a request whose body comes with its header: %+v, error %v", answer, err)
+	}
+}
--- a/internal/caller/swcallerconn/listener.go
+++ b/internal/caller/swcallerconn/listener.go
@@ -171,8 +171,9 @@
 	return n, err
 }
 
-// errNoRoomForHeader means that the headers of other requests hold all the room. The server closes the connection.
-var errNoRoomForHeader = errors.New("there is no room for the header")
+// errNoRoomForHeader means that the headers of other requests hold all the room. The server answers errors that are not those of a connection's
+// read with status 400, which is final; after this one it closes the connection, and the caller may come back.
+var errNoRoomForHeader = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("there is no room for the header")}
 
 // staysIdle sets a later deadline if the connection is idle and may be so for longer by now.
 func (c *conn) staysIdle() bool {
--- a/internal/core/swroom/headers.go
+++ b/internal/core/swroom/headers.go
@@ -38,6 +38,8 @@
 	cost     int64
 	reserved atomic.Int64
 	closed   atomic.Bool
+	// emptyLine is set while the current line has no text after another line, and ended once such a line has ended the header.
+	emptyLine, ended bool
 }
 
 // Open returns a header of which nothing has arrived. A nil room sets no bound, and returns nil.
@@ -48,11 +50,12 @@
 	return &Header{room: h}
 }
 
-// Grow takes room for more bytes of the header, and reports whether there is any.
+// Grow takes room for more bytes of the header, and reports whether there is any. What follows the end of the header takes none.
 func (h *Header) Grow(data []byte) bool {
 	if h == nil {
 		return true
 	}
+	data = h.untilEnd(data)
 	h.cost += headerByteCost*int64(len(data)) + headerLineCost*int64(bytes.Count(data, []byte{'\n'}))
 	more := max(h.cost-freeHeaderBytes, 0) - h.reserved.Load()
 	if more <= 0 {
@@ -70,12 +73,31 @@
 	return true
 }
 
+// untilEnd returns the leading bytes that belong to the header, which ends with an empty line.
+func (h *Header) untilEnd(data []byte) []byte {
+	if h.ended {
+		return nil
+	}
+	for i, b := range data {
+		switch {
+		case b == '\n' && h.emptyLine:
+			h.ended = true
+			return data[:i+1]
+		case b == '\n':
+			h.emptyLine = true
+		case b != '\r':
+			h.emptyLine = false
+		}
+	}
+	return data
+}
+
 // Reset gives the room back when the request has ended. The next header begins.
 func (h *Header) Reset() {
 	if h == nil {
 		return
 	}
-	h.cost = 0
+	h.cost, h.emptyLine, h.ended = 0, false, false
 	h.release()
 }
 
--- a/internal/core/swroom/headers_test.go
+++ b/internal/core/swroom/headers_test.go
@@ -64,3 +64,37 @@
 		t.Error("a header without a room is bounded")
 	}
 }
+
+// TestBodyBehindHeader guards against bodies that take the room for headers because they arrive in one read with their header.
+func TestBodyBehindHeader(t *testing.T) {
+	body := bytes.Repeat([]byte("1\r\nx\r\n"), 1<<10)
+	long := "GET / HTTP/1.1\r\nname: " + string(bytes.Repeat([]byte("v"), freeHeaderBytes)) + "\r\n"
+	tests := []struct {
+		name  string
+		reads []string
+		grows bool
+	}{
+		{"in one read", []string{"GET / HTTP/1.1\r\nname: value\r\n\r\n" + string(body)}, false},
+		{"line breaks without a return", []string{"GET / HTTP/1.1\nname: value\n\n" + string(body)}, false},
+		{"an end that is cut", []string{"GET / HTTP/1.1\r\nname: value\r\n\r", "\n" + string(body)}, false},
+		{"an end that is cut after a line", []string{"GET / HTTP/1.1\r\nname: value\r\n", "\r\n" + string(body)}, false},
+		{"a read after the end", []string{"GET / HTTP/1.1\r\n\r\n", string(body)}, false},
+		{"a long header", []string{long + "\r\n" + string(body)}, true},
+		{"no end yet", []string{"GET / HTTP/1.1\r\n" + string(body)}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			room := NewHeaders(1 << 20)
+			h := room.Open()
+			for range 2 { // the header of the next request on the connection too
+				for _, data := range tt.reads {
+					h.Grow([]byte(data))
+				}
+				if held := room.Held(); held > 0 != tt.grows {
+					t.Errorf("%d bytes held", held)
+				}
+				h.Reset()
+			}
+		})
+	}
+}
