--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -40,7 +40,8 @@
 	mu       sync.Mutex
 	revision uint64
 	// oldest is the lowest revision from which a watch can go on.
-	oldest  uint64
+	oldest uint64
+	// era counts how often the store has come back from a copy. All answers name it.
 	era     int
 	away    bool
 	objects map[objectKey]object
@@ -56,7 +57,7 @@
 }
 
 func newStore() *store {
-	return &store{revision: 100, oldest: 100, objects: make(map[objectKey]object), changed: make(chan struct{})}
+	return &store{revision: 100, oldest: 100, era: 1, objects: make(map[objectKey]object), changed: make(chan struct{})}
 }
 
 // listen serves the store until the process ends, and returns its address.
@@ -186,9 +187,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if era > 0 {
-		w.Header().Set(names.Header["era"], strconv.Itoa(era))
-	}
+	w.Header().Set(names.Header["era"], strconv.Itoa(era))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(data) // the host may have left
