--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -122,17 +122,6 @@
 	return true
 }
 
-// drop removes an object.
-func (s *store) drop(kind, name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.away {
-		return false
-	}
-	s.remove(kind, name)
-	return true
-}
-
 func (s *store) write(kind, name string, o object) object {
 	key := objectKey{kind, name}
 	old, found := s.objects[key]
